--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
-	"tinhinge.example/tinhinge/internal/wire"
-	"tinhinge.example/tinhinge/policy"
+	"pulleygw.example/pulleygw/internal/wire"
+	"pulleygw.example/pulleygw/policy"
 )
 
 // instance is one mixer and the wire's numbers for its queries.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"tinhinge.example/tinhinge/policy"
+	"pulleygw.example/pulleygw/policy"
 )
 
 // options mirrors the settings text. Keys not named here are skipped; pointers tell absent keys.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"tinhinge.example/tinhinge/policy"
+	"pulleygw.example/pulleygw/policy"
 )
 
 // A host drives a query of two parts to its answer.
