--- /dev/null
+++ b/cmd/pulleygw/main.go
@@ -0,0 +1,29 @@
+// Command pulleygw is one gatherer: it takes queries from clients, sends their parts to lot stores and
+// answers from what comes back.
+package main
+
+import (
+	"flag"
+	"log"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"pulleygw.example/pulleygw/internal/lifecycle"
+)
+
+func main() {
+	config := flag.String("config", os.Getenv("LB_CONFIG"), "the configuration file (default $LB_CONFIG)")
+	flag.Parse()
+	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
+	c, err := lifecycle.LoadConfig(*config, os.Getenv)
+	if err != nil {
+		logger.Fatalf("configuration: %v", err)
+	}
+	signals, stop := make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { <-signals; close(stop) }()
+	if err := lifecycle.Run(c, logger, stop); err != nil {
+		logger.Fatalf("fatal: %v", err)
+	}
+}
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/internal/wire"
 	"pulleygw.example/pulleygw/policy"
 )
@@ -85,11 +86,11 @@
 		h.sheets[e.Table] = list
 		return nil
 	case wire.Create:
-		set, err := wire.Settings(e.Options)
+		set, err := settings.Parse(e.Options)
 		if err != nil {
 			return err
 		}
-		m, err := policy.New(set, e.Seed)
+		m, err := policy.New(set.Policy, e.Seed)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/gather/admit.go
@@ -0,0 +1,58 @@
+package gather
+
+import (
+	"hash/fnv"
+	"time"
+
+	"pulleygw.example/pulleygw/policy"
+)
+
+// Admit: a request that the table has no room for is refused here, unseen by the Mixer, as in the
+// simulator. All others are the Mixer's to admit or refuse.
+
+func (c *Core) admit(r *Request) {
+	switch {
+	case !c.flight.Room(len(r.Shards)):
+		r.Done <- Result{Kind: Refused, RetryAfter: c.set.Policy.MaxRetryAfter, Reason: ReasonFull, Parts: partResults(r)}
+		return
+	case c.flight.Named(r.Name):
+		// Its parts could not be told from the first one's. Nothing is known of what that may do.
+		r.Done <- Result{Kind: Failed, Reason: ReasonDuplicate, Parts: partResults(r)}
+		return
+	}
+	c.lastID++
+	r.id = c.lastID
+	q := &query{Request: r}
+	c.flight.AddQuery(r.id, r.Name, q)
+	c.events = append(c.events, policy.QueryArrived{ID: policy.QueryID(r.id), Class: r.Class, Key: subject(r),
+		Left: max(time.Until(r.Deadline), 0), Parts: len(r.Shards)})
+	sum := 0.0
+	for _, s := range r.Shards {
+		sum += s.Weight
+	}
+	results := partResults(r)
+	for i, s := range r.Shards {
+		c.lastID++
+		p := &part{id: c.lastID, q: q, res: &results[i]}
+		q.parts = append(q.parts, p)
+		c.flight.AddPart(p.id, p)
+		c.events = append(c.events, policy.PartArrived{ID: policy.PartID(p.id), Query: policy.QueryID(r.id),
+			Shard: s.Number, Weight: s.Weight / sum})
+	}
+}
+
+// subject is a number for what a request is about: another try of it has the same.
+func subject(r *Request) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(r.Key))
+	h.Write(r.Text)
+	return h.Sum64()
+}
+
+func partResults(r *Request) []PartResult {
+	results := make([]PartResult, len(r.Shards))
+	for i, s := range r.Shards {
+		results[i].Shard = s.Number
+	}
+	return results
+}
--- /dev/null
+++ b/internal/gather/api.go
@@ -0,0 +1,122 @@
+// Package gather is the core of the daemon: requests, attempts and outcomes, and no wire.
+//
+// One goroutine owns the Mixer and every table. Fronts, the transport to the lot stores and discovery
+// talk to it by one channel, and it never waits for any of them. What came in is batched into one
+// Step of the Mixer per tick. A request passes these stages, a file each: take in, admit, route,
+// send, relay, book.
+package gather
+
+import (
+	"time"
+
+	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// Request is one query as a front took it.
+type Request struct {
+	Name      string // unique among those in hand
+	Class     int
+	Key       string    // repeats of a keyed class are known by it
+	Deadline  time.Time // when its client stops waiting
+	Shards    []Shard
+	Text      []byte // goes to every shard unchanged; the front must not touch it again
+	WholeOnly bool   // the client wants no partial answer
+	// Done gets the one final answer. It must have room for one, as the core does not wait.
+	Done chan Result
+
+	id uint64
+}
+
+// Shard is one part that a request asks for.
+type Shard struct {
+	Number int
+	Weight float64
+}
+
+// Kind is how a request ended.
+type Kind uint8
+
+// The ways a request may end.
+const (
+	Answered Kind = iota
+	Refused       // trying again is harmless
+	Failed        // nothing is promised
+)
+
+// Result is the final answer of a request.
+type Result struct {
+	Kind       Kind
+	Whole      bool
+	Parts      []PartResult // every part, in the request's order
+	RetryAfter time.Duration
+	Reason     string // one of the Reason constants, where not answered
+}
+
+// Why a request was not answered.
+const (
+	ReasonFull      = "in-flight table full"
+	ReasonDuplicate = "a request of this id is in hand"
+	ReasonGivenUp   = "given up"
+	ReasonDeadline  = "deadline reached"
+	ReasonPartial   = "only a partial answer was to be had"
+	ReasonTooLarge  = "answer over the size limit"
+	ReasonPanic     = "decisions restarted"
+)
+
+// PartResult is what came of one part.
+type PartResult struct {
+	Shard    int
+	OK       bool
+	Value    string
+	Attempts int
+	Last     policy.Status // of the last attempt that ended, where not OK and Attempts > 0
+}
+
+// Attempt is one try of a part at a server. All fields are fixed before the transport sees it.
+type Attempt struct {
+	Query  string
+	Class  int
+	Key    string
+	Shard  int
+	Number int
+	Text   []byte
+	Server policy.ServerID
+	Until  time.Time // when the core stops waiting for it
+	// NotAfter, where set, is the last moment at which it may be written: later, a repeat of a keyed
+	// part would no longer be dropped by the lot stores.
+	NotAfter time.Time
+
+	part    *part
+	sent    time.Duration
+	outcome bool // has ended
+}
+
+// Transport carries attempts to servers. No method may block, nor call its Reporter before it returns:
+// the core's goroutine calls them.
+type Transport interface {
+	// Servers tells what the list now says of some servers.
+	Servers(news []mem.Server)
+	// Call sends the attempts to one server as one call.
+	Call(server policy.ServerID, attempts []*Attempt)
+	// Cancel gives an attempt up. No outcome is to be reported for it any more.
+	Cancel(a *Attempt)
+	// Probe asks whether a server is there.
+	Probe(server policy.ServerID)
+	// CloseIdle closes the connections to a server on which nothing is out.
+	CloseIdle(server policy.ServerID)
+}
+
+// Reporter takes what a transport has to tell; it may wait for the core.
+type Reporter interface {
+	// Outcome tells how an attempt ended, with its value where it is OK.
+	Outcome(a *Attempt, s policy.Status, value string)
+	// Probed tells how a probe ended.
+	Probed(server policy.ServerID, ok bool)
+}
+
+// List is news of the server list.
+type List struct {
+	Kind    policy.ListKind
+	Servers []mem.Server // their IDs are not set yet
+}
--- /dev/null
+++ b/internal/gather/book.go
@@ -0,0 +1,61 @@
+package gather
+
+import (
+	"time"
+
+	"pulleygw.example/pulleygw/policy"
+)
+
+// Book: every attempt ends exactly once, and what it brought is written down.
+
+// valuesMost bounds the values of one answer, as a body holds 64 KiB at most.
+const valuesMost = 56 << 10
+
+// book takes in the outcome that the transport tells of.
+func (c *Core) book(a *Attempt, s policy.Status, value string) {
+	if a.outcome {
+		return // cancelled or timed out while this was on its way
+	}
+	p := a.part
+	if s == policy.OK && !p.res.OK {
+		if p.q.bytes+len(value) > valuesMost {
+			s = policy.Error // an answer with it could not be given
+		} else {
+			p.q.bytes += len(value)
+			p.res.OK, p.res.Value = true, value
+		}
+	}
+	c.report(a, s)
+}
+
+// report ends an attempt and tells the Mixer in the next step.
+func (c *Core) report(a *Attempt, s policy.Status) {
+	p, took := a.part, max(c.now()-a.sent, time.Microsecond)
+	c.ended(a)
+	if s != policy.OK {
+		p.res.Last = s
+	}
+	if s == policy.Full || s == policy.ConnectFailed || s == policy.Moot {
+		c.neverRan(a)
+	}
+	c.events = append(c.events, policy.Outcome{Part: policy.PartID(p.id), Server: a.Server, Attempt: a.Number,
+		Status: s, Took: took})
+}
+
+func (c *Core) ended(a *Attempt) {
+	a.outcome = true
+	delete(c.out, a)
+}
+
+// neverRan takes an attempt out of those that may have run: the window of a keyed part counts from the
+// first that may.
+func (c *Core) neverRan(a *Attempt) {
+	p := a.part
+	a.sent, p.mayRun = 0, 0
+	for _, o := range p.attempts {
+		if o.sent > 0 {
+			p.mayRun = o.sent
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/gather/core.go
@@ -0,0 +1,193 @@
+package gather
+
+import (
+	"fmt"
+	"log"
+	"runtime/debug"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// epoch is what the Mixer's clock shows when the daemon starts. It leaves room before it for servers
+// that started earlier, as the Mixer takes times of 0 and less for long ago.
+const epoch = 5 * time.Minute
+
+// inbox is how many messages may wait for the core before senders do.
+const inbox = 4096
+
+// Core owns the Mixer and all tables. Only Run's goroutine touches what stands below quit.
+type Core struct {
+	set       settings.Settings
+	transport Transport
+	log       *log.Logger
+	seed      uint64
+	start     time.Time
+	in        chan any
+	quit      chan struct{}
+
+	mixer     *policy.Mixer
+	servers   *mem.Servers
+	flight    *mem.InFlight[*query, *part]
+	out       map[*Attempt]struct{} // attempts that have not ended
+	events    []policy.Event        // for the next step
+	calls     []call                // of the step at hand
+	lastID    uint64
+	wakeAt    time.Duration // the Mixer's, 0 for none
+	steppedAt time.Duration
+}
+
+// query is a request in hand.
+type query struct {
+	*Request
+	parts []*part
+	bytes int // of the values that are in
+}
+
+// part is one shard's share of a query.
+type part struct {
+	id       uint64
+	q        *query
+	res      *PartResult
+	attempts []*Attempt
+	mayRun   time.Duration // when the first attempt that may have run was sent, 0 for none
+}
+
+// New makes a core. The transport must not report before Run.
+func New(set settings.Settings, seed uint64, t Transport, logger *log.Logger) (*Core, error) {
+	m, err := policy.New(set.Policy, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{
+		set: set, transport: t, log: logger, seed: seed, start: time.Now(), mixer: m,
+		in: make(chan any, inbox), quit: make(chan struct{}),
+		servers: mem.NewServers(), flight: mem.NewInFlight[*query, *part](set.OpenCap),
+		out: map[*Attempt]struct{}{},
+	}, nil
+}
+
+// now is the Mixer's clock: monotonic, from epoch.
+func (c *Core) now() time.Duration { return epoch + time.Since(c.start) }
+
+// at turns a time into the Mixer's clock; one fixed offset, so that a time always gives the same.
+func (c *Core) at(t time.Time) time.Duration { return epoch + t.Sub(c.start) }
+
+// Run serves until Stop. It returns when the core has stopped.
+func (c *Core) Run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		due := c.due()
+		for wait := due - c.now(); wait > 0; wait = due - c.now() {
+			timer.Reset(wait)
+			select {
+			case m := <-c.in:
+				c.take(m)
+				due = min(due, c.due())
+			case <-timer.C:
+			case <-c.quit:
+				return
+			}
+		}
+	drain:
+		for range inbox {
+			select {
+			case m := <-c.in:
+				c.take(m)
+			default:
+				break drain
+			}
+		}
+		c.step()
+	}
+}
+
+// Stop ends Run.
+func (c *Core) Stop() { close(c.quit) }
+
+// due is when the next step is wanted: a tick after the last one if anything waits for it, else when the
+// Mixer asked to be woken or an attempt's time is up.
+func (c *Core) due() time.Duration {
+	soonest := c.steppedAt + c.set.Policy.Tick
+	if len(c.events) > 0 {
+		return soonest
+	}
+	due := c.steppedAt + time.Minute
+	if c.wakeAt > 0 {
+		due = min(due, c.wakeAt)
+	}
+	for a := range c.out {
+		due = min(due, c.at(a.Until))
+	}
+	return max(due, soonest)
+}
+
+// step lets the Mixer decide on what came in, and carries out what it wants.
+func (c *Core) step() {
+	now := c.now()
+	c.steppedAt = now
+	c.expire(now)
+	if c.wakeAt > 0 && now >= c.wakeAt {
+		c.wakeAt = 0
+		c.events = append(c.events, policy.Wake{})
+	}
+	events := c.events
+	c.events = nil // what carrying out brings is for the next step
+	actions, err := c.decide(now, events)
+	if err != nil {
+		c.restart(err)
+		return
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case policy.Send:
+			c.route(a)
+		case policy.Cancel:
+			c.cancel(a)
+		case policy.Answer:
+			c.relayAnswer(a)
+		case policy.Refuse:
+			c.relayRefusal(a)
+		case policy.Fail:
+			c.relayFailure(a)
+		case policy.Probe:
+			c.transport.Probe(a.Server)
+		case policy.CloseIdle:
+			c.transport.CloseIdle(a.Server)
+		case policy.WakeAt:
+			c.wakeAt = a.At
+		case policy.Log:
+			c.log.Printf("mixer: %s", a.Text)
+		}
+	}
+	c.sendCalls()
+}
+
+// decide runs one step of the Mixer. A panic there must not take down the daemon with all that it holds.
+func (c *Core) decide(now time.Duration, events []policy.Event) (actions []policy.Action, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%v\n%s", p, debug.Stack())
+		}
+	}()
+	return c.mixer.Step(now, events), nil
+}
+
+// restart ends all that is in hand honestly and goes on with a fresh Mixer on the list as known.
+func (c *Core) restart(err error) {
+	c.log.Printf("mixer panic, starting a new one: %v", err)
+	for a := range c.out {
+		c.transport.Cancel(a)
+		c.ended(a)
+	}
+	for _, q := range c.flight.Queries() {
+		c.finish(q, Result{Kind: Failed, Reason: ReasonPanic})
+	}
+	c.seed++
+	c.mixer, _ = policy.New(c.set.Policy, c.seed) // New took the same settings before
+	c.events, c.calls, c.wakeAt = nil, nil, 0
+	c.events = append(c.events, policy.ServerList{Kind: policy.Cached, Servers: c.infos(c.servers.All())})
+}
--- /dev/null
+++ b/internal/gather/relay.go
@@ -0,0 +1,52 @@
+package gather
+
+import "pulleygw.example/pulleygw/policy"
+
+// Relay: the Mixer's final word on a query goes to its front at once. Nothing is ever held back.
+
+func (c *Core) relayAnswer(a policy.Answer) {
+	q, ok := c.flight.Query(uint64(a.Query))
+	if !ok || !a.Final {
+		return
+	}
+	if !a.Whole && q.WholeOnly {
+		c.finish(q, Result{Kind: Failed, Reason: ReasonPartial})
+		return
+	}
+	c.finish(q, Result{Kind: Answered, Whole: a.Whole})
+}
+
+func (c *Core) relayRefusal(r policy.Refuse) {
+	if q, ok := c.flight.Query(uint64(r.Query)); ok {
+		c.finish(q, Result{Kind: Refused, RetryAfter: r.RetryAfter, Reason: ReasonGivenUp})
+	}
+}
+
+func (c *Core) relayFailure(f policy.Fail) {
+	if q, ok := c.flight.Query(uint64(f.Query)); ok {
+		reason := ReasonGivenUp
+		if c.now() >= c.at(q.Deadline)-3*c.set.Policy.Tick {
+			reason = ReasonDeadline
+		}
+		c.finish(q, Result{Kind: Failed, Reason: reason})
+	}
+}
+
+// finish gives a query its final answer and takes it off the table.
+func (c *Core) finish(q *query, r Result) {
+	r.Parts = make([]PartResult, len(q.parts))
+	for i, p := range q.parts {
+		r.Parts[i] = *p.res
+	}
+	q.Done <- r
+	c.forget(q)
+}
+
+// forget takes a query off the table. The Mixer has cancelled, or now cancels, what is out for it.
+func (c *Core) forget(q *query) {
+	ids := make([]uint64, len(q.parts))
+	for i, p := range q.parts {
+		ids[i] = p.id
+	}
+	c.flight.Remove(q.id, q.Name, ids)
+}
--- /dev/null
+++ b/internal/net/discovery/discovery.go
@@ -0,0 +1,143 @@
+// Package discovery follows the lot-store list that the agent on this machine serves.
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/policy"
+)
+
+const (
+	waitFor   = 20 * time.Second // of one watch
+	graceFor  = 2 * time.Second  // past that, the agent is taken for silent
+	dialFor   = time.Second
+	backFirst = 20 * time.Millisecond // back-off of reconnects, doubled up to backMost
+	backMost  = time.Second
+)
+
+// Watcher follows the list.
+type Watcher struct {
+	Addr  string
+	Zones []string
+	Log   *log.Logger
+	// Tell takes the news, in order.
+	Tell func(gather.List)
+}
+
+// ParseList reads a list as discovery and the configuration word it.
+func ParseList(text []byte, zones []string) (seq int64, l gather.List, err error) {
+	if !gjson.ValidBytes(text) { // gjson's getters take garbage
+		return 0, l, errors.New("the list is not JSON")
+	}
+	root := gjson.ParseBytes(text)
+	version, whole, hosts := root.Get("seq"), root.Get("whole"), root.Get("hosts")
+	if version.Type != gjson.Number || !whole.IsBool() || !hosts.IsArray() {
+		return 0, l, errors.New("the list lacks seq, whole or hosts")
+	}
+	if whole.Bool() {
+		l.Kind = policy.Whole
+	}
+	hosts.ForEach(func(_, h gjson.Result) bool {
+		var s mem.Server
+		if s, err = parseHost(h, zones); err == nil {
+			l.Servers = append(l.Servers, s)
+		}
+		return err == nil
+	})
+	return version.Int(), l, err
+}
+
+var states = map[string]policy.ServerState{"ready": policy.Ready, "draining": policy.Draining, "gone": policy.Gone}
+
+func parseHost(h gjson.Result, zones []string) (mem.Server, error) {
+	s := mem.Server{Name: h.Get("host").String(), Addr: h.Get("dial").String(), Cell: int(h.Get("block").Int()),
+		Weight: h.Get("share").Float(), Zone: -1}
+	for i, z := range zones {
+		if z == h.Get("site").String() {
+			s.Zone = i
+		}
+	}
+	state, ok := states[h.Get("health").String()]
+	s.State = state
+	switch {
+	case s.Name == "":
+		return s, errors.New("the list has a line without host")
+	case !ok:
+		return s, fmt.Errorf("the list has an unknown health for host %.80q", s.Name)
+	case state != policy.Gone && (s.Addr == "" || s.Zone < 0):
+		return s, fmt.Errorf("the list has no dial or an unknown site for host %.80q", s.Name)
+	}
+	if born := h.Get("born_ms").Int(); born > 0 {
+		s.Born = time.UnixMilli(born)
+	}
+	return s, nil
+}
+
+// Run follows the list from a version on until the context ends.
+func (w *Watcher) Run(ctx context.Context, seq int64) {
+	c := &http1.Client{Addr: w.Addr}
+	back, failing := backFirst, false
+	for ctx.Err() == nil {
+		next, err := w.watch(ctx, c, seq)
+		if err == nil {
+			if failing {
+				w.Log.Printf("discovery: following again, seq=%d", next)
+			}
+			seq, back, failing = next, backFirst, false
+			continue // at once: a watch goes on only if the next call comes within 200 ms
+		}
+		c.Close()
+		if ctx.Err() != nil {
+			return
+		}
+		if !failing {
+			w.Log.Printf("discovery: failing: %v", err)
+		}
+		failing = true
+		select {
+		case <-ctx.Done():
+		case <-time.After(back/2 + rand.N(back/2)):
+		}
+		back = min(2*back, backMost)
+	}
+	c.Close()
+}
+
+// watch makes one call and tells what it brings.
+func (w *Watcher) watch(ctx context.Context, c *http1.Client, seq int64) (int64, error) {
+	if err := c.Dial(ctx, dialFor); err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	target := "/api/targets?since=" + strconv.FormatInt(seq, 10) + "&timeout_ms=" + strconv.FormatInt(waitFor.Milliseconds(), 10)
+	if err := c.Write(now.Add(dialFor), "GET", target, nil, nil); err != nil {
+		return 0, err
+	}
+	p, err := c.Read(now.Add(waitFor + graceFor))
+	if err != nil {
+		return 0, err
+	}
+	defer p.Release()
+	if p.Status != 200 {
+		return 0, fmt.Errorf("status %d", p.Status)
+	}
+	next, l, err := ParseList(p.Body, w.Zones)
+	if err != nil {
+		return 0, err
+	}
+	if l.Kind == policy.Whole || len(l.Servers) > 0 {
+		w.Tell(l)
+	}
+	return next, nil
+}
--- /dev/null
+++ b/internal/net/frames/codec.go
@@ -0,0 +1,117 @@
+// Package frames speaks the lot stores' frames: a length of four bytes, least significant first, one
+// letter, and the rest.
+package frames
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"strconv"
+
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mem"
+)
+
+// The letters of the frames.
+const (
+	letterCall   = 'A'
+	letterGiveUp = 'B'
+	letterProbe  = 'C'
+	letterEnd    = 'E'
+	letterBad    = 'F'
+)
+
+const (
+	headSize = 5
+	maxFrame = mem.BufferSize // of an answer: a value of 64 KiB and its line
+)
+
+// readFrame reads one frame. The rest lies in buf and is valid until the next call.
+func readFrame(r *bufio.Reader, buf *[mem.BufferSize]byte) (letter byte, rest []byte, err error) {
+	var head [headSize]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	n := binary.LittleEndian.Uint32(head[:])
+	if n < 1 || n > maxFrame {
+		return 0, nil, fmt.Errorf("malformed frame: length %d", n)
+	}
+	rest = buf[:n-1]
+	if _, err := io.ReadFull(r, rest); err != nil {
+		return 0, nil, err
+	}
+	return head[4], rest, nil
+}
+
+// end is what an E frame tells of one part.
+type end struct {
+	id, how string
+	value   []byte
+}
+
+// parseEnd reads the rest of an E frame: the line ID END SCORE REPORT, and the value.
+func parseEnd(rest []byte) (end, error) {
+	line, value, ok := bytes.Cut(rest, []byte{'\n'})
+	fields := bytes.Split(line, []byte{' '})
+	if !ok || len(fields) != 4 || len(fields[0]) == 0 {
+		return end{}, fmt.Errorf("malformed frame: E with the line %.80q", line)
+	}
+	switch string(fields[1]) {
+	case "hit", "fault", "overload":
+	default:
+		return end{}, fmt.Errorf("malformed frame: E with the end %.20q", fields[1])
+	}
+	return end{string(fields[0]), string(fields[1]), value}, nil
+}
+
+// appendFrame appends a frame whose rest is given.
+func appendFrame(b []byte, letter byte, rest string) []byte {
+	b = binary.LittleEndian.AppendUint32(b, uint32(1+len(rest)))
+	return append(append(b, letter), rest...)
+}
+
+// partID is a part's name on this wire.
+func partID(a *gather.Attempt) string { return a.Query + "." + strconv.Itoa(a.Shard) }
+
+// partLine is what goes before a part's text in a call.
+func partLine(a *gather.Attempt, waitMs int64) string {
+	key := ""
+	if a.Key != "" {
+		key = ",k=" + a.Key
+	}
+	return fmt.Sprintf("%s %d d=%d%s %d\n", partID(a), a.Shard, max(waitMs, 1), key, len(a.Text))
+}
+
+// writeCall writes one call. Large ones go out in pieces, as buffers have one size.
+func writeCall(w io.Writer, lines []string, attempts []*gather.Attempt) error {
+	n := 1
+	for i, a := range attempts {
+		n += len(lines[i]) + len(a.Text)
+	}
+	buf := mem.GetBuffer()
+	defer mem.PutBuffer(buf)
+	out := binary.LittleEndian.AppendUint32(buf[:0], uint32(n))
+	out = append(out, letterCall)
+	put := func(s []byte) error {
+		if len(out)+len(s) > len(buf) {
+			if _, err := w.Write(out); err != nil {
+				return err
+			}
+			out = buf[:0]
+		}
+		out = append(out, s...)
+		return nil
+	}
+	for i, a := range attempts {
+		if err := put([]byte(lines[i])); err != nil {
+			return err
+		}
+		if err := put(a.Text); err != nil {
+			return err
+		}
+	}
+	_, err := w.Write(out)
+	return err
+}
--- /dev/null
+++ b/internal/net/frames/transport.go
@@ -0,0 +1,488 @@
+package frames
+
+import (
+	"bufio"
+	"log"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// Config is what a transport needs to know.
+type Config struct {
+	Streams        int           // parts that one connection carries at once
+	ConnectTimeout time.Duration // also a probe's
+	ConnIdle       time.Duration // the lot store closes a connection idle for so long
+	MaxConns       int           // in all
+	Log            *log.Logger
+}
+
+// Transport implements gather.Transport on frames. One lock covers all its books; nothing is written, read
+// or reported under it.
+type Transport struct {
+	Config
+	report gather.Reporter
+
+	mu      sync.Mutex
+	servers map[policy.ServerID]*server
+	where   map[*gather.Attempt]*conn
+	conns   int
+}
+
+type server struct {
+	mem.Server
+	pool mem.Pool[*conn]
+}
+
+// entry is an attempt on a connection.
+type entry struct {
+	a       *gather.Attempt
+	written time.Time // zero while its frame is not written whole
+}
+
+// conn is one connection. Its writer owns the socket's writing side, its reader the other.
+type conn struct {
+	t  *Transport
+	s  *server
+	nc net.Conn // nil until it is up
+
+	// Under the transport's lock.
+	queue    [][]*gather.Attempt // calls not yet begun to be written
+	give     []string            // parts to be given up
+	probes   int                 // probes to be written
+	out      map[string]*entry   // begun to be written, by part
+	load     int                 // parts queued and out
+	asked    []time.Time         // probes that are out
+	up, dead bool
+	silent   bool      // an attempt timed out with nothing heard since: not chosen any more
+	heard    time.Time // when something last came
+	idle     time.Time // since when nothing is on it
+	wake     chan struct{}
+	gone     chan struct{}
+}
+
+// New makes a transport; Start must come before any other call.
+func New(c Config) *Transport {
+	return &Transport{Config: c, servers: map[policy.ServerID]*server{}, where: map[*gather.Attempt]*conn{}}
+}
+
+// Start names whom outcomes are reported to.
+func (t *Transport) Start(r gather.Reporter) { t.report = r }
+
+// Room, Load and Ready implement mem.Conn.
+func (c *conn) Room() int { return c.t.Streams - c.load }
+
+// Load implements mem.Conn.
+func (c *conn) Load() int { return c.load }
+
+// Ready implements mem.Conn.
+func (c *conn) Ready() int {
+	switch {
+	case c.dead || c.silent:
+		return 0
+	case !c.up:
+		return 1
+	}
+	return 2
+}
+
+// Servers takes in news of the list. What waits to be written to a server that may be sent nothing new is
+// dropped now: the time until such sends must have stopped runs.
+func (t *Transport) Servers(news []mem.Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, n := range news {
+		s := t.servers[n.ID]
+		if s == nil {
+			if n.State == policy.Gone {
+				continue
+			}
+			s = &server{}
+			t.servers[n.ID] = s
+		}
+		moved := s.Addr != "" && s.Addr != n.Addr
+		s.Server = n
+		if n.State != policy.Ready {
+			var dropped []*gather.Attempt
+			for _, c := range s.pool.All() {
+				dropped = append(dropped, c.dropQueue()...)
+			}
+			t.end(dropped, policy.Moot)
+		}
+		if n.State == policy.Gone || moved {
+			t.closeIdle(s)
+		}
+		if moved {
+			for _, c := range s.pool.All() {
+				c.silent = true // it leads to the old address: only what is out on it stays
+			}
+		}
+		if n.State == policy.Gone && s.pool.Len() == 0 {
+			delete(t.servers, n.ID)
+		}
+	}
+}
+
+// dropQueue empties a connection's queue and returns what was in it.
+func (c *conn) dropQueue() (dropped []*gather.Attempt) {
+	for _, call := range c.queue {
+		dropped = append(dropped, call...)
+		c.load -= len(call)
+	}
+	c.queue = nil
+	for _, a := range dropped {
+		delete(c.t.where, a)
+	}
+	return dropped
+}
+
+// end reports the same outcome for attempts, from a goroutine of its own as the caller holds the lock or is
+// the core itself.
+func (t *Transport) end(attempts []*gather.Attempt, s policy.Status) {
+	if len(attempts) == 0 {
+		return
+	}
+	go func() {
+		for _, a := range attempts {
+			t.report.Outcome(a, s, "")
+		}
+	}()
+}
+
+// Call implements gather.Transport.
+func (t *Transport) Call(id policy.ServerID, attempts []*gather.Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	if s == nil || s.State != policy.Ready {
+		t.end(attempts, policy.Moot)
+		return
+	}
+	c := t.conn(s, len(attempts))
+	if c == nil {
+		t.Log.Printf("conn: all %d connections are in use, server=%d", t.MaxConns, id)
+		t.end(attempts, policy.ConnectFailed)
+		return
+	}
+	c.queue = append(c.queue, attempts)
+	c.load += len(attempts)
+	for _, a := range attempts {
+		t.where[a] = c
+	}
+	c.kick()
+}
+
+// conn picks a connection with room for n parts, or opens one.
+func (t *Transport) conn(s *server, n int) *conn {
+	if c, ok := s.pool.Pick(n); ok {
+		return c
+	}
+	if t.conns >= t.MaxConns {
+		return nil
+	}
+	c := &conn{t: t, s: s, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
+	s.pool.Add(c)
+	t.conns++
+	go c.run(s.Addr)
+	return c
+}
+
+func (c *conn) kick() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Cancel implements gather.Transport.
+func (t *Transport) Cancel(a *gather.Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.where[a]
+	if c == nil {
+		return
+	}
+	delete(t.where, a)
+	c.load--
+	defer c.settle()
+	for i, call := range c.queue {
+		if j := slices.Index(call, a); j >= 0 {
+			c.queue[i] = slices.Delete(call, j, j+1)
+			return
+		}
+	}
+	e := c.out[partID(a)]
+	delete(c.out, partID(a))
+	// A machine that vanished gives no sign: a connection that was silent through an attempt's whole time is
+	// not trusted with another.
+	if e != nil && !e.written.IsZero() && !time.Now().Before(a.Until) && c.heard.Before(e.written) {
+		c.silent = true
+	}
+	c.give = append(c.give, partID(a))
+	c.kick()
+}
+
+// settle notes since when a connection is idle.
+func (c *conn) settle() {
+	if c.load == 0 {
+		c.idle = time.Now()
+		if c.silent {
+			c.kick() // to be closed
+		}
+	}
+}
+
+// Probe implements gather.Transport.
+func (t *Transport) Probe(id policy.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	if s == nil {
+		go t.report.Probed(id, false)
+		return
+	}
+	c := t.conn(s, 0)
+	if c == nil {
+		go t.report.Probed(id, false)
+		return
+	}
+	c.probes++
+	c.kick()
+}
+
+// CloseIdle implements gather.Transport.
+func (t *Transport) CloseIdle(id policy.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[id]; s != nil {
+		t.closeIdle(s)
+	}
+}
+
+func (t *Transport) closeIdle(s *server) {
+	for _, c := range s.pool.All() {
+		if c.load == 0 && len(c.asked) == 0 && c.probes == 0 {
+			c.remove()
+		}
+	}
+}
+
+// remove takes a connection off the books, under the lock, and ends its goroutines.
+func (c *conn) remove() {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	close(c.gone)
+	c.s.pool.Remove(c)
+	c.t.conns--
+	if c.nc != nil {
+		c.nc.Close()
+	}
+	if c.s.State == policy.Gone && c.s.pool.Len() == 0 && c.t.servers[c.s.ID] == c.s {
+		delete(c.t.servers, c.s.ID)
+	}
+}
+
+// fail ends a connection and all that is on it: what was written whole may have run, the rest never did.
+// A frame that is being written at this moment is left to its writer.
+func (c *conn) fail(err error) {
+	t := c.t
+	t.mu.Lock()
+	var reset []*gather.Attempt
+	never := c.dropQueue()
+	for id, e := range c.out {
+		if !e.written.IsZero() {
+			reset = append(reset, e.a)
+			delete(c.out, id)
+			delete(t.where, e.a)
+		}
+	}
+	probes, was := c.probes+len(c.asked), c.dead
+	c.probes, c.asked = 0, nil
+	c.remove()
+	id := c.s.ID
+	t.mu.Unlock()
+	if !was || len(reset)+len(never) > 0 {
+		t.Log.Printf("conn: server=%d ended, %d parts out, %d never sent: %v", id, len(reset), len(never), err)
+	}
+	for _, a := range reset {
+		t.report.Outcome(a, policy.Reset, "")
+	}
+	for _, a := range never {
+		t.report.Outcome(a, policy.ConnectFailed, "")
+	}
+	for range probes {
+		t.report.Probed(id, false)
+	}
+}
+
+// run opens the connection and writes what is to be written.
+func (c *conn) run(addr string) {
+	nc, err := (&net.Dialer{Timeout: c.t.ConnectTimeout, KeepAlive: -1}).Dial("tcp", addr)
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	c.t.mu.Lock()
+	if c.dead {
+		c.t.mu.Unlock()
+		nc.Close()
+		return
+	}
+	c.nc, c.up, c.heard = nc, true, time.Now()
+	c.t.mu.Unlock()
+	go c.read()
+	// Closed well before the lot store would, as what crosses that close ends as a reset.
+	check := time.NewTicker(c.t.ConnIdle / 6)
+	defer check.Stop()
+	for {
+		more, err := c.write()
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		if more {
+			continue
+		}
+		select {
+		case <-c.wake:
+		case <-check.C:
+		case <-c.gone:
+			return
+		}
+	}
+}
+
+// write writes the next thing in line and says whether there was one. An idle connection is closed here.
+func (c *conn) write() (more bool, err error) {
+	t, now := c.t, time.Now()
+	t.mu.Lock()
+	switch {
+	case c.dead:
+		t.mu.Unlock()
+		return false, nil
+	case len(c.give) > 0 || c.probes > 0:
+		var b []byte
+		for _, id := range c.give {
+			b = appendFrame(b, letterGiveUp, id)
+		}
+		for range c.probes {
+			b = appendFrame(b, letterProbe, "")
+			c.asked = append(c.asked, now)
+			time.AfterFunc(t.ConnectTimeout+time.Millisecond, c.kick) // to see whether it is overdue
+		}
+		c.give, c.probes = nil, 0
+		t.mu.Unlock()
+		c.nc.SetWriteDeadline(now.Add(t.writeFor()))
+		_, err := c.nc.Write(b)
+		return true, err
+	case len(c.queue) > 0:
+		call := c.queue[0]
+		c.queue = c.queue[1:]
+		return true, c.writeCall(call, now)
+	}
+	if len(c.asked) > 0 && now.Sub(c.asked[0]) > t.ConnectTimeout {
+		c.asked = c.asked[1:]
+		c.silent = true
+		id := c.s.ID
+		t.mu.Unlock()
+		t.report.Probed(id, false)
+		return true, nil
+	}
+	if c.load == 0 && len(c.asked) == 0 && (c.silent || now.Sub(c.idle) > t.ConnIdle/2) {
+		c.remove()
+	}
+	t.mu.Unlock()
+	return false, nil
+}
+
+// writeFor is how long a peer that does not read is waited for.
+func (t *Transport) writeFor() time.Duration { return 4 * t.ConnectTimeout }
+
+// writeCall writes one call; the lock is held on entry and is not on return. It looks again at what time
+// and the list say: a keyed part past its window, a part past its time or a server that drains by now are
+// not written, and never ran.
+func (c *conn) writeCall(call []*gather.Attempt, now time.Time) error {
+	t := c.t
+	var lines []string
+	var late, attempts []*gather.Attempt
+	for _, a := range call {
+		if c.s.State != policy.Ready || !now.Before(a.Until) || !a.NotAfter.IsZero() && now.After(a.NotAfter) {
+			late = append(late, a)
+			delete(t.where, a)
+			c.load--
+			continue
+		}
+		c.out[partID(a)] = &entry{a: a}
+		attempts = append(attempts, a)
+		lines = append(lines, partLine(a, a.Until.Sub(now).Milliseconds()))
+	}
+	c.settle()
+	t.mu.Unlock()
+	for _, a := range late {
+		t.report.Outcome(a, policy.Moot, "")
+	}
+	if len(attempts) == 0 {
+		return nil
+	}
+	c.nc.SetWriteDeadline(now.Add(t.writeFor()))
+	err := writeCall(c.nc, lines, attempts)
+	t.mu.Lock()
+	var ended []*gather.Attempt
+	for _, a := range attempts {
+		e := c.out[partID(a)]
+		if e == nil || e.a != a {
+			continue // answered or cancelled meanwhile
+		}
+		if err == nil && !c.dead {
+			e.written = time.Now()
+			continue
+		}
+		delete(c.out, partID(a))
+		delete(t.where, a)
+		ended = append(ended, a)
+	}
+	t.mu.Unlock()
+	status := policy.Reset // written whole, and the connection ended before that was booked
+	if err != nil {
+		status = policy.ConnectFailed
+	}
+	for _, a := range ended {
+		t.report.Outcome(a, status, "")
+	}
+	return err
+}
+
+// read takes in what the lot store tells until the connection ends.
+func (c *conn) read() {
+	r := bufio.NewReaderSize(c.nc, 4<<10)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			c.fail(err)
+			return
+		}
+		// Once a frame has begun, the rest of it must follow.
+		c.nc.SetReadDeadline(time.Now().Add(c.t.writeFor()))
+		if err := c.frame(r); err != nil {
+			c.fail(err)
+			return
+		}
+		c.nc.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *conn) frame(r *bufio.Reader) error {
+	buf := mem.GetBuffer()
+	defer mem.PutBuffer(buf)
+	letter, rest, err := readFrame(r, buf)
+	if err != nil {
+		return err
+	}
+	return c.take(letter, rest)
+}
--- /dev/null
+++ b/internal/net/http1/client.go
@@ -0,0 +1,57 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"net/textproto"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/mem"
+)
+
+// Client is one connection for one request at a time. It is not safe for concurrent use.
+type Client struct {
+	Addr string
+	nc   net.Conn
+	r    *Reader
+}
+
+// Dial opens the connection if it is not open.
+func (c *Client) Dial(ctx context.Context, timeout time.Duration) error {
+	if c.nc != nil {
+		return nil
+	}
+	nc, err := (&net.Dialer{Timeout: timeout, KeepAlive: -1}).DialContext(ctx, "tcp", c.Addr)
+	if err != nil {
+		return err
+	}
+	c.nc, c.r = nc, NewReader(nc)
+	return nil
+}
+
+// Write sends a request. Without an error its last byte went out.
+func (c *Client) Write(deadline time.Time, method, target string, h textproto.MIMEHeader, body []byte) error {
+	buf := mem.GetBuffer()
+	defer mem.PutBuffer(buf)
+	c.nc.SetWriteDeadline(deadline)
+	_, err := c.nc.Write(AppendRequest(buf[:0], method, target, c.Addr, h, body))
+	return err
+}
+
+// Read reads the answer to what was written. Release it after use.
+func (c *Client) Read(deadline time.Time) (*Response, error) {
+	c.nc.SetReadDeadline(deadline)
+	p, err := c.r.Response()
+	if err != nil || p.Close {
+		c.Close()
+	}
+	return p, err
+}
+
+// Close closes the connection; the next Dial opens another.
+func (c *Client) Close() {
+	if c.nc != nil {
+		c.nc.Close()
+		c.nc = nil
+	}
+}
--- /dev/null
+++ b/internal/net/http1/message.go
@@ -0,0 +1,305 @@
+// Package http1 speaks HTTP/1.1 on net/textproto: messages, a server for the fronts, and a client.
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/mem"
+)
+
+// Bounds on what a peer may send.
+const (
+	MaxBody = 64 << 10
+	maxHead = 16 << 10
+	ahead   = 4 << 10 // what the buffered reader may read past a message's end
+)
+
+// Error is a message that cannot be used, with the status to answer it with.
+type Error struct {
+	Status int
+	Reason string
+}
+
+func (e *Error) Error() string { return e.Reason }
+
+func bad(format string, args ...any) error { return &Error{400, fmt.Sprintf(format, args...)} }
+
+var errTooLarge = &Error{413, fmt.Sprintf("the body is over %d bytes", MaxBody)}
+
+// Request is a request as read.
+type Request struct {
+	Method, Path, Query string
+	Header              textproto.MIMEHeader
+	Body                []byte // valid until Release
+	Close               bool   // the connection ends with this exchange
+	At                  time.Time
+	buf                 *[mem.BufferSize]byte
+}
+
+// Release gives the body's buffer back.
+func (r *Request) Release() { release(&r.buf, &r.Body) }
+
+// Response is an answer, to be written or as read.
+type Response struct {
+	Status int
+	Header textproto.MIMEHeader
+	Body   []byte
+	Close  bool
+	buf    *[mem.BufferSize]byte
+}
+
+// Release gives the body's buffer back.
+func (r *Response) Release() { release(&r.buf, &r.Body) }
+
+func release(buf **[mem.BufferSize]byte, body *[]byte) {
+	if *buf != nil {
+		mem.PutBuffer(*buf)
+		*buf, *body = nil, nil
+	}
+}
+
+// Reader reads messages from a connection.
+type Reader struct {
+	lim limited
+	br  *bufio.Reader
+	tp  *textproto.Reader
+}
+
+// NewReader makes a reader.
+func NewReader(r io.Reader) *Reader {
+	x := &Reader{lim: limited{r: r}}
+	x.br = bufio.NewReaderSize(&x.lim, ahead)
+	x.tp = textproto.NewReader(x.br)
+	return x
+}
+
+// limited bounds what one message may make us read, as textproto itself sets no bound on a line.
+type limited struct {
+	r io.Reader
+	n int
+}
+
+var errHead = &Error{431, fmt.Sprintf("the head is over %d bytes", maxHead)}
+
+func (l *limited) Read(b []byte) (int, error) {
+	if l.n <= 0 {
+		return 0, errHead
+	}
+	n, err := l.r.Read(b[:min(len(b), l.n)])
+	l.n -= n
+	return n, err
+}
+
+// Await waits until a message begins. The error is the connection's.
+func (r *Reader) Await() error {
+	r.lim.n = maxHead + ahead
+	_, err := r.br.Peek(1)
+	return err
+}
+
+// Request reads one request. Errors of type *Error are the peer's doing and can be answered.
+func (r *Reader) Request() (*Request, error) {
+	r.lim.n = maxHead + ahead
+	line, err := r.tp.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	q := &Request{}
+	var target, proto string
+	var ok1, ok2 bool
+	q.Method, target, ok1 = strings.Cut(line, " ")
+	target, proto, ok2 = strings.Cut(target, " ")
+	switch {
+	case !ok1 || !ok2 || !isToken(q.Method) || !strings.HasPrefix(target, "/"):
+		return nil, bad("the request line is malformed")
+	case proto != "HTTP/1.1" && proto != "HTTP/1.0":
+		return nil, &Error{505, "only HTTP/1.1 is spoken here"}
+	}
+	q.Path, q.Query, _ = strings.Cut(target, "?")
+	if q.Header, err = r.header(); err != nil {
+		return nil, err
+	}
+	q.Close = closes(q.Header, proto)
+	q.buf, q.Body, err = r.body(q.Header, false)
+	if err != nil {
+		return nil, err
+	}
+	q.At = time.Now()
+	return q, nil
+}
+
+// Response reads one answer.
+func (r *Reader) Response() (*Response, error) {
+	r.lim.n = maxHead + ahead
+	line, err := r.tp.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	proto, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || len(code) != 3 || status < 200 || proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+		return nil, bad("the status line is malformed")
+	}
+	p := &Response{Status: status}
+	if p.Header, err = r.header(); err != nil {
+		return nil, err
+	}
+	p.Close = closes(p.Header, proto)
+	if status == 204 || status == 304 {
+		return p, nil
+	}
+	p.buf, p.Body, err = r.body(p.Header, true)
+	return p, err
+}
+
+func (r *Reader) header() (textproto.MIMEHeader, error) {
+	h, err := r.tp.ReadMIMEHeader()
+	var proto textproto.ProtocolError
+	if errors.As(err, &proto) {
+		return nil, bad("the header is malformed")
+	}
+	return h, err
+}
+
+func closes(h textproto.MIMEHeader, proto string) bool {
+	c := strings.ToLower(h.Get("Connection"))
+	return strings.Contains(c, "close") || proto == "HTTP/1.0" && !strings.Contains(c, "keep-alive")
+}
+
+// body reads a body of a stated length or in chunks into one pooled buffer.
+func (r *Reader) body(h textproto.MIMEHeader, mustSay bool) (buf *[mem.BufferSize]byte, body []byte, err error) {
+	lengths, codings := h["Content-Length"], h["Transfer-Encoding"]
+	switch {
+	case len(codings) > 0 && len(lengths) > 0:
+		return nil, nil, bad("both Content-Length and Transfer-Encoding")
+	case len(codings) > 1 || len(codings) == 1 && !strings.EqualFold(codings[0], "chunked"):
+		return nil, nil, &Error{501, "the only transfer coding known here is chunked"}
+	case len(codings) == 0 && len(lengths) == 0:
+		if mustSay {
+			return nil, nil, bad("the body has neither a length nor chunks")
+		}
+		return nil, nil, nil
+	}
+	buf = mem.GetBuffer()
+	defer func() {
+		if err != nil {
+			mem.PutBuffer(buf)
+			buf, body = nil, nil
+		}
+	}()
+	if len(codings) == 1 {
+		body, err = r.chunks(buf[:0])
+		return buf, body, err
+	}
+	n, err := length(lengths)
+	if err != nil {
+		return buf, nil, err
+	}
+	r.lim.n = n + ahead
+	body = buf[:n]
+	_, err = io.ReadFull(r.br, body)
+	return buf, body, err
+}
+
+func length(values []string) (int, error) {
+	for _, v := range values {
+		if v != values[0] {
+			return 0, bad("Content-Length is given twice")
+		}
+	}
+	v := strings.TrimSpace(values[0])
+	if v == "" || strings.Trim(v, "0123456789") != "" {
+		return 0, bad("Content-Length is not a number")
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n > MaxBody {
+		return 0, errTooLarge
+	}
+	return n, nil
+}
+
+// chunks reads a chunked body and its trailer, which is dropped.
+func (r *Reader) chunks(body []byte) ([]byte, error) {
+	for {
+		r.lim.n = maxHead + ahead
+		line, err := r.tp.ReadLine()
+		if err != nil {
+			return nil, err
+		}
+		size, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		switch {
+		case errors.Is(err, strconv.ErrRange):
+			return nil, errTooLarge
+		case err != nil:
+			return nil, bad("a chunk's size is malformed")
+		case int(n) > MaxBody-len(body):
+			return nil, errTooLarge
+		case n == 0:
+			_, err := r.header()
+			return body, err
+		}
+		r.lim.n = int(n) + 2 + ahead
+		at := len(body)
+		body = body[:at+int(n)]
+		if _, err := io.ReadFull(r.br, body[at:]); err != nil {
+			return nil, err
+		}
+		var end [2]byte
+		if _, err := io.ReadFull(r.br, end[:]); err != nil {
+			return nil, err
+		}
+		if !bytes.Equal(end[:], []byte("\r\n")) {
+			return nil, bad("a chunk does not end where it should")
+		}
+	}
+}
+
+func isToken(s string) bool {
+	return s != "" && strings.Trim(s, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == ""
+}
+
+// reasons are the phrases of the statuses used here; any other goes without.
+var reasons = map[int]string{200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+	504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
+
+// AppendResponse appends the answer as it goes on the wire.
+func AppendResponse(b []byte, p *Response) []byte {
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\n", p.Status, reasons[p.Status])
+	b = appendHeader(b, p.Header, p.Close)
+	b = fmt.Appendf(b, "Content-Length: %d\r\n\r\n", len(p.Body))
+	return append(b, p.Body...)
+}
+
+// AppendRequest appends a request as it goes on the wire.
+func AppendRequest(b []byte, method, target, host string, h textproto.MIMEHeader, body []byte) []byte {
+	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, host)
+	b = appendHeader(b, h, false)
+	if method != "GET" {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(body))
+	}
+	return append(append(b, "\r\n"...), body...)
+}
+
+func appendHeader(b []byte, h textproto.MIMEHeader, closing bool) []byte {
+	for k, vs := range h {
+		for _, v := range vs {
+			b = fmt.Appendf(b, "%s: %s\r\n", k, v)
+		}
+	}
+	if closing {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/net/http1/server.go
@@ -0,0 +1,258 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/textproto"
+	"strings"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/mem"
+)
+
+// Handler answers a request. gone is closed when the client goes away meanwhile. The body is valid only
+// until it returns.
+type Handler func(r *Request, gone <-chan struct{}) *Response
+
+// Times of a connection; what a request itself may take is its deadline's affair.
+const (
+	idleFor   = 2 * time.Minute // between requests; longer than any request takes
+	readFor   = 10 * time.Second
+	writeFor  = 5 * time.Second
+	lingerFor = time.Second
+	firstFor  = 300 * time.Millisecond // while draining: for a new connection's first byte
+	spare     = 32                     // connections past MaxConns that are told so
+)
+
+// Server serves one listener.
+type Server struct {
+	Handle   Handler
+	MaxConns int
+	Log      *log.Logger
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	draining bool
+	freed    chan struct{}
+	done     sync.WaitGroup
+}
+
+// conn is a client's connection. Its reader reads requests and notices that the client leaves; its
+// writer answers them.
+type conn struct {
+	nc   net.Conn
+	busy int  // under the server's lock: requests that have begun and are not answered
+	used bool // a request has been answered
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.conns, s.freed = map[*conn]struct{}{}, make(chan struct{}, 1)
+	s.mu.Unlock()
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if ne := net.Error(nil); errors.As(err, &ne) && ne.Timeout() || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			// Out of descriptors, most likely: free one, and try again when something has closed.
+			s.Log.Printf("accept failed: %v", err)
+			s.closeIdle(1)
+			s.awaitFree(100 * time.Millisecond)
+			continue
+		}
+		s.mu.Lock()
+		c, n := &conn{nc: nc}, len(s.conns)
+		s.conns[c] = struct{}{}
+		s.done.Add(1)
+		s.mu.Unlock()
+		if n >= s.MaxConns {
+			s.closeIdle(1)
+		}
+		go s.serve(c, n >= s.MaxConns)
+		for n >= s.MaxConns+spare { // the backlog waits; nothing in it is lost
+			s.awaitFree(time.Second)
+			s.mu.Lock()
+			n = len(s.conns)
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *Server) awaitFree(most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-s.freed:
+	case <-t.C:
+	}
+}
+
+// closeIdle closes up to n connections on which no request has begun and one was answered.
+func (s *Server) closeIdle(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if n > 0 && c.busy == 0 && c.used {
+			c.nc.Close()
+			n--
+		}
+	}
+}
+
+// Drain closes keep-alive connections between requests, from now on and as answers go out. Connections that
+// are new are still served.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.draining = true
+	for c := range s.conns {
+		if c.busy == 0 && !c.used {
+			c.nc.SetReadDeadline(time.Now().Add(firstFor)) // its first request may be on the way
+		}
+	}
+	s.mu.Unlock()
+	s.closeIdle(len(s.conns))
+}
+
+// Wait returns when every connection has ended; call it when Serve has returned.
+func (s *Server) Wait() { s.done.Wait() }
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// begun notes that a request has begun: the connection is not closed as idle any more.
+func (s *Server) begun(c *conn) {
+	s.mu.Lock()
+	c.busy++
+	s.mu.Unlock()
+}
+
+// answered notes that a request was answered, and says whether the connection goes on. A client may have
+// sent its next request before this is noted; that one is taken and is answered, draining or not.
+func (s *Server) answered(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.busy--
+	c.used = true
+	return !s.draining || c.busy > 0
+}
+
+type incoming struct {
+	r   *Request
+	err error
+}
+
+func (s *Server) serve(c *conn, full bool) {
+	requests, gone, over := make(chan incoming), make(chan struct{}), make(chan struct{})
+	defer func() {
+		close(over)
+		c.nc.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		select {
+		case s.freed <- struct{}{}:
+		default:
+		}
+		s.done.Done()
+	}()
+	go s.read(c, requests, gone, over)
+	for {
+		select {
+		case in := <-requests:
+			if !s.answer(c, in, gone, full) {
+				return
+			}
+		case <-gone:
+			return
+		}
+	}
+}
+
+// read hands over one request after another, and waits for the next while one is being answered: that is
+// how it notices that the client goes away.
+func (s *Server) read(c *conn, requests chan<- incoming, gone, over chan struct{}) {
+	defer close(gone)
+	r := NewReader(c.nc)
+	first := idleFor
+	if s.isDraining() {
+		first = firstFor
+	}
+	c.nc.SetReadDeadline(time.Now().Add(first))
+	for {
+		if r.Await() != nil {
+			return
+		}
+		s.begun(c)
+		c.nc.SetReadDeadline(time.Now().Add(readFor))
+		q, err := r.Request()
+		if err != nil {
+			e := (*Error)(nil)
+			if !errors.As(err, &e) {
+				return // the connection broke, or the request never came whole: it was not taken
+			}
+		}
+		c.nc.SetReadDeadline(time.Now().Add(idleFor))
+		select {
+		case requests <- incoming{q, err}:
+			if err != nil {
+				<-over
+				return
+			}
+		case <-over:
+			return
+		}
+	}
+}
+
+// answer answers one request and says whether another may follow.
+func (s *Server) answer(c *conn, in incoming, gone <-chan struct{}, full bool) bool {
+	var p *Response
+	if e := (*Error)(nil); errors.As(in.err, &e) {
+		p = Text(e.Status, e.Reason)
+		p.Close = true
+	} else {
+		if full {
+			p = Text(503, "too many connections")
+			p.Header.Set("Retry-After", "0.5")
+			p.Close = true
+		} else if p = s.Handle(in.r, gone); p == nil {
+			return false // the client has left
+		}
+		p.Close = p.Close || in.r.Close || s.isDraining()
+		in.r.Release()
+	}
+	buf := mem.GetBuffer()
+	defer mem.PutBuffer(buf)
+	c.nc.SetWriteDeadline(time.Now().Add(writeFor))
+	if _, err := c.nc.Write(AppendResponse(buf[:0], p)); err != nil {
+		return false
+	}
+	if in.err != nil {
+		s.linger(c.nc)
+	}
+	return s.answered(c) && !p.Close
+}
+
+// linger reads off what the client still sends: closing with that unread would reset the connection, and
+// the answer could be lost with it.
+func (s *Server) linger(nc net.Conn) {
+	if t, ok := nc.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	nc.SetReadDeadline(time.Now().Add(lingerFor))
+	io.CopyN(io.Discard, nc, 4*MaxBody)
+}
+
+// Text makes a plain answer.
+func Text(status int, text string) *Response {
+	return &Response{Status: status, Header: textproto.MIMEHeader{"Content-Type": {"text/plain"}},
+		Body: []byte(strings.TrimSuffix(text, "\n") + "\n")}
+}
--- /dev/null
+++ b/internal/net/platform/platform.go
@@ -0,0 +1,195 @@
+// Package platform is the thin front for the platform's own protocol.
+package platform
+
+import (
+	"fmt"
+	"math"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// Core is what a front needs of the gatherer's core.
+type Core interface {
+	Submit(*gather.Request)
+	Leave(*gather.Request)
+}
+
+// Front answers queries and the platform's questions after the daemon's state.
+type Front struct {
+	Core     Core
+	Settings settings.Settings
+	Ready    func() bool
+}
+
+// longest bounds the time that a client may ask for.
+const longest = time.Minute
+
+// Handle is the front's http1.Handler.
+func (f *Front) Handle(r *http1.Request, gone <-chan struct{}) *http1.Response {
+	switch {
+	case r.Path == "/-/ready" && r.Method == "GET":
+		if f.Ready() {
+			return http1.Text(200, "ready")
+		}
+		return http1.Text(503, "not ready")
+	case r.Path == "/-/healthy" && r.Method == "GET":
+		return http1.Text(200, "healthy")
+	}
+	q, err := f.parse(r)
+	if err != nil {
+		return http1.Text(err.Status, err.Reason)
+	}
+	f.Core.Submit(q)
+	select {
+	case res := <-q.Done:
+		return render(res)
+	case <-gone:
+		f.Core.Leave(q)
+		return nil
+	}
+}
+
+func bad(format string, args ...any) *http1.Error {
+	return &http1.Error{Status: 400, Reason: fmt.Sprintf(format, args...)}
+}
+
+// parse turns a query as sent into the core's form.
+func (f *Front) parse(r *http1.Request) (*gather.Request, *http1.Error) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
+	class := -1
+	for i, c := range f.Settings.Classes {
+		if c == name {
+			class = i
+		}
+	}
+	switch {
+	case class < 0:
+		return nil, &http1.Error{Status: 404, Reason: fmt.Sprintf("no class is named %.60q", name)}
+	case r.Method != "POST":
+		return nil, &http1.Error{Status: 405, Reason: "a query is a POST"}
+	}
+	k := f.Settings.Policy.Classes[class]
+	q := &gather.Request{Name: r.Header.Get("Req-Id"), Class: class, Key: r.Header.Get("Idempotency-Key"),
+		Done: make(chan gather.Result, 1)}
+	if !isName(q.Name) {
+		return nil, bad("Req-Id is missing, too long or has characters other than letters, digits, - and _")
+	}
+	if k.Effect != policy.Safe && q.Key == "" {
+		return nil, bad("Idempotency-Key is missing")
+	}
+	if q.Key != "" && !isName(q.Key) {
+		return nil, bad("Idempotency-Key is too long or has characters other than letters, digits, - and _")
+	}
+	wait, ok := parseWait(r.Header.Get("Req-Deadline"), k.Deadline)
+	if !ok {
+		return nil, bad("Req-Deadline is not a number followed by m or u")
+	}
+	q.Deadline = r.At.Add(wait)
+	var err *http1.Error
+	q.Shards, q.Text, err = f.parseBody(r.Body)
+	return q, err
+}
+
+// isName says whether s can stand in a frame's line as it is.
+func isName(s string) bool {
+	return s != "" && len(s) <= 128 && !strings.ContainsFunc(s, func(c rune) bool {
+		return !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_')
+	})
+}
+
+// parseWait reads a time such as 480m (milliseconds) or 480000u (microseconds).
+func parseWait(s string, absent time.Duration) (time.Duration, bool) {
+	if s == "" {
+		return absent, true
+	}
+	unit := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}[s[len(s)-1]]
+	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
+	if unit == 0 || err != nil || math.IsNaN(n) || n < 0 {
+		return 0, false
+	}
+	return time.Duration(min(n*float64(unit), float64(longest))), true
+}
+
+// parseBody reads the parts and the text. Nothing in the result refers to the body.
+func (f *Front) parseBody(body []byte) ([]gather.Shard, []byte, *http1.Error) {
+	if !gjson.ValidBytes(body) { // gjson's getters take garbage
+		return nil, nil, bad("the body is not JSON")
+	}
+	root := gjson.ParseBytes(body)
+	buckets, text := root.Get("buckets"), root.Get("body")
+	switch {
+	case !root.IsObject() || !buckets.IsArray():
+		return nil, nil, bad("buckets is not an array")
+	case text.Exists() && text.Type != gjson.String:
+		return nil, nil, bad("body is not a string")
+	}
+	var shards []gather.Shard
+	var err *http1.Error
+	seen := make([]bool, f.Settings.Shards)
+	buckets.ForEach(func(_, b gjson.Result) bool {
+		n, w := b.Get("bucket"), b.Get("part")
+		shard := int(n.Num)
+		switch {
+		case n.Type != gjson.Number || n.Num != math.Trunc(n.Num) || n.Num < 0 || n.Num >= float64(len(seen)):
+			err = bad("buckets: a bucket is not a whole number from 0 to %d", len(seen)-1)
+		case seen[shard]:
+			err = bad("buckets: bucket %d stands twice", shard)
+		case w.Type != gjson.Number || !(w.Num > 0) || w.Num > 1:
+			err = bad("buckets: a part is not a number above 0, up to 1")
+		default:
+			seen[shard] = true
+			shards = append(shards, gather.Shard{Number: shard, Weight: w.Num})
+		}
+		return err == nil
+	})
+	if err == nil && len(shards) == 0 {
+		err = bad("buckets is empty")
+	}
+	return shards, []byte(text.String()), err
+}
+
+// render words a final answer.
+func render(res gather.Result) *http1.Response {
+	switch res.Kind {
+	case gather.Answered:
+		b := fmt.Appendf(nil, `{"finished":%v,"found":[`, res.Whole)
+		for _, p := range res.Parts {
+			if !p.OK {
+				continue
+			}
+			if b[len(b)-1] != '[' {
+				b = append(b, ',')
+			}
+			b = fmt.Appendf(b, `{"bucket":%d,"item":`, p.Shard)
+			b = append(gjson.AppendJSONString(b, p.Value), '}')
+		}
+		return &http1.Response{Status: 200, Header: textproto.MIMEHeader{"Content-Type": {"application/json"}},
+			Body: append(b, "]}"...)}
+	case gather.Refused:
+		p := http1.Text(503, res.Reason)
+		if res.Reason == gather.ReasonFull {
+			p.Status = 429
+		}
+		if res.RetryAfter > 0 {
+			p.Header.Set("Retry-After", strconv.FormatFloat(res.RetryAfter.Seconds(), 'f', 3, 64))
+		}
+		return p
+	}
+	status := 502
+	switch res.Reason {
+	case gather.ReasonDeadline:
+		status = 504
+	case gather.ReasonDuplicate:
+		status = 409
+	}
+	return http1.Text(status, res.Reason)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire is the codec of the simulator's binary dialect: frames, records and settings, with
+// Package wire is the codec of the simulator's binary dialect: frames and records, with
 // every length checked. It decides nothing.
 package wire
 
