--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -14,16 +14,21 @@
 
 func main() {
 	config := flag.String("config", os.Getenv("LB_CONFIG"), "the configuration file (default $LB_CONFIG)")
+	frontFile := flag.String("opensearch", "deploy/opensearch.json", "the OpenSearch-style front's file; without it that front is off")
 	flag.Parse()
 	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
 	c, err := lifecycle.LoadConfig(*config, os.Getenv)
 	if err != nil {
 		logger.Fatalf("configuration: %v", err)
 	}
+	front, err := lifecycle.LoadFront(*frontFile, c.Settings)
+	if err != nil {
+		logger.Fatalf("configuration: %v", err)
+	}
 	signals, stop := make(chan os.Signal, 1), make(chan struct{})
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() { <-signals; close(stop) }()
-	if err := lifecycle.Run(c, logger, stop); err != nil {
+	if err := lifecycle.Run(c, front, logger, stop); err != nil {
 		logger.Fatalf("fatal: %v", err)
 	}
 }
--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -70,7 +70,8 @@
 	OK       bool
 	Value    string
 	Attempts int
-	Last     policy.Status // of the last attempt that ended, where not OK and Attempts > 0
+	Last     policy.Status // of the last attempt that ended, where not OK
+	Waiting  bool          // not OK, and still to come when the request ended
 }
 
 // Attempt is one try of a part at a server. All fields are fixed before the transport sees it.
@@ -92,6 +93,11 @@
 	outcome bool // has ended
 }
 
+// Stale says whether an attempt must no longer be written, however long it waited for that.
+func (a *Attempt) Stale(now time.Time) bool {
+	return !now.Before(a.Until) || !a.NotAfter.IsZero() && now.After(a.NotAfter)
+}
+
 // Transport carries attempts to servers. No method may block, nor call its Reporter before it returns:
 // the core's goroutine calls them.
 type Transport interface {
--- a/internal/gather/relay.go
+++ b/internal/gather/relay.go
@@ -37,6 +37,7 @@
 	r.Parts = make([]PartResult, len(q.parts))
 	for i, p := range q.parts {
 		r.Parts[i] = *p.res
+		r.Parts[i].Waiting = !p.res.OK && (len(p.attempts) == 0 || !p.attempts[len(p.attempts)-1].outcome)
 	}
 	q.Done <- r
 	c.forget(q)
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -4,8 +4,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 
 	"github.com/tidwall/gjson"
@@ -78,3 +80,46 @@
 	}
 	return c, nil
 }
+
+// FrontConfig says where the OpenSearch-style front listens, and what it serves.
+type FrontConfig struct {
+	Listen  string
+	Indices map[string]string // index to class
+	Stores  bool              // the lot stores speak the API as well, not frames
+}
+
+// LoadFront reads the second front's file. Without the file that front is off, and the result is nil.
+func LoadFront(path string, set settings.Settings) (*FrontConfig, error) {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !gjson.ValidBytes(text) { // gjson's getters take garbage
+		return nil, fmt.Errorf("%s is not JSON", path)
+	}
+	root := gjson.ParseBytes(text)
+	f := &FrontConfig{Listen: root.Get("listen").String(), Indices: map[string]string{}}
+	if _, _, err := net.SplitHostPort(f.Listen); err != nil {
+		return nil, fmt.Errorf("%s: listen: %w", path, err)
+	}
+	for index, class := range root.Get("indices").Map() {
+		if !slices.Contains(set.Classes, class.String()) || slices.Contains(slices.Collect(maps.Values(f.Indices)), class.String()) {
+			return nil, fmt.Errorf("%s: indices.%s: not a class of the settings, or one named twice", path, index)
+		}
+		f.Indices[index] = class.String()
+	}
+	if len(f.Indices) != len(set.Classes) {
+		return nil, fmt.Errorf("%s: indices: want one for each of the %d classes", path, len(set.Classes))
+	}
+	switch s := root.Get("stores").String(); s {
+	case "opensearch":
+		f.Stores = true
+	case "frames", "":
+	default:
+		return nil, fmt.Errorf("%s: stores: %q is neither frames nor opensearch", path, s)
+	}
+	return f, nil
+}
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -413,7 +413,7 @@
 	var lines []string
 	var late, attempts []*gather.Attempt
 	for _, a := range call {
-		if c.s.State != policy.Ready || !now.Before(a.Until) || !a.NotAfter.IsZero() && now.After(a.NotAfter) {
+		if c.s.State != policy.Ready || a.Stale(now) {
 			late = append(late, a)
 			delete(t.where, a)
 			c.load--
--- a/internal/net/http1/client.go
+++ b/internal/net/http1/client.go
@@ -55,3 +55,13 @@
 		c.nc = nil
 	}
 }
+
+// Open says whether the connection is open, as far as this side knows.
+func (c *Client) Open() bool { return c.nc != nil }
+
+// Aborter returns what ends a Read or Write from another goroutine, by closing the connection that is
+// open now. The owner still has to Close.
+func (c *Client) Aborter() func() {
+	nc := c.nc
+	return func() { nc.Close() }
+}
--- a/internal/net/http1/message.go
+++ b/internal/net/http1/message.go
@@ -268,6 +268,13 @@
 	return s != "" && strings.Trim(s, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == ""
 }
 
+// IsName says whether s is an id that every wire can carry as it is.
+func IsName(s string) bool {
+	return s != "" && len(s) <= 128 && !strings.ContainsFunc(s, func(c rune) bool {
+		return !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_')
+	})
+}
+
 // reasons are the phrases of the statuses used here; any other goes without.
 var reasons = map[int]string{200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
--- /dev/null
+++ b/internal/net/opensearch/front.go
@@ -0,0 +1,431 @@
+// Package opensearch speaks the part of the OpenSearch query API that the README states: as a front to
+// clients, and to lot stores.
+package opensearch
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/textproto"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+	"unicode/utf16"
+
+	"github.com/spaolacci/murmur3"
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// Core is what the front needs of the gatherer's core.
+type Core interface {
+	Submit(*gather.Request)
+	Leave(*gather.Request)
+}
+
+// Front accepts the API from clients.
+type Front struct {
+	Core     Core
+	Settings settings.Settings
+	Indices  map[string]string // index to class: safe classes are searched, keyed ones created in
+	Name     string            // begins the names of this front's requests
+	number   atomic.Uint64
+}
+
+// Bounds of what a client may ask for.
+const (
+	longest  = time.Minute
+	sizeMost = 10000
+	sizeUsed = 10 // hits where no size is given
+)
+
+// apiError is an error object with its status.
+type apiError struct {
+	status       int
+	kind, reason string
+}
+
+func illegal(format string, args ...any) *apiError {
+	return &apiError{400, "illegal_argument_exception", fmt.Sprintf(format, args...)}
+}
+
+// asked is what a client asks for beside the core's request.
+type asked struct {
+	q      *gather.Request
+	index  string
+	search bool
+	size   int
+}
+
+// Handle is the front's http1.Handler.
+func (f *Front) Handle(r *http1.Request, gone <-chan struct{}) *http1.Response {
+	a, e := f.parse(r)
+	if e != nil {
+		return errorResponse(e, nil)
+	}
+	f.Core.Submit(a.q)
+	select {
+	case res := <-a.q.Done:
+		return a.render(res, time.Since(r.At))
+	case <-gone:
+		f.Core.Leave(a.q)
+		return nil
+	}
+}
+
+// parse turns a call of the API into the core's form.
+func (f *Front) parse(r *http1.Request) (*asked, *apiError) {
+	path := strings.Split(strings.TrimPrefix(r.Path, "/"), "/")
+	params, err := url.ParseQuery(r.Query)
+	if err != nil {
+		return nil, illegal("the query string is malformed")
+	}
+	search := len(path) == 2 && path[1] == "_search"
+	create := len(path) == 3 && (path[1] == "_create" || path[1] == "_doc" && params.Get("op_type") == "create")
+	if !search && !create {
+		return nil, illegal("not supported here: %.80q; only /{index}/_search, and /{index}/_create/{id} or _doc/{id} with op_type=create, are", r.Path)
+	}
+	class := slices.Index(f.Settings.Classes, f.Indices[path[0]])
+	if class < 0 {
+		return nil, &apiError{404, "index_not_found_exception", fmt.Sprintf("no such index [%.80s]", path[0])}
+	}
+	k := f.Settings.Policy.Classes[class]
+	switch {
+	case search && k.Effect != policy.Safe:
+		return nil, illegal("index [%s] takes only create", path[0])
+	case create && k.Effect == policy.Safe:
+		return nil, illegal("index [%s] takes only _search", path[0])
+	case search && r.Method != "GET" && r.Method != "POST", create && r.Method != "PUT" && r.Method != "POST":
+		return nil, &apiError{405, "illegal_argument_exception", fmt.Sprintf("method [%s] is not allowed here", r.Method)}
+	}
+	a := &asked{index: path[0], search: search, size: sizeUsed}
+	a.q = &gather.Request{Name: fmt.Sprintf("%s-%d", f.Name, f.number.Add(1)), Class: class, Done: make(chan gather.Result, 1)}
+	wait := k.Deadline
+	if t := params.Get("timeout"); t != "" {
+		ok := false
+		if wait, ok = parseTime(t); !ok {
+			return nil, illegal("failed to parse setting [timeout] with value [%.40s] as a time value", t)
+		}
+	}
+	a.q.Deadline = r.At.Add(wait)
+	var e *apiError
+	if search {
+		e = f.parseSearch(a, params, r.Body)
+	} else {
+		e = f.parseCreate(a, params, path[2], r.Body)
+	}
+	return a, e
+}
+
+// parseTime reads a time value such as 500ms or 2s.
+func parseTime(s string) (time.Duration, bool) {
+	for _, u := range []struct {
+		suffix string
+		unit   time.Duration
+	}{{"micros", time.Microsecond}, {"ms", time.Millisecond}, {"s", time.Second}, {"m", time.Minute}} {
+		if n, ok := strings.CutSuffix(s, u.suffix); ok {
+			x, err := strconv.ParseUint(n, 10, 32)
+			return time.Duration(min(float64(x)*float64(u.unit), float64(longest))), err == nil && x > 0
+		}
+	}
+	return 0, false
+}
+
+// only refuses any parameter not named.
+func only(params url.Values, names ...string) *apiError {
+	for p, v := range params {
+		if !slices.Contains(names, p) {
+			return illegal("request contains unrecognized parameter: [%.60s]", p)
+		}
+		if len(v) > 1 {
+			return illegal("parameter [%.60s] is given twice", p)
+		}
+	}
+	return nil
+}
+
+func (f *Front) parseSearch(a *asked, params url.Values, body []byte) *apiError {
+	if e := only(params, "timeout", "allow_partial_search_results", "preference", "routing", "size"); e != nil {
+		return e
+	}
+	switch v := params.Get("allow_partial_search_results"); v {
+	case "", "true":
+	case "false":
+		a.q.WholeOnly = true
+	default:
+		return illegal("failed to parse value [%.40s] as only [true] or [false] are allowed", v)
+	}
+	if len(body) == 0 {
+		body = []byte("{}")
+	}
+	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() { // gjson's getters take garbage
+		return &apiError{400, "parsing_exception", "the body is not a JSON object"}
+	}
+	var e *apiError
+	size := gjson.Result{}
+	gjson.ParseBytes(body).ForEach(func(k, v gjson.Result) bool {
+		switch k.Str {
+		case "query", "_source":
+		case "size":
+			size = v
+		default:
+			e = &apiError{400, "parsing_exception", fmt.Sprintf("not supported here: [%.60s] in the search body", k.Str)}
+		}
+		return e == nil
+	})
+	if e != nil {
+		return e
+	}
+	if v := params.Get("size"); v != "" && gjson.Valid(v) {
+		size = gjson.Parse(v)
+	} else if v != "" {
+		return illegal("[size] is not a number")
+	}
+	if size.Exists() {
+		if size.Type != gjson.Number || size.Num < 0 || size.Num > sizeMost || size.Num != math.Trunc(size.Num) {
+			return illegal("[size] is not a whole number from 0 to %d", sizeMost)
+		}
+		a.size = int(size.Num)
+	}
+	a.q.Text = slices.Clone(body)
+	var shards []int
+	shards, e = f.shards(params)
+	for _, s := range shards {
+		a.q.Shards = append(a.q.Shards, gather.Shard{Number: s, Weight: 1 / float64(len(shards))})
+	}
+	return e
+}
+
+// shards lists those that a search goes to: the ones that preference names, the one that routing leads to,
+// or all.
+func (f *Front) shards(params url.Values) (list []int, e *apiError) {
+	pref, routing := params.Get("preference"), params.Get("routing")
+	switch {
+	case pref != "" && routing != "":
+		return nil, illegal("[preference] and [routing] cannot be given together here")
+	case routing != "":
+		return []int{Shard(routing, f.Settings.Shards)}, nil
+	case pref == "":
+		for s := range f.Settings.Shards {
+			list = append(list, s)
+		}
+		return list, nil
+	}
+	names, ok := strings.CutPrefix(pref, "_shards:")
+	if !ok {
+		return nil, illegal("the only [preference] supported here is _shards:N,N")
+	}
+	for _, n := range strings.Split(names, ",") {
+		s, err := strconv.Atoi(n)
+		if err != nil || s < 0 || s >= f.Settings.Shards || slices.Contains(list, s) {
+			return nil, illegal("[preference] names no shard, or one twice: [%.20s]", n)
+		}
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+func (f *Front) parseCreate(a *asked, params url.Values, id string, body []byte) *apiError {
+	if e := only(params, "timeout", "routing", "op_type"); e != nil {
+		return e
+	}
+	if params.Has("op_type") && params.Get("op_type") != "create" {
+		return illegal("the only [op_type] supported here is create")
+	}
+	// The document id is the idempotency key.
+	if !http1.IsName(id) {
+		return illegal("the document id is missing, too long or has characters other than letters, digits, - and _")
+	}
+	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+		return &apiError{400, "mapper_parsing_exception", "the body is not a JSON object"}
+	}
+	routing := params.Get("routing")
+	if routing == "" {
+		routing = id
+	}
+	a.q.Key, a.q.Text = id, slices.Clone(body)
+	a.q.Shards = []gather.Shard{{Number: Shard(routing, f.Settings.Shards), Weight: 1}}
+	return nil
+}
+
+// Shard is the shard that a routing value leads to among n, as OpenSearch works it out: murmur3 of the
+// value in UTF-16, over the routing shards, of which there are n times a power of two, up to 1,024.
+func Shard(routing string, n int) int {
+	var b []byte
+	for _, u := range utf16.Encode([]rune(routing)) {
+		b = binary.LittleEndian.AppendUint16(b, u)
+	}
+	factor := 1
+	for n*factor*2 <= 1024 {
+		factor *= 2
+	}
+	hash := int(int32(murmur3.Sum32(b)))
+	return ((hash%(n*factor) + n*factor) % (n * factor)) / factor
+}
+
+// shardError is the error object of a shard's failure.
+type shardError struct {
+	Shard  int    `json:"shard"`
+	Index  string `json:"index"`
+	Node   any    `json:"node"`
+	Reason cause  `json:"reason"`
+}
+
+type cause struct {
+	Type   string `json:"type"`
+	Reason string `json:"reason"`
+}
+
+type shardCounts struct {
+	Total      int          `json:"total"`
+	Successful int          `json:"successful"`
+	Skipped    int          `json:"skipped"`
+	Failed     int          `json:"failed"`
+	Failures   []shardError `json:"failures,omitempty"`
+}
+
+// causes words how a part's last attempt ended.
+var causes = map[policy.Status]cause{
+	policy.Error:         {"query_phase_execution_exception", "the lot store reported a failure"},
+	policy.Full:          {"rejected_execution_exception", "the lot store turned it away"},
+	policy.TimedOut:      {"receive_timeout_transport_exception", "no answer in time"},
+	policy.ConnectFailed: {"connect_transport_exception", "no connection to the lot store"},
+	policy.Reset:         {"node_disconnected_exception", "the connection to the lot store broke"},
+	policy.Cancelled:     {"task_cancelled_exception", "given up"},
+	policy.Moot:          {"task_cancelled_exception", "not sent"},
+}
+
+func (a *asked) counts(res gather.Result) (c shardCounts, timedOut bool) {
+	c.Total = len(res.Parts)
+	for _, p := range res.Parts {
+		if p.OK {
+			c.Successful++
+			continue
+		}
+		c.Failed++
+		why := causes[p.Last]
+		if p.Waiting {
+			why, timedOut = causes[policy.TimedOut], true
+		}
+		c.Failures = append(c.Failures, shardError{Shard: p.Shard, Index: a.index, Reason: why})
+	}
+	return c, timedOut
+}
+
+// render words a final answer.
+func (a *asked) render(res gather.Result, took time.Duration) *http1.Response {
+	counts, timedOut := a.counts(res)
+	switch res.Kind {
+	case gather.Answered:
+		if a.search {
+			return a.hits(res, counts, timedOut, took)
+		}
+		return a.created(res, counts)
+	case gather.Refused:
+		p := errorResponse(&apiError{429, "rejected_execution_exception", "rejected: " + res.Reason}, nil)
+		// Whole seconds, as the field's definition has them.
+		p.Header.Set("Retry-After", strconv.Itoa(max(int(math.Ceil(res.RetryAfter.Seconds())), 1)))
+		return p
+	}
+	// A failure may have had its effect, so that its status must not be one that client libraries take
+	// for harmless and repeat by themselves: 429, 502, 503 and for a create 504.
+	switch {
+	case !a.search:
+		return errorResponse(&apiError{500, "unavailable_shards_exception", res.Reason}, counts.Failures)
+	case res.Reason == gather.ReasonDeadline || timedOut:
+		return errorResponse(&apiError{504, "search_phase_execution_exception", res.Reason}, counts.Failures)
+	}
+	return errorResponse(&apiError{500, "search_phase_execution_exception", res.Reason}, counts.Failures)
+}
+
+// hits merges the shards' hits, best score first. A value that is not a hits object of the API, as from
+// lot stores that speak frames, counts as one hit.
+func (a *asked) hits(res gather.Result, counts shardCounts, timedOut bool, took time.Duration) *http1.Response {
+	type hit struct {
+		raw   string
+		score float64
+	}
+	var all []hit
+	total := int64(0)
+	for _, p := range res.Parts {
+		if !p.OK {
+			continue
+		}
+		if v := gjson.Parse(p.Value); gjson.Valid(p.Value) && v.Get("hits").IsArray() {
+			total += v.Get("total.value").Int()
+			for _, h := range v.Get("hits").Array() {
+				all = append(all, hit{h.Raw, h.Get("_score").Float()})
+			}
+			continue
+		}
+		total++
+		raw := must(json.Marshal(map[string]any{"_index": a.index, "_id": strconv.Itoa(p.Shard), "_score": nil,
+			"_source": map[string]string{"item": p.Value}}))
+		all = append(all, hit{string(raw), 0})
+	}
+	slices.SortStableFunc(all, func(x, y hit) int {
+		switch {
+		case x.score > y.score:
+			return -1
+		case x.score < y.score:
+			return 1
+		}
+		return 0
+	})
+	raws := []json.RawMessage{}
+	for _, h := range all[:min(len(all), a.size)] {
+		raws = append(raws, json.RawMessage(h.raw))
+	}
+	relation := "eq"
+	if !res.Whole {
+		relation = "gte"
+	}
+	return jsonResponse(200, map[string]any{
+		"took": took.Milliseconds(), "timed_out": timedOut, "_shards": counts,
+		"hits": map[string]any{"total": map[string]any{"value": total, "relation": relation}, "max_score": nil, "hits": raws},
+	})
+}
+
+func (a *asked) created(res gather.Result, counts shardCounts) *http1.Response {
+	doc := map[string]any{"_index": a.index, "_id": a.q.Key, "_version": 1, "result": "created", "_shards": counts}
+	if v := gjson.Parse(res.Parts[0].Value); gjson.Valid(res.Parts[0].Value) && v.Get("_id").Exists() {
+		for _, k := range []string{"_version", "_seq_no", "_primary_term"} {
+			if x := v.Get(k); x.Type == gjson.Number {
+				doc[k] = json.Number(x.Raw)
+			}
+		}
+	} else {
+		doc["get"] = map[string]any{"_source": map[string]string{"item": res.Parts[0].Value}}
+	}
+	return jsonResponse(201, doc)
+}
+
+func errorResponse(e *apiError, failed []shardError) *http1.Response {
+	object := map[string]any{"type": e.kind, "reason": e.reason,
+		"root_cause": []cause{{e.kind, e.reason}}}
+	if failed != nil {
+		object["phase"], object["grouped"], object["failed_shards"] = "query", true, failed
+	}
+	return jsonResponse(e.status, map[string]any{"error": object, "status": e.status})
+}
+
+func jsonResponse(status int, v any) *http1.Response {
+	return &http1.Response{Status: status, Header: textproto.MIMEHeader{"Content-Type": {"application/json; charset=UTF-8"}},
+		Body: must(json.Marshal(v))}
+}
+
+// must is for what cannot fail: plain values made here, and JSON that was validated.
+func must(b []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/net/opensearch/stores.go
@@ -0,0 +1,404 @@
+package opensearch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// StoresConfig is what the lot-store side needs to know.
+type StoresConfig struct {
+	Indices        []string // by class
+	Shards         int
+	Keyed          []bool        // by class: created in, not searched
+	ConnectTimeout time.Duration // also a probe's
+	ConnIdle       time.Duration // the lot store closes a connection idle for so long
+	MaxConns       int           // in all
+	Log            *log.Logger
+}
+
+// Stores implements gather.Transport on the API: the searches of a call travel as one _msearch, its
+// creates as one _bulk. A connection carries one call at a time.
+type Stores struct {
+	StoresConfig
+	routing []string // by shard, a value that leads there
+	report  gather.Reporter
+
+	mu      sync.Mutex
+	servers map[policy.ServerID]*store
+	where   map[*gather.Attempt]*exchange
+	conns   int
+}
+
+type store struct {
+	mem.Server
+	idle []idleConn // the longest idle first
+}
+
+type idleConn struct {
+	c     *http1.Client
+	since time.Time
+}
+
+// exchange is one call on its connection.
+type exchange struct {
+	left int                // attempts neither ended nor cancelled
+	stop context.CancelFunc // ends the exchange and closes its connection
+}
+
+// NewStores makes the transport; Start must come before any other call.
+func NewStores(c StoresConfig) *Stores {
+	routing := make([]string, c.Shards)
+	for i, found := 0, 0; found < c.Shards; i++ {
+		if s := Shard(strconv.Itoa(i), c.Shards); routing[s] == "" {
+			routing[s] = strconv.Itoa(i)
+			found++
+		}
+	}
+	return &Stores{StoresConfig: c, routing: routing, servers: map[policy.ServerID]*store{}, where: map[*gather.Attempt]*exchange{}}
+}
+
+// Start names whom outcomes are reported to.
+func (t *Stores) Start(r gather.Reporter) { t.report = r }
+
+// Servers implements gather.Transport. What is not written yet looks at the state again when it is.
+func (t *Stores) Servers(news []mem.Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, n := range news {
+		s := t.servers[n.ID]
+		if s == nil {
+			s = &store{}
+			t.servers[n.ID] = s
+		}
+		moved := s.Addr != n.Addr
+		s.Server = n
+		if n.State == policy.Gone || moved {
+			t.closeIdle(s, time.Now())
+		}
+		if n.State == policy.Gone {
+			delete(t.servers, n.ID)
+		}
+	}
+}
+
+// closeIdle closes the connections idle since before a time.
+func (t *Stores) closeIdle(s *store, before time.Time) {
+	for len(s.idle) > 0 && !s.idle[0].since.After(before) {
+		s.idle[0].c.Close()
+		s.idle = s.idle[1:]
+		t.conns--
+	}
+}
+
+// CloseIdle implements gather.Transport.
+func (t *Stores) CloseIdle(id policy.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[id]; s != nil {
+		t.closeIdle(s, time.Now())
+	}
+}
+
+// Call implements gather.Transport.
+func (t *Stores) Call(id policy.ServerID, attempts []*gather.Attempt) {
+	var kinds [2][]*gather.Attempt
+	for _, a := range attempts {
+		k := 0
+		if t.Keyed[a.Class] {
+			k = 1
+		}
+		kinds[k] = append(kinds[k], a)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, some := range kinds {
+		if len(some) == 0 {
+			continue
+		}
+		ctx, stop := context.WithDeadline(context.Background(), some[0].Until)
+		x := &exchange{left: len(some), stop: stop}
+		for _, a := range some {
+			t.where[a] = x
+		}
+		go t.run(ctx, id, x, some)
+	}
+}
+
+// Cancel implements gather.Transport: when nobody waits for anything in a call, its connection is closed.
+func (t *Stores) Cancel(a *gather.Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.where[a]; x != nil {
+		delete(t.where, a)
+		if x.left--; x.left == 0 {
+			x.stop()
+		}
+	}
+}
+
+// end reports an attempt's outcome, unless it has been cancelled.
+func (t *Stores) end(a *gather.Attempt, s policy.Status, value string) {
+	t.mu.Lock()
+	x := t.where[a]
+	if x != nil {
+		delete(t.where, a)
+		x.left--
+	}
+	t.mu.Unlock()
+	if x != nil {
+		t.report.Outcome(a, s, value)
+	}
+}
+
+func (t *Stores) endAll(attempts []*gather.Attempt, s policy.Status) {
+	for _, a := range attempts {
+		t.end(a, s, "")
+	}
+}
+
+// take gets an open connection or room for a new one.
+func (t *Stores) take(id policy.ServerID) (c *http1.Client, open, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	if s == nil {
+		return nil, false, false
+	}
+	t.closeIdle(s, time.Now().Add(-t.ConnIdle/2))
+	if n := len(s.idle); n > 0 {
+		c, s.idle = s.idle[n-1].c, s.idle[:n-1]
+		return c, true, true
+	}
+	if t.conns >= t.MaxConns {
+		t.Log.Printf("conn: all %d connections are in use, server=%d", t.MaxConns, id)
+		return nil, false, false
+	}
+	t.conns++
+	return &http1.Client{Addr: s.Addr}, false, true
+}
+
+// put gives a connection back. One that is closed, or leads to where the server no longer is, is dropped.
+func (t *Stores) put(id policy.ServerID, c *http1.Client) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	if s == nil || !c.Open() || s.Addr != c.Addr {
+		c.Close()
+		t.conns--
+		return
+	}
+	s.idle = append(s.idle, idleConn{c, time.Now()})
+	// Closed well before the lot store would, as what crosses that close ends as a reset.
+	time.AfterFunc(t.ConnIdle/2+time.Millisecond, func() {
+		t.mu.Lock()
+		t.closeIdle(s, time.Now().Add(-t.ConnIdle/2))
+		t.mu.Unlock()
+	})
+}
+
+// run carries one call.
+func (t *Stores) run(ctx context.Context, id policy.ServerID, x *exchange, attempts []*gather.Attempt) {
+	defer x.stop()
+	c, open, ok := t.take(id)
+	if !ok {
+		t.endAll(attempts, policy.ConnectFailed)
+		return
+	}
+	defer func() { t.put(id, c) }()
+	if !open {
+		if err := c.Dial(ctx, t.ConnectTimeout); err != nil {
+			t.endAll(attempts, policy.ConnectFailed)
+			return
+		}
+	}
+	// Looked at again, as the connection took time: a keyed part past its window, a part past its time and
+	// a server that drains by now.
+	now := time.Now()
+	t.mu.Lock()
+	s := t.servers[id]
+	ready := s != nil && s.State == policy.Ready
+	var live []*gather.Attempt
+	var stale []*gather.Attempt
+	for _, a := range attempts {
+		switch {
+		case t.where[a] != x: // cancelled
+		case !ready || a.Stale(now):
+			stale = append(stale, a)
+		default:
+			live = append(live, a)
+		}
+	}
+	t.mu.Unlock()
+	t.endAll(stale, policy.Moot)
+	if len(live) == 0 {
+		return
+	}
+	unwatch := context.AfterFunc(ctx, c.Aborter())
+	defer func() {
+		if !unwatch() { // nobody waits any more, and the connection was closed for that
+			c.Close()
+		}
+	}()
+	target, body := t.request(live, now)
+	head := textproto.MIMEHeader{"Content-Type": {"application/x-ndjson"}}
+	if err := c.Write(now.Add(4*t.ConnectTimeout), "POST", target, head, body); err != nil {
+		c.Close()
+		t.endAll(live, policy.ConnectFailed)
+		return
+	}
+	p, err := c.Read(live[0].Until.Add(time.Second))
+	if err != nil {
+		t.broken(ctx, id, c, live, err)
+		return
+	}
+	defer p.Release()
+	switch p.Status {
+	case 200:
+	case 429:
+		t.endAll(live, policy.Full)
+		return
+	default:
+		t.endAll(live, policy.Error)
+		return
+	}
+	items, err := parseItems(p, len(live), t.Keyed[live[0].Class])
+	if err != nil {
+		t.broken(ctx, id, c, live, err)
+		return
+	}
+	for i, a := range live {
+		status, value := items[i].status, items[i].value
+		if items[i].conflict && a.Number > 0 {
+			status = policy.OK // the document is there: an earlier attempt ran
+		}
+		t.end(a, status, value)
+	}
+}
+
+// broken ends a connection after a call was written whole: its parts may have run.
+func (t *Stores) broken(ctx context.Context, id policy.ServerID, c *http1.Client, out []*gather.Attempt, err error) {
+	c.Close()
+	if ctx.Err() == nil {
+		t.Log.Printf("conn: server=%d ended, %d parts out, 0 never sent: %v", id, len(out), err)
+	}
+	t.endAll(out, policy.Reset)
+}
+
+// request words a call: an _msearch or a _bulk.
+func (t *Stores) request(attempts []*gather.Attempt, now time.Time) (target string, body []byte) {
+	index := t.Indices[attempts[0].Class]
+	var b bytes.Buffer
+	for _, a := range attempts {
+		text := line(a.Text)
+		left := strconv.FormatInt(max(a.Until.Sub(now).Milliseconds(), 1), 10) + "ms"
+		if t.Keyed[a.Class] {
+			target = "/_bulk?timeout=" + left
+			fmt.Fprintf(&b, `{"create":{"_index":%q,"_id":%q,"routing":%q}}`+"\n%s\n", index, a.Key, t.routing[a.Shard], text)
+			continue
+		}
+		target = "/_msearch"
+		rest := strings.TrimSpace(text[1:])
+		if rest != "}" {
+			rest = "," + rest
+		}
+		fmt.Fprintf(&b, `{"index":%q,"preference":"_shards:%d"}`+"\n"+`{"timeout":%q%s`+"\n", index, a.Shard, left, rest)
+	}
+	return target, b.Bytes()
+}
+
+// line is a query's text as one line that holds a JSON object. Text that is none, which the platform's
+// front lets pass, is put into one.
+func line(text []byte) string {
+	if gjson.ValidBytes(text) && gjson.ParseBytes(text).IsObject() {
+		return gjson.GetBytes(text, "@ugly").Raw
+	}
+	return fmt.Sprintf(`{"query":{"query_string":{"query":%s}}}`, must(json.Marshal(string(text))))
+}
+
+// item is what came of one part.
+type item struct {
+	status   policy.Status
+	value    string
+	conflict bool // the document was there already
+}
+
+// parseItems reads the answer to a call of n parts.
+func parseItems(p *http1.Response, n int, keyed bool) ([]item, error) {
+	if !gjson.ValidBytes(p.Body) { // gjson's getters take garbage
+		return nil, errors.New("malformed answer: not JSON")
+	}
+	root := gjson.ParseBytes(p.Body)
+	list := root.Get("responses")
+	if keyed {
+		list = root.Get("items")
+	}
+	answers := list.Array()
+	if !list.IsArray() || len(answers) != n {
+		return nil, fmt.Errorf("malformed answer: %d parts of %d", len(answers), n)
+	}
+	items := make([]item, n)
+	for i, a := range answers {
+		if keyed {
+			a = a.Get("create")
+		}
+		hits, status := a.Get("hits"), a.Get("status").Int()
+		switch {
+		case status == 429:
+			items[i].status = policy.Full
+		case keyed && status == 201:
+			items[i] = item{status: policy.OK, value: a.Raw}
+		case keyed && status == 409:
+			items[i] = item{status: policy.Error, value: a.Raw, conflict: true}
+		case !keyed && hits.Get("hits").IsArray() && !a.Get("timed_out").Bool() && a.Get("_shards.failed").Int() == 0:
+			items[i] = item{status: policy.OK, value: hits.Raw}
+		default:
+			items[i].status = policy.Error
+		}
+	}
+	return items, nil
+}
+
+// Probe implements gather.Transport.
+func (t *Stores) Probe(id policy.ServerID) {
+	go func() {
+		c, open, ok := t.take(id)
+		if !ok {
+			t.report.Probed(id, false)
+			return
+		}
+		defer func() { t.put(id, c) }()
+		if !open && c.Dial(context.Background(), t.ConnectTimeout) != nil {
+			t.report.Probed(id, false)
+			return
+		}
+		deadline := time.Now().Add(t.ConnectTimeout)
+		if c.Write(deadline, "GET", "/", nil, nil) != nil {
+			c.Close()
+			t.report.Probed(id, false)
+			return
+		}
+		p, err := c.Read(deadline)
+		if err != nil {
+			c.Close()
+		} else {
+			p.Release()
+		}
+		t.report.Probed(id, err == nil && p.Status == 200)
+	}()
+}
--- a/internal/net/platform/platform.go
+++ b/internal/net/platform/platform.go
@@ -80,13 +80,13 @@
 	k := f.Settings.Policy.Classes[class]
 	q := &gather.Request{Name: r.Header.Get("Req-Id"), Class: class, Key: r.Header.Get("Idempotency-Key"),
 		Done: make(chan gather.Result, 1)}
-	if !isName(q.Name) {
+	if !http1.IsName(q.Name) {
 		return nil, bad("Req-Id is missing, too long or has characters other than letters, digits, - and _")
 	}
 	if k.Effect != policy.Safe && q.Key == "" {
 		return nil, bad("Idempotency-Key is missing")
 	}
-	if q.Key != "" && !isName(q.Key) {
+	if q.Key != "" && !http1.IsName(q.Key) {
 		return nil, bad("Idempotency-Key is too long or has characters other than letters, digits, - and _")
 	}
 	wait, ok := parseWait(r.Header.Get("Req-Deadline"), k.Deadline)
@@ -99,13 +99,6 @@
 	return q, err
 }
 
-// isName says whether s can stand in a frame's line as it is.
-func isName(s string) bool {
-	return s != "" && len(s) <= 128 && !strings.ContainsFunc(s, func(c rune) bool {
-		return !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_')
-	})
-}
-
 // parseWait reads a time such as 480m (milliseconds) or 480000u (microseconds).
 func parseWait(s string, absent time.Duration) (time.Duration, bool) {
 	if s == "" {
