Replay recorded traffic through both fronts and both lot-store sides

Seen: spaolacci/murmur3 fails checkptr under -race (pointer arithmetic in Sum32WithSeed), so the routing hash comes from twmb/murmur3. All four pairings give the same kinds, values and attempt counts.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -25,10 +25,12 @@
 	if err != nil {
 		logger.Fatalf("configuration: %v", err)
 	}
-	signals, stop := make(chan os.Signal, 1), make(chan struct{})
+	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() { <-signals; close(stop) }()
-	if err := lifecycle.Run(c, front, logger, stop); err != nil {
-		logger.Fatalf("fatal: %v", err)
+	d, err := lifecycle.Start(c, front, logger)
+	if err != nil {
+		logger.Fatalf("start: %v", err)
 	}
+	<-signals
+	d.Drain()
 }
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -63,68 +63,86 @@
 	served   chan struct{}
 }
 
-func open(addr string, h http1.Handler, conns int, logger *log.Logger) (*door, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	d := &door{&http1.Server{Handle: h, MaxConns: conns, Log: logger}, l, make(chan struct{})}
-	go func() { d.Serve(l); close(d.served) }()
-	return d, nil
+// Daemon is a gatherer that serves.
+type Daemon struct {
+	log      *log.Logger
+	core     *gather.Core
+	doors    []*door // the platform's first, then the OpenSearch-style front's if it is on
+	draining atomic.Bool
+	unwatch  context.CancelFunc
 }
 
-// Run serves until stop is closed, then drains. It returns when all that was taken has been answered.
-func Run(c Config, f *FrontConfig, logger *log.Logger, stop <-chan struct{}) error {
+// Start makes a gatherer that serves. A nil front leaves the OpenSearch-style front off.
+func Start(c Config, f *FrontConfig, logger *log.Logger) (*Daemon, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 
 	tr := newTransport(c, f, logger)
 	core, err := gather.New(c.Settings, c.Seed, tr, logger)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	tr.Start(core)
+	d := &Daemon{log: logger, core: core}
 	go core.Run()
-	defer core.Stop()
 	c.Known.Kind = policy.Cached
 	core.List(c.Known)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	var ctx context.Context
+	ctx, d.unwatch = context.WithCancel(context.Background())
 	watcher := &discovery.Watcher{Addr: c.Discovery, Zones: c.Settings.Zones, Log: logger, Tell: core.List}
 	go watcher.Run(ctx, c.KnownSeq)
 
 	// Doors open only now: a gatherer is ready when it has its list.
-	var draining atomic.Bool
-	front := &platform.Front{Core: core, Settings: c.Settings, Ready: func() bool { return !draining.Load() }}
-	d, err := open(c.Listen, front.Handle, int(clientShare*float64(c.Sockets)), logger)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	front := &platform.Front{Core: core, Settings: c.Settings, Ready: func() bool { return !d.draining.Load() }}
+	if err := d.open(c.Listen, front.Handle, int(clientShare*float64(c.Sockets))); err != nil {
+		d.Drain()
+		return nil, fmt.Errorf("listen: %w", err)
 	}
-	doors := []*door{d}
 	if f != nil {
 		second := &opensearch.Front{Core: core, Settings: c.Settings, Indices: f.Indices, Name: fmt.Sprintf("os-%s-%x", c.Name, c.Seed)}
-		d, err := open(f.Listen, second.Handle, int(secondShare*float64(c.Sockets)), logger)
-		if err != nil {
-			return fmt.Errorf("opensearch front: listen: %w", err)
+		if err := d.open(f.Listen, second.Handle, int(secondShare*float64(c.Sockets))); err != nil {
+			d.Drain()
+			return nil, fmt.Errorf("opensearch front: listen: %w", err)
 		}
-		doors = append(doors, d)
-		logger.Printf("opensearch front: listen=%s", d.listener.Addr())
 	}
-	logger.Printf("ready: name=%s listen=%s known=%d", c.Name, d.listener.Addr(), len(c.Known.Servers))
+	logger.Printf("ready: name=%s listen=%v known=%d", c.Name, d.Addrs(), len(c.Known.Servers))
+	return d, nil
+}
 
-	<-stop
-	logger.Printf("drain: accepting for %v more", acceptFor)
-	draining.Store(true)
-	for _, d := range doors {
-		d.Drain()
+func (d *Daemon) open(addr string, h http1.Handler, conns int) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	x := &door{&http1.Server{Handle: h, MaxConns: conns, Log: d.log}, l, make(chan struct{})}
+	go func() { x.Serve(l); close(x.served) }()
+	d.doors = append(d.doors, x)
+	return nil
+}
+
+// Addrs tells where the fronts listen, the platform's first.
+func (d *Daemon) Addrs() (addrs []string) {
+	for _, x := range d.doors {
+		addrs = append(addrs, x.listener.Addr().String())
+	}
+	return addrs
+}
+
+// Drain goes on accepting for a short time, answers all that was taken, and returns when that is done.
+func (d *Daemon) Drain() {
+	d.log.Printf("drain: accepting for %v more", acceptFor)
+	d.draining.Store(true)
+	for _, x := range d.doors {
+		x.Drain()
 		// The deadline lets Serve end after what already came; closing at once would reset it.
-		d.listener.(*net.TCPListener).SetDeadline(time.Now().Add(acceptFor))
+		x.listener.(*net.TCPListener).SetDeadline(time.Now().Add(acceptFor))
 	}
-	for _, d := range doors {
-		<-d.served
-		d.listener.Close()
-		d.Wait()
+	for _, x := range d.doors {
+		<-x.served
+		x.listener.Close()
+		x.Wait()
 	}
-	logger.Printf("drain: all answered, exiting")
-	return nil
+	d.unwatch()
+	d.core.Stop()
+	d.log.Printf("drain: all answered, exiting")
 }
--- /dev/null
+++ b/internal/lifecycle/replay_test.go
@@ -0,0 +1,256 @@
+package lifecycle
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"maps"
+	"net"
+	"net/textproto"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/net/opensearch"
+	"pulleygw.example/pulleygw/internal/standin"
+)
+
+const shards = 24
+
+// recorded is one request of the recorded traffic: a search of shards, or a bid under a routing value.
+type recorded struct {
+	Name      string
+	Shards    []int
+	Routing   string
+	Ends      json.RawMessage // by shard, or a bid's
+	TimeoutMs int             `json:"timeout_ms"`
+	Want      string
+	Attempts  json.RawMessage // by shard, or a bid's
+	Loose     bool            // ends as soon as its floor is out of reach, whichever shard shows that first
+}
+
+func (r recorded) ends(t *testing.T) (ends map[int][]standin.End, attempts map[int]int) {
+	ends, attempts = map[int][]standin.End{}, map[int]int{}
+	var err error
+	if r.Routing == "" {
+		if r.Ends != nil {
+			err = json.Unmarshal(r.Ends, &ends)
+		}
+		if err == nil {
+			err = json.Unmarshal(r.Attempts, &attempts)
+		}
+	} else {
+		var list []standin.End
+		var n int
+		if r.Ends != nil {
+			err = json.Unmarshal(r.Ends, &list)
+		}
+		if err == nil {
+			err = json.Unmarshal(r.Attempts, &n)
+		}
+		s := opensearch.Shard(r.Routing, shards)
+		ends[s], attempts[s] = list, n
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ends, attempts
+}
+
+// world is a daemon among stand-ins.
+type world struct {
+	*Daemon
+	script *standin.Script
+}
+
+// start puts a daemon among 12 lot stores, two to a cell, that speak frames or the API.
+func start(t *testing.T, storesSpeak string) world {
+	s := &standin.Script{}
+	var hosts []string
+	for i := range 12 {
+		l := standin.Listen(t)
+		if storesSpeak == "opensearch" {
+			go standin.OpenSearch(l, s, func(r string) int { return opensearch.Shard(r, shards) })
+		} else {
+			go standin.Frames(l, s)
+		}
+		hosts = append(hosts, standin.Host(fmt.Sprintf("s-%d", i), l.Addr().String(), []string{"cheonan", "pyeongtaek"}[i%2], i/2, "ready"))
+	}
+	list := standin.List(1, hosts...)
+	agent := standin.Listen(t)
+	go standin.Discovery(agent, list)
+	set, err := os.ReadFile("testdata/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := t.TempDir() + "/config.json"
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, agent.Addr(), list, set)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := LoadConfig(file, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &FrontConfig{Listen: "127.0.0.1:0", Indices: map[string]string{"lots": "lot-search", "bids": "place-bid"},
+		Stores: storesSpeak == "opensearch"}
+	d, err := Start(c, f, log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Drain)
+	return world{d, s}
+}
+
+// do sends one request on a connection of its own.
+func do(t *testing.T, addr, method, target string, h textproto.MIMEHeader, body string) *http1.Response {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if _, err := nc.Write(http1.AppendRequest(nil, method, target, "origin.svc", h, []byte(body))); err != nil {
+		t.Fatal(err)
+	}
+	nc.SetReadDeadline(time.Now().Add(30 * time.Second))
+	p, err := http1.NewReader(nc).Response()
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, target, err)
+	}
+	return p
+}
+
+// answer is what a client was told, in no front's words.
+type answer struct {
+	kind   string
+	values map[int]string
+}
+
+func (w world) platform(t *testing.T, id int, r recorded) answer {
+	h := textproto.MIMEHeader{"Req-Id": {fmt.Sprintf("r%d", id)}}
+	class, list := "lot-search", r.Shards
+	if r.Routing != "" {
+		class, list = "place-bid", []int{opensearch.Shard(r.Routing, shards)}
+		h.Set("Idempotency-Key", fmt.Sprintf("bid-%d", id))
+	}
+	if r.TimeoutMs > 0 {
+		h.Set("Req-Deadline", fmt.Sprintf("%dm", r.TimeoutMs))
+	}
+	var buckets []string
+	for _, s := range list {
+		buckets = append(buckets, fmt.Sprintf(`{"bucket":%d,"part":%v}`, s, 1/float64(len(list))))
+	}
+	p := do(t, w.Addrs()[0], "POST", "/"+class, h, fmt.Sprintf(`{"buckets":[%s],"body":"{\"query\":{}}"}`, strings.Join(buckets, ",")))
+	a := answer{values: map[int]string{}}
+	switch p.Status {
+	case 200:
+		a.kind = "answered partial"
+		if gjson.GetBytes(p.Body, "finished").Bool() {
+			a.kind = "answered whole"
+		}
+		for _, f := range gjson.GetBytes(p.Body, "found").Array() {
+			v := f.Get("item").String()
+			if x := gjson.Parse(v); x.IsObject() { // a store's own answer in the API
+				v = x.Get("hits.0._source.item").String()
+			}
+			a.values[int(f.Get("bucket").Int())] = v
+		}
+	case 429, 503:
+		a.kind = "refused"
+		if p.Header.Get("Retry-After") == "" {
+			t.Error("refused without Retry-After")
+		}
+	default:
+		a.kind = "failed"
+	}
+	return a
+}
+
+func (w world) openSearch(t *testing.T, id int, r recorded) answer {
+	a := answer{values: map[int]string{}}
+	timeout := ""
+	if r.TimeoutMs > 0 {
+		timeout = fmt.Sprintf("&timeout=%dms", r.TimeoutMs)
+	}
+	var p *http1.Response
+	if r.Routing == "" {
+		list := strings.Trim(strings.ReplaceAll(fmt.Sprint(r.Shards), " ", ","), "[]")
+		p = do(t, w.Addrs()[1], "POST", "/lots/_search?preference=_shards:"+list+timeout, nil, `{"query":{}}`)
+	} else {
+		p = do(t, w.Addrs()[1], "PUT", fmt.Sprintf("/bids/_create/bid-%d?routing=%s%s", id, r.Routing, timeout), nil, `{"query":{}}`)
+	}
+	body := gjson.ParseBytes(p.Body)
+	switch {
+	case p.Status == 200 || p.Status == 201:
+		n, whole := body.Get("_shards"), "answered whole"
+		if n.Get("failed").Int() > 0 {
+			whole = "answered partial"
+		}
+		if n.Get("total").Int() != n.Get("successful").Int()+n.Get("failed").Int() || n.Get("failed").Int() != n.Get("failures.#").Int() {
+			t.Errorf("_shards do not add up: %s", n.Raw)
+		}
+		a.kind = whole
+		for _, h := range body.Get("hits.hits").Array() {
+			a.values[int(h.Get("_id").Int())] = h.Get("_source.item").String()
+		}
+		if r.Routing != "" {
+			a.values[opensearch.Shard(r.Routing, shards)] = body.Get("get._source.item").String()
+		}
+	case p.Status == 429:
+		a.kind = "refused"
+		if p.Header.Get("Retry-After") == "" || body.Get("error.type").String() != "rejected_execution_exception" {
+			t.Errorf("refused with %v %s", p.Header, p.Body)
+		}
+	default:
+		a.kind = "failed"
+		if body.Get("error.type").String() == "" || body.Get("status").Int() != int64(p.Status) {
+			t.Errorf("error object %s", p.Body)
+		}
+	}
+	return a
+}
+
+// The same traffic through both fronts, to lot stores of both kinds, gets the same answers, refusals and
+// failures, from the same numbers of attempts.
+func TestReplay(t *testing.T) {
+	text, err := os.ReadFile("testdata/traffic.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var traffic []recorded
+	if err := json.Unmarshal(text, &traffic); err != nil {
+		t.Fatal(err)
+	}
+	for _, stores := range []string{"frames", "opensearch"} {
+		for front, ask := range map[string]func(world, *testing.T, int, recorded) answer{"platform": world.platform, "opensearch": world.openSearch} {
+			t.Run(front+" front, stores speak "+stores, func(t *testing.T) {
+				w := start(t, stores)
+				for i, r := range traffic {
+					ends, attempts := r.ends(t)
+					w.script.Set(ends)
+					a := ask(w, t, i, r)
+					if a.kind != r.Want {
+						t.Errorf("%s: %s, want %s", r.Name, a.kind, r.Want)
+					}
+					if got := w.script.Attempts(); !r.Loose && !maps.Equal(got, attempts) {
+						t.Errorf("%s: attempts %v, want %v", r.Name, got, attempts)
+					}
+					for s, v := range a.values {
+						if r.Routing == "" && v != standin.Value(s) {
+							t.Errorf("%s: shard %d has %q", r.Name, s, v)
+						}
+					}
+					if r.Want == "answered whole" && r.Routing == "" && len(a.values) != len(r.Shards) {
+						t.Errorf("%s: values %v", r.Name, a.values)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -48,7 +48,7 @@
 	used bool // a request has been answered
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed or its deadline has passed.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.conns, s.freed = map[*conn]struct{}{}, make(chan struct{}, 1)
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -16,7 +16,7 @@
 	"time"
 	"unicode/utf16"
 
-	"github.com/spaolacci/murmur3"
+	"github.com/twmb/murmur3"
 	"github.com/tidwall/gjson"
 
 	"pulleygw.example/pulleygw/internal/gather"
--- /dev/null
+++ b/internal/standin/frames.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+)
+
+// Frames is a lot store that speaks frames, until the listener closes.
+func Frames(l net.Listener, s *Script) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			serveFrames(c, s)
+		}()
+	}
+}
+
+// Frame words a frame.
+func Frame(letter byte, rest string) []byte {
+	b := binary.LittleEndian.AppendUint32(nil, uint32(1+len(rest)))
+	return append(append(b, letter), rest...)
+}
+
+func serveFrames(c net.Conn, s *Script) {
+	r := bufio.NewReader(c)
+	for {
+		var n uint32
+		if binary.Read(r, binary.LittleEndian, &n) != nil || n == 0 {
+			return
+		}
+		b := make([]byte, n)
+		if _, err := io.ReadFull(r, b); err != nil {
+			return
+		}
+		switch b[0] {
+		case 'C':
+			c.Write(Frame('C', "hit"))
+		case 'A':
+			if !call(c, b[1:], s) {
+				return
+			}
+		}
+	}
+}
+
+// call answers the parts of one call, and says whether the connection goes on.
+func call(c net.Conn, b []byte, s *Script) bool {
+	for len(b) > 0 {
+		line, rest, _ := bytes.Cut(b, []byte{'\n'})
+		f := bytes.Fields(line)
+		if len(f) != 4 {
+			c.Write(Frame('F', "a part's line is malformed"))
+			return false
+		}
+		shard, _ := strconv.Atoi(string(f[1]))
+		n, _ := strconv.Atoi(string(f[3]))
+		text := string(rest[:n])
+		b = rest[n:]
+		switch end := s.Next(shard, text); end {
+		case Reset:
+			return false
+		case Silent:
+		case Hit:
+			c.Write(Frame('E', fmt.Sprintf("%s hit 0 latency_ms=1,queue=0\n%s", f[0], Value(shard))))
+		default:
+			c.Write(Frame('E', fmt.Sprintf("%s %s 0 -\n", f[0], end)))
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/http.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/net/http1"
+)
+
+// OpenSearch is a lot store that speaks the OpenSearch-style API, until the listener closes. shardOf tells
+// the shard of a routing value.
+func OpenSearch(l net.Listener, s *Script, shardOf func(string) int) {
+	h := func(r *http1.Request, gone <-chan struct{}) *http1.Response {
+		lines := strings.Split(strings.TrimSuffix(string(r.Body), "\n"), "\n")
+		var items []string
+		for i := 0; i+1 < len(lines); i += 2 {
+			var shard int
+			head := gjson.Parse(lines[i])
+			if r.Path == "/_bulk" {
+				shard = shardOf(head.Get("create.routing").String())
+			} else {
+				shard, _ = strconv.Atoi(strings.TrimPrefix(head.Get("preference").String(), "_shards:"))
+			}
+			end := s.Next(shard, lines[i+1])
+			switch end {
+			case Reset:
+				return nil
+			case Silent:
+				<-gone
+				return nil
+			}
+			if r.Path == "/_bulk" {
+				items = append(items, created(end, head.Get("create._id").String()))
+			} else {
+				items = append(items, found(end, shard))
+			}
+		}
+		switch r.Path {
+		case "/_msearch":
+			return JSON(200, `{"took":1,"responses":[`+strings.Join(items, ",")+`]}`)
+		case "/_bulk":
+			return JSON(200, `{"took":1,"errors":false,"items":[`+strings.Join(items, ",")+`]}`)
+		}
+		return JSON(200, `{}`)
+	}
+	(&http1.Server{Handle: h, MaxConns: 100, Log: log.New(io.Discard, "", 0)}).Serve(l)
+}
+
+func found(e End, shard int) string {
+	switch e {
+	case Overload:
+		return `{"error":{"type":"rejected_execution_exception"},"status":429}`
+	case Fault:
+		return `{"error":{"type":"query_phase_execution_exception"},"status":500}`
+	}
+	return fmt.Sprintf(`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},`+
+		`"hits":{"total":{"value":1,"relation":"eq"},"max_score":1.0,"hits":[{"_index":"lots","_id":"%d","_score":1.0,"_source":{"item":%q}}]},"status":200}`,
+		shard, Value(shard))
+}
+
+func created(e End, id string) string {
+	switch e {
+	case Overload:
+		return `{"create":{"error":{"type":"rejected_execution_exception"},"status":429}}`
+	case Fault:
+		return `{"create":{"error":{"type":"unavailable_shards_exception"},"status":500}}`
+	}
+	return fmt.Sprintf(`{"create":{"_index":"bids","_id":%q,"_version":1,"result":"created","_seq_no":7,"_primary_term":1,"status":201}}`, id)
+}
+
+// JSON makes an answer.
+func JSON(status int, body string) *http1.Response {
+	return &http1.Response{Status: status, Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}, Body: []byte(body)}
+}
+
+// Discovery is an agent that serves one list, until the listener closes. A watch waits until its caller goes.
+func Discovery(l net.Listener, list string) {
+	seq := gjson.Get(list, "seq").String()
+	h := func(r *http1.Request, gone <-chan struct{}) *http1.Response {
+		if strings.Contains(r.Query, "since="+seq+"&") {
+			<-gone
+			return nil
+		}
+		return JSON(200, list)
+	}
+	(&http1.Server{Handle: h, MaxConns: 100, Log: log.New(io.Discard, "", 0)}).Serve(l)
+}
