--- /dev/null
+++ b/internal/net/discovery/discovery_test.go
@@ -0,0 +1,64 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"log"
+	"sync/atomic"
+	"testing"
+
+	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/policy"
+)
+
+var zones = []string{"a", "b"}
+
+func TestParseList(t *testing.T) {
+	delta := `{"seq":43,"whole":false,"hosts":[{"host":"s-1","dial":"10.1.0.18:8000","site":"b","class":"m2","block":3,"health":"draining","share":1.5,"born_ms":1700000000000}]}`
+	seq, l, err := ParseList([]byte(delta), zones)
+	if err != nil || seq != 43 || l.Kind != policy.Delta || len(l.Servers) != 1 {
+		t.Fatalf("%d %+v %v", seq, l, err)
+	}
+	if s := l.Servers[0]; s.Zone != 1 || s.Cell != 3 || s.State != policy.Draining || s.Weight != 1.5 || s.Born.UnixMilli() != 1700000000000 {
+		t.Errorf("%+v", s)
+	}
+	garble.Check(t, true, func(b []byte) error { _, _, err := ParseList(b, zones); return err },
+		delta, standin.List(1, standin.Host("s", "1:2", "a", 0, "ready")))
+}
+
+// A watch that fails is made again, from the version last had; nothing told twice.
+func TestWatchReconnects(t *testing.T) {
+	l := standin.Listen(t)
+	targets := make(chan string, 10)
+	var n atomic.Int32
+	h := func(r *http1.Request, gone <-chan struct{}) *http1.Response {
+		targets <- r.Query
+		switch n.Add(1) {
+		case 1:
+			return standin.JSON(200, standin.List(7, standin.Host("s", "127.0.0.1:1", "a", 0, "ready")))
+		case 2:
+			return standin.JSON(500, "{}")
+		case 3:
+			return standin.JSON(200, "garbage")
+		}
+		<-gone
+		return nil
+	}
+	go (&http1.Server{Handle: h, MaxConns: 10, Log: log.New(io.Discard, "", 0)}).Serve(l)
+	told := make(chan gather.List, 10)
+	w := &Watcher{Addr: l.Addr().String(), Zones: zones, Log: log.New(io.Discard, "", 0), Tell: func(l gather.List) { told <- l }}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx, 3)
+	for _, since := range []string{"3", "7", "7", "7"} {
+		if got, want := <-targets, "since="+since+"&timeout_ms=20000"; got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+	if len(told) != 1 || (<-told).Kind != policy.Whole {
+		t.Error("told otherwise than once, whole")
+	}
+}
--- /dev/null
+++ b/internal/net/frames/frames_test.go
@@ -0,0 +1,228 @@
+package frames
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"log"
+	"net"
+	"testing"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/policy"
+)
+
+func TestGarbage(t *testing.T) {
+	garble.Check(t, true, func(b []byte) error {
+		buf := mem.GetBuffer()
+		defer mem.PutBuffer(buf)
+		_, _, err := readFrame(bufio.NewReader(bytes.NewReader(b)), buf)
+		return err
+	}, string(standin.Frame('E', "a.3 hit 7 -\nvalue")), string(standin.Frame('C', "hit")))
+	garble.Check(t, false, func(b []byte) error { _, err := parseEnd(b); return err },
+		"9b1f03aa5c7e2d41.3 hit 1840277719 inflight=7,util=0.61\nvalue", "a.1 overload 0 -\n")
+	garble.Check(t, false, func(b []byte) error {
+		if len(b) == 0 {
+			return nil
+		}
+		return (&conn{t: New(Config{}), s: &server{}}).take(b[0], b[1:])
+	}, "Chit", "Ea.3 hit 7 -\nvalue")
+}
+
+// A call is worded as the protocol has it, also where it is larger than a buffer.
+func TestWriteCall(t *testing.T) {
+	a := &gather.Attempt{Query: "9b1f03aa5c7e2d41", Shard: 3, Key: "5c0f", Text: []byte("c41e77d0")}
+	big := &gather.Attempt{Query: "b", Shard: 4, Text: bytes.Repeat([]byte("x"), 60<<10)}
+	all := []*gather.Attempt{a, big, big}
+	var lines []string
+	want := ""
+	for _, a := range all {
+		lines = append(lines, partLine(a, 240))
+		want += lines[len(lines)-1] + string(a.Text)
+	}
+	if lines[0] != "9b1f03aa5c7e2d41.3 3 d=240,k=5c0f 8\n" || lines[1] != "b.4 4 d=240 61440\n" {
+		t.Errorf("lines %q", lines)
+	}
+	var out bytes.Buffer
+	if err := writeCall(&out, lines, all); err != nil || !bytes.Equal(out.Bytes(), standin.Frame('A', want)) {
+		t.Errorf("%d bytes, error %v", out.Len(), err)
+	}
+}
+
+// reports collects what the transport tells.
+type reports struct{ ch chan report }
+
+type report struct {
+	a     *gather.Attempt
+	s     policy.Status
+	value string
+}
+
+func (r reports) Outcome(a *gather.Attempt, s policy.Status, v string) { r.ch <- report{a, s, v} }
+func (r reports) Probed(_ policy.ServerID, ok bool) {
+	r.ch <- report{s: map[bool]policy.Status{true: policy.OK, false: policy.Error}[ok]}
+}
+
+func transport(addr string, idle time.Duration) (*Transport, reports) {
+	tr := New(Config{Streams: 16, ConnectTimeout: 250 * time.Millisecond, ConnIdle: idle, MaxConns: 10, Log: log.New(io.Discard, "", 0)})
+	r := reports{make(chan report, 100)}
+	tr.Start(r)
+	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: policy.Ready}})
+	return tr, r
+}
+
+func attempts(n int) (list []*gather.Attempt) {
+	for i := range n {
+		list = append(list, &gather.Attempt{Query: "q", Shard: i, Server: 1, Until: time.Now().Add(time.Minute)})
+	}
+	return list
+}
+
+func (r reports) want(t *testing.T, n int, s policy.Status) {
+	t.Helper()
+	for range n {
+		if got := <-r.ch; got.s != s {
+			t.Errorf("shard %d: status %v, want %v", got.a.Shard, got.s, s)
+		}
+	}
+}
+
+// What breaks before its frame's last byte never ran; what breaks after that may have, all parts of it.
+func TestBroken(t *testing.T) {
+	l := standin.Listen(t)
+	script := &standin.Script{}
+	script.Set(map[int][]standin.End{2: {standin.Reset}, 0: {standin.Silent}, 1: {standin.Silent}})
+	go standin.Frames(l, script)
+	tr, r := transport(l.Addr().String(), time.Minute)
+	tr.Call(1, attempts(3))
+	r.want(t, 3, policy.Reset)
+	tr.Call(1, attempts(3))
+	r.want(t, 3, policy.OK)
+	tr.Probe(1)
+	r.want(t, 1, policy.OK)
+
+	refused := standin.Listen(t)
+	refused.Close()
+	tr, r = transport(refused.Addr().String(), time.Minute)
+	tr.Call(1, attempts(2))
+	r.want(t, 2, policy.ConnectFailed)
+	tr.Probe(1)
+	r.want(t, 1, policy.Error)
+}
+
+// A malformed frame closes its connection, and its parts may have run.
+func TestMalformedFrame(t *testing.T) {
+	for _, frame := range [][]byte{standin.Frame('Z', "?"), standin.Frame('E', "no line"), {0, 0, 0, 0, 'E'}, {255, 255, 255, 255, 'E'}, standin.Frame('F', "what?")} {
+		l := standin.Listen(t)
+		closed := make(chan error, 1)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			io.ReadFull(c, make([]byte, 5))
+			c.Write(frame)
+			_, err = io.Copy(io.Discard, c)
+			closed <- err
+		}()
+		tr, r := transport(l.Addr().String(), time.Minute)
+		tr.Call(1, attempts(2))
+		r.want(t, 2, policy.Reset)
+		<-closed
+	}
+}
+
+// At most so many parts are on a connection at once; more open another.
+func TestStreams(t *testing.T) {
+	l := standin.Listen(t)
+	tr, _ := transport(l.Addr().String(), time.Minute)
+	for i, want := range []int{1, 1, 2, 2, 3} {
+		tr.Call(1, attempts(8))
+		tr.mu.Lock()
+		if n := tr.servers[1].pool.Len(); n != want {
+			t.Errorf("after %d calls of 8: %d connections, want %d", i+1, n, want)
+		}
+		tr.mu.Unlock()
+	}
+}
+
+// parked puts in a connection that nobody writes to, so that what is called stays queued.
+func parked(tr *Transport, nc net.Conn) *conn {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	c := &conn{t: tr, s: tr.servers[1], nc: nc, up: true, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{})}
+	c.s.pool.Add(c)
+	return c
+}
+
+// Nothing queued may go to a server since told draining or gone: the rule allows 250 ms after that.
+func TestDrainDropsQueue(t *testing.T) {
+	for _, state := range []policy.ServerState{policy.Draining, policy.Gone} {
+		tr, r := transport("127.0.0.1:1", time.Minute)
+		c := parked(tr, nil)
+		tr.Call(1, attempts(3))
+		tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:1", State: state}})
+		r.want(t, 3, policy.Moot)
+		if len(c.queue) != 0 || c.load != 0 {
+			t.Errorf("queue %v, load %d", c.queue, c.load)
+		}
+		tr.Call(1, attempts(1))
+		r.want(t, 1, policy.Moot)
+	}
+}
+
+// A repeat of a keyed part that waited past its window is not written: the lot stores would no longer
+// drop it. Nor is a part whose time is up.
+func TestStaleNotWritten(t *testing.T) {
+	here, there := net.Pipe()
+	defer there.Close()
+	tr, r := transport("127.0.0.1:1", time.Minute)
+	c := parked(tr, here)
+	list := attempts(2)
+	list[0].NotAfter = time.Now().Add(-time.Millisecond)
+	list[1].Until = time.Now().Add(-time.Millisecond)
+	tr.Call(1, list)
+	if more, err := c.write(); !more || err != nil { // a write to the pipe would fail: nobody reads
+		t.Errorf("more %v, error %v", more, err)
+	}
+	r.want(t, 2, policy.Moot)
+}
+
+// A cancelled part gives its place up, and an answer that crosses that is dropped.
+func TestCancel(t *testing.T) {
+	tr, r := transport("127.0.0.1:1", time.Minute)
+	c := parked(tr, nil)
+	list := attempts(2)
+	queued, out := list[0], list[1]
+	tr.Call(1, list)
+	tr.Cancel(queued)
+	c.out["q.1"], c.queue = &entry{a: out, written: time.Now()}, nil
+	tr.Cancel(out)
+	if c.load != 0 || len(c.out) != 0 || len(c.give) != 1 || c.give[0] != "q.1" {
+		t.Errorf("load %d, out %v, give up %v", c.load, c.out, c.give)
+	}
+	if err := c.take('E', []byte("q.1 hit 0 -\nv")); err != nil || len(r.ch) != 0 {
+		t.Errorf("error %v, %d reports", err, len(r.ch))
+	}
+}
+
+// An idle connection is closed from this side, before the lot store would.
+func TestIdleCloses(t *testing.T) {
+	l := standin.Listen(t)
+	tr, r := transport(l.Addr().String(), 60*time.Millisecond)
+	tr.Probe(1)
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.ReadFull(c, make([]byte, 5))
+	c.Write(standin.Frame('C', "fault"))
+	r.want(t, 1, policy.Error)
+	if n, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
--- /dev/null
+++ b/internal/net/http1/http1_test.go
@@ -0,0 +1,178 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/garble"
+)
+
+const (
+	post    = "POST /lot-search HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nContent-Length: 4\r\n\r\nbody"
+	chunked = "POST /lot-search HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nbod\r\n1\r\ny\r\n0\r\nTrailer: 1\r\n\r\n"
+	answer  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+)
+
+func request(b []byte) error {
+	r, err := NewReader(bytes.NewReader(b)).Request()
+	if err == nil {
+		r.Release()
+	}
+	return err
+}
+
+func TestGarbage(t *testing.T) {
+	garble.Check(t, true, request, post, chunked, "GET /-/ready HTTP/1.1\r\n\r\n")
+	garble.Check(t, true, func(b []byte) error {
+		p, err := NewReader(bytes.NewReader(b)).Response()
+		if err == nil {
+			p.Release()
+		}
+		return err
+	}, answer)
+}
+
+// Each malformed or oversized message gets its own status, and none is read without bound.
+func TestStatuses(t *testing.T) {
+	for in, want := range map[string]int{
+		"nonsense\r\n\r\n":                                                    400,
+		"GET  / HTTP/1.1\r\n\r\n":                                             400,
+		"GET / HTTP/2.0\r\n\r\n":                                              505,
+		"POST / HTTP/1.1\r\nno colon\r\n\r\n":                                 400,
+		"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n":                       400,
+		"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab": 400,
+		"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":            400,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n":                                             501,
+		"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n":                                               413,
+		"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n":                                413,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n":                               413,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n":                    413,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n":                                    400,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n":                              400,
+		"GET /" + strings.Repeat("a", 1<<20):                                                             431,
+		"GET / HTTP/1.1\r\nA: " + strings.Repeat("a", 1<<20) + "\r\n\r\n":                                431,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("a: b\r\n", 1<<14): 431,
+	} {
+		e := (*Error)(nil)
+		if err := request([]byte(in)); !errors.As(err, &e) || e.Status != want {
+			t.Errorf("%.60q: %v, want %d", in, err, want)
+		}
+	}
+}
+
+// serve starts a server whose requests wait for a word on the channel.
+func serve(t *testing.T) (addr string, s *Server, began, finish chan struct{}, closed func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	began, finish = make(chan struct{}, 10), make(chan struct{}, 10)
+	s = &Server{MaxConns: 10, Log: log.New(io.Discard, "", 0), Handle: func(r *Request, gone <-chan struct{}) *Response {
+		began <- struct{}{}
+		select {
+		case <-finish:
+			return Text(200, "done")
+		case <-gone:
+			finish <- struct{}{}
+			return nil
+		}
+	}}
+	served := make(chan struct{})
+	go func() { s.Serve(l); close(served) }()
+	return l.Addr().String(), s, began, finish, func() { l.Close(); <-served; s.Wait() }
+}
+
+func dial(t *testing.T, addr string) (net.Conn, *Reader) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	return c, NewReader(c)
+}
+
+// A drain answers what was taken, says that the connection closes, and closes idle ones.
+func TestDrain(t *testing.T) {
+	addr, s, began, finish, closed := serve(t)
+	idle, idleReader := dial(t, addr)
+	io.WriteString(idle, post)
+	<-began
+	finish <- struct{}{}
+	if p, err := idleReader.Response(); err != nil || p.Close {
+		t.Fatalf("%+v %v", p, err)
+	}
+	busy, busyReader := dial(t, addr)
+	io.WriteString(busy, post)
+	<-began
+	s.Drain()
+	if err := idleReader.Await(); err == nil {
+		t.Error("the idle connection was kept")
+	}
+	finish <- struct{}{}
+	if p, err := busyReader.Response(); err != nil || p.Status != 200 || !p.Close {
+		t.Errorf("%+v %v", p, err)
+	}
+	late, lateReader := dial(t, addr) // still accepted
+	io.WriteString(late, post)
+	<-began
+	finish <- struct{}{}
+	if p, err := lateReader.Response(); err != nil || p.Status != 200 || !p.Close {
+		t.Errorf("%+v %v", p, err)
+	}
+	closed()
+}
+
+// A client that goes away while its request is in hand is noticed.
+func TestGone(t *testing.T) {
+	addr, _, began, finish, closed := serve(t)
+	c, _ := dial(t, addr)
+	io.WriteString(c, post)
+	<-began
+	c.Close()
+	<-finish
+	closed()
+}
+
+// Bad input is answered, not just dropped, though the client still sends.
+func TestBadRequestAnswered(t *testing.T) {
+	addr, _, _, _, closed := serve(t)
+	c, r := dial(t, addr)
+	io.WriteString(c, "POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"+strings.Repeat("x", 70000))
+	p, err := r.Response()
+	if err != nil || p.Status != 413 || !p.Close {
+		t.Errorf("%+v %v", p, err)
+	}
+	c.Close()
+	closed()
+}
+
+// Connections past the most are told so, and with a time to come back.
+func TestTooManyConnections(t *testing.T) {
+	addr, s, began, finish, closed := serve(t)
+	var held []net.Conn
+	for range s.MaxConns {
+		c, _ := dial(t, addr)
+		io.WriteString(c, post)
+		<-began
+		held = append(held, c)
+	}
+	c, r := dial(t, addr)
+	io.WriteString(c, post)
+	if p, err := r.Response(); err != nil || p.Status != 503 || p.Header.Get("Retry-After") == "" {
+		t.Errorf("%+v %v", p, err)
+	}
+	for range held {
+		finish <- struct{}{}
+	}
+	for _, c := range held {
+		c.Close()
+	}
+	closed()
+}
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -16,8 +16,8 @@
 	"time"
 	"unicode/utf16"
 
-	"github.com/twmb/murmur3"
 	"github.com/tidwall/gjson"
+	"github.com/twmb/murmur3"
 
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/net/http1"
@@ -259,18 +259,22 @@
 // Shard is the shard that a routing value leads to among n, as OpenSearch works it out: murmur3 of the
 // value in UTF-16, over the routing shards, of which there are n times a power of two, up to 1,024.
 func Shard(routing string, n int) int {
-	var b []byte
-	for _, u := range utf16.Encode([]rune(routing)) {
-		b = binary.LittleEndian.AppendUint16(b, u)
-	}
 	factor := 1
 	for n*factor*2 <= 1024 {
 		factor *= 2
 	}
-	hash := int(int32(murmur3.Sum32(b)))
+	hash := int(routingHash(routing))
 	return ((hash%(n*factor) + n*factor) % (n * factor)) / factor
 }
 
+func routingHash(routing string) int32 {
+	var b []byte
+	for _, u := range utf16.Encode([]rune(routing)) {
+		b = binary.LittleEndian.AppendUint16(b, u)
+	}
+	return int32(murmur3.Sum32(b))
+}
+
 // shardError is the error object of a shard's failure.
 type shardError struct {
 	Shard  int    `json:"shard"`
@@ -312,7 +316,7 @@
 		}
 		c.Failed++
 		why := causes[p.Last]
-		if p.Waiting {
+		if p.Waiting || p.Last == policy.TimedOut {
 			why, timedOut = causes[policy.TimedOut], true
 		}
 		c.Failures = append(c.Failures, shardError{Shard: p.Shard, Index: a.index, Reason: why})
