Module: answer at once what no listed server can serve, or what may not be sent again

Seen: in policy.go, choose finds no replica once the list has dropped a shard's last server, and mind then tried again every 10 ms until 10 ms before the client's end; a keyed part held past its window was popped and not sent by release, over and over, to the same end. Both are queries given up on in all but name, held near their deadline.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -736,6 +736,15 @@
 		m.missed.add(m.now, 1)
 		m.decided.add(m.now, 1)
 	}
+	if m.unheld(p.q) {
+		m.giveUp(p.q)
+		return
+	}
+	if !m.repeatable(p) { // held past its window: no attempt can follow
+		p.server.unhold(p)
+		m.again(p)
+		return
+	}
 	if p.index < 0 {
 		m.placeAll([]*part{p})
 	} else if c := m.pick(p); c != p.server &&
@@ -753,6 +762,9 @@
 
 // refuses decides on a whole query before any part is sent: on the miss share.
 func (m *Mixer) refuses(q *query) bool {
+	if m.unheld(q) {
+		return true
+	}
 	need := m.fanoutTail(q, mostDone) + m.waitNow()
 	if m.now+duration(need) > q.end {
 		return true // the client would leave before: work for nobody
@@ -763,6 +775,19 @@
 	}) // the misses tell what was; wait and room at every shard what is
 }
 
+// unheld says whether the list names a ready server for so few of a query's parts that no answer could be
+// given. One that comes back is listed seconds later: the client is told at once, and may come back itself.
+func (m *Mixer) unheld(q *query) bool {
+	can := 0.0
+	ready := func(s *server) bool { return s.State == Ready }
+	for _, p := range q.parts {
+		if p.done || anyLive(p) || slices.ContainsFunc(m.replicas[p.Shard%m.set.Cells], ready) {
+			can += p.Weight
+		}
+	}
+	return can < q.class.Floor-weightSlip
+}
+
 // wouldMiss says whether a part sent now would still wait at its server when its deadline passes, by what
 // sound servers' answers lately took beyond the usual. Among dozens of mixers the queues stand there, not
 // here, so that what we hold is no measure.
