OpenSearch lot-store side: do not reuse a connection that the lot store closed while idle

Seen: http1.Client keeps no reader on an idle connection, so a call after the lot store's close was written, ended as a reset and counted as one that may have run; for a bid that starts its window. At fault: Stores.take handed out the idle connection unseen. It now looks first (Client.Alive, a peek).

--- /dev/null
+++ b/internal/mem/mem_test.go
@@ -0,0 +1,72 @@
+package mem
+
+import (
+	"testing"
+	"time"
+
+	"pulleygw.example/pulleygw/policy"
+)
+
+// A whole list says of each server that it lacks that it is gone; numbers are kept, and never used twice.
+func TestServers(t *testing.T) {
+	l, now := NewServers(), time.Now()
+	ready := func(names ...string) (list []Server) {
+		for _, n := range names {
+			list = append(list, Server{Name: n, State: policy.Ready})
+		}
+		return list
+	}
+	l.Apply(true, ready("a", "b"), now)
+	news := l.Apply(true, ready("b", "c"), now)
+	if len(news) != 3 || news[0].ID != 2 || news[1].ID != 3 || news[2].Name != "a" || news[2].ID != 1 || news[2].State != policy.Gone {
+		t.Errorf("%+v", news)
+	}
+	if news = l.Apply(false, ready("a"), now.Add(time.Minute)); len(news) != 1 || news[0].ID != 1 {
+		t.Errorf("back: %+v", news)
+	}
+	l.Apply(false, []Server{{Name: "a", State: policy.Gone}}, now)
+	l.Apply(false, nil, now.Add(keepGone+time.Second))
+	if news = l.Apply(false, ready("a"), now); news[0].ID != 4 || len(l.All()) != 3 {
+		t.Errorf("%+v", news)
+	}
+}
+
+func TestInFlight(t *testing.T) {
+	f := NewInFlight[string, string](4)
+	f.AddQuery(1, "q", "query")
+	f.AddPart(2, "p2")
+	f.AddPart(3, "p3")
+	if f.Room(1) || !f.Room(0) || !f.Named("q") {
+		t.Error("room for what does not fit, or a name not known")
+	}
+	f.Remove(1, "q", []uint64{2, 3})
+	if q, p := f.Len(); q != 0 || p != 0 || f.Named("q") || !f.Room(3) {
+		t.Errorf("%d queries and %d parts are left", q, p)
+	}
+}
+
+type conn struct{ room, load, ready int }
+
+func (c *conn) Room() int  { return c.room }
+func (c *conn) Load() int  { return c.load }
+func (c *conn) Ready() int { return c.ready }
+
+// The fullest established connection with room is taken, so that others fall idle.
+func TestPick(t *testing.T) {
+	var p Pool[*conn]
+	dialing, empty, full, busy, broken := &conn{9, 9, 1}, &conn{8, 0, 2}, &conn{0, 8, 2}, &conn{3, 5, 2}, &conn{9, 0, 0}
+	for _, c := range []*conn{dialing, empty, full, busy, broken} {
+		p.Add(c)
+	}
+	for n, want := range map[int]*conn{3: busy, 4: empty, 9: dialing} {
+		if got, ok := p.Pick(n); !ok || got != want {
+			t.Errorf("for %d parts: %+v", n, got)
+		}
+	}
+	if _, ok := p.Pick(10); ok {
+		t.Error("picked one without room")
+	}
+	if !p.Remove(busy) || p.Remove(busy) || p.Len() != 4 {
+		t.Error("removing went wrong")
+	}
+}
--- a/internal/mem/servers.go
+++ b/internal/mem/servers.go
@@ -22,13 +22,12 @@
 // Servers is the server list. It is not safe for concurrent use: one goroutine owns it.
 type Servers struct {
 	byName map[string]*Server
-	byID   map[policy.ServerID]*Server
 	last   policy.ServerID
 }
 
 // NewServers makes an empty list.
 func NewServers() *Servers {
-	return &Servers{byName: map[string]*Server{}, byID: map[policy.ServerID]*Server{}}
+	return &Servers{byName: map[string]*Server{}}
 }
 
 // keepGone is how long a server that is gone keeps its number, so that one listed again is known
@@ -46,7 +45,7 @@
 		if s == nil {
 			l.last++
 			s = &Server{ID: l.last}
-			l.byName[e.Name], l.byID[s.ID] = s, s
+			l.byName[e.Name] = s
 		}
 		e.ID = s.ID
 		*s = e
@@ -62,20 +61,11 @@
 		}
 		if s.State == policy.Gone && now.Sub(s.goneAt) > keepGone {
 			delete(l.byName, name)
-			delete(l.byID, s.ID)
 		}
 	}
 	return news
 }
 
-// Get looks a server up by its number.
-func (l *Servers) Get(id policy.ServerID) (Server, bool) {
-	if s := l.byID[id]; s != nil {
-		return *s, true
-	}
-	return Server{}, false
-}
-
 // All lists every server not gone.
 func (l *Servers) All() []Server {
 	var all []Server
--- a/internal/net/http1/client.go
+++ b/internal/net/http1/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/textproto"
+	"syscall"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/mem"
@@ -59,6 +60,27 @@
 // Open says whether the connection is open, as far as this side knows.
 func (c *Client) Open() bool { return c.nc != nil }
 
+// Alive says whether the peer has neither closed the connection nor sent anything on it unasked. Without
+// this look, a call on a connection that the peer closed while it was idle would end as broken after it
+// was written, and would count as one that may have run.
+func (c *Client) Alive() bool {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = err == syscall.EAGAIN
+		return true
+	})
+	return alive && err == nil
+}
+
 // Aborter returns what ends a Read or Write from another goroutine, by closing the connection that is
 // open now. The owner still has to Close.
 func (c *Client) Aborter() func() {
--- a/internal/net/opensearch/stores.go
+++ b/internal/net/opensearch/stores.go
@@ -181,9 +181,13 @@
 		return nil, false, false
 	}
 	t.closeIdle(s, time.Now().Add(-t.ConnIdle/2))
-	if n := len(s.idle); n > 0 {
+	for n := len(s.idle); n > 0; n = len(s.idle) {
 		c, s.idle = s.idle[n-1].c, s.idle[:n-1]
-		return c, true, true
+		if c.Alive() {
+			return c, true, true
+		}
+		c.Close()
+		t.conns--
 	}
 	if t.conns >= t.MaxConns {
 		t.Log.Printf("conn: all %d connections are in use, server=%d", t.MaxConns, id)
