Frames: leave a connection that went silent under a part that was given up

Seen on reading: Cancel marked a connection silent only from the attempt's Until on, but the Mixer gives up two ticks before that, and partial answers end at the aim, so no connection was ever marked. A machine that vanished would have kept its dead connection until the list told, 6.6 to 14 s later. At fault: the condition in Transport.Cancel. TestSilentConnection fails with the old condition. Also removed: countLive in state.go, which nothing called.

--- a/internal/net/frames/frames_test.go
+++ b/internal/net/frames/frames_test.go
@@ -210,6 +210,26 @@
 	}
 }
 
+// A connection that was silent for long under a part that is given up takes no further part, and is closed
+// once nothing is out on it; one that was heard on since stays.
+func TestSilentConnection(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		tr, _ := transport("127.0.0.1:1", time.Minute)
+		c := parked(tr, nil)
+		list := attempts(1)
+		tr.Call(1, list)
+		long := time.Now().Add(-tr.silentFor() - time.Millisecond)
+		c.out["q.0"], c.queue = &entry{a: list[0], written: long}, nil
+		if heard {
+			c.heard = time.Now()
+		}
+		tr.Cancel(list[0])
+		if c.silent == heard || (c.Ready() > 0) != heard {
+			t.Errorf("heard %v: silent %v, ready %d", heard, c.silent, c.Ready())
+		}
+	}
+}
+
 // An idle connection is closed from this side, before the lot store would.
 func TestIdleCloses(t *testing.T) {
 	l := standin.Listen(t)
--- a/internal/net/frames/take.go
+++ b/internal/net/frames/take.go
@@ -34,7 +34,7 @@
 // ended reports a part's outcome. One that is not out here was cancelled, and its answer crossed that.
 func (c *conn) ended(x end) {
 	c.t.mu.Lock()
-	c.heard = time.Now()
+	c.heard, c.silent = time.Now(), false
 	e := c.out[x.id]
 	if e != nil {
 		delete(c.out, x.id)
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -59,7 +59,7 @@
 	load     int                 // parts queued and out
 	asked    []time.Time         // probes that are out
 	up, dead bool
-	silent   bool      // an attempt timed out with nothing heard since: not chosen any more
+	silent   bool      // an attempt was given up with nothing heard for long: not chosen any more
 	heard    time.Time // when something last came
 	idle     time.Time // since when nothing is on it
 	wake     chan struct{}
@@ -218,9 +218,10 @@
 	}
 	e := c.out[partID(a)]
 	delete(c.out, partID(a))
-	// A machine that vanished gives no sign: a connection that was silent through an attempt's whole time is
-	// not trusted with another.
-	if e != nil && !e.written.IsZero() && !time.Now().Before(a.Until) && c.heard.Before(e.written) {
+	// A machine that vanished gives no sign: a connection on which nothing came for long after a part that is
+	// now given up is not trusted with another. The Mixer gives up a little before the attempt's time is up, so
+	// that the time itself tells nothing.
+	if e != nil && !e.written.IsZero() && time.Since(e.written) > t.silentFor() && c.heard.Before(e.written) {
 		c.silent = true
 	}
 	c.give = append(c.give, partID(a))
@@ -402,6 +403,9 @@
 	return false, nil
 }
 
+// silentFor is how long a connection may be silent with a part out on it.
+func (t *Transport) silentFor() time.Duration { return 4 * t.ConnectTimeout }
+
 // writeFor is how long a peer that does not read is waited for.
 func (t *Transport) writeFor() time.Duration { return 4 * t.ConnectTimeout }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -574,16 +574,6 @@
 	return slices.ContainsFunc(p.attempts, func(a *attempt) bool { return a.live })
 }
 
-// countLive counts the attempts of the part that are out.
-func countLive(p *part) (n int) {
-	for _, a := range p.attempts {
-		if a.live {
-			n++
-		}
-	}
-	return n
-}
-
 // share sums the weights of the step's parts that are in, and of those that are or can still come.
 func share(q *query) (got, can float64, lost, in int) {
 	for _, p := range q.parts {
