Survive a panic in a front, and leave connections to where a server was

Seen on reading: a panic in a front's goroutine would have ended the daemon with all that it holds; and a connection left behind by a server's new address was marked silent, which an answer on it undid. A panic now fails its own request with 500 (TestHandlerPanic); where a connection leads is compared with where its server is (TestMoved).

--- a/internal/net/frames/frames_test.go
+++ b/internal/net/frames/frames_test.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// A server that has moved gets nothing more on connections to where it was.
+func TestMoved(t *testing.T) {
+	tr, _ := transport("127.0.0.1:1", time.Minute)
+	c := parked(tr, nil)
+	tr.Call(1, attempts(1))
+	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:2", State: policy.Ready}})
+	tr.Call(1, attempts(1))
+	if c.load != 1 || c.Ready() != 0 {
+		t.Errorf("load %d, ready %d", c.load, c.Ready())
+	}
+}
+
 // At most so many parts are on a connection at once; more open another.
 func TestStreams(t *testing.T) {
 	l := standin.Listen(t)
@@ -154,7 +166,7 @@
 func parked(tr *Transport, nc net.Conn) *conn {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	c := &conn{t: tr, s: tr.servers[1], nc: nc, up: true, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{})}
+	c := &conn{t: tr, s: tr.servers[1], addr: tr.servers[1].Addr, nc: nc, up: true, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{})}
 	c.s.pool.Add(c)
 	return c
 }
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -47,9 +47,10 @@
 
 // conn is one connection. Its writer owns the socket's writing side, its reader the other.
 type conn struct {
-	t  *Transport
-	s  *server
-	nc net.Conn // nil until it is up
+	t    *Transport
+	s    *server
+	addr string   // where it leads
+	nc   net.Conn // nil until it is up
 
 	// Under the transport's lock.
 	queue    [][]*gather.Attempt // calls not yet begun to be written
@@ -80,10 +81,13 @@
 // Load implements mem.Conn.
 func (c *conn) Load() int { return c.load }
 
+// unfit says whether a connection is to take no further part: it is silent, or its server has moved.
+func (c *conn) unfit() bool { return c.silent || c.addr != c.s.Addr }
+
 // Ready implements mem.Conn.
 func (c *conn) Ready() int {
 	switch {
-	case c.dead || c.silent:
+	case c.dead || c.unfit():
 		return 0
 	case !c.up:
 		return 1
@@ -117,11 +121,6 @@
 		if n.State == policy.Gone || moved {
 			t.closeIdle(s)
 		}
-		if moved {
-			for _, c := range s.pool.All() {
-				c.silent = true // it leads to the old address: only what is out on it stays
-			}
-		}
 		if n.State == policy.Gone && s.pool.Len() == 0 {
 			delete(t.servers, n.ID)
 		}
@@ -185,10 +184,10 @@
 	if t.conns >= t.MaxConns {
 		return nil
 	}
-	c := &conn{t: t, s: s, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
+	c := &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
 	s.pool.Add(c)
 	t.conns++
-	go c.run(s.Addr)
+	go c.run()
 	return c
 }
 
@@ -232,7 +231,7 @@
 func (c *conn) settle() {
 	if c.load == 0 {
 		c.idle = time.Now()
-		if c.silent {
+		if c.unfit() {
 			c.kick() // to be closed
 		}
 	}
@@ -324,8 +323,8 @@
 }
 
 // run opens the connection and writes what is to be written.
-func (c *conn) run(addr string) {
-	nc, err := (&net.Dialer{Timeout: c.t.ConnectTimeout, KeepAlive: -1}).Dial("tcp", addr)
+func (c *conn) run() {
+	nc, err := (&net.Dialer{Timeout: c.t.ConnectTimeout, KeepAlive: -1}).Dial("tcp", c.addr)
 	if err != nil {
 		c.fail(err)
 		return
@@ -396,7 +395,7 @@
 		t.report.Probed(id, false)
 		return true, nil
 	}
-	if c.load == 0 && len(c.asked) == 0 && (c.silent || now.Sub(c.idle) > t.ConnIdle/2) {
+	if c.load == 0 && len(c.asked) == 0 && (c.unfit() || now.Sub(c.idle) > t.ConnIdle/2) {
 		c.remove()
 	}
 	t.mu.Unlock()
--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -147,6 +147,24 @@
 	s.Wait()
 }
 
+// A panic in a front fails its own request only.
+func TestHandlerPanic(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(l.(*net.TCPListener), func(*Request, <-chan struct{}) *Response { panic("fault") }, 10, log.New(io.Discard, "", 0))
+	go s.Serve()
+	defer l.Close()
+	for range 2 {
+		c, r := dial(t, l.Addr().String())
+		io.WriteString(c, post)
+		if p, err := r.Response(); err != nil || p.Status != 500 {
+			t.Errorf("%+v %v", p, err)
+		}
+	}
+}
+
 // A client that goes away while its request is in hand is noticed.
 func TestGone(t *testing.T) {
 	addr, _, began, finish, closed := serve(t)
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/textproto"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -251,7 +252,7 @@
 			p = Text(503, "too many connections")
 			p.Header.Set("Retry-After", "0.5")
 			p.Close = true
-		} else if p = s.Handle(in.r, gone); p == nil {
+		} else if p = s.handle(in.r, gone); p == nil {
 			return false // the client has left
 		}
 		p.Close = p.Close || in.r.Close || s.isDraining()
@@ -269,6 +270,18 @@
 	return s.answered(c) && !p.Close
 }
 
+// handle calls the handler. A fault in it fails its own request, and must not take down all others.
+func (s *Server) handle(r *Request, gone <-chan struct{}) (p *Response) {
+	defer func() {
+		if x := recover(); x != nil {
+			s.Log.Printf("front panic: %v\n%s", x, debug.Stack())
+			p = Text(500, "internal error")
+			p.Close = true
+		}
+	}()
+	return s.Handle(r, gone)
+}
+
 // linger reads off what the client still sends: closing with that unread would reset the connection, and
 // the answer could be lost with it.
 func (s *Server) linger(nc net.Conn) {
