--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -165,6 +165,26 @@
 	}
 }
 
+// A client that waits with its body is told to send it.
+func TestExpectContinue(t *testing.T) {
+	addr, _, began, finish, closed := serve(t)
+	c, r := dial(t, addr)
+	head, body, _ := strings.Cut(post, "\r\n\r\n")
+	io.WriteString(c, head+"\r\nExpect: 100-continue\r\n\r\n")
+	line := make([]byte, len("HTTP/1.1 100 Continue\r\n\r\n"))
+	if _, err := io.ReadFull(c, line); err != nil || string(line) != "HTTP/1.1 100 Continue\r\n\r\n" {
+		t.Fatalf("%q %v", line, err)
+	}
+	io.WriteString(c, body)
+	<-began
+	finish <- struct{}{}
+	if p, err := r.Response(); err != nil || p.Status != 200 {
+		t.Errorf("%+v %v", p, err)
+	}
+	c.Close()
+	closed()
+}
+
 // A client that goes away while its request is in hand is noticed.
 func TestGone(t *testing.T) {
 	addr, _, began, finish, closed := serve(t)
--- a/internal/net/http1/message.go
+++ b/internal/net/http1/message.go
@@ -68,6 +68,9 @@
 
 // Reader reads messages from a connection.
 type Reader struct {
+	// Continue, where set, tells a client that waits with its body to send it.
+	Continue func()
+
 	lim limited
 	br  *bufio.Reader
 	tp  *textproto.Reader
@@ -128,6 +131,9 @@
 		return nil, err
 	}
 	q.Close = closes(q.Header, proto)
+	if r.Continue != nil && strings.EqualFold(q.Header.Get("Expect"), "100-continue") {
+		r.Continue()
+	}
 	q.buf, q.Body, err = r.body(q.Header, false)
 	if err != nil {
 		return nil, err
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -210,6 +210,10 @@
 func (s *Server) read(c *conn, requests chan<- incoming, gone, over chan struct{}) {
 	defer close(gone)
 	r := NewReader(c.nc)
+	r.Continue = func() { // no answer is under way: a client sends one request at a time
+		c.nc.SetWriteDeadline(time.Now().Add(writeFor))
+		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
 	first := idleFor
 	if s.isDraining() {
 		first = firstFor
