Tests: bad requests and no-partial searches end to end; ports that nobody else takes

Seen on reading: two tests closed a port on 127.0.0.1 and opened it again, where another package's connection could have taken it in between; they now use loopback addresses of their own.

--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -14,7 +14,6 @@
 
 	"pulleygw.example/pulleygw/internal/garble"
 	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/standin"
 )
 
 func write(t *testing.T, text string) string {
@@ -102,14 +101,16 @@
 
 // What a balancer is told follows the drain mark in the store; the second front's indices follow it too.
 func TestOperations(t *testing.T) {
-	agent, raft := standin.Listen(t), standin.Listen(t)
-	agentAddr, raftAddr := agent.Addr().String(), raft.Addr().String()
-	agent.Close()
+	// An address of its own: a port that is closed for a moment there is nobody else's to take.
+	raft, err := net.Listen("tcp", "127.77.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	raft.Close()
-	o := &OperationsConfig{AgentCheck: agentAddr, Health: "127.0.0.1:0", Dir: t.TempDir()}
-	o.Nodes = append(o.Nodes, node("n1", raftAddr, "127.0.0.1:1"))
+	o := &OperationsConfig{AgentCheck: "127.0.0.1:0", Health: "127.0.0.1:0", Dir: t.TempDir()}
+	o.Nodes = append(o.Nodes, node("n1", raft.Addr().String(), "127.0.0.1:1"))
 	w := startWith(t, "frames", o)
-	health := w.Addrs()[2]
+	health, agentAddr := w.Addrs()[2], w.ops.agent.Addr().String()
 	<-w.ops.store.LeaderCh()
 	line := func() string {
 		c, err := net.Dial("tcp", agentAddr)
--- a/internal/lifecycle/replay_test.go
+++ b/internal/lifecycle/replay_test.go
@@ -261,3 +261,41 @@
 		}
 	}
 }
+
+// What cannot be used, and what may not be answered in part, gets its own answer through both fronts, and no
+// lot store hears of the former.
+func TestBadRequests(t *testing.T) {
+	w := start(t, "frames")
+	large := strings.Repeat("x", 70000)
+	id := textproto.MIMEHeader{"Req-Id": {"b1"}}
+	for _, x := range []struct {
+		door           int
+		method, target string
+		header         textproto.MIMEHeader
+		body           string
+		status         int
+	}{
+		{0, "POST", "/lot-search", id, "{", 400},
+		{0, "POST", "/lot-search", nil, `{"buckets":[{"bucket":1,"part":1}],"body":""}`, 400},
+		{0, "POST", "/auction", id, "{}", 404},
+		{0, "POST", "/lot-search", id, large, 413},
+		{1, "POST", "/lots/_search", nil, "{", 400},
+		{1, "POST", "/lots/_search?q=tractor", nil, "{}", 400},
+		{1, "POST", "/auctions/_search", nil, "{}", 404},
+		{1, "PUT", "/bids/_create/1", nil, large, 413},
+	} {
+		if p := do(t, w.Addrs()[x.door], x.method, x.target, x.header, x.body); p.Status != x.status || len(p.Body) == 0 {
+			t.Errorf("%s %s: %d %s", x.method, x.target, p.Status, p.Body)
+		}
+	}
+	if a := w.script.Attempts(); len(a) != 0 {
+		t.Errorf("attempts %v", a)
+	}
+	fault := []standin.End{standin.Fault, standin.Fault, standin.Fault, standin.Fault}
+	w.script.Set(map[int][]standin.End{9: fault})
+	p := do(t, w.Addrs()[1], "GET", "/lots/_search?preference=_shards:8,9,10,11&allow_partial_search_results=false", nil, "")
+	e := gjson.ParseBytes(p.Body)
+	if p.Status != 500 || e.Get("error.type").String() != "search_phase_execution_exception" || e.Get("error.failed_shards.0.shard").Int() != 9 {
+		t.Errorf("%d %s", p.Status, p.Body)
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -40,7 +40,8 @@
 	var nodes []Node
 	var listeners []net.Listener
 	for _, name := range []string{"n1", "n2", "n3"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// An address of its own: a port that is closed for a moment there is nobody else's to take.
+		l, err := net.Listen("tcp", "127.77.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
