SIGHUP: reread the file and follow discovery at its address from a whole list

Checked: cmd/pulleygw/main.go asked for SIGTERM and SIGINT only, so SIGHUP's default killed; nothing else in the log went before. http1.Client.Read did not look at the watch's context, so that a watch dropped would have gone on for up to 22 s and told news after the new list; it is aborted now, and its end waited for. LB_DISCOVERY stays set to the first address in the environment: on reload the file wins. A second signal behind the first was dropped by the one channel of length 1: a channel each. Ruled out: lost connections to lot stores at the switch (logs: none ended other than by the release).

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -17,6 +17,10 @@
 	frontFile := flag.String("opensearch", "deploy/opensearch.json", "the OpenSearch-style front's file; without it that front is off")
 	operationsFile := flag.String("operations", "deploy/operations.json", "the file of the balancers' endpoints and the store; without it they are off")
 	flag.Parse()
+	// Before anything else, as either signal would kill until then. A channel each: one that is full drops.
+	terminate, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
 	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
 	c, err := lifecycle.LoadConfig(*config, os.Getenv)
 	if err != nil {
@@ -30,12 +34,17 @@
 	if err != nil {
 		logger.Fatalf("configuration: %v", err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := lifecycle.Start(c, front, operations, logger)
 	if err != nil {
 		logger.Fatalf("start: %v", err)
 	}
-	<-signals
-	d.Drain()
+	for {
+		select {
+		case <-reload:
+			d.Reload(*config, os.Getenv)
+		case <-terminate:
+			d.Drain()
+			return
+		}
+	}
 }
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -77,7 +77,8 @@
 	draining atomic.Bool
 	drained  sync.Once
 	marked   atomic.Bool // the store marks this gatherer as draining
-	unwatch  context.CancelFunc
+	config   Config      // as started with, but for what a reload has changed
+	unwatch  func()      // ends the watch of discovery and waits for its end
 }
 
 // state is how the gatherer is, for balancers.
@@ -97,14 +98,11 @@
 		return nil, err
 	}
 	tr.Start(core)
-	d := &Daemon{log: logger, core: core, settings: c.Settings}
+	d := &Daemon{log: logger, core: core, settings: c.Settings, config: c}
 	go core.Run()
 	c.Known.Kind = policy.Cached
 	core.List(c.Known)
-	var ctx context.Context
-	ctx, d.unwatch = context.WithCancel(context.Background())
-	watcher := &discovery.Watcher{Addr: c.Discovery, Zones: c.Settings.Zones, Log: logger, Tell: core.List}
-	go watcher.Run(ctx, c.KnownSeq)
+	d.follow(c.KnownSeq)
 
 	// Doors open only now: a gatherer is ready when it has its list.
 	front := &platform.Front{Core: core, Settings: c.Settings, Ready: func() bool { return !d.state().Draining }}
@@ -130,6 +128,15 @@
 	return d, nil
 }
 
+// follow starts a watch of the configuration's discovery, from a version on.
+func (d *Daemon) follow(seq int64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	w := &discovery.Watcher{Addr: d.config.Discovery, Zones: d.settings.Zones, Log: d.log, Tell: d.core.List}
+	go func() { w.Run(ctx, seq); close(ended) }()
+	d.unwatch = func() { cancel(); <-ended }
+}
+
 func (d *Daemon) open(addr string, h http1.Handler, conns int) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	waitFor   = 20 * time.Second // of one watch
-	graceFor  = 2 * time.Second  // past that, the agent is taken for silent
+	waitFor   = 2 * time.Second // of one watch: an agent that went silent is noticed soon after, and asking is free
+	graceFor  = time.Second     // past that, the agent is taken for silent
 	dialFor   = time.Second
 	backFirst = 20 * time.Millisecond // back-off of reconnects, doubled up to backMost
 	backMost  = time.Second
@@ -84,7 +84,10 @@
 	return s, nil
 }
 
-// Run follows the list from a version on until the context ends.
+// Fresh is the version to Run from where none is had of this address: the whole list is asked for first.
+const Fresh = -1
+
+// Run follows the list from a version on until the context ends. Nothing is told after it has returned.
 func (w *Watcher) Run(ctx context.Context, seq int64) {
 	c := &http1.Client{Addr: w.Addr}
 	back, failing := backFirst, false
@@ -119,8 +122,12 @@
 	if err := c.Dial(ctx, dialFor); err != nil {
 		return 0, err
 	}
+	defer context.AfterFunc(ctx, c.Aborter())() // a watch that is dropped must not go on waiting, nor tell news
 	now := time.Now()
 	target := "/api/targets?since=" + strconv.FormatInt(seq, 10) + "&timeout_ms=" + strconv.FormatInt(waitFor.Milliseconds(), 10)
+	if seq == Fresh {
+		target = "/api/targets"
+	}
 	if err := c.Write(now.Add(dialFor), "GET", target, nil, nil); err != nil {
 		return 0, err
 	}
@@ -136,7 +143,10 @@
 	if err != nil {
 		return 0, err
 	}
-	if l.Kind == policy.Whole || len(l.Servers) > 0 {
+	if seq == Fresh && l.Kind != policy.Whole {
+		return 0, errors.New("the list is not whole")
+	}
+	if ctx.Err() == nil && (l.Kind == policy.Whole || len(l.Servers) > 0) {
 		w.Tell(l)
 	}
 	return next, nil
