Clients that say nothing, stall or stay no longer keep out those that ask

Checked: 247 is MaxConns + spare + lot stores: the accept loop stood in its wait at MaxConns+spare. server.go held a silent connection for idleFor (2 min) and a half request for readFor (10 s), and closeIdle spared what was never answered, so nothing ever freed a place. Changed: first request whole 2 s after connecting (408 else), later ones 2 s after they begin, idle 3 s; with no room the longest waiting goes, never-answered first, none younger than 100 ms. Too full is judged when a request is read, not when its connection came. Bodies: read 4 KiB ahead before a buffer is taken, bounded by memory_mb, and given back once parsed. Front: weights that do not add up to 1 (admit.go scaled them), a deadline of inf, 1e3, 0 or none, headers given twice and a missing body get 400; none of it reaches the core. Concluded: places, not CPU or memory, were what the bad clients took.

--- a/internal/gather/admit.go
+++ b/internal/gather/admit.go
@@ -26,10 +26,6 @@
 	c.flight.AddQuery(r.id, r.Name, q)
 	c.events = append(c.events, policy.QueryArrived{ID: policy.QueryID(r.id), Class: r.Class, Key: subject(r),
 		Left: max(time.Until(r.Deadline), 0), Parts: len(r.Shards)})
-	sum := 0.0
-	for _, s := range r.Shards {
-		sum += s.Weight
-	}
 	results := partResults(r)
 	for i, s := range r.Shards {
 		c.lastID++
@@ -37,7 +33,7 @@
 		q.parts = append(q.parts, p)
 		c.flight.AddPart(p.id, p)
 		c.events = append(c.events, policy.PartArrived{ID: policy.PartID(p.id), Query: policy.QueryID(r.id),
-			Shard: s.Number, Weight: s.Weight / sum})
+			Shard: s.Number, Weight: s.Weight})
 	}
 }
 
--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -31,7 +31,7 @@
 // Shard is one part that a request asks for.
 type Shard struct {
 	Number int
-	Weight float64
+	Weight float64 // they add up to 1, but for rounding: the front sees to that
 }
 
 // Kind is how a request ended.
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mem"
 	"pulleygw.example/pulleygw/internal/net/agentcheck"
 	"pulleygw.example/pulleygw/internal/net/discovery"
 	"pulleygw.example/pulleygw/internal/net/frames"
@@ -26,10 +27,11 @@
 
 // Shares of the limits. The rest is spare: for the runtime, for discovery, for what is being closed.
 const (
-	memoryShare = 0.7  // of memory_mb, as the garbage collector's soft limit
-	clientShare = 0.5  // of sockets, for clients
-	secondShare = 0.1  // of sockets, for the second front's clients
-	storeShare  = 0.25 // of sockets, for lot stores
+	memoryShare = 0.7   // of memory_mb, as the garbage collector's soft limit
+	bodyShare   = 0.125 // of memory_mb, for request bodies
+	clientShare = 0.45  // of sockets, for clients
+	secondShare = 0.08  // of sockets, for the second front's clients
+	storeShare  = 0.3   // of sockets, for lot stores
 )
 
 // acceptFor is how long after SIGTERM new connections are still accepted: they keep coming for up to 0.4 s.
@@ -74,6 +76,7 @@
 	doors    []*door           // the platform's first, then the OpenSearch-style front's if it is on, then operations'
 	second   *opensearch.Front // nil when off
 	ops      *operations       // nil when off
+	bodies   chan struct{}     // has room for the request bodies that may be held at once
 	draining atomic.Bool
 	drained  sync.Once
 	marked   atomic.Bool // the store marks this gatherer as draining
@@ -98,7 +101,8 @@
 		return nil, err
 	}
 	tr.Start(core)
-	d := &Daemon{log: logger, core: core, settings: c.Settings, config: c}
+	d := &Daemon{log: logger, core: core, settings: c.Settings, config: c,
+		bodies: make(chan struct{}, int(bodyShare*float64(c.MemoryMB<<20)/mem.BufferSize))}
 	go core.Run()
 	c.Known.Kind = policy.Cached
 	core.List(c.Known)
@@ -143,6 +147,7 @@
 		return err
 	}
 	x := &door{http1.New(l.(*net.TCPListener), h, conns, d.log), l.Addr(), make(chan struct{})}
+	x.Bodies = d.bodies
 	go func() { x.Serve(); close(x.served) }()
 	d.doors = append(d.doors, x)
 	return nil
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -172,7 +172,7 @@
 	enough, done := make(chan struct{}), make(chan struct{})
 	ask := func(nc net.Conn, name string) (answered, anything bool) {
 		body := `{"buckets":[{"bucket":1,"part":0.5},{"bucket":2,"part":0.5}],"body":"x"}`
-		nc.Write(http1.AppendRequest(nil, "POST", "/lot-search", addr, textproto.MIMEHeader{"Req-Id": {name}}, []byte(body)))
+		nc.Write(http1.AppendRequest(nil, "POST", "/lot-search", addr, textproto.MIMEHeader{"Req-Id": {name}, "Req-Deadline": {"3000m"}}, []byte(body)))
 		r := http1.NewReader(nc)
 		anything = r.Await() == nil
 		p, err := r.Response()
--- a/internal/lifecycle/replay_test.go
+++ b/internal/lifecycle/replay_test.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -146,9 +147,7 @@
 		class, list = "place-bid", []int{opensearch.Shard(r.Routing, shards)}
 		h.Set("Idempotency-Key", fmt.Sprintf("bid-%d", id))
 	}
-	if r.TimeoutMs > 0 {
-		h.Set("Req-Deadline", fmt.Sprintf("%dm", r.TimeoutMs))
-	}
+	h.Set("Req-Deadline", fmt.Sprintf("%dm", cmp.Or(r.TimeoutMs, 3000)))
 	var buckets []string
 	for _, s := range list {
 		buckets = append(buckets, fmt.Sprintf(`{"bucket":%d,"part":%v}`, s, 1/float64(len(list))))
--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -232,3 +232,76 @@
 	}
 	closed()
 }
+
+// One that says nothing, one that stops in the middle of its head and one that asked once and stays do not
+// keep their connections: the first is closed, the second told why, the third closed.
+func TestSilentClients(t *testing.T) {
+	addr, _, began, finish, closed := serve(t)
+	_, silent := dial(t, addr)
+	half, halfReader := dial(t, addr)
+	io.WriteString(half, post[:40])
+	once, onceReader := dial(t, addr)
+	io.WriteString(once, post)
+	<-began
+	finish <- struct{}{}
+	if p, err := onceReader.Response(); err != nil || p.Status != 200 {
+		t.Errorf("%+v %v", p, err)
+	}
+	if err := silent.Await(); err != io.EOF {
+		t.Errorf("silent: %v", err)
+	}
+	if p, err := halfReader.Response(); err != nil || p.Status != 408 || !p.Close {
+		t.Errorf("half a request: %+v %v", p, err)
+	}
+	if err := onceReader.Await(); err != io.EOF {
+		t.Errorf("asked once: %v", err)
+	}
+	half.Close()
+	closed()
+}
+
+// Hundreds that connect and say nothing do not keep out one that asks, nor one whose request is in hand.
+func TestFloodOfSilentClients(t *testing.T) {
+	addr, s, began, finish, closed := serve(t)
+	first, firstReader := dial(t, addr)
+	io.WriteString(first, post)
+	<-began
+	for range 10 * s.MaxConns {
+		dial(t, addr)
+	}
+	last, lastReader := dial(t, addr)
+	io.WriteString(last, post)
+	<-began
+	finish <- struct{}{}
+	finish <- struct{}{}
+	for _, r := range []*Reader{firstReader, lastReader} {
+		if p, err := r.Response(); err != nil || p.Status != 200 {
+			t.Errorf("%+v %v", p, err)
+		}
+	}
+	closed()
+}
+
+// A body that is stated and does not come holds no buffer; one past the bound is refused.
+func TestBodies(t *testing.T) {
+	r := NewReader(strings.NewReader(post + post))
+	r.Bodies = make(chan struct{}, 1)
+	q, err := r.Request()
+	if err != nil || len(r.Bodies) != 1 {
+		t.Fatalf("%v, %d held", err, len(r.Bodies))
+	}
+	if _, err := r.Request(); err != errBodies {
+		t.Errorf("a second body: %v", err)
+	}
+	q.Release()
+	rest, write := io.Pipe()
+	half := NewReader(rest)
+	half.Bodies = r.Bodies
+	go func() {
+		io.WriteString(write, post[:len(post)-2])
+		write.CloseWithError(errTooSlow)
+	}()
+	if _, err := half.Request(); err != errTooSlow || len(r.Bodies) != 0 {
+		t.Errorf("%v, %d held", err, len(r.Bodies))
+	}
+}
--- a/internal/net/http1/message.go
+++ b/internal/net/http1/message.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -32,6 +33,10 @@
 
 func bad(format string, args ...any) error { return &Error{400, fmt.Sprintf(format, args...)} }
 
+var errTooSlow = &Error{408, "the request did not come whole in time"}
+
+var errBodies = &Error{503, "too many large requests at once"}
+
 var errTooLarge = &Error{413, fmt.Sprintf("the body is over %d bytes", MaxBody)}
 
 // Request is a request as read.
@@ -42,10 +47,19 @@
 	Close               bool   // the connection ends with this exchange
 	At                  time.Time
 	buf                 *[mem.BufferSize]byte
+	bodies              chan struct{}
 }
 
-// Release gives the body's buffer back.
-func (r *Request) Release() { release(&r.buf, &r.Body) }
+// Release gives the body's buffer back. A front does so as soon as it has parsed the body.
+func (r *Request) Release() {
+	if r == nil {
+		return
+	}
+	if r.buf != nil && r.bodies != nil {
+		<-r.bodies
+	}
+	release(&r.buf, &r.Body)
+}
 
 // Response is an answer, to be written or as read.
 type Response struct {
@@ -70,6 +84,8 @@
 type Reader struct {
 	// Continue, where set, tells a client that waits with its body to send it.
 	Continue func()
+	// Bodies, where set, has room for as many as may be held at once.
+	Bodies chan struct{}
 
 	lim limited
 	br  *bufio.Reader
@@ -86,8 +102,9 @@
 
 // limited bounds what one message may make us read, as textproto itself sets no bound on a line.
 type limited struct {
-	r io.Reader
-	n int
+	r    io.Reader
+	n    int
+	late bool // the deadline came in the middle: textproto takes the piece of a line for a whole one
 }
 
 var errHead = &Error{431, fmt.Sprintf("the head is over %d bytes", maxHead)}
@@ -98,6 +115,7 @@
 	}
 	n, err := l.r.Read(b[:min(len(b), l.n)])
 	l.n -= n
+	l.late = errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
@@ -115,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q := &Request{}
+	q := &Request{bodies: r.Bodies}
 	var target, proto string
 	var ok1, ok2 bool
 	q.Method, target, ok1 = strings.Cut(line, " ")
@@ -195,10 +213,28 @@
 		}
 		return nil, nil, nil
 	}
+	n := 0
+	if len(codings) == 0 {
+		if n, err = length(lengths); err != nil {
+			return nil, nil, err
+		}
+		// Hundreds that state a body and send none must not hold a buffer each.
+		r.lim.n = n + ahead
+		if _, err := r.br.Peek(min(n, ahead)); err != nil {
+			return nil, nil, err
+		}
+	}
+	select {
+	case r.Bodies <- struct{}{}:
+	default:
+		if r.Bodies != nil {
+			return nil, nil, errBodies
+		}
+	}
 	buf = mem.GetBuffer()
 	defer func() {
 		if err != nil {
-			mem.PutBuffer(buf)
+			(&Request{buf: buf, bodies: r.Bodies}).Release()
 			buf, body = nil, nil
 		}
 	}()
@@ -206,11 +242,6 @@
 		body, err = r.chunks(buf[:0])
 		return buf, body, err
 	}
-	n, err := length(lengths)
-	if err != nil {
-		return buf, nil, err
-	}
-	r.lim.n = n + ahead
 	body = buf[:n]
 	_, err = io.ReadFull(r.br, body)
 	return buf, body, err
@@ -283,7 +314,7 @@
 
 // reasons are the phrases of the statuses used here; any other goes without.
 var reasons = map[int]string{200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
 	500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
 	504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
 
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -21,20 +21,22 @@
 
 // Times of a connection; what a request itself may take is its deadline's affair.
 const (
-	idleFor   = 2 * time.Minute // between requests; longer than any request takes
-	readFor   = 10 * time.Second
+	takeFor   = 2 * time.Second        // from a connection's start, or a later request's, to that request's last byte
+	idleFor   = 3 * time.Second        // between requests
+	settleFor = 100 * time.Millisecond // so long a new connection is not closed to make room: its request may wait unread
 	writeFor  = 5 * time.Second
 	lingerFor = time.Second
 	firstFor  = 300 * time.Millisecond // while draining: for a new connection's first byte
 	lastLook  = 20 * time.Millisecond  // a drain ends when so long nothing waits to be accepted
 	moreFor   = time.Second            // and after so much longer than was said, at the latest
-	spare     = 32                     // connections past MaxConns that are told so
+	spare     = 16                     // connections past MaxConns that are told so
 )
 
 // Server serves one listener.
 type Server struct {
 	Handle   Handler
 	MaxConns int
+	Bodies   chan struct{} // bounds the bodies held at once, of all servers that share it; nil for no bound
 	Log      *log.Logger
 
 	mu       sync.Mutex
@@ -49,9 +51,14 @@
 // conn is a client's connection. Its reader reads requests and notices that the client leaves; its
 // writer answers them.
 type conn struct {
-	nc   net.Conn
-	busy int  // under the server's lock: requests that have begun and are not answered
-	used bool // a request has been answered
+	nc net.Conn
+
+	// Under the server's lock.
+	since time.Time // it was accepted, began a request, or was answered last
+	busy  int       // requests that have begun and are not answered
+	whole int       // those of them that are read: the connection is not closed before they are answered
+	used  bool      // a request has been answered
+	shut  bool      // closed to make room
 }
 
 // New makes a server on a listener; Serve must follow.
@@ -88,19 +95,14 @@
 			continue
 		}
 		s.mu.Lock()
-		c, n := &conn{nc: nc}, len(s.conns)
+		c := &conn{nc: nc, since: time.Now()}
+		s.makeRoom(s.MaxConns)
 		s.conns[c] = struct{}{}
 		s.done.Add(1)
 		s.mu.Unlock()
-		if n >= s.MaxConns {
-			s.closeIdle(1)
-		}
-		go s.serve(c, n >= s.MaxConns)
-		for n >= s.MaxConns+spare { // the backlog waits; nothing in it is lost
-			s.awaitFree(time.Second)
-			s.mu.Lock()
-			n = len(s.conns)
-			s.mu.Unlock()
+		go s.serve(c)
+		for s.crowded() { // the backlog waits; nothing in it is lost
+			s.awaitFree(settleFor)
 		}
 	}
 }
@@ -114,6 +116,43 @@
 	}
 }
 
+// makeRoom says whether there are fewer than so many connections, and closes one where there are not:
+// hundreds that say nothing, never end a request or asked once and stay must not keep out those that ask.
+// The longest waiting goes, first of those that were never answered. The lock is held.
+func (s *Server) makeRoom(most int) bool {
+	if len(s.conns) < most {
+		return true
+	}
+	var worst *conn
+	for c := range s.conns {
+		if c.whole == 0 && time.Since(c.since) > settleFor && (worst == nil || !c.used && worst.used ||
+			c.used == worst.used && c.since.Before(worst.since)) {
+			worst = c
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	worst.shut = true
+	delete(s.conns, worst)
+	worst.nc.Close()
+	return true
+}
+
+// crowded says whether even the connections that are only told so have no room, nor can be made any.
+func (s *Server) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.makeRoom(s.MaxConns + spare)
+}
+
+// full says whether a request finds more connections than there is room for, all of them busy or new.
+func (s *Server) full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.makeRoom(s.MaxConns + 1)
+}
+
 // closeIdle closes up to n connections on which no request has begun and one was answered.
 func (s *Server) closeIdle(n int) {
 	s.mu.Lock()
@@ -159,8 +198,22 @@
 // begun notes that a request has begun: the connection is not closed as idle any more.
 func (s *Server) begun(c *conn) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	c.busy++
-	s.mu.Unlock()
+	if c.used || c.whole > 0 {
+		c.since = time.Now()
+		c.nc.SetReadDeadline(c.since.Add(takeFor))
+	}
+}
+
+// taken notes that a request was read whole, and says whether it is to be answered: not where the
+// connection was closed just before.
+func (s *Server) taken(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.nc.SetReadDeadline(time.Time{}) // what the answer takes is the request's deadline's affair
+	c.whole++
+	return !c.shut
 }
 
 // answered notes that a request was answered, and says whether the connection goes on. A client may have
@@ -169,7 +222,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.busy--
-	c.used = true
+	c.whole--
+	c.used, c.since = true, time.Now()
+	if c.busy == 0 {
+		c.nc.SetReadDeadline(c.since.Add(idleFor))
+	}
 	return !s.draining || c.busy > 0
 }
 
@@ -178,7 +235,7 @@
 	err error
 }
 
-func (s *Server) serve(c *conn, full bool) {
+func (s *Server) serve(c *conn) {
 	requests, gone, over := make(chan incoming), make(chan struct{}), make(chan struct{})
 	defer func() {
 		close(over)
@@ -196,7 +253,7 @@
 	for {
 		select {
 		case in := <-requests:
-			if !s.answer(c, in, gone, full) {
+			if !s.answer(c, in, gone) {
 				return
 			}
 		case <-gone:
@@ -210,29 +267,32 @@
 func (s *Server) read(c *conn, requests chan<- incoming, gone, over chan struct{}) {
 	defer close(gone)
 	r := NewReader(c.nc)
+	r.Bodies = s.Bodies
 	r.Continue = func() { // no answer is under way: a client sends one request at a time
 		c.nc.SetWriteDeadline(time.Now().Add(writeFor))
 		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	first := idleFor
+	first := takeFor
 	if s.isDraining() {
 		first = firstFor
 	}
-	c.nc.SetReadDeadline(time.Now().Add(first))
+	c.nc.SetReadDeadline(c.since.Add(first))
 	for {
 		if r.Await() != nil {
 			return
 		}
 		s.begun(c)
-		c.nc.SetReadDeadline(time.Now().Add(readFor))
 		q, err := r.Request()
-		if err != nil {
-			e := (*Error)(nil)
-			if !errors.As(err, &e) {
-				return // the connection broke, or the request never came whole: it was not taken
-			}
+		if err != nil && r.lim.late {
+			err = errTooSlow
+		}
+		if e := (*Error)(nil); err != nil && !errors.As(err, &e) {
+			return // the connection broke
+		}
+		if !s.taken(c) {
+			q.Release()
+			return
 		}
-		c.nc.SetReadDeadline(time.Now().Add(idleFor))
 		select {
 		case requests <- incoming{q, err}:
 			if err != nil {
@@ -240,19 +300,21 @@
 				return
 			}
 		case <-over:
+			q.Release()
 			return
 		}
 	}
 }
 
 // answer answers one request and says whether another may follow.
-func (s *Server) answer(c *conn, in incoming, gone <-chan struct{}, full bool) bool {
+func (s *Server) answer(c *conn, in incoming, gone <-chan struct{}) bool {
 	var p *Response
 	if e := (*Error)(nil); errors.As(in.err, &e) {
 		p = Text(e.Status, e.Reason)
 		p.Close = true
 	} else {
-		if full {
+		defer in.r.Release()
+		if s.full() {
 			p = Text(503, "too many connections")
 			p.Header.Set("Retry-After", "0.5")
 			p.Close = true
@@ -260,7 +322,6 @@
 			return false // the client has left
 		}
 		p.Close = p.Close || in.r.Close || s.isDraining()
-		in.r.Release()
 	}
 	buf := mem.GetBuffer()
 	defer mem.PutBuffer(buf)
@@ -268,10 +329,11 @@
 	if _, err := c.nc.Write(AppendResponse(buf[:0], p)); err != nil {
 		return false
 	}
+	more := s.answered(c)
 	if in.err != nil {
 		s.linger(c.nc)
 	}
-	return s.answered(c) && !p.Close
+	return more && !p.Close
 }
 
 // handle calls the handler. A fault in it fails its own request, and must not take down all others.
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -72,6 +72,7 @@
 // Handle is the front's http1.Handler.
 func (f *Front) Handle(r *http1.Request, gone <-chan struct{}) *http1.Response {
 	a, e := f.parse(r)
+	r.Release() // nothing of the body is needed any more, and the answer may take seconds
 	if e != nil {
 		return errorResponse(e, nil)
 	}
--- a/internal/net/platform/platform.go
+++ b/internal/net/platform/platform.go
@@ -33,6 +33,9 @@
 // longest bounds the time that a client may ask for.
 const longest = time.Minute
 
+// rounding is how far from 1 the shares of a query's parts may add up.
+const rounding = 0.01
+
 // Handle is the front's http1.Handler.
 func (f *Front) Handle(r *http1.Request, gone <-chan struct{}) *http1.Response {
 	switch {
@@ -45,6 +48,7 @@
 		return http1.Text(200, "healthy")
 	}
 	q, err := f.parse(r)
+	r.Release() // nothing of the body is needed any more, and the answer may take seconds
 	if err != nil {
 		return http1.Text(err.Status, err.Reason)
 	}
@@ -71,6 +75,11 @@
 			class = i
 		}
 	}
+	for _, h := range []string{"Req-Id", "Req-Deadline", "Idempotency-Key"} {
+		if len(r.Header[h]) > 1 {
+			return nil, bad("%s is given twice", h)
+		}
+	}
 	switch {
 	case class < 0:
 		return nil, &http1.Error{Status: 404, Reason: fmt.Sprintf("no class is named %.60q", name)}
@@ -89,9 +98,9 @@
 	if q.Key != "" && !http1.IsName(q.Key) {
 		return nil, bad("Idempotency-Key is too long or has characters other than letters, digits, - and _")
 	}
-	wait, ok := parseWait(r.Header.Get("Req-Deadline"), k.Deadline)
+	wait, ok := parseWait(r.Header.Get("Req-Deadline"))
 	if !ok {
-		return nil, bad("Req-Deadline is not a number followed by m or u")
+		return nil, bad("Req-Deadline is not a number above 0 followed by m or u")
 	}
 	q.Deadline = r.At.Add(wait)
 	var err *http1.Error
@@ -100,13 +109,14 @@
 }
 
 // parseWait reads a time such as 480m (milliseconds) or 480000u (microseconds).
-func parseWait(s string, absent time.Duration) (time.Duration, bool) {
+func parseWait(s string) (time.Duration, bool) {
 	if s == "" {
-		return absent, true
+		return 0, false
 	}
 	unit := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}[s[len(s)-1]]
-	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
-	if unit == 0 || err != nil || math.IsNaN(n) || n < 0 {
+	s = s[:len(s)-1]
+	n, err := strconv.ParseFloat(s, 64)
+	if unit == 0 || err != nil || n <= 0 || strings.Trim(s, "0123456789.") != "" { // it takes inf, 0x1p3 and 1e3
 		return 0, false
 	}
 	return time.Duration(min(n*float64(unit), float64(longest))), true
@@ -122,12 +132,12 @@
 	switch {
 	case !root.IsObject() || !buckets.IsArray():
 		return nil, nil, bad("buckets is not an array")
-	case text.Exists() && text.Type != gjson.String:
+	case text.Type != gjson.String:
 		return nil, nil, bad("body is not a string")
 	}
 	var shards []gather.Shard
 	var err *http1.Error
-	seen := make([]bool, f.Settings.Shards)
+	seen, sum := make([]bool, f.Settings.Shards), 0.0
 	buckets.ForEach(func(_, b gjson.Result) bool {
 		n, w := b.Get("bucket"), b.Get("part")
 		shard := int(n.Num)
@@ -139,13 +149,17 @@
 		case w.Type != gjson.Number || !(w.Num > 0) || w.Num > 1:
 			err = bad("buckets: a part is not a number above 0, up to 1")
 		default:
-			seen[shard] = true
+			seen[shard], sum = true, sum+w.Num
 			shards = append(shards, gather.Shard{Number: shard, Weight: w.Num})
 		}
 		return err == nil
 	})
-	if err == nil && len(shards) == 0 {
+	switch {
+	case err != nil:
+	case len(shards) == 0:
 		err = bad("buckets is empty")
+	case math.Abs(sum-1) > rounding: // shares of something else: no floor could be told by them
+		err = bad("buckets: the parts add up to %.4g, not 1", sum)
 	}
 	return shards, []byte(text.String()), err
 }
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -94,14 +94,21 @@
 		{post("/lot-search", good, "Req-Deadline", "soon"), 400, "Req-Deadline"},
 		{post("/lot-search", good, "Req-Deadline", "NaNm"), 400, "Req-Deadline"},
 		{post("/lot-search", good, "Req-Deadline", "-1m"), 400, "Req-Deadline"},
+		{post("/lot-search", good, "Req-Deadline", "infm"), 400, "Req-Deadline"},
+		{post("/lot-search", good, "Req-Deadline", "0m"), 400, "Req-Deadline"},
+		{post("/lot-search", good, "Req-Deadline", ""), 400, "Req-Deadline"},
+		{&http1.Request{Method: "POST", Path: "/lot-search", Header: textproto.MIMEHeader{"Req-Id": {"a", "b"}}}, 400, "twice"},
 		{post("/lot-search", good[:40]), 400, "JSON"},
 		{post("/lot-search", `[]`), 400, "buckets"},
 		{post("/lot-search", `{"buckets":[],"body":""}`), 400, "empty"},
-		{post("/lot-search", `{"buckets":[{"bucket":24,"part":1}]}`), 400, "0 to 23"},
-		{post("/lot-search", `{"buckets":[{"bucket":1.5,"part":1}]}`), 400, "0 to 23"},
-		{post("/lot-search", `{"buckets":[{"bucket":1,"part":0.5},{"bucket":1,"part":0.5}]}`), 400, "twice"},
-		{post("/lot-search", `{"buckets":[{"bucket":1,"part":0}]}`), 400, "above 0"},
+		{post("/lot-search", `{"buckets":[{"bucket":24,"part":1}],"body":""}`), 400, "0 to 23"},
+		{post("/lot-search", `{"buckets":[{"bucket":1.5,"part":1}],"body":""}`), 400, "0 to 23"},
+		{post("/lot-search", `{"buckets":[{"bucket":1,"part":0.5},{"bucket":1,"part":0.5}],"body":""}`), 400, "twice"},
+		{post("/lot-search", `{"buckets":[{"bucket":1,"part":0}],"body":""}`), 400, "above 0"},
 		{post("/lot-search", `{"buckets":[{"bucket":1,"part":1}],"body":{}}`), 400, "string"},
+		{post("/lot-search", `{"buckets":[{"bucket":1,"part":1}]}`), 400, "string"},
+		{post("/lot-search", `{"buckets":[{"bucket":1,"part":0.5},{"bucket":2,"part":0.4}],"body":""}`), 400, "add up"},
+		{post("/lot-search", `{"buckets":[{"bucket":1,"part":1},{"bucket":2,"part":0.2}],"body":""}`), 400, "add up"},
 	} {
 		f, c := front(gather.Result{})
 		if p := f.Handle(x.r, nil); p.Status != x.status || !strings.Contains(string(p.Body), x.reason) || c.asked != nil {
@@ -129,11 +136,11 @@
 		return nil
 	}, good)
 	garble.Check(t, false, func(b []byte) error {
-		if d, ok := parseWait(string(b), time.Second); !ok {
+		if d, ok := parseWait(string(b)); !ok {
 			return errors.New("refused")
-		} else if d < 0 || d > longest {
+		} else if d < 0 || d > longest || strings.ContainsAny(string(b), "-+exInN_") {
 			t.Errorf("%q gives %v", b, d)
 		}
 		return nil
-	}, "480m", "480000u", "1e3m")
+	}, "480m", "480000u", "0.5m")
 }
