Spoilt answers end only their own call, and no lot store is taken for dead by one

Reports =,= %%% and nan were read past already. SCORE was ruled out as a checksum. Concluded: the loss was the lost ids and the shared connections.

--- a/internal/mem/pool.go
+++ b/internal/mem/pool.go
@@ -25,14 +25,14 @@
 	return i >= 0
 }
 
-// Pick chooses a connection with room for n parts: of the readiest the fullest, so that those not
-// needed fall idle and close.
+// Pick chooses a connection with room for n parts: of the readiest the emptiest, and of those the first, so
+// that connections not needed fall idle and close.
 func (p *Pool[C]) Pick(n int) (best C, ok bool) {
 	for _, c := range p.conns {
 		if c.Ready() == 0 || c.Room() < n {
 			continue
 		}
-		if !ok || c.Ready() > best.Ready() || c.Ready() == best.Ready() && c.Load() > best.Load() {
+		if !ok || c.Ready() > best.Ready() || c.Ready() == best.Ready() && c.Load() < best.Load() {
 			best, ok = c, true
 		}
 	}
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"log"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +59,7 @@
 	give     []string            // parts to be given up
 	probes   int                 // probes to be written
 	out      map[string]*entry   // begun to be written, by part
+	past     []string            // parts lately out
 	load     int                 // parts queued and out
 	asked    []time.Time         // probes that are out
 	up, dead bool
@@ -176,15 +179,17 @@
 	c.kick()
 }
 
-// conn picks a connection with room for n parts, or opens one.
+// conn picks a connection with room for n parts, or opens one. An answer that cannot be read ends all that
+// is out on its connection, so that calls share one only where a server has its part of all connections.
 func (t *Transport) conn(s *server, n int) *conn {
-	if c, ok := s.pool.Pick(n); ok {
+	c, ok := s.pool.Pick(n)
+	if ok && (c.load == 0 || s.pool.Len() >= t.MaxConns/len(t.servers)) {
 		return c
 	}
 	if t.conns >= t.MaxConns {
-		return nil
+		return c // nil where none has room
 	}
-	c := &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
+	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
 	s.pool.Add(c)
 	t.conns++
 	go c.run()
@@ -216,7 +221,7 @@
 		}
 	}
 	e := c.out[partID(a)]
-	delete(c.out, partID(a))
+	c.over(partID(a))
 	// A machine that vanished gives no sign: a connection on which nothing came for long after a part that is
 	// now given up is not trusted with another. The Mixer gives up a little before the attempt's time is up, so
 	// that the time itself tells nothing.
@@ -290,9 +295,13 @@
 }
 
 // fail ends a connection and all that is on it: what was written whole may have run, the rest never did.
-// A frame that is being written at this moment is left to its writer.
+// Parts end as reset where the connection broke, and as faulty where the lot store wrote what cannot be
+// read, or did not end what it began: that store lives, and is not to be taken for one that died. A frame that is being written at this moment is left to its writer.
 func (c *conn) fail(err error) {
-	t := c.t
+	t, ran := c.t, policy.Reset
+	if errors.Is(err, errMalformed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		ran = policy.Error
+	}
 	t.mu.Lock()
 	var reset []*gather.Attempt
 	never := c.dropQueue()
@@ -312,7 +321,7 @@
 		t.Log.Printf("conn: server=%d ended, %d parts out, %d never sent: %v", id, len(reset), len(never), err)
 	}
 	for _, a := range reset {
-		t.report.Outcome(a, policy.Reset, "")
+		t.report.Outcome(a, ran, "")
 	}
 	for _, a := range never {
 		t.report.Outcome(a, policy.ConnectFailed, "")
@@ -464,28 +473,18 @@
 
 // read takes in what the lot store tells until the connection ends.
 func (c *conn) read() {
-	r := bufio.NewReaderSize(c.nc, 4<<10)
+	r, take := bufio.NewReaderSize(c.nc, 4<<10), c.take
 	for {
 		if _, err := r.Peek(1); err != nil {
 			c.fail(err)
 			return
 		}
 		// Once a frame has begun, the rest of it must follow.
-		c.nc.SetReadDeadline(time.Now().Add(c.t.writeFor()))
-		if err := c.frame(r); err != nil {
+		c.nc.SetReadDeadline(time.Now().Add(c.t.ConnectTimeout))
+		if err := readFrame(r, take); err != nil {
 			c.fail(err)
 			return
 		}
 		c.nc.SetReadDeadline(time.Time{})
 	}
 }
-
-func (c *conn) frame(r *bufio.Reader) error {
-	buf := mem.GetBuffer()
-	defer mem.PutBuffer(buf)
-	letter, rest, err := readFrame(r, buf)
-	if err != nil {
-		return err
-	}
-	return c.take(letter, rest)
-}
--- a/internal/net/http1/client.go
+++ b/internal/net/http1/client.go
@@ -42,6 +42,13 @@
 // Read reads the answer to what was written. Release it after use.
 func (c *Client) Read(deadline time.Time) (*Response, error) {
 	c.nc.SetReadDeadline(deadline)
+	if err := c.r.Await(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	if soon := time.Now().Add(takeFor); soon.Before(deadline) {
+		c.nc.SetReadDeadline(soon) // what has begun must end
+	}
 	p, err := c.r.Response()
 	if err != nil || p.Close {
 		c.Close()
