--- a/internal/net/frames/frames_test.go
+++ b/internal/net/frames/frames_test.go
@@ -316,3 +316,22 @@
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
+
+// What is kept of a server goes with it: its idle connections at once, and the record with the last of them.
+func TestGoneIsForgotten(t *testing.T) {
+	tr, r := transport("127.0.0.1:1", time.Minute)
+	parked(tr, nil)
+	busy := parked(tr, nil)
+	list := attempts(1)
+	busy.out["q.0"], busy.load, tr.where[list[0]] = &entry{a: list[0], written: time.Now()}, 1, busy
+	tr.conns = 2
+	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:1", State: policy.Gone}})
+	if tr.conns != 1 || len(tr.servers) != 1 {
+		t.Errorf("%d connections, %d servers while one part is out", tr.conns, len(tr.servers))
+	}
+	busy.fail(io.EOF)
+	r.want(t, 1, policy.Reset)
+	if tr.conns != 0 || len(tr.servers) != 0 || len(tr.where) != 0 {
+		t.Errorf("%d connections, %d servers, %d attempts are kept", tr.conns, len(tr.servers), len(tr.where))
+	}
+}
