Close resting client connections sooner, as clients' own places run out first

Ruled out: CPU (0.16 s a second), memory (10 of 64 MB), our own bound (172; closing for room began at 4.4 s only). Faulty: server.go, idleFor of 3 s, and makeRoom that acts at our own bound only. Changed: idle 2 s; past a fifth of the descriptors each new connection closes the longest resting one, 0.5 s old at the least and with no request begun. Concluded: a client that asks once and stays takes a place from the other clients, not only from us.

--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -30,6 +30,7 @@
 	memoryShare = 0.7   // of memory_mb, as the garbage collector's soft limit
 	bodyShare   = 0.125 // of memory_mb, for request bodies
 	clientShare = 0.45  // of sockets, for clients
+	keepShare   = 0.2   // of sockets, for clients' connections that are not pressed to close: they hold a third at most
 	secondShare = 0.08  // of sockets, for the second front's clients
 	storeShare  = 0.3   // of sockets, for lot stores
 )
@@ -147,7 +148,7 @@
 		return err
 	}
 	x := &door{http1.New(l.(*net.TCPListener), h, conns, d.log), l.Addr(), make(chan struct{})}
-	x.Bodies = d.bodies
+	x.Bodies, x.Keep = d.bodies, min(conns, int(keepShare*float64(d.config.Sockets)))
 	go func() { x.Serve(); close(x.served) }()
 	d.doors = append(d.doors, x)
 	return nil
--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -305,3 +305,46 @@
 		t.Errorf("%v, %d held", err, len(r.Bodies))
 	}
 }
+
+// Clients that ask once and stay hold places that other clients want, long before ours run out: past a number,
+// each new connection closes the one that has rested longest, and none that asks.
+func TestStayingClients(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(l.(*net.TCPListener), func(*Request, <-chan struct{}) *Response { return Text(200, "done") }, 100, log.New(io.Discard, "", 0))
+	s.Keep = 2
+	for i := range 3 {
+		c := &conn{nc: mustPipe(t), used: true, since: time.Now().Add(time.Duration(i)*time.Second - time.Hour)}
+		s.conns[c] = struct{}{}
+	}
+	busy := &conn{nc: mustPipe(t), used: true, busy: 1, since: time.Now().Add(-2 * time.Hour)}
+	s.conns[busy] = struct{}{}
+	go s.Serve()
+	for want := range 3 {
+		c, r := dial(t, l.Addr().String())
+		io.WriteString(c, post)
+		if p, err := r.Response(); err != nil || p.Status != 200 {
+			t.Errorf("%+v %v", p, err)
+		}
+		s.mu.Lock()
+		rested := 0
+		for c := range s.conns {
+			if time.Since(c.since) > time.Minute && c != busy {
+				rested++
+			}
+		}
+		if _, ok := s.conns[busy]; rested != 2-want || !ok {
+			t.Errorf("%d that rest are kept after %d new ones; the busy one %v", rested, want+1, ok)
+		}
+		s.mu.Unlock()
+	}
+	l.Close()
+}
+
+func mustPipe(t *testing.T) net.Conn {
+	c, there := net.Pipe()
+	t.Cleanup(func() { there.Close() })
+	return c
+}
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -22,7 +22,8 @@
 // Times of a connection; what a request itself may take is its deadline's affair.
 const (
 	takeFor   = 2 * time.Second        // from a connection's start, or a later request's, to that request's last byte
-	idleFor   = 3 * time.Second        // between requests
+	idleFor   = 2 * time.Second        // between requests
+	restFor   = 500 * time.Millisecond // so long an answered connection is left in peace where there are many
 	settleFor = 100 * time.Millisecond // so long a new connection is not closed to make room: its request may wait unread
 	writeFor  = 5 * time.Second
 	lingerFor = time.Second
@@ -36,6 +37,7 @@
 type Server struct {
 	Handle   Handler
 	MaxConns int
+	Keep     int           // past so many connections, each new one closes one that rests; 0 for no such bound
 	Bodies   chan struct{} // bounds the bodies held at once, of all servers that share it; nil for no bound
 	Log      *log.Logger
 
@@ -96,7 +98,10 @@
 		}
 		s.mu.Lock()
 		c := &conn{nc: nc, since: time.Now()}
-		s.makeRoom(s.MaxConns)
+		if s.makeRoom(s.MaxConns) && s.Keep > 0 && len(s.conns) >= s.Keep {
+			// Clients have places, too: one that asked once and keeps its connection takes one from the others.
+			s.shutLongest(func(c *conn) bool { return c.used && c.busy == 0 && time.Since(c.since) > restFor })
+		}
 		s.conns[c] = struct{}{}
 		s.done.Add(1)
 		s.mu.Unlock()
@@ -123,10 +128,15 @@
 	if len(s.conns) < most {
 		return true
 	}
+	return s.shutLongest(func(c *conn) bool { return c.whole == 0 && time.Since(c.since) > settleFor })
+}
+
+// shutLongest closes the connection that has waited longest of those that may be, first of those that were
+// never answered, and says whether there was one. The lock is held.
+func (s *Server) shutLongest(may func(*conn) bool) bool {
 	var worst *conn
 	for c := range s.conns {
-		if c.whole == 0 && time.Since(c.since) > settleFor && (worst == nil || !c.used && worst.used ||
-			c.used == worst.used && c.since.Before(worst.since)) {
+		if may(c) && (worst == nil || !c.used && worst.used || c.used == worst.used && c.since.Before(worst.since)) {
 			worst = c
 		}
 	}
