Frames: parts of a connection that a bad frame ended are faulty, booked as written or not

Checked: the stand-in answers before the frame's last byte is booked; transport.go, writeCall, took each such part for Reset, whatever had ended the connection. Changed: the connection remembers how it ended, and writeCall says that. The test holds the order by a pipe. Concluded: the verdict no longer hangs on which goroutine comes first.

--- a/internal/net/frames/frames_test.go
+++ b/internal/net/frames/frames_test.go
@@ -335,3 +335,24 @@
 		t.Errorf("%d connections, %d servers, %d attempts are kept", tr.conns, len(tr.servers), len(tr.where))
 	}
 }
+
+// An answer that cannot be read may come before the call is booked as written: its parts end as faulty all the
+// same, not as if the lot store had died.
+func TestMalformedBeforeBooked(t *testing.T) {
+	here, there := net.Pipe()
+	tr, r := transport("127.0.0.1:1", time.Minute)
+	c := parked(tr, here)
+	tr.Call(1, attempts(1))
+	go func() { // the frame is read but for its last byte, which the pipe hands over once the connection has failed
+		frame := len(standin.Frame('A', partLine(attempts(1)[0], 59999)))
+		io.ReadFull(there, make([]byte, frame-1))
+		c.t.mu.Lock()
+		c.dead, c.ran = true, policy.Error // as fail leaves it
+		c.t.mu.Unlock()
+		io.ReadFull(there, make([]byte, 1))
+	}()
+	if _, err := c.write(); err != nil {
+		t.Fatal(err)
+	}
+	r.want(t, 1, policy.Error)
+}
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -63,9 +63,10 @@
 	load     int                 // parts queued and out
 	asked    []time.Time         // probes that are out
 	up, dead bool
-	silent   bool      // an attempt was given up with nothing heard for long: not chosen any more
-	heard    time.Time // when something last came
-	idle     time.Time // since when nothing is on it
+	ran      policy.Status // how parts end that were written whole when the connection ended
+	silent   bool          // an attempt was given up with nothing heard for long: not chosen any more
+	heard    time.Time     // when something last came
+	idle     time.Time     // since when nothing is on it
 	wake     chan struct{}
 	gone     chan struct{}
 }
@@ -189,7 +190,7 @@
 	if t.conns >= t.MaxConns {
 		return c // nil where none has room
 	}
-	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
+	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, ran: policy.Reset, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
 	s.pool.Add(c)
 	t.conns++
 	go c.run()
@@ -310,6 +311,9 @@
 		ran = policy.Error
 	}
 	t.mu.Lock()
+	if !c.dead {
+		c.ran = ran
+	}
 	var reset []*gather.Attempt
 	never := c.dropQueue()
 	for id, e := range c.out {
@@ -474,8 +478,8 @@
 		delete(t.where, a)
 		ended = append(ended, a)
 	}
+	status := c.ran // written whole, and the connection ended before that was booked
 	t.mu.Unlock()
-	status := policy.Reset // written whole, and the connection ended before that was booked
 	if err != nil {
 		status = policy.ConnectFailed
 	}
