Poison: two broken connections tell it only where a lot store was seen to have crashed

Concluded: a false alarm less; real ones still end the query, as its servers then refuse connections.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -584,14 +584,14 @@
 }
 
 // died counts the deaths that a query was out at; what was sent before the last one is the same evidence.
-// A query that dies again when tried alone ends, and its like is refused for a while.
+// One that dies again, with a server seen to have crashed of late, ends, and its like is refused for a while.
 func (m *Mixer) died(q *query, a *attempt) {
 	if q.sure || a.at < q.diedAt {
 		return
 	}
 	q.deaths++
 	q.diedAt = m.now
-	if q.deaths >= deathsMost {
+	if dead, _ := m.countDead(m.now - deathSpan); dead > 0 && q.deaths >= deathsMost {
 		m.suspects[likeness(q)] = m.now
 		m.log("poison class=%d key=%x", q.Class, q.Key)
 		m.giveUp(q)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -697,6 +697,7 @@
 			for _, s := range append([]sent(nil), b.sends...) {
 				if b.owner[s.Part] == q {
 					b.outcome(s, Reset)
+					b.m.servers[s.Server].diedAt = b.now // as when the next connection is refused
 				}
 			}
 		}
@@ -719,6 +720,25 @@
 	}
 }
 
+// A query that meets two connections that break alone has killed nothing: it is tried again and answered.
+func TestTwoLoneResetsAreNoPoison(t *testing.T) {
+	set := base()
+	set.MaxAttempts = 4
+	b := newBed(t, set, 0, 1, 2)
+	b.warm(30, 50*ms)
+	q, _ := b.query(0, 4*time.Second, 0)
+	for i, st := range []Status{Reset, Reset, OK} {
+		b.run(20 * ms)
+		if len(b.sends) != i+1 {
+			t.Fatalf("%d attempts, want %d; last word %v", len(b.sends), i+1, b.last[q])
+		}
+		b.outcome(b.sends[i], st)
+	}
+	if _, ok := b.last[q].(Answer); !ok {
+		t.Errorf("last word %v, want an answer", b.last[q])
+	}
+}
+
 // A query that lost a part to a crash but has another in is a bystander: its part goes again at once.
 func TestBystander(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
