--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -62,6 +62,7 @@
 	ReasonPartial   = "only a partial answer was to be had"
 	ReasonTooLarge  = "answer over the size limit"
 	ReasonPanic     = "decisions restarted"
+	ReasonStopping  = "this gatherer stops"
 )
 
 // PartResult is what came of one part.
--- a/internal/gather/core.go
+++ b/internal/gather/core.go
@@ -39,6 +39,7 @@
 	lastID    uint64
 	wakeAt    time.Duration // the Mixer's, 0 for none
 	steppedAt time.Duration
+	endBy     time.Time // when the last answer is due, zero for no such time
 }
 
 // query is a request in hand.
@@ -118,6 +119,9 @@
 		return soonest
 	}
 	due := c.steppedAt + time.Minute
+	if queries, _ := c.flight.Len(); queries > 0 && !c.endBy.IsZero() {
+		due = c.at(c.endBy)
+	}
 	if c.wakeAt > 0 {
 		due = min(due, c.wakeAt)
 	}
@@ -132,6 +136,7 @@
 	now := c.now()
 	c.steppedAt = now
 	c.expire(now)
+	c.endAll(now)
 	if c.wakeAt > 0 && now >= c.wakeAt {
 		c.wakeAt = 0
 		c.events = append(c.events, policy.Wake{})
--- a/internal/gather/relay.go
+++ b/internal/gather/relay.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"slices"
 	"time"
 
 	"pulleygw.example/pulleygw/policy"
@@ -36,6 +37,21 @@
 	}
 }
 
+// endAll ends what is in hand when the last answers are due.
+func (c *Core) endAll(now time.Duration) {
+	if c.endBy.IsZero() || now < c.at(c.endBy) {
+		return
+	}
+	for _, q := range c.flight.Queries() {
+		kind := Failed
+		if c.set.Policy.Classes[q.Class].Effect == policy.Safe || !slices.ContainsFunc(q.parts, func(p *part) bool { return p.mayRun > 0 }) {
+			kind = Refused
+		}
+		c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(q.id)}) // the Mixer calls off what is out
+		c.finish(q, Result{Kind: kind, Reason: ReasonStopping})
+	}
+}
+
 // finish gives a query its final answer and takes it off the table.
 func (c *Core) finish(q *query, r Result) {
 	r.Parts = make([]PartResult, len(q.parts))
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -21,8 +21,36 @@
 		server policy.ServerID
 		ok     bool
 	}
+	ban struct {
+		name string
+		out  bool
+		at   time.Time // since when it is back
+		done chan bool // has room for the one answer
+	}
+	lastCall struct{ at time.Time }
 )
 
+// Detach has nothing more sent to a server until Attach, whatever the list says. It returns when that is in
+// force, and false for a name not known.
+func (c *Core) Detach(name string) bool { return c.ban(ban{name: name, out: true}) }
+
+// Attach puts a server back, as one that started then.
+func (c *Core) Attach(name string, at time.Time) bool { return c.ban(ban{name: name, at: at}) }
+
+func (c *Core) ban(b ban) bool {
+	b.done = make(chan bool, 1)
+	c.tell(b)
+	select {
+	case ok := <-b.done:
+		return ok
+	case <-c.quit:
+		return false
+	}
+}
+
+// EndBy gives every request its final answer by then, whatever time its client has left.
+func (c *Core) EndBy(at time.Time) { c.tell(lastCall{at}) }
+
 // Submit hands a request over. Its final answer comes on Done.
 func (c *Core) Submit(r *Request) { c.tell(r) }
 
@@ -60,6 +88,18 @@
 		c.events = append(c.events, policy.Probed{Server: m.server, OK: m.ok})
 	case List:
 		c.list(m)
+	case ban:
+		var news []mem.Server
+		ok := false
+		if m.out {
+			news, ok = c.servers.Ban(m.name)
+		} else {
+			news, ok = c.servers.Unban(m.name, m.at)
+		}
+		c.news(policy.Delta, news)
+		m.done <- ok
+	case lastCall:
+		c.endBy = m.at
 	}
 }
 
@@ -70,12 +110,15 @@
 		c.events = append(c.events, policy.ServerList{Kind: l.Kind})
 		return
 	}
-	news := c.servers.Apply(l.Kind != policy.Delta, l.Servers, time.Now())
+	c.news(l.Kind, c.servers.Apply(l.Kind != policy.Delta, l.Servers, time.Now()))
+}
+
+func (c *Core) news(kind policy.ListKind, news []mem.Server) {
 	c.transport.Servers(news)
 	for _, s := range news {
 		c.log.Printf("list: server=%d name=%s addr=%s cell=%d state=%s", s.ID, s.Name, s.Addr, s.Cell, stateNames[s.State])
 	}
-	c.events = append(c.events, policy.ServerList{Kind: l.Kind, Servers: c.infos(news)})
+	c.events = append(c.events, policy.ServerList{Kind: kind, Servers: c.infos(news)})
 }
 
 var stateNames = map[policy.ServerState]string{policy.Ready: "ready", policy.Draining: "draining", policy.Gone: "gone"}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -21,6 +21,8 @@
 // Config is what one daemon is told.
 type Config struct {
 	Name, Listen, Discovery string
+	Admin                   string // where operators call; empty for nowhere
+	Inherited               int    // descriptor of the clients' listening socket, 0 where Listen is to be opened
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -50,7 +52,16 @@
 		return root.Get(field).String()
 	}
 	c.Name, c.Listen, c.Discovery = pick("LB_NAME", "name"), pick("LB_LISTEN", "listen"), pick("LB_DISCOVERY", "discovery")
-	for _, a := range [][2]string{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	addrs := [][2]string{{"listen", c.Listen}, {"discovery", c.Discovery}}
+	if c.Admin = pick("LB_ADMIN", "admin"); c.Admin != "" {
+		addrs = append(addrs, [2]string{"admin", c.Admin})
+	}
+	if fd := env("LB_INHERITED_FD"); fd != "" {
+		if c.Inherited, err = strconv.Atoi(fd); err != nil || c.Inherited <= 2 {
+			return c, fmt.Errorf("LB_INHERITED_FD: %q is not the number of a descriptor above 2", fd)
+		}
+	}
+	for _, a := range addrs {
 		if _, _, err := net.SplitHostPort(a[1]); err != nil {
 			return c, fmt.Errorf("%s: %w", a[0], err)
 		}
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -6,6 +6,7 @@
 	"log"
 	"math"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -35,6 +36,13 @@
 	storeShare  = 0.3   // of sockets, for lot stores
 )
 
+// answerFor is how long after SIGTERM the last answer is given where the clients' socket is inherited: SIGKILL
+// comes 0.7 s after the longest deadline, of which at most 3 s count.
+const (
+	answerFor    = 300 * time.Millisecond
+	deadlineMost = 3 * time.Second
+)
+
 // acceptFor is how long after SIGTERM new connections are still accepted: they keep coming for up to 0.4 s.
 const acceptFor = 600 * time.Millisecond
 
@@ -74,20 +82,23 @@
 	log      *log.Logger
 	core     *gather.Core
 	settings settings.Settings
-	doors    []*door           // the platform's first, then the OpenSearch-style front's if it is on, then operations'
+	mu       sync.Mutex
+	doors    []*door           // under mu; the platform's first, then the OpenSearch-style front's if it is on, then operations'
 	second   *opensearch.Front // nil when off
 	ops      *operations       // nil when off
 	bodies   chan struct{}     // has room for the request bodies that may be held at once
 	draining atomic.Bool
 	drained  sync.Once
-	marked   atomic.Bool // the store marks this gatherer as draining
-	config   Config      // as started with, but for what a reload has changed
-	unwatch  func()      // ends the watch of discovery and waits for its end
+	ready    atomic.Bool // started whole
+	lame     atomic.Bool // clients are sent away, by an operator or by the store's mark
+	admin    net.Listener
+	config   Config // as started with, but for what a reload has changed
+	unwatch  func() // ends the watch of discovery and waits for its end
 }
 
 // state is how the gatherer is, for balancers.
 func (d *Daemon) state() agentcheck.State {
-	return agentcheck.State{Draining: d.draining.Load() || d.marked.Load(), Load: d.core.Load()}
+	return agentcheck.State{Draining: d.draining.Load() || d.lame.Load(), Load: d.core.Load()}
 }
 
 // Start makes a gatherer that serves. A nil front leaves the OpenSearch-style front off, and nil operations
@@ -105,20 +116,24 @@
 	d := &Daemon{log: logger, core: core, settings: c.Settings, config: c,
 		bodies: make(chan struct{}, int(bodyShare*float64(c.MemoryMB<<20)/mem.BufferSize))}
 	go core.Run()
+	if err := d.openAdmin(); err != nil {
+		d.Drain()
+		return nil, err
+	}
 	c.Known.Kind = policy.Cached
 	core.List(c.Known)
 	d.follow(c.KnownSeq)
 
 	// Doors open only now: a gatherer is ready when it has its list.
 	front := &platform.Front{Core: core, Settings: c.Settings, Ready: func() bool { return !d.state().Draining }}
-	if err := d.open(c.Listen, front.Handle, int(clientShare*float64(c.Sockets))); err != nil {
+	if err := d.open(c.Listen, c.Inherited, front.Handle, int(clientShare*float64(c.Sockets))); err != nil {
 		d.Drain()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	if f != nil {
 		d.second = &opensearch.Front{Core: core, Settings: c.Settings, Name: fmt.Sprintf("os-%s-%x", c.Name, c.Seed)}
 		d.second.SetIndices(f.Indices)
-		if err := d.open(f.Listen, d.second.Handle, int(secondShare*float64(c.Sockets))); err != nil {
+		if err := d.open(f.Listen, 0, d.second.Handle, int(secondShare*float64(c.Sockets))); err != nil {
 			d.Drain()
 			return nil, fmt.Errorf("opensearch front: listen: %w", err)
 		}
@@ -129,6 +144,7 @@
 			return nil, err
 		}
 	}
+	d.ready.Store(true)
 	logger.Printf("ready: name=%s listen=%v known=%d", c.Name, d.Addrs(), len(c.Known.Servers))
 	return d, nil
 }
@@ -142,15 +158,40 @@
 	d.unwatch = func() { cancel(); <-ended }
 }
 
-func (d *Daemon) open(addr string, h http1.Handler, conns int) error {
-	l, err := net.Listen("tcp", addr)
+// listen opens an address, or makes a listener of the descriptor that the platform holds for it. Of that one only
+// our copies are ever closed: the socket is the platform's.
+func listen(addr string, inherited int) (net.Listener, error) {
+	if inherited == 0 {
+		return net.Listen("tcp", addr)
+	}
+	f := os.NewFile(uintptr(inherited), "LB_INHERITED_FD")
+	if f == nil {
+		return nil, fmt.Errorf("LB_INHERITED_FD: no descriptor %d", inherited)
+	}
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("LB_INHERITED_FD: %w", err)
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		l.Close()
+		return nil, fmt.Errorf("LB_INHERITED_FD: descriptor %d is no TCP listener", inherited)
+	}
+	return l, nil
+}
+
+func (d *Daemon) open(addr string, inherited int, h http1.Handler, conns int) error {
+	l, err := listen(addr, inherited)
 	if err != nil {
 		return err
 	}
 	x := &door{http1.New(l.(*net.TCPListener), h, conns, d.log), l.Addr(), make(chan struct{})}
 	x.Bodies, x.Keep = d.bodies, min(conns, int(keepShare*float64(d.config.Sockets)))
 	go func() { x.Serve(); close(x.served) }()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.doors = append(d.doors, x)
+	x.SendAway(d.lame.Load())
 	return nil
 }
 
@@ -167,9 +208,20 @@
 func (d *Daemon) Drain() { d.drained.Do(d.drain) }
 
 func (d *Daemon) drain() {
-	d.log.Printf("drain: accepting for %v more", acceptFor)
 	d.draining.Store(true)
-	for _, x := range d.doors {
+	for i, x := range d.doors {
+		if i == 0 && d.config.Inherited > 0 {
+			longest := time.Duration(0)
+			for _, k := range d.settings.Policy.Classes {
+				longest = max(longest, k.Deadline)
+			}
+			longest = min(longest, deadlineMost) + answerFor
+			d.log.Printf("drain: accepting no more, all is answered within %v", longest)
+			d.core.EndBy(time.Now().Add(longest))
+			x.HandOff()
+			continue
+		}
+		d.log.Printf("drain: accepting at %s for %v more", x.addr, acceptFor)
 		x.Drain(acceptFor)
 	}
 	for _, x := range d.doors {
@@ -179,7 +231,12 @@
 	if d.ops != nil {
 		d.ops.close()
 	}
-	d.unwatch()
+	if d.admin != nil {
+		d.admin.Close()
+	}
+	if d.unwatch != nil {
+		d.unwatch()
+	}
 	d.core.Stop()
 	d.log.Printf("drain: all answered, exiting")
 }
--- a/internal/lifecycle/operations.go
+++ b/internal/lifecycle/operations.go
@@ -19,9 +19,10 @@
 // operations is what balancers and operators are answered by. It reads the daemon's state, and sets its drain
 // mark and the second front's indices; no decision reads any of it.
 type operations struct {
-	d     *Daemon
-	store *store.Store // nil without one
-	agent net.Listener
+	d      *Daemon
+	store  *store.Store // nil without one
+	agent  net.Listener
+	marked bool // the store marks this gatherer as draining; its goroutine's own
 }
 
 const operationsConns = 16
@@ -42,7 +43,7 @@
 		x.close()
 		return nil, fmt.Errorf("operations: agent_check: %w", err)
 	}
-	if err := d.open(o.Health, x.handle, operationsConns); err != nil {
+	if err := d.open(o.Health, 0, x.handle, operationsConns); err != nil {
 		x.close()
 		return nil, fmt.Errorf("operations: health: %w", err)
 	}
@@ -69,8 +70,10 @@
 // changed puts what the store holds in force.
 func (x *operations) changed(c Config, values map[string]string) {
 	marked := values[drainKey+c.Name] == "on"
-	if x.d.marked.Swap(marked) != marked {
+	if x.marked != marked { // the last word counts, the store's or an operator's call
+		x.marked = marked
 		x.d.log.Printf("store: drain mark %s", map[bool]string{true: "on", false: "off"}[marked])
+		x.d.sendAway(marked)
 	}
 	if text, ok := values[indicesKey]; ok && x.d.second != nil {
 		indices, err := parseIndices(gjson.Parse(text), c.Settings)
--- a/internal/lifecycle/replay_test.go
+++ b/internal/lifecycle/replay_test.go
@@ -78,6 +78,10 @@
 }
 
 func startWith(t *testing.T, storesSpeak string, o *OperationsConfig) world {
+	return startConfig(t, storesSpeak, o, func(*Config) {})
+}
+
+func startConfig(t *testing.T, storesSpeak string, o *OperationsConfig, change func(*Config)) world {
 	s := &standin.Script{}
 	var hosts []string
 	for i := range 12 {
@@ -106,6 +110,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	change(&c)
 	f := &FrontConfig{Listen: "127.0.0.1:0", Indices: map[string]string{"lots": "lot-search", "bids": "place-bid"},
 		Stores: storesSpeak == "opensearch"}
 	d, err := Start(c, f, o, log.New(io.Discard, "", 0))
--- a/internal/mem/mem_test.go
+++ b/internal/mem/mem_test.go
@@ -75,3 +75,44 @@
 		t.Error("removing went wrong")
 	}
 }
+
+// A ban holds against whatever is listed, twice counts once, and one that is lifted makes a new server of it, cold
+// from then; a name no longer listed can be put back.
+func TestBan(t *testing.T) {
+	l, now := NewServers(), time.Now()
+	ready := []Server{{Name: "a", State: policy.Ready}}
+	first := l.Apply(true, ready, now)[0].ID
+	if _, ok := l.Ban("x"); ok {
+		t.Error("banned an unknown name")
+	}
+	if news, ok := l.Ban("a"); !ok || len(news) != 1 || news[0].State != policy.Draining {
+		t.Errorf("%+v", news)
+	}
+	if news, ok := l.Ban("a"); !ok || len(news) != 0 || len(l.Banned()) != 1 {
+		t.Errorf("the second time: %+v", news)
+	}
+	if news := l.Apply(false, ready, now); news[0].State != policy.Draining || l.All()[0].State != policy.Draining {
+		t.Errorf("listed meanwhile: %+v", news)
+	}
+	news, ok := l.Unban("a", now)
+	if !ok || len(news) != 2 || news[0].ID != first || news[0].State != policy.Gone || news[1].ID == first ||
+		news[1].State != policy.Ready || !news[1].Born.Equal(now) {
+		t.Errorf("%+v", news)
+	}
+	if news, ok := l.Unban("a", now); !ok || len(news) != 0 {
+		t.Errorf("not banned: %+v", news)
+	}
+	later := now.Add(time.Second)
+	if news := l.Apply(false, []Server{{Name: "a", State: policy.Ready, Born: later}}, now); !news[0].Born.Equal(later) {
+		t.Errorf("started after that: %+v", news)
+	}
+	l.Ban("a")
+	l.Apply(true, nil, now)
+	l.Apply(true, nil, now.Add(keepGone+1))
+	if _, ok := l.Unban("a", now); !ok || len(l.Banned()) != 0 {
+		t.Error("a name no longer listed stays banned")
+	}
+	if _, ok := l.Unban("a", now); ok {
+		t.Error("an unknown name is put back")
+	}
+}
--- a/internal/mem/servers.go
+++ b/internal/mem/servers.go
@@ -1,6 +1,8 @@
 package mem
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pulleygw.example/pulleygw/policy"
@@ -19,15 +21,19 @@
 	goneAt time.Time
 }
 
-// Servers is the server list. It is not safe for concurrent use: one goroutine owns it.
+// Servers is the server list, with the bans that operators set. A ban is kept apart from what the list says: a
+// banned server is shown as draining at the best, whatever is listed meanwhile. It is not safe for concurrent
+// use: one goroutine owns it.
 type Servers struct {
-	byName map[string]*Server
-	last   policy.ServerID
+	byName   map[string]*Server
+	last     policy.ServerID
+	banned   map[string]struct{}
+	attached map[string]time.Time // when a ban was lifted: the server counts as cold from then
 }
 
 // NewServers makes an empty list.
 func NewServers() *Servers {
-	return &Servers{byName: map[string]*Server{}}
+	return &Servers{byName: map[string]*Server{}, banned: map[string]struct{}{}, attached: map[string]time.Time{}}
 }
 
 // keepGone is how long a server that is gone keeps its number, so that one listed again is known
@@ -52,26 +58,74 @@
 		if s.State == policy.Gone {
 			s.goneAt = now
 		}
-		news = append(news, *s)
+		news = append(news, l.shown(s))
 	}
 	for name, s := range l.byName {
 		if whole && !named[name] && s.State != policy.Gone {
 			s.State, s.goneAt = policy.Gone, now
-			news = append(news, *s)
+			news = append(news, l.shown(s))
 		}
 		if s.State == policy.Gone && now.Sub(s.goneAt) > keepGone {
 			delete(l.byName, name)
 		}
 	}
+	maps.DeleteFunc(l.attached, func(name string, at time.Time) bool { return l.byName[name] == nil && now.Sub(at) > keepGone })
 	return news
 }
 
+// shown is a server as all others are to see it.
+func (l *Servers) shown(s *Server) Server {
+	x := *s
+	if _, is := l.banned[s.Name]; is && x.State == policy.Ready {
+		x.State = policy.Draining
+	}
+	if at := l.attached[s.Name]; at.After(x.Born) {
+		x.Born = at
+	}
+	return x
+}
+
+// Ban takes a server out until Unban, and returns the lines that this brings. A second ban changes nothing.
+func (l *Servers) Ban(name string) (news []Server, ok bool) {
+	s := l.byName[name]
+	if _, is := l.banned[name]; is {
+		return nil, true
+	}
+	if s == nil {
+		return nil, false
+	}
+	l.banned[name] = struct{}{}
+	return []Server{l.shown(s)}, true
+}
+
+// Unban puts a server back, listed or not, and returns the lines that this brings. It counts as started at that
+// time and gets a new number: what was seen of its old process, and what is still out there, is not the new one's.
+func (l *Servers) Unban(name string, at time.Time) (news []Server, ok bool) {
+	s := l.byName[name]
+	if _, is := l.banned[name]; !is {
+		return nil, s != nil
+	}
+	delete(l.banned, name)
+	l.attached[name] = at
+	if s == nil {
+		return nil, true
+	}
+	old := *s
+	old.State = policy.Gone
+	l.last++
+	s.ID = l.last
+	return []Server{old, l.shown(s)}, true
+}
+
+// Banned lists the names that are out.
+func (l *Servers) Banned() []string { return slices.Sorted(maps.Keys(l.banned)) }
+
 // All lists every server not gone.
 func (l *Servers) All() []Server {
 	var all []Server
 	for _, s := range l.byName {
 		if s.State != policy.Gone {
-			all = append(all, *s)
+			all = append(all, l.shown(s))
 		}
 	}
 	return all
--- /dev/null
+++ b/internal/net/admin/admin.go
@@ -0,0 +1,151 @@
+// Package admin answers operators' calls: a connection carries one line, and one line comes back that
+// starts with 200 or 400.
+package admin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/net/http1"
+)
+
+// Verb is what an operator calls for.
+type Verb string
+
+// The verbs. Detach and Attach go with the name of a lot store.
+const (
+	Ping     Verb = "PING"
+	Detach   Verb = "DETACH"
+	Attach   Verb = "ATTACH"
+	LameDuck Verb = "LAMEDUCK"
+	Rejoin   Verb = "REJOIN"
+)
+
+// Call is one call.
+type Call struct {
+	Verb Verb
+	Name string // of the lot store, where the verb takes one
+}
+
+// Handler carries a call out and says what came of it. An error is a no. It must not take longer than an
+// answer may.
+type Handler func(Call) (string, error)
+
+// Bounds of what callers may hold.
+const (
+	maxLine  = 256
+	maxConns = 32              // of callers at once; one more closes the one that has waited longest
+	readFor  = 5 * time.Second // for the whole line
+	writeFor = time.Second
+)
+
+var errNoNewline = errors.New("the line does not end")
+
+// readLine reads a call's line. Without its newline there is none.
+func readLine(r io.Reader) (string, error) {
+	line, err := bufio.NewReaderSize(r, maxLine).ReadSlice('\n')
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errNoNewline, err)
+	}
+	return strings.TrimSuffix(string(line[:len(line)-1]), "\r"), nil
+}
+
+// Parse reads a call.
+func Parse(line string) (Call, error) {
+	words := strings.Split(line, " ")
+	c := Call{Verb: Verb(words[0])}
+	switch c.Verb {
+	case Ping, LameDuck, Rejoin:
+		if len(words) != 1 {
+			return c, fmt.Errorf("%s takes nothing behind it", c.Verb)
+		}
+		return c, nil
+	case Detach, Attach:
+		if len(words) != 2 || !http1.IsName(words[1]) {
+			return c, fmt.Errorf("%s takes the name of one lot store", c.Verb)
+		}
+		c.Name = words[1]
+		return c, nil
+	}
+	return c, fmt.Errorf("unknown call %.40q", words[0])
+}
+
+// Server answers calls on one listener.
+type Server struct {
+	listener net.Listener
+	handle   Handler
+
+	mu    sync.Mutex
+	conns []net.Conn // whose line has not come, the longest waiting first
+}
+
+// New makes a server on a listener; Serve must follow.
+func New(l net.Listener, h Handler) *Server { return &Server{listener: l, handle: h} }
+
+// Serve answers until the listener is closed.
+func (s *Server) Serve() {
+	for {
+		nc, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors: callers that say nothing hold some
+			s.shed(0)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		s.shed(maxConns - 1)
+		s.mu.Lock()
+		s.conns = append(s.conns, nc)
+		s.mu.Unlock()
+		go s.serve(nc)
+	}
+}
+
+// shed closes the longest waiting callers until so many are left: the silent hold up nobody.
+func (s *Server) shed(left int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) > left {
+		s.conns[0].Close()
+		s.conns = s.conns[1:]
+	}
+}
+
+func (s *Server) serve(nc net.Conn) {
+	defer nc.Close()
+	nc.SetReadDeadline(time.Now().Add(readFor))
+	line, err := readLine(nc)
+	s.mu.Lock()
+	for i, c := range s.conns {
+		if c == nc {
+			s.conns = append(s.conns[:i], s.conns[i+1:]...)
+			break
+		}
+	}
+	s.mu.Unlock()
+	if errors.Is(err, errNoNewline) && !errors.Is(err, bufio.ErrBufferFull) {
+		return // half a call does nothing
+	}
+	nc.SetWriteDeadline(time.Now().Add(writeFor))
+	if err != nil {
+		fmt.Fprintf(nc, "400 the line is over %d bytes\n", maxLine)
+		return
+	}
+	c, err := Parse(line)
+	said := ""
+	if err == nil {
+		said, err = s.handle(c)
+	}
+	if err != nil {
+		fmt.Fprintf(nc, "400 %s\n", err)
+		return
+	}
+	fmt.Fprintf(nc, "200 %s\n", said)
+}
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -27,6 +27,7 @@
 	settleFor = 100 * time.Millisecond // so long a new connection is not closed to make room: its request may wait unread
 	writeFor  = 5 * time.Second
 	lingerFor = time.Second
+	awayFor   = 700 * time.Millisecond // so long new connections may come after clients were sent away
 	firstFor  = 300 * time.Millisecond // while draining: for a new connection's first byte
 	lastLook  = 20 * time.Millisecond  // a drain ends when so long nothing waits to be accepted
 	moreFor   = time.Second            // and after so much longer than was said, at the latest
@@ -44,6 +45,8 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
+	handOff  bool // draining, with a successor on the same socket
+	lame     int  // odd while sent away: goes up by one with each change
 	listener *net.TCPListener
 	last     time.Time // when accepting ends, while draining
 	freed    chan struct{}
@@ -78,7 +81,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			// The drain's time is over. Closing now would reset what waits in the backlog, whose requests
 			// count as taken: accepting goes on until a whole look finds nothing, or too long.
-			if quiet || time.Now().After(s.until()) {
+			if s.handOff || quiet || time.Now().After(s.until()) {
 				return
 			}
 			quiet = true
@@ -190,6 +193,36 @@
 	s.closeIdle(len(s.conns))
 }
 
+// HandOff stops accepting at once, as a successor has the same socket and takes its backlog. The connections
+// accepted are served; those that rest are left open for a request on the way until their time is up.
+func (s *Server) HandOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining, s.handOff = true, true
+	s.listener.SetDeadline(time.Now())
+}
+
+// SendAway has each connection close behind its next answer, and those that rest when new ones have stopped
+// coming. The listener stays open.
+func (s *Server) SendAway(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on == (s.lame%2 == 1) {
+		return
+	}
+	s.lame++
+	if now := s.lame; on {
+		time.AfterFunc(awayFor, func() {
+			s.mu.Lock()
+			all, still := len(s.conns), s.lame == now
+			s.mu.Unlock()
+			if still {
+				s.closeIdle(all)
+			}
+		})
+	}
+}
+
 // Wait returns when every connection has ended; call it when Serve has returned.
 func (s *Server) Wait() { s.done.Wait() }
 
@@ -199,10 +232,10 @@
 	return s.last
 }
 
-func (s *Server) isDraining() bool {
+func (s *Server) closing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.draining || s.lame%2 == 1
 }
 
 // begun notes that a request has begun: the connection is not closed as idle any more.
@@ -237,7 +270,7 @@
 	if c.busy == 0 {
 		c.nc.SetReadDeadline(c.since.Add(idleFor))
 	}
-	return !s.draining || c.busy > 0
+	return !s.draining && s.lame%2 == 0 || c.busy > 0
 }
 
 type incoming struct {
@@ -283,7 +316,7 @@
 		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	first := takeFor
-	if s.isDraining() {
+	if s.closing() {
 		first = firstFor
 	}
 	c.nc.SetReadDeadline(c.since.Add(first))
@@ -331,7 +364,7 @@
 		} else if p = s.handle(in.r, gone); p == nil {
 			return false // the client has left
 		}
-		p.Close = p.Close || in.r.Close || s.isDraining()
+		p.Close = p.Close || in.r.Close || s.closing()
 	}
 	buf := mem.GetBuffer()
 	defer mem.PutBuffer(buf)
