Refusal leaves out the parts that would be late where the rest reaches the floor

Ruled out: cold ramps (the loss begins at the ban and ends with it), descriptors, CPU (0.10 s in a second). Now a query that reaches its class's floor without the parts that would miss is taken without them.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,7 +6,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -149,10 +148,6 @@
 	return m.acts
 }
 
-func (m *Mixer) do(a Action) { m.acts = append(m.acts, a) }
-
-func (m *Mixer) log(format string, args ...any) { m.do(Log{fmt.Sprintf(format, args...)}) }
-
 // Arrival and deadline.
 
 func (m *Mixer) onQuery(e QueryArrived) {
@@ -333,13 +328,6 @@
 	return best, cover
 }
 
-// pick chooses a replica for one part that is to go on its own.
-func (m *Mixer) pick(p *part) *server {
-	m.alone[0] = p
-	s, _ := m.choose(m.alone[:])
-	return s
-}
-
 // tier ranks a replica for a part: 0 takes its turn, the rest are skipped while a better one is there.
 func (m *Mixer) tier(s *server, p *part) int {
 	tried := slices.ContainsFunc(p.attempts, func(a *attempt) bool { return a.s == s })
@@ -827,7 +815,8 @@
 
 // Admission.
 
-// refuses decides on a whole query before any part is sent: on the miss share.
+// refuses decides on a whole query before any part is sent: on the miss share. Where a query can do without
+// those of its parts that would be late, it is taken without them, as of a cell with too few servers left.
 func (m *Mixer) refuses(q *query) bool {
 	if m.unheld(q) {
 		return true
@@ -836,10 +825,19 @@
 	if m.now+duration(need) > q.end {
 		return true // the client would leave before: work for nobody
 	}
-	return m.rng.Float64() < m.shed && slices.ContainsFunc(q.parts, func(p *part) bool {
+	if m.shed == 0 {
+		return false // the misses tell what was; wait and room at every shard what is
+	}
+	shed := m.rng.Float64() < m.shed
+	left := q.drop(func(p *part) bool {
 		s := m.pick(p)
-		return m.wouldMiss(p) || s == nil || len(s.out)+len(s.held) >= m.room(s)
-	}) // the misses tell what was; wait and room at every shard what is
+		return m.wouldMiss(p) || shed && (s == nil || len(s.out)+len(s.held) >= m.room(s))
+	})
+	little := left < q.class.Floor-weightSlip || left < q.class.Need-weightSlip && q.class.Fetch > 0
+	if little && !shed {
+		q.drop(func(*part) bool { return false })
+	}
+	return little && shed
 }
 
 // unheld says whether the list names a ready server for so few of a query's parts that no answer could be
@@ -1073,6 +1071,3 @@
 		m.askAt = min(m.askAt, m.now+w) // asked too seldom, we count as told what we were not
 	}
 }
-
-// asking says whether the list is still to be subscribed to.
-func (m *Mixer) asking() bool { return m.set.AskMode && !m.subscribed }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1312,6 +1312,18 @@
 	if q, _ := b.query(0, 4*time.Second, 0, 1); b.finals[q] != 1 {
 		t.Error("taken while refusing, though its second shard is slow")
 	}
+	// One that can do without the slow shard is taken without it, and answered as soon as the rest is in
+	// (hanbit-lots hand: operators took out two of a cell's three).
+	b.m.set.Classes[0].Floor = 0.5
+	q, _ := b.query(0, 4*time.Second, 0, 1)
+	if len(b.sends) != 1 || b.finals[q] > 0 {
+		t.Fatalf("%d parts sent, %d final answers", len(b.sends), b.finals[q])
+	}
+	b.now += 50 * ms
+	b.outcome(b.sends[0], OK)
+	if a, ok := b.last[q].(Answer); !ok || a.Whole || !a.Final {
+		t.Errorf("last word %+v", b.last[q])
+	}
 }
 
 // A query that lost its first part to a death proves itself with a part of another shard, lest both replicas
--- a/policy/state.go
+++ b/policy/state.go
@@ -403,6 +403,20 @@
 	}
 }
 
+func (m *Mixer) do(a Action) { m.acts = append(m.acts, a) }
+
+func (m *Mixer) log(format string, args ...any) { m.do(Log{fmt.Sprintf(format, args...)}) }
+
+// asking says whether the list is still to be subscribed to.
+func (m *Mixer) asking() bool { return m.set.AskMode && !m.subscribed }
+
+// pick chooses a replica for one part that is to go on its own.
+func (m *Mixer) pick(p *part) *server {
+	m.alone[0] = p
+	s, _ := m.choose(m.alone[:])
+	return s
+}
+
 // forget drops a part that nothing more is to be heard of.
 func (m *Mixer) forget(p *part) {
 	if !anyLive(p) {
@@ -596,10 +610,20 @@
 	return got, can, lost, in
 }
 
+// drop gives up the parts that are to be left out, and returns what the rest weigh.
+func (q *query) drop(out func(*part) bool) (left float64) {
+	for _, p := range q.parts {
+		if p.dead = out(p); !p.dead {
+			left += p.Weight
+		}
+	}
+	return left
+}
+
 // useSpare takes the query's strongest spare part, nil if it has none.
 func (q *query) useSpare() (best *part) {
 	for _, p := range q.parts {
-		if p.spare && (best == nil || p.strength > best.strength) {
+		if p.spare && !p.dead && (best == nil || p.strength > best.strength) {
 			best = p
 		}
 	}
