New settings by SIGHUP, checked whole and put in force at once

First try: crashed on the first SIGHUP (index of a new class in Dropped, which ends with the old ones); the test of a reload now has a new class in it.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		logger.Fatalf("configuration: %v", err)
 	}
-	front, err := lifecycle.LoadFront(*frontFile, c.Settings)
+	front, err := lifecycle.LoadFront(*frontFile, &c.Settings)
 	if err != nil {
 		logger.Fatalf("configuration: %v", err)
 	}
@@ -41,7 +41,7 @@
 	for {
 		select {
 		case <-reload:
-			d.Reload(*config, os.Getenv)
+			d.Reload(*config)
 		case <-terminate:
 			d.Drain()
 			return
--- a/internal/gather/core.go
+++ b/internal/gather/core.go
@@ -21,7 +21,6 @@
 
 // Core owns the Mixer and all tables. Only Run's goroutine touches what stands below quit.
 type Core struct {
-	set       settings.Settings
 	transport Transport
 	log       *log.Logger
 	seed      uint64
@@ -29,7 +28,9 @@
 	in        chan any
 	quit      chan struct{}
 	open      atomic.Int64 // queries and parts in hand after the last step
+	openCap   atomic.Int64 // as set has it
 
+	set       settings.Settings
 	mixer     *policy.Mixer
 	servers   *mem.Servers
 	flight    *mem.InFlight[*query, *part]
@@ -64,12 +65,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{
+	c := &Core{
 		set: set, transport: t, log: logger, seed: seed, start: time.Now(), mixer: m,
 		in: make(chan any, inbox), quit: make(chan struct{}),
 		servers: mem.NewServers(), flight: mem.NewInFlight[*query, *part](set.OpenCap),
 		out: map[*Attempt]struct{}{},
-	}, nil
+	}
+	c.openCap.Store(int64(set.OpenCap))
+	return c, nil
 }
 
 // now is the Mixer's clock: monotonic, from epoch.
@@ -176,7 +179,7 @@
 }
 
 // Load is the share of the in-flight table that is taken. Any goroutine may ask.
-func (c *Core) Load() float64 { return float64(c.open.Load()) / float64(c.set.OpenCap) }
+func (c *Core) Load() float64 { return float64(c.open.Load()) / float64(c.openCap.Load()) }
 
 // decide runs one step of the Mixer. A panic there must not take down the daemon with all that it holds.
 func (c *Core) decide(now time.Duration, events []policy.Event) (actions []policy.Action, err error) {
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/policy"
 )
 
@@ -28,6 +29,7 @@
 		done chan bool // has room for the one answer
 	}
 	lastCall struct{ at time.Time }
+	retuned  struct{ set settings.Settings }
 )
 
 // Detach has nothing more sent to a server until Attach, whatever the list says. It returns when that is in
@@ -48,6 +50,9 @@
 	}
 }
 
+// Retune puts other settings in force for what is submitted from then on. They must be Over those before.
+func (c *Core) Retune(set settings.Settings) { c.tell(retuned{set}) }
+
 // EndBy gives every request its final answer by then, whatever time its client has left.
 func (c *Core) EndBy(at time.Time) { c.tell(lastCall{at}) }
 
@@ -98,6 +103,11 @@
 		}
 		c.news(policy.Delta, news)
 		m.done <- ok
+	case retuned:
+		c.set = m.set
+		c.flight.SetCap(m.set.OpenCap)
+		c.openCap.Store(int64(m.set.OpenCap))
+		c.events = append(c.events, policy.Retuned{Settings: m.set.Policy})
 	case lastCall:
 		c.endBy = m.at
 	}
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log"
@@ -9,7 +10,6 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,21 +53,23 @@
 }
 
 // newTransport makes the side towards the lot stores: frames, or the API where the front's file says so.
-func newTransport(c Config, f *FrontConfig, logger *log.Logger) transport {
+func newTransport(c Config, f *FrontConfig, current *settings.Current, logger *log.Logger) transport {
 	set, conns := c.Settings, int(storeShare*float64(c.Sockets))
 	if f == nil || !f.Stores {
 		return frames.New(frames.Config{Streams: set.StreamsPerConn, ConnectTimeout: set.ConnectTimeout,
 			ConnIdle: set.ConnIdle, MaxConns: conns, Log: logger})
 	}
-	sc := opensearch.StoresConfig{Indices: make([]string, len(set.Classes)), Shards: set.Shards,
-		ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle, MaxConns: conns, Log: logger}
+	indices := map[string]string{}
 	for index, class := range f.Indices {
-		sc.Indices[slices.Index(set.Classes, class)] = index
+		indices[class] = index
 	}
-	for _, k := range set.Policy.Classes {
-		sc.Keyed = append(sc.Keyed, k.Effect != policy.Safe)
+	class := func(n int) (index string, keyed bool) {
+		s := current.Load()
+		// A class that came with a reload stands under its own name.
+		return cmp.Or(indices[s.Classes[n]], s.Classes[n]), s.Policy.Classes[n].Effect != policy.Safe
 	}
-	return opensearch.NewStores(sc)
+	return opensearch.NewStores(opensearch.StoresConfig{Class: class, Shards: set.Shards,
+		ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle, MaxConns: conns, Log: logger})
 }
 
 // door is one listener and what serves it.
@@ -81,7 +83,7 @@
 type Daemon struct {
 	log      *log.Logger
 	core     *gather.Core
-	settings settings.Settings
+	settings settings.Current
 	mu       sync.Mutex
 	doors    []*door           // under mu; the platform's first, then the OpenSearch-style front's if it is on, then operations'
 	second   *opensearch.Front // nil when off
@@ -107,14 +109,15 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 
-	tr := newTransport(c, f, logger)
+	d := &Daemon{log: logger, config: c, bodies: make(chan struct{}, int(bodyShare*float64(c.MemoryMB<<20)/mem.BufferSize))}
+	d.settings.Store(&c.Settings)
+	tr := newTransport(c, f, &d.settings, logger)
 	core, err := gather.New(c.Settings, c.Seed, tr, logger)
 	if err != nil {
 		return nil, err
 	}
 	tr.Start(core)
-	d := &Daemon{log: logger, core: core, settings: c.Settings, config: c,
-		bodies: make(chan struct{}, int(bodyShare*float64(c.MemoryMB<<20)/mem.BufferSize))}
+	d.core = core
 	go core.Run()
 	if err := d.openAdmin(); err != nil {
 		d.Drain()
@@ -125,13 +128,13 @@
 	d.follow(c.KnownSeq)
 
 	// Doors open only now: a gatherer is ready when it has its list.
-	front := &platform.Front{Core: core, Settings: c.Settings, Ready: func() bool { return !d.state().Draining }}
+	front := &platform.Front{Core: core, Settings: &d.settings, Ready: func() bool { return !d.state().Draining }}
 	if err := d.open(c.Listen, c.Inherited, front.Handle, int(clientShare*float64(c.Sockets))); err != nil {
 		d.Drain()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	if f != nil {
-		d.second = &opensearch.Front{Core: core, Settings: c.Settings, Name: fmt.Sprintf("os-%s-%x", c.Name, c.Seed)}
+		d.second = &opensearch.Front{Core: core, Settings: &d.settings, Name: fmt.Sprintf("os-%s-%x", c.Name, c.Seed)}
 		d.second.SetIndices(f.Indices)
 		if err := d.open(f.Listen, 0, d.second.Handle, int(secondShare*float64(c.Sockets))); err != nil {
 			d.Drain()
@@ -153,7 +156,7 @@
 func (d *Daemon) follow(seq int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	w := &discovery.Watcher{Addr: d.config.Discovery, Zones: d.settings.Zones, Log: d.log, Tell: d.core.List}
+	w := &discovery.Watcher{Addr: d.config.Discovery, Zones: d.settings.Load().Zones, Log: d.log, Tell: d.core.List}
 	go func() { w.Run(ctx, seq); close(ended) }()
 	d.unwatch = func() { cancel(); <-ended }
 }
@@ -212,7 +215,7 @@
 	for i, x := range d.doors {
 		if i == 0 && d.config.Inherited > 0 {
 			longest := time.Duration(0)
-			for _, k := range d.settings.Policy.Classes {
+			for _, k := range d.settings.Load().Policy.Classes {
 				longest = max(longest, k.Deadline)
 			}
 			longest = min(longest, deadlineMost) + answerFor
--- a/internal/lifecycle/operations.go
+++ b/internal/lifecycle/operations.go
@@ -76,7 +76,7 @@
 		x.d.sendAway(marked)
 	}
 	if text, ok := values[indicesKey]; ok && x.d.second != nil {
-		indices, err := parseIndices(gjson.Parse(text), c.Settings)
+		indices, err := parseIndices(gjson.Parse(text), x.d.settings.Load())
 		if err != nil {
 			x.d.log.Printf("store: %s cannot be used: %v", indicesKey, err)
 			return
@@ -137,6 +137,6 @@
 	case !gjson.Valid(value):
 		return errors.New("the value is not JSON")
 	}
-	_, err := parseIndices(gjson.Parse(value), x.d.settings)
+	_, err := parseIndices(gjson.Parse(value), x.d.settings.Load())
 	return err
 }
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -1,37 +1,48 @@
 package lifecycle
 
 import (
-	"reflect"
+	"strings"
 
 	"pulleygw.example/pulleygw/internal/net/discovery"
 )
 
-// Reload reads the configuration file again and follows discovery at the address that it now names. The
-// file wins over LB_DISCOVERY, which still has the address of the start. A file that cannot be used changes
-// nothing. It must not be called beside itself or Drain.
-func (d *Daemon) Reload(path string, env func(string) string) {
-	c, err := LoadConfig(path, func(name string) string {
-		if name == "LB_DISCOVERY" {
-			return ""
-		}
-		return env(name)
-	})
+// Reload reads the configuration file again and puts its settings and its address of discovery in force. The file
+// counts alone, as the environment still says what held at the start. A file that cannot be used in any part
+// changes nothing. It must not be called beside itself or Drain.
+func (d *Daemon) Reload(path string) {
+	c, err := LoadConfig(path, func(string) string { return "" })
 	if err != nil {
 		d.log.Printf("reload: the file cannot be used, the configuration stays: %v", err)
 		return
 	}
+	set, kept := c.Settings.Over(*d.settings.Load())
 	for _, f := range []struct {
-		name     string
-		old, new any
+		name string
+		same bool
 	}{
-		{"name", d.config.Name, c.Name}, {"listen", d.config.Listen, c.Listen},
-		{"limits.cores", d.config.Cores, c.Cores}, {"limits.memory_mb", d.config.MemoryMB, c.MemoryMB},
-		{"limits.sockets", d.config.Sockets, c.Sockets}, {"settings", d.config.Settings, c.Settings},
+		{"limits.cores", d.config.Cores == c.Cores}, {"limits.memory_mb", d.config.MemoryMB == c.MemoryMB},
+		{"limits.sockets", d.config.Sockets == c.Sockets},
 	} {
-		if !reflect.DeepEqual(f.old, f.new) {
-			d.log.Printf("reload: %s has changed, which takes effect at the next start only", f.name)
+		if !f.same {
+			kept = append(kept, f.name)
 		}
 	}
+	for _, name := range kept {
+		d.log.Printf("reload: %s has changed, which takes effect at the next start only", name)
+	}
+	// The core hears first, so that it knows each class by the time that a request names it.
+	d.core.Retune(set)
+	d.settings.Store(&set)
+	var classes []string
+	for i, name := range set.Classes {
+		if set.Class(name) == i {
+			classes = append(classes, name)
+		}
+	}
+	d.log.Printf("reload: settings in force, classes %s", strings.Join(classes, " "))
+	if c.Discovery == d.config.Discovery {
+		return // the watch goes on: a new one would not be told again what this one was
+	}
 	// The old watch ends first, so that none of its news can follow the new list. Versions of one address
 	// mean nothing at another: the new one is followed from its whole list on.
 	d.unwatch()
--- a/internal/mem/inflight.go
+++ b/internal/mem/inflight.go
@@ -26,6 +26,9 @@
 	return &InFlight[Q, P]{cap: cap, queries: map[uint64]Q{}, parts: map[uint64]P{}, names: map[string]struct{}{}}
 }
 
+// SetCap gives the table another bound. What is in it stays.
+func (t *InFlight[Q, P]) SetCap(cap int) { t.cap = cap }
+
 // Room says whether a query with so many parts still fits.
 func (t *InFlight[Q, P]) Room(parts int) bool {
 	return len(t.queries)+len(t.parts)+1+parts <= t.cap
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -34,7 +34,7 @@
 // Front accepts the API from clients.
 type Front struct {
 	Core     Core
-	Settings settings.Settings
+	Settings *settings.Current
 	Name     string // begins the names of this front's requests
 	number   atomic.Uint64
 	indices  atomic.Pointer[map[string]string]
@@ -98,11 +98,12 @@
 	if !search && !create {
 		return nil, illegal("not supported here: %.80q; only /{index}/_search, and /{index}/_create/{id} or _doc/{id} with op_type=create, are", r.Path)
 	}
-	class := slices.Index(f.Settings.Classes, (*f.indices.Load())[path[0]])
+	set := f.Settings.Load()
+	class := set.Class((*f.indices.Load())[path[0]])
 	if class < 0 {
 		return nil, &apiError{404, "index_not_found_exception", fmt.Sprintf("no such index [%.80s]", path[0])}
 	}
-	k := f.Settings.Policy.Classes[class]
+	k := set.Policy.Classes[class]
 	switch {
 	case search && k.Effect != policy.Safe:
 		return nil, illegal("index [%s] takes only create", path[0])
@@ -217,9 +218,9 @@
 	case pref != "" && routing != "":
 		return nil, illegal("[preference] and [routing] cannot be given together here")
 	case routing != "":
-		return []int{Shard(routing, f.Settings.Shards)}, nil
+		return []int{Shard(routing, f.Settings.Load().Shards)}, nil
 	case pref == "":
-		for s := range f.Settings.Shards {
+		for s := range f.Settings.Load().Shards {
 			list = append(list, s)
 		}
 		return list, nil
@@ -230,7 +231,7 @@
 	}
 	for _, n := range strings.Split(names, ",") {
 		s, err := strconv.Atoi(n)
-		if err != nil || s < 0 || s >= f.Settings.Shards || slices.Contains(list, s) {
+		if err != nil || s < 0 || s >= f.Settings.Load().Shards || slices.Contains(list, s) {
 			return nil, illegal("[preference] names no shard, or one twice: [%.20s]", n)
 		}
 		list = append(list, s)
@@ -257,7 +258,7 @@
 		routing = id
 	}
 	a.q.Key, a.q.Text = id, slices.Clone(body)
-	a.q.Shards = []gather.Shard{{Number: Shard(routing, f.Settings.Shards), Weight: 1}}
+	a.q.Shards = []gather.Shard{{Number: Shard(routing, f.Settings.Load().Shards), Weight: 1}}
 	return nil
 }
 
--- a/internal/net/opensearch/stores.go
+++ b/internal/net/opensearch/stores.go
@@ -23,9 +23,8 @@
 
 // StoresConfig is what the lot-store side needs to know.
 type StoresConfig struct {
-	Indices        []string // by class
+	Class          func(class int) (index string, keyed bool) // keyed: created in, not searched
 	Shards         int
-	Keyed          []bool        // by class: created in, not searched
 	ConnectTimeout time.Duration // also a probe's
 	ConnIdle       time.Duration // the lot store closes a connection idle for so long
 	MaxConns       int           // in all
@@ -121,7 +120,7 @@
 	var kinds [2][]*gather.Attempt
 	for _, a := range attempts {
 		k := 0
-		if t.Keyed[a.Class] {
+		if _, keyed := t.Class(a.Class); keyed {
 			k = 1
 		}
 		kinds[k] = append(kinds[k], a)
@@ -292,7 +291,8 @@
 		t.endAll(live, policy.Error)
 		return
 	}
-	items, err := parseItems(p, len(live), t.Keyed[live[0].Class])
+	_, keyed := t.Class(live[0].Class)
+	items, err := parseItems(p, len(live), keyed)
 	if err != nil {
 		t.broken(ctx, id, c, live, err)
 		return
@@ -322,12 +322,12 @@
 
 // request words a call: an _msearch or a _bulk.
 func (t *Stores) request(attempts []*gather.Attempt, now time.Time) (target string, body []byte) {
-	index := t.Indices[attempts[0].Class]
 	var b bytes.Buffer
 	for _, a := range attempts {
+		index, keyed := t.Class(a.Class)
 		text := line(a.Text)
 		left := strconv.FormatInt(max(a.Until.Sub(now).Milliseconds(), 1), 10) + "ms"
-		if t.Keyed[a.Class] {
+		if keyed {
 			target = "/_bulk?timeout=" + left
 			fmt.Fprintf(&b, `{"create":{"_index":%q,"_id":%q,"routing":%q}}`+"\n%s\n", index, a.Key, t.routing[a.Shard], text)
 			continue
--- a/internal/net/platform/platform.go
+++ b/internal/net/platform/platform.go
@@ -26,7 +26,7 @@
 // Front answers queries and the platform's questions after the daemon's state.
 type Front struct {
 	Core     Core
-	Settings settings.Settings
+	Settings *settings.Current
 	Ready    func() bool
 }
 
@@ -69,12 +69,8 @@
 // parse turns a query as sent into the core's form.
 func (f *Front) parse(r *http1.Request) (*gather.Request, *http1.Error) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
-	class := -1
-	for i, c := range f.Settings.Classes {
-		if c == name {
-			class = i
-		}
-	}
+	set := f.Settings.Load()
+	class := set.Class(name)
 	for _, h := range []string{"Req-Id", "Req-Deadline", "Idempotency-Key"} {
 		if len(r.Header[h]) > 1 {
 			return nil, bad("%s is given twice", h)
@@ -86,7 +82,7 @@
 	case r.Method != "POST":
 		return nil, &http1.Error{Status: 405, Reason: "a query is a POST"}
 	}
-	k := f.Settings.Policy.Classes[class]
+	k := set.Policy.Classes[class]
 	q := &gather.Request{Name: r.Header.Get("Req-Id"), Class: class, Key: r.Header.Get("Idempotency-Key"),
 		Done: make(chan gather.Result, 1)}
 	if !http1.IsName(q.Name) {
@@ -137,7 +133,7 @@
 	}
 	var shards []gather.Shard
 	var err *http1.Error
-	seen, sum := make([]bool, f.Settings.Shards), 0.0
+	seen, sum := make([]bool, f.Settings.Load().Shards), 0.0
 	buckets.ForEach(func(_, b gjson.Result) bool {
 		n, w := b.Get("bucket"), b.Get("part")
 		shard := int(n.Num)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -96,11 +96,11 @@
 
 // New makes a Mixer. Its only randomness comes from seed.
 func New(set Settings, seed uint64) (*Mixer, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	return &Mixer{
-		set: set, rng: rand.New(rand.NewPCG(seed, 1)), queries: map[QueryID]*query{},
+		set: set.filled(), rng: rand.New(rand.NewPCG(seed, 1)), queries: map[QueryID]*query{},
 		parts: map[PartID]*part{}, servers: map[ServerID]*server{}, pool: record(),
 		suspects: map[uint64]time.Duration{},
 		replicas: make([][]*server, set.Cells),
@@ -108,8 +108,6 @@
 	}, nil
 }
 
-func record() *histogram { return newHistogram(recordLow, recordHigh, recordRatio, recordHalf) }
-
 // Step takes the time and what happened and returns what to do. A time before the last one counts
 // as the last one. The result is valid until the next Step.
 func (m *Mixer) Step(now time.Duration, events []Event) []Action {
@@ -131,6 +129,8 @@
 			}
 		case ServerList:
 			m.onList(e)
+		case Retuned:
+			m.set = e.Settings.filled() // queries in hand point to the class that they came under
 		case Probed:
 			if s := m.servers[e.Server]; s != nil {
 				m.probed(&m.zones[s.Zone], e.OK)
@@ -312,7 +312,7 @@
 // until it answers takes less than the queue at the chosen one: else one sound server of a cell would carry
 // what the others still could. The last attempt is not for it. Where repeats are rationed it is left alone.
 func (m *Mixer) sooner(best *server, cover int, p *part) (*server, int) {
-	if best == nil || len(p.attempts) > m.set.MaxAttempts-2 || m.set.Rules.BudgetOn {
+	if best == nil || len(p.attempts) > p.q.class.MaxAttempts-2 || m.set.Rules.BudgetOn {
 		return best, cover
 	}
 	soonest := best.latNow(m.median, m.now, m.memory(latHalf))
@@ -398,7 +398,7 @@
 // send launches an attempt. Rules kept here: nothing for an ended query, attempts and budget counted,
 // repeats only where the class allows them now.
 func (m *Mixer) send(p *part, s *server) {
-	if p.done || p.q.ended || len(p.attempts) >= m.set.MaxAttempts || !m.repeatable(p) {
+	if p.done || p.q.ended || len(p.attempts) >= p.q.class.MaxAttempts || !m.repeatable(p) {
 		return
 	}
 	if len(p.attempts) > 0 {
@@ -613,7 +613,7 @@
 
 // again queues a part whose attempts have all failed, or gives it up.
 func (m *Mixer) again(p *part) {
-	if len(p.attempts) < m.set.MaxAttempts && m.repeatable(p) {
+	if len(p.attempts) < p.q.class.MaxAttempts && m.repeatable(p) {
 		if m.unproven(p.q) { // another part first: this one's shard may have lost a server to it
 			m.placeAll(p.q.parts)
 		} else {
@@ -641,7 +641,7 @@
 		return
 	}
 	if m.stalled || p.done ||
-		len(p.attempts) == 0 || len(p.attempts) >= m.set.MaxAttempts {
+		len(p.attempts) == 0 || len(p.attempts) >= p.q.class.MaxAttempts {
 		return
 	}
 	a := p.attempts[len(p.attempts)-1]
@@ -675,7 +675,7 @@
 // room can still answer it: one that hangs for a moment would keep it past its aim, one that vanished for
 // good. It goes again when the call-off is through, so that never two attempts are out.
 func (m *Mixer) move(p *part) {
-	if !m.set.Cancel || m.stalled || p.done || p.index >= 0 || len(p.attempts) >= m.set.MaxAttempts {
+	if !m.set.Cancel || m.stalled || p.done || p.index >= 0 || len(p.attempts) >= p.q.class.MaxAttempts {
 		return
 	}
 	a := p.attempts[len(p.attempts)-1]
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1421,6 +1421,24 @@
 	}
 }
 
+// Other settings bind queries that come after them; those in hand keep their class's attempts.
+func TestRetuned(t *testing.T) {
+	b := newBed(t, base(), 0, 1, 2)
+	_, before := b.query(0, 4*time.Second, 0)
+	set := base()
+	set.MaxAttempts = 1
+	set.Classes = append(set.Classes, set.Classes[0])
+	b.step(Retuned{Settings: set})
+	_, after := b.query(len(set.Classes)-1, 4*time.Second, 0)
+	for i := 0; i < len(b.sends); i++ {
+		b.now += 10 * ms
+		b.outcome(b.sends[i], Error)
+	}
+	if b.tries[before[0]] != 3 || b.tries[after[0]] != 1 {
+		t.Errorf("%d attempts of a part from before, %d of one from after", b.tries[before[0]], b.tries[after[0]])
+	}
+}
+
 // A keyed part that is held past its window cannot be sent again: its query fails then, not at its end.
 func TestHeldPastWindow(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
--- a/policy/state.go
+++ b/policy/state.go
@@ -417,6 +417,8 @@
 	return s
 }
 
+func record() *histogram { return newHistogram(recordLow, recordHigh, recordRatio, recordHalf) }
+
 // forget drops a part that nothing more is to be heard of.
 func (m *Mixer) forget(p *part) {
 	if !anyLive(p) {
