Handover: a successor begins with list, bans, drain state and records, and both keep the limits together

Ruled out as a danger: two processes pushing over a cold lot store. Each is held to 3 x warmth x what it was answered itself over 10 s; the successor begins at the least rate, the old one's own traffic has gone by the time it has more.

--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -29,6 +29,8 @@
 		done chan bool // has room for the one answer
 	}
 	lastCall struct{ at time.Time }
+	snapshot struct{ to chan Snapshot } // has room for the one answer
+	restored struct{ Snapshot }
 	retuned  struct{ set settings.Settings }
 )
 
@@ -50,6 +52,56 @@
 	}
 }
 
+// Snapshot is what a successor goes on from.
+type Snapshot struct {
+	Servers []mem.Server // as listed
+	Banned  []string
+	Back    map[string]time.Time // servers put back, and when
+	Records map[string]policy.Record
+}
+
+// Snapshot tells what a successor is to go on from.
+func (c *Core) Snapshot() (s Snapshot) {
+	to := make(chan Snapshot, 1)
+	c.tell(snapshot{to})
+	select {
+	case s = <-to:
+	case <-c.quit:
+	}
+	return s
+}
+
+// Restore goes on from a predecessor's snapshot.
+func (c *Core) Restore(s Snapshot) { c.tell(restored{s}) }
+
+func (c *Core) snapshot() Snapshot {
+	s := Snapshot{Servers: c.servers.Listed(), Records: map[string]policy.Record{}}
+	s.Banned, s.Back = c.servers.Bans()
+	names := map[policy.ServerID]string{}
+	for _, x := range s.Servers {
+		names[x.ID] = x.Name
+	}
+	for _, r := range c.mixer.Records() {
+		if name := names[r.Server]; name != "" {
+			s.Records[name] = r
+		}
+	}
+	return s
+}
+
+func (c *Core) restore(s Snapshot) {
+	c.servers.Inherit(s.Banned, s.Back)
+	c.list(List{Kind: policy.Cached, Servers: s.Servers})
+	var records []policy.Record
+	for _, x := range c.servers.Listed() {
+		if r, ok := s.Records[x.Name]; ok {
+			r.Server = x.ID
+			records = append(records, r)
+		}
+	}
+	c.events = append(c.events, policy.Learned{Records: records})
+}
+
 // Retune puts other settings in force for what is submitted from then on. They must be Over those before.
 func (c *Core) Retune(set settings.Settings) { c.tell(retuned{set}) }
 
@@ -103,6 +155,10 @@
 		}
 		c.news(policy.Delta, news)
 		m.done <- ok
+	case snapshot:
+		m.to <- c.snapshot()
+	case restored:
+		c.restore(m.Snapshot)
 	case retuned:
 		c.set = m.set
 		c.flight.SetCap(m.set.OpenCap)
--- a/internal/lifecycle/calls.go
+++ b/internal/lifecycle/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/net/admin"
+	"pulleygw.example/pulleygw/internal/net/handover"
 )
 
 // openAdmin listens for operators' calls, where the configuration says.
@@ -23,7 +24,7 @@
 	return nil
 }
 
-// call carries out an operator's call. What it says yes to is in force.
+// call answers an operator's call. What it says yes to is in force, here and at the other process if there is one.
 func (d *Daemon) call(c admin.Call) (string, error) {
 	if c.Verb == admin.Ping {
 		if !d.ready.Load() || d.state().Draining {
@@ -31,22 +32,40 @@
 		}
 		return "ready", nil
 	}
-	known := true
+	if !d.ready.Load() {
+		return "", errors.New("starting")
+	}
+	d.calls.Lock() // the other is told in the same order
+	defer d.calls.Unlock()
+	now := time.Now()
+	if !d.apply(c, now) {
+		return "", fmt.Errorf("no lot store %s is known", c.Name)
+	}
+	if link := d.handover.other(); link != nil {
+		if err := link.Tell(handover.Message{Verb: string(c.Verb), Name: c.Name, AtMs: now.UnixMilli()}); err != nil {
+			d.log.Printf("handover: the other process did not take %s %s: %v", c.Verb, c.Name, err)
+		}
+	}
+	return "done", nil
+}
+
+// apply puts a call in force in this process, and says whether its lot store is known.
+func (d *Daemon) apply(c admin.Call, at time.Time) (known bool) {
+	known = true
 	switch c.Verb {
 	case admin.Detach:
 		known = d.core.Detach(c.Name)
 	case admin.Attach:
-		known = d.core.Attach(c.Name, time.Now())
+		known = d.core.Attach(c.Name, at)
 	case admin.LameDuck:
 		d.sendAway(true)
 	case admin.Rejoin:
 		d.sendAway(false)
 	}
-	if !known {
-		return "", fmt.Errorf("no lot store %s is known", c.Name)
+	if known {
+		d.log.Printf("operator: %s %s", c.Verb, c.Name)
 	}
-	d.log.Printf("operator: %s %s", c.Verb, c.Name)
-	return "done", nil
+	return known
 }
 
 // sendAway sets the one drain state: not ready, and clients' connections close as they are answered.
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +49,7 @@
 type transport interface {
 	gather.Transport
 	Start(gather.Reporter)
+	SetMaxConns(int)
 }
 
 // newTransport makes the side towards the lot stores: frames, or the API where the front's file says so.
@@ -75,6 +75,7 @@
 // door is one listener and what serves it.
 type door struct {
 	*http1.Server
+	share  float64 // of the descriptors
 	addr   net.Addr
 	served chan struct{}
 }
@@ -94,6 +95,9 @@
 	ready    atomic.Bool // started whole
 	lame     atomic.Bool // clients are sent away, by an operator or by the store's mark
 	admin    net.Listener
+	calls    sync.Mutex // operators' calls are carried out one after another
+	handover handoverState
+	tr       transport
 	config   Config // as started with, but for what a reload has changed
 	unwatch  func() // ends the watch of discovery and waits for its end
 }
@@ -106,7 +110,6 @@
 // Start makes a gatherer that serves. A nil front leaves the OpenSearch-style front off, and nil operations
 // the balancers' endpoints and the store.
 func Start(c Config, f *FrontConfig, o *OperationsConfig, logger *log.Logger) (*Daemon, error) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 
 	d := &Daemon{log: logger, config: c, bodies: make(chan struct{}, int(bodyShare*float64(c.MemoryMB<<20)/mem.BufferSize))}
@@ -117,6 +120,8 @@
 		return nil, err
 	}
 	tr.Start(core)
+	d.tr = tr
+	d.share()
 	d.core = core
 	go core.Run()
 	if err := d.openAdmin(); err != nil {
@@ -125,18 +130,22 @@
 	}
 	c.Known.Kind = policy.Cached
 	core.List(c.Known)
+	// A predecessor's list is younger than the one that the configuration has; the whole one is asked for then.
+	if d.takeOver() {
+		c.KnownSeq = discovery.Fresh
+	}
 	d.follow(c.KnownSeq)
 
 	// Doors open only now: a gatherer is ready when it has its list.
 	front := &platform.Front{Core: core, Settings: &d.settings, Ready: func() bool { return !d.state().Draining }}
-	if err := d.open(c.Listen, c.Inherited, front.Handle, int(clientShare*float64(c.Sockets))); err != nil {
+	if err := d.open(c.Listen, c.Inherited, front.Handle, clientShare); err != nil {
 		d.Drain()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	if f != nil {
 		d.second = &opensearch.Front{Core: core, Settings: &d.settings, Name: fmt.Sprintf("os-%s-%x", c.Name, c.Seed)}
 		d.second.SetIndices(f.Indices)
-		if err := d.open(f.Listen, 0, d.second.Handle, int(secondShare*float64(c.Sockets))); err != nil {
+		if err := d.open(f.Listen, 0, d.second.Handle, secondShare); err != nil {
 			d.Drain()
 			return nil, fmt.Errorf("opensearch front: listen: %w", err)
 		}
@@ -147,6 +156,9 @@
 			return nil, err
 		}
 	}
+	if err := d.offer(); err != nil {
+		logger.Printf("handover: no successor can be welcomed: %v", err)
+	}
 	d.ready.Store(true)
 	logger.Printf("ready: name=%s listen=%v known=%d", c.Name, d.Addrs(), len(c.Known.Servers))
 	return d, nil
@@ -183,13 +195,16 @@
 	return l, nil
 }
 
-func (d *Daemon) open(addr string, inherited int, h http1.Handler, conns int) error {
+func (d *Daemon) open(addr string, inherited int, h http1.Handler, share float64) error {
 	l, err := listen(addr, inherited)
 	if err != nil {
 		return err
 	}
-	x := &door{http1.New(l.(*net.TCPListener), h, conns, d.log), l.Addr(), make(chan struct{})}
-	x.Bodies, x.Keep = d.bodies, min(conns, int(keepShare*float64(d.config.Sockets)))
+	x := &door{http1.New(l.(*net.TCPListener), h, 0, d.log), share, l.Addr(), make(chan struct{})}
+	x.Bodies = d.bodies
+	d.mu.Lock()
+	x.SetLimits(d.conns(x.share), d.conns(keepShare))
+	d.mu.Unlock()
 	go func() { x.Serve(); close(x.served) }()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -237,6 +252,7 @@
 	if d.admin != nil {
 		d.admin.Close()
 	}
+	d.handover.close()
 	if d.unwatch != nil {
 		d.unwatch()
 	}
--- /dev/null
+++ b/internal/lifecycle/handover.go
@@ -0,0 +1,222 @@
+package lifecycle
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/net/admin"
+	"pulleygw.example/pulleygw/internal/net/discovery"
+	"pulleygw.example/pulleygw/internal/net/handover"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// A process that inherits the clients' socket may be started beside another of its name: a successor beside its
+// predecessor. Both count as one gatherer, so that they share the limits, and an operator's call to either binds both.
+
+// handoverState is what a process has of the other.
+type handoverState struct {
+	mu       sync.Mutex
+	listener net.Listener   // where a successor comes; nil for nowhere
+	link     *handover.Link // to the other process; nil without one
+	closed   bool
+}
+
+func (h *handoverState) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	if h.listener != nil {
+		h.listener.Close()
+	}
+	if h.link != nil {
+		h.link.Close()
+	}
+}
+
+func (h *handoverState) other() *handover.Link {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.link
+}
+
+// path is where a successor finds this process.
+func (d *Daemon) path() string { return filepath.Join(os.TempDir(), "pulleygw-"+d.config.Name+".sock") }
+
+// conns is a share of the descriptors: half of it while there are two processes.
+func (d *Daemon) conns(share float64) int {
+	return max(int(share*float64(d.config.Sockets)*d.part()), 1)
+}
+
+func (d *Daemon) part() float64 {
+	if d.handover.other() != nil {
+		return 0.5
+	}
+	return 1
+}
+
+// share puts this process's part of the limits in force.
+func (d *Daemon) share() {
+	debug.SetMemoryLimit(int64(memoryShare * float64(d.config.MemoryMB) * (1 << 20) * d.part()))
+	d.tr.SetMaxConns(d.conns(storeShare))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, x := range d.doors {
+		x.SetLimits(d.conns(x.share), d.conns(keepShare))
+	}
+}
+
+// takeOver goes on from a predecessor's state, if there is one. Whatever is wrong with it never stops a start.
+func (d *Daemon) takeOver() bool {
+	if d.config.Inherited == 0 {
+		return false
+	}
+	link, state, err := handover.Greet(d.path())
+	if errors.Is(err, fs.ErrNotExist) {
+		return false
+	}
+	var s gather.Snapshot
+	if err == nil {
+		if s, err = d.snapshot(state); err != nil {
+			link.Close()
+		}
+	}
+	if err != nil {
+		d.log.Printf("handover: no predecessor, starting without its state: %v", err)
+		return false
+	}
+	d.core.Restore(s)
+	if state.Drain {
+		d.sendAway(true)
+	}
+	d.log.Printf("handover: took over %d lot stores, %d records, out %v, drain %v", len(s.Servers), len(s.Records), s.Banned, state.Drain)
+	d.linked(link)
+	go d.serveLink(link, false)
+	return true
+}
+
+// offer waits for a successor.
+func (d *Daemon) offer() error {
+	if d.config.Inherited == 0 {
+		return nil
+	}
+	l, err := handover.Listen(d.path())
+	if err != nil {
+		return err
+	}
+	h := &d.handover
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		l.Close()
+		return nil
+	}
+	h.listener = l
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			link, err := handover.Welcome(nc, d.linked, d.handState)
+			if err != nil {
+				d.log.Printf("handover: a process that came as successor failed: %v", err)
+			}
+			if link != nil {
+				d.log.Printf("handover: a successor has come, half of all limits are its own")
+				d.serveLink(link, true)
+			}
+		}
+	}()
+	return nil
+}
+
+// linked notes that there is another process; an earlier one has none to do with this one any more.
+func (d *Daemon) linked(link *handover.Link) {
+	h := &d.handover
+	h.mu.Lock()
+	if h.link != nil {
+		h.link.Close()
+	}
+	h.link = link
+	h.mu.Unlock()
+	d.share()
+}
+
+// serveLink carries out the other's calls until it has ended. Then all limits are this process's own.
+func (d *Daemon) serveLink(link *handover.Link, successor bool) {
+	err := link.Serve(func(m handover.Message) {
+		d.apply(admin.Call{Verb: admin.Verb(m.Verb), Name: m.Name}, time.UnixMilli(m.AtMs))
+	})
+	h := &d.handover
+	h.mu.Lock()
+	if h.link == link {
+		h.link = nil
+	}
+	h.mu.Unlock()
+	if d.draining.Load() {
+		return
+	}
+	d.log.Printf("handover: the other process has ended (%v), all limits are this one's", err)
+	d.share()
+	if !successor {
+		return
+	}
+	h.mu.Lock()
+	h.listener.Close()
+	h.mu.Unlock()
+	// The successor has died: the name is to lead here again.
+	if err := d.offer(); err != nil {
+		d.log.Printf("handover: no successor can be welcomed: %v", err)
+	}
+}
+
+// handState is what a successor begins with.
+func (d *Daemon) handState() handover.State {
+	s := d.core.Snapshot()
+	zones := d.settings.Load().Zones
+	x := handover.State{Hosts: discovery.AppendList(nil, 0, s.Servers, zones), Banned: append([]string{}, s.Banned...),
+		Attached: map[string]int64{}, Drain: d.lame.Load(), Records: []handover.Record{}}
+	for name, at := range s.Back {
+		x.Attached[name] = at.UnixMilli()
+	}
+	for name, r := range s.Records {
+		cold := int64(-1)
+		if r.ColdFor >= 0 {
+			cold = r.ColdFor.Milliseconds()
+		}
+		x.Records = append(x.Records, handover.Record{Name: name, Answers: r.Answers, Latency: r.Latency,
+			Failing: r.Failing, Cap: r.Cap, ColdMs: cold})
+	}
+	return x
+}
+
+// snapshot reads a predecessor's state.
+func (d *Daemon) snapshot(state *handover.State) (s gather.Snapshot, err error) {
+	_, list, err := discovery.ParseList(state.Hosts, d.settings.Load().Zones)
+	if err != nil {
+		return s, err
+	}
+	if len(list.Servers) == 0 {
+		return s, fmt.Errorf("its list is empty")
+	}
+	s = gather.Snapshot{Servers: list.Servers, Banned: state.Banned, Back: map[string]time.Time{}, Records: map[string]policy.Record{}}
+	for name, at := range state.Attached {
+		s.Back[name] = time.UnixMilli(at)
+	}
+	for _, r := range state.Records {
+		cold := time.Duration(-1)
+		if r.ColdMs >= 0 {
+			cold = time.Duration(r.ColdMs) * time.Millisecond
+		}
+		s.Records[r.Name] = policy.Record{Answers: r.Answers, Latency: r.Latency, Failing: r.Failing, Cap: r.Cap, ColdFor: cold}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/lifecycle/handover_test.go
@@ -0,0 +1,112 @@
+package lifecycle
+
+import (
+	"io"
+	"log"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/net/handover"
+	"pulleygw.example/pulleygw/internal/standin"
+)
+
+// descriptor is a new descriptor of a listening socket, as a process inherits it.
+func descriptor(t *testing.T, l *net.TCPListener) int {
+	f, err := l.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return int(f.Fd())
+}
+
+// until waits for something that another goroutine is about to do.
+func until(done func() bool) {
+	for !done() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A successor begins with the bans, the drain state, the list and the records; a call to either then binds both;
+// while there are two, each has half of the limits, and whichever is left has all of them.
+func TestSuccessor(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	l := standin.Listen(t).(*net.TCPListener)
+	old := startConfig(t, "frames", nil, func(c *Config) { c.Inherited, c.Admin = descriptor(t, l), "127.0.0.1:0" })
+	if a := old.platform(t, 1, recorded{Shards: []int{4, 8}}); a.kind != "answered whole" {
+		t.Fatal(a.kind)
+	}
+	operator(t, old.Daemon, "DETACH s-0")
+	operator(t, old.Daemon, "DETACH s-1")
+	operator(t, old.Daemon, "LAMEDUCK")
+	begin := func() *Daemon {
+		c := old.config
+		c.Inherited, c.Known.Servers = descriptor(t, l), nil
+		d, err := Start(c, &FrontConfig{Listen: "127.0.0.1:0", Indices: map[string]string{"lots": "lot-search"}}, nil, log.New(io.Discard, "", 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(d.Drain)
+		return d
+	}
+	limit := func(d *Daemon) int {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.conns(1)
+	}
+	young := begin()
+	if got := operator(t, young, "PING"); got != "400" {
+		t.Errorf("a successor of one that drains says %s", got)
+	}
+	until(func() bool { return len(young.core.Snapshot().Records) > 0 }) // its module has made its first step
+	if s := young.core.Snapshot(); len(s.Banned) != 2 || len(s.Records) != 12 || len(s.Servers) != 12 {
+		t.Errorf("%d out, %d records, %d lot stores", len(s.Banned), len(s.Records), len(s.Servers))
+	}
+	if a, b := limit(old.Daemon), limit(young); a != 512 || b != 512 {
+		t.Errorf("limits %d and %d of 1024", a, b)
+	}
+	if operator(t, old.Daemon, "REJOIN") != "200" || operator(t, young, "PING") != "200" {
+		t.Error("a call to the old one does not bind its successor")
+	}
+	if p := do(t, young.Addrs()[1], "GET", "/lots/_search?preference=_shards:0", nil, ""); p.Status != 429 {
+		t.Errorf("a shard whose lot stores are out: %d", p.Status)
+	}
+	operator(t, young, "ATTACH s-0")
+	if s := old.core.Snapshot(); len(s.Banned) != 1 || s.Back["s-0"].IsZero() {
+		t.Errorf("a call to the successor does not bind the old one: %v %v", s.Banned, s.Back)
+	}
+
+	young.Drain() // as if it died: the old one serves on, and welcomes another
+	until(func() bool { return limit(old.Daemon) == 1024 })
+	if a := old.platform(t, 2, recorded{Shards: []int{4}}); a.kind != "answered whole" {
+		t.Error(a.kind)
+	}
+	until(func() bool {
+		young = begin()
+		return len(young.core.Snapshot().Banned) == 1 // the name leads to the old one again
+	})
+	old.Drain()
+	until(func() bool { return limit(young) == 1024 })
+	if p := do(t, l.Addr().String(), "GET", "/-/ready", nil, ""); p.Status != 200 {
+		t.Errorf("the successor alone: %d", p.Status)
+	}
+}
+
+// A stale or torn file where the other process should be never stops a start.
+func TestStaleHandover(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	if err := os.WriteFile(os.TempDir()+"/pulleygw-n1.sock", []byte(`{"kind":"sta`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l := standin.Listen(t).(*net.TCPListener)
+	w := startConfig(t, "frames", nil, func(c *Config) { c.Inherited = descriptor(t, l) })
+	if p := dialKept(t, l.Addr().String()).get(t, "/-/ready"); p.Status != 200 {
+		t.Errorf("%d", p.Status)
+	}
+	w.Drain()
+	if _, err := w.snapshot(&handover.State{Hosts: []byte("{}")}); err == nil || !strings.Contains(err.Error(), "list") {
+		t.Errorf("an empty state is taken: %v", err)
+	}
+}
--- a/internal/lifecycle/operations.go
+++ b/internal/lifecycle/operations.go
@@ -25,7 +25,7 @@
 	marked bool // the store marks this gatherer as draining; its goroutine's own
 }
 
-const operationsConns = 16
+const operationsShare = 0.015 // of the descriptors, for balancers and operators
 
 // startOperations opens the balancers' endpoints and joins the store.
 func startOperations(d *Daemon, c Config, o *OperationsConfig) (_ *operations, err error) {
@@ -43,7 +43,7 @@
 		x.close()
 		return nil, fmt.Errorf("operations: agent_check: %w", err)
 	}
-	if err := d.open(o.Health, 0, x.handle, operationsConns); err != nil {
+	if err := d.open(o.Health, 0, x.handle, operationsShare); err != nil {
 		x.close()
 		return nil, fmt.Errorf("operations: health: %w", err)
 	}
--- a/internal/mem/mem_test.go
+++ b/internal/mem/mem_test.go
@@ -88,7 +88,7 @@
 	if news, ok := l.Ban("a"); !ok || len(news) != 1 || news[0].State != policy.Draining {
 		t.Errorf("%+v", news)
 	}
-	if news, ok := l.Ban("a"); !ok || len(news) != 0 || len(l.Banned()) != 1 {
+	if news, ok := l.Ban("a"); !ok || len(news) != 0 || len(l.banned) != 1 {
 		t.Errorf("the second time: %+v", news)
 	}
 	if news := l.Apply(false, ready, now); news[0].State != policy.Draining || l.All()[0].State != policy.Draining {
@@ -109,7 +109,7 @@
 	l.Ban("a")
 	l.Apply(true, nil, now)
 	l.Apply(true, nil, now.Add(keepGone+1))
-	if _, ok := l.Unban("a", now); !ok || len(l.Banned()) != 0 {
+	if _, ok := l.Unban("a", now); !ok || len(l.banned) != 0 {
 		t.Error("a name no longer listed stays banned")
 	}
 	if _, ok := l.Unban("a", now); ok {
--- a/internal/mem/servers.go
+++ b/internal/mem/servers.go
@@ -117,8 +117,26 @@
 	return []Server{old, l.shown(s)}, true
 }
 
-// Banned lists the names that are out.
-func (l *Servers) Banned() []string { return slices.Sorted(maps.Keys(l.banned)) }
+// Bans tells which names are out, and since when others are back.
+func (l *Servers) Bans() (out []string, back map[string]time.Time) {
+	return slices.Sorted(maps.Keys(l.banned)), maps.Clone(l.attached)
+}
+
+// Inherit takes over another process's bans. The list is to follow.
+func (l *Servers) Inherit(out []string, back map[string]time.Time) {
+	for _, name := range out {
+		l.banned[name] = struct{}{}
+	}
+	maps.Copy(l.attached, back)
+}
+
+// Listed lists every server known as discovery has it, bans or not, and those lately gone.
+func (l *Servers) Listed() (all []Server) {
+	for _, s := range l.byName {
+		all = append(all, *s)
+	}
+	return all
+}
 
 // All lists every server not gone.
 func (l *Servers) All() []Server {
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -58,6 +58,34 @@
 	return version.Int(), l, err
 }
 
+// AppendList words a list as ParseList reads it.
+func AppendList(b []byte, seq int64, list []mem.Server, zones []string) []byte {
+	b = fmt.Appendf(b, `{"seq":%d,"whole":true,"hosts":[`, seq)
+	for i, s := range list {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		born := int64(0)
+		if !s.Born.IsZero() {
+			born = s.Born.UnixMilli()
+		}
+		b = append(b, `{"host":`...)
+		b = gjson.AppendJSONString(b, s.Name)
+		b = append(b, `,"dial":`...)
+		b = gjson.AppendJSONString(b, s.Addr)
+		b = append(b, `,"site":`...)
+		site := ""
+		if s.Zone >= 0 && s.Zone < len(zones) { // of one that is gone it may not be known
+			site = zones[s.Zone]
+		}
+		b = gjson.AppendJSONString(b, site)
+		b = fmt.Appendf(b, `,"block":%d,"health":%q,"share":%v,"born_ms":%d}`, s.Cell, stateNames[s.State], s.Weight, born)
+	}
+	return append(b, "]}"...)
+}
+
+var stateNames = map[policy.ServerState]string{policy.Ready: "ready", policy.Draining: "draining", policy.Gone: "gone"}
+
 var states = map[string]policy.ServerState{"ready": policy.Ready, "draining": policy.Draining, "gone": policy.Gone}
 
 func parseHost(h gjson.Result, zones []string) (mem.Server, error) {
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -275,6 +275,19 @@
 	}
 }
 
+// SetMaxConns gives another bound, and closes idle connections past it.
+func (t *Transport) SetMaxConns(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.MaxConns = n
+	for _, s := range t.servers {
+		if t.conns <= n {
+			return
+		}
+		t.closeIdle(s)
+	}
+}
+
 func (t *Transport) closeIdle(s *server) {
 	for _, c := range s.pool.All() {
 		if c.load == 0 && len(c.asked) == 0 && c.probes == 0 {
--- /dev/null
+++ b/internal/net/handover/link.go
@@ -0,0 +1,193 @@
+package handover
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// Times of a link. An operator's answer is due within 1 s.
+const (
+	startFor = time.Second            // for hello, and for the state
+	callFor  = 500 * time.Millisecond // for the other to carry out a call
+	writeFor = 300 * time.Millisecond
+)
+
+// Link is the way to the other process.
+type Link struct {
+	nc net.Conn
+	r  *bufio.Reader
+
+	wmu sync.Mutex // one message at a time; the state goes before any call
+
+	mu      sync.Mutex
+	lastID  int64
+	pending map[int64]chan struct{}
+	closed  chan struct{}
+}
+
+func newLink(nc net.Conn) *Link {
+	return &Link{nc: nc, r: bufio.NewReaderSize(nc, 64<<10), pending: map[int64]chan struct{}{}, closed: make(chan struct{})}
+}
+
+// Listen opens the socket under its name, which from then on leads here and no longer to a process that had it.
+func Listen(path string) (net.Listener, error) {
+	own := fmt.Sprintf("%s.%d", path, os.Getpid())
+	os.Remove(own) // of a process of the same number that was killed
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	l.SetUnlinkOnClose(false) // the name may be a successor's by then
+	if err = os.Chmod(own, 0o600); err == nil {
+		err = os.Rename(own, path)
+	}
+	if err != nil {
+		l.Close()
+		os.Remove(own)
+		return nil, err
+	}
+	return l, nil
+}
+
+// Greet is the successor's side: it says hello to the process that has the name, and returns its state.
+func Greet(path string) (*Link, *State, error) {
+	nc, err := net.DialTimeout("unix", path, startFor)
+	if err != nil {
+		return nil, nil, err
+	}
+	x := newLink(nc)
+	nc.SetDeadline(time.Now().Add(startFor))
+	m := Message{}
+	if _, err = nc.Write(Message{Kind: Hello}.Append(nil)); err == nil {
+		m, err = x.read()
+	}
+	if err == nil && m.Kind != StateIs {
+		err = bad("%s in place of the state", m.Kind)
+	}
+	if err != nil {
+		nc.Close()
+		return nil, nil, err
+	}
+	nc.SetDeadline(time.Time{})
+	return x, m.State, nil
+}
+
+// Welcome is the old process's side of a connection: it awaits hello, has the link taken up, so that every call
+// from then on goes over it, and answers with the state as it is then.
+func Welcome(nc net.Conn, up func(*Link), state func() State) (*Link, error) {
+	x := newLink(nc)
+	nc.SetReadDeadline(time.Now().Add(startFor))
+	m, err := x.read()
+	if err == nil && m.Kind != Hello {
+		err = bad("%s in place of hello", m.Kind)
+	}
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	nc.SetReadDeadline(time.Time{})
+	x.wmu.Lock()
+	defer x.wmu.Unlock()
+	up(x)
+	s := state()
+	nc.SetWriteDeadline(time.Now().Add(startFor))
+	if _, err := nc.Write(Message{Kind: StateIs, State: &s}.Append(nil)); err != nil {
+		x.Close()
+		return x, err
+	}
+	return x, nil
+}
+
+func (x *Link) read() (Message, error) {
+	var line []byte
+	for {
+		piece, err := x.r.ReadSlice('\n')
+		line = append(line, piece...)
+		switch {
+		case len(line) > maxLine:
+			return Message{}, errTooLong
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return Message{}, err
+		}
+		return Parse(line[:len(line)-1])
+	}
+}
+
+func (x *Link) write(m Message) error {
+	x.wmu.Lock()
+	defer x.wmu.Unlock()
+	x.nc.SetWriteDeadline(time.Now().Add(writeFor))
+	_, err := x.nc.Write(m.Append(nil))
+	return err
+}
+
+// Serve carries out the other's calls until the link ends, and returns why it did.
+func (x *Link) Serve(do func(Message)) error {
+	defer x.Close()
+	for {
+		m, err := x.read()
+		if err != nil {
+			return err
+		}
+		switch m.Kind {
+		case CallMade:
+			do(m)
+			if err := x.write(Message{Kind: CallHeard, ID: m.ID}); err != nil {
+				return err
+			}
+		case CallHeard:
+			x.mu.Lock()
+			if done := x.pending[m.ID]; done != nil {
+				close(done)
+				delete(x.pending, m.ID)
+			}
+			x.mu.Unlock()
+		default:
+			return bad("%s on a link that is up", m.Kind)
+		}
+	}
+}
+
+// Tell has the other carry out a call, and returns when it has. One that does not in time is given up as dead.
+func (x *Link) Tell(m Message) error {
+	done := make(chan struct{})
+	x.mu.Lock()
+	x.lastID++
+	m.Kind, m.ID = CallMade, x.lastID
+	x.pending[m.ID] = done
+	x.mu.Unlock()
+	err := x.write(m)
+	if err == nil {
+		t := time.NewTimer(callFor)
+		defer t.Stop()
+		select {
+		case <-done:
+			return nil
+		case <-x.closed:
+			err = net.ErrClosed
+		case <-t.C:
+			err = os.ErrDeadlineExceeded
+		}
+	}
+	x.Close()
+	return err
+}
+
+// Close ends the link.
+func (x *Link) Close() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	select {
+	case <-x.closed:
+	default:
+		close(x.closed)
+		x.nc.Close()
+	}
+}
--- /dev/null
+++ b/internal/net/handover/message.go
@@ -0,0 +1,121 @@
+// Package handover is spoken between a process and its successor, over a Unix socket: a JSON object a line. The
+// successor says hello and gets the state; from then on either tells the other of operators' calls.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// Kind says what a message is.
+type Kind string
+
+// The kinds.
+const (
+	Hello     Kind = "hello"
+	StateIs   Kind = "state"
+	CallMade  Kind = "call"
+	CallHeard Kind = "done" // that call is in force here, too
+)
+
+// Message is one line.
+type Message struct {
+	Kind  Kind   `json:"kind"`
+	ID    int64  `json:"id,omitempty"`    // of a call and its done
+	Verb  string `json:"verb,omitempty"`  // of a call
+	Name  string `json:"name,omitempty"`  // of a call
+	AtMs  int64  `json:"at_ms,omitempty"` // of a call: when it was made
+	State *State `json:"state,omitempty"` // of a state
+}
+
+// State is what a successor begins with.
+type State struct {
+	Hosts    json.RawMessage  `json:"hosts"`    // the list, as discovery words it
+	Banned   []string         `json:"banned"`   // lot stores that are out
+	Attached map[string]int64 `json:"attached"` // lot stores put back: cold from then, in Unix time in ms
+	Drain    bool             `json:"drain"`
+	Records  []Record         `json:"records"`
+}
+
+// Record is what is known of a lot store.
+type Record struct {
+	Name    string    `json:"name"`
+	Answers []float64 `json:"answers"` // answer times, by bucket
+	Latency float64   `json:"latency"` // seconds
+	Failing float64   `json:"failing"` // share
+	Cap     float64   `json:"cap"`
+	ColdMs  int64     `json:"cold_ms"` // how long ago it was seen to start over, -1 for never
+}
+
+// maxLine bounds a line: a state of some hundred lot stores.
+const maxLine = 4 << 20
+
+// Append appends the message as it goes on the wire.
+func (m Message) Append(b []byte) []byte {
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // nothing in a message can fail but Hosts, which its maker worded
+	}
+	return append(append(b, text...), '\n')
+}
+
+func bad(format string, args ...any) error { return fmt.Errorf("malformed message: "+format, args...) }
+
+// Parse reads a line.
+func Parse(line []byte) (m Message, err error) {
+	if !gjson.ValidBytes(line) { // gjson's getters take garbage
+		return m, bad("not JSON")
+	}
+	root := gjson.ParseBytes(line)
+	m = Message{Kind: Kind(root.Get("kind").String()), ID: root.Get("id").Int(), Verb: root.Get("verb").String(),
+		Name: root.Get("name").String(), AtMs: root.Get("at_ms").Int()}
+	switch m.Kind {
+	case Hello, CallHeard:
+	case CallMade:
+		if m.Verb == "" || m.AtMs <= 0 || m.AtMs > time.Now().Add(time.Hour).UnixMilli() {
+			return m, bad("a call lacks its verb or time")
+		}
+	case StateIs:
+		m.State, err = parseState(root.Get("state"))
+	default:
+		err = bad("kind %.20q", m.Kind)
+	}
+	return m, err
+}
+
+func parseState(root gjson.Result) (*State, error) {
+	hosts, banned, attached, drain, records := root.Get("hosts"), root.Get("banned"), root.Get("attached"), root.Get("drain"), root.Get("records")
+	if !hosts.IsObject() || !drain.IsBool() || !banned.IsArray() || !attached.IsObject() || !records.IsArray() {
+		return nil, bad("the state lacks hosts, banned, attached, drain or records")
+	}
+	s := &State{Hosts: json.RawMessage(hosts.Raw), Drain: drain.Bool(), Banned: []string{}, Attached: map[string]int64{}}
+	for _, name := range banned.Array() {
+		s.Banned = append(s.Banned, name.String())
+	}
+	for name, at := range attached.Map() {
+		s.Attached[name] = at.Int()
+	}
+	var err error
+	records.ForEach(func(_, r gjson.Result) bool {
+		x := Record{Name: r.Get("name").String(), Latency: r.Get("latency").Num, Failing: r.Get("failing").Num,
+			Cap: r.Get("cap").Num, ColdMs: r.Get("cold_ms").Int()}
+		for _, n := range r.Get("answers").Array() {
+			if n.Num < 0 {
+				err = bad("a record below 0")
+			}
+			x.Answers = append(x.Answers, n.Num)
+		}
+		if x.Name == "" || x.Latency < 0 || x.Failing < 0 || x.Failing > 1 {
+			err = bad("a record without a name, or out of range")
+		}
+		s.Records = append(s.Records, x)
+		return err == nil
+	})
+	return s, err
+}
+
+var errTooLong = errors.New("malformed message: the line is too long")
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -178,6 +178,18 @@
 	}
 }
 
+// SetLimits gives other bounds, and closes the longest resting connections that have no room any more.
+func (s *Server) SetLimits(maxConns, keep int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.MaxConns, s.Keep = maxConns, keep
+	for len(s.conns) > maxConns {
+		if !s.shutLongest(func(c *conn) bool { return c.busy == 0 && time.Since(c.since) > settleFor }) {
+			return
+		}
+	}
+}
+
 // Drain closes keep-alive connections between requests, from now on and as answers go out. New connections
 // are still accepted and served for a time.
 func (s *Server) Drain(acceptFor time.Duration) {
--- a/internal/net/opensearch/stores.go
+++ b/internal/net/opensearch/stores.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// SetMaxConns gives another bound, and closes idle connections past it.
+func (t *Stores) SetMaxConns(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.MaxConns = n
+	for _, s := range t.servers {
+		if t.conns <= n {
+			return
+		}
+		t.closeIdle(s, time.Now())
+	}
+}
+
 // CloseIdle implements gather.Transport.
 func (t *Stores) CloseIdle(id policy.ServerID) {
 	t.mu.Lock()
--- a/policy/api.go
+++ b/policy/api.go
@@ -169,6 +169,8 @@
 	// Retuned brings other settings. Cells, Width and the numbers of the classes told before stay; queries in
 	// hand keep the class that they came under.
 	Retuned struct{ Settings Settings }
+	// Learned brings what another mixer knew of servers already listed.
+	Learned struct{ Records []Record }
 	// Wake is a WakeAt come due.
 	Wake struct{}
 )
@@ -181,6 +183,7 @@
 func (Probed) event()       {}
 func (Wake) event()         {}
 func (Retuned) event()      {}
+func (Learned) event()      {}
 
 // Action is something the host is to do, in order, at the Step's time.
 type Action interface{ action() }
@@ -234,6 +237,15 @@
 func (Subscribe) action() {}
 func (Log) action()       {}
 
+// Record is what a mixer knows of a server, to be handed to a successor. Spans are ages, as clocks differ.
+type Record struct {
+	Server           ServerID
+	Answers          []float64 // answer times by bucket, faded to now
+	Latency, Failing float64   // smoothed answer time in seconds, 0 for none, and share of failures
+	Cap              float64
+	ColdFor          time.Duration // since it was seen to start over, -1 for never
+}
+
 // filled gives each class its own most attempts.
 func (set Settings) filled() Settings {
 	set.Classes = slices.Clone(set.Classes)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -129,12 +129,12 @@
 			}
 		case ServerList:
 			m.onList(e)
-		case Retuned:
-			m.set = e.Settings.filled() // queries in hand point to the class that they came under
 		case Probed:
 			if s := m.servers[e.Server]; s != nil {
 				m.probed(&m.zones[s.Zone], e.OK)
 			}
+		default:
+			m.told(e)
 		}
 	}
 	m.sweep()
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1439,6 +1439,23 @@
 	}
 }
 
+// A successor goes on from its predecessor's records: no start curve, and what failed or is cold still is.
+func TestLearned(t *testing.T) {
+	old := newBed(t, base(), 0, 1, 2)
+	old.warm(60, 50*ms)
+	old.m.note(old.m.servers[2], false, 1)
+	old.m.servers[3].coldFrom = old.now
+	young := newBed(t, base(), 0, 1, 2)
+	young.now += time.Hour
+	young.step(Learned{Records: append(old.m.Records(), Record{Server: 9}, Record{Server: 1, Answers: []float64{1}})})
+	young.step()
+	m := young.m
+	if m.typical != old.m.typical || m.servers[1].lat != old.m.servers[1].lat || m.servers[2].bad == 0 || m.warmth(m.servers[3]) > 0.21 {
+		t.Errorf("typical %v, want %v; server 1 %v; server 2 fails %v; server 3 warm %v", m.typical, old.m.typical,
+			m.servers[1].lat, m.servers[2].bad, m.warmth(m.servers[3]))
+	}
+}
+
 // A keyed part that is held past its window cannot be sent again: its query fails then, not at its end.
 func TestHeldPastWindow(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
--- a/policy/state.go
+++ b/policy/state.go
@@ -241,7 +241,10 @@
 // size is the number of answers in the record, faded.
 func (h *histogram) size(now time.Duration) float64 { return h.total / h.weight(now) }
 
-func (h *histogram) add(now time.Duration, sec float64) {
+func (h *histogram) add(now time.Duration, sec float64) { h.put(now, h.bucket(sec), 1) }
+
+// put adds answers to a bucket.
+func (h *histogram) put(now time.Duration, bucket int, answers float64) {
 	w := h.weight(now)
 	if now-h.epoch > h.half {
 		for i := range h.n {
@@ -249,8 +252,8 @@
 		}
 		h.total, h.epoch, w = h.total/w, now, 1
 	}
-	h.n[h.bucket(sec)] += w
-	h.total += w
+	h.n[bucket] += w * answers
+	h.total += w * answers
 }
 
 // blend fills out with the cumulative distribution of own, with k answers' worth of prior mixed in.
@@ -419,6 +422,52 @@
 
 func record() *histogram { return newHistogram(recordLow, recordHigh, recordRatio, recordHalf) }
 
+// told takes in what the host tells of itself.
+func (m *Mixer) told(e Event) {
+	switch e := e.(type) {
+	case Retuned:
+		m.set = e.Settings.filled() // queries in hand point to the class that they came under
+	case Learned:
+		m.learn(e.Records)
+	}
+}
+
+// Records hands out what is known of the servers, as of the last step.
+func (m *Mixer) Records() (all []Record) {
+	for _, s := range m.order {
+		r := Record{Server: s.ID, Answers: slices.Clone(s.record.n), Latency: s.lat, Failing: s.bad, Cap: s.cap, ColdFor: -1}
+		for i := range r.Answers {
+			r.Answers[i] /= s.record.weight(m.now)
+		}
+		if s.coldFrom > 0 {
+			r.ColdFor = m.now - s.coldFrom
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+// learn takes in what another mixer knew. What does not fit this one's records is passed over.
+func (m *Mixer) learn(records []Record) {
+	for _, r := range records {
+		s := m.servers[r.Server]
+		if s == nil || len(r.Answers) != len(s.record.n) {
+			continue
+		}
+		s.record, s.fresh = record(), false
+		for i, n := range r.Answers {
+			s.record.put(m.now, i, n)
+			m.pool.put(m.now, i, n)
+		}
+		s.lat, s.latAt, s.bad, s.badAt = r.Latency, m.now, r.Failing, m.now
+		s.cap = min(max(r.Cap, capMin), capMax)
+		if r.ColdFor >= 0 {
+			s.coldFrom = m.now - r.ColdFor
+		}
+	}
+	m.news, m.surveyed = true, -1
+}
+
 // forget drops a part that nothing more is to be heard of.
 func (m *Mixer) forget(p *part) {
 	if !anyLive(p) {
