--- a/internal/lifecycle/calls_test.go
+++ b/internal/lifecycle/calls_test.go
@@ -107,11 +107,8 @@
 // no lot store answers its final answer in time. The socket itself stays open.
 func TestHandOff(t *testing.T) {
 	l := standin.Listen(t).(*net.TCPListener)
-	f, err := l.File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	w := startConfig(t, "frames", nil, func(c *Config) { c.Inherited = int(f.Fd()) })
+	t.Setenv("TMPDIR", t.TempDir())
+	w := startConfig(t, "frames", nil, func(c *Config) { c.Inherited = descriptor(t, l) })
 	c := dialKept(t, l.Addr().String())
 	c.get(t, "/-/ready")
 	w.script.Set(map[int][]standin.End{3: {standin.Silent, standin.Silent, standin.Silent, standin.Silent}})
--- a/internal/lifecycle/handover_test.go
+++ b/internal/lifecycle/handover_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,7 +20,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return int(f.Fd())
+	defer f.Close()
+	fd, err := syscall.Dup(int(f.Fd())) // whoever inherits it closes it, and no finalizer may do so again
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fd
 }
 
 // until waits for something that another goroutine is about to do.
