Count the parts held here for a lot store in what a part given to it is expected to take

A probe that printed each lot store of the failing cell once a second showed 31 to 39 parts held here for the one sound lot store, whose cap had fallen to 2, and nothing out at the two that err on four parts of five within 3 ms: policy.go's sooner() compared answer times alone, and waitAtShard() judged parts to be in time that stood behind 39 others.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -315,7 +315,7 @@
 	if best == nil || len(p.attempts) > p.q.class.MaxAttempts-2 || m.set.Rules.BudgetOn {
 		return best, cover
 	}
-	soonest := best.latNow(m.median, m.now, m.memory(latHalf))
+	soonest := m.expected(best)
 	for _, c := range m.candidates {
 		quick := c.errors > 0 && c.errorTook < errorQuick*m.typical
 		if !quick || c.lat == 0 || c.cover == 0 || len(c.out)+len(c.held) >= m.room(c) {
@@ -866,8 +866,7 @@
 	best := recordHigh
 	for _, s := range m.replicas[p.Shard%m.set.Cells] {
 		if m.sendable(s) {
-			lat := s.latNow(m.median, m.now, m.memory(latHalf))
-			best = min(best, lat/max(1-faded(s.bad, m.now-s.badAt, m.memory(badHalf)), weightSlip))
+			best = min(best, m.expected(s)/max(1-faded(s.bad, m.now-s.badAt, m.memory(badHalf)), weightSlip))
 		}
 	}
 	return best - m.median
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1456,6 +1456,27 @@
 	}
 }
 
+// What we hold for a server counts: an erring one that answers some at once is asked before a sound one whose
+// parts wait here (hanbit-lots retune+drain: 39 held for the one sound of three, nothing out at the others).
+func TestHeldPartsCount(t *testing.T) {
+	set := base()
+	set.MaxAttempts = 4
+	b := newBed(t, set, 0, 0)
+	b.warm(60, 50*ms)
+	m, sound, errs := b.m, b.m.servers[1], b.m.servers[2]
+	errs.errors, errs.errorTook, errs.bad, errs.badAt = 0.8, 0.002, 0.9, b.now
+	p := &part{q: &query{class: &m.set.Classes[0]}}
+	if m.pick(p) != sound {
+		t.Error("an erring server is asked while the sound one is free")
+	}
+	for len(sound.held) < 40 {
+		sound.hold(&part{seq: uint64(len(sound.held))})
+	}
+	if m.pick(p) != errs {
+		t.Errorf("one more is held where it takes %.2f s", m.expected(sound))
+	}
+}
+
 // A keyed part that is held past its window cannot be sent again: its query fails then, not at its end.
 func TestHeldPastWindow(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
--- a/policy/state.go
+++ b/policy/state.go
@@ -468,6 +468,11 @@
 	m.news, m.surveyed = true, -1
 }
 
+// expected is how long a part given to a server now takes: its answer time, and that of those we hold for it.
+func (m *Mixer) expected(s *server) float64 {
+	return s.latNow(m.median, m.now, m.memory(latHalf)) * float64(len(s.held)+m.room(s)) / float64(m.room(s))
+}
+
 // forget drops a part that nothing more is to be heard of.
 func (m *Mixer) forget(p *part) {
 	if !anyLive(p) {
