--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1464,7 +1464,7 @@
 	b := newBed(t, set, 0, 0)
 	b.warm(60, 50*ms)
 	m, sound, errs := b.m, b.m.servers[1], b.m.servers[2]
-	errs.errors, errs.errorTook, errs.bad, errs.badAt = 0.8, 0.002, 0.9, b.now
+	errs.errors, errs.errorTook, errs.bad, errs.badAt, errs.failedAt = 0.8, 0.002, 0.9, b.now, b.now+time.Minute // no trial is due there
 	p := &part{q: &query{class: &m.set.Classes[0]}}
 	if m.pick(p) != sound {
 		t.Error("an erring server is asked while the sound one is free")
