Many gatherers begin their watches of discovery spread out, hold them long and come back late

Design: what a gatherer asks falls with Siblings: past four, the first watch begins at a random moment of a round of 150 ms for each gatherer, a watch is held for a round, and one that fails is left for one to four rounds. The list from the configuration serves until then, and a watch tells changes only. Measured: each refused call had waited 2.000 s, or was refused at once where the queue was full; a watch that goes on is never refused. Few gatherers ask as before.

--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -168,7 +168,8 @@
 func (d *Daemon) follow(seq int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	w := &discovery.Watcher{Addr: d.config.Discovery, Zones: d.settings.Load().Zones, Log: d.log, Tell: d.core.List}
+	w := &discovery.Watcher{Addr: d.config.Discovery, Zones: d.settings.Load().Zones, Log: d.log, Tell: d.core.List,
+		Siblings: func() int { return d.settings.Load().Policy.Siblings }}
 	go func() { w.Run(ctx, seq); close(ended) }()
 	d.unwatch = func() { cancel(); <-ended }
 }
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -24,6 +24,13 @@
 	dialFor   = time.Second
 	backFirst = 20 * time.Millisecond // back-off of reconnects, doubled up to backMost
 	backMost  = time.Second
+
+	// Discovery takes up so many watches in a time and has calls past that wait, and fail. One that goes on costs
+	// it nothing. Many gatherers that begin or fail at once must not all come at once, nor soon again: so much
+	// time is left for each.
+	few      = 4
+	turnFor  = 150 * time.Millisecond
+	turnMost = 4 // failures in a row double the time up to so much
 )
 
 // Watcher follows the list.
@@ -31,6 +38,8 @@
 	Addr  string
 	Zones []string
 	Log   *log.Logger
+	// Siblings is how many gatherers ask, this one included.
+	Siblings func() int
 	// Tell takes the news, in order.
 	Tell func(gather.List)
 }
@@ -118,14 +127,17 @@
 // Run follows the list from a version on until the context ends. Nothing is told after it has returned.
 func (w *Watcher) Run(ctx context.Context, seq int64) {
 	c := &http1.Client{Addr: w.Addr}
-	back, failing := backFirst, false
+	back, turns, failing := backFirst, time.Duration(1), false
+	if d := w.round(); d > 0 { // the list from the configuration serves until then
+		w.rest(ctx, rand.N(d))
+	}
 	for ctx.Err() == nil {
 		next, err := w.watch(ctx, c, seq)
 		if err == nil {
 			if failing {
 				w.Log.Printf("discovery: following again, seq=%d", next)
 			}
-			seq, back, failing = next, backFirst, false
+			seq, back, turns, failing = next, backFirst, 1, false
 			continue // at once: a watch goes on only if the next call comes within 200 ms
 		}
 		c.Close()
@@ -136,30 +148,48 @@
 			w.Log.Printf("discovery: failing: %v", err)
 		}
 		failing = true
-		select {
-		case <-ctx.Done():
-		case <-time.After(back/2 + rand.N(back/2)):
-		}
-		back = min(2*back, backMost)
+		w.rest(ctx, max(back, turns*w.round()))
+		back, turns = min(2*back, backMost), min(2*turns, turnMost)
 	}
 	c.Close()
 }
 
+// round is the time in which all gatherers have had their turn to begin a watch; none where they are few.
+func (w *Watcher) round() time.Duration {
+	if n := w.Siblings(); n > few {
+		return time.Duration(n) * turnFor
+	}
+	return 0
+}
+
+// rest waits for a time, more or less.
+func (w *Watcher) rest(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // watch makes one call and tells what it brings.
 func (w *Watcher) watch(ctx context.Context, c *http1.Client, seq int64) (int64, error) {
 	if err := c.Dial(ctx, dialFor); err != nil {
 		return 0, err
 	}
 	defer context.AfterFunc(ctx, c.Aborter())() // a watch that is dropped must not go on waiting, nor tell news
-	now := time.Now()
-	target := "/api/targets?since=" + strconv.FormatInt(seq, 10) + "&timeout_ms=" + strconv.FormatInt(waitFor.Milliseconds(), 10)
+	now, wait := time.Now(), max(waitFor, w.round())
+	target := "/api/targets?since=" + strconv.FormatInt(seq, 10) + "&timeout_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	if seq == Fresh {
 		target = "/api/targets"
 	}
 	if err := c.Write(now.Add(dialFor), "GET", target, nil, nil); err != nil {
 		return 0, err
 	}
-	p, err := c.Read(now.Add(waitFor + graceFor))
+	p, err := c.Read(now.Add(wait + graceFor))
 	if err != nil {
 		return 0, err
 	}
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"pulleygw.example/pulleygw/internal/garble"
 	"pulleygw.example/pulleygw/internal/gather"
@@ -50,7 +51,8 @@
 	}
 	go http1.New(l.(*net.TCPListener), h, 10, log.New(io.Discard, "", 0)).Serve()
 	told := make(chan gather.List, 10)
-	w := &Watcher{Addr: l.Addr().String(), Zones: zones, Log: log.New(io.Discard, "", 0), Tell: func(l gather.List) { told <- l }}
+	w := &Watcher{Addr: l.Addr().String(), Zones: zones, Log: log.New(io.Discard, "", 0), Tell: func(l gather.List) { told <- l },
+		Siblings: func() int { return 2 }}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go w.Run(ctx, 3)
@@ -63,3 +65,35 @@
 		t.Error("told otherwise than once, whole")
 	}
 }
+
+// Among many, gatherers begin their watches spread out over a time that grows with their number, and hold them
+// for as long; what fails is left for longer each time. Few begin at once.
+func TestManyWatchInTurn(t *testing.T) {
+	n := 2
+	w := &Watcher{Siblings: func() int { return n }}
+	if w.round() != 0 {
+		t.Errorf("%d gatherers wait %v", n, w.round())
+	}
+	n = 8
+	eight := w.round()
+	if n = 48; w.round() != 6*eight || eight <= 0 {
+		t.Errorf("8 take %v and 48 take %v: together they would ask more", eight, w.round())
+	}
+	l := standin.Listen(t)
+	targets := make(chan string, 100)
+	h := func(r *http1.Request, _ <-chan struct{}) *http1.Response {
+		targets <- r.Query
+		return standin.JSON(200, `{"seq":3,"whole":false,"hosts":[]}`)
+	}
+	go http1.New(l.(*net.TCPListener), h, 10, log.New(io.Discard, "", 0)).Serve()
+	n = 5
+	w = &Watcher{Addr: l.Addr().String(), Zones: zones, Log: log.New(io.Discard, "", 0), Tell: func(gather.List) {}, Siblings: w.Siblings}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx, 3)
+	for range 2 {
+		if got := <-targets; got != "since=3&timeout_ms=2000" {
+			t.Errorf("asked %q", got)
+		}
+	}
+}
