--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"pulleygw.example/pulleygw/internal/garble"
 	"pulleygw.example/pulleygw/internal/gather"
