--- a/internal/lifecycle/handover.go
+++ b/internal/lifecycle/handover.go
@@ -50,14 +50,17 @@
 // path is where a successor finds this process.
 func (d *Daemon) path() string { return filepath.Join(os.TempDir(), "pulleygw-"+d.config.Name+".sock") }
 
-// conns is a share of the descriptors: half of it while there are two processes.
+// eachOfTwo is a process's part of the limits while there are two: what each needs beside its shares counts twice.
+const eachOfTwo = 0.45
+
+// conns is a share of the descriptors.
 func (d *Daemon) conns(share float64) int {
 	return max(int(share*float64(d.config.Sockets)*d.part()), 1)
 }
 
 func (d *Daemon) part() float64 {
 	if d.handover.other() != nil {
-		return 0.5
+		return eachOfTwo
 	}
 	return 1
 }
@@ -130,7 +133,7 @@
 				d.log.Printf("handover: a process that came as successor failed: %v", err)
 			}
 			if link != nil {
-				d.log.Printf("handover: a successor has come, half of all limits are its own")
+				d.log.Printf("handover: a successor has come, its part of the limits is its own")
 				d.serveLink(link, true)
 			}
 		}
--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -40,7 +40,7 @@
 // Bounds of what callers may hold.
 const (
 	maxLine  = 256
-	maxConns = 32              // of callers at once; one more closes the one that has waited longest
+	maxConns = 12              // of callers at once; one more closes the one that has waited longest
 	readFor  = 5 * time.Second // for the whole line
 	writeFor = time.Second
 )
