--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,6 +55,9 @@
 	leastTurns   = 0.015            // the trickle: share of its turns that the worst server keeps
 	trusted      = 0.3              // below this share of turns a server is suspect
 
+	subsetFrom = 8 // so many mixers or more each keep to a part of the servers ...
+	subsetSize = 2 // ... of so many replicas of a shard, where they serve
+
 	ownFree   = 10.0 // the budget where none is stated: further attempts whatever came in ...
 	ownShare  = 0.30 // ... and for each query and part taken: a fifth of a large fleet may be slow ...
 	ownSpan   = 10 * time.Second
@@ -340,7 +343,7 @@
 		return 3
 	case m.late(s) || m.zones[s.Zone].far || m.trust(s) < trusted && !trial:
 		return 2 // the design's skip; and a suspect is tried with one part now and then
-	case n >= m.room(s) && !trial:
+	case n >= m.room(s) && !trial || s.reserve && len(p.attempts) == 0:
 		return 1
 	}
 	return 0
@@ -872,9 +875,6 @@
 	return best - m.median
 }
 
-// waitNow is what sound servers' answers take beyond the usual.
-func (m *Mixer) waitNow() float64 { return faded(m.wait, m.now-m.waitAt, waitHalf) }
-
 // Health.
 
 // survey brings up to date what is compared against: each step the pool, and now and then, as it costs
@@ -1057,6 +1057,7 @@
 			s.lead = 1 + m.rng.Float64() // ties, lest all mixers that start begin at the same servers
 		}
 	})
+	m.keepSubset(subsetFrom, subsetSize) // what each opens and has to find out falls with their number
 }
 
 // keepList keeps an ask-mode list subscribed.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1477,6 +1477,46 @@
 	}
 }
 
+// Each of many mixers keeps to two replicas of a shard while they serve, not all to the same; cold ones come beside,
+// and the others where those two cannot take a part.
+func TestSubset(t *testing.T) {
+	set := base()
+	set.Width, set.Siblings = 1, 36
+	b := newBed(t, set, 0, 0, 0, 0)
+	b.warm(60, 50*ms)
+	met, reserve := 0, (*server)(nil)
+	for _, s := range b.m.order {
+		if s.reserve {
+			reserve = s
+		} else if met++; s.lat == 0 {
+			t.Errorf("server %d of the subset got nothing", s.ID)
+		}
+		if s.reserve && s.lat > 0 {
+			t.Errorf("server %d, a reserve, got a part", s.ID)
+		}
+	}
+	if met != 2 {
+		t.Fatalf("a subset of %d", met)
+	}
+	var gone []ServerInfo
+	for _, s := range b.m.order {
+		if !s.reserve {
+			gone = append(gone, ServerInfo{ID: s.ID, Cell: s.Cell, State: Gone})
+		}
+	}
+	b.step(ServerList{Kind: Delta, Servers: gone})
+	if reserve.reserve {
+		t.Error("still a reserve with the subset gone")
+	}
+	set.Siblings = 3
+	few := newBed(t, set, 0, 0, 0, 0)
+	for _, s := range few.m.order {
+		if s.reserve {
+			t.Error("few mixers keep a reserve")
+		}
+	}
+}
+
 // A keyed part that is held past its window cannot be sent again: its query fails then, not at its end.
 func TestHeldPastWindow(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"hash/fnv"
@@ -156,6 +157,7 @@
 	round           uint64 // of the choice that the next two belong to
 	cover           int    // parts of that choice that it holds
 	able            bool   // whether it may be sent anything
+	reserve         bool   // not of this mixer's subset
 }
 
 // latNow is a server's smoothed answer time, fading to the median.
@@ -399,6 +401,7 @@
 		if z := &m.zones[s.Zone]; s.listed && s.State == Ready {
 			z.servers = append(z.servers, s)
 		}
+		s.reserve = false
 		for j := 0; s.listed && j < m.set.Width; j++ {
 			first := (s.Cell - j + m.set.Cells) % m.set.Cells
 			m.replicas[first] = append(m.replicas[first], s)
@@ -422,6 +425,21 @@
 
 func record() *histogram { return newHistogram(recordLow, recordHigh, recordRatio, recordHalf) }
 
+// keepSubset makes a reserve of the servers that this mixer needs least: those past size of each shard's ready and
+// warm ones, by a lead that each mixer draws for itself; none among fewer mixers than from.
+func (m *Mixer) keepSubset(from, size int) {
+	if m.set.Siblings < from {
+		return
+	}
+	for _, list := range m.replicas {
+		ready := slices.DeleteFunc(slices.Clone(list), func(s *server) bool { return s.State != Ready || m.warmth(s) < 1 })
+		slices.SortFunc(ready, func(a, b *server) int { return cmp.Compare(b.lead, a.lead) })
+		for _, s := range ready[min(size, len(ready)):] {
+			s.reserve = true
+		}
+	}
+}
+
 // told takes in what the host tells of itself.
 func (m *Mixer) told(e Event) {
 	switch e := e.(type) {
@@ -473,6 +491,9 @@
 	return s.latNow(m.median, m.now, m.memory(latHalf)) * float64(len(s.held)+m.room(s)) / float64(m.room(s))
 }
 
+// waitNow is what sound servers' answers take beyond the usual.
+func (m *Mixer) waitNow() float64 { return faded(m.wait, m.now-m.waitAt, waitHalf) }
+
 // forget drops a part that nothing more is to be heard of.
 func (m *Mixer) forget(p *part) {
 	if !anyLive(p) {
