Call off a part that later ones have passed at its lot store

Connections gone silent and answers that stop short lose a part while others of that lot store come; policy.go's move() left it, as something had come from there since. Now answers to parts sent later count as passing it by. Ruled out: a shorter time for a begun answer, which is 250 ms already.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -438,7 +438,7 @@
 	a.s.drop(a)
 	a.s.endAt = m.now
 	if e.Status == OK || e.Status == Error || e.Status == Full {
-		a.s.answerAt = m.now
+		a.s.answerAt, a.s.passedAt = m.now, max(a.s.passedAt, a.at)
 	}
 	age := seconds(m.now - a.at)
 	if m.stalled && e.Took > 0 { // as measured on the way in, which our own stall does not lengthen
@@ -674,15 +674,15 @@
 	m.send(p, s)
 }
 
-// move calls off a part out too long at a server from which nothing has come since, if a sound replica with
-// room can still answer it: one that hangs for a moment would keep it past its aim, one that vanished for
-// good. It goes again when the call-off is through, so that never two attempts are out.
+// move calls off a part out too long at a server from which nothing has come since, or something sent later
+// has, if a sound replica with room can still answer it: a hang would keep it past its aim, a lost connection
+// for good. It goes again when the call-off is through, so that never two attempts are out.
 func (m *Mixer) move(p *part) {
 	if !m.set.Cancel || m.stalled || p.done || p.index >= 0 || len(p.attempts) >= p.q.class.MaxAttempts {
 		return
 	}
 	a := p.attempts[len(p.attempts)-1]
-	if !a.live || a.moved || a.s.answerAt > a.at || !m.repeatable(p) || !p.q.sure && p.q.deaths > 0 {
+	if !a.live || a.moved || a.inTurn() || !m.repeatable(p) || !p.q.sure && p.q.deaths > 0 {
 		return
 	}
 	m.cdf(a.s)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -361,8 +361,14 @@
 }
 
 // A part at a server that hangs is called off, and goes to another only when that is through: never two at once.
-// The others' answers meanwhile, and none from there, tell a hang from a busy moment.
+// The others' answers meanwhile, and none from there, tell a hang from a busy moment. So do answers to parts sent
+// there later: its own may have been lost with its connection (hanbit-lots silent).
 func TestHangIsLeft(t *testing.T) {
+	hangIsLeft(t, false)
+	hangIsLeft(t, true)
+}
+
+func hangIsLeft(t *testing.T, passed bool) {
 	set := base()
 	set.SecondCopies, set.MaxAttempts = false, 4
 	b := newBed(t, set, 0, 0, 0)
@@ -382,7 +388,7 @@
 		for _, s := range b.sends[k:] {
 			if s.Server == 1 && stuck.Part == 0 {
 				stuck = s
-			} else if s.Server != 1 {
+			} else if s.Server != 1 || passed {
 				b.outcome(s, OK)
 			}
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -144,6 +144,7 @@
 	sentAt          time.Duration // of the last part sent to it
 	endAt           time.Duration // when an attempt last ended there
 	answerAt        time.Duration // when something last came from it
+	passedAt        time.Duration // when the latest sent of what came was sent
 	goneAt          time.Duration // when the list last named it
 	diedAt          time.Duration // when it was last seen to have crashed
 	errorTook       float64       // smoothed time of its errors, seconds; 0 for none
@@ -494,6 +495,9 @@
 // waitNow is what sound servers' answers take beyond the usual.
 func (m *Mixer) waitNow() float64 { return faded(m.wait, m.now-m.waitAt, waitHalf) }
 
+// inTurn says whether the attempt's server has answered since it was sent, and nothing that was sent later.
+func (a *attempt) inTurn() bool { return a.s.answerAt > a.at && a.s.passedAt <= a.at }
+
 // forget drops a part that nothing more is to be heard of.
 func (m *Mixer) forget(p *part) {
 	if !anyLive(p) {
