--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -384,7 +384,11 @@
 	for i := range 12 {
 		k := len(b.sends)
 		b.query(0, 4*time.Second, 0)
-		run(5)
+		for range 5 {
+			if run(1); passed && i == 0 { // some go there before it is late
+				b.query(0, 4*time.Second, 0)
+			}
+		}
 		for _, s := range b.sends[k:] {
 			if s.Server == 1 && stuck.Part == 0 {
 				stuck = s
