Module: a phased query's parts wait to be asked for, and its second step has as many as told

Need: two-phase search asks ranges in waves, skips those that cannot reach the page and fetches listings of a page whose size is not known beforehand; the module's second step took a fixed number of parts.

Change: QueryArrived.Phased with parts that are Later, an event Planned (ask, skip, fetch), a preferred copy and attempts used up for the second step's parts. The first step ends at aim minus the product of so many CDFs at the 99th percentile; under the floor then, or at the aim, the query ends at once.

--- a/policy/api.go
+++ b/policy/api.go
@@ -138,6 +138,10 @@
 		Key           uint64
 		Left          time.Duration // time until the client gives this try up
 		Parts         int
+		// Phased queries have two steps, led by a planner: Planned says what is asked in the first, and how many
+		// parts the second has. Fetch is how many are expected.
+		Phased bool
+		Fetch  int
 	}
 	// PartArrived hands over one part, of the first step or of the second.
 	PartArrived struct {
@@ -145,6 +149,16 @@
 		Query  QueryID
 		Shard  int
 		Weight float64
+		Later  bool     // of a phased query's first step: not sent before Planned asks for it
+		Prefer ServerID // 0 for none; where it is as good as others, it gets the part
+		Used   int      // attempts that the part's shard has had in the first step
+	}
+	// Planned brings what a phased query's planner decided: parts of the first step to Ask, parts to Skip as they
+	// cannot change the page, which counts as in, and after the first Answer how many parts to Fetch.
+	Planned struct {
+		Query     QueryID
+		Ask, Skip []PartID
+		Fetch     int
 	}
 	// Outcome tells how one attempt ended; each Send gets exactly one.
 	Outcome struct {
@@ -181,6 +195,7 @@
 func (ClientLeft) event()   {}
 func (ServerList) event()   {}
 func (Probed) event()       {}
+func (Planned) event()      {}
 func (Wake) event()         {}
 func (Retuned) event()      {}
 func (Learned) event()      {}
--- /dev/null
+++ b/policy/phased_test.go
@@ -0,0 +1,170 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// phased hands over a phased query of six shards; those from later on wait to be asked for.
+func (b *bed) phased(class, later int, left time.Duration) (QueryID, []PartID) {
+	b.nextID += 100
+	q := QueryID(b.nextID)
+	ev := []Event{QueryArrived{ID: q, Class: class, Left: left, Parts: 6, Phased: true, Fetch: 2}}
+	var ids []PartID
+	for i := range 6 {
+		id := PartID(b.nextID + uint64(i) + 1)
+		b.owner[id] = q
+		ids = append(ids, id)
+		ev = append(ev, PartArrived{ID: id, Query: q, Shard: i, Weight: 1.0 / 6, Later: i >= later})
+	}
+	b.step(ev...)
+	return q, ids
+}
+
+// fetch hands over the parts of the second step, of the shards given.
+func (b *bed) fetch(q QueryID, used int, prefer ServerID, shards ...int) (ids []PartID) {
+	b.nextID += 100
+	ev := []Event{Planned{Query: q, Fetch: len(shards)}}
+	for i, s := range shards {
+		id := PartID(b.nextID + uint64(i) + 1)
+		b.owner[id] = q
+		ids = append(ids, id)
+		ev = append(ev, PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards)), Prefer: prefer, Used: used})
+	}
+	b.step(ev...)
+	return ids
+}
+
+func (b *bed) ok(ids ...PartID) {
+	for _, id := range ids {
+		b.step(Outcome{Part: id, Attempt: b.tries[id] - 1, Status: OK})
+	}
+}
+
+func (b *bed) nonFinal(q QueryID) (got, whole bool) {
+	for _, a := range b.acts {
+		if a, ok := a.(Answer); ok && a.Query == q && !a.Final {
+			return true, a.Whole
+		}
+	}
+	return false, false
+}
+
+func phasedBase() Settings {
+	set := base()
+	set.SecondCopies, set.MaxAttempts = false, 4
+	set.Classes[0].Floor = 0.7
+	return set
+}
+
+// Parts of later waves leave only when they are asked for; a skipped one counts as in and is called off.
+func TestPhasedWaves(t *testing.T) {
+	b := newBed(t, phasedBase(), 0, 1, 2)
+	q, ids := b.phased(0, 4, 4*time.Second)
+	if len(b.sends) != 4 {
+		t.Fatalf("%d parts sent, want the 4 of the first wave", len(b.sends))
+	}
+	b.ok(ids[0], ids[1], ids[2])
+	b.step(Planned{Query: q, Ask: ids[4:5], Skip: []PartID{ids[3], ids[5]}})
+	cancelled := false
+	for _, a := range b.acts {
+		c, ok := a.(Cancel)
+		cancelled = cancelled || ok && c.Part == ids[3]
+	}
+	if len(b.sends) != 5 || b.sends[4].Part != ids[4] || !cancelled {
+		t.Fatalf("sends %v, cancelled %v", b.sends, cancelled)
+	}
+	b.ok(ids[4])
+	if got, whole := b.nonFinal(q); !got || !whole {
+		t.Errorf("first step: over %v, whole %v", got, whole)
+	}
+	fetch := b.fetch(q, 1, 2, 0, 1)
+	for _, s := range b.sends[5:] {
+		if s.Server != 2 {
+			t.Errorf("listings asked of server %d, want the one preferred", s.Server)
+		}
+	}
+	b.ok(fetch...)
+	if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+		t.Errorf("final %+v", b.last[q])
+	}
+}
+
+// A page of no lots needs no second step.
+func TestPhasedNothingToFetch(t *testing.T) {
+	b := newBed(t, phasedBase(), 0, 1, 2)
+	q, ids := b.phased(0, 6, 4*time.Second)
+	b.ok(ids...)
+	b.fetch(q, 0, 0)
+	if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+		t.Errorf("final %+v", b.last[q])
+	}
+}
+
+// Under the floor when the scores are due, the query ends at once, long before its client gives up.
+func TestPhasedFloor(t *testing.T) {
+	b := newBed(t, phasedBase(), 0, 1, 2)
+	q, ids := b.phased(0, 6, 4*time.Second)
+	b.ok(ids[0], ids[1], ids[2])
+	for at := b.now + time.Second; b.now < at; {
+		b.now += 10 * ms
+		b.step(Wake{})
+	}
+	if _, ok := b.last[q].(Refuse); !ok {
+		t.Errorf("final %+v after the aim with half of the weight", b.last[q])
+	}
+}
+
+// From the floor on the first step ends in part in time for the second; the share of a page without some of
+// its listings is one of what was ranked, so that five sixths of the weight and two thirds of the page fail.
+func TestPhasedShare(t *testing.T) {
+	for _, lost := range []int{0, 1} {
+		b := newBed(t, phasedBase(), 0, 1, 2)
+		q, ids := b.phased(0, 6, 4*time.Second)
+		start := b.now
+		b.now += 100 * ms
+		b.ok(ids[:5]...)
+		for got := false; !got; got, _ = b.nonFinal(q) {
+			if b.now += 10 * ms; b.now > start+time.Second {
+				t.Fatal("the first step did not end")
+			}
+			b.step(Wake{})
+		}
+		if b.now > start+900*ms {
+			t.Errorf("the first step ended %v after the start, with nothing left for the second", b.now-start)
+		}
+		fetch := b.fetch(q, 0, 0, 0, 1, 2)
+		b.now += 50 * ms
+		b.ok(fetch[lost:]...)
+		for b.now < start+1010*ms {
+			b.now += 10 * ms
+			b.step(Wake{})
+		}
+		a, ok := b.last[q].(Answer)
+		if _, refused := b.last[q].(Refuse); lost == 0 && (!ok || a.Whole) || lost == 1 && !refused {
+			t.Errorf("%d listings lost: final %+v", lost, b.last[q])
+		}
+	}
+}
+
+// Four attempts at most over both steps: the scores leave one for the listings, which count theirs in.
+func TestPhasedAttempts(t *testing.T) {
+	b := newBed(t, phasedBase(), 0, 1, 2)
+	q, ids := b.phased(0, 6, 4*time.Second)
+	fail := func(id PartID) {
+		for n := 0; n < b.tries[id]; n++ {
+			b.now += 10 * ms
+			b.step(Outcome{Part: id, Attempt: n, Status: Error})
+		}
+	}
+	b.ok(ids[1:]...)
+	fail(ids[0])
+	if b.tries[ids[0]] != 3 {
+		t.Errorf("%d attempts for scores, want 3", b.tries[ids[0]])
+	}
+	fetch := b.fetch(q, 3, 0, 1)
+	fail(fetch[0])
+	if b.tries[fetch[0]] != 1 {
+		t.Errorf("%d attempts for listings after 3 for scores, want 1", b.tries[fetch[0]])
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,11 +1,12 @@
 package policy
 
-// Read api.go first: it is the whole interface. Then this file from the top: constants, the mixer and
-// its step, arrival and deadline, queues and release, outcomes, connections, zones, poison, extra attempts,
-// reply, admission, health, membership. state.go holds plain data and mechanism only.
+// Read api.go first, the whole interface, then this file from the top: constants, step, arrival and deadline,
+// queues, outcomes, connections, zones, poison, extra attempts, reply, admission, health, membership.
 
 import (
+	"cmp"
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -105,9 +106,8 @@
 	return &Mixer{
 		set: set.filled(), rng: rand.New(rand.NewPCG(seed, 1)), queries: map[QueryID]*query{},
 		parts: map[PartID]*part{}, servers: map[ServerID]*server{}, pool: record(),
-		suspects: map[uint64]time.Duration{},
-		replicas: make([][]*server, set.Cells),
-		askWait:  askFirst, askAt: -1, surveyed: -1,
+		suspects: map[uint64]time.Duration{}, replicas: make([][]*server, set.Cells),
+		askWait: askFirst, askAt: -1, surveyed: -1,
 	}, nil
 }
 
@@ -132,6 +132,10 @@
 			}
 		case ServerList:
 			m.onList(e)
+		case Planned:
+			if q := m.queries[e.Query]; q != nil {
+				m.planned(q, e)
+			}
 		case Probed:
 			if s := m.servers[e.Server]; s != nil {
 				m.probed(&m.zones[s.Zone], e.OK)
@@ -155,14 +159,14 @@
 
 func (m *Mixer) onQuery(e QueryArrived) {
 	m.taken.add(m.now, 1)
-	if m.queries[e.ID] != nil || e.Class < 0 || e.Class >= len(m.set.Classes) {
-		if m.queries[e.ID] == nil { // a class we were not told of: nothing has run, so refuse
-			m.do(Refuse{Query: e.ID})
-		}
+	if m.queries[e.ID] != nil {
+		return
+	} else if e.Class < 0 || e.Class >= len(m.set.Classes) {
+		m.do(Refuse{Query: e.ID}) // a class we were not told of: nothing has run
 		return
 	}
-	q := &query{QueryArrived: e, class: &m.set.Classes[e.Class], step: 1, want: e.Parts}
-	q.at, q.end = m.now, m.now+e.Left
+	q := &query{QueryArrived: e, class: &m.set.Classes[e.Class], step: 1, want: e.Parts, at: m.now}
+	q.end = m.now + e.Left
 	q.aimAt = min(m.now+q.class.Aim, q.end) // the aim is never beyond the client's own time
 	m.queries[e.ID], m.live = q, append(m.live, q)
 }
@@ -174,10 +178,9 @@
 		return
 	}
 	m.seq++
-	p := &part{PartArrived: e, q: q, index: -1, seq: m.seq, mayRun: -1}
+	p := &part{PartArrived: e, q: q, index: -1, seq: m.seq, mayRun: -1, spare: e.Later}
 	m.parts[e.ID] = p
-	q.parts = append(q.parts, p)
-	q.all = append(q.all, p)
+	q.parts, q.all = append(q.parts, p), append(q.all, p)
 	if len(q.parts) < q.want {
 		return
 	}
@@ -187,13 +190,45 @@
 		return
 	}
 	q.admitted = true
-	if q.step == 1 && q.class.Need < 1 {
+	if q.step == 1 && q.class.Need < 1 && !q.Phased {
 		m.keepSpares(q)
 	}
 	m.placeAll(q.parts)
 	m.stamp(q)
 }
 
+// planned takes in what a search's planner made of its answers: parts to ask now, parts to do without, which
+// count as in, and how many the second step has. A part held back on purpose is no miss.
+func (m *Mixer) planned(q *query, e Planned) {
+	for _, p := range q.parts {
+		if slices.Contains(e.Skip, p.ID) {
+			p.done, p.dead = true, false
+			m.settle(p)
+		} else if p.spare && slices.Contains(e.Ask, p.ID) {
+			p.spare, p.headless = false, p.deadline <= m.now
+		}
+	}
+	if q.step == 2 {
+		q.want = e.Fetch
+	} else if q.admitted {
+		m.placeAll(q.parts)
+	}
+	m.reply(q)
+}
+
+// most is how many attempts a part may have: scores leave one of them for the listings.
+func (p *part) most() int {
+	if p.q.Phased && p.q.step == 1 {
+		return p.q.class.MaxAttempts - 1
+	}
+	return p.q.class.MaxAttempts - p.Used
+}
+
+// Tail is the fan-out's unloaded tail of so many parts at lot stores not chosen yet.
+func (m *Mixer) Tail(parts int) time.Duration {
+	return duration(m.pool.quantile(m.poolCDF, math.Pow(tail, 1/float64(max(parts, 1)))))
+}
+
 // stamp gives all parts of a step one deadline: the aim minus the fan-out's unloaded tail.
 func (m *Mixer) stamp(q *query) {
 	aimAt := m.stepAim(q)
@@ -238,9 +273,8 @@
 
 // stepAim is when a step should be answered: the first of two leaves the second its time.
 func (m *Mixer) stepAim(q *query) time.Duration {
-	if q.step == 1 && q.class.Fetch > 0 {
-		second := duration(m.tailAge)
-		return q.aimAt - min(second, (q.aimAt-q.at)/2)
+	if q.step == 1 && (q.class.Fetch > 0 || q.Phased) {
+		return q.aimAt - min(m.Tail(q.Fetch), (q.aimAt-q.at)/2)
 	}
 	return q.aimAt
 }
@@ -256,16 +290,16 @@
 		left = []*part{slices.MinFunc(left, func(a, b *part) int { return len(a.attempts) - len(b.attempts) })}
 	}
 	for len(left) > 0 {
+		first := left[0].Prefer
 		s, cover := m.choose(left)
 		if s == nil { // no replica can take anything now: wait for one
 			left = left[1:]
 			continue
 		}
-		m.turn++
-		s.turn = m.turn
+		m.turn, s.turn = m.turn+1, m.turn+1
 		rest := left[:0:0]
 		for _, p := range left {
-			if cover > 0 && m.holds(s, p.Shard) && !outAt(p, s) {
+			if cover > 0 && m.holds(s, p.Shard) && !outAt(p, s) && p.Prefer == first {
 				s.hold(p)
 				cover--
 			} else {
@@ -282,8 +316,7 @@
 	if m.set.CallCost == 0 {
 		parts = parts[:1]
 	}
-	m.round++
-	m.candidates = m.candidates[:0]
+	m.round, m.candidates = m.round+1, m.candidates[:0]
 	for _, p := range parts {
 		for _, s := range m.replicas[p.Shard%m.set.Cells] {
 			if s.round != m.round {
@@ -299,6 +332,9 @@
 	}
 	bestTier, bestWait := 0, 0.0
 	for _, c := range m.candidates {
+		if c.ID == parts[0].Prefer && c.cover > 0 && m.tier(c, parts[0]) == 0 {
+			return c, c.cover // it knows the versions that were ranked
+		}
 		if c.cover == 0 || best != nil && c.cover < cover && bestTier == 0 {
 			continue
 		}
@@ -315,7 +351,7 @@
 // until it answers takes less than the queue at the chosen one: else one sound server of a cell would carry
 // what the others still could. The last attempt is not for it. Where repeats are rationed it is left alone.
 func (m *Mixer) sooner(best *server, cover int, p *part) (*server, int) {
-	if best == nil || len(p.attempts) > p.q.class.MaxAttempts-2 || m.set.Rules.BudgetOn {
+	if best == nil || len(p.attempts) > p.most()-2 || m.set.Rules.BudgetOn {
 		return best, cover
 	}
 	soonest := m.expected(best)
@@ -377,16 +413,11 @@
 				continue
 			}
 			m.send(p, s)
-			if m.set.CallCost == 0 {
-				continue
-			}
-			for n := 1; n < m.set.Batch && m.sendable(s); n++ { // the query's other parts share the call
-				o := s.unsent(p.q)
-				if o == nil {
-					break
-				}
+			o := s.unsent(p.q) // the query's other parts share the call
+			for n := 1; o != nil && m.set.CallCost > 0 && n < m.set.Batch && m.sendable(s); n++ {
 				s.unhold(o)
 				m.send(o, s)
+				o = s.unsent(p.q)
 			}
 		}
 		for _, p := range wait {
@@ -401,14 +432,12 @@
 // send launches an attempt. Rules kept here: nothing for an ended query, attempts and budget counted,
 // repeats only where the class allows them now.
 func (m *Mixer) send(p *part, s *server) {
-	if p.done || p.q.ended || len(p.attempts) >= p.q.class.MaxAttempts || !m.repeatable(p) {
+	if p.done || p.q.ended || len(p.attempts) >= p.most() || !m.repeatable(p) {
 		return
 	}
-	if len(p.attempts) > 0 {
-		if !p.cheap {
-			m.extras.add(m.now, 1)
-		}
-	} else if !p.headless && !p.late {
+	if len(p.attempts) > 0 && !p.cheap {
+		m.extras.add(m.now, 1)
+	} else if len(p.attempts) == 0 && !p.headless && !p.late {
 		m.decided.add(m.now, 1)
 		if m.wouldMiss(p) {
 			m.missed.add(m.now, 1)
@@ -434,9 +463,8 @@
 		return
 	}
 	a := p.attempts[e.Attempt]
-	a.live = false
+	a.live, a.s.endAt = false, m.now
 	a.s.drop(a)
-	a.s.endAt = m.now
 	if e.Status == OK || e.Status == Error || e.Status == Full {
 		a.s.answerAt, a.s.passedAt = m.now, max(a.s.passedAt, a.at)
 	}
@@ -469,8 +497,7 @@
 			m.note(a.s, false, min(cancelWeight*seconds(m.memory(badHalf))/seconds(badHalf), cancelMost))
 			m.heard(a.s, age, false)
 		}
-	case e.Status == Moot:
-	default:
+	case e.Status != Moot:
 		m.note(a.s, false, 1)
 		if e.Status == Error {
 			if a.s.errors == 0 {
@@ -484,8 +511,7 @@
 			if a.s.resetAt > 0 && m.now-a.s.resetAt < deathSpan && a.s.State == Ready {
 				a.s.diedAt = m.now
 			}
-		}
-		if e.Status == Reset { // no death by itself: a connection may break alone
+		} else if e.Status == Reset { // no death by itself: a connection may break alone
 			a.s.resetAt = m.now
 		}
 	}
@@ -551,8 +577,7 @@
 		if !m.doubtful(z) || m.now < z.probeAt || len(z.servers) == 0 {
 			continue
 		}
-		z.probeAt = m.now + farProbe
-		z.next++
+		z.probeAt, z.next = m.now+farProbe, z.next+1
 		m.do(Probe{z.servers[z.next%len(z.servers)].ID})
 	}
 }
@@ -580,8 +605,7 @@
 	if q.sure || a.at < q.diedAt {
 		return
 	}
-	q.deaths++
-	q.diedAt = m.now
+	q.deaths, q.diedAt = q.deaths+1, m.now
 	if dead, _ := m.countDead(m.now - deathSpan); dead > 0 && q.deaths >= deathsMost {
 		m.suspects[likeness(q)] = m.now
 		m.log("poison class=%d key=%x", q.Class, q.Key)
@@ -616,12 +640,12 @@
 
 // again queues a part whose attempts have all failed, or gives it up.
 func (m *Mixer) again(p *part) {
-	if len(p.attempts) < p.q.class.MaxAttempts && m.repeatable(p) {
+	if len(p.attempts) < p.most() && m.repeatable(p) {
+		parts := []*part{p}
 		if m.unproven(p.q) { // another part first: this one's shard may have lost a server to it
-			m.placeAll(p.q.parts)
-		} else {
-			m.placeAll([]*part{p})
+			parts = p.q.parts
 		}
+		m.placeAll(parts)
 		return
 	}
 	p.dead = true
@@ -639,16 +663,15 @@
 // hedge sends a second copy of a part that is out too long, to a sound replica with room, if it can still be
 // of use there. All mixers' copies take one mixer's free attempts; failed parts any.
 func (m *Mixer) hedge(p *part) {
-	if !m.set.SecondCopies {
-		m.move(p)
+	if m.stalled || p.done || p.index >= 0 || len(p.attempts) == 0 || len(p.attempts) >= p.most() {
 		return
 	}
-	if m.stalled || p.done ||
-		len(p.attempts) == 0 || len(p.attempts) >= p.q.class.MaxAttempts {
+	a := p.attempts[len(p.attempts)-1]
+	if !a.live || !m.repeatable(p) || !p.q.sure && p.q.deaths > 0 {
 		return
 	}
-	a := p.attempts[len(p.attempts)-1]
-	if p.index >= 0 || !a.live || !m.repeatable(p) || !p.q.sure && p.q.deaths > 0 {
+	if !m.set.SecondCopies {
+		m.move(p, a)
 		return
 	}
 	dear := m.set.Rules.BudgetOn // where copies are not, all that will be late for the aim get one in time
@@ -669,20 +692,15 @@
 	if s == nil || m.tier(s, p) > 2 || !last && (m.tier(s, p) > 0 || m.trust(s) < trusted) {
 		return
 	}
-	m.turn++
-	s.turn = m.turn
+	m.turn, s.turn = m.turn+1, m.turn+1
 	m.send(p, s)
 }
 
 // move calls off a part out too long at a server from which nothing has come since, or something sent later
 // has, if a sound replica with room can still answer it: a hang would keep it past its aim, a lost connection
 // for good. It goes again when the call-off is through, so that never two attempts are out.
-func (m *Mixer) move(p *part) {
-	if !m.set.Cancel || m.stalled || p.done || p.index >= 0 || len(p.attempts) >= p.q.class.MaxAttempts {
-		return
-	}
-	a := p.attempts[len(p.attempts)-1]
-	if !a.live || a.moved || a.inTurn() || !m.repeatable(p) || !p.q.sure && p.q.deaths > 0 {
+func (m *Mixer) move(p *part, a *attempt) {
+	if !m.set.Cancel || a.moved || a.inTurn() {
 		return
 	}
 	m.cdf(a.s)
@@ -702,17 +720,18 @@
 // reply answers a query when it is time to: whole as soon as it can be, in part when waiting longer
 // would cost the aim, or gives it up when what is lacking cannot come.
 func (m *Mixer) reply(q *query) {
-	if q.ended || !q.admitted || len(q.parts) < q.want || len(q.parts) == 0 {
+	if q.ended || !q.admitted || len(q.parts) < q.want || len(q.parts) == 0 && q.step == 1 {
 		return
 	}
 	got, can, lost, in := share(q)
 	need, floor := q.class.Need, q.class.Floor
 	if q.step == 2 {
-		need = 1
+		need, got, can = 1, got*q.first, can*q.first // a share of a page is one of what was ranked
 		if q.class.Floor >= q.class.Need {
 			floor = 1
 		}
 	}
+	over := m.now >= m.stepAim(q)-2*m.set.Tick
 	whole := got >= need-weightSlip
 	if q.step == 2 || need == 1 {
 		whole = in == len(q.parts)
@@ -720,15 +739,15 @@
 	partial := floor < need && got >= floor-weightSlip
 	switch {
 	case whole:
-	case partial && (m.now >= m.stepAim(q)-2*m.set.Tick || lost+in == len(q.parts)):
-	case can < floor-weightSlip: // what is in and what can still come is too little
+	case partial && (over || lost+in == len(q.parts)):
+	case can < floor-weightSlip || over && q.Phased: // what is in and what can still come is too little
 		m.giveUp(q)
 		return
 	default:
 		return
 	}
-	if q.step == 1 && q.class.Fetch > 0 {
-		q.firstWhole = whole
+	if q.step == 1 && (q.class.Fetch > 0 || q.Phased) {
+		q.firstWhole, q.first = whole, 1
 		m.do(Answer{Query: q.ID, Whole: whole})
 		for _, p := range q.parts {
 			if !p.done { // abandoned: it no longer counts
@@ -737,6 +756,9 @@
 			}
 		}
 		q.step, q.want, q.parts = 2, min(q.class.Fetch, in), nil
+		if q.Phased {
+			q.want, q.first = math.MaxInt, got // until the planner has told
+		}
 		return
 	}
 	m.do(Answer{Query: q.ID, Whole: whole && (q.step == 1 || q.firstWhole), Final: true})
@@ -761,13 +783,8 @@
 	soon := duration(m.base)
 	m.live = slices.DeleteFunc(m.live, func(q *query) bool { return q.ended })
 	for _, q := range m.live {
-		m.reply(q)
-		if q.ended {
-			continue
-		}
-		if m.now >= q.end-2*m.set.Tick {
+		if m.reply(q); !q.ended && m.now >= q.end-2*m.set.Tick {
 			m.giveUp(q) // any answer in part was given at the aim
-			continue
 		}
 		for _, p := range q.parts {
 			if p.done || p.dead || p.spare || q.ended {
@@ -821,11 +838,7 @@
 // refuses decides on a whole query before any part is sent: on the miss share. Where a query can do without
 // those of its parts that would be late, it is taken without them, as of a cell with too few servers left.
 func (m *Mixer) refuses(q *query) bool {
-	if m.unheld(q) {
-		return true
-	}
-	need := m.fanoutTail(q, mostDone) + m.waitNow()
-	if m.now+duration(need) > q.end {
+	if m.unheld(q) || m.now+duration(m.fanoutTail(q, mostDone)+m.waitNow()) > q.end {
 		return true // the client would leave before: work for nobody
 	}
 	if m.shed == 0 {
@@ -857,8 +870,7 @@
 }
 
 // wouldMiss says whether a part sent now would still wait at its server when its deadline passes, by what
-// sound servers' answers lately took beyond the usual. Among dozens of mixers the queues stand there, not
-// here, so that what we hold is no measure.
+// sound servers' answers lately took beyond the usual: among dozens of mixers the queues stand there.
 func (m *Mixer) wouldMiss(p *part) bool {
 	return m.now+duration(max(m.waitNow(), m.waitAtShard(p))) > p.deadline
 }
@@ -898,8 +910,7 @@
 	if missed >= missLeast {
 		target = min(max(shedGain*(missed/decided-missShare), 0), 1)
 	}
-	m.shed = max(target, m.shed-shedFall*seconds(m.now-m.shedAt))
-	m.shedAt = m.now
+	m.shed, m.shedAt = max(target, m.shed-shedFall*seconds(m.now-m.shedAt)), m.now
 	m.flip(&m.shedding, m.shed > 0, "shedding=%v missed=%.0f of %.0f", missed, decided)
 }
 
@@ -908,12 +919,9 @@
 	m.news = false
 	pool := m.pool
 	if pool.total == 0 { // before any answer: a start curve from the classes' aims
-		aim := m.set.Classes[0].Aim
-		for _, c := range m.set.Classes {
-			aim = min(aim, c.Aim)
-		}
+		least := slices.MinFunc(m.set.Classes, func(a, b Class) int { return cmp.Compare(a.Aim, b.Aim) })
 		pool = record()
-		pool.fill(seconds(aim) * startTail)
+		pool.fill(seconds(least.Aim) * startTail)
 	}
 	m.poolCDF = blend(m.poolCDF, pool, pool, 0, m.now)
 	m.typical, m.tailAge = pool.quantile(m.poolCDF, 0.5), pool.quantile(m.poolCDF, tail)
@@ -954,9 +962,7 @@
 
 // heard takes in an answer time.
 func (m *Mixer) heard(s *server, sec float64, quiet bool) {
-	if s.lat == 0 {
-		s.lat = sec
-	}
+	s.lat = cmp.Or(s.lat, sec)
 	w := max(latWeight, 1-faded(1, m.now-s.latAt, latStale))
 	if sec < capNear*m.base { // quick again: what held it up is over
 		w = max(w, latBack)
@@ -985,13 +991,11 @@
 
 // note takes in a success or a failure.
 func (m *Mixer) note(s *server, ok bool, weight float64) {
-	s.bad = faded(s.bad, m.now-s.badAt, m.memory(badHalf))
-	s.badAt = m.now
+	s.bad, s.badAt = faded(s.bad, m.now-s.badAt, m.memory(badHalf)), m.now
 	if ok {
 		s.bad -= badDown * s.bad
 	} else {
-		s.bad += badUp * weight * (1 - s.bad)
-		s.failedAt = m.now
+		s.bad, s.failedAt = s.bad+badUp*weight*(1-s.bad), m.now
 	}
 	m.flip(&s.wasBad, s.bad > badLog || s.wasBad && s.bad > badBack, "failing=%v server=%d", s.ID)
 }
@@ -1038,8 +1042,7 @@
 
 func (m *Mixer) onList(e ServerList) {
 	if e.Kind == ListFailed {
-		m.subscribed = false
-		m.askWait = min(2*m.askWait, askMost)
+		m.subscribed, m.askWait = false, min(2*m.askWait, askMost)
 		m.askAt = m.now + duration(seconds(m.askWait)*(0.5+m.rng.Float64()/2))
 		m.flip(&m.listBad, true, "list failing=%v")
 		return
--- a/policy/state.go
+++ b/policy/state.go
@@ -89,6 +89,7 @@
 	step       int
 	admitted   bool
 	firstWhole bool
+	first      float64       // share that the first step ended with
 	sure       bool          // a part has come back
 	deaths     int           // crashes that it was out at, those of one sending counted once
 	diedAt     time.Duration // the last of them
@@ -116,15 +117,14 @@
 }
 
 type attempt struct {
-	p       *part
-	s       *server
-	number  int
-	at      time.Duration
-	sentOut int // parts of ours out at the server when it was sent
-	live    bool
-	spared  bool // known never to have run
-	idle    bool // sent on a connection that had been idle
-	moved   bool // called off, to be sent elsewhere
+	p           *part
+	s           *server
+	number      int
+	at          time.Duration
+	sentOut     int  // parts of ours out at the server when it was sent
+	spared      bool // known never to have run
+	idle        bool // sent on a connection that had been idle
+	live, moved bool // out, and called off to be sent elsewhere
 }
 
 type server struct {
@@ -704,7 +704,7 @@
 // useSpare takes the query's strongest spare part, nil if it has none.
 func (q *query) useSpare() (best *part) {
 	for _, p := range q.parts {
-		if p.spare && !p.dead && (best == nil || p.strength > best.strength) {
+		if p.spare && !p.Later && !p.dead && (best == nil || p.strength > best.strength) {
 			best = p
 		}
 	}
