--- /dev/null
+++ b/internal/search/index.go
@@ -0,0 +1,266 @@
+package search
+
+import (
+	"time"
+)
+
+// Bound is what is known of a range's best lot for a query: no lot of the range comes before it.
+type Bound struct {
+	None bool // no lot of the range matches
+	// Best are the sort values of a lot that none comes before; only the first where the bound is of that key.
+	Best  []Value
+	Count int64 // of lots that match
+	Exact bool  // Count is known
+}
+
+// Index remembers bounds by range, learnt from answers whose lot stores promised that they hold for a while. A
+// bound is void once its time is up, when any copy of the range names a later version, or when a copy that spoke for
+// the range has started anew: its numbering proves nothing then.
+//
+// It is a table of ranges for each name, so that a query finds its bounds by one look-up and then by number. The
+// names not used for longest go first when there are more slots than most. It is not safe for concurrent use.
+type Index struct {
+	ranges []rangeView
+	tables map[string]*table
+	// first and last used; a ring through root
+	root  table
+	most  int
+	slots int
+}
+
+// rangeView is the latest view that was heard of for a range.
+type rangeView struct {
+	version int64
+	until   time.Duration // nothing that was promised holds for longer
+	gen     uint32        // bounds of another one are void
+	boots   map[uint32]string
+}
+
+type table struct {
+	name       string
+	slots      []slot
+	prev, next *table
+}
+
+type slot struct {
+	gen   uint32
+	until time.Duration
+	Bound
+}
+
+// NewIndex makes an index for ranges numbered from 0 that keeps at most so many bounds, about 100 bytes each.
+func NewIndex(ranges, most int) *Index {
+	x := &Index{ranges: make([]rangeView, ranges), tables: map[string]*table{}, most: max(most, ranges)}
+	x.root.prev, x.root.next = &x.root, &x.root
+	return x
+}
+
+// Len is the number of bounds that there is room for at present, and of names.
+func (x *Index) Len() (slots, names int) { return x.slots, len(x.tables) }
+
+// observe takes in the view of an answer whose question left at asked, and says whether a bound from it may be used
+// from then on.
+func (x *Index) observe(number int, source uint32, v View, asked time.Duration) bool {
+	if number < 0 || number >= len(x.ranges) || v.Boot == "" {
+		return false
+	}
+	r := &x.ranges[number]
+	if r.boots == nil {
+		r.boots = map[uint32]string{}
+	}
+	if old, ok := r.boots[source]; ok && old != v.Boot {
+		r.gen++ // started anew: its numbers, also those that others took over from it, may begin again
+		r.version, r.until = v.Version, 0
+	}
+	r.boots[source] = v.Boot
+	until := asked + time.Duration(v.Holds*float64(time.Second))
+	switch {
+	case v.Version > r.version || asked >= r.until: // later, or nothing promised holds any more
+		if v.Version != r.version {
+			r.gen++
+		}
+		r.version, r.until = v.Version, until
+	case v.Version < r.version:
+		return false // a copy that lags behind
+	default:
+		r.until = max(r.until, until)
+	}
+	return v.Holds > 0
+}
+
+// Forget voids what a lot store said: its process has ended, or another has taken its place.
+func (x *Index) Forget(source uint32) {
+	for i := range x.ranges {
+		r := &x.ranges[i]
+		if _, spoke := r.boots[source]; spoke {
+			delete(r.boots, source)
+			r.gen++
+		}
+	}
+}
+
+// Learn takes in an answer of a range to a query, from a lot store and to a question that left at asked.
+func (x *Index) Learn(q *Query, number int, source uint32, a *Answer, asked time.Duration) {
+	if !x.observe(number, source, a.View, asked) {
+		return
+	}
+	until := asked + time.Duration(a.View.Holds*float64(time.Second))
+	b := Bound{Count: a.Total, Exact: q.Count != CountNone && !a.AtLeast}
+	b.None = b.Exact && a.Total == 0 || q.page() > 0 && len(a.Hits) == 0
+	if len(a.Hits) > 0 {
+		b.Best = a.Hits[0].Sort
+	}
+	if b.None {
+		b.Count, b.Exact = 0, true
+	}
+	known := b.None || b.Best != nil
+	if known && q.Name != "" {
+		x.put(q.Name, number, until, b)
+	}
+	if known && q.Plain && q.byScore() && len(q.Clauses) == 1 {
+		c := b
+		if !c.None {
+			c.Best = b.Best[:1]
+		}
+		x.put(clauseName(q.Clauses[0]), number, until, c)
+	}
+	for field, e := range a.Extremes {
+		x.put(leastName(field), number, until, Bound{Best: []Value{e.Least}})
+		x.put(greatestName(field), number, until, Bound{Best: []Value{e.Greatest}})
+	}
+}
+
+// Names of what is no whole query. A query's own name comes from its host and never begins with a zero byte.
+func clauseName(clause string) string  { return "\x00c" + clause }
+func leastName(field string) string    { return "\x00<" + field }
+func greatestName(field string) string { return "\x00>" + field }
+
+func (x *Index) put(name string, number int, until time.Duration, b Bound) {
+	t := x.tables[name]
+	if t == nil {
+		for x.slots+len(x.ranges) > x.most && x.root.prev != &x.root {
+			x.drop(x.root.prev)
+		}
+		t = &table{name: name, slots: make([]slot, len(x.ranges))}
+		x.tables[name] = t
+		x.slots += len(t.slots)
+	} else {
+		t.prev.next, t.next.prev = t.next, t.prev
+	}
+	x.front(t)
+	t.slots[number] = slot{x.ranges[number].gen, until, b}
+}
+
+func (x *Index) front(t *table) {
+	t.prev, t.next = &x.root, x.root.next
+	t.prev.next, t.next.prev = t, t
+}
+
+func (x *Index) drop(t *table) {
+	t.prev.next, t.next.prev = t.next, t.prev
+	delete(x.tables, t.name)
+	x.slots -= len(t.slots)
+}
+
+// use finds a name's table and marks it as used.
+func (x *Index) use(name string) *table {
+	t := x.tables[name]
+	if t != nil {
+		t.prev.next, t.next.prev = t.next, t.prev
+		x.front(t)
+	}
+	return t
+}
+
+// at is a range's bound in a table, nil where none holds.
+func (x *Index) at(t *table, number int, now time.Duration) *slot {
+	if t == nil || number < 0 || number >= len(t.slots) {
+		return nil
+	}
+	s := &t.slots[number]
+	if now >= s.until || s.gen != x.ranges[number].gen {
+		return nil
+	}
+	return s
+}
+
+// bounder finds one query's bounds.
+type bounder struct {
+	x       *Index
+	q       *Query
+	now     time.Duration
+	whole   *table
+	clauses []*table
+	field   *table
+	sums    []Value // room for sums, so that each is no allocation
+}
+
+// bounds begins to look up the bounds of a query; nothing but reading may follow until it is done.
+func (x *Index) bounds(q *Query, now time.Duration) bounder {
+	b := bounder{x: x, q: q, now: now}
+	if x == nil {
+		return b
+	}
+	if q.Name != "" {
+		b.whole = x.use(q.Name)
+	}
+	first := q.Keys[0]
+	switch {
+	case q.byScore():
+		for _, c := range q.Clauses {
+			t := x.use(clauseName(c))
+			if t == nil { // a sum lacks a term
+				b.clauses = nil
+				break
+			}
+			b.clauses = append(b.clauses, t)
+		}
+		if b.clauses != nil {
+			b.sums = make([]Value, 0, len(x.ranges))
+		}
+	case first.Field == Score || first.MissingFirst:
+	case first.Desc:
+		b.field = x.use(greatestName(first.Field))
+	default:
+		b.field = x.use(leastName(first.Field))
+	}
+	return b
+}
+
+// of is the bound of a range, false where there is none.
+func (b *bounder) of(number int) (Bound, bool) {
+	if s := b.x.at(b.whole, number, b.now); s != nil {
+		return s.Bound, true
+	}
+	if s := b.x.at(b.field, number, b.now); s != nil {
+		return s.Bound, true
+	}
+	if len(b.clauses) == 0 || len(b.clauses) != len(b.q.Clauses) {
+		return Bound{}, false
+	}
+	sum, none := 0.0, true
+	for _, t := range b.clauses {
+		s := b.x.at(t, number, b.now)
+		if s == nil {
+			return Bound{}, false
+		}
+		if !s.None {
+			none = false
+			sum += max(s.Best[0].Num, 0)
+		}
+	}
+	if none {
+		return Bound{None: true, Exact: true}, true
+	}
+	if len(b.sums) == cap(b.sums) {
+		return Bound{}, false
+	}
+	b.sums = append(b.sums, Num(sum*(1+scoreSlip)))
+	return Bound{Best: b.sums[len(b.sums)-1:]}, true
+}
+
+// lacksField says whether the extremes of the query's first key are of use and not known for a range.
+func (b *bounder) lacksField(number int) bool {
+	first := b.q.Keys[0]
+	return b.x != nil && first.Field != Score && !first.MissingFirst && b.x.at(b.field, number, b.now) == nil
+}
--- /dev/null
+++ b/internal/search/plan.go
@@ -0,0 +1,505 @@
+package search
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Tuned values, with their reasons.
+const (
+	mostWaves   = 3   // each costs an answer time
+	pageAndHalf = 1.5 // of a page: what the first wave is to hold by its ranges' last counts, as some are beaten
+	pageEighth  = 8.0 // a range of unknown count is taken to hold so small a share of a page
+	waveMostly  = 0.9 // of a wave: in when the next one may go, so that one slow copy holds up nothing
+	leastLeft   = 4   // so few ranges left are asked with the rest: a wave of them saves less than it costs
+)
+
+// Phases says how a query is put to the ranges.
+type Phases uint8
+
+// One asks for listings at once; Two for scores, and for the listings of the page afterwards.
+const (
+	One Phases = iota + 1
+	Two
+)
+
+// Range is a range that a query goes to.
+type Range struct {
+	Number int     // among all ranges
+	Weight float64 // the weights add up to 1
+}
+
+// Times is what a plan has to know of time.
+type Times struct {
+	// End is when the score phase must be over.
+	End time.Duration
+	// Tail is how long so many parts asked together take until the last one is in, but for a bad case in a hundred.
+	Tail func(parts int) time.Duration
+}
+
+// Orders are what the host is to do, ranges by their place in the plan: ask these, and do without those, calling
+// off what is out for them.
+type Orders struct{ Ask, Skip []int }
+
+// Fetch asks a range for the listings of some of its lots.
+type Fetch struct {
+	Place  int // of the range in the plan
+	IDs    []string
+	Weight float64 // its share of the page's lots
+	Source uint32  // the lot store that ranked them
+}
+
+// state of a range.
+type state uint8
+
+const (
+	waiting state = iota // not asked yet
+	asked
+	in
+	skipped
+)
+
+// Plan leads one query. Its host calls Start once, then Scored for each answer and Tick when Due has come, until it
+// closes the score phase by Close; then Listed for each answer to a Fetch, and Result at the end. It is not safe for
+// concurrent use.
+type Plan struct {
+	Query  *Query
+	Phases Phases
+
+	index   *Index
+	ranges  []Range
+	state   []state
+	source  []uint32
+	bounds  []Bound
+	known   []bool // which of bounds there are
+	order   []int  // ranges with a bound, best first; those from worst on are beaten or done with
+	worst   int
+	extreme []bool // which ranges are asked for extremes too
+	next    int    // in order: the first not asked yet
+
+	top      topHits
+	total    int64
+	atLeast  bool
+	times    Times
+	hurryAt  time.Duration
+	waves    int
+	waveSize int
+	waveIn   int
+	left     int // ranges neither asked nor skipped
+	closed   bool
+	page     []*Hit
+	fetched  int // lots of the page whose range has answered to the fetch
+	changed  int
+	bytes    int
+	parts    int
+}
+
+// NewPlan makes a plan. The index may be nil: nothing is known then, and nothing is learnt.
+func NewPlan(q *Query, phases Phases, ranges []Range, index *Index) *Plan {
+	n := len(ranges)
+	return &Plan{Query: q, Phases: phases, index: index, ranges: ranges, state: make([]state, n),
+		source: make([]uint32, n), left: n, top: topHits{keys: q.Keys, most: q.page()}}
+}
+
+// ExpectFetch is how many ranges the listings are expected to come from.
+func (p *Plan) ExpectFetch() int {
+	if p.Phases == One {
+		return 0
+	}
+	return min(p.Query.Size, len(p.ranges))
+}
+
+// Start says what to ask first. In one phase that is every range at once, and nothing is skipped.
+func (p *Plan) Start(now time.Duration, t Times) (o Orders) {
+	p.times, p.hurryAt = t, 0
+	if p.Phases == One {
+		return p.askAll(o)
+	}
+	b := p.index.bounds(p.Query, now)
+	p.bounds, p.known = make([]Bound, len(p.ranges)), make([]bool, len(p.ranges))
+	p.extreme = make([]bool, len(p.ranges))
+	for i, r := range p.ranges {
+		if p.bounds[i], p.known[i] = b.of(r.Number); p.known[i] {
+			p.order = append(p.order, i)
+		}
+		p.extreme[i] = b.lacksField(r.Number)
+	}
+	slices.SortFunc(p.order, func(i, j int) int { return p.compareBounds(i, j) })
+	p.worst = len(p.order)
+	o = p.prune(o) // what holds nothing is beaten by nothing
+	// No time for a second wave, or nothing to gain by one.
+	p.hurryAt = t.End - t.Tail(p.left)
+	if p.page0() || now+t.Tail(p.left) > p.hurryAt || p.worst < leastLeft {
+		return p.askAll(o)
+	}
+	return p.wave(o, now, true)
+}
+
+// page0 says whether only a count is wanted.
+func (p *Plan) page0() bool { return p.Query.page() == 0 }
+
+// compareBounds orders ranges by the best lot that they may have; those that have none come last.
+func (p *Plan) compareBounds(i, j int) int {
+	a, b := &p.bounds[i], &p.bounds[j]
+	switch {
+	case a.None != b.None:
+		if b.None {
+			return -1
+		}
+		return 1
+	case !a.None:
+		n := min(len(a.Best), len(b.Best))
+		if c := compareSort(p.Query.Keys[:n], a.Best, b.Best); c != 0 {
+			return c
+		}
+	}
+	return p.ranges[i].Number - p.ranges[j].Number
+}
+
+// beaten says whether no lot of a range with a bound can reach the page.
+func (p *Plan) beaten(i int) bool {
+	b := &p.bounds[i]
+	if b.None || p.page0() {
+		return true
+	}
+	last := p.top.last()
+	if last == nil {
+		return false
+	}
+	n := len(b.Best)
+	switch c := compareSort(p.Query.Keys[:n], last.Sort, b.Best); {
+	case c != 0:
+		return c < 0
+	case n < len(p.Query.Keys): // further keys decide
+		return false
+	}
+	return last.Range < p.ranges[i].Number
+}
+
+// countable says whether a range may be left out without making the count less than the client wants.
+func (p *Plan) countable(i int) bool {
+	b := &p.bounds[i]
+	switch c := p.Query.Count; {
+	case b.Exact || c == CountNone:
+		return true
+	case c == CountAll:
+		return false
+	case c == CountAnyhow:
+		return !p.page0()
+	default:
+		return p.total >= int64(c)
+	}
+}
+
+// prune skips the ranges that cannot change the page any more, from the worst bound up: where one is not beaten, no
+// better one is.
+func (p *Plan) prune(o Orders) Orders {
+	for ; p.worst > 0; p.worst-- {
+		i := p.order[p.worst-1]
+		if p.state[i] == in || p.state[i] == skipped {
+			continue
+		}
+		if !p.beaten(i) {
+			break
+		}
+		if !p.countable(i) {
+			return p.pruneBetween(o)
+		}
+		o = p.skip(o, i)
+	}
+	return o
+}
+
+// pruneBetween goes on past a range whose count is wanted: another may be beaten and counted.
+func (p *Plan) pruneBetween(o Orders) Orders {
+	for n := p.worst - 1; n >= 0; n-- {
+		i := p.order[n]
+		if p.state[i] == in || p.state[i] == skipped {
+			continue
+		}
+		if !p.beaten(i) {
+			break
+		}
+		if p.countable(i) {
+			o = p.skip(o, i)
+		}
+	}
+	return o
+}
+
+func (p *Plan) skip(o Orders, i int) Orders {
+	if p.state[i] == waiting {
+		p.left--
+	} else {
+		p.waveIn++ // of the wave it went with
+	}
+	p.state[i] = skipped
+	b := &p.bounds[i]
+	p.total += b.Count
+	p.atLeast = p.atLeast || !b.Exact
+	o.Skip = append(o.Skip, i)
+	return o
+}
+
+func (p *Plan) ask(o Orders, i int) Orders {
+	p.state[i] = asked
+	p.left--
+	p.parts++
+	p.waveSize++
+	o.Ask = append(o.Ask, i)
+	return o
+}
+
+func (p *Plan) askAll(o Orders) Orders {
+	p.waves++
+	for i := range p.ranges {
+		if p.state[i] == waiting {
+			o = p.ask(o, i)
+		}
+	}
+	p.hurryAt = 0
+	return o
+}
+
+// wave asks the next ranges: at first those without a bound and, by their bounds, as many of the others as hold a
+// page and a half; then, with a page to beat, half of what can still reach it, and at last the rest.
+func (p *Plan) wave(o Orders, now time.Duration, first bool) Orders {
+	p.waves++
+	p.waveSize, p.waveIn = 0, 0
+	if first {
+		for i := range p.ranges {
+			if !p.known[i] && p.state[i] == waiting {
+				o = p.ask(o, i)
+			}
+		}
+	}
+	want, most := pageAndHalf*float64(p.Query.page()), p.left
+	if p.top.last() != nil {
+		want, most = float64(p.left*p.Query.page()), (p.left+1)/2
+	}
+	if p.waves >= mostWaves || p.left <= leastLeft {
+		return p.askAll(o)
+	}
+	for held := 0.0; held < want && most > 0 && p.next < len(p.order); p.next++ {
+		i := p.order[p.next]
+		if p.state[i] != waiting {
+			continue
+		}
+		n := float64(p.Query.page()) / pageEighth
+		if p.bounds[i].Exact {
+			n = float64(p.bounds[i].Count)
+		}
+		held += n
+		most--
+		o = p.ask(o, i)
+	}
+	if p.left <= leastLeft {
+		return p.askAll(o)
+	}
+	p.hurryAt = p.times.End - p.times.Tail(p.left)
+	return o
+}
+
+// Due is when Tick is wanted, 0 for not at all.
+func (p *Plan) Due() time.Duration {
+	if p.closed || p.left == 0 {
+		return 0
+	}
+	return p.hurryAt
+}
+
+// Tick asks for what is left when waiting longer would cost the answer its time.
+func (p *Plan) Tick(now time.Duration) (o Orders) {
+	if p.closed || p.left == 0 || now < p.hurryAt {
+		return o
+	}
+	return p.askAll(o)
+}
+
+// Scored takes in a range's answer to a question that left at left. An answer must pass Check before.
+func (p *Plan) Scored(i int, source uint32, a *Answer, left, now time.Duration) (o Orders) {
+	if p.state[i] != asked {
+		return o // skipped meanwhile
+	}
+	p.bytes += a.Bytes
+	if p.index != nil {
+		p.index.Learn(p.Query, p.ranges[i].Number, source, a, left)
+	}
+	p.state[i], p.source[i] = in, source
+	p.waveIn++
+	if p.closed {
+		return o
+	}
+	p.total += a.Total
+	p.atLeast = p.atLeast || a.AtLeast
+	moved := false
+	for n := range a.Hits {
+		h := &a.Hits[n]
+		h.Range, h.Rank = p.ranges[i].Number, n
+		if !p.top.offer(h) {
+			break // sorted: none of the rest is better
+		}
+		moved = true
+	}
+	if p.Phases == One {
+		return o
+	}
+	if moved || p.Query.Count > 0 {
+		o = p.prune(o)
+	}
+	if p.left > 0 && float64(p.waveIn) >= waveMostly*float64(p.waveSize) {
+		o = p.wave(o, now, false)
+	}
+	return o
+}
+
+// Close ends the score phase and says which listings are wanted. What was not asked or is not in counts as missing.
+func (p *Plan) Close() (fetch []Fetch) {
+	p.closed = true
+	p.page = p.top.sorted()
+	p.page = p.page[min(p.Query.From, len(p.page)):]
+	if p.Phases == One {
+		return nil
+	}
+	at := map[int]int{} // by range number, place in fetch
+	for _, h := range p.page {
+		n, ok := at[h.Range]
+		if !ok {
+			n = len(fetch)
+			at[h.Range] = n
+			place := slices.IndexFunc(p.ranges, func(r Range) bool { return r.Number == h.Range })
+			fetch = append(fetch, Fetch{Place: place, Source: p.source[place]})
+		}
+		fetch[n].IDs = append(fetch[n].IDs, h.ID)
+		fetch[n].Weight += 1 / float64(len(p.page))
+	}
+	p.parts += len(fetch)
+	return fetch
+}
+
+// Listed takes in a range's listings. A lot that is not among them, or that has changed so that its rank is not
+// its own any more, is left out of the page.
+func (p *Plan) Listed(i int, a *Answer) {
+	p.bytes += a.Bytes
+	for _, h := range p.page {
+		if h.Range != p.ranges[i].Number || h.Listing != "" {
+			continue
+		}
+		p.fetched++
+		n := slices.IndexFunc(a.Hits, func(l Hit) bool { return l.ID == h.ID })
+		if n < 0 || !h.same(p.Query.Keys, &a.Hits[n]) {
+			p.changed++
+			continue
+		}
+		h.Listing = a.Hits[n].Listing
+	}
+}
+
+// same says whether a lot still belongs where it was ranked: it has not changed, or its rank has not.
+func (h *Hit) same(keys []Key, now *Hit) bool {
+	return h.Version != 0 && h.Version == now.Version || sameSort(keys, h.Sort, now.Sort)
+}
+
+// Result is what a query's answer says.
+type Result struct {
+	Hits    []*Hit // of the page, in order, with their listings
+	Total   int64
+	AtLeast bool // Total is a lower bound
+	// MaxScore is the best score where the query is sorted by it and all ranges are in; NaN otherwise.
+	Best    *Hit  // of all lots, nil where no range is in or a better one may be missing
+	In      int   // ranges that answered
+	Skipped []int // range numbers
+	Missing []int
+	Weight  float64 // of the ranges that are in or skipped
+	Listed  float64 // share of the page's lots whose ranges gave their listings
+	Changed int     // lots left out as they had changed between the phases
+	Bytes   int     // of the lot stores' answers
+	Parts   int     // asked, further attempts not counted
+}
+
+// Share is the share of a whole answer that the result is: of the weight, and of the page.
+func (r *Result) Share() float64 { return r.Weight * r.Listed }
+
+// Whole says whether nothing is missing.
+func (r *Result) Whole() bool { return len(r.Missing) == 0 && r.Listed == 1 && r.Changed == 0 }
+
+// Result is what is in now; the host ends the score phase first.
+func (p *Plan) Result() (r Result) {
+	r = Result{Total: p.total, AtLeast: p.atLeast, Listed: 1, Changed: p.changed, Bytes: p.bytes, Parts: p.parts}
+	for i, s := range p.state {
+		switch s {
+		case in:
+			r.In++
+			r.Weight += p.ranges[i].Weight
+		case skipped:
+			r.Skipped = append(r.Skipped, p.ranges[i].Number)
+			r.Weight += p.ranges[i].Weight
+		default:
+			r.Missing = append(r.Missing, p.ranges[i].Number)
+		}
+	}
+	if len(r.Missing) > 0 {
+		r.AtLeast = true
+	} else {
+		r.Weight = 1 // but for rounding
+		r.Best = p.top.best
+	}
+	if p.Phases == Two && len(p.page) > 0 {
+		r.Listed = float64(p.fetched) / float64(len(p.page))
+	}
+	for _, h := range p.page {
+		if h.Listing != "" {
+			r.Hits = append(r.Hits, h)
+		}
+	}
+	return r
+}
+
+// WantsExtremes says whether the range at a place is to be asked for the extremes of the first sort key's field.
+func (p *Plan) WantsExtremes(i int) bool { return p.extreme != nil && p.extreme[i] }
+
+// topHits keeps the best lots, the last of them at the root of a heap.
+type topHits struct {
+	keys []Key
+	most int
+	hits []*Hit
+	best *Hit
+}
+
+func (t *topHits) Len() int           { return len(t.hits) }
+func (t *topHits) Less(i, j int) bool { return before(t.keys, t.hits[i], t.hits[j]) > 0 }
+func (t *topHits) Swap(i, j int)      { t.hits[i], t.hits[j] = t.hits[j], t.hits[i] }
+func (t *topHits) Push(x any)         { t.hits = append(t.hits, x.(*Hit)) }
+func (t *topHits) Pop() any           { panic("never taken") }
+
+// last is the page's last lot, nil while the page is not full.
+func (t *topHits) last() *Hit {
+	if t.most == 0 || len(t.hits) < t.most {
+		return nil
+	}
+	return t.hits[0]
+}
+
+// offer takes a lot in if it is among the best, and says whether it was.
+func (t *topHits) offer(h *Hit) bool {
+	if t.best == nil || before(t.keys, h, t.best) < 0 {
+		t.best = h
+	}
+	switch {
+	case len(t.hits) < t.most:
+		heap.Push(t, h)
+	case t.most == 0 || before(t.keys, h, t.hits[0]) >= 0:
+		return false
+	default:
+		t.hits[0] = h
+		heap.Fix(t, 0)
+	}
+	return true
+}
+
+func (t *topHits) sorted() []*Hit {
+	all := slices.Clone(t.hits)
+	slices.SortFunc(all, func(a, b *Hit) int { return before(t.keys, a, b) })
+	return all
+}
