--- /dev/null
+++ b/internal/net/opensearch/rig_test.go
@@ -0,0 +1,387 @@
+package opensearch
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// rig is the front and the core on a false clock, among lot stores in memory that hold a corpus: four ranges to a
+// cell, three copies of each cell. It lives in a synctest bubble.
+type rig struct {
+	front  *Front
+	core   *gather.Core
+	corpus *lots.Corpus
+	stores map[policy.ServerID]*memStore
+	ranges int
+	ended  chan struct{}
+
+	mu       sync.Mutex
+	report   gather.Reporter
+	parts    int // sent, by phase
+	listings int
+	bytes    int
+	out      map[*gather.Attempt]*job
+	most     map[string]int // attempts out at once by query and range, the most seen
+	live     map[string]int
+	tries    map[string]int
+}
+
+// memStore is one lot store: two cores and a queue.
+type memStore struct {
+	id    policy.ServerID
+	copy  *lots.Copy
+	free  int
+	queue []*job
+	dead  bool
+	slow  float64 // work takes so many times as long
+	// trouble may say how a part ends and how much work it is more; nil for none.
+	trouble func(r int, p lots.Phase) (standin.End, time.Duration)
+	tamper  func(r int, p lots.Phase, item string) string
+	asked   map[lots.Phase]map[int]int
+}
+
+type job struct {
+	a     *gather.Attempt
+	s     *memStore
+	work  time.Duration
+	state int // 0 waiting, 1 running, 2 over
+}
+
+// Work of a part, as shares of what a part with listings takes, and of a call.
+const (
+	partWork   = 84 * time.Millisecond
+	scoreShare = 0.7
+	fetchShare = 0.3
+	callWork   = 46 * time.Millisecond
+	wayThere   = time.Millisecond
+)
+
+type rigOptions struct {
+	ranges, each int
+	phases       search.Phases
+	refresh      time.Duration
+	bounds       int
+	bytes        int
+	unit         float64 // work is so many times as much; 0 for 1
+	change       func(*settings.Settings)
+}
+
+// bubble runs f on a false clock.
+func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+func newRig(o rigOptions) *rig {
+	r := &rig{ranges: o.ranges, corpus: lots.New(7, o.ranges, o.each), stores: map[policy.ServerID]*memStore{}, ended: make(chan struct{}),
+		out: map[*gather.Attempt]*job{}, most: map[string]int{}, live: map[string]int{}, tries: map[string]int{}}
+	cells := max(o.ranges/4, 1)
+	set := settings.Settings{Classes: []string{"lot-search"}, Zones: []string{"a", "b"}, Shards: o.ranges, OpenCap: 50 * (o.ranges + 1), StreamsPerConn: 32}
+	set.Policy = policy.Settings{Siblings: 1, Tick: 5 * time.Millisecond, Cells: cells, Width: 1, Batch: 8, CallCost: callWork, MaxAttempts: 4,
+		Cancel: true, Probes: true, MaxRetryAfter: 500 * time.Millisecond,
+		Rules:   policy.Rules{StartCapacity: 0.15, Ramp: 17 * time.Second, FallMultiple: 3, FallSpan: 1500 * time.Millisecond},
+		Classes: []policy.Class{{Aim: 1200 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Need: 1, Floor: 0.7, MaxAttempts: 4}}}
+	if o.change != nil {
+		o.change(&set)
+	}
+	quiet := log.New(io.Discard, "", 0)
+	core, err := gather.New(set, 1, r, quiet)
+	if err != nil {
+		panic(err)
+	}
+	core.Searches(gather.SearchConfig{Phases: o.phases, Ranges: o.ranges, Bounds: o.bounds, Bytes: o.bytes})
+	r.core, r.report = core, core
+	current := &settings.Current{}
+	current.Store(&set)
+	r.front = &Front{Core: core, Settings: current, Name: "os", Plans: true}
+	r.front.SetIndices(map[string]string{"lots": "lot-search"})
+	var list []mem.Server
+	for cell := range cells {
+		for i := range 3 {
+			list = append(list, mem.Server{Name: fmt.Sprintf("s-%d-%d", cell, i), Addr: "x", Cell: cell, Zone: i % 2, Weight: 1, State: policy.Ready})
+		}
+	}
+	for i, s := range list { // the core numbers them from 1 on, in the list's order
+		id := policy.ServerID(i + 1)
+		r.stores[id] = &memStore{id: id, copy: r.corpus.NewCopy(s.Name, o.refresh), free: 2, slow: max(o.unit, 0.0001),
+			asked: map[lots.Phase]map[int]int{}}
+		if o.unit == 0 {
+			r.stores[id].slow = 1
+		}
+	}
+	go func() { core.Run(); close(r.ended) }()
+	core.List(gather.List{Kind: policy.Cached, Servers: list})
+	return r
+}
+
+func (r *rig) stop() {
+	r.core.Stop()
+	<-r.ended
+}
+
+// holders are the copies of a range.
+func (r *rig) holders(shard int) (s []*memStore) {
+	cell := shard % max(r.ranges/4, 1)
+	for i := range 3 {
+		s = append(s, r.stores[policy.ServerID(cell*3+i+1)])
+	}
+	return s
+}
+
+// search asks the front, and waits for its answer.
+func (r *rig) search(target, body string) (int, gjson.Result) {
+	p := r.front.Handle(&http1.Request{Method: "POST", Path: "/lots/_search", Query: target, Body: []byte(body), At: time.Now()}, nil)
+	return p.Status, gjson.ParseBytes(p.Body)
+}
+
+// Servers, Probe and CloseIdle implement gather.Transport.
+func (r *rig) Servers([]mem.Server)      {}
+func (r *rig) CloseIdle(policy.ServerID) {}
+func (r *rig) Probe(id policy.ServerID) {
+	time.AfterFunc(2*wayThere, func() {
+		r.mu.Lock()
+		ok := !r.stores[id].dead
+		r.mu.Unlock()
+		r.report.Probed(id, ok)
+	})
+}
+
+// Call implements gather.Transport: the call's own work goes with its first part.
+func (r *rig) Call(id policy.ServerID, attempts []*gather.Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stores[id]
+	for i, a := range attempts {
+		key := fmt.Sprint(a.Query, "/", a.Shard)
+		r.live[key]++
+		r.tries[key]++
+		r.most[key] = max(r.most[key], r.live[key])
+		body := askBody(a.Text, a.Ask, "1s")
+		p := lots.PhaseOf(gjson.ParseBytes(body))
+		if s.asked[p] == nil {
+			s.asked[p] = map[int]int{}
+		}
+		s.asked[p][a.Shard]++
+		r.parts++
+		if p != lots.Scores {
+			r.listings++
+		}
+		r.bytes += len(body)
+		share := map[lots.Phase]float64{lots.Scores: scoreShare, lots.Listings: fetchShare, lots.Both: 1}[p]
+		j := &job{a: a, s: s, work: time.Duration(share * float64(partWork) * s.slow)}
+		if i == 0 {
+			j.work += time.Duration(float64(callWork) * s.slow)
+		}
+		r.out[a] = j
+		time.AfterFunc(wayThere, func() { r.arrive(j) })
+	}
+}
+
+func (r *rig) arrive(j *job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case j.s.dead:
+		go r.end(j, policy.ConnectFailed, nil)
+	case j.state == 0:
+		j.s.queue = append(j.s.queue, j)
+		r.run(j.s)
+	}
+}
+
+// run begins work while a core is free.
+func (r *rig) run(s *memStore) {
+	for s.free > 0 && len(s.queue) > 0 && !s.dead {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		if j.state != 0 {
+			continue
+		}
+		j.state = 1
+		s.free--
+		body := gjson.ParseBytes(askBody(j.a.Text, j.a.Ask, "1s"))
+		p := lots.PhaseOf(body)
+		end, more := standin.Hit, time.Duration(0)
+		if s.trouble != nil {
+			end, more = s.trouble(j.a.Shard, p)
+		}
+		time.AfterFunc(j.work+more, func() { r.worked(j, body, p, end) })
+	}
+}
+
+func (r *rig) worked(j *job, body gjson.Result, p lots.Phase, end standin.End) {
+	r.mu.Lock()
+	j.s.free++
+	r.run(j.s)
+	dead, tamper := j.s.dead, j.s.tamper
+	r.mu.Unlock()
+	switch {
+	case dead:
+		return // reset by kill
+	case end == standin.Silent:
+		return
+	case end != standin.Hit:
+		r.end(j, policy.Error, nil)
+		return
+	}
+	item := j.s.copy.Search(j.a.Shard, body)
+	if tamper != nil {
+		item = tamper(j.a.Shard, p, item)
+	}
+	time.Sleep(wayThere)
+	found, why := parseFound(gjson.Parse(item), j.a.Ask)
+	r.mu.Lock()
+	r.bytes += len(item)
+	r.mu.Unlock()
+	if why != "" {
+		r.end(j, policy.Error, nil)
+		return
+	}
+	r.end(j, policy.OK, found)
+}
+
+// end reports an attempt's end, once.
+func (r *rig) end(j *job, s policy.Status, found *search.Answer) {
+	r.mu.Lock()
+	over := r.out[j.a] == nil
+	delete(r.out, j.a)
+	j.state = 2
+	if !over {
+		r.live[fmt.Sprint(j.a.Query, "/", j.a.Shard)]--
+	}
+	r.mu.Unlock()
+	switch {
+	case over:
+	case s == policy.OK:
+		r.report.Found(j.a, found)
+	default:
+		r.report.Outcome(j.a, s, "")
+	}
+}
+
+// Cancel implements gather.Transport: what waits is dropped, what runs goes on.
+func (r *rig) Cancel(a *gather.Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j := r.out[a]; j != nil {
+		if j.state == 0 {
+			j.state = 2
+		}
+		go r.end(j, policy.Cancelled, nil)
+	}
+}
+
+// kill ends a lot store's process: what is out there is reset, and what comes is refused.
+func (r *rig) kill(s *memStore) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.dead, s.queue = true, nil
+	for a, j := range r.out {
+		if j.s == s {
+			_ = a
+			go r.end(j, policy.Reset, nil)
+		}
+	}
+}
+
+// asked adds up how often a range was asked in a phase.
+func (r *rig) asked(shard int, p lots.Phase) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.holders(shard) {
+		n += s.asked[p][shard]
+	}
+	return n
+}
+
+// truth is the page that a full search of the corpus as it is now gives, and the count.
+func (r *rig) truth(body string, from, size int) (ids []string, total int) {
+	k := r.corpus.NewCopy("truth", 0)
+	type hit struct {
+		id   string
+		sort []search.Value
+	}
+	var all []hit
+	q, e := parseBody(gjson.Parse(body), nil, true)
+	if e != nil {
+		panic(e.reason)
+	}
+	whole := *q
+	whole.From, whole.Size, whole.Count = 0, 100000, search.CountAll
+	ask := &gather.Ask{Query: &whole}
+	for s := range r.ranges {
+		found, why := parseFound(gjson.Parse(k.Search(s, gjson.ParseBytes(askBody([]byte(body), ask, "1s")))), ask)
+		if why != "" {
+			panic(why)
+		}
+		for _, h := range found.Hits {
+			all = append(all, hit{h.ID, h.Sort})
+		}
+		total += int(found.Total)
+	}
+	slices.SortStableFunc(all, func(a, b hit) int { // ties by range, then as the range has them
+		for i, k := range q.Keys {
+			x, y, c := a.sort[i], b.sort[i], 0
+			switch {
+			case x.Kind == search.Missing || y.Kind == search.Missing:
+				c = map[bool]int{true: 1}[x.Kind == search.Missing] - map[bool]int{true: 1}[y.Kind == search.Missing]
+				if k.MissingFirst {
+					c = -c
+				}
+			case x.Num != y.Num:
+				c = map[bool]int{true: -1, false: 1}[(x.Num < y.Num) != k.Desc]
+			case x.Str != y.Str:
+				c = map[bool]int{true: -1, false: 1}[(x.Str < y.Str) != k.Desc]
+			}
+			if c != 0 {
+				return c
+			}
+		}
+		return 0
+	})
+	all = all[min(from, len(all)):]
+	for _, h := range all[:min(size, len(all))] {
+		ids = append(ids, h.id)
+	}
+	return ids, total
+}
+
+func hitIDs(body gjson.Result) (ids []string) {
+	for _, h := range body.Get("hits.hits").Array() {
+		ids = append(ids, h.Get("_id").Str)
+	}
+	return ids
+}
+
+// queries are what dealers look for, a few much more often than the rest.
+func queries(rng *rand.Rand, n int) (bodies []string) {
+	kinds := lots.Kinds()
+	zipf := rand.NewZipf(rng, 1.3, 2, uint64(len(kinds)-1))
+	for range n {
+		kind := kinds[zipf.Uint64()]
+		switch rng.IntN(5) {
+		case 0:
+			bodies = append(bodies, fmt.Sprintf(`{"query":{"bool":{"must":[{"match":{"title":%q}}],"filter":[{"range":{"year":{"gte":%d}}}]}}}`, kind, 2000+5*rng.IntN(3)))
+		case 1:
+			bodies = append(bodies, fmt.Sprintf(`{"query":{"match":{"title":{"query":%q,"operator":"and"}}},"sort":[{"price":"asc"}]}`, kind))
+		default:
+			bodies = append(bodies, fmt.Sprintf(`{"query":{"match":{"title":%q}}}`, kind))
+		}
+	}
+	return bodies
+}
--- a/internal/search/index.go
+++ b/internal/search/index.go
@@ -13,9 +13,10 @@
 	Exact bool  // Count is known
 }
 
-// Index remembers bounds by range, learnt from answers whose lot stores promised that they hold for a while. A
-// bound is void once its time is up, when any copy of the range names a later version, or when a copy that spoke for
-// the range has started anew: its numbering proves nothing then.
+// Index remembers bounds by range, learnt from answers whose lot stores promised that their view holds for a while.
+// A bound is of a version of its range, and may be used while some copy has promised that its searches see that
+// version. It is void when any copy names a later one, or when a copy that spoke for the range has started anew: its
+// numbering proves nothing then. One whose promise has run out counts again when a copy promises the same version.
 //
 // It is a table of ranges for each name, so that a query finds its bounds by one look-up and then by number. The
 // names not used for longest go first when there are more slots than most. It is not safe for concurrent use.
@@ -49,8 +50,7 @@
 }
 
 type slot struct {
-	gen   uint32
-	until time.Duration
+	gen uint32 // from 1 on
 	Bound
 }
 
@@ -65,15 +65,14 @@
 // Len is the number of bounds that there is room for at present, and of names.
 func (x *Index) Len() (slots, names int) { return x.slots, len(x.tables) }
 
-// observe takes in the view of an answer whose question left at asked, and says whether a bound from it may be used
-// from then on.
+// observe takes in the view of an answer whose question left at asked, and says whether a bound may be learnt.
 func (x *Index) observe(number int, source uint32, v View, asked time.Duration) bool {
 	if number < 0 || number >= len(x.ranges) || v.Boot == "" {
 		return false
 	}
 	r := &x.ranges[number]
 	if r.boots == nil {
-		r.boots = map[uint32]string{}
+		r.boots, r.gen = map[uint32]string{}, 1
 	}
 	if old, ok := r.boots[source]; ok && old != v.Boot {
 		r.gen++ // started anew: its numbers, also those that others took over from it, may begin again
@@ -92,7 +91,7 @@
 	default:
 		r.until = max(r.until, until)
 	}
-	return v.Holds > 0
+	return true
 }
 
 // Forget voids what a lot store said: its process has ended, or another has taken its place.
@@ -114,7 +113,6 @@
 	if !x.observe(number, source, a.View, asked) {
 		return
 	}
-	until := asked + time.Duration(a.View.Holds*float64(time.Second))
 	b := Bound{Count: a.Total, Exact: q.Count != CountNone && !a.AtLeast}
 	b.None = b.Exact && a.Total == 0 || q.page() > 0 && len(a.Hits) == 0
 	if len(a.Hits) > 0 {
@@ -125,18 +123,18 @@
 	}
 	known := b.None || b.Best != nil
 	if known && q.Name != "" {
-		x.put(q.Name, number, until, b)
+		x.put(q.Name, number, b)
 	}
 	if known && q.Plain && q.byScore() && len(q.Clauses) == 1 {
 		c := b
 		if !c.None {
 			c.Best = b.Best[:1]
 		}
-		x.put(clauseName(q.Clauses[0]), number, until, c)
+		x.put(clauseName(q.Clauses[0]), number, c)
 	}
 	for field, e := range a.Extremes {
-		x.put(leastName(field), number, until, Bound{Best: []Value{e.Least}})
-		x.put(greatestName(field), number, until, Bound{Best: []Value{e.Greatest}})
+		x.put(leastName(field), number, Bound{Best: []Value{e.Least}})
+		x.put(greatestName(field), number, Bound{Best: []Value{e.Greatest}})
 	}
 }
 
@@ -145,7 +143,7 @@
 func leastName(field string) string    { return "\x00<" + field }
 func greatestName(field string) string { return "\x00>" + field }
 
-func (x *Index) put(name string, number int, until time.Duration, b Bound) {
+func (x *Index) put(name string, number int, b Bound) {
 	t := x.tables[name]
 	if t == nil {
 		for x.slots+len(x.ranges) > x.most && x.root.prev != &x.root {
@@ -158,7 +156,7 @@
 		t.prev.next, t.next.prev = t.next, t.prev
 	}
 	x.front(t)
-	t.slots[number] = slot{x.ranges[number].gen, until, b}
+	t.slots[number] = slot{x.ranges[number].gen, b}
 }
 
 func (x *Index) front(t *table) {
@@ -187,8 +185,8 @@
 	if t == nil || number < 0 || number >= len(t.slots) {
 		return nil
 	}
-	s := &t.slots[number]
-	if now >= s.until || s.gen != x.ranges[number].gen {
+	s, r := &t.slots[number], &x.ranges[number]
+	if now >= r.until || s.gen != r.gen || s.gen == 0 {
 		return nil
 	}
 	return s
--- /dev/null
+++ b/internal/standin/lots/rank.go
@@ -0,0 +1,376 @@
+package lots
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+)
+
+// Parameters of BM25 as Robertson and Zaragoza give them.
+const (
+	k1 = 1.2
+	b  = 0.75
+)
+
+// matcher scores a lot; false where it does not match.
+type matcher func(*Lot) (score float64, ok bool)
+
+// errQuery is a query that the stand-in cannot answer; the API's 400.
+var errQuery = errors.New("parsing_exception")
+
+// compile reads a query.
+func (c *Corpus) compile(q gjson.Result) (m matcher, err error) {
+	err = fmt.Errorf("%w: no query: %.80s", errQuery, q.Raw)
+	q.ForEach(func(kind, body gjson.Result) bool {
+		m, err = c.compileKind(kind.Str, body)
+		return false
+	})
+	return m, err
+}
+
+func (c *Corpus) compileKind(kind string, body gjson.Result) (matcher, error) {
+	field, value := "", gjson.Result{}
+	body.ForEach(func(k, v gjson.Result) bool { field, value = k.Str, v; return false })
+	switch kind {
+	case "match_all":
+		return func(*Lot) (float64, bool) { return 1, true }, nil
+	case "match":
+		return c.match(field, value)
+	case "term", "terms":
+		list := value.Array()
+		if value.IsObject() {
+			list = []gjson.Result{value.Get("value")}
+		}
+		return func(l *Lot) (float64, bool) {
+			f := l.field(field)
+			return 1, slices.ContainsFunc(list, func(v gjson.Result) bool { return f.Exists() && f.String() == v.String() })
+		}, nil
+	case "range":
+		return func(l *Lot) (float64, bool) {
+			f := l.field(field)
+			ok := f.Exists()
+			value.ForEach(func(op, v gjson.Result) bool {
+				switch op.Str {
+				case "gte":
+					ok = ok && f.Num >= v.Num
+				case "gt":
+					ok = ok && f.Num > v.Num
+				case "lte":
+					ok = ok && f.Num <= v.Num
+				case "lt":
+					ok = ok && f.Num < v.Num
+				}
+				return true
+			})
+			return 1, ok
+		}, nil
+	case "ids":
+		want := map[string]bool{}
+		for _, id := range body.Get("values").Array() {
+			want[id.String()] = true
+		}
+		return func(l *Lot) (float64, bool) { return 1, want[l.ID] }, nil
+	case "exists":
+		return func(l *Lot) (float64, bool) { return 1, l.field(body.Get("field").Str).Exists() }, nil
+	case "bool":
+		return c.compileBool(body)
+	}
+	return nil, fmt.Errorf("%w: unknown query [%s]", errQuery, kind)
+}
+
+// match scores the title's words by BM25, by the counts of the whole corpus.
+func (c *Corpus) match(field string, value gjson.Result) (matcher, error) {
+	text, all := value.String(), false
+	if value.IsObject() {
+		text, all = value.Get("query").String(), value.Get("operator").String() == "and"
+	}
+	if field != "title" {
+		return func(l *Lot) (float64, bool) { return 1, strings.EqualFold(l.field(field).String(), text) }, nil
+	}
+	words := c.words(text)
+	return func(l *Lot) (score float64, ok bool) {
+		hit := 0
+		for _, w := range words {
+			tf := float64(l.terms[w])
+			if tf == 0 {
+				continue
+			}
+			hit++
+			df := float64(c.df[w])
+			idf := math.Log(1 + (c.n-df+0.5)/(df+0.5))
+			score += idf * tf * (k1 + 1) / (tf + k1*(1-b+b*float64(l.length)/c.mean))
+		}
+		return float64(float32(score)), hit > 0 && (!all || hit == len(words))
+	}, nil
+}
+
+func (c *Corpus) compileBool(body gjson.Result) (matcher, error) {
+	clauses := map[string][]matcher{}
+	var err error
+	body.ForEach(func(name, v gjson.Result) bool {
+		list := []gjson.Result{v}
+		if v.IsArray() {
+			list = v.Array()
+		}
+		for _, q := range list {
+			var m matcher
+			if m, err = c.compile(q); err != nil {
+				return false
+			}
+			clauses[name.Str] = append(clauses[name.Str], m)
+		}
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func(l *Lot) (score float64, ok bool) {
+		for _, m := range clauses["filter"] {
+			if _, ok := m(l); !ok {
+				return 0, false
+			}
+		}
+		for _, m := range clauses["must_not"] {
+			if _, ok := m(l); ok {
+				return 0, false
+			}
+		}
+		for _, m := range clauses["must"] {
+			s, ok := m(l)
+			if !ok {
+				return 0, false
+			}
+			score += s
+		}
+		should := 0
+		for _, m := range clauses["should"] {
+			if s, ok := m(l); ok {
+				score += s
+				should++
+			}
+		}
+		if len(clauses["should"]) > 0 && should == 0 && len(clauses["must"])+len(clauses["filter"]) == 0 {
+			return 0, false
+		}
+		return float64(float32(score)), true
+	}, nil
+}
+
+// field is a lot's field as JSON has it.
+func (l *Lot) field(name string) gjson.Result {
+	num := func(x float64) gjson.Result {
+		return gjson.Result{Type: gjson.Number, Num: x, Raw: strconv.FormatFloat(x, 'f', -1, 64)}
+	}
+	str := func(s string) gjson.Result { return gjson.Result{Type: gjson.String, Str: s, Raw: strconv.Quote(s)} }
+	switch name {
+	case "title":
+		return str(l.Title)
+	case "make":
+		return str(l.Make)
+	case "location":
+		return str(l.Location)
+	case "year":
+		return num(float64(l.Year))
+	case "closing":
+		return num(float64(l.Closing))
+	case "price":
+		if l.Price > 0 {
+			return num(l.Price)
+		}
+	}
+	return gjson.Result{}
+}
+
+type scored struct {
+	lot   *Lot
+	score float64
+	sort  []gjson.Result
+}
+
+// sortKey is one key of a question's sort.
+type sortKey struct {
+	field        string
+	desc, first1 bool // first1: lots without the field come first
+}
+
+func sortKeys(v gjson.Result) (keys []sortKey) {
+	for _, k := range v.Array() {
+		k.ForEach(func(field, o gjson.Result) bool {
+			keys = append(keys, sortKey{field.Str, o.Get("order").Str == "desc", o.Get("missing").Str == "_first"})
+			return false
+		})
+	}
+	return keys
+}
+
+func (s *scored) value(k sortKey) gjson.Result {
+	if k.field == "_score" {
+		return gjson.Result{Type: gjson.Number, Num: s.score, Raw: strconv.FormatFloat(s.score, 'g', -1, 64)}
+	}
+	return s.lot.field(k.field)
+}
+
+func compareBy(keys []sortKey, a, b *scored) int {
+	for i, k := range keys {
+		x, y := a.sort[i], b.sort[i]
+		c := 0
+		switch {
+		case !x.Exists() || !y.Exists():
+			c = boolInt(!x.Exists()) - boolInt(!y.Exists())
+			if k.first1 {
+				c = -c
+			}
+			if c != 0 {
+				return c
+			}
+			continue
+		case x.Type == gjson.Number:
+			c = cmp.Compare(x.Num, y.Num)
+		default:
+			c = strings.Compare(x.Str, y.Str)
+		}
+		if k.desc {
+			c = -c
+		}
+		if c != 0 {
+			return c
+		}
+	}
+	return 0
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Search answers one question about a range, as one item of a multi-search.
+func (k *Copy) Search(r int, question gjson.Result) string {
+	v, holds := k.see(r)
+	query := question.Get("query")
+	if !query.Exists() {
+		query = gjson.Parse(`{"match_all":{}}`)
+	}
+	match, err := k.corpus.compile(query)
+	if err != nil {
+		return fmt.Sprintf(`{"error":{"type":"parsing_exception","reason":%q},"status":400}`, err)
+	}
+	keys := sortKeys(question.Get("sort"))
+	plain := len(keys) == 0
+	if plain {
+		keys = []sortKey{{"_score", true, false}}
+	}
+	var found []*scored
+	for _, l := range v.lots {
+		if s, ok := match(l); ok {
+			x := &scored{lot: l, score: s}
+			for _, key := range keys {
+				x.sort = append(x.sort, x.value(key))
+			}
+			found = append(found, x)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b *scored) int { return compareBy(keys, a, b) })
+	total := len(found)
+	size := 10
+	if s := question.Get("size"); s.Exists() {
+		size = int(s.Int())
+	}
+	out := append([]byte(nil), `{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{`...)
+	if t := question.Get("track_total_hits"); t.Type != gjson.False {
+		out = fmt.Appendf(out, `"total":{"value":%d,"relation":"eq"},`, total)
+	}
+	out = append(out, `"max_score":null,"hits":[`...)
+	for i, x := range found[:min(size, total)] {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = x.append(out, question, plain)
+	}
+	out = append(out, `]}`...)
+	if a := question.Get("aggs"); a.Exists() {
+		out = v.appendAggs(append(out, `,"aggregations":{`...), a)
+	}
+	if k.every > 0 {
+		out = fmt.Appendf(out, `,"view":{"boot":%q,"version":%d,"holds_ms":%d}`, k.boot, v.version, holds.Milliseconds())
+	}
+	return string(append(out, `,"status":200}`...))
+}
+
+// append words a hit.
+func (x *scored) append(out []byte, question gjson.Result, plain bool) []byte {
+	out = fmt.Appendf(out, `{"_index":"lots","_id":%q`, x.lot.ID)
+	if question.Get("version").Bool() {
+		out = fmt.Appendf(out, `,"_version":%d`, x.lot.version)
+	}
+	if plain {
+		out = strconv.AppendFloat(append(out, `,"_score":`...), x.score, 'g', -1, 64)
+	} else {
+		out = append(out, `,"_score":null`...)
+	}
+	if src := question.Get("_source"); src.Type != gjson.False {
+		out = append(out, `,"_source":`...)
+		all, err := json.Marshal(x.lot)
+		if err != nil {
+			panic(err) // plain values
+		}
+		if src.IsArray() {
+			var some []string
+			for _, f := range src.Array() {
+				if v := gjson.GetBytes(all, f.Str); v.Exists() {
+					some = append(some, strconv.Quote(f.Str)+":"+v.Raw)
+				}
+			}
+			all = []byte("{" + strings.Join(some, ",") + "}")
+		}
+		out = append(out, all...)
+	}
+	if !plain {
+		out = append(out, `,"sort":[`...)
+		for i, v := range x.sort {
+			if i > 0 {
+				out = append(out, ',')
+			}
+			out = append(out, cmp.Or(v.Raw, "null")...)
+		}
+		out = append(out, ']')
+	}
+	return append(out, '}')
+}
+
+// appendAggs answers least and greatest values over the whole range, whatever the query.
+func (v *view) appendAggs(out []byte, aggs gjson.Result) []byte {
+	aggs.ForEach(func(name, a gjson.Result) bool {
+		out = fmt.Appendf(out, `%q:{"doc_count":%d`, name.Str, len(v.lots))
+		a.Get("aggs").ForEach(func(sub, f gjson.Result) bool {
+			best, seen := 0.0, false
+			isMin := f.Get("min").Exists()
+			for _, l := range v.lots {
+				x := l.field(cmp.Or(f.Get("min.field").Str, f.Get("max.field").Str))
+				if x.Type == gjson.Number && (!seen || isMin == (x.Num < best)) {
+					best, seen = x.Num, true
+				}
+			}
+			out = fmt.Appendf(out, `,%q:{"value":`, sub.Str)
+			if seen {
+				out = strconv.AppendFloat(out, best, 'f', -1, 64)
+			} else {
+				out = append(out, "null"...)
+			}
+			out = append(out, '}')
+			return true
+		})
+		out = append(out, '}')
+		return true
+	})
+	return append(out, '}')
+}
