Scores move off slow lot stores early, and pages leave the score phase the time they do not need

The tail of the fetch phase was reckoned from all records, slow ones too, so that scores had half of the aim; a part at a slow copy was called off only past twice that copy's own tail; and waves were given up as the pool's tail left no time for two.

--- a/internal/gather/search.go
+++ b/internal/gather/search.go
@@ -20,6 +20,9 @@
 	most    int // of held; 0 for no bound
 }
 
+// fetchUsual is how many usual answer times the plan leaves to the second step, whose end is the Mixer's to say.
+const fetchUsual = 2
+
 // queryMost is the share of all bytes that one query may hold.
 const queryMost = 0.25
 
@@ -67,8 +70,8 @@
 	}
 	q.plan, q.at = search.NewPlan(q.Search, phases, ranges, c.index), c.now()
 	fetch = q.plan.ExpectFetch()
-	aim := min(class.Aim, c.at(q.Deadline)-q.at)
-	first = q.plan.Start(q.at, search.Times{End: q.at + max(aim-c.mixer.Tail(fetch), aim/2), Tail: c.mixer.Tail})
+	aim, usual := min(class.Aim, c.at(q.Deadline)-q.at), c.mixer.Usual()
+	first = q.plan.Start(q.at, search.Times{End: q.at + max(aim-fetchUsual*usual, aim/2), Usual: usual})
 	if phases == search.Two {
 		c.phased[q] = struct{}{}
 	}
--- a/internal/net/opensearch/twophase_bench_test.go
+++ b/internal/net/opensearch/twophase_bench_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/standin/lots"
 	"pulleygw.example/pulleygw/policy"
 )
 
@@ -30,6 +29,7 @@
 	worth                           float64
 	parts, listings, bytes          int
 	skipped                         int
+	changed, unlisted, unranked     int // partial answers for want of these
 	p50, p99                        time.Duration
 }
 
@@ -57,9 +57,7 @@
 			case <-stop:
 				return
 			case <-time.After(100 * time.Millisecond):
-				shard := writes.IntN(o.ranges)
-				r.corpus.Put(shard, lots.Lot{ID: fmt.Sprintf("lot-%d-%d", shard, writes.IntN(o.each)), Title: lots.Kinds()[writes.IntN(16)],
-					Make: "Kubota", Year: 2010, Price: float64(100 + writes.IntN(100000))})
+				r.corpus.Bid(writes.IntN(o.ranges), writes.IntN(o.each), float64(100+writes.IntN(100000)))
 			}
 		}
 	})
@@ -93,6 +91,15 @@
 			if c := got.Get("coverage"); !c.Get("whole").Bool() {
 				m.partial++
 				worth = 0.9 * c.Get("share").Num
+				if c.Get("changed").Int() > 0 {
+					m.changed++
+				}
+				if c.Get("listed").Num < 1 {
+					m.unlisted++
+				}
+				if len(c.Get("missing").Array()) > 0 {
+					m.unranked++
+				}
 			}
 			m.skipped += int(got.Get("_shards.skipped").Int())
 			if d > 1200*time.Millisecond {
@@ -137,6 +144,9 @@
 					b.ReportMetric(float64(m.late)/n, "late/query")
 					b.ReportMetric(float64(m.refused)/n, "refused/query")
 					b.ReportMetric(float64(m.partial)/n, "partial/query")
+					b.ReportMetric(float64(m.changed)/n, "changed/query")
+					b.ReportMetric(float64(m.unlisted)/n, "unlisted/query")
+					b.ReportMetric(float64(m.unranked)/n, "unranked/query")
 					b.ReportMetric(float64(m.p50.Milliseconds()), "p50-ms")
 					b.ReportMetric(float64(m.p99.Milliseconds()), "p99-ms")
 					b.ReportMetric(0, "ns/op")
--- a/internal/search/plan.go
+++ b/internal/search/plan.go
@@ -12,6 +12,7 @@
 	pageAndHalf = 1.5 // of a page: what the first wave is to hold by its ranges' last counts, as some are beaten
 	pageEighth  = 8.0 // a range of unknown count is taken to hold so small a share of a page
 	waveMostly  = 0.9 // of a wave: in when the next one may go, so that one slow copy holds up nothing
+	waveUsual   = 2   // usual answer times that a wave is given: a part that fails has a second try
 	leastLeft   = 4   // so few ranges left are asked with the rest: a wave of them saves less than it costs
 )
 
@@ -34,8 +35,9 @@
 type Times struct {
 	// End is when the score phase must be over.
 	End time.Duration
-	// Tail is how long so many parts asked together take until the last one is in, but for a bad case in a hundred.
-	Tail func(parts int) time.Duration
+	// Usual is what a sound lot store's answer takes. The tail of so many parts is of no use here: where some copies
+	// are slow, it is over the aim whatever is asked when, and the slow ones are left to the decision module.
+	Usual time.Duration
 }
 
 // Orders are what the host is to do, ranges by their place in the plan: ask these, and do without those, calling
@@ -81,7 +83,6 @@
 	top      topHits
 	total    int64
 	atLeast  bool
-	times    Times
 	hurryAt  time.Duration
 	waves    int
 	waveSize int
@@ -112,7 +113,7 @@
 
 // Start says what to ask first. In one phase that is every range at once, and nothing is skipped.
 func (p *Plan) Start(now time.Duration, t Times) (o Orders) {
-	p.times, p.hurryAt = t, 0
+	p.hurryAt = 0
 	if p.Phases == One {
 		return p.askAll(o)
 	}
@@ -129,8 +130,8 @@
 	p.worst = len(p.order)
 	o = p.prune(o) // what holds nothing is beaten by nothing
 	// No time for a second wave, or nothing to gain by one.
-	p.hurryAt = t.End - t.Tail(p.left)
-	if p.page0() || now+t.Tail(p.left) > p.hurryAt || p.worst < leastLeft {
+	p.hurryAt = t.End - waveUsual*t.Usual
+	if p.page0() || now+waveUsual*t.Usual > p.hurryAt || p.worst < leastLeft {
 		return p.askAll(o)
 	}
 	return p.wave(o, now, true)
@@ -297,7 +298,6 @@
 	if p.left <= leastLeft {
 		return p.askAll(o)
 	}
-	p.hurryAt = p.times.End - p.times.Tail(p.left)
 	return o
 }
 
--- a/internal/search/search_test.go
+++ b/internal/search/search_test.go
@@ -80,7 +80,7 @@
 	return NewPlan(q, Two, ranges, x)
 }
 
-var roomy = Times{End: sec, Tail: func(int) time.Duration { return 50 * ms }}
+var roomy = Times{End: sec, Usual: 25 * ms}
 
 // run plays a plan; each asked range answers after a while of its own, in an order given by pick.
 func (w *world) run(p *Plan, at time.Duration, pick func(n int) int) (r Result, fetch []Fetch) {
@@ -275,7 +275,7 @@
 	q := &Query{Keys: byScore, Size: 10, Count: CountAnyhow, Name: "q"}
 	w.run(w.plan(q, x), sec, first)
 	p := w.plan(q, x)
-	o := p.Start(2*sec, Times{End: 3 * sec, Tail: roomy.Tail})
+	o := p.Start(2*sec, Times{End: 3 * sec, Usual: 25 * ms})
 	if n := len(o.Ask); n == 0 || n > 10 {
 		t.Fatalf("%d asked first", n)
 	}
@@ -289,7 +289,7 @@
 		t.Errorf("%d asked at last", len(late.Ask))
 	}
 	p = w.plan(q, x)
-	if o := p.Start(2*sec, Times{End: 2090 * ms, Tail: roomy.Tail}); len(o.Ask) != 40 {
+	if o := p.Start(2*sec, Times{End: 2090 * ms, Usual: 25 * ms}); len(o.Ask) != 40 {
 		t.Errorf("%d asked where there is time for one wave only", len(o.Ask))
 	}
 }
@@ -300,7 +300,7 @@
 	q := &Query{Keys: byScore, Size: 10, Count: CountAnyhow, Name: "q"}
 	w.run(w.plan(q, x), sec, first)
 	p := w.plan(q, x)
-	p.Start(2*sec, Times{End: 2090 * ms, Tail: roomy.Tail}) // one wave
+	p.Start(2*sec, Times{End: 2090 * ms, Usual: 25 * ms}) // one wave
 	o := p.Scored(0, 0, w.answer(q, 0), 2*sec, 2*sec)
 	n := len(o.Skip) // range 0's last is 991, and range 1 reaches 990
 	p.Scored(o.Skip[0], 0, w.answer(q, o.Skip[0]), 2*sec, 2*sec)
@@ -457,7 +457,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				p := NewPlan(q, Two, ranges, x)
-				for _, i := range p.Start(2*sec, Times{End: 3 * sec, Tail: roomy.Tail}).Ask {
+				for _, i := range p.Start(2*sec, Times{End: 3 * sec, Usual: 25 * ms}).Ask {
 					p.Scored(i, 0, answers[i], 2*sec, 2*sec)
 				}
 				p.Close()
--- a/internal/standin/lots/corpus.go
+++ b/internal/standin/lots/corpus.go
@@ -130,6 +130,19 @@
 	c.ranges[r] = &view{old.version + 1, append(lots, &l)}
 }
 
+// Bid raises a lot's price; nothing else of it changes.
+func (c *Corpus) Bid(r, n int, price float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.ranges[r]
+	lots := slices.Clone(old.lots)
+	l := *lots[n]
+	l.Price = price
+	l.version++
+	lots[n] = &l
+	c.ranges[r] = &view{old.version + 1, lots}
+}
+
 // Delete takes a lot out of a range.
 func (c *Corpus) Delete(r int, id string) {
 	c.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -178,6 +178,9 @@
 		return
 	}
 	m.seq++
+	if q.Phased && q.step == 1 {
+		e.Used = 1 // one is left for the listings
+	}
 	p := &part{PartArrived: e, q: q, index: -1, seq: m.seq, mayRun: -1, spare: e.Later}
 	m.parts[e.ID] = p
 	q.parts, q.all = append(q.parts, p), append(q.all, p)
@@ -202,32 +205,21 @@
 func (m *Mixer) planned(q *query, e Planned) {
 	for _, p := range q.parts {
 		if slices.Contains(e.Skip, p.ID) {
-			p.done, p.dead = true, false
 			m.settle(p)
+			p.done, p.dead, p.server = true, false, nil
 		} else if p.spare && slices.Contains(e.Ask, p.ID) {
 			p.spare, p.headless = false, p.deadline <= m.now
 		}
 	}
 	if q.step == 2 {
 		q.want = e.Fetch
-	} else if q.admitted {
-		m.placeAll(q.parts)
 	}
+	m.placeAll(q.parts)
 	m.reply(q)
 }
 
-// most is how many attempts a part may have: scores leave one of them for the listings.
-func (p *part) most() int {
-	if p.q.Phased && p.q.step == 1 {
-		return p.q.class.MaxAttempts - 1
-	}
-	return p.q.class.MaxAttempts - p.Used
-}
-
-// Tail is the fan-out's unloaded tail of so many parts at lot stores not chosen yet.
-func (m *Mixer) Tail(parts int) time.Duration {
-	return duration(m.pool.quantile(m.poolCDF, math.Pow(tail, 1/float64(max(parts, 1)))))
-}
+// Usual is what a part sent now takes at a sound server.
+func (m *Mixer) Usual() time.Duration { return duration(m.typical + m.waitNow()) }
 
 // stamp gives all parts of a step one deadline: the aim minus the fan-out's unloaded tail.
 func (m *Mixer) stamp(q *query) {
@@ -242,8 +234,8 @@
 	}
 }
 
-// keepSpares leaves out the parts that a whole answer can do without, those of the weakest shards: what is
-// not asked is no waste, no load on servers that have least to spare; it goes when others are late or lost.
+// keepSpares leaves out the parts that a whole answer can do without, those of the weakest shards: they go when
+// others are late or lost.
 func (m *Mixer) keepSpares(q *query) {
 	for _, p := range q.parts {
 		p.spare, p.strength = true, 0
@@ -271,12 +263,23 @@
 	return s.cdf
 }
 
-// stepAim is when a step should be answered: the first of two leaves the second its time.
+// stepAim is when a step should be answered: the first of two leaves the second its fan-out's tail. A phased
+// query's listings go to servers that have answered already, as far as these are known.
 func (m *Mixer) stepAim(q *query) time.Duration {
-	if q.step == 1 && (q.class.Fetch > 0 || q.Phased) {
-		return q.aimAt - min(m.Tail(q.Fetch), (q.aimAt-q.at)/2)
+	if q.step == 2 || q.class.Fetch == 0 && !q.Phased {
+		return q.aimAt
+	}
+	left := max(q.Fetch, 1)
+	m.product = m.product[:0]
+	for i := 0; i < len(q.parts) && left > 0; i++ {
+		if p := q.parts[i]; q.Phased && p.done && p.server != nil {
+			m.product, left = multiply(m.product, m.cdf(p.server)), left-1
+		}
 	}
-	return q.aimAt
+	for ; left > 0; left-- {
+		m.product = multiply(m.product, m.poolCDF)
+	}
+	return q.aimAt - min(duration(m.pool.quantile(m.product, tail)), (q.aimAt-q.at)/2)
 }
 
 // placeAll chooses a replica for each part that has none. Where a call has a cost of its own, parts
@@ -347,11 +350,10 @@
 	return m.sooner(best, cover, parts[0])
 }
 
-// sooner replaces a choice by a server that answers some and errs at once on the rest, where asking there
-// until it answers takes less than the queue at the chosen one: else one sound server of a cell would carry
-// what the others still could. The last attempt is not for it. Where repeats are rationed it is left alone.
+// sooner replaces a choice by a server that errs at once on some, where asking there until it answers takes
+// less than the queue at the chosen one: else one sound server would carry all. Not for the last attempt.
 func (m *Mixer) sooner(best *server, cover int, p *part) (*server, int) {
-	if best == nil || len(p.attempts) > p.most()-2 || m.set.Rules.BudgetOn {
+	if best == nil || len(p.attempts) > p.q.class.MaxAttempts-p.Used-2 || m.set.Rules.BudgetOn {
 		return best, cover
 	}
 	soonest := m.expected(best)
@@ -432,7 +434,7 @@
 // send launches an attempt. Rules kept here: nothing for an ended query, attempts and budget counted,
 // repeats only where the class allows them now.
 func (m *Mixer) send(p *part, s *server) {
-	if p.done || p.q.ended || len(p.attempts) >= p.most() || !m.repeatable(p) {
+	if p.done || p.q.ended || len(p.attempts)+p.Used >= p.q.class.MaxAttempts || !m.repeatable(p) {
 		return
 	}
 	if len(p.attempts) > 0 && !p.cheap {
@@ -540,9 +542,8 @@
 	}
 }
 
-// lossAfter takes in whether an attempt was lost. Where those sent on a connection that had been idle are
-// lost and the others are not, idle connections have died unseen, somewhere on the way: they are closed
-// before the next part, and the servers are sound. Forgotten in time, so that it is found out when they live.
+// lossAfter takes in whether an attempt was lost. Where those on a connection that had been idle are lost and
+// the others are not, idle connections have died unseen: they are closed, until that is forgotten in time.
 func (m *Mixer) lossAfter(a *attempt, lost float64) {
 	if a.sentOut > 0 {
 		return // on a connection that another part may hang on
@@ -593,8 +594,7 @@
 // Poison: queries that bring down the servers that begin their parts. A part that comes back clears its
 // query, as the cause kills each time. Servers dying undrained in several zones tell that one is abroad.
 
-// unproven says whether only one part of a query may be out until one has come back: it has lost parts
-// to a crash, or crashes are about and it is wide enough to bring down many at once.
+// unproven says whether only one part of a query may be out until one has come back.
 func (m *Mixer) unproven(q *query) bool {
 	return !q.sure && (q.deaths > 0 || m.alarm && len(q.parts) >= proveFrom)
 }
@@ -640,7 +640,7 @@
 
 // again queues a part whose attempts have all failed, or gives it up.
 func (m *Mixer) again(p *part) {
-	if len(p.attempts) < p.most() && m.repeatable(p) {
+	if len(p.attempts)+p.Used < p.q.class.MaxAttempts && m.repeatable(p) {
 		parts := []*part{p}
 		if m.unproven(p.q) { // another part first: this one's shard may have lost a server to it
 			parts = p.q.parts
@@ -663,7 +663,7 @@
 // hedge sends a second copy of a part that is out too long, to a sound replica with room, if it can still be
 // of use there. All mixers' copies take one mixer's free attempts; failed parts any.
 func (m *Mixer) hedge(p *part) {
-	if m.stalled || p.done || p.index >= 0 || len(p.attempts) == 0 || len(p.attempts) >= p.most() {
+	if n := len(p.attempts); m.stalled || p.done || p.index >= 0 || n == 0 || n+p.Used >= p.q.class.MaxAttempts {
 		return
 	}
 	a := p.attempts[len(p.attempts)-1]
@@ -697,19 +697,22 @@
 }
 
 // move calls off a part out too long at a server from which nothing has come since, or something sent later
-// has, if a sound replica with room can still answer it: a hang would keep it past its aim, a lost connection
-// for good. It goes again when the call-off is through, so that never two attempts are out.
+// has, if a sound replica with room can still answer it. It goes again when the call-off is through. Scores,
+// which the listings wait for, are not left to a slow server until it is proven to hang.
 func (m *Mixer) move(p *part, a *attempt) {
 	if !m.set.Cancel || a.moved || a.inTurn() {
 		return
 	}
 	m.cdf(a.s)
 	takes, s := m.typical+m.waitNow(), m.pick(p)
-	tooLong := 2 * max(a.s.patience, farTimes*m.typical+m.waitNow())
-	if seconds(m.now-a.at) < tooLong || m.now+duration(takes) > p.q.aimAt {
+	scores, tooLong := p.q.Phased && p.q.step == 1, farTimes*m.typical+m.waitNow()
+	if !scores {
+		tooLong = 2 * max(a.s.patience, tooLong)
+	}
+	if seconds(m.now-a.at) < tooLong || m.now+duration(takes) > m.stepAim(p.q) {
 		return
 	}
-	if s != nil && s.answerAt > a.at && m.tier(s, p) == 0 && m.trust(s) >= trusted && m.budget(1) {
+	if s != nil && (scores || s.answerAt > a.at) && m.tier(s, p) == 0 && m.trust(s) >= trusted && m.budget(1) {
 		a.moved = true
 		m.do(Cancel{Part: p.ID, Attempt: a.number})
 	}
@@ -724,14 +727,13 @@
 		return
 	}
 	got, can, lost, in := share(q)
-	need, floor := q.class.Need, q.class.Floor
+	need, floor, over := q.class.Need, q.class.Floor, m.now >= m.stepAim(q)-2*m.set.Tick
 	if q.step == 2 {
 		need, got, can = 1, got*q.first, can*q.first // a share of a page is one of what was ranked
 		if q.class.Floor >= q.class.Need {
 			floor = 1
 		}
 	}
-	over := m.now >= m.stepAim(q)-2*m.set.Tick
 	whole := got >= need-weightSlip
 	if q.step == 2 || need == 1 {
 		whole = in == len(q.parts)
@@ -747,7 +749,6 @@
 		return
 	}
 	if q.step == 1 && (q.class.Fetch > 0 || q.Phased) {
-		q.firstWhole, q.first = whole, 1
 		m.do(Answer{Query: q.ID, Whole: whole})
 		for _, p := range q.parts {
 			if !p.done { // abandoned: it no longer counts
@@ -755,7 +756,7 @@
 				m.settle(p)
 			}
 		}
-		q.step, q.want, q.parts = 2, min(q.class.Fetch, in), nil
+		q.step, q.want, q.parts, q.firstWhole, q.first = 2, min(q.class.Fetch, in), nil, whole, 1
 		if q.Phased {
 			q.want, q.first = math.MaxInt, got // until the planner has told
 		}
@@ -875,8 +876,7 @@
 	return m.now+duration(max(m.waitNow(), m.waitAtShard(p))) > p.deadline
 }
 
-// waitAtShard is what the quickest replica of a part's shard lately took beyond the usual, the longer the
-// more it fails: with one of two replicas silent, the queue of all mixers stands at the other.
+// waitAtShard is what the quickest replica of a part's shard took beyond the usual, longer the more it fails.
 func (m *Mixer) waitAtShard(p *part) float64 {
 	best := recordHigh
 	for _, s := range m.replicas[p.Shard%m.set.Cells] {
@@ -1025,10 +1025,9 @@
 	return r.StartCapacity + (1-r.StartCapacity)*max(seconds(m.now-from), 0)/seconds(r.Ramp)
 }
 
-// sendable says whether a server may be sent one part more: listed, ready, and if cold, within this
-// mixer's own share of what it can do: one part in the time that a warm server takes to answer us one, and
-// longer by its warmth. Told by answers, not by sends: in a storm of parts turned away, those say nothing of
-// what a server carries. It also keeps one part from each of many mixers from pushing it over.
+// sendable says whether a server may be sent one part more: listed, ready, and if cold, within our own share
+// of what it can do: one part in the time that a warm server takes to answer us one, longer by its warmth.
+// Told by answers: in a storm of parts turned away, sends say nothing of what a server carries.
 func (m *Mixer) sendable(s *server) bool {
 	if !s.listed || s.State != Ready {
 		return false
