--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -7,11 +7,18 @@
 	"log"
 	"net"
 	"os"
+	"time"
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/net/opensearch"
 	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/standin/lots"
+)
+
+// What the lot stores that speak opensearch hold.
+const (
+	lotsEach = 200 // by range
+	refresh  = 5 * time.Second
 )
 
 func main() {
@@ -25,10 +32,11 @@
 	root := gjson.ParseBytes(text)
 	shards := int(root.Get("settings.familyInfo.shards").Int())
 	script := &standin.Script{} // every part is a hit
+	corpus := lots.New(1, shards, lotsEach)
 	for _, h := range root.Get("known.hosts").Array() {
 		l := listen(h.Get("dial").String())
 		if *speak == "opensearch" {
-			go standin.OpenSearch(l, script, func(r string) int { return opensearch.Shard(r, shards) })
+			go lots.Serve(l.(*net.TCPListener), corpus.NewCopy(h.Get("host").String(), refresh), lots.Script{}, &lots.Asked{})
 		} else {
 			go standin.Frames(l, script)
 		}
--- /dev/null
+++ b/internal/lifecycle/search_test.go
@@ -0,0 +1,92 @@
+package lifecycle
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/standin/lots"
+)
+
+// A daemon on sockets among lot stores that hold lots: pages are the same in one phase and in two, in which most ranges
+// are skipped once they are known and listings are asked of few; an answer cut short ends its connection only, and the
+// page is whole.
+func TestSearchOnSockets(t *testing.T) {
+	pages := map[search.Phases][]string{}
+	for _, phases := range []search.Phases{search.One, search.Two} {
+		corpus, asked := lots.New(7, shards, 50), &lots.Asked{}
+		cut := make(chan struct{}, 1)
+		cut <- struct{}{}
+		var hosts []string
+		for i := range 12 {
+			name := fmt.Sprintf("s-%d", i)
+			script := lots.Script{Tamper: func(_ int, _ lots.Phase, item string) string {
+				select {
+				case <-cut: // one answer only
+					return item[:len(item)/2]
+				default:
+					return item
+				}
+			}}
+			l := standin.Listen(t)
+			go lots.Serve(l.(*net.TCPListener), corpus.NewCopy(name, time.Hour), script, asked)
+			hosts = append(hosts, standin.Host(name, l.Addr().String(), []string{"cheonan", "pyeongtaek"}[i%2], i/2, "ready"))
+		}
+		d := startAmong(t, standin.List(1, hosts...), &FrontConfig{Listen: "127.0.0.1:0",
+			Indices: map[string]string{"lots": "lot-search", "bids": "place-bid"}, Stores: true, Phases: phases})
+		for i := range 4 {
+			p := do(t, d.Addrs()[1], "POST", fmt.Sprintf("/lots/_search?from=%d&size=5&timeout=3s", i%2*5), nil,
+				`{"query":{"match":{"title":"tractor"}},"sort":[{"price":"desc"}],"_source":["title","price"]}`)
+			body := gjson.ParseBytes(p.Body)
+			page := body.Get("hits.hits.#._id").Raw + body.Get("hits.hits.#._source.price").Raw
+			if p.Status != 200 || !body.Get("coverage.whole").Bool() || body.Get("hits.hits.#").Int() != 5 || body.Get("coverage.phases").Int() != int64(phases) {
+				t.Fatalf("%d %s", p.Status, p.Body)
+			}
+			pages[phases] = append(pages[phases], page)
+		}
+		if listings := len(asked.Parts(lots.Listings)); (listings > 0) != (phases == search.Two) || listings > 10 {
+			t.Errorf("phases %d: listings asked of %d ranges", phases, listings)
+		}
+		if len(cut) != 0 {
+			t.Error("nothing was cut")
+		}
+	}
+	if one, two := strings.Join(pages[search.One], ""), strings.Join(pages[search.Two], ""); one != two || pages[search.One][0] == pages[search.One][1] {
+		t.Errorf("pages in one phase\n%s\nand in two\n%s", one, two)
+	}
+}
+
+// startAmong starts a daemon whose discovery has a list.
+func startAmong(t *testing.T, list string, f *FrontConfig) *Daemon {
+	agent := standin.Listen(t)
+	go standin.Discovery(agent, list)
+	set, err := os.ReadFile("testdata/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := t.TempDir() + "/config.json"
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, agent.Addr(), list, set)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := LoadConfig(file, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Start(c, f, nil, log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Drain)
+	return d
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -6,8 +6,10 @@
 	"log"
 	"net"
 	"net/textproto"
+	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tidwall/gjson"
 
@@ -84,13 +86,21 @@
 	return &http1.Response{Status: status, Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}, Body: []byte(body)}
 }
 
-// Discovery is an agent that serves one list, until the listener closes. A watch waits until its caller goes.
+// Discovery is an agent that serves one list, until the listener closes. A watch is answered with no change when its
+// time is up.
 func Discovery(l net.Listener, list string) {
 	seq := gjson.Get(list, "seq").String()
 	h := func(r *http1.Request, gone <-chan struct{}) *http1.Response {
-		if strings.Contains(r.Query, "since="+seq+"&") {
-			<-gone
-			return nil
+		params, _ := url.ParseQuery(r.Query)
+		if ms, err := strconv.Atoi(params.Get("timeout_ms")); err == nil && params.Get("since") == seq {
+			timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
+			defer timer.Stop()
+			select {
+			case <-gone:
+				return nil
+			case <-timer.C:
+				return JSON(200, `{"seq":`+seq+`,"whole":false,"hosts":[]}`)
+			}
 		}
 		return JSON(200, list)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -234,8 +234,8 @@
 	}
 }
 
-// keepSpares leaves out the parts that a whole answer can do without, those of the weakest shards: they go when
-// others are late or lost.
+// keepSpares leaves out the parts that a whole answer can do without, those of the weakest shards: they go
+// when others are late or lost.
 func (m *Mixer) keepSpares(q *query) {
 	for _, p := range q.parts {
 		p.spare, p.strength = true, 0
