A query that lot stores cannot answer ends as 400, and speaks against no lot store

Cause: a 400 of a lot store counted as its failure and was tried elsewhere: one search with an unknown kind of query over 24 ranges made all 12 lot stores of the toy 'failing' and got 429; whoever sends such queries takes the service down for all.

Change: such an answer is reported as unanswerable; the part counts as never sent, and once two lot stores say so the query ends as 400 with their words.

Result: 50 such queries in a row get 400, every lot store's failure record stays 0 and the next good search takes its usual time (test).

--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -56,6 +56,7 @@
 	Reason     string        // one of the Reason constants, where not answered
 	Search     search.Result // what came of a search; Whole says that nothing is missing there
 	Phases     search.Phases // how a search was put
+	Detail     string        // where Reason is ReasonQuestion, what a lot store says of it
 }
 
 // Why a request was not answered.
@@ -68,6 +69,7 @@
 	ReasonTooLarge  = "answer over the size limit"
 	ReasonPanic     = "decisions restarted"
 	ReasonStopping  = "this gatherer stops"
+	ReasonQuestion  = "lot stores cannot answer such a question"
 )
 
 // PartResult is what came of one part.
@@ -138,6 +140,9 @@
 	Outcome(a *Attempt, s policy.Status, value string)
 	// Found tells what an attempt with an Ask brought; it has ended well. The answer has passed its Check.
 	Found(a *Attempt, found *search.Answer)
+	// Unanswerable tells that the lot store cannot answer what an attempt with an Ask asks, and why: whoever asked it
+	// is at fault, and the lot store is sound.
+	Unanswerable(a *Attempt, why string)
 	// Probed tells how a probe ended.
 	Probed(server policy.ServerID, ok bool)
 }
--- a/internal/gather/search.go
+++ b/internal/gather/search.go
@@ -129,6 +129,20 @@
 	})
 }
 
+// bookUnanswerable takes in that a lot store cannot answer a question. It counts as never sent, as nothing speaks
+// against the lot store: one client's bad query must not have all of them taken for failing.
+func (c *Core) bookUnanswerable(a *Attempt, why string) {
+	if a.outcome {
+		return
+	}
+	q := a.part.q
+	c.report(a, policy.Moot)
+	if !q.over && q.plan.Refused(uint32(a.Server)) {
+		c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(q.id)})
+		c.finish(q, Result{Kind: Failed, Reason: ReasonQuestion, Detail: why})
+	}
+}
+
 // guard keeps a fault in a plan from taking down all that the daemon holds: its one query fails.
 func (c *Core) guard(q *query, f func()) {
 	defer func() {
@@ -191,7 +205,7 @@
 			first.OK, first.Last, first.Waiting = false, l.Last, l.Waiting
 		}
 	}
-	if c.chooser != nil && sent { // one that was refused unsent says nothing of either way
+	if c.chooser != nil && sent && r.Reason != ReasonQuestion { // one that was refused unsent says nothing of either way
 		c.chooser.Measured(q.Class, q.plan, c.now()-q.at, c.set.Policy.Classes[q.Class].Aim, r.Kind == Answered)
 	}
 }
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -23,6 +23,10 @@
 		a      *Attempt
 		answer *search.Answer
 	}
+	unanswerable struct {
+		a   *Attempt
+		why string
+	}
 	probed struct {
 		server policy.ServerID
 		ok     bool
@@ -128,6 +132,9 @@
 // Found implements Reporter.
 func (c *Core) Found(a *Attempt, answer *search.Answer) { c.tell(found{a, answer}) }
 
+// Unanswerable implements Reporter.
+func (c *Core) Unanswerable(a *Attempt, why string) { c.tell(unanswerable{a, why}) }
+
 // Probed implements Reporter.
 func (c *Core) Probed(server policy.ServerID, ok bool) { c.tell(probed{server, ok}) }
 
@@ -151,6 +158,8 @@
 		c.book(m.a, m.s, m.value)
 	case found:
 		c.bookFound(m.a, m.answer)
+	case unanswerable:
+		c.bookUnanswerable(m.a, m.why)
 	case probed:
 		c.events = append(c.events, policy.Probed{Server: m.server, OK: m.ok})
 	case List:
--- a/internal/net/frames/frames_test.go
+++ b/internal/net/frames/frames_test.go
@@ -64,6 +64,7 @@
 
 func (r reports) Outcome(a *gather.Attempt, s policy.Status, v string) { r.ch <- report{a, s, v} }
 func (r reports) Found(*gather.Attempt, *search.Answer)                {}
+func (r reports) Unanswerable(*gather.Attempt, string)                 {}
 func (r reports) Probed(_ policy.ServerID, ok bool) {
 	r.ch <- report{s: map[bool]policy.Status{true: policy.OK, false: policy.Error}[ok]}
 }
--- a/internal/net/opensearch/phases_test.go
+++ b/internal/net/opensearch/phases_test.go
@@ -387,6 +387,34 @@
 	}
 }
 
+// A query that lot stores cannot answer is its client's fault: 400 with their words, a few parts, and no lot store is
+// taken for failing by any number of such.
+func TestUnanswerable(t *testing.T) {
+	for _, phases := range []search.Phases{search.One, search.Two} {
+		bubble(t, func(t *testing.T) {
+			o := usual
+			o.phases = phases
+			r := newRig(o)
+			defer r.stop()
+			for range 50 {
+				status, got := r.search("", `{"query":{"frobnicate":{"title":"x"}}}`)
+				if status != 400 || !strings.Contains(got.Get("error.reason").Str, "unknown query [frobnicate]") {
+					t.Fatalf("%d %s", status, got.Raw)
+				}
+			}
+			begin := time.Now()
+			if r.check(t, tractors, 0, 10); time.Since(begin) > 400*time.Millisecond {
+				t.Errorf("a good search takes %v after bad ones", time.Since(begin))
+			}
+			for _, rec := range r.core.Snapshot().Records {
+				if rec.Failing > 0 {
+					t.Errorf("%+v", rec)
+				}
+			}
+		})
+	}
+}
+
 // Answers that are in hand are bounded: what has no room counts as a failed attempt, and the search ends.
 func TestAnswersBounded(t *testing.T) {
 	bubble(t, func(t *testing.T) {
@@ -397,7 +425,50 @@
 		if status, _ := r.search("size=300", `{}`); status == 200 {
 			t.Error("answered with more than there was room for")
 		}
-		r.check(t, tractors, 0, 2)
+		for range 50 { // what is answered is given back
+			r.check(t, tractors, 0, 2)
+		}
+	})
+}
+
+// Listings are asked of the copy that ranked the lots, and attempts of a range count over both phases: a range whose
+// copies fail gets four at the most.
+func TestListingsFromTheCopyThatRanked(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(usual)
+		defer r.stop()
+		for range 20 {
+			r.search("", tractors)
+		}
+		for _, s := range r.stores {
+			for shard, n := range s.asked[lots.Listings] {
+				if s.asked[lots.Scores][shard] < n {
+					t.Errorf("range %d: %d listings from a copy that ranked it %d times", shard, n, s.asked[lots.Scores][shard])
+				}
+			}
+		}
+		time.Sleep(usual.refresh) // all is asked again
+		ids, _ := r.truth(tractors, 0, 10)
+		shard, failed := 0, 0
+		fmt.Sscanf(ids[0], "lot-%d-", &shard)
+		for _, s := range r.holders(shard) {
+			s.trouble = func(n int, p lots.Phase) (standin.End, time.Duration) {
+				if n == shard && (p == lots.Listings || failed < 2) {
+					failed++
+					return standin.Fault, 0
+				}
+				return standin.Hit, 0
+			}
+		}
+		clear(r.tries)
+		status, got := r.search("", tractors)
+		most := 0
+		for _, n := range r.tries {
+			most = max(most, n)
+		}
+		if most != 4 || status == 200 && got.Get("coverage.whole").Bool() {
+			t.Errorf("%d attempts of a range, %d %s", most, status, got.Get("coverage").Raw)
+		}
 	})
 }
 
--- a/internal/net/opensearch/rig_test.go
+++ b/internal/net/opensearch/rig_test.go
@@ -244,6 +244,12 @@
 		item = tamper(j.a.Shard, p, item)
 	}
 	time.Sleep(wayThere)
+	if why := gjson.Get(item, "error.reason").String(); why != "" {
+		if r.over(j) {
+			r.report.Unanswerable(j.a, why)
+		}
+		return
+	}
 	found, why := parseFound(gjson.Parse(item), j.a.Ask)
 	r.mu.Lock()
 	r.bytes += len(item)
@@ -257,16 +263,8 @@
 
 // end reports an attempt's end, once.
 func (r *rig) end(j *job, s policy.Status, found *search.Answer) {
-	r.mu.Lock()
-	over := r.out[j.a] == nil
-	delete(r.out, j.a)
-	j.state = 2
-	if !over {
-		r.live[fmt.Sprint(j.a.Query, "/", j.a.Shard)]--
-	}
-	r.mu.Unlock()
 	switch {
-	case over:
+	case !r.over(j):
 	case s == policy.OK:
 		r.report.Found(j.a, found)
 	default:
@@ -274,6 +272,19 @@
 	}
 }
 
+// over takes an attempt off the books, and says whether it was there.
+func (r *rig) over(j *job) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := r.out[j.a] != nil
+	delete(r.out, j.a)
+	j.state = 2
+	if was {
+		r.live[fmt.Sprint(j.a.Query, "/", j.a.Shard)]--
+	}
+	return was
+}
+
 // Cancel implements gather.Transport: what waits is dropped, what runs goes on.
 func (r *rig) Cancel(a *gather.Attempt) {
 	r.mu.Lock()
--- a/internal/net/opensearch/stores.go
+++ b/internal/net/opensearch/stores.go
@@ -326,6 +326,12 @@
 	}
 	for i, a := range live {
 		status, value := items[i].status, items[i].value
+		if e := items[i].whole; a.Ask != nil && e.Get("status").Int() == 400 {
+			if t.ended(a) {
+				t.report.Unanswerable(a, e.Get("error.reason").String())
+			}
+			continue
+		}
 		if a.Ask != nil && status == policy.OK {
 			found, why := parseFound(items[i].whole, a.Ask)
 			if why != "" {
@@ -433,7 +439,7 @@
 		case !keyed && hits.Get("hits").IsArray() && !a.Get("timed_out").Bool() && a.Get("_shards.failed").Int() == 0:
 			items[i] = item{status: policy.OK, value: hits.Raw, whole: a}
 		default:
-			items[i].status = policy.Error
+			items[i] = item{status: policy.Error, whole: a}
 		}
 	}
 	return items, nil
--- a/internal/net/opensearch/stores_test.go
+++ b/internal/net/opensearch/stores_test.go
@@ -30,6 +30,7 @@
 func (r reports) Found(a *gather.Attempt, f *search.Answer) {
 	r <- report{a.Shard, policy.OK, fmt.Sprintf("%d hits of %d", len(f.Hits), f.Total)}
 }
+func (r reports) Unanswerable(a *gather.Attempt, why string) { r <- report{a.Shard, policy.Moot, why} }
 func (r reports) Probed(_ policy.ServerID, ok bool) {
 	r <- report{s: map[bool]policy.Status{true: policy.OK, false: policy.Error}[ok]}
 }
--- a/internal/search/plan.go
+++ b/internal/search/plan.go
@@ -94,8 +94,12 @@
 	changed  int
 	bytes    int
 	parts    int
+	refusers []uint32 // lot stores that cannot answer such a question
 }
 
+// refusersMost is how many lot stores must call a question one that cannot be answered: one alone may be wrong.
+const refusersMost = 2
+
 // NewPlan makes a plan. The index may be nil: nothing is known then, and nothing is learnt.
 func NewPlan(q *Query, phases Phases, ranges []Range, index *Index) *Plan {
 	n := len(ranges)
@@ -357,6 +361,15 @@
 	return o
 }
 
+// Refused takes in that a lot store called the question one that cannot be answered, and says whether that is to be
+// believed: the fault is the client's then, and no other lot store is to be asked.
+func (p *Plan) Refused(source uint32) bool {
+	if !slices.Contains(p.refusers, source) {
+		p.refusers = append(p.refusers, source)
+	}
+	return len(p.refusers) >= refusersMost
+}
+
 // Close ends the score phase and says which listings are wanted. What was not asked or is not in counts as missing.
 func (p *Plan) Close() (fetch []Fetch) {
 	p.closed = true
