internal/query: the query language as a typed tree, and its short form by a grammar

Need: the front passed any query on, so that a bad one cost every range an attempt, two texts of one meaning were two queries to the bounds, and q= was refused.

Change: a typed tree with limits (20 deep, 1,024 queries, 65,536 values), errors with line and column, one canonical wording that lot stores are sent; the short form by participle, translated to the same tree. Queries to frames pass as before.

--- a/internal/net/opensearch/ask.go
+++ b/internal/net/opensearch/ask.go
@@ -8,6 +8,7 @@
 	"github.com/tidwall/gjson"
 
 	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/query"
 	"pulleygw.example/pulleygw/internal/search"
 )
 
@@ -15,24 +16,30 @@
 // name, and what clients ask for goes by their own.
 const extremesName = "pulleygw_extremes"
 
-// askBody words what an attempt asks a range for. text is its client's search body.
-func askBody(text []byte, a *gather.Ask, timeout string) []byte {
-	root := gjson.ParseBytes(text)
-	query := root.Get("query").Raw
-	if query == "" || query == "{}" {
-		query = `{"match_all":{}}`
+// text is what travels with a search through the core: the query in its canonical form, and which fields are wanted.
+func (w *wanted) text() []byte {
+	b := append([]byte(`{"query":`), query.JSON(w.tree)...)
+	if w.source != "" {
+		b = append(append(b, `,"_source":`...), w.source...)
 	}
+	return append(b, '}')
+}
+
+// askBody words what an attempt asks a range for. text is its search's, as wanted.text words it.
+func askBody(text []byte, a *gather.Ask, timeout string) []byte {
+	root := gjson.ParseBytes(text) // as wanted.text words it
+	asked := root.Get("query").Raw
 	q := a.Query
 	b := append([]byte(nil), `{"timeout":"`...)
 	b = append(append(b, timeout...), `","query":`...)
 	size := q.From + q.Size
 	if a.IDs != nil { // ranked again, so that one that has moved is found out
 		size = len(a.IDs)
-		b = append(append(b, `{"bool":{"must":[`...), query...)
+		b = append(append(b, `{"bool":{"must":[`...), asked...)
 		b = append(append(b, `],"filter":[{"ids":{"values":`...), must(json.Marshal(a.IDs))...)
 		b = append(b, `}}]}}`...)
 	} else {
-		b = append(b, query...)
+		b = append(b, asked...)
 	}
 	b = strconv.AppendInt(append(b, `,"size":`...), int64(size), 10)
 	if len(q.Keys) > 1 || q.Keys[0] != (search.Key{Field: search.Score, Desc: true}) {
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -21,6 +21,7 @@
 
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/query"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/policy"
@@ -163,7 +164,7 @@
 func (f *Front) parseSearch(a *asked, params url.Values, body []byte) *apiError {
 	names := []string{"timeout", "allow_partial_search_results", "preference", "routing", "size"}
 	if f.Plans {
-		names = append(names, "from", "sort", "track_total_hits")
+		names = append(names, "from", "sort", "track_total_hits", "q", "df", "default_operator")
 	}
 	if e := only(params, names...); e != nil {
 		return e
@@ -178,18 +179,18 @@
 	if len(body) == 0 {
 		body = []byte("{}")
 	}
-	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() { // gjson's getters take garbage
-		return &apiError{400, "parsing_exception", "the body is not a JSON object"}
-	}
-	query, e := parseBody(gjson.ParseBytes(body), params, f.Plans)
-	if e != nil {
-		return e
-	}
-	a.size = query.Size
+	var e *apiError
 	if f.Plans {
-		a.q.Search = query
+		var w *wanted
+		if w, e = parseBody(string(body), params); e != nil {
+			return e
+		}
+		a.q.Search, a.q.Text = w.Query, w.text()
+	} else if a.size, e = parseOpaque(body, params); e != nil {
+		return e
+	} else {
+		a.q.Text = slices.Clone(body)
 	}
-	a.q.Text = slices.Clone(body)
 	var shards []int
 	shards, e = f.shards(params)
 	for _, s := range shards {
@@ -198,6 +199,31 @@
 	return e
 }
 
+// parseOpaque reads of a search whose lot stores speak frames what matters here, its size; they get the text as it is.
+func parseOpaque(body []byte, params url.Values) (size int, e *apiError) {
+	if wrong := query.Check(string(body)); wrong != nil {
+		return 0, placed(wrong)
+	}
+	size = sizeUsed
+	gjson.ParseBytes(body).ForEach(func(k, v gjson.Result) bool {
+		switch k.Str {
+		case "query", "_source":
+		case "size":
+			e = whole(&size, "size", v, sizeMost)
+		default:
+			e = parsing("not supported here: [%.60s] in the search body", k.Str)
+		}
+		return e == nil
+	})
+	if v := params.Get("size"); e == nil && v != "" {
+		if !gjson.Valid(v) {
+			return 0, illegal("[size] is not a number")
+		}
+		e = whole(&size, "size", gjson.Parse(v), sizeMost)
+	}
+	return size, e
+}
+
 // shards lists those that a search goes to: the ones that preference names, the one that routing leads to,
 // or all.
 func (f *Front) shards(params url.Values) (list []int, e *apiError) {
--- a/internal/net/opensearch/opensearch_test.go
+++ b/internal/net/opensearch/opensearch_test.go
@@ -65,7 +65,7 @@
 		{"GET", "/_cat/indices", "", 400, "not supported here"},
 		{"POST", "/lots/_search?scroll=1m", "{}", 400, "unrecognized parameter: [scroll]"},
 		{"POST", "/lots/_search", `{"aggs":{}}`, 400, "[aggs]"},
-		{"POST", "/lots/_search", `{"query":`, 400, "JSON object"},
+		{"POST", "/lots/_search", `{"query":`, 400, "line 1, column 9: not JSON"},
 		{"POST", "/lots/_search", `[]`, 400, "JSON object"},
 		{"POST", "/lots/_search?timeout=soon", "", 400, "[timeout]"},
 		{"POST", "/lots/_search?timeout=0ms", "", 400, "[timeout]"},
--- a/internal/net/opensearch/parsers_test.go
+++ b/internal/net/opensearch/parsers_test.go
@@ -20,10 +20,7 @@
 }
 
 func parseSearchBody(b []byte) error {
-	if !gjson.ValidBytes(b) || !gjson.ParseBytes(b).IsObject() {
-		return errors.New("no object")
-	}
-	if q, e := parseBody(gjson.ParseBytes(b), nil, true); e != nil {
+	if q, e := parseBody(string(b), nil); e != nil {
 		return errors.New(e.reason)
 	} else if q.From < 0 || q.Size < 0 || q.From+q.Size > windowMost || len(q.Keys) == 0 {
 		panic("a query out of bounds")
@@ -79,16 +76,12 @@
 
 // What is wrong with a search body is told by its place.
 func TestSearchBodyErrors(t *testing.T) {
-	deep := strings.Repeat(`{"bool":{"must":[`, 30) + `{"match_all":{}}` + strings.Repeat(`]}}`, 30)
 	for _, x := range []struct{ body, params, want string }{
-		{`{"query":7}`, "", "[query] is not an object"},
-		{`{"query":{"match":{"a":1},"term":{"b":2}}}`, "", "[query] has 2 members"},
-		{`{"query":{"match":"x"}}`, "", "[query.match] is not an object"},
-		{`{"query":{"bool":{"must":[{"match":{"a":1}},5]}}}`, "", "[query.bool.must[1]] is not an object"},
-		{`{"query":{"bool":{"most":[]}}}`, "", "[query.bool] does not know [most]"},
-		{`{"query":{"constant_score":{}}}`, "", "[query.constant_score] lacks [filter]"},
-		{`{"query":` + deep + `}`, "", "nested deeper than 20"},
-		{`{"query":{"bool":{"must":[` + strings.Repeat(`{"match_all":{}},`, 1100) + `{"match_all":{}}]}}}`, "", "more than 1024 clauses"},
+		{"{\n \"query\":7}", "", "line 2, column 10: not an object"},
+		{`{"query":{"function_score":{}}}`, "", "unknown query [function_score]"},
+		{`{"_source":5}`, "", "[_source] is neither"},
+		{`{}`, "q=a:[1 TO", "[q] line 1, column"},
+		{`{"query":{"match_all":{}}}`, "q=a", "[q] and [query]"},
 		{`{"from":-1}`, "", "[from] is not a whole number from 0 to 10000"},
 		{`{"size":1.5}`, "", "[size] is not a whole number"},
 		{`{"size":1,"size":2}`, "", "[size] stands twice"},
@@ -106,7 +99,7 @@
 		{`{"aggs":{}}`, "", "not supported here: [aggs]"},
 	} {
 		params, _ := url.ParseQuery(x.params)
-		if _, e := parseBody(gjson.Parse(x.body), params, true); e == nil || e.status != 400 || !strings.Contains(e.reason, x.want) {
+		if _, e := parseBody(x.body, params); e == nil || e.status != 400 || !strings.Contains(e.reason, x.want) {
 			t.Errorf("%.60s: %+v, want %q", x.body, e, x.want)
 		}
 	}
@@ -127,17 +120,15 @@
 		{`{"query":{"bool":{"must":{"match":{"title":"x"}},"boost":2}}}`, true, 0, false},
 		{`{"query":{"range":{"closing":{"lte":"now+1h"}}}}`, false, 0, false},
 		{`{"query":{"bool":{"filter":{"range":{"closing":{"lte":"now"}}}}}}`, false, 0, false},
-		{`{"query":{"function_score":{"random_score":{}}}}`, false, 0, false},
-		{`{"query":{"bool":{"must":{"script_score":{}}}}}`, false, 0, false},
 	} {
-		q, e := parseBody(gjson.Parse(x.body), nil, true)
+		q, e := parseBody(x.body, nil)
 		if e != nil || (q.Name != "") != x.named || len(q.Clauses) != x.clauses || q.Plain != x.plain {
 			t.Errorf("%s: %+v %+v", x.body, q, e)
 		}
 	}
-	a, _ := parseBody(gjson.Parse(`{"query":{"match":{"t":"x"}},"from":10,"size":3}`), nil, true)
-	b, _ := parseBody(gjson.Parse(`{"size":7,"query": {"match": {"t": "x"}}}`), nil, true)
-	c, _ := parseBody(gjson.Parse(`{"query":{"match":{"t":"x"}},"sort":"year"}`), nil, true)
+	a, _ := parseBody(`{"query":{"match":{"t":"x"}},"from":10,"size":3}`, nil)
+	b, _ := parseBody(`{"size":7,"query": {"match": {"t": {"query":"x"}}}}`, nil)
+	c, _ := parseBody(`{"query":{"match":{"t":"x"}},"sort":"year"}`, nil)
 	if a.Name != b.Name || a.Name == c.Name {
 		t.Errorf("names %q, %q, %q", a.Name, b.Name, c.Name)
 	}
--- a/internal/net/opensearch/phases_test.go
+++ b/internal/net/opensearch/phases_test.go
@@ -397,8 +397,8 @@
 			r := newRig(o)
 			defer r.stop()
 			for range 50 {
-				status, got := r.search("", `{"query":{"frobnicate":{"title":"x"}}}`)
-				if status != 400 || !strings.Contains(got.Get("error.reason").Str, "unknown query [frobnicate]") {
+				status, got := r.search("", `{"query":{"wildcard":{"title":"x*y"}}}`)
+				if status != 400 || !strings.Contains(got.Get("error.reason").Str, "unknown query [wildcard]") {
 					t.Fatalf("%d %s", status, got.Raw)
 				}
 			}
--- a/internal/net/opensearch/query.go
+++ b/internal/net/opensearch/query.go
@@ -5,43 +5,61 @@
 	"math"
 	"net/url"
 	"slices"
-	"strconv"
 	"strings"
 
 	"github.com/tidwall/gjson"
 
+	"pulleygw.example/pulleygw/internal/query"
 	"pulleygw.example/pulleygw/internal/search"
 )
 
 // Bounds on a search body.
 const (
-	windowMost  = 10000 // from + size, as the API has it by default
-	sortMost    = 8     // sort keys
-	depthMost   = 20    // of a query
-	clausesMost = 1024  // of a query, as the API has it by default
-	countMost   = 1 << 31
-	nameMost    = 4 << 10 // a longer query is neither learnt from nor bounded
+	windowMost = 10000 // from + size, as the API has it by default
+	sortMost   = 8     // sort keys
+	countMost  = 1 << 31
+	sourceMost = 256     // fields of _source
+	nameMost   = 4 << 10 // a longer query is neither learnt from nor bounded
 )
 
 func parsing(format string, args ...any) *apiError {
 	return &apiError{400, "parsing_exception", fmt.Sprintf(format, args...)}
 }
 
-// parseBody reads the search body and the parameters that stand for members of it. plan says whether lot stores
-// rank, so that what they say can be merged by any key; without that only a size is taken.
-func parseBody(root gjson.Result, params url.Values, plan bool) (q *search.Query, e *apiError) {
-	q = &search.Query{Size: sizeUsed, Count: search.CountAnyhow}
-	var query, sort gjson.Result
+// wanted is what a client's search asks for.
+type wanted struct {
+	*search.Query
+	tree   query.Query
+	source string // of _source as JSON, empty for all
+}
+
+// placed words what is wrong in a text, with its place.
+func placed(e *query.Error) *apiError {
+	return parsing("%s", e.Error())
+}
+
+// parseBody reads the search body and the parameters that stand for members of it.
+func parseBody(text string, params url.Values) (w *wanted, e *apiError) {
+	if wrong := query.Check(text); wrong != nil {
+		return nil, placed(wrong)
+	}
+	q := &search.Query{Size: sizeUsed, Count: search.CountAnyhow}
+	w = &wanted{Query: q, tree: query.All{}}
+	var sort gjson.Result
 	member := func(name string, v gjson.Result) *apiError {
 		switch {
+		case name == "query" && v.Raw == "{}": // taken for one that every lot matches
+			return nil
 		case name == "query":
-			query = v
+			tree, wrong := query.Parse(text, v)
+			if w.tree = tree; wrong != nil {
+				return placed(wrong)
+			}
 			return nil
 		case name == "_source":
-			return nil
+			return w.parseSource(v)
 		case name == "size":
 			return whole(&q.Size, name, v, sizeMost)
-		case !plan:
 		case name == "from":
 			return whole(&q.From, name, v, windowMost)
 		case name == "sort":
@@ -53,9 +71,9 @@
 		return parsing("not supported here: [%.60s] in the search body", name)
 	}
 	seen := map[string]bool{}
-	root.ForEach(func(k, v gjson.Result) bool {
+	gjson.Parse(text).ForEach(func(k, v gjson.Result) bool {
 		if e = member(k.Str, v); e == nil && seen[k.Str] {
-			e = parsing("[%.60s] stands twice in the search body", k.Str)
+			e = placed(query.At(text, k.Index, "[%.60s] stands twice in the search body", k.Str))
 		}
 		seen[k.Str] = true
 		return e == nil
@@ -79,17 +97,45 @@
 	if q.Keys, e = parseSort(sort, params.Get("sort")); e != nil {
 		return nil, e
 	}
-	w := walker{}
-	if query.Raw == "{}" { // taken for one that every lot matches
-		query = gjson.Result{}
+	if params.Has("q") {
+		if seen["query"] {
+			return nil, illegal("[q] and [query] cannot be given together")
+		}
+		tree, wrong := query.Short(params.Get("q"), params.Get("df"), strings.EqualFold(params.Get("default_operator"), "and"))
+		if w.tree = tree; wrong != nil {
+			return nil, illegal("[q] %s", wrong.Error())
+		}
 	}
-	if query.Exists() {
-		if e := w.walk(query, "query", 1); e != nil {
-			return nil, e
+	nameQuery(q, w.tree)
+	return w, nil
+}
+
+// parseSource takes what _source may be: a boolean, a field or a list of fields, or an object of includes and excludes.
+func (w *wanted) parseSource(v gjson.Result) *apiError {
+	fields := func(v gjson.Result) bool {
+		if v.IsArray() {
+			for _, f := range v.Array() {
+				if f.Type != gjson.String || len(f.Str) > query.MaxField {
+					return false
+				}
+			}
+			return len(v.Array()) <= sourceMost
 		}
+		return v.Type == gjson.String && len(v.Str) <= query.MaxField
+	}
+	ok := v.IsBool() || fields(v)
+	if v.IsObject() {
+		ok = true
+		v.ForEach(func(k, f gjson.Result) bool {
+			ok = ok && slices.Contains([]string{"include", "includes", "exclude", "excludes"}, k.Str) && fields(f)
+			return ok
+		})
+	}
+	if !ok {
+		return illegal("[_source] is neither a boolean, a field, a list of at most %d fields nor an object of includes and excludes", sourceMost)
 	}
-	nameQuery(q, query, &w)
-	return q, nil
+	w.source = gjson.Get(v.Raw, "@ugly").Raw
+	return nil
 }
 
 // whole reads a whole number from 0 to most.
@@ -185,117 +231,16 @@
 	return keys, nil
 }
 
-// scoring are the kinds of queries whose answer depends on the range's lots and on nothing else, such as chance,
-// scripts or the time of day. Only from these is anything learnt.
-var scoring = []string{"match", "match_phrase", "match_phrase_prefix", "multi_match", "match_all", "match_none", "term", "terms",
-	"range", "ids", "exists", "prefix", "wildcard", "constant_score", "bool"}
-
-// walker looks through a query, as deep as it is known.
-type walker struct {
-	clauses int
-	opaque  bool // it has what may answer otherwise the next time
-}
-
-// walk says what is wrong with a query, by its place.
-func (w *walker) walk(v gjson.Result, place string, depth int) *apiError {
-	if w.clauses++; w.clauses > clausesMost {
-		return parsing("[query] has more than %d clauses", clausesMost)
-	}
-	if depth > depthMost {
-		return parsing("[query] is nested deeper than %d", depthMost)
-	}
-	if !v.IsObject() {
-		return parsing("[%s] is not an object", place)
-	}
-	members := 0
-	kind, body := "", gjson.Result{}
-	v.ForEach(func(k, b gjson.Result) bool {
-		members++
-		kind, body = k.Str, b
-		return true
-	})
-	if members != 1 {
-		return parsing("[%s] has %d members, want one kind of query", place, members)
-	}
-	if !slices.Contains(scoring, kind) {
-		w.opaque = true // passed on as it is
-		return nil
-	}
-	place += "." + kind
-	if !body.IsObject() {
-		return parsing("[%s] is not an object", place)
-	}
-	switch kind {
-	case "bool":
-		return w.walkBool(body, place, depth)
-	case "constant_score":
-		if !body.Get("filter").Exists() {
-			return parsing("[%s] lacks [filter]", place)
-		}
-		return w.walk(body.Get("filter"), place+".filter", depth+1)
-	case "range":
-		w.opaque = w.opaque || strings.Contains(body.Raw, "now") // it moves with the time
-	}
-	return nil
-}
-
-func (w *walker) walkBool(body gjson.Result, place string, depth int) (e *apiError) {
-	body.ForEach(func(k, v gjson.Result) bool {
-		switch k.Str {
-		case "must", "should", "filter", "must_not":
-			list := []gjson.Result{v}
-			if v.IsArray() {
-				list = v.Array()
-			}
-			for i, c := range list {
-				at := place + "." + k.Str
-				if v.IsArray() {
-					at += "[" + strconv.Itoa(i) + "]"
-				}
-				if e = w.walk(c, at, depth+1); e != nil {
-					return false
-				}
-			}
-		case "minimum_should_match", "boost", "_name", "adjust_pure_negative":
-		default:
-			e = parsing("[%s] does not know [%.60s]", place, k.Str)
-		}
-		return e == nil
-	})
-	return e
-}
-
-// nameQuery gives a query the names that it is learnt and bounded by.
-func nameQuery(q *search.Query, query gjson.Result, w *walker) {
-	if w.opaque || len(query.Raw) > nameMost {
+// nameQuery gives a query the names that it is learnt and bounded by. What moves with the time of day has none.
+func nameQuery(q *search.Query, tree query.Query) {
+	text := query.JSON(tree)
+	if query.Moves(tree) || len(text) > nameMost {
 		return
 	}
-	raw := gjson.Get(query.Raw, "@ugly").Raw
-	var b strings.Builder
-	b.WriteString(raw)
+	b := strings.Builder{}
+	b.Write(text)
 	for _, k := range q.Keys {
 		fmt.Fprintf(&b, "|%q %v %v", k.Field, k.Desc, k.MissingFirst)
 	}
-	q.Name = b.String()
-	kind, body := "match_all", gjson.Result{}
-	query.ForEach(func(k, v gjson.Result) bool { kind, body = k.Str, v; return false })
-	if kind != "bool" {
-		q.Clauses, q.Plain = []string{raw}, true
-		return
-	}
-	if body.Get("boost").Exists() {
-		return // the sum is not the score
-	}
-	for _, name := range []string{"must", "should"} {
-		v := body.Get(name)
-		list := []gjson.Result{v}
-		if v.IsArray() {
-			list = v.Array()
-		}
-		for _, c := range list {
-			if c.Exists() {
-				q.Clauses = append(q.Clauses, gjson.Get(c.Raw, "@ugly").Raw)
-			}
-		}
-	}
+	q.Name, q.Clauses, q.Plain = b.String(), query.Clauses(tree), query.Plain(tree)
 }
--- a/internal/net/opensearch/rig_test.go
+++ b/internal/net/opensearch/rig_test.go
@@ -328,15 +328,15 @@
 		sort []search.Value
 	}
 	var all []hit
-	q, e := parseBody(gjson.Parse(body), nil, true)
+	q, e := parseBody(body, nil)
 	if e != nil {
 		panic(e.reason)
 	}
-	whole := *q
+	whole := *q.Query
 	whole.From, whole.Size, whole.Count = 0, 100000, search.CountAll
 	ask := &gather.Ask{Query: &whole}
 	for s := range r.ranges {
-		found, why := parseFound(gjson.Parse(k.Search(s, gjson.ParseBytes(askBody([]byte(body), ask, "1s")))), ask)
+		found, why := parseFound(gjson.Parse(k.Search(s, gjson.ParseBytes(askBody(q.text(), ask, "1s")))), ask)
 		if why != "" {
 			panic(why)
 		}
