internal/aggs: aggregations over many ranges, exact or with a stated bound

Need: 'aggs' got a 400; dealers' tools ask for counts by make and price on every page.

Change: a typed tree of 17 kinds with limits and places of errors, the question for each range, checked answers, and one merge: compensated sums, term errors by what each cut list can hide, gaps filled by the zone's calendar, cardinality by lists of terms, percentiles as the mixture of the ranges' distributions. meta.bound says where a figure is not exact; the stand-in aggregates too.

--- /dev/null
+++ b/internal/aggs/aggs_test.go
@@ -0,0 +1,307 @@
+package aggs_test
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/tidwall/gjson"
+	"pgregory.net/rapid"
+
+	"pulleygw.example/pulleygw/internal/aggs"
+	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/query"
+	"pulleygw.example/pulleygw/internal/standin/lots"
+)
+
+func parse(text string) ([]*aggs.Node, *query.Error) {
+	if e := query.Check(text); e != nil {
+		return nil, e
+	}
+	var list []*aggs.Node
+	var e *query.Error
+	gjson.Parse(text).ForEach(func(_, v gjson.Result) bool { list, e = aggs.Parse(text, v); return false })
+	return list, e
+}
+
+// answers asks the ranges of a corpus.
+func answers(t rapid.TB, c *lots.Corpus, list []*aggs.Node, ranges ...int) (all [][]aggs.Part) {
+	k := c.NewCopy("t", 0)
+	question := gjson.Parse(`{"size":0,"aggs":` + string(aggs.AppendAsk(nil, list)) + `}`)
+	for _, r := range ranges {
+		item := k.Search(r, question)
+		parts, why := aggs.Decode(list, gjson.Get(item, "aggregations"))
+		if why != "" {
+			t.Fatalf("%s: %s\n%s", question.Raw, why, item)
+		}
+		all = append(all, parts)
+	}
+	return all
+}
+
+func merge(t rapid.TB, list []*aggs.Node, all [][]aggs.Part, missing bool) gjson.Result {
+	b, err := aggs.Merge(list, all, missing)
+	if err != nil || !gjson.ValidBytes(b) {
+		t.Fatalf("%v %s", err, b)
+	}
+	return gjson.ParseBytes(b)
+}
+
+// tree draws an aggregation and some below it.
+func tree(t *rapid.T, depth int) string {
+	field := rapid.SampledFrom([]string{"price", "year", "closing"}).Draw(t, "field")
+	word := rapid.SampledFrom([]string{"make", "location", "year"}).Draw(t, "word")
+	subs := ""
+	if depth < 3 && rapid.Bool().Draw(t, "subs") {
+		subs = fmt.Sprintf(`,"aggs":{"s":%s,"m":{"max":{"field":"price"}}}`, tree(t, depth+1))
+	}
+	return rapid.SampledFrom([]string{
+		`{"min":{"field":"` + field + `"}}`, `{"max":{"field":"` + field + `","missing":7}}`, `{"sum":{"field":"price"}}`,
+		`{"avg":{"field":"price"}}`, `{"stats":{"field":"` + field + `"}}`, `{"value_count":{"field":"price"}}`,
+		`{"cardinality":{"field":"` + word + `"}}`,
+		`{"terms":{"field":"` + word + `","size":50}` + subs + `}`,
+		`{"terms":{"field":"` + word + `","size":3,"order":{"_key":"desc"}}` + subs + `}`,
+		`{"histogram":{"field":"price","interval":2500,"offset":100,"min_doc_count":1}` + subs + `}`,
+		`{"histogram":{"field":"year","interval":3}` + subs + `}`,
+		`{"date_histogram":{"field":"closing","fixed_interval":"36h"}` + subs + `}`,
+		`{"date_histogram":{"field":"closing","calendar_interval":"month"}` + subs + `}`,
+		`{"range":{"field":"price","ranges":[{"to":1000},{"key":"mid","from":1000,"to":9000},{"from":5000}]}` + subs + `}`,
+		`{"filter":{"term":{"make":"Claas"}}` + subs + `}`, `{"missing":{"field":"price"}` + subs + `}`,
+		`{"filters":{"filters":{"a":{"term":{"make":"Claas"}},"b":{"range":{"year":{"gte":2000}}}},"other_bucket":true}` + subs + `}`,
+		`{"filters":{"filters":[{"term":{"make":"Fendt"}}]}` + subs + `}`,
+		`{"top_hits":{"size":3,"sort":[{"closing":"desc"}],"_source":["title"]}}`,
+	}).Draw(t, "kind")
+}
+
+// same compares two answers; sums may differ by a rounding.
+func same(t rapid.TB, got, want gjson.Result, path string) {
+	switch {
+	case got.IsObject() && want.IsObject():
+		a, b := got.Map(), want.Map()
+		for k, v := range b {
+			same(t, a[k], v, path+"."+k)
+		}
+		if len(a) != len(b) {
+			t.Fatalf("%s: %s, want %s", path, got.Raw, want.Raw)
+		}
+	case got.IsArray() && want.IsArray():
+		a, b := got.Array(), want.Array()
+		if len(a) != len(b) {
+			t.Fatalf("%s: %s, want %s", path, got.Raw, want.Raw)
+		}
+		for i := range a {
+			same(t, a[i], b[i], fmt.Sprintf("%s[%d]", path, i))
+		}
+	case got.Type == gjson.Number && want.Type == gjson.Number:
+		if math.Abs(got.Num-want.Num) > 1e-9*math.Max(math.Abs(got.Num), math.Abs(want.Num)) {
+			t.Fatalf("%s: %s, want %s", path, got.Raw, want.Raw)
+		}
+	case got.Raw != want.Raw:
+		t.Fatalf("%s: %s, want %s", path, got.Raw, want.Raw)
+	}
+}
+
+// Merged out of any number of ranges, each aggregation is the one over all lots at once.
+func TestMergedIsWhole(t *testing.T) {
+	garble.Seed(t, 300)
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "ranges")
+		c := lots.New(uint64(rapid.IntRange(1, 5).Draw(t, "seed")), n, rapid.IntRange(0, 30).Draw(t, "lots"))
+		list, e := parse(`{"aggs":{"one":` + tree(t, 1) + `,"two":` + tree(t, 1) + `}}`)
+		if e != nil {
+			t.Fatal(e)
+		}
+		var every []int
+		for r := range n {
+			every = append(every, r)
+		}
+		got := merge(t, list, answers(t, c, list, every...), false)
+		want := merge(t, list, answers(t, c.Whole(), list, 0), false)
+		same(t, got, want, "")
+	})
+}
+
+// With ranges missing, a figure that says it is a bound is one.
+func TestBoundsHold(t *testing.T) {
+	garble.Seed(t, 200)
+	list, e := parse(`{"aggs":{"min":{"min":{"field":"price"}},"max":{"max":{"field":"price"}},"n":{"value_count":{"field":"price"}},` +
+		`"c":{"cardinality":{"field":"make"}},"t":{"terms":{"field":"make"}},"r":{"range":{"field":"year","ranges":[{"from":2000}]}},` +
+		`"f":{"filter":{"term":{"make":"Claas"}}},"h":{"histogram":{"field":"year","interval":5,"min_doc_count":1}},"s":{"sum":{"field":"price"}}}}`)
+	if e != nil {
+		t.Fatal(e)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		c := lots.New(uint64(rapid.IntRange(1, 9).Draw(t, "seed")), 6, 10)
+		in := rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 1, 5, rapid.ID).Draw(t, "in")
+		got, want := merge(t, list, answers(t, c, list, in...), true), merge(t, list, answers(t, c.Whole(), list, 0), false)
+		for name, v := range want.Map() {
+			g := got.Get(name)
+			x, y := g.Get("value").Num, v.Get("value").Num
+			switch b := g.Get("meta.bound").Str; {
+			case b == "lower" && x > y, b == "upper" && x < y, b == "":
+				t.Fatalf("%s: %s, truly %s", name, g.Raw, v.Raw)
+			}
+			truth := map[string]int64{}
+			for _, x := range v.Get("buckets").Array() {
+				truth[x.Get("key").Raw] = x.Get("doc_count").Int()
+			}
+			for _, x := range g.Get("buckets").Array() {
+				if x.Get("doc_count").Int() > truth[x.Get("key").Raw] {
+					t.Fatalf("%s: bucket %s, truly %d", name, x.Raw, truth[x.Get("key").Raw])
+				}
+			}
+		}
+	})
+}
+
+// Where ranges cut their lists, each count is right within its stated error, and so is what no list shows.
+func TestTermsError(t *testing.T) {
+	garble.Seed(t, 200)
+	list, _ := parse(`{"aggs":{"t":{"terms":{"field":"year","size":2}}}}`) // 13 of up to 36 years from each range
+	exact, _ := parse(`{"aggs":{"t":{"terms":{"field":"year","size":100}}}}`)
+	rapid.Check(t, func(t *rapid.T) {
+		c := lots.New(uint64(rapid.IntRange(1, 50).Draw(t, "seed")), 5, rapid.IntRange(15, 80).Draw(t, "lots"))
+		got := merge(t, list, answers(t, c, list, 0, 1, 2, 3, 4), false).Get("t")
+		truth := map[int64]int64{}
+		total := int64(0)
+		for _, b := range merge(t, exact, answers(t, c.Whole(), exact, 0), false).Get("t.buckets").Array() {
+			truth[b.Get("key").Int()] = b.Get("doc_count").Int()
+			total += b.Get("doc_count").Int()
+		}
+		shown := got.Get("sum_other_doc_count").Int()
+		for _, b := range got.Get("buckets").Array() {
+			n, slip := b.Get("doc_count").Int(), b.Get("doc_count_error_upper_bound").Int()
+			if x := truth[b.Get("key").Int()]; x < n || x > n+slip {
+				t.Fatalf("%s, truly %d", b.Raw, x)
+			}
+			delete(truth, b.Get("key").Int())
+			shown += n
+		}
+		last := got.Get("buckets.1.doc_count").Int()
+		for k, x := range truth {
+			if x > last+got.Get("doc_count_error_upper_bound").Int() {
+				t.Fatalf("%d has %d lots and is not shown: %s", k, x, got.Raw)
+			}
+		}
+		if shown != total {
+			t.Fatalf("%d lots of %d: %s", shown, total, got.Raw)
+		}
+	})
+}
+
+// A percentile's rank is within a hundredth, and of small ranges within one value, of the one asked for.
+func TestPercentiles(t *testing.T) {
+	list, _ := parse(`{"aggs":{"p":{"percentiles":{"field":"price","percents":[0,1,10,50,90,99,100]}},"n":{"value_count":{"field":"price"}}}}`)
+	c := lots.New(3, 8, 200)
+	got := merge(t, list, answers(t, c, list, 0, 1, 2, 3, 4, 5, 6, 7), false)
+	n := got.Get("n.value").Num
+	got.Get("p.values").ForEach(func(k, v gjson.Result) bool {
+		below, _ := parse(`{"aggs":{"r":{"range":{"field":"price","ranges":[{"to":` + fmt.Sprint(v.Num+1e-6) + `}]}}}}`)
+		rank := merge(t, below, answers(t, c.Whole(), below, 0), false).Get("r.buckets.0.doc_count").Num / n
+		var want float64
+		fmt.Sscan(k.Str, &want)
+		if math.Abs(rank-want/100) > 0.011 {
+			t.Errorf("percentile %s is %v, of rank %.3f", k.Str, v.Num, rank)
+		}
+		return true
+	})
+	if got.Get("p.meta.bound").Str != "estimate" || got.Get("p.values").Map()["50.0"].Type != gjson.Number {
+		t.Error(got.Raw)
+	}
+}
+
+// Empty buckets are filled in by the calendar of the zone, over a change of the clock too.
+func TestFill(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"date_histogram":{"field":"d","calendar_interval":"day","time_zone":"Europe/Berlin"}}`: "2026-03-28T00:00:00.000+01:00 2026-03-29T00:00:00.000+01:00 2026-03-30T00:00:00.000+02:00 2026-03-31T00:00:00.000+02:00",
+		`{"date_histogram":{"field":"d","calendar_interval":"month","format":"yyyy-MM"}}`:        "2026-01 2026-02 2026-03 2026-04",
+		`{"date_histogram":{"field":"d","fixed_interval":"12h","time_zone":"+09:00"}}`:           "2026-03-28T00:00:00.000+09:00 2026-03-28T12:00:00.000+09:00 2026-03-29T00:00:00.000+09:00",
+	} {
+		list, e := parse(`{"a":{"h":` + text + `}}`)
+		if e != nil {
+			t.Fatal(e)
+		}
+		names := strings.Fields(want)
+		from, to := names[0], names[len(names)-1]
+		keys := map[string]string{"2026-03-28T00:00:00.000+01:00": "1774652400000", "2026-03-31T00:00:00.000+02:00": "1774908000000",
+			"2026-01": "1767225600000", "2026-04": "1775001600000", "2026-03-28T00:00:00.000+09:00": "1774623600000", "2026-03-29T00:00:00.000+09:00": "1774710000000"}
+		parts, why := aggs.Decode(list, gjson.Parse(fmt.Sprintf(`{"h":{"buckets":[{"key":%s,"key_as_string":%q,"doc_count":1},{"key":%s,"key_as_string":%q,"doc_count":2}]}}`,
+			keys[from], from, keys[to], to)))
+		if why != "" {
+			t.Fatal(why)
+		}
+		got := merge(t, list, [][]aggs.Part{parts}, false)
+		var shown []string
+		for _, b := range got.Get("h.buckets").Array() {
+			shown = append(shown, b.Get("key_as_string").Str)
+		}
+		if strings.Join(shown, " ") != want {
+			t.Errorf("%s:\n got %v\nwant %v", text, shown, want)
+		}
+	}
+}
+
+// What cannot be merged is refused by name, and too many buckets are.
+func TestRefused(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"a":{"a":{"geo_distance":{}}}}`:                                                                               "not supported here: the aggregation [geo_distance]",
+		`{"a":{"a":{"terms":{"field":"x","order":{"_count":"asc"}}}}}`:                                                  "rarest first",
+		`{"a":{"a":{"terms":{"field":"x","order":{"m":"desc"}}}}}`:                                                      "[order]",
+		`{"a":{"a":{"terms":{"field":"x","size":10001}}}}`:                                                              "not a whole number from 1 to 10000",
+		`{"a":{"a":{"terms":{"field":"x","min_doc_count":0}}}}`:                                                         "[min_doc_count]",
+		`{"a":{"a":{"min":{"field":"x"},"max":{"field":"x"}}}}`:                                                         "two kinds",
+		`{"a":{"a":{"min":{"field":"x"},"aggs":{"b":{"max":{"field":"x"}}}}}}`:                                          "takes no aggregations below",
+		`{"a":{"a":{"date_histogram":{"field":"x"}}}}`:                                                                  "[fixed_interval] or [calendar_interval]",
+		`{"a":{"a":{"date_histogram":{"field":"x","fixed_interval":"1w"}}}}`:                                            "[fixed_interval]",
+		`{"a":{"a":{"date_histogram":{"field":"x","fixed_interval":"1d","time_zone":"Mars"}}}}`:                         "[time_zone]",
+		`{"a":{"a":{"histogram":{"field":"x","interval":0}}}}`:                                                          "above 0",
+		`{"a":{"a":{"filter":{"nonsense":{}}}}}`:                                                                        "unknown query",
+		`{"a":{"x::y":{"min":{"field":"x"}}}}`:                                                                          "not a name",
+		"{\"a\":\n{\"a\":{\"sum\":{}}}}":                                                                                "line 2, column 13: [sum] lacks [field]",
+		`{"a":` + strings.Repeat(`{"a":{"filter":{"match_all":{}},"aggs":`, 10) + `{}` + strings.Repeat(`}}`, 10) + `}`: "nested deeper",
+	} {
+		if _, e := parse(text); e == nil || !strings.Contains(e.Error(), want) {
+			t.Errorf("%.80s: %v, want %q", text, e, want)
+		}
+	}
+	list, _ := parse(`{"a":{"h":{"histogram":{"field":"x","interval":1}}}}`)
+	parts, _ := aggs.Decode(list, gjson.Parse(`{"h":{"buckets":[{"key":0,"doc_count":1},{"key":1e9,"doc_count":1}]}}`))
+	if _, err := aggs.Merge(list, [][]aggs.Part{parts}, false); err != aggs.ErrTooMany {
+		t.Errorf("a billion empty buckets: %v", err)
+	}
+}
+
+const example = `{"t":{"terms":{"field":"make","size":3},"aggs":{"p":{"percentiles":{"field":"price"}},"d":{"date_histogram":{"field":"closing","calendar_interval":"1M"}}}}}`
+
+// Cuts and garbage, of what clients ask and of what ranges answer, get an error and never more.
+func TestGarbage(t *testing.T) {
+	feed := func(b []byte) error {
+		if list, e := parse(`{"a":` + string(b) + `}`); e != nil {
+			return e
+		} else if !gjson.ValidBytes(aggs.AppendAsk(nil, list)) {
+			panic("the question is no JSON")
+		}
+		return nil
+	}
+	garble.Check(t, true, feed, example)
+	list, _ := parse(`{"a":` + example + `}`)
+	answer := gjson.Get(lots.New(1, 1, 5).NewCopy("t", 0).Search(0, gjson.Parse(`{"aggs":`+string(aggs.AppendAsk(nil, list))+`}`)), "aggregations").Raw
+	garble.Check(t, false, func(b []byte) error {
+		parts, why := aggs.Decode(list, gjson.ParseBytes(b))
+		if why != "" {
+			return fmt.Errorf("%s", why)
+		}
+		_, err := aggs.Merge(list, [][]aggs.Part{parts, parts}, true)
+		return err
+	}, answer)
+}
+
+func FuzzAggs(f *testing.F) {
+	f.Add([]byte(example))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if list, e := parse(`{"a":` + string(b) + `}`); e == nil {
+			aggs.AppendAsk(nil, list)
+		}
+	})
+}
--- /dev/null
+++ b/internal/aggs/part.go
@@ -0,0 +1,212 @@
+package aggs
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+)
+
+// Part is what one range answered for one aggregation.
+type Part struct {
+	count    int64
+	sum      float64
+	min, max float64 // NaN for none
+	value    float64 // of a cardinality
+	buckets  []bucket
+	other    int64     // lots in buckets that were cut off
+	dist     []float64 // values at each hundredth, of percentiles
+	hits     []hit
+}
+
+type bucket struct {
+	key  key
+	text string // key_as_string
+	from gjson.Result
+	to   gjson.Result
+	docs int64
+	subs []Part
+}
+
+// key is a bucket's key. raw tells keys apart: 64-bit integers past 2^53 are not rounded.
+type key struct {
+	raw string
+	num float64
+	str bool
+}
+
+type hit struct {
+	raw  string
+	sort gjson.Result
+}
+
+// Decode reads a range's answer to AppendAsk, and says why where it cannot be used.
+func Decode(list []*Node, v gjson.Result) ([]Part, string) {
+	parts := make([]Part, len(list))
+	if len(list) > 0 && !v.IsObject() {
+		return nil, "aggregations are missing"
+	}
+	byName := make(map[string]gjson.Result, len(list))
+	v.ForEach(func(k, x gjson.Result) bool { byName[k.Str] = x; return true })
+	for i, n := range list {
+		x := byName[n.Name]
+		if !x.IsObject() {
+			return nil, fmt.Sprintf("the aggregation %.40q is missing", n.Name)
+		}
+		if why := n.decode(&parts[i], x, byName); why != "" {
+			return nil, fmt.Sprintf("the aggregation %.40q: %s", n.Name, why)
+		}
+	}
+	return parts, ""
+}
+
+// number reads a figure; null is none.
+func number(v gjson.Result) float64 {
+	if v.Type != gjson.Number {
+		return math.NaN()
+	}
+	return v.Num
+}
+
+func count(v gjson.Result) (int64, bool) {
+	ok := v.Type == gjson.Number && v.Num >= 0 && v.Num < 1<<53 && v.Num == math.Trunc(v.Num)
+	return int64(v.Num), ok
+}
+
+func (n *Node) decode(p *Part, v gjson.Result, beside map[string]gjson.Result) string {
+	value := v.Get("value")
+	ok := true
+	p.min, p.max = math.NaN(), math.NaN()
+	switch n.Kind {
+	case Min, Max:
+		if p.min = number(value); !value.Exists() {
+			return "no value"
+		}
+		p.max = p.min
+	case Sum:
+		if p.sum = number(value); math.IsNaN(p.sum) {
+			return "a sum that is no number"
+		}
+	case Avg, Stats:
+		p.count, ok = count(v.Get("count"))
+		p.sum, p.min, p.max = number(v.Get("sum")), number(v.Get("min")), number(v.Get("max"))
+		if !ok || math.IsNaN(p.sum) || p.count > 0 && math.IsNaN(p.min+p.max) {
+			return "stats that are no numbers"
+		}
+	case ValueCount:
+		if p.count, ok = count(value); !ok {
+			return "a count that is none"
+		}
+	case Cardinality:
+		if p.count, ok = count(value); !ok {
+			return "a count that is none"
+		}
+		list := Node{Kind: Terms, Size: listMost}
+		return list.decodeBuckets(p, beside[n.Name+termsList])
+	case Percentiles:
+		if p.count, ok = count(beside[n.Name+countName].Get("value")); !ok {
+			return "a count that is none"
+		}
+		last := math.Inf(-1)
+		v.Get("values").ForEach(func(_, x gjson.Result) bool {
+			y := number(x.Get("value"))
+			ok = ok && (p.count == 0 || y >= last)
+			p.dist, last = append(p.dist, y), y
+			return ok && len(p.dist) <= points+1
+		})
+		if !ok || len(p.dist) != points+1 {
+			return "a distribution that does not rise, or lacks points"
+		}
+	case TopHits:
+		v.Get("hits.hits").ForEach(func(_, h gjson.Result) bool {
+			x := hit{raw: h.Raw, sort: h.Get("sort.0")}
+			if n.Sort == "" {
+				x.sort = h.Get("_score")
+			}
+			p.hits = append(p.hits, x)
+			return true
+		})
+		if p.count, ok = count(v.Get("hits.total.value")); !ok || len(p.hits) > n.From+n.Size {
+			return "hits without a count, or more than were asked for"
+		}
+	case Filter, Missing:
+		b := bucket{}
+		if why := n.decodeBucket(&b, v); why != "" {
+			return why
+		}
+		p.buckets = []bucket{b}
+	default:
+		return n.decodeBuckets(p, v)
+	}
+	return ""
+}
+
+func (n *Node) decodeBuckets(p *Part, v gjson.Result) (why string) {
+	list := v.Get("buckets")
+	if !list.IsArray() {
+		return "no buckets"
+	}
+	most := MaxBuckets
+	switch n.Kind {
+	case Terms:
+		most = n.RangeSize()
+	case Range, DateRange:
+		most = len(n.Ranges)
+	case Filters:
+		most = len(n.Filters) + 1
+	}
+	list.ForEach(func(_, x gjson.Result) bool {
+		b := bucket{text: x.Get("key_as_string").Str, from: x.Get("from"), to: x.Get("to")}
+		k := x.Get("key")
+		b.key = key{raw: k.Raw, num: k.Num, str: k.Type == gjson.String}
+		if n.Kind != Filters && (k.Type != gjson.String && k.Type != gjson.Number) {
+			why = "a bucket without a key"
+		} else if len(p.buckets) == most {
+			why = "more buckets than were asked for"
+		} else {
+			why = n.decodeBucket(&b, x)
+		}
+		p.buckets = append(p.buckets, b)
+		return why == ""
+	})
+	switch {
+	case why != "":
+	case n.Kind == Terms:
+		ok := false
+		if p.other, ok = count(v.Get("sum_other_doc_count")); !ok {
+			why = "no sum of what was cut off"
+		}
+	case n.Kind == Range || n.Kind == DateRange:
+		for _, b := range p.buckets { // named by their places
+			if i, err := strconv.Atoi(unquote(b.key.raw)); err != nil || i < 0 || i >= len(n.Ranges) {
+				return "a range that was not asked for"
+			}
+		}
+		if len(p.buckets) != most {
+			why = "not all ranges"
+		}
+	case n.Kind == Filters:
+		want := len(n.Filters)
+		if n.Other != "" {
+			want++
+		}
+		if len(p.buckets) != want {
+			why = "not all filters"
+		}
+	}
+	return why
+}
+
+func unquote(raw string) string { return gjson.Parse(raw).String() }
+
+func (n *Node) decodeBucket(b *bucket, v gjson.Result) (why string) {
+	ok := false
+	if b.docs, ok = count(v.Get("doc_count")); !ok {
+		return "a bucket without a count"
+	}
+	if len(n.Subs) > 0 {
+		b.subs, why = Decode(n.Subs, v)
+	}
+	return why
+}
--- a/internal/net/opensearch/ask.go
+++ b/internal/net/opensearch/ask.go
@@ -7,6 +7,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"pulleygw.example/pulleygw/internal/aggs"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/query"
 	"pulleygw.example/pulleygw/internal/search"
@@ -14,7 +15,7 @@
 
 // extremesName is the aggregation by which a range is asked for the extremes of a field. The API has none of this
 // name, and what clients ask for goes by their own.
-const extremesName = "pulleygw_extremes"
+const extremesName = "::extremes"
 
 // text is what travels with a search through the core: the query in its canonical form, and which fields are wanted.
 func (w *wanted) text() []byte {
@@ -22,6 +23,9 @@
 	if w.source != "" {
 		b = append(append(b, `,"_source":`...), w.source...)
 	}
+	if len(w.aggs) > 0 {
+		b = aggs.AppendAsk(append(b, `,"aggs":`...), w.aggs)
+	}
 	return append(b, '}')
 }
 
@@ -61,11 +65,22 @@
 	case q.Count > 0:
 		b = strconv.AppendInt(append(b, `,"track_total_hits":`...), int64(q.Count), 10)
 	}
-	if a.Extremes {
+	wanted := root.Get("aggs").Raw
+	if a.IDs != nil {
+		wanted = ""
+	}
+	switch {
+	case a.Extremes:
 		field := must(json.Marshal(q.Keys[0].Field))
 		b = append(append(b, `,"aggs":{"`+extremesName+`":{"global":{},"aggs":{"least":{"min":{"field":`...), field...)
 		b = append(append(b, `}},"greatest":{"max":{"field":`...), field...)
-		b = append(b, `}}}}}`...)
+		b = append(b, `}}}}`...)
+		if wanted != "" {
+			b = append(append(b, ','), wanted[1:len(wanted)-1]...)
+		}
+		b = append(b, '}')
+	case wanted != "":
+		b = append(append(b, `,"aggs":`...), wanted...)
 	}
 	return append(b, '}')
 }
@@ -132,6 +147,13 @@
 		found.Extremes = map[string]search.Extremes{a.Query.Keys[0].Field: {
 			Least: parseValue(e.Get("least.value")), Greatest: parseValue(e.Get("greatest.value"))}}
 	}
+	if list, ok := a.Query.Extra.([]*aggs.Node); ok && a.IDs == nil {
+		parts, why := aggs.Decode(list, item.Get("aggregations"))
+		if why != "" {
+			return nil, why
+		}
+		found.Extra = parts
+	}
 	if a.IDs != nil {
 		if len(found.Hits) > len(a.IDs) {
 			return nil, "more listings than were asked for"
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -19,6 +19,7 @@
 	"github.com/tidwall/gjson"
 	"github.com/twmb/murmur3"
 
+	"pulleygw.example/pulleygw/internal/aggs"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/query"
@@ -452,9 +453,21 @@
 	if r.Missing == nil {
 		r.Missing = []int{}
 	}
-	return jsonResponse(200, map[string]any{"took": took.Milliseconds(), "timed_out": timedOut, "_shards": counts, "hits": hits,
-		"coverage": coverage{Whole: res.Whole, Share: r.Share(), Weight: r.Weight, Listed: r.Listed, Missing: r.Missing,
-			Skipped: len(r.Skipped), Changed: r.Changed, Phases: int(res.Phases)}})
+	answer := map[string]any{"took": took.Milliseconds(), "timed_out": timedOut, "_shards": counts, "hits": hits}
+	if list, ok := a.q.Search.Extra.([]*aggs.Node); ok {
+		answers := make([][]aggs.Part, len(r.Extra))
+		for i, x := range r.Extra {
+			answers[i] = x.([]aggs.Part)
+		}
+		merged, err := aggs.Merge(list, answers, len(r.Missing) > 0)
+		if err != nil {
+			return errorResponse(&apiError{400, "too_many_buckets_exception", err.Error()}, nil)
+		}
+		answer["aggregations"] = json.RawMessage(merged)
+	}
+	answer["coverage"] = coverage{Whole: res.Whole, Share: r.Share(), Weight: r.Weight, Listed: r.Listed, Missing: r.Missing,
+		Skipped: len(r.Skipped), Changed: r.Changed, Phases: int(res.Phases)}
+	return jsonResponse(200, answer)
 }
 
 // coverage is how much of a whole answer an answer is. OpenSearch has no such object; its clients pass it over.
--- a/internal/net/opensearch/phases_test.go
+++ b/internal/net/opensearch/phases_test.go
@@ -493,3 +493,33 @@
 		}
 	})
 }
+
+// Aggregations come from every range, in one phase or two; with ranges missing they say what their figures are.
+func TestAggregations(t *testing.T) {
+	for _, phases := range []search.Phases{search.One, search.Two} {
+		bubble(t, func(t *testing.T) {
+			o := usual
+			o.phases = phases
+			r := newRig(o)
+			defer r.stop()
+			body := `{"query":{"match":{"title":"tractor"}},"size":3,"aggs":{"makes":{"terms":{"field":"make"},"aggs":{"top":{"max":{"field":"price"}}}},"n":{"value_count":{"field":"year"}}}}`
+			want := gjson.Get(r.corpus.Whole().NewCopy("w", 0).Search(0, gjson.Parse(body)), "aggregations")
+			for range 3 {
+				got := r.check(t, body, 0, 3)
+				for _, path := range []string{"makes.buckets.#.key", "makes.buckets.#.doc_count", "makes.buckets.#.top.value", "n.value"} {
+					if x, y := got.Get("aggregations."+path).Raw, want.Get(path).Raw; x != y || x == "" {
+						t.Errorf("%s is %s, truly %s", path, x, y)
+					}
+				}
+			}
+			time.Sleep(usual.refresh)
+			for _, s := range r.holders(0) {
+				s.trouble = func(int, lots.Phase) (standin.End, time.Duration) { return standin.Silent, 0 }
+			}
+			status, got := r.search("", body)
+			if n := got.Get("aggregations.n"); status != 200 || n.Get("meta.bound").Str != "lower" || n.Get("value").Num >= want.Get("n.value").Num {
+				t.Errorf("%d %s of %s", status, n.Raw, want.Get("n").Raw)
+			}
+		})
+	}
+}
--- a/internal/net/opensearch/query.go
+++ b/internal/net/opensearch/query.go
@@ -9,6 +9,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"pulleygw.example/pulleygw/internal/aggs"
 	"pulleygw.example/pulleygw/internal/query"
 	"pulleygw.example/pulleygw/internal/search"
 )
@@ -31,6 +32,7 @@
 	*search.Query
 	tree   query.Query
 	source string // of _source as JSON, empty for all
+	aggs   []*aggs.Node
 }
 
 // placed words what is wrong in a text, with its place.
@@ -62,6 +64,19 @@
 			return whole(&q.Size, name, v, sizeMost)
 		case name == "from":
 			return whole(&q.From, name, v, windowMost)
+		case name == "aggs" || name == "aggregations":
+			list, wrong := aggs.Parse(text, v)
+			if wrong != nil {
+				return placed(wrong)
+			}
+			if w.aggs != nil {
+				return parsing("[aggs] and [aggregations] cannot be given together")
+			}
+			w.aggs = list
+			if q.Every = len(list) > 0; q.Every {
+				q.Extra = list
+			}
+			return nil
 		case name == "sort":
 			sort = v
 			return nil
--- a/internal/search/plan.go
+++ b/internal/search/plan.go
@@ -94,6 +94,7 @@
 	changed  int
 	bytes    int
 	parts    int
+	extra    []any    // by place
 	refusers []uint32 // lot stores that cannot answer such a question
 }
 
@@ -135,7 +136,7 @@
 	o = p.prune(o) // what holds nothing is beaten by nothing
 	// No time for a second wave, or nothing to gain by one.
 	p.hurryAt = t.End - waveUsual*t.Usual
-	if p.page0() || now+waveUsual*t.Usual > p.hurryAt || p.worst < leastLeft {
+	if p.page0() || p.Query.Every || now+waveUsual*t.Usual > p.hurryAt || p.worst < leastLeft {
 		return p.askAll(o)
 	}
 	return p.wave(o, now, true)
@@ -186,6 +187,8 @@
 func (p *Plan) countable(i int) bool {
 	b := &p.bounds[i]
 	switch c := p.Query.Count; {
+	case p.Query.Every:
+		return b.None
 	case b.Exact || c == CountNone:
 		return true
 	case c == CountAll:
@@ -340,6 +343,12 @@
 	p.waveIn++
 	p.total += a.Total
 	p.atLeast = p.atLeast || a.AtLeast
+	if a.Extra != nil {
+		if p.extra == nil {
+			p.extra = make([]any, len(p.ranges))
+		}
+		p.extra[i] = a.Extra
+	}
 	moved := false
 	for n := range a.Hits {
 		h := &a.Hits[n]
@@ -431,6 +440,7 @@
 	Changed int     // lots left out as they had changed between the phases
 	Bytes   int     // of the lot stores' answers
 	Parts   int     // asked, further attempts not counted
+	Extra   []any   // of the ranges that are in, in the plan's order
 }
 
 // Share is the share of a whole answer that the result is: of the weight, and of the page.
@@ -442,6 +452,11 @@
 // Result is what is in now; the host ends the score phase first.
 func (p *Plan) Result() (r Result) {
 	r = Result{Total: p.total, AtLeast: p.atLeast, Listed: 1, Changed: p.changed, Bytes: p.bytes, Parts: p.parts}
+	for _, x := range p.extra {
+		if x != nil {
+			r.Extra = append(r.Extra, x)
+		}
+	}
 	for i, s := range p.state {
 		switch s {
 		case in:
--- a/internal/search/search.go
+++ b/internal/search/search.go
@@ -150,6 +150,10 @@
 	Clauses []string
 	// Plain queries consist of their one clause and nothing else, so that their answers teach its best score.
 	Plain bool
+	// Every says that more is asked of each range than the page, so that only one without a lot may be left out.
+	Every bool
+	// Extra is the host's own, for wording questions and reading answers.
+	Extra any
 }
 
 // page is how many lots a range may have to name.
@@ -173,6 +177,7 @@
 	View     View
 	Extremes map[string]Extremes // of fields over all lots of the range, where asked for
 	Bytes    int                 // of the answer on its wire, to be measured by
+	Extra    any                 // what the host makes of the query's Extra
 }
 
 // Extremes are a field's least and greatest value in a range.
--- a/internal/standin/lots/corpus.go
+++ b/internal/standin/lots/corpus.go
@@ -113,6 +113,17 @@
 	return words
 }
 
+// Whole is a corpus of one range that has all lots as they are now, and scores as this one does.
+func (c *Corpus) Whole() *Corpus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := &view{version: 1}
+	for _, v := range c.ranges {
+		all.lots = append(all.lots, v.lots...)
+	}
+	return &Corpus{analyse: c.analyse, df: c.df, n: c.n, mean: c.mean, ranges: []*view{all}}
+}
+
 // Ranges is how many ranges there are.
 func (c *Corpus) Ranges() int { return len(c.ranges) }
 
