Searches break ties by id, go on behind a lot, and honour min_score and terminate_after

Need: lots of equal rank came as a range gave them, so that two copies could give two pages; search_after, min_score and terminate_after got a 400.

Change: ranges are asked to break ties by id ('ties': 'none' in the front's file for lot stores that cannot), answers out of that order are not believed; search_after by sort values and, where given, a tie; min_score and terminate_after go to every range, the latter with counts as bounds and nothing learnt. Whole numbers keep all their digits from a lot store to search_after.

--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -97,6 +97,7 @@
 	Indices map[string]string // index to class
 	Stores  bool              // the lot stores speak the API as well, not frames
 	Phases  search.Phases     // how searches are put to such lot stores; 0 for what is measured to be better
+	Ties    bool              // such lot stores break ties by id
 }
 
 // LoadFront reads the second front's file. Without the file that front is off, and the result is nil.
@@ -119,6 +120,10 @@
 	default:
 		return nil, fmt.Errorf("%s: stores: %q is neither frames nor opensearch", path, s)
 	}
+	ties := root.Get("ties").String()
+	if f.Ties = ties != "none"; ties != "" && ties != "id" && ties != "none" {
+		return nil, fmt.Errorf("%s: ties: %q is neither id nor none", path, ties)
+	}
 	phases, ok := map[string]search.Phases{"": 0, "auto": 0, "one": search.One, "two": search.Two}[root.Get("phases").String()]
 	if f.Phases = phases; !ok {
 		return nil, fmt.Errorf("%s: phases: %q is neither auto, one nor two", path, root.Get("phases").String())
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -152,7 +152,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	if f != nil {
-		d.second = &opensearch.Front{Core: core, Settings: &d.settings, Name: fmt.Sprintf("os-%s-%x", c.Name, c.Seed), Plans: f.Stores}
+		d.second = &opensearch.Front{Core: core, Settings: &d.settings, Name: fmt.Sprintf("os-%s-%x", c.Name, c.Seed), Plans: f.Stores, Ties: f.Ties}
 		d.second.SetIndices(f.Indices)
 		if err := d.open(f.Listen, 0, d.second.Handle, secondShare); err != nil {
 			d.Drain()
--- a/internal/net/opensearch/ask.go
+++ b/internal/net/opensearch/ask.go
@@ -24,6 +24,12 @@
 	if w.source != "" {
 		b = append(append(b, `,"_source":`...), w.source...)
 	}
+	if w.minScore != "" {
+		b = append(append(b, `,"min_score":`...), w.minScore...)
+	}
+	if w.terminate > 0 {
+		b = strconv.AppendInt(append(b, `,"terminate_after":`...), int64(w.terminate), 10)
+	}
 	if len(w.aggs) > 0 {
 		b = aggs.AppendAsk(append(b, `,"aggs":`...), w.aggs)
 	}
@@ -31,7 +37,7 @@
 }
 
 // askBody words what an attempt asks a range for. text is its search's, as wanted.text words it.
-func askBody(text []byte, a *gather.Ask, timeout string) []byte {
+func askBody(text []byte, a *gather.Ask, shard int, timeout string) []byte {
 	root := gjson.ParseBytes(text) // as wanted.text words it
 	asked := root.Get("query").Raw
 	q := a.Query
@@ -47,8 +53,26 @@
 		b = append(b, asked...)
 	}
 	b = strconv.AppendInt(append(b, `,"size":`...), int64(size), 10)
-	if len(q.Keys) > 1 || q.Keys[0] != (merge.Key{Field: merge.Score, Desc: true}) {
-		b = appendSort(append(b, `,"sort":`...), q.Keys)
+	if q.Ties || sorted(q) {
+		b = appendSort(append(b, `,"sort":`...), q.Keys, q.Ties)
+	}
+	if q.After != nil && a.IDs == nil {
+		b = append(b, `,"search_after":[`...)
+		for i, v := range q.After.Values {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = append(b, v.JSON(quote)...)
+		}
+		if q.Ties {
+			b = append(append(b, ','), quote(q.After.Tie(shard))...)
+		}
+		b = append(b, ']')
+	}
+	for _, name := range []string{"min_score", "terminate_after"} {
+		if v := root.Get(name).Raw; v != "" && a.IDs == nil {
+			b = append(append(append(append(b, `,"`...), name...), `":`...), v...)
+		}
 	}
 	if src := root.Get("_source").Raw; a.Scores {
 		b = append(b, `,"_source":false`...)
@@ -86,7 +110,10 @@
 	return append(b, '}')
 }
 
-func appendSort(b []byte, keys []merge.Key) []byte {
+func quote(s string) string { return string(must(json.Marshal(s))) }
+
+// appendSort words sort keys, and the id that breaks ties.
+func appendSort(b []byte, keys []merge.Key, ties bool) []byte {
 	for i, k := range keys {
 		b = append(b, "[,"[min(i, 1)])
 		b = append(append(append(b, '{'), must(json.Marshal(k.Field))...), `:{"order":"`...)
@@ -100,6 +127,9 @@
 		}
 		b = append(b, "}}"...)
 	}
+	if ties {
+		b = append(b, `,{"_id":{"order":"asc"}}`...)
+	}
 	return append(b, ']')
 }
 
@@ -107,7 +137,7 @@
 func parseFound(item gjson.Result, a *gather.Ask) (found *search.Answer, why string) {
 	hits := item.Get("hits")
 	found = &search.Answer{Bytes: len(item.Raw)}
-	byScore := len(a.Query.Keys) == 1 && a.Query.Keys[0] == merge.Key{Field: merge.Score, Desc: true}
+	keys := len(a.Query.Keys)
 	hits.Get("hits").ForEach(func(_, h gjson.Result) bool {
 		id := h.Get("_id")
 		if id.Type != gjson.String {
@@ -118,11 +148,14 @@
 		if !a.Scores {
 			x.Listing = h.Raw
 		}
-		if byScore {
+		values := h.Get("sort").Array()
+		switch {
+		case len(values) == 0 && !sorted(a.Query):
 			x.Sort = []merge.Value{parseValue(h.Get("_score"))}
-		} else {
-			for _, v := range h.Get("sort").Array() {
-				x.Sort = append(x.Sort, parseValue(v))
+		case len(values) == keys || len(values) == keys+1 && values[keys].Str == x.ID:
+			x.Sort = make([]merge.Value, keys)
+			for i, v := range values[:keys] {
+				x.Sort[i] = parseValue(v)
 			}
 		}
 		found.Hits = append(found.Hits, x)
@@ -164,6 +197,10 @@
 	if why := found.Check(a.Query); why != "" {
 		return nil, why
 	}
+	if a.Query.Cut {
+		found.AtLeast = found.AtLeast || item.Get("terminated_early").Bool()
+		found.View = search.View{}
+	}
 	return found, ""
 }
 
@@ -171,6 +208,9 @@
 func parseValue(v gjson.Result) merge.Value {
 	switch {
 	case v.Type == gjson.Number:
+		if n, err := strconv.ParseInt(v.Raw, 10, 64); err == nil {
+			return merge.Int(n)
+		}
 		return merge.Num(v.Num)
 	case v.Type == gjson.String && v.Str == "Infinity":
 		return merge.Num(math.Inf(1))
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -41,6 +41,7 @@
 	Settings *settings.Current
 	Name     string // begins the names of this front's requests
 	Plans    bool   // lot stores speak the API, so that searches are led by plans
+	Ties     bool   // and break ties by id
 	number   atomic.Uint64
 	indices  atomic.Pointer[map[string]string]
 }
@@ -71,7 +72,8 @@
 	q      *gather.Request
 	index  string
 	search bool
-	size   int // where no plan leads it
+	size   int  // where no plan leads it
+	ties   bool // hits end their sort values with a tie
 }
 
 // Handle is the front's http1.Handler.
@@ -166,7 +168,7 @@
 func (f *Front) parseSearch(a *asked, params url.Values, body []byte) *apiError {
 	names := []string{"timeout", "allow_partial_search_results", "preference", "routing", "size"}
 	if f.Plans {
-		names = append(names, "from", "sort", "track_total_hits", "q", "df", "default_operator")
+		names = append(names, "from", "sort", "track_total_hits", "q", "df", "default_operator", "terminate_after")
 	}
 	if e := only(params, names...); e != nil {
 		return e
@@ -184,7 +186,7 @@
 	var e *apiError
 	if f.Plans {
 		var w *wanted
-		if w, e = parseBody(string(body), params); e != nil {
+		if w, e = parseBody(string(body), params, f.Ties); e != nil {
 			return e
 		}
 		a.q.Search, a.q.Text = w.Query, w.text()
@@ -435,10 +437,7 @@
 	r := res.Search
 	raws := make([]json.RawMessage, len(r.Hits))
 	for i, h := range r.Hits {
-		raws[i] = json.RawMessage(h.Listing)
-		if res.Phases == search.Two {
-			raws[i] = without(h.Listing, "_version") // which nobody asked for
-		}
+		raws[i] = a.listing(h, res.Phases)
 	}
 	hits := map[string]any{"max_score": nil, "hits": raws}
 	if r.Best != nil && a.q.Search.Keys[0].Field == merge.Score {
@@ -483,16 +482,35 @@
 	Phases  int     `json:"phases"`
 }
 
-// without drops a member of an object.
-func without(object, name string) json.RawMessage {
+// listing words a hit as its client asked for it: without what was asked of the lot store for the ranking's sake.
+func (a *asked) listing(h *merge.Hit, phases search.Phases) json.RawMessage {
+	q := a.q.Search
+	if !q.Ties && phases == search.One {
+		return json.RawMessage(h.Listing)
+	}
 	b := []byte{'{'}
-	gjson.Parse(object).ForEach(func(k, v gjson.Result) bool {
-		if k.Str != name {
-			if len(b) > 1 {
-				b = append(b, ',')
+	gjson.Parse(h.Listing).ForEach(func(k, v gjson.Result) bool {
+		raw := v.Raw
+		switch {
+		case k.Str == "_version", k.Str == "sort" && !a.ties && !sorted(q):
+			return true
+		case k.Str == "sort":
+			list := []byte{'['}
+			for i, x := range h.Sort {
+				if i > 0 {
+					list = append(list, ',')
+				}
+				list = append(list, x.JSON(quote)...)
 			}
-			b = append(append(append(b, k.Raw...), ':'), v.Raw...)
+			if a.ties {
+				list = append(append(list, ','), quote(tieOf(h))...)
+			}
+			raw = string(append(list, ']'))
+		}
+		if len(b) > 1 {
+			b = append(b, ',')
 		}
+		b = append(append(append(b, k.Raw...), ':'), raw...)
 		return true
 	})
 	return append(b, '}')
--- a/internal/net/opensearch/query.go
+++ b/internal/net/opensearch/query.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/tidwall/gjson"
@@ -31,9 +32,11 @@
 // wanted is what a client's search asks for.
 type wanted struct {
 	*search.Query
-	tree   query.Query
-	source string // of _source as JSON, empty for all
-	aggs   []*aggs.Node
+	tree      query.Query
+	source    string // of _source as JSON, empty for all
+	minScore  string // as JSON, empty for none
+	terminate int    // lots that a range looks at, 0 for all
+	aggs      []*aggs.Node
 }
 
 // placed words what is wrong in a text, with its place.
@@ -41,14 +44,15 @@
 	return parsing("%s", e.Error())
 }
 
-// parseBody reads the search body and the parameters that stand for members of it.
-func parseBody(text string, params url.Values) (w *wanted, e *apiError) {
+// parseBody reads the search body and the parameters that stand for members of it. ties says that lot stores break ties
+// by id.
+func parseBody(text string, params url.Values, ties bool) (w *wanted, e *apiError) {
 	if wrong := query.Check(text); wrong != nil {
 		return nil, placed(wrong)
 	}
-	q := &search.Query{Size: sizeUsed, Count: search.CountAnyhow}
+	q := &search.Query{Size: sizeUsed, Count: search.CountAnyhow, Ties: ties}
 	w = &wanted{Query: q, tree: query.All{}}
-	var sort gjson.Result
+	var sort, after gjson.Result
 	member := func(name string, v gjson.Result) *apiError {
 		switch {
 		case name == "query" && v.Raw == "{}": // taken for one that every lot matches
@@ -65,6 +69,18 @@
 			return whole(&q.Size, name, v, sizeMost)
 		case name == "from":
 			return whole(&q.From, name, v, windowMost)
+		case name == "search_after":
+			after = v
+			return nil
+		case name == "min_score":
+			if v.Type != gjson.Number || math.IsInf(v.Num, 0) {
+				return illegal("[min_score] is not a number")
+			}
+			w.minScore = v.Raw
+			return nil
+		case name == "terminate_after":
+			q.Cut = true
+			return whole(&w.terminate, name, v, math.MaxInt32)
 		case name == "aggs" || name == "aggregations":
 			list, wrong := aggs.Parse(text, v)
 			if wrong != nil {
@@ -97,7 +113,7 @@
 	if e != nil {
 		return nil, e
 	}
-	for _, name := range []string{"from", "size", "track_total_hits"} {
+	for _, name := range []string{"from", "size", "track_total_hits", "terminate_after"} {
 		if v := params.Get(name); v != "" {
 			if !gjson.Valid(v) {
 				return nil, illegal("[%s] is not a number", name)
@@ -122,10 +138,58 @@
 			return nil, illegal("[q] %s", wrong.Error())
 		}
 	}
-	nameQuery(q, w.tree)
+	if q.Cut = w.terminate > 0; after.Exists() {
+		if e := parseAfter(q, after); e != nil {
+			return nil, e
+		}
+	}
+	if q.After == nil && !q.Cut && w.minScore == "" {
+		nameQuery(q, w.tree)
+	}
 	return w, nil
 }
 
+// parseAfter reads the sort values that the page begins behind: one for each key and, where the client was given one,
+// the tie of the lot that they are of.
+func parseAfter(q *search.Query, v gjson.Result) *apiError {
+	values := v.Array()
+	if !v.IsArray() || len(values) != len(q.Keys) && len(values) != len(q.Keys)+1 {
+		return illegal("[search_after] is not a list of %d values, one for each [sort] key, and perhaps a tie", len(q.Keys))
+	}
+	if q.From > 0 {
+		return illegal("[from] must be 0 with [search_after]")
+	}
+	after := &merge.After{}
+	for i, x := range values[:len(q.Keys)] {
+		if x.Type == gjson.JSON {
+			return illegal("[search_after] has a value that is no string, number, boolean or null: [%.60s]", x.Raw)
+		}
+		y := parseValue(x)
+		if q.Keys[i].Field == merge.Score && y.Kind != merge.Number {
+			return illegal("[search_after] has [%.60s] for a score", x.Raw)
+		}
+		after.Values = append(after.Values, y)
+	}
+	if len(values) > len(q.Keys) {
+		number, id, ok := strings.Cut(values[len(q.Keys)].Str, "/")
+		n, err := strconv.Atoi(number)
+		if !ok || err != nil || n < 0 || id == "" {
+			return illegal("[search_after] ends in a tie that was not given by a search: [%.60s]", values[len(q.Keys)].Raw)
+		}
+		after.Tied, after.Range, after.ID = true, n, id
+	}
+	q.After = after
+	return nil
+}
+
+// tieOf words the tie of a lot.
+func tieOf(h *merge.Hit) string { return strconv.Itoa(h.Range) + "/" + h.ID }
+
+// sorted says whether a search has a sort of its own.
+func sorted(q *search.Query) bool {
+	return len(q.Keys) > 1 || q.Keys[0] != merge.Key{Field: merge.Score, Desc: true}
+}
+
 // parseSource takes what _source may be: a boolean, a field or a list of fields, or an object of includes and excludes.
 func (w *wanted) parseSource(v gjson.Result) *apiError {
 	fields := func(v gjson.Result) bool {
--- a/internal/net/opensearch/stores.go
+++ b/internal/net/opensearch/stores.go
@@ -377,7 +377,7 @@
 		target = "/_msearch"
 		fmt.Fprintf(&b, `{"index":%q,"preference":"_shards:%d"}`+"\n", index, a.Shard)
 		if a.Ask != nil {
-			b.Write(askBody(a.Text, a.Ask, left))
+			b.Write(askBody(a.Text, a.Ask, a.Shard, left))
 			b.WriteByte('\n')
 			continue
 		}
--- a/internal/search/search.go
+++ b/internal/search/search.go
@@ -27,6 +27,9 @@
 	Keys       []merge.Key // at least one
 	From, Size int
 	Count      Counting
+	After      *merge.After // the page begins behind it; nil for at the start
+	Ties       bool         // ranges are asked to break ties by id
+	Cut        bool         // ranges may end before they have looked at all their lots, so that answers bound nothing
 	// Name tells queries that the same lots answer in the same order: two of one name differ in From, Size and
 	// Count at most. Empty where nothing may be learnt or used.
 	Name string
@@ -87,7 +90,11 @@
 				return "a hit with a score that is no number"
 			}
 		}
-		if i > 0 && merge.Compare(q.Keys, a.Hits[i-1].Sort, h.Sort) > 0 {
+		if i == 0 {
+			continue
+		}
+		last := &a.Hits[i-1]
+		if c := merge.Compare(q.Keys, last.Sort, h.Sort); c > 0 || c == 0 && q.Ties && last.ID >= h.ID {
 			return "the hits are not in order"
 		}
 	}
@@ -96,7 +103,7 @@
 		return "more hits than were asked for"
 	case a.Total < 0 || q.Count != CountNone && a.Total < int64(len(a.Hits)):
 		return "a total that its hits refute"
-	case q.Count != CountNone && !a.AtLeast && len(a.Hits) < q.page() && a.Total > int64(len(a.Hits)):
+	case q.Count != CountNone && !a.AtLeast && q.After == nil && len(a.Hits) < q.page() && a.Total > int64(len(a.Hits)):
 		return "fewer hits than were asked for and counted"
 	}
 	return ""
