--- a/internal/gather/core.go
+++ b/internal/gather/core.go
@@ -61,6 +61,7 @@
 	attempts []*Attempt
 	mayRun   time.Duration // when the first attempt that may have run was sent, 0 for none
 	place    int           // of its range in its query's plan
+	cut      bool          // was still to come when the first of two steps ended
 	ask      *Ask          // of a search
 }
 
--- a/internal/gather/relay.go
+++ b/internal/gather/relay.go
@@ -68,7 +68,7 @@
 // result is what has come of a part so far.
 func (p *part) result() PartResult {
 	r := *p.res
-	r.Waiting = !r.OK && !r.Skipped && (len(p.attempts) == 0 || !p.attempts[len(p.attempts)-1].outcome)
+	r.Waiting = !r.OK && !r.Skipped && (p.cut || len(p.attempts) == 0 || !p.attempts[len(p.attempts)-1].outcome)
 	return r
 }
 
--- a/internal/gather/search.go
+++ b/internal/gather/search.go
@@ -111,6 +111,9 @@
 	case q.over || p.res.OK:
 		c.report(a, policy.OK)
 		return
+	case a.Ask.IDs == nil && !q.plan.Fits(p.place, found):
+		c.report(a, policy.Moot) // another copy may; and nothing speaks against this one
+		return
 	case c.most > 0 && (c.held+found.Bytes > c.most || float64(q.bytes+found.Bytes) > queryMost*float64(c.most)):
 		c.report(a, policy.Error) // there is no room for it
 		return
@@ -157,6 +160,9 @@
 
 // fetch begins the second step: the listings of the page, each first at the copy that ranked it.
 func (c *Core) fetch(q *query) {
+	for _, p := range q.parts {
+		p.cut = p.result().Waiting
+	}
 	delete(c.phased, q)
 	c.flight.RemoveParts(ids(q.parts)) // ended, and the second step has no more than the first had
 	fetches := q.plan.Close()
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -2,6 +2,7 @@
 package lifecycle
 
 import (
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"maps"
@@ -14,6 +15,7 @@
 
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/net/discovery"
+	"pulleygw.example/pulleygw/internal/pages"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/internal/store"
@@ -98,6 +100,8 @@
 	Stores  bool              // the lot stores speak the API as well, not frames
 	Phases  search.Phases     // how searches are put to such lot stores; 0 for what is measured to be better
 	Ties    bool              // such lot stores break ties by id
+	KeyFile string            // of the keys of points in time; empty for one that this process makes and takes with it
+	Keys    *pages.Keys
 }
 
 // LoadFront reads the second front's file. Without the file that front is off, and the result is nil.
@@ -120,6 +124,10 @@
 	default:
 		return nil, fmt.Errorf("%s: stores: %q is neither frames nor opensearch", path, s)
 	}
+	f.KeyFile = root.Get("pit.keys").String()
+	if err := f.loadKeys(); err != nil {
+		return nil, fmt.Errorf("%s: pit.keys: %w", path, err)
+	}
 	ties := root.Get("ties").String()
 	if f.Ties = ties != "none"; ties != "" && ties != "id" && ties != "none" {
 		return nil, fmt.Errorf("%s: ties: %q is neither id nor none", path, ties)
@@ -134,6 +142,33 @@
 	return f, nil
 }
 
+// loadKeys reads the keys of points in time, or makes one where no file is named.
+func (f *FrontConfig) loadKeys() (err error) {
+	if f.KeyFile == "" {
+		key := make([]byte, 32)
+		if _, err := rand.Read(key); err != nil {
+			return fmt.Errorf("make a key: %w", err)
+		}
+		f.Keys, err = pages.NewKeys(key)
+		return err
+	}
+	info, err := os.Stat(f.KeyFile)
+	if err != nil {
+		return err
+	}
+	if info.Mode().Perm()&0o077 != 0 { // whoever reads a key can make tokens
+		return fmt.Errorf("%s can be read by others: its mode is %v, want 0600", f.KeyFile, info.Mode().Perm())
+	}
+	text, err := os.ReadFile(f.KeyFile)
+	if err != nil {
+		return err
+	}
+	if f.Keys, err = pages.ParseKeys(text); err != nil {
+		return fmt.Errorf("%s: %w", f.KeyFile, err)
+	}
+	return nil
+}
+
 // optional reads a file that may be absent; the result does not exist then.
 func optional(path string) (gjson.Result, error) {
 	text, err := os.ReadFile(path)
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -93,6 +93,7 @@
 	mu       sync.Mutex
 	doors    []*door           // under mu; the platform's first, then the OpenSearch-style front's if it is on, then operations'
 	second   *opensearch.Front // nil when off
+	front    FrontConfig       // of the second front
 	ops      *operations       // nil when off
 	bodies   chan struct{}     // has room for the request bodies that may be held at once
 	draining atomic.Bool
@@ -154,6 +155,8 @@
 	if f != nil {
 		d.second = &opensearch.Front{Core: core, Settings: &d.settings, Name: fmt.Sprintf("os-%s-%x", c.Name, c.Seed), Plans: f.Stores, Ties: f.Ties}
 		d.second.SetIndices(f.Indices)
+		d.second.SetKeys(f.Keys)
+		d.front = *f
 		if err := d.open(f.Listen, 0, d.second.Handle, secondShare); err != nil {
 			d.Drain()
 			return nil, fmt.Errorf("opensearch front: listen: %w", err)
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -6,10 +6,24 @@
 	"pulleygw.example/pulleygw/internal/net/discovery"
 )
 
+// reloadKeys reads the keys of points in time again: a new first one signs, and tokens of the others stay good.
+func (d *Daemon) reloadKeys() {
+	if d.second == nil || d.front.KeyFile == "" {
+		return
+	}
+	if err := d.front.loadKeys(); err != nil {
+		d.log.Printf("reload: the keys of points in time stay: %v", err)
+		return
+	}
+	d.second.SetKeys(d.front.Keys)
+	d.log.Printf("reload: keys of points in time read from %s", d.front.KeyFile)
+}
+
 // Reload reads the configuration file again and puts its settings and its address of discovery in force. The file
 // counts alone, as the environment still says what held at the start. A file that cannot be used in any part
 // changes nothing. It must not be called beside itself or Drain.
 func (d *Daemon) Reload(path string) {
+	d.reloadKeys()
 	c, err := LoadConfig(path, func(string) string { return "" })
 	if err != nil {
 		d.log.Printf("reload: the file cannot be used, the configuration stays: %v", err)
--- a/internal/net/opensearch/ask.go
+++ b/internal/net/opensearch/ask.go
@@ -69,6 +69,9 @@
 		}
 		b = append(b, ']')
 	}
+	if v, pinned := q.Pins[shard]; pinned && a.IDs == nil { // a lot store that still has it answers from there
+		b = append(strconv.AppendInt(append(b, `,"view":{"version":`...), v, 10), '}')
+	}
 	for _, name := range []string{"min_score", "terminate_after"} {
 		if v := root.Get(name).Raw; v != "" && a.IDs == nil {
 			b = append(append(append(append(b, `,"`...), name...), `":`...), v...)
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -23,6 +23,7 @@
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/merge"
 	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/pages"
 	"pulleygw.example/pulleygw/internal/query"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
@@ -33,6 +34,7 @@
 type Core interface {
 	Submit(*gather.Request)
 	Leave(*gather.Request)
+	Snapshot() gather.Snapshot
 }
 
 // Front accepts the API from clients.
@@ -44,8 +46,12 @@
 	Ties     bool   // and break ties by id
 	number   atomic.Uint64
 	indices  atomic.Pointer[map[string]string]
+	keys     atomic.Pointer[pages.Keys]
 }
 
+// SetKeys says which keys sign and verify points in time, from now on; without any there are none.
+func (f *Front) SetKeys(k *pages.Keys) { f.keys.Store(k) }
+
 // SetIndices says which class each index stands for, from now on: safe classes are searched, keyed ones
 // created in.
 func (f *Front) SetIndices(classes map[string]string) { f.indices.Store(&classes) }
@@ -74,68 +80,12 @@
 	search bool
 	size   int  // where no plan leads it
 	ties   bool // hits end their sort values with a tie
-}
-
-// Handle is the front's http1.Handler.
-func (f *Front) Handle(r *http1.Request, gone <-chan struct{}) *http1.Response {
-	a, e := f.parse(r)
-	r.Release() // nothing of the body is needed any more, and the answer may take seconds
-	if e != nil {
-		return errorResponse(e, nil)
-	}
-	f.Core.Submit(a.q)
-	select {
-	case res := <-a.q.Done:
-		return a.render(res, time.Since(r.At))
-	case <-gone:
-		f.Core.Leave(a.q)
-		return nil
-	}
-}
-
-// parse turns a call of the API into the core's form.
-func (f *Front) parse(r *http1.Request) (*asked, *apiError) {
-	path := strings.Split(strings.TrimPrefix(r.Path, "/"), "/")
-	params, err := url.ParseQuery(r.Query)
-	if err != nil {
-		return nil, illegal("the query string is malformed")
-	}
-	search := len(path) == 2 && path[1] == "_search"
-	create := len(path) == 3 && (path[1] == "_create" || path[1] == "_doc" && params.Get("op_type") == "create")
-	if !search && !create {
-		return nil, illegal("not supported here: %.80q; only /{index}/_search, and /{index}/_create/{id} or _doc/{id} with op_type=create, are", r.Path)
-	}
-	set := f.Settings.Load()
-	class := set.Class((*f.indices.Load())[path[0]])
-	if class < 0 {
-		return nil, &apiError{404, "index_not_found_exception", fmt.Sprintf("no such index [%.80s]", path[0])}
-	}
-	k := set.Policy.Classes[class]
-	switch {
-	case search && k.Effect != policy.Safe:
-		return nil, illegal("index [%s] takes only create", path[0])
-	case create && k.Effect == policy.Safe:
-		return nil, illegal("index [%s] takes only _search", path[0])
-	case search && r.Method != "GET" && r.Method != "POST", create && r.Method != "PUT" && r.Method != "POST":
-		return nil, &apiError{405, "illegal_argument_exception", fmt.Sprintf("method [%s] is not allowed here", r.Method)}
-	}
-	a := &asked{index: path[0], search: search, size: sizeUsed}
-	a.q = &gather.Request{Name: fmt.Sprintf("%s-%d", f.Name, f.number.Add(1)), Class: class, Done: make(chan gather.Result, 1)}
-	wait := k.Deadline
-	if t := params.Get("timeout"); t != "" {
-		ok := false
-		if wait, ok = parseTime(t); !ok {
-			return nil, illegal("failed to parse setting [timeout] with value [%.40s] as a time value", t)
-		}
-	}
-	a.q.Deadline = r.At.Add(wait)
-	var e *apiError
-	if search {
-		e = f.parseSearch(a, params, r.Body)
-	} else {
-		e = f.parseCreate(a, params, path[2], r.Body)
-	}
-	return a, e
+	shards int  // of the index
+	pin    *pages.Pin
+	token  string    // of the pin
+	wrong  *apiError // what is wrong with it, so that it never reaches the core
+	// wording words an answer, where not as a search or a create.
+	wording func(gather.Result, time.Duration) *http1.Response
 }
 
 // parseTime reads a time value such as 500ms or 2s.
@@ -165,7 +115,7 @@
 	return nil
 }
 
-func (f *Front) parseSearch(a *asked, params url.Values, body []byte) *apiError {
+func (f *Front) parseSearch(a *asked, now time.Time, params url.Values, body []byte) *apiError {
 	names := []string{"timeout", "allow_partial_search_results", "preference", "routing", "size"}
 	if f.Plans {
 		names = append(names, "from", "sort", "track_total_hits", "q", "df", "default_operator", "terminate_after")
@@ -190,6 +140,9 @@
 			return e
 		}
 		a.q.Search, a.q.Text = w.Query, w.text()
+		if e := f.pinned(a, w, now); e != nil {
+			return e
+		}
 	} else if a.size, e = parseOpaque(body, params); e != nil {
 		return e
 	} else {
@@ -198,11 +151,44 @@
 	var shards []int
 	shards, e = f.shards(params)
 	for _, s := range shards {
+		if a.pin != nil {
+			if _, in := a.pin.Versions[s]; !in {
+				continue // it stays out, and its weight with it
+			}
+		}
 		a.q.Shards = append(a.q.Shards, gather.Shard{Number: s, Weight: 1 / float64(len(shards))})
 	}
+	if e == nil && len(a.q.Shards) == 0 {
+		e = &apiError{404, "search_context_missing_exception", "the point in time has no range"}
+	}
 	return e
 }
 
+// pinned ties a search to its point in time.
+func (f *Front) pinned(a *asked, w *wanted, now time.Time) *apiError {
+	switch {
+	case w.pit == "" && a.pin == nil:
+		return nil
+	case a.pin == nil:
+		return illegal("[pit] cannot be given with an index")
+	case !f.Ties:
+		return illegal("points in time want lot stores that break ties by id")
+	}
+	a.q.Search.Pins, a.q.Search.Absent, a.ties = a.pin.Versions, a.pin.Absent(), true
+	if w.keep != "" { // a longer life is another token
+		keep, e := keepAlive(w.keep)
+		if e != nil {
+			return e
+		}
+		if ends := now.Add(keep); ends.After(a.pin.Ends) {
+			longer := *a.pin
+			longer.Ends = ends
+			a.token = f.keys.Load().Seal(&longer)
+		}
+	}
+	return nil
+}
+
 // parseOpaque reads of a search whose lot stores speak frames what matters here, its size; they get the text as it is.
 func parseOpaque(body []byte, params url.Values) (size int, e *apiError) {
 	if wrong := query.Check(string(body)); wrong != nil {
@@ -257,29 +243,6 @@
 	return list, nil
 }
 
-func (f *Front) parseCreate(a *asked, params url.Values, id string, body []byte) *apiError {
-	if e := only(params, "timeout", "routing", "op_type"); e != nil {
-		return e
-	}
-	if params.Has("op_type") && params.Get("op_type") != "create" {
-		return illegal("the only [op_type] supported here is create")
-	}
-	// The document id is the idempotency key.
-	if !http1.IsName(id) {
-		return illegal("the document id is missing, too long or has characters other than letters, digits, - and _")
-	}
-	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
-		return &apiError{400, "mapper_parsing_exception", "the body is not a JSON object"}
-	}
-	routing := params.Get("routing")
-	if routing == "" {
-		routing = id
-	}
-	a.q.Key, a.q.Text = id, slices.Clone(body)
-	a.q.Shards = []gather.Shard{{Number: Shard(routing, f.Settings.Load().Shards), Weight: 1}}
-	return nil
-}
-
 // Shard is the shard that a routing value leads to among n, as OpenSearch works it out: murmur3 of the
 // value in UTF-16, over the routing shards, of which there are n times a power of two, up to 1,024.
 func Shard(routing string, n int) int {
@@ -356,6 +319,10 @@
 // render words a final answer.
 func (a *asked) render(res gather.Result, took time.Duration) *http1.Response {
 	counts, timedOut := a.counts(res)
+	if res.Kind != gather.Answered && len(res.Search.Moved) > 0 { // no use in trying again
+		return errorResponse(&apiError{404, "search_context_missing_exception", fmt.Sprintf("%d of %d ranges have changed since the point in time was opened",
+			len(res.Search.Moved), a.shards)}, nil)
+	}
 	switch res.Kind {
 	case gather.Answered:
 		if a.q.Search != nil {
@@ -450,9 +417,6 @@
 		}
 		hits["total"] = map[string]any{"value": r.Total, "relation": relation}
 	}
-	if r.Missing == nil {
-		r.Missing = []int{}
-	}
 	answer := map[string]any{"took": took.Milliseconds(), "timed_out": timedOut, "_shards": counts, "hits": hits}
 	if list, ok := a.q.Search.Extra.([]*aggs.Node); ok {
 		answers := make([][]aggs.Part, len(r.Extra))
@@ -465,18 +429,31 @@
 		}
 		answer["aggregations"] = json.RawMessage(merged)
 	}
-	answer["coverage"] = coverage{Whole: res.Whole, Share: r.Share(), Weight: r.Weight, Listed: r.Listed, Missing: r.Missing,
-		Skipped: len(r.Skipped), Changed: r.Changed, Phases: int(res.Phases)}
+	answer["coverage"] = a.coverage(res)
+	if a.pin != nil {
+		answer["pit_id"] = a.token
+	}
 	return jsonResponse(200, answer)
 }
 
+func (a *asked) coverage(res gather.Result) coverage {
+	r := res.Search
+	c := coverage{Whole: res.Whole, Share: r.Share(), Weight: r.Weight, Listed: r.Listed, Missing: r.Missing, Moved: r.Moved,
+		Skipped: len(r.Skipped), Changed: r.Changed, Phases: int(res.Phases)}
+	if c.Missing == nil {
+		c.Missing = []int{}
+	}
+	return c
+}
+
 // coverage is how much of a whole answer an answer is. OpenSearch has no such object; its clients pass it over.
 type coverage struct {
 	Whole   bool    `json:"whole"`
-	Share   float64 `json:"share"`   // of a whole answer: weight times listed
-	Weight  float64 `json:"weight"`  // of the ranges that are in or were skipped
-	Listed  float64 `json:"listed"`  // share of the page's lots whose ranges gave their listings
-	Missing []int   `json:"missing"` // ranges that were not ranked
+	Share   float64 `json:"share"`           // of a whole answer: weight times listed
+	Weight  float64 `json:"weight"`          // of the ranges that are in or were skipped
+	Listed  float64 `json:"listed"`          // share of the page's lots whose ranges gave their listings
+	Missing []int   `json:"missing"`         // ranges that were not ranked
+	Moved   []int   `json:"moved,omitempty"` // those of them that have changed since the point in time
 	Skipped int     `json:"skipped"`
 	Changed int     `json:"changed"` // lots left out of the page, as they changed while it was made
 	Phases  int     `json:"phases"`
@@ -540,8 +517,11 @@
 }
 
 func jsonResponse(status int, v any) *http1.Response {
-	return &http1.Response{Status: status, Header: textproto.MIMEHeader{"Content-Type": {"application/json; charset=UTF-8"}},
-		Body: must(json.Marshal(v))}
+	return rawResponse(status, must(json.Marshal(v)))
+}
+
+func rawResponse(status int, body []byte) *http1.Response {
+	return &http1.Response{Status: status, Header: textproto.MIMEHeader{"Content-Type": {"application/json; charset=UTF-8"}}, Body: body}
 }
 
 // must is for what cannot fail: plain values made here, and JSON that was validated.
--- a/internal/net/opensearch/opensearch_test.go
+++ b/internal/net/opensearch/opensearch_test.go
@@ -36,8 +36,9 @@
 	asked  *gather.Request
 }
 
-func (c *core) Submit(r *gather.Request) { c.asked = r; r.Done <- c.result }
-func (c *core) Leave(*gather.Request)    {}
+func (c *core) Submit(r *gather.Request)      { c.asked = r; r.Done <- c.result }
+func (c *core) Leave(*gather.Request)         {}
+func (c *core) Snapshot() (s gather.Snapshot) { return s }
 
 func front(res gather.Result) (*Front, *core) {
 	c := &core{result: res}
@@ -79,7 +80,7 @@
 		{"POST", "/bids/_search", "", 400, "only create"},
 		{"PUT", "/lots/_create/1", "{}", 400, "only _search"},
 		{"PUT", "/bids/_create/a%20b", "{}", 400, "document id"},
-		{"PUT", "/bids/_create/1", "no", 400, "JSON object"},
+		{"PUT", "/bids/_create/1", "no", 400, "line 1, column 2: not JSON"},
 		{"PUT", "/bids/_create/1?refresh=true", "{}", 400, "[refresh]"},
 	} {
 		f, c := front(gather.Result{})
--- a/internal/net/opensearch/phases_test.go
+++ b/internal/net/opensearch/phases_test.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/gjson"
 
 	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/pages"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/standin"
 	"pulleygw.example/pulleygw/internal/standin/lots"
@@ -199,6 +200,25 @@
 	}
 }
 
+// Where lot stores answer within a millisecond, the second phase still has the core's own steps to go through.
+func TestQuickLotStores(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		o := usual
+		o.unit = 0.0001
+		r := newRig(o)
+		defer r.stop()
+		for _, s := range r.holders(0) {
+			s.trouble = func(int, lots.Phase) (standin.End, time.Duration) { return standin.Silent, 0 }
+		}
+		for range 10 {
+			time.Sleep(11 * time.Second)
+			if status, got := r.search("", tractors); status != 200 || len(hitIDs(got)) != 10 {
+				t.Errorf("%d %s", status, got.Get("coverage").Raw)
+			}
+		}
+	})
+}
+
 // A lot that changes between the phases so that its rank is not its own is left out and told; one that was bid on
 // but keeps its rank stays.
 func TestLotsChangeBetweenPhases(t *testing.T) {
@@ -523,3 +543,137 @@
 		})
 	}
 }
+
+// walk reads all pages of a search at a point in time, five lots each, and calls between before each further page.
+func (r *rig) walk(t *testing.T, token, body string, between func(page int)) (ids []string, last gjson.Result) {
+	t.Helper()
+	after := ""
+	for page := 1; ; page++ {
+		text := strings.TrimSuffix(body, "}") + `,"size":5,"pit":{"id":"` + token + `","keep_alive":"2m"}` + after + "}"
+		status, got := r.call("POST", "/_search", "", text)
+		if status != 200 {
+			t.Fatalf("page %d: %d %s", page, status, got.Raw)
+		}
+		hits := got.Get("hits.hits").Array()
+		if last = got; len(hits) == 0 {
+			return ids, last
+		}
+		for _, h := range hits {
+			ids = append(ids, h.Get("_id").Str)
+		}
+		after = `,"search_after":` + hits[len(hits)-1].Get("sort").Raw
+		token = got.Get("pit_id").Str
+		between(page)
+	}
+}
+
+func (r *rig) call(method, path, query, body string) (int, gjson.Result) {
+	p := r.front.Handle(&http1.Request{Method: method, Path: path, Query: query, Body: []byte(body), At: time.Now()}, nil)
+	return p.Status, gjson.ParseBytes(p.Body)
+}
+
+func (r *rig) open(t *testing.T) string {
+	t.Helper()
+	keys, err := pages.NewKeys([]byte(strings.Repeat("k", 32)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.front.SetKeys(keys)
+	status, got := r.call("POST", "/lots/_search/point_in_time", "keep_alive=1m", "")
+	if status != 200 {
+		t.Fatalf("%d %s", status, got.Raw)
+	}
+	return got.Get("pit_id").Str
+}
+
+// Pages of a point in time, walked to the end while lots are written: where lot stores keep what was pinned, they are
+// the full search as it stood; where they do not, ranges that have changed stay out from then on and are named. Either
+// way no lot is on two pages, and what is not there is of a range that was named.
+func TestPagesHoldStill(t *testing.T) {
+	body := `{"query":{"match":{"title":"tractor"}},"sort":[{"year":"desc"}]}`
+	for _, keep := range []int{50, 0} {
+		bubble(t, func(t *testing.T) {
+			r := newRig(usual)
+			defer r.stop()
+			for _, s := range r.stores {
+				s.copy.Keep = keep
+			}
+			token := r.open(t)
+			want, _ := r.truth(body, 0, 10000)
+			moved := map[int]bool{}
+			ids, last := r.walk(t, token, body, func(page int) {
+				if page > 8 { // two ranges change for good
+					return
+				}
+				r.corpus.Put(page%2, lots.Lot{ID: fmt.Sprint("new-", page), Title: "tractor", Year: 1990 + page, Price: 1})
+				time.Sleep(usual.refresh)
+			})
+			for _, x := range last.Get("coverage.moved").Array() {
+				moved[int(x.Int())] = true
+			}
+			seen := map[string]bool{}
+			for _, id := range ids {
+				if seen[id] || strings.HasPrefix(id, "new-") {
+					t.Fatalf("lot %s is on two pages, or was not there", id)
+				}
+				seen[id] = true
+			}
+			for _, id := range want {
+				var shard int
+				fmt.Sscanf(id, "lot-%d-", &shard)
+				if !seen[id] && !moved[shard] {
+					t.Fatalf("lot %s is on no page, and its range is not named: %s", id, last.Get("coverage").Raw)
+				}
+			}
+			if whole := last.Get("coverage.whole").Bool(); keep > 0 && (!whole || !slices.Equal(ids, want)) || keep == 0 && (whole || len(moved) != 2) {
+				t.Errorf("keep %d: whole %v, %d lots of %d, moved %v", keep, whole, len(ids), len(want), moved)
+			}
+		})
+	}
+}
+
+// A range that was missing when the point in time was opened stays out of its pages and is named, though it is back;
+// a copy that lags behind is passed over; a token whose ranges have all changed, or whose time is over, says so.
+func TestPointInTimeOfSomeRanges(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(usual)
+		defer r.stop()
+		for range 3 {
+			r.search("", tractors)
+		}
+		for _, s := range r.holders(0) {
+			s.trouble = func(int, lots.Phase) (standin.End, time.Duration) { return standin.Silent, 0 }
+		}
+		token := r.open(t)
+		for _, s := range r.holders(0) {
+			s.trouble = nil
+		}
+		time.Sleep(5 * time.Second)
+		ids, last := r.walk(t, token, tractors, func(int) {})
+		c := last.Get("coverage")
+		if c.Get("whole").Bool() || c.Get("missing").Raw != "[0,6,12,18]" || c.Get("weight").Num > 0.84 || len(ids) == 0 {
+			t.Errorf("%d lots, %s", len(ids), c.Raw)
+		}
+		for _, id := range ids {
+			if n := 0; strings.HasPrefix(id, "lot-0-") || strings.HasPrefix(id, "lot-6-") {
+				t.Fatalf("lot %s of a range that stays out %d", id, n)
+			}
+		}
+		if status, got := r.call("POST", "/_search", "allow_partial_search_results=false", `{"pit":{"id":"`+token+`"}}`); status == 200 {
+			t.Error("a partial page to a client that allows none: " + got.Get("coverage").Raw)
+		}
+		for shard := range 24 {
+			r.corpus.Put(shard, lots.Lot{ID: fmt.Sprint("new-", shard), Title: "tractor"})
+		}
+		time.Sleep(usual.refresh)
+		if status, got := r.call("POST", "/_search", "", `{"pit":{"id":"`+token+`"}}`); status != 404 || got.Get("error.type").Str != "search_context_missing_exception" {
+			t.Errorf("all has changed: %d %s", status, got.Raw)
+		}
+		time.Sleep(time.Minute)
+		for text, want := range map[string]int{token: 404, token[:30]: 400, "": 400} {
+			if status, got := r.call("POST", "/_search", "", `{"pit":{"id":"`+text+`"}}`); status != want {
+				t.Errorf("%.5s: %d %s", text, status, got.Raw)
+			}
+		}
+	})
+}
--- a/internal/net/opensearch/query.go
+++ b/internal/net/opensearch/query.go
@@ -34,6 +34,7 @@
 	*search.Query
 	tree      query.Query
 	source    string // of _source as JSON, empty for all
+	pit, keep string // a point in time's token, and a longer life for it
 	minScore  string // as JSON, empty for none
 	terminate int    // lots that a range looks at, 0 for all
 	aggs      []*aggs.Node
@@ -69,6 +70,11 @@
 			return whole(&q.Size, name, v, sizeMost)
 		case name == "from":
 			return whole(&q.From, name, v, windowMost)
+		case name == "pit":
+			if w.pit, w.keep = v.Get("id").Str, v.Get("keep_alive").Str; w.pit == "" || len(v.Map()) > 2 || len(v.Map()) == 2 && w.keep == "" {
+				return illegal("[pit] is not an object of an [id] and perhaps a [keep_alive]")
+			}
+			return nil
 		case name == "search_after":
 			after = v
 			return nil
--- a/internal/net/opensearch/rig_test.go
+++ b/internal/net/opensearch/rig_test.go
@@ -39,7 +39,7 @@
 	parts    int // sent, by phase
 	listings int
 	bytes    int
-	out      map[*gather.Attempt]*job
+	out      map[*gather.Attempt]*memJob
 	most     map[string]int // attempts out at once by query and range, the most seen
 	live     map[string]int
 	tries    map[string]int
@@ -50,7 +50,7 @@
 	id    policy.ServerID
 	copy  *lots.Copy
 	free  int
-	queue []*job
+	queue []*memJob
 	dead  bool
 	slow  float64 // work takes so many times as long
 	// trouble may say how a part ends and how much work it is more; nil for none.
@@ -59,7 +59,7 @@
 	asked   map[lots.Phase]map[int]int
 }
 
-type job struct {
+type memJob struct {
 	a     *gather.Attempt
 	s     *memStore
 	work  time.Duration
@@ -90,7 +90,7 @@
 
 func newRig(o rigOptions) *rig {
 	r := &rig{ranges: o.ranges, corpus: lots.New(7, o.ranges, o.each), stores: map[policy.ServerID]*memStore{}, ended: make(chan struct{}),
-		out: map[*gather.Attempt]*job{}, most: map[string]int{}, live: map[string]int{}, tries: map[string]int{}}
+		out: map[*gather.Attempt]*memJob{}, most: map[string]int{}, live: map[string]int{}, tries: map[string]int{}}
 	cells := max(o.ranges/4, 1)
 	set := settings.Settings{Classes: []string{"lot-search"}, Zones: []string{"a", "b"}, Shards: o.ranges, OpenCap: 50 * (o.ranges + 1), StreamsPerConn: 32}
 	set.Policy = policy.Settings{Siblings: 1, Tick: 5 * time.Millisecond, Cells: cells, Width: 1, Batch: 8, CallCost: callWork, MaxAttempts: 4,
@@ -184,7 +184,7 @@
 		}
 		r.bytes += len(body)
 		share := map[lots.Phase]float64{lots.Scores: scoreShare, lots.Listings: fetchShare, lots.Both: 1}[p]
-		j := &job{a: a, s: s, work: time.Duration(share * float64(partWork) * s.slow)}
+		j := &memJob{a: a, s: s, work: time.Duration(share * float64(partWork) * s.slow)}
 		if i == 0 {
 			j.work += time.Duration(float64(callWork) * s.slow)
 		}
@@ -193,7 +193,7 @@
 	}
 }
 
-func (r *rig) arrive(j *job) {
+func (r *rig) arrive(j *memJob) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -225,7 +225,7 @@
 	}
 }
 
-func (r *rig) worked(j *job, body gjson.Result, p lots.Phase, end standin.End) {
+func (r *rig) worked(j *memJob, body gjson.Result, p lots.Phase, end standin.End) {
 	r.mu.Lock()
 	j.s.free++
 	r.run(j.s)
@@ -263,7 +263,7 @@
 }
 
 // end reports an attempt's end, once.
-func (r *rig) end(j *job, s policy.Status, found *search.Answer) {
+func (r *rig) end(j *memJob, s policy.Status, found *search.Answer) {
 	switch {
 	case !r.over(j):
 	case s == policy.OK:
@@ -274,7 +274,7 @@
 }
 
 // over takes an attempt off the books, and says whether it was there.
-func (r *rig) over(j *job) bool {
+func (r *rig) over(j *memJob) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	was := r.out[j.a] != nil
--- a/internal/search/index.go
+++ b/internal/search/index.go
@@ -158,7 +158,11 @@
 		t.prev.next, t.next.prev = t.next, t.prev
 	}
 	x.front(t)
-	t.slots[number] = slot{x.ranges[number].gen, b}
+	s := &t.slots[number]
+	if s.gen == x.ranges[number].gen && s.Exact && !b.Exact { // the same lots, not counted this time
+		b.Count, b.Exact = s.Count, true
+	}
+	*s = slot{x.ranges[number].gen, b}
 }
 
 func (x *Index) front(t *table) {
--- a/internal/search/plan.go
+++ b/internal/search/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/merge"
+	"pulleygw.example/pulleygw/internal/pages"
 )
 
 // Tuned values, with their reasons.
@@ -95,7 +96,9 @@
 	changed  int
 	bytes    int
 	parts    int
-	extra    []any    // by place
+	extra    []any // by place
+	views    []View
+	ahead    []bool   // ranges that have moved on from where they are pinned
 	refusers []uint32 // lot stores that cannot answer such a question
 }
 
@@ -106,7 +109,7 @@
 func NewPlan(q *Query, phases Phases, ranges []Range, index *Index) *Plan {
 	n := len(ranges)
 	return &Plan{Query: q, Phases: phases, index: index, ranges: ranges, state: make([]state, n),
-		source: make([]uint32, n), left: n, top: merge.NewTop(q.Keys, q.page())}
+		source: make([]uint32, n), views: make([]View, n), ahead: make([]bool, n), left: n, top: merge.NewTop(q.Keys, q.page())}
 }
 
 // ExpectFetch is how many ranges the listings are expected to come from.
@@ -328,6 +331,17 @@
 	return p.askAll(o)
 }
 
+// Fits says whether a range's answer is of the data that the search is pinned to. One that is not is to be asked of
+// another copy: it may lag behind, or hold on longer to what was pinned.
+func (p *Plan) Fits(i int, a *Answer) bool {
+	if p.Query.Pins == nil {
+		return true
+	}
+	s := pages.Stands(p.Query.Pins[p.ranges[i].Number], a.View.Version, a.View.Boot != "")
+	p.ahead[i] = p.ahead[i] || s == pages.Ahead
+	return s == pages.Same
+}
+
 // Scored takes in a range's answer to a question that left at left. An answer must pass Check before.
 func (p *Plan) Scored(i int, source uint32, a *Answer, left, now time.Duration) (o Orders) {
 	if p.state[i] != asked {
@@ -340,7 +354,7 @@
 	if p.closed { // too late for the page
 		return o
 	}
-	p.state[i], p.source[i] = in, source
+	p.state[i], p.source[i], p.views[i] = in, source, a.View
 	p.waveIn++
 	p.total += a.Total
 	p.atLeast = p.atLeast || a.AtLeast
@@ -431,12 +445,14 @@
 	In      int        // ranges that answered
 	Skipped []int      // range numbers
 	Missing []int
-	Weight  float64 // of the ranges that are in or skipped
-	Listed  float64 // share of the page's lots whose ranges gave their listings
-	Changed int     // lots left out as they had changed between the phases
-	Bytes   int     // of the lot stores' answers
-	Parts   int     // asked, further attempts not counted
-	Extra   []any   // of the ranges that are in, in the plan's order
+	Weight  float64      // of the ranges that are in or skipped
+	Listed  float64      // share of the page's lots whose ranges gave their listings
+	Changed int          // lots left out as they had changed between the phases
+	Bytes   int          // of the lot stores' answers
+	Parts   int          // asked, further attempts not counted
+	Extra   []any        // of the ranges that are in, in the plan's order
+	Views   map[int]View // of the ranges that are in, by number
+	Moved   []int        // those of Missing that were ahead of where they are pinned
 }
 
 // Share is the share of a whole answer that the result is: of the weight, and of the page.
@@ -448,6 +464,8 @@
 // Result is what is in now; the host ends the score phase first.
 func (p *Plan) Result() (r Result) {
 	r = Result{Total: p.total, AtLeast: p.atLeast, Listed: 1, Changed: p.changed, Bytes: p.bytes, Parts: p.parts}
+	r.Views = map[int]View{}
+	r.Missing = append(r.Missing, p.Query.Absent...)
 	for _, x := range p.extra {
 		if x != nil {
 			r.Extra = append(r.Extra, x)
@@ -458,11 +476,15 @@
 		case in:
 			r.In++
 			r.Weight += p.ranges[i].Weight
+			r.Views[p.ranges[i].Number] = p.views[i]
 		case skipped:
 			r.Skipped = append(r.Skipped, p.ranges[i].Number)
 			r.Weight += p.ranges[i].Weight
 		default:
 			r.Missing = append(r.Missing, p.ranges[i].Number)
+			if p.ahead[i] {
+				r.Moved = append(r.Moved, p.ranges[i].Number)
+			}
 		}
 	}
 	if len(r.Missing) > 0 {
--- a/internal/search/search.go
+++ b/internal/search/search.go
@@ -38,6 +38,10 @@
 	Clauses []string
 	// Plain queries consist of their one clause and nothing else, so that their answers teach its best score.
 	Plain bool
+	// Pins are the versions that ranges must answer from, by number, and Absent the ranges that stay out of the search;
+	// nil for as they come.
+	Pins   map[int]int64
+	Absent []int
 	// Every says that more is asked of each range than the page, so that only one without a lot may be left out.
 	Every bool
 	// Extra is the host's own, for wording questions and reading answers.
--- a/internal/standin/lots/corpus.go
+++ b/internal/standin/lots/corpus.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -119,7 +120,9 @@
 	defer c.mu.Unlock()
 	all := &view{version: 1}
 	for _, v := range c.ranges {
-		all.lots = append(all.lots, v.lots...)
+		lots := slices.Clone(v.lots)
+		slices.SortFunc(lots, func(a, b *Lot) int { return strings.Compare(a.ID, b.ID) }) // as ties are broken
+		all.lots = append(all.lots, lots...)
 	}
 	return &Corpus{analyse: c.analyse, df: c.df, n: c.n, mean: c.mean, ranges: []*view{all}}
 }
@@ -177,11 +180,14 @@
 	mu    sync.Mutex
 	views map[int]*view
 	until time.Time // the views hold
+	// Keep is how many earlier views of a range a question may still ask for.
+	Keep int
+	kept map[int][]*view
 }
 
 // NewCopy starts a process; boot tells it from others.
 func (c *Corpus) NewCopy(boot string, every time.Duration) *Copy {
-	return &Copy{corpus: c, boot: boot, every: every, views: map[int]*view{}}
+	return &Copy{corpus: c, boot: boot, every: every, views: map[int]*view{}, kept: map[int][]*view{}}
 }
 
 // see is the copy's view of a range, and how long it will hold.
@@ -190,6 +196,11 @@
 	defer k.mu.Unlock()
 	now := time.Now()
 	if !now.Before(k.until) {
+		for r, v := range k.views {
+			if k.kept[r] = append(k.kept[r], v); len(k.kept[r]) > k.Keep {
+				k.kept[r] = k.kept[r][len(k.kept[r])-k.Keep:]
+			}
+		}
 		clear(k.views)
 		k.until = now.Add(k.every)
 	}
@@ -201,3 +212,15 @@
 	}
 	return v, k.until.Sub(now)
 }
+
+// was is an earlier view of a range, nil where it is not kept.
+func (k *Copy) was(r int, version int64) *view {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, v := range k.kept[r] {
+		if v.version == version {
+			return v
+		}
+	}
+	return nil
+}
--- a/internal/standin/lots/rank.go
+++ b/internal/standin/lots/rank.go
@@ -258,6 +258,11 @@
 // Search answers one question about a range, as one item of a multi-search.
 func (k *Copy) Search(r int, question gjson.Result) string {
 	v, holds := k.see(r)
+	if want := question.Get("view.version"); want.Exists() && want.Int() != v.version {
+		if old := k.was(r, want.Int()); old != nil {
+			v, holds = old, 0
+		}
+	}
 	query := question.Get("query")
 	if !query.Exists() {
 		query = gjson.Parse(`{"match_all":{}}`)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,6 @@
 package policy
 
-// Read api.go first, the whole interface, then this file from the top: constants, step, arrival and deadline,
-// queues, outcomes, connections, zones, poison, extra attempts, reply, admission, health, membership.
+// Read api.go first, the whole interface, then this file from the top.
 
 import (
 	"cmp"
@@ -93,6 +92,7 @@
 	deathsMost  = 2                // dead when tried with others and again alone: no chance
 	suspectSpan = 20 * time.Second // its like is refused so long: several tries of a client
 
+	stepTicks  = 4                      // of a second step: to leave, to be heard, and as many to spare
 	askFirst   = 500 * time.Millisecond // back-off of failed list calls, doubled up to askMost
 	askMost    = 4 * time.Second
 	weightSlip = 0.00005 // rounding of parts' weights
@@ -279,7 +279,7 @@
 	for ; left > 0; left-- {
 		m.product = multiply(m.product, m.poolCDF)
 	}
-	return q.aimAt - min(duration(m.pool.quantile(m.product, tail)), (q.aimAt-q.at)/2)
+	return q.aimAt - min(duration(m.pool.quantile(m.product, tail))+stepTicks*m.set.Tick, (q.aimAt-q.at)/2)
 }
 
 // placeAll chooses a replica for each part that has none. Where a call has a cost of its own, parts
