--- /dev/null
+++ b/internal/limits/route.go
@@ -0,0 +1,273 @@
+package limits
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/gaissmai/bart"
+)
+
+func sprint(a ...any) string { return fmt.Sprint(a...) }
+
+// Request is what a route is found by.
+type Request struct {
+	Front  string
+	Method string
+	Index  string // or the platform's class
+	Client netip.Addr
+	Header func(name string) string // nil for none
+}
+
+// Match says which requests a route takes. Empty fields match all.
+type Match struct {
+	Front   string
+	Methods []string
+	Index   string // with at most one *, at its end
+	Clients []netip.Prefix
+	Header  string // its name, and
+	Value   string // the value that it must have
+}
+
+// Route is a rule for the requests that it matches.
+type Route struct {
+	Name   string
+	Class  string // it is for this class's requests alone; empty for any
+	Match  Match
+	Limits Limits
+	Plan   Plan
+	Line   int // where it stands, for operators
+}
+
+// exactness orders routes: index before class, header, client group, method and front, as each of these tells more of
+// what is asked than the next.
+type exactness struct{ index, class, header, clients, methods, front int }
+
+func (r *Route) exactness(client netip.Addr) exactness {
+	x, m := exactness{}, &r.Match
+	if r.Class != "" {
+		x.class = 1
+	}
+	if m.Index != "" {
+		x.index = 2 * (len(strings.TrimSuffix(m.Index, "*")) + 1)
+		if !strings.HasSuffix(m.Index, "*") {
+			x.index++
+		}
+	}
+	if m.Header != "" {
+		x.header = 1
+	}
+	for _, p := range m.Clients {
+		if !client.IsValid() || p.Contains(client) {
+			x.clients = max(x.clients, p.Bits()+1)
+		}
+	}
+	if len(m.Methods) > 0 {
+		x.methods = 1
+	}
+	if m.Front != "" {
+		x.front = 1
+	}
+	return x
+}
+
+func (a exactness) compare(b exactness) int {
+	return cmp.Or(cmp.Compare(a.index, b.index), cmp.Compare(a.class, b.class), cmp.Compare(a.header, b.header), cmp.Compare(a.clients, b.clients),
+		cmp.Compare(a.methods, b.methods), cmp.Compare(a.front, b.front))
+}
+
+func (m *Match) takes(r *Request) bool {
+	if m.Front != "" && m.Front != r.Front || len(m.Methods) > 0 && !slices.Contains(m.Methods, r.Method) {
+		return false
+	}
+	if m.Header != "" && (r.Header == nil || r.Header(m.Header) != m.Value) {
+		return false
+	}
+	return len(m.Clients) == 0 || slices.ContainsFunc(m.Clients, func(p netip.Prefix) bool { return p.Contains(r.Client) })
+}
+
+// Table finds routes: a trie over index patterns, whose nodes hold the routes of a pattern, the most exact first, and
+// where these are many by client groups a table of prefixes. It does not change once made.
+type Table struct {
+	root   node
+	routes []*Route
+}
+
+// node is a letter of the trie.
+type node struct {
+	next  map[byte]*node
+	exact *bunch // of patterns that end here
+	open  *bunch // of patterns that go on by *
+}
+
+// bunch is the routes of one pattern.
+type bunch struct {
+	list  []*Route           // by exactness, the rest of it
+	byNet *bart.Table[[]int] // places in list by client group, where there are many
+}
+
+const byNetFrom = 8 // so many routes or more of one pattern are looked up by client group
+
+// Conflict is two routes of which neither is more exact for a request that both match.
+type Conflict struct{ First, Second *Route }
+
+func (c Conflict) Error() string {
+	return fmt.Sprintf("routes %s and %s match the same requests, and neither is more exact", c.First.Name, c.Second.Name)
+}
+
+// NewTable makes a table, or says which routes are in each other's way.
+func NewTable(routes []*Route) (*Table, []Conflict) {
+	t := &Table{routes: routes}
+	bunches := map[string]*bunch{}
+	for _, r := range routes {
+		b := bunches[r.Match.Index]
+		if b == nil {
+			b = &bunch{}
+			bunches[r.Match.Index] = b
+			t.place(r.Match.Index, b)
+		}
+		b.list = append(b.list, r)
+	}
+	var conflicts []Conflict
+	for _, b := range bunches {
+		conflicts = append(conflicts, b.conflicts()...)
+		slices.SortStableFunc(b.list, func(x, y *Route) int {
+			return -x.exactness(netip.Addr{}).compare(y.exactness(netip.Addr{}))
+		})
+		if len(b.list) >= byNetFrom {
+			b.index()
+		}
+	}
+	slices.SortFunc(conflicts, func(a, b Conflict) int { return cmp.Compare(a.Second.Line, b.Second.Line) })
+	return t, conflicts
+}
+
+func (t *Table) place(pattern string, b *bunch) {
+	literal, open := strings.CutSuffix(pattern, "*")
+	n := &t.root
+	for i := range len(literal) {
+		if n.next == nil {
+			n.next = map[byte]*node{}
+		}
+		if n.next[literal[i]] == nil {
+			n.next[literal[i]] = &node{}
+		}
+		n = n.next[literal[i]]
+	}
+	if open || pattern == "" {
+		n.open = b
+	} else {
+		n.exact = b
+	}
+}
+
+// conflicts finds the pairs of one pattern that some request matches alike.
+func (b *bunch) conflicts() (list []Conflict) {
+	groups := map[string][]*Route{} // of routes that are as exact in all but client groups
+	for _, r := range b.list {
+		m := &r.Match
+		key := fmt.Sprint(m.Header, "\x00", m.Header != "", len(m.Methods) > 0, m.Front != "", r.Class)
+		for _, o := range groups[key] {
+			if overlap(&o.Match, m) {
+				list = append(list, Conflict{o, r})
+				break
+			}
+		}
+		groups[key] = append(groups[key], r)
+	}
+	return list
+}
+
+// overlap says whether two matches of one pattern and of one shape take a request in common that neither is more exact
+// for: of client groups the longer prefix is, so that only the same one is in the way.
+func overlap(a, b *Match) bool {
+	if a.Front != b.Front || a.Value != b.Value {
+		return false
+	}
+	if len(a.Methods) > 0 && !slices.ContainsFunc(a.Methods, func(m string) bool { return slices.Contains(b.Methods, m) }) {
+		return false
+	}
+	if len(a.Clients) == 0 || len(b.Clients) == 0 {
+		return len(a.Clients) == len(b.Clients)
+	}
+	return slices.ContainsFunc(a.Clients, func(p netip.Prefix) bool { return slices.Contains(b.Clients, p) })
+}
+
+func (b *bunch) index() {
+	b.byNet = &bart.Table[[]int]{}
+	all := []netip.Prefix{netip.MustParsePrefix("0.0.0.0/0"), netip.MustParsePrefix("::/0")}
+	for i, r := range b.list {
+		nets := r.Match.Clients
+		if len(nets) == 0 {
+			nets = all
+		}
+		for _, p := range nets {
+			places, _ := b.byNet.Get(p)
+			b.byNet.Insert(p, append(slices.Clip(places), i))
+		}
+	}
+}
+
+// find is the most exact route of the bunch that takes a request, nil for none.
+func (b *bunch) find(r *Request, class string) (best *Route) {
+	var at exactness
+	try := func(x *Route) {
+		if x.Class != "" && x.Class != class || !x.Match.takes(r) {
+			return
+		}
+		if e := x.exactness(r.Client); best == nil || e.compare(at) > 0 {
+			best, at = x, e
+		}
+	}
+	if b.byNet != nil && r.Client.IsValid() {
+		for _, places := range b.byNet.Supernets(netip.PrefixFrom(r.Client, r.Client.BitLen())) {
+			for _, i := range places {
+				try(b.list[i])
+			}
+		}
+		return best
+	}
+	for _, x := range b.list {
+		try(x)
+	}
+	return best
+}
+
+// Find is the route of a request of a class, nil where none takes it.
+func (t *Table) Find(r *Request, class string) *Route {
+	var open [16]*bunch // patterns on the way, the longest last
+	n, depth := &t.root, 0
+	push := func(b *bunch) {
+		if b != nil {
+			if depth == len(open) { // the shortest is the least exact
+				copy(open[:], open[1:])
+				depth--
+			}
+			open[depth] = b
+			depth++
+		}
+	}
+	push(n.open)
+	for i := 0; i < len(r.Index); i++ {
+		if n = n.next[r.Index[i]]; n == nil {
+			break
+		}
+		push(n.open)
+	}
+	if n != nil && n.exact != nil {
+		if x := n.exact.find(r, class); x != nil {
+			return x
+		}
+	}
+	for depth--; depth >= 0; depth-- {
+		if x := open[depth].find(r, class); x != nil {
+			return x
+		}
+	}
+	return nil
+}
+
+// Routes are all routes, as they were given.
+func (t *Table) Routes() []*Route { return t.routes }
