--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,10 +84,14 @@
 }
 
 func repeats(p place) limits.Repeats {
-	m := p.object("share", "free", "span")
 	if !p.there() {
 		return limits.Repeats{}
 	}
+	before := len(p.r.faults)
+	m := p.object("share", "free", "span")
+	if len(p.r.faults) > before {
+		return limits.Repeats{}
+	}
 	r := limits.Repeats{Share: m["share"].float(0, 0, 10), Free: m["free"].float(0, 0, 1e6), Span: m["span"].time(0, maxTime)}
 	if r.Span == 0 && !m["span"].there() {
 		p.fault("lacks span, the time over which repeats are counted")
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -75,7 +75,7 @@
 		r.faults = append(r.faults, Fault{File: file, Line: 1, Column: 1, Rule: fmt.Sprintf("the file is over %d bytes", MaxFile)})
 		return top, r
 	}
-	tree, err := parser.ParseBytes(text, 0)
+	tree, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		f := Fault{File: file, Line: 1, Column: 1, Rule: err.Error()}
 		var syntax *yaml.SyntaxError
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -256,12 +256,12 @@
 
 // Tuned values of the limit that follows answer times.
 const (
-	shortHalf = 0.2  // smoothing of recent answer times: some five answers
-	longHalf  = 0.01 // and of the usual: some hundred
-	slack     = 1.5  // times the usual: slower answers are a queue at work
-	leastFall = 0.5  // the steepest fall of one look
-	lookEvery = 10   // answers between two looks
-	useful    = 0.5  // of the limit: where fewer are in hand, answer times say nothing of it
+	shortHalf = 0.2   // smoothing of recent answer times: some five answers
+	longHalf  = 0.002 // and of the usual: some five hundred
+	slack     = 1.5   // times the usual: slower answers are a queue at work
+	leastFall = 0.5   // the steepest fall of one look
+	lookEvery = 10    // answers between two looks
+	useful    = 0.5   // of the limit: where fewer are in hand, answer times say nothing of it
 )
 
 // gradient is a limit that follows answer times, after Netflix's concurrency-limits (Gradient2): it falls by how much
@@ -307,9 +307,9 @@
 
 // The verdicts.
 const (
-	Admit Verdict = iota
-	Wait          // it has a place in the queue; Next says when it leaves
-	Refuse        // at once, with when to come back
+	Admit  Verdict = iota
+	Wait           // it has a place in the queue; Next says when it leaves
+	Refuse         // at once, with when to come back
 )
 
 // Why a request is refused.
--- a/internal/limits/route.go
+++ b/internal/limits/route.go
@@ -50,9 +50,9 @@
 	if r.Class != "" {
 		x.class = 1
 	}
-	if m.Index != "" {
-		x.index = 2 * (len(strings.TrimSuffix(m.Index, "*")) + 1)
-		if !strings.HasSuffix(m.Index, "*") {
+	if p := m.pattern(); p != "" {
+		x.index = 2 * (len(strings.TrimSuffix(p, "*")) + 1)
+		if !strings.HasSuffix(p, "*") {
 			x.index++
 		}
 	}
@@ -78,6 +78,14 @@
 		cmp.Compare(a.methods, b.methods), cmp.Compare(a.front, b.front))
 }
 
+// pattern is the index pattern; * alone is as good as none.
+func (m *Match) pattern() string {
+	if m.Index == "*" {
+		return ""
+	}
+	return m.Index
+}
+
 func (m *Match) takes(r *Request) bool {
 	if m.Front != "" && m.Front != r.Front || len(m.Methods) > 0 && !slices.Contains(m.Methods, r.Method) {
 		return false
@@ -122,11 +130,11 @@
 	t := &Table{routes: routes}
 	bunches := map[string]*bunch{}
 	for _, r := range routes {
-		b := bunches[r.Match.Index]
+		b := bunches[r.Match.pattern()]
 		if b == nil {
 			b = &bunch{}
-			bunches[r.Match.Index] = b
-			t.place(r.Match.Index, b)
+			bunches[r.Match.pattern()] = b
+			t.place(r.Match.pattern(), b)
 		}
 		b.list = append(b.list, r)
 	}
