Limits by route in the daemon: gates before admission, a file that SIGHUP reads again

Need: one greedy dealers' tool takes the service of all; the limits module and its file stood beside the daemon.

Change: the core asks a request's route before admission (let in, wait, refuse), counts attempts against the route's and the whole's budget of repeats, and narrows its class under a number of its own; both fronts say where a request comes from. SIGHUP changes limits whole or not at all, with a difference in the log. Off without the file, shown by a test.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -16,6 +16,7 @@
 	config := flag.String("config", os.Getenv("LB_CONFIG"), "the configuration file (default $LB_CONFIG)")
 	frontFile := flag.String("opensearch", "deploy/opensearch.json", "the OpenSearch-style front's file; without it that front is off")
 	operationsFile := flag.String("operations", "deploy/operations.json", "the file of the balancers' endpoints and the store; without it they are off")
+	limitsFile := flag.String("limits", "deploy/limits.yaml", "the file of limits by route; without it there are none")
 	flag.Parse()
 	// Before anything else, as either signal would kill until then. A channel each: one that is full drops.
 	terminate, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
@@ -26,6 +27,7 @@
 	if err != nil {
 		logger.Fatalf("configuration: %v", err)
 	}
+	c.LimitsFile = *limitsFile
 	front, err := lifecycle.LoadFront(*frontFile, &c.Settings)
 	if err != nil {
 		logger.Fatalf("configuration: %v", err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -105,5 +105,11 @@
 		f.Fatal(err)
 	}
 	f.Add(text)
-	f.Fuzz(func(_ *testing.T, b []byte) { _ = feed(b) })
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		begin := time.Now()
+		_ = feed(b)
+		if d := time.Since(begin); d > time.Second {
+			panic(fmt.Sprintf("%v for %q", d, b))
+		}
+	})
 }
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -75,7 +75,7 @@
 		r.faults = append(r.faults, Fault{File: file, Line: 1, Column: 1, Rule: fmt.Sprintf("the file is over %d bytes", MaxFile)})
 		return top, r
 	}
-	tree, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+	tree, err := parse(text)
 	if err != nil {
 		f := Fault{File: file, Line: 1, Column: 1, Rule: err.Error()}
 		var syntax *yaml.SyntaxError
@@ -86,7 +86,11 @@
 		return top, r
 	}
 	if len(tree.Docs) > 1 {
-		r.faults = append(r.faults, Fault{File: file, Line: tree.Docs[1].GetToken().Position.Line, Column: 1, Rule: "a second document; one file is one"})
+		line, column := 1, 1
+		if d := tree.Docs[1]; d.Start != nil {
+			line, column = d.Start.Position.Line, d.Start.Position.Column
+		}
+		r.faults = append(r.faults, Fault{File: file, Line: line, Column: column, Rule: "a second document; one file is one"})
 	}
 	if len(tree.Docs) > 0 {
 		r.collect(tree.Docs[0].Body, 0)
@@ -95,6 +99,16 @@
 	return top, r
 }
 
+// parse keeps a fault in the library, which some texts have brought about, from being one here.
+func parse(text []byte) (tree *ast.File, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("cannot be read: %v", p)
+		}
+	}()
+	return parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+}
+
 // collect remembers anchors, so that an alias may stand before what else refers to it.
 func (r *reader) collect(n ast.Node, depth int) {
 	if n == nil || depth > 10*maxDepth {
--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"pulleygw.example/pulleygw/internal/limits"
 	"pulleygw.example/pulleygw/internal/mem"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/policy"
@@ -25,10 +26,16 @@
 	WholeOnly bool   // the client wants no partial answer
 	// Search, where set, makes a search of it that a plan leads: its lot stores report by Found. It is only read.
 	Search *search.Query
+	// Origin is what its route is found by, where an installation has limits; nil for no route.
+	Origin *limits.Request
 	// Done gets the one final answer. It must have room for one, as the core does not wait.
 	Done chan Result
 
-	id uint64
+	id         uint64
+	ticket     uint64       // at the door
+	gate       *limits.Gate // that has let it in, or where it waits
+	answerMost int          // bytes of lot stores' answers that its route allows; 0 for no bound
+	arrived    time.Duration
 }
 
 // Shard is one part that a request asks for.
--- a/internal/gather/core.go
+++ b/internal/gather/core.go
@@ -42,6 +42,7 @@
 	steppedAt time.Duration
 	endBy     time.Time // when the last answer is due, zero for no such time
 	searches
+	doors
 }
 
 // query is a request in hand.
@@ -137,7 +138,7 @@
 	for a := range c.out {
 		due = min(due, c.dueAt(a))
 	}
-	return max(min(due, c.searchDue(due)), soonest)
+	return max(min(c.doorDue(due), c.searchDue(due)), soonest)
 }
 
 // step lets the Mixer decide on what came in, and carries out what it wants.
@@ -147,6 +148,7 @@
 	c.expire(now)
 	c.endAll(now)
 	c.tickSearches(now)
+	c.openDoors(now)
 	if c.wakeAt > 0 && now >= c.wakeAt {
 		c.wakeAt = 0
 		c.events = append(c.events, policy.Wake{})
--- /dev/null
+++ b/internal/gather/door.go
@@ -0,0 +1,230 @@
+package gather
+
+import (
+	"time"
+
+	"pulleygw.example/pulleygw/internal/limits"
+)
+
+// Door: where an installation has limits by route, they are asked before a request is admitted. The core keeps the
+// gates, whose decisions are package limits's, and the requests that wait; the Mixer hears of those let in alone.
+
+// Limits are the routes and what goes with them. The zero value limits nothing.
+type Limits struct {
+	Table   *limits.Table
+	Repeats limits.Repeats // of all routes together
+	// Class is the number of a class as a route narrows it: the class itself where it does not.
+	Class func(r *limits.Route, class int) int
+}
+
+// doors is the core's own state of limits.
+type doors struct {
+	limits  Limits
+	gates   map[string]*limits.Gate // by route
+	whole   limits.Gate             // of all routes together: its repeats only
+	waiting map[uint64]*Request
+	queue   []uint64 // those of waiting, as they came
+}
+
+// Limit puts limits in force for what arrives from then on. Requests in hand keep the class that they came under.
+func (c *Core) Limit(l Limits) { c.tell(l) }
+
+// WholeGate is the name under which Gates tells of all routes together.
+const WholeGate = "*"
+
+// Gates tells what the gates have done, by route.
+func (c *Core) Gates() map[string]limits.Counts {
+	to := make(chan map[string]limits.Counts, 1)
+	c.tell(gateCounts{to})
+	select {
+	case m := <-to:
+		return m
+	case <-c.quit:
+		return nil
+	}
+}
+
+type gateCounts struct{ to chan map[string]limits.Counts }
+
+func (c *Core) countGates() map[string]limits.Counts {
+	m := map[string]limits.Counts{}
+	for name, g := range c.gates {
+		m[name] = g.Counts()
+	}
+	if c.whole.Limits.Repeats.Span > 0 {
+		m[WholeGate] = c.whole.Counts()
+	}
+	return m
+}
+
+// limit takes new limits: a route that keeps its name keeps its gate, and what that has in hand and in its queue.
+func (c *Core) limit(l Limits) {
+	gates := map[string]*limits.Gate{}
+	if l.Table != nil {
+		for _, r := range l.Table.Routes() {
+			g := c.gates[r.Name]
+			if g == nil {
+				g = &limits.Gate{}
+			}
+			g.Limits = r.Limits
+			gates[r.Name] = g
+		}
+	}
+	for name, g := range c.gates { // a route that is gone limits nothing more; who waits there goes on
+		if gates[name] == nil {
+			g.Limits = limits.Limits{}
+		}
+	}
+	c.limits, c.gates = l, gates
+	c.whole.Limits.Repeats = l.Repeats
+	if c.waiting == nil {
+		c.waiting = map[uint64]*Request{}
+	}
+}
+
+// Why a request is refused or fails at the door, beside package limits's reasons.
+const (
+	ReasonBody  = "the body is over the route's limit"
+	ReasonDepth = "the page is deeper than the route's limit"
+)
+
+// arrive asks a request's route to let it in.
+func (c *Core) arrive(r *Request) {
+	r.arrived = c.now()
+	if c.limits.Table == nil || r.Origin == nil || !c.endBy.IsZero() {
+		c.admit(r)
+		return
+	}
+	if r.Class >= len(c.set.Classes) {
+		c.admit(r)
+		return
+	}
+	route := c.limits.Table.Find(r.Origin, c.set.Classes[r.Class])
+	if route == nil {
+		c.admit(r)
+		return
+	}
+	l := route.Limits
+	switch {
+	case l.Body > 0 && len(r.Text) > l.Body:
+		r.Done <- Result{Kind: Failed, Reason: ReasonBody, Parts: partResults(r)}
+		return
+	case l.Depth > 0 && r.Search != nil && r.Search.From+r.Search.Size > l.Depth:
+		r.Done <- Result{Kind: Failed, Reason: ReasonDepth, Parts: partResults(r)}
+		return
+	}
+	if c.limits.Class != nil {
+		r.Class = c.limits.Class(route, r.Class)
+	}
+	if at := time.Now().Add(l.GiveUp); l.GiveUp > 0 && r.Deadline.After(at) {
+		r.Deadline = at
+	}
+	r.WholeOnly = r.WholeOnly || l.Whole
+	r.gate, r.answerMost = c.gates[route.Name], l.Answer
+	c.lastID++
+	r.ticket = c.lastID
+	switch d := r.gate.Arrive(r.ticket, l.Priority, c.now(), c.at(r.Deadline)); d.Verdict {
+	case limits.Admit:
+		c.admit(r)
+	case limits.Wait:
+		c.waiting[r.ticket] = r
+		c.queue = append(c.queue, r.ticket)
+	default:
+		c.turnAway(r, d)
+	}
+}
+
+// turnAway refuses a request at the door.
+func (c *Core) turnAway(r *Request, d limits.Decision) {
+	r.gate = nil // it was never let in
+	r.Done <- Result{Kind: Refused, RetryAfter: d.RetryAfter, Reason: d.Why, Parts: partResults(r)}
+}
+
+// openDoors lets in who waits and has a place, and refuses whose wait is over.
+func (c *Core) openDoors(now time.Duration) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	asked := map[*limits.Gate]bool{}
+	for _, id := range c.queue { // gates in the order in which their requests came, so that a day repeats
+		r := c.waiting[id]
+		if r == nil || asked[r.gate] {
+			continue
+		}
+		asked[r.gate] = true
+		for _, x := range r.gate.Next(now) {
+			r := c.waiting[x.ID]
+			delete(c.waiting, x.ID)
+			if x.Verdict == limits.Admit {
+				c.admit(r)
+			} else {
+				c.turnAway(r, x.Decision)
+			}
+		}
+	}
+	kept := c.queue[:0]
+	for _, id := range c.queue {
+		if c.waiting[id] != nil {
+			kept = append(kept, id)
+		}
+	}
+	c.queue = kept
+}
+
+// doorDue is when the next wait is over, or due if that is sooner.
+func (c *Core) doorDue(due time.Duration) time.Duration {
+	for _, r := range c.waiting {
+		if d := r.gate.Due(); d > 0 {
+			due = min(due, d)
+		}
+	}
+	return due
+}
+
+// leaveDoor takes a request whose client is gone out of its queue; false where it does not wait.
+func (c *Core) leaveDoor(r *Request) bool {
+	if c.waiting[r.ticket] != r {
+		return false
+	}
+	delete(c.waiting, r.ticket)
+	return r.gate.Leave(r.ticket)
+}
+
+// closeDoors refuses all who wait, as the process stops.
+func (c *Core) closeDoors() {
+	for _, id := range c.queue {
+		if r := c.waiting[id]; r != nil {
+			r.gate.Leave(id)
+			c.turnAway(r, limits.Decision{Why: ReasonStopping, RetryAfter: c.set.Policy.MaxRetryAfter})
+		}
+	}
+	clear(c.waiting)
+	c.queue = nil
+}
+
+// pass counts an attempt at its route, and says whether it may leave: a first one may, a further one within the budgets.
+func (c *Core) pass(q *query, number int) bool {
+	now := c.steppedAt
+	if number == 0 {
+		c.whole.First(now)
+		if q.gate != nil {
+			q.gate.First(now)
+		}
+		return true
+	}
+	if q.gate != nil && !q.gate.Repeat(now) {
+		return false
+	}
+	return c.whole.Repeat(now)
+}
+
+// out tells a request's route that it has ended.
+func (r *Request) out(now time.Duration, answered bool) {
+	if r.gate != nil {
+		r.gate.Done(now-r.arrived, answered)
+		r.gate = nil
+	}
+}
+
+// over says whether lot stores' answers to a request are more than its route allows.
+func (q *query) overAnswer(more int) bool { return q.answerMost > 0 && q.bytes+more > q.answerMost }
--- a/internal/gather/relay.go
+++ b/internal/gather/relay.go
@@ -61,6 +61,7 @@
 		r.Parts[i] = p.result()
 	}
 	c.finishSearch(q, &r)
+	q.out(c.now(), r.Kind == Answered)
 	q.Done <- r
 	c.forget(q)
 }
@@ -75,6 +76,7 @@
 // forget takes a query off the table. The Mixer has cancelled, or now cancels, what is out for it.
 func (c *Core) forget(q *query) {
 	q.over = true
+	q.out(c.now(), false) // unless finish has told
 	c.forgetSearch(q)
 	c.flight.Remove(q.id, q.Name, append(ids(q.parts), ids(q.listings)...), time.Now())
 }
--- a/internal/gather/route.go
+++ b/internal/gather/route.go
@@ -32,8 +32,12 @@
 		p.mayRun = now
 	}
 	p.attempts = append(p.attempts, a)
-	p.res.Attempts++
 	c.out[a] = struct{}{}
+	if !c.pass(p.q, a.Number) { // the route's budget of repeats is used up
+		c.report(a, policy.Moot)
+		return
+	}
+	p.res.Attempts++
 	for i := range c.calls {
 		if b := &c.calls[i]; b.server == s.Server && len(b.attempts) < min(c.set.Policy.Batch, c.set.StreamsPerConn) {
 			b.attempts = append(b.attempts, a)
--- a/internal/gather/search.go
+++ b/internal/gather/search.go
@@ -114,6 +114,9 @@
 	case a.Ask.IDs == nil && !q.plan.Fits(p.place, found):
 		c.report(a, policy.Moot) // another copy may; and nothing speaks against this one
 		return
+	case q.overAnswer(found.Bytes):
+		c.report(a, policy.Error) // as the route has it
+		return
 	case c.most > 0 && (c.held+found.Bytes > c.most || float64(q.bytes+found.Bytes) > queryMost*float64(c.most)):
 		c.report(a, policy.Error) // there is no room for it
 		return
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -148,8 +148,15 @@
 func (c *Core) take(m any) {
 	switch m := m.(type) {
 	case *Request:
-		c.admit(m)
+		c.arrive(m)
+	case Limits:
+		c.limit(m)
+	case gateCounts:
+		m.to <- c.countGates()
 	case left:
+		if c.leaveDoor(m.r) {
+			return
+		}
 		if q, ok := c.flight.Query(m.r.id); ok && q.Request == m.r {
 			c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(m.r.id)})
 			c.forget(q)
@@ -185,6 +192,7 @@
 		c.events = append(c.events, policy.Retuned{Settings: m.set.Policy})
 	case lastCall:
 		c.endBy = m.at
+		c.closeDoors()
 	}
 }
 
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/config"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
 	"pulleygw.example/pulleygw/internal/net/agentcheck"
@@ -94,6 +95,7 @@
 	doors    []*door           // under mu; the platform's first, then the OpenSearch-style front's if it is on, then operations'
 	second   *opensearch.Front // nil when off
 	front    FrontConfig       // of the second front
+	limits   *config.Config    // in force, nil for none
 	ops      *operations       // nil when off
 	bodies   chan struct{}     // has room for the request bodies that may be held at once
 	draining atomic.Bool
@@ -126,6 +128,9 @@
 		return nil, err
 	}
 	tr.Start(core)
+	if d.limits, err = loadLimits(c.LimitsFile, &c.Settings); err != nil {
+		return nil, fmt.Errorf("limits: %w", err)
+	}
 	if f != nil && f.Stores {
 		core.Searches(gather.SearchConfig{Phases: f.Phases, Ranges: c.Settings.Shards,
 			Bounds: c.MemoryMB << 20 / boundPart / boundBytes, Bytes: c.MemoryMB << 20 / searchPart})
@@ -134,6 +139,11 @@
 	d.share()
 	d.core = core
 	go core.Run()
+	if d.limits != nil {
+		set := d.limited(c.Settings, d.limits)
+		d.settings.Store(&set)
+		logger.Printf("limits: %d routes of %s in force", len(d.limits.Limits.Routes), c.LimitsFile)
+	}
 	if err := d.openAdmin(); err != nil {
 		d.Drain()
 		return nil, err
--- /dev/null
+++ b/internal/lifecycle/limits.go
@@ -0,0 +1,150 @@
+package lifecycle
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"pulleygw.example/pulleygw/internal/config"
+	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/policy"
+)
+
+// limitClasses are the operator's classes as limits know them.
+func limitClasses(set *settings.Settings) (list []limits.Class) {
+	effects := map[policy.Effect]limits.Effect{policy.Safe: limits.Safe, policy.Keyed: limits.Keyed, policy.Unsafe: limits.Unsafe}
+	for i, name := range set.Classes {
+		if set.Class(name) != i {
+			continue // kept for requests in hand only
+		}
+		k := set.Policy.Classes[i]
+		attempts := k.MaxAttempts
+		if attempts == 0 {
+			attempts = set.Policy.MaxAttempts
+		}
+		list = append(list, limits.Class{Name: name, Effect: effects[k.Effect], Wanted: k.Aim, GiveUp: k.Deadline, Window: k.Window,
+			Attempts: attempts, Floor: k.Floor})
+	}
+	return list
+}
+
+// narrowed is settings with the classes that routes narrow, and which class a route's requests come under.
+func narrowed(set settings.Settings, routes []*limits.Route) (settings.Settings, func(*limits.Route, int) int) {
+	type key struct {
+		route string
+		class int
+	}
+	numbers := map[key]int{}
+	for i, name := range slices.Clone(set.Classes) {
+		if set.Class(name) != i {
+			continue
+		}
+		for _, r := range routes {
+			if r.Class != "" && r.Class != name {
+				continue
+			}
+			l := r.Limits
+			var n int
+			set, n = set.Narrow(i, func(k *policy.Class) {
+				if l.Wanted > 0 {
+					k.Aim = min(k.Aim, l.Wanted)
+				}
+				if l.GiveUp > 0 {
+					k.Deadline = min(k.Deadline, l.GiveUp)
+				}
+				if l.Attempts > 0 {
+					k.MaxAttempts = l.Attempts
+				}
+				if l.Least > 0 {
+					k.Floor = max(k.Floor, min(l.Least, k.Need))
+				}
+			})
+			numbers[key{r.Name, i}] = n
+		}
+	}
+	return set, func(r *limits.Route, class int) int {
+		if n, ok := numbers[key{r.Name, class}]; ok {
+			return n
+		}
+		return class
+	}
+}
+
+// loadLimits reads the installation's file for settings, nil where there is none.
+func loadLimits(path string, set *settings.Settings) (*config.Config, error) {
+	if path == "" {
+		return nil, nil
+	}
+	return config.Load(path, limitClasses(set))
+}
+
+// limited puts limits in force with settings: the settings first, as the limits name their classes.
+func (d *Daemon) limited(set settings.Settings, c *config.Config) settings.Settings {
+	l := gather.Limits{}
+	if c != nil {
+		set, l.Class = narrowed(set, c.Limits.Routes)
+		l.Table, l.Repeats = c.Limits.Table, c.Limits.Repeats
+	}
+	d.core.Retune(set)
+	d.core.Limit(l)
+	return set
+}
+
+// reloadLimits reads the file again for new settings. One that cannot be used leaves the limits as they are, so far as
+// the settings still allow them.
+func (d *Daemon) reloadLimits(set *settings.Settings) *config.Config {
+	c, err := loadLimits(d.config.LimitsFile, set)
+	var faults config.Faults
+	switch {
+	case errors.As(err, &faults):
+		for _, f := range faults {
+			d.log.Printf("reload: limits stay: %v", f)
+		}
+		return d.limits
+	case err != nil:
+		d.log.Printf("reload: limits stay: %v", err)
+		return d.limits
+	}
+	for _, line := range difference(d.limits, c) {
+		d.log.Printf("reload: limits: %s", line)
+	}
+	return c
+}
+
+// difference says what a reload changed, route by route.
+func difference(old, now *config.Config) (lines []string) {
+	routes := func(c *config.Config) map[string]*limits.Route {
+		m := map[string]*limits.Route{}
+		if c != nil {
+			for _, r := range c.Limits.Routes {
+				m[r.Name] = r
+			}
+		}
+		return m
+	}
+	a, b := routes(old), routes(now)
+	for name, r := range b {
+		old := limits.Limits{}
+		if was := a[name]; was != nil {
+			old = was.Limits
+		} else {
+			lines = append(lines, fmt.Sprintf("route %q is new", name))
+		}
+		before := old.Fields()
+		for i, f := range r.Limits.Fields() {
+			if f != before[i] {
+				lines = append(lines, fmt.Sprintf("route %q: %s is %s, was %s", name, f[0], cmp.Or(f[1], "not set"), cmp.Or(before[i][1], "not set")))
+			}
+		}
+	}
+	for name := range a {
+		if b[name] == nil {
+			lines = append(lines, fmt.Sprintf("route %q is gone", name))
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
--- /dev/null
+++ b/internal/lifecycle/limits_test.go
@@ -0,0 +1,90 @@
+package lifecycle
+
+import (
+	"bytes"
+	"io"
+	"log"
+	"net/textproto"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// lockedBuffer takes log lines from any goroutine.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Limits hold on both fronts from the start, by route; a reload changes them whole or not at all and says what changed.
+// Without the file there are none, and a bad one keeps the daemon from starting, with all its faults.
+func TestLimitsByRoute(t *testing.T) {
+	file := t.TempDir() + "/limits.yaml"
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("version: 1\nlimits:\n  routes:\n    - name: bids\n      class: place-bid\n      rate: {per_second: 0.001, burst: 2}\n    - name: pages\n      match: {front: opensearch, index: lots}\n      depth: 5\n")
+	logs := &lockedBuffer{}
+	w := startConfig(t, "opensearch", nil, func(c *Config) { c.LimitsFile = file })
+	w.log.SetOutput(logs)
+	bid := func(id string) int {
+		return do(t, w.Addrs()[0], "POST", "/place-bid", textproto.MIMEHeader{"Req-Id": {id}, "Idempotency-Key": {id}, "Req-Deadline": {"3000m"}},
+			`{"buckets":[{"bucket":7,"part":1}],"body":"{}"}`).Status
+	}
+	depth := func() int { return do(t, w.Addrs()[1], "POST", "/lots/_search?size=6", nil, "").Status }
+	if a, b, c, d := bid("b1"), bid("b2"), bid("b3"), depth(); a != 200 || b != 200 || c != 503 || d != 400 {
+		t.Errorf("two bids and one too many: %d, %d, %d; a page too deep: %d", a, b, c, d)
+	}
+	write("version: 1\nlimits:\n  routes:\n    - name: bids\n      attempts: 9\n      rate: {per_second: 0}\n")
+	w.Reload(w.file)
+	if got := depth(); got != 400 || !strings.Contains(logs.String(), "limits.yaml:5:17: limits.routes[0].attempts") || !strings.Contains(logs.String(), "rate.per_second") {
+		t.Errorf("a bad file: %d\n%s", got, logs)
+	}
+	write("version: 1\nlimits:\n  routes:\n    - name: bids\n      class: place-bid\n      attempts: 2\n      rate: {per_second: 1000, burst: 50}\n")
+	w.Reload(w.file)
+	if a, d := bid("b4"), depth(); a != 200 || d != 200 {
+		t.Errorf("wider limits: bid %d, page %d\n%s", a, d, logs)
+	}
+	for _, line := range []string{`route "bids": rate.per_second is 1000, was 0.001`, `route "bids": attempts is 2, was not set`, `route "pages" is gone`} {
+		if !strings.Contains(logs.String(), line) {
+			t.Errorf("the log lacks %s:\n%s", line, logs)
+		}
+	}
+	os.Remove(file)
+	w.Reload(w.file)
+	if got := w.core.Gates(); len(got) != 0 {
+		t.Errorf("without the file: %v", got)
+	}
+	write("version: 2\nlimits: []\n")
+	c := w.config
+	c.LimitsFile = file
+	if _, err := Start(c, nil, nil, log.New(io.Discard, "", 0)); err == nil || !strings.Contains(err.Error(), ":1:10: version: is 2") || !strings.Contains(err.Error(), ":2:9: limits: wants members") {
+		t.Errorf("started with a bad file: %v", err)
+	}
+}
+
+// On the platform, whose deploy folder has no file of limits, there are none.
+func TestNoLimitsOnThePlatform(t *testing.T) {
+	if _, err := os.Stat("../../deploy/limits.yaml"); !os.IsNotExist(err) {
+		t.Error("deploy/limits.yaml is there")
+	}
+	w := start(t, "frames")
+	if got := w.core.Gates(); len(got) != 0 {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -45,7 +45,8 @@
 		d.log.Printf("reload: %s has changed, which takes effect at the next start only", name)
 	}
 	// The core hears first, so that it knows each class by the time that a request names it.
-	d.core.Retune(set)
+	d.limits = d.reloadLimits(&set)
+	set = d.limited(set, d.limits)
 	d.settings.Store(&set)
 	var classes []string
 	for i, name := range set.Classes {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -27,6 +27,23 @@
 	Repeats     Repeats
 }
 
+// Fields are the limits that are set, by their names in the file; one that is not set is empty.
+func (l Limits) Fields() [][2]string {
+	set := func(x any, is bool) string {
+		if !is {
+			return ""
+		}
+		return sprint(x)
+	}
+	c, r, b := l.Concurrency, l.Rate, l.Repeats
+	return [][2]string{{"wanted", set(l.Wanted, l.Wanted > 0)}, {"give_up", set(l.GiveUp, l.GiveUp > 0)}, {"attempts", set(l.Attempts, l.Attempts > 0)},
+		{"least", set(l.Least, l.Least > 0)}, {"whole", set(l.Whole, l.Whole)}, {"body", set(l.Body, l.Body > 0)}, {"answer", set(l.Answer, l.Answer > 0)},
+		{"depth", set(l.Depth, l.Depth > 0)}, {"priority", set(l.Priority, l.Priority > 0)}, {"concurrency.most", set(c.Most, c.Most > 0)},
+		{"concurrency.floor", set(c.Floor, c.Floor > 0)}, {"concurrency.queue", set(c.Queue, c.Queue > 0)}, {"concurrency.wait", set(c.Wait, c.Wait > 0)},
+		{"rate.per_second", set(r.PerSecond, r.PerSecond > 0)}, {"rate.burst", set(r.Burst, r.Burst > 0)}, {"repeats.share", set(b.Share, b.Span > 0)},
+		{"repeats.free", set(b.Free, b.Span > 0)}, {"repeats.span", set(b.Span, b.Span > 0)}}
+}
+
 // Concurrency bounds the requests of a route that are in hand at once.
 type Concurrency struct {
 	Most  int           // at once; 0 for no limit
@@ -190,7 +207,9 @@
 		return 0
 	}
 	step := time.Duration(float64(time.Second) / r.PerSecond)
-	due := max(g.due, now)
+	// Never later than a full burst from now: a rate that was lower before a reload, or a clock that went back, must not
+	// keep clients out for hours.
+	due := min(max(g.due, now), now+step*time.Duration(max(r.Burst, 1)))
 	if early := due - now - step*time.Duration(max(r.Burst, 1)-1); early > 0 {
 		return early
 	}
--- a/internal/net/http1/message.go
+++ b/internal/net/http1/message.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"net/textproto"
 	"os"
 	"slices"
@@ -14,6 +15,7 @@
 	"strings"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/limits"
 	"pulleygw.example/pulleygw/internal/mem"
 )
 
@@ -47,6 +49,7 @@
 	Body                []byte // valid until Release
 	Close               bool   // the connection ends with this exchange
 	At                  time.Time
+	Client              netip.Addr // whose connection it came on
 	buf                 *[mem.BufferSize]byte
 	bodies              chan struct{}
 }
@@ -62,6 +65,11 @@
 	release(&r.buf, &r.Body)
 }
 
+// Origin is what the request's route is found by; its header outlives the body.
+func (r *Request) Origin(front, index string) *limits.Request {
+	return &limits.Request{Front: front, Method: r.Method, Index: index, Client: r.Client, Header: r.Header.Get}
+}
+
 // Response is an answer, to be written or as read.
 type Response struct {
 	Status int
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"net"
+	"net/netip"
 	"net/textproto"
 	"os"
 	"runtime/debug"
@@ -327,6 +328,10 @@
 		c.nc.SetWriteDeadline(time.Now().Add(writeFor))
 		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
+	var client netip.Addr
+	if a, ok := c.nc.RemoteAddr().(*net.TCPAddr); ok {
+		client = a.AddrPort().Addr().Unmap()
+	}
 	first := takeFor
 	if s.closing() {
 		first = firstFor
@@ -344,6 +349,9 @@
 		if e := (*Error)(nil); err != nil && !errors.As(err, &e) {
 			return // the connection broke
 		}
+		if q != nil {
+			q.Client = client
+		}
 		if !s.taken(c) {
 			q.Release()
 			return
--- a/internal/net/opensearch/calls.go
+++ b/internal/net/opensearch/calls.go
@@ -204,7 +204,7 @@
 	}
 	a := &asked{index: index, search: !keyed, size: sizeUsed, shards: set.Shards}
 	a.q = &gather.Request{Name: fmt.Sprintf("%s-%d", f.Name, f.number.Add(1)), Class: class, Done: make(chan gather.Result, 1),
-		Deadline: r.At.Add(wait)}
+		Deadline: r.At.Add(wait), Origin: r.Origin("opensearch", index)}
 	return a, nil
 }
 
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -341,6 +341,10 @@
 	// A failure may have had its effect, so that its status must not be one that client libraries take
 	// for harmless and repeat by themselves: 429, 502, 503 and for a create 504.
 	switch {
+	case res.Reason == gather.ReasonBody:
+		return errorResponse(&apiError{413, "content_too_long_exception", res.Reason}, nil)
+	case res.Reason == gather.ReasonDepth:
+		return errorResponse(illegal("%s", res.Reason), nil)
 	case res.Reason == gather.ReasonQuestion:
 		return errorResponse(&apiError{400, "search_phase_execution_exception", fmt.Sprintf("%s: %.300s", res.Reason, res.Detail)}, nil)
 	case !a.search:
--- a/internal/net/platform/platform.go
+++ b/internal/net/platform/platform.go
@@ -94,6 +94,7 @@
 	if q.Key != "" && !http1.IsName(q.Key) {
 		return nil, bad("Idempotency-Key is too long or has characters other than letters, digits, - and _")
 	}
+	q.Origin = r.Origin("platform", name)
 	wait, ok := parseWait(r.Header.Get("Req-Deadline"))
 	if !ok {
 		return nil, bad("Req-Deadline is not a number above 0 followed by m or u")
@@ -193,6 +194,10 @@
 		status = 504
 	case gather.ReasonDuplicate:
 		status = 409
+	case gather.ReasonBody:
+		status = 413
+	case gather.ReasonDepth:
+		status = 400
 	}
 	return http1.Text(status, res.Reason)
 }
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -26,6 +26,28 @@
 
 func (s *Settings) dropped(class int) bool { return class < len(s.Dropped) && s.Dropped[class] }
 
+// Narrow gives settings in which a class stands also as changed, under a number of its own, and that number: the class's
+// own where nothing of it is changed. Names lead to the class as it was; the number is for requests that are given it.
+// A number that stands for the very same from before is used again.
+func (s Settings) Narrow(class int, change func(*policy.Class)) (Settings, int) {
+	k := s.Policy.Classes[class]
+	if change(&k); k == s.Policy.Classes[class] {
+		return s, class
+	}
+	for i, name := range s.Classes {
+		if name == s.Classes[class] && s.Policy.Classes[i] == k {
+			return s, i
+		}
+	}
+	for len(s.Dropped) < len(s.Classes) {
+		s.Dropped = append(slices.Clip(s.Dropped), false)
+	}
+	s.Dropped = append(slices.Clip(s.Dropped), true)
+	s.Classes = append(slices.Clip(s.Classes), s.Classes[class])
+	s.Policy.Classes = append(slices.Clip(s.Policy.Classes), k)
+	return s, len(s.Classes) - 1
+}
+
 // required are the keys that a daemon reads, without which Parse would take 0 for an answer.
 var (
 	required = []string{"siblings", "tickUs", "discovery", "zones", "classes", "familyInfo.batch", "familyInfo.callUs",
