shard_size of a terms is honoured, and lagging copies are passed over on later pages (test)

Cause: shard_size was read and not used, so that a client could not ask for a smaller error. The hard case of a copy with an older version on page two stood without a test of its own.

Change: shard_size is what each range is asked for; a test pins the version of the one copy of three that has caught up and walks all pages.

--- a/internal/aggs/aggs.go
+++ b/internal/aggs/aggs.go
@@ -59,6 +59,7 @@
 	Subs    []*Node
 
 	Size     int  // buckets of a terms, hits of a top_hits
+	Shard    int  // buckets of a terms that each range is asked for; 0 for as many as is usual
 	ByKey    bool // a terms' order
 	Desc     bool
 	MinDocs  int64 // a bucket's least count
@@ -292,9 +293,8 @@
 
 func (p *parser) terms(n *Node, v gjson.Result) *query.Error {
 	n.Size, n.Desc = 10, true
-	shard := 0
 	e := p.members(n, v, true, map[string]member{"size": p.whole(&n.Size, 1, MaxSize), "min_doc_count": p.minDocs(n),
-		"shard_size": p.whole(&shard, 1, MaxSize), "order": func(v gjson.Result) *query.Error {
+		"shard_size": p.whole(&n.Shard, 1, MaxBuckets), "order": func(v gjson.Result) *query.Error {
 			if v.IsArray() && len(v.Array()) > 0 { // further keys break ties, as the key does here
 				v = v.Array()[0]
 			}
--- a/internal/aggs/aggs_test.go
+++ b/internal/aggs/aggs_test.go
@@ -160,6 +160,7 @@
 	garble.Seed(t, 200)
 	list, _ := parse(`{"aggs":{"t":{"terms":{"field":"year","size":2}}}}`) // 13 of up to 36 years from each range
 	exact, _ := parse(`{"aggs":{"t":{"terms":{"field":"year","size":100}}}}`)
+	more, _ := parse(`{"aggs":{"t":{"terms":{"field":"year","size":2,"shard_size":40}}}}`)
 	rapid.Check(t, func(t *rapid.T) {
 		c := lots.New(uint64(rapid.IntRange(1, 50).Draw(t, "seed")), 5, rapid.IntRange(15, 80).Draw(t, "lots"))
 		got := merge(t, list, answers(t, c, list, 0, 1, 2, 3, 4), false).Get("t")
@@ -184,6 +185,9 @@
 				t.Fatalf("%d has %d lots and is not shown: %s", k, x, got.Raw)
 			}
 		}
+		if x := merge(t, more, answers(t, c, more, 0, 1, 2, 3, 4), false).Get("t"); x.Get("doc_count_error_upper_bound").Int() != 0 {
+			t.Fatalf("an error though all years were asked for: %s", x.Raw)
+		}
 		if shown != total {
 			t.Fatalf("%d lots of %d: %s", shown, total, got.Raw)
 		}
--- a/internal/aggs/ask.go
+++ b/internal/aggs/ask.go
@@ -17,8 +17,14 @@
 )
 
 // RangeSize is how many buckets of a terms a range is asked for: half as many more than wanted, and ten, as the API has
-// it, so that a term that is rarer in one range than over all is seldom cut off there.
-func (n *Node) RangeSize() int { return min(n.Size+n.Size/2+termsExtra, MaxBuckets) }
+// it, so that a term that is rarer in one range than over all is seldom cut off there. A client that wants a smaller
+// error asks for more by shard_size; fewer than the size are never asked for.
+func (n *Node) RangeSize() int {
+	if n.Shard > 0 {
+		return max(n.Shard, n.Size)
+	}
+	return min(n.Size+n.Size/2+termsExtra, MaxBuckets)
+}
 
 // AppendAsk words what a range is asked, as the value of aggs.
 func AppendAsk(b []byte, list []*Node) []byte {
--- a/internal/net/opensearch/phases_test.go
+++ b/internal/net/opensearch/phases_test.go
@@ -677,3 +677,46 @@
 		}
 	})
 }
+
+// A copy that lags behind what is pinned is passed over for one that has it: pages are whole, and no lot is on two.
+func TestLaggingCopies(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(usual)
+		defer r.stop()
+		for i, s := range r.holders(3) { // two see range 3 as it is now for an hour, one as it is at each second
+			r.copyOf(s, fmt.Sprint("lag-", i), map[bool]time.Duration{true: time.Second, false: time.Hour}[i == 0])
+			s.copy.Search(3, gjson.Parse(`{}`))
+		}
+		r.corpus.Put(3, lots.Lot{ID: "new", Title: "tractor", Make: "LS", Year: 2024, Price: 9})
+		time.Sleep(2 * time.Second)
+		keys, err := pages.NewKeys([]byte(strings.Repeat("k", 32)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		token := ""
+		for range 100 { // whichever copy answers; until it is the one that has caught up
+			token = r.open(t)
+			pin, err := keys.Open(token, "lots", time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if pin.Versions[3] == 2 {
+				break
+			}
+			token = ""
+		}
+		if token == "" {
+			t.Fatal("the copy that has caught up never answered")
+		}
+		before := r.asked(3, lots.Scores) + r.asked(3, lots.Both)
+		ids, last := r.walk(t, token, tractors, func(int) {})
+		want, _ := r.truth(tractors, 0, 10000)
+		pagesSeen := (len(ids)+4)/5 + 1
+		if asked := r.asked(3, lots.Scores) + r.asked(3, lots.Both) - before; asked <= pagesSeen {
+			t.Errorf("%d pages asked range 3 %d times: no copy lagged", pagesSeen, asked)
+		}
+		if !last.Get("coverage.whole").Bool() || !slices.Equal(ids, want) {
+			t.Errorf("%s: %d lots of %d", last.Get("coverage").Raw, len(ids), len(want))
+		}
+	})
+}
--- a/internal/net/opensearch/rig_test.go
+++ b/internal/net/opensearch/rig_test.go
@@ -130,6 +130,13 @@
 	return r
 }
 
+// copyOf has a store serve from another process of its own, that sees writes so seldom.
+func (r *rig) copyOf(s *memStore, boot string, every time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.copy = r.corpus.NewCopy(boot, every)
+}
+
 func (r *rig) stop() {
 	r.core.Stop()
 	<-r.ended
