A command line: check and explain the file of limits, operators' calls, exit codes

Need: four flags and curl were all that operators had; a file of limits could be checked only by starting on it.

Result: tried as a new user would: serve, check, explain, ctl, reload and drain by hand, exit 0.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -3,50 +3,50 @@
 package main
 
 import (
-	"flag"
+	"fmt"
 	"log"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"pulleygw.example/pulleygw/internal/cli"
 	"pulleygw.example/pulleygw/internal/lifecycle"
 )
 
 func main() {
-	config := flag.String("config", os.Getenv("LB_CONFIG"), "the configuration file (default $LB_CONFIG)")
-	frontFile := flag.String("opensearch", "deploy/opensearch.json", "the OpenSearch-style front's file; without it that front is off")
-	operationsFile := flag.String("operations", "deploy/operations.json", "the file of the balancers' endpoints and the store; without it they are off")
-	limitsFile := flag.String("limits", "deploy/limits.yaml", "the file of limits by route; without it there are none")
-	flag.Parse()
 	// Before anything else, as either signal would kill until then. A channel each: one that is full drops.
 	terminate, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, func(f cli.Files) error { return serve(f, terminate, reload) }))
+}
+
+func serve(f cli.Files, terminate, reload <-chan os.Signal) error {
 	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
-	c, err := lifecycle.LoadConfig(*config, os.Getenv)
+	c, err := lifecycle.LoadConfig(f.Config, os.Getenv)
 	if err != nil {
-		logger.Fatalf("configuration: %v", err)
+		return fmt.Errorf("configuration: %w", err)
 	}
-	c.LimitsFile = *limitsFile
-	front, err := lifecycle.LoadFront(*frontFile, &c.Settings)
+	c.LimitsFile = f.Limits
+	front, err := lifecycle.LoadFront(f.OpenSearch, &c.Settings)
 	if err != nil {
-		logger.Fatalf("configuration: %v", err)
+		return fmt.Errorf("configuration: %w", err)
 	}
-	operations, err := lifecycle.LoadOperations(*operationsFile)
+	operations, err := lifecycle.LoadOperations(f.Operations)
 	if err != nil {
-		logger.Fatalf("configuration: %v", err)
+		return fmt.Errorf("configuration: %w", err)
 	}
 	d, err := lifecycle.Start(c, front, operations, logger)
 	if err != nil {
-		logger.Fatalf("start: %v", err)
+		return fmt.Errorf("start: %w", err)
 	}
 	for {
 		select {
 		case <-reload:
-			d.Reload(*config)
+			d.Reload(f.Config)
 		case <-terminate:
 			d.Drain()
-			return
+			return nil
 		}
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -106,6 +106,13 @@
 	if r.Name == "" {
 		r.Name = fmt.Sprintf("route %d", i+1)
 	}
+	r.Lines = map[string]int{}
+	for name, at := range m {
+		r.Lines[name] = at.line()
+		for inner, x := range at.objectQuiet() {
+			r.Lines[name+"."+inner] = x.line()
+		}
+	}
 	of := classes
 	if r.Class != "" {
 		at := slices.IndexFunc(classes, func(c limits.Class) bool { return c.Name == r.Class })
--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -13,8 +13,8 @@
 	"pulleygw.example/pulleygw/policy"
 )
 
-// limitClasses are the operator's classes as limits know them.
-func limitClasses(set *settings.Settings) (list []limits.Class) {
+// LimitClasses are the operator's classes as limits know them.
+func LimitClasses(set *settings.Settings) (list []limits.Class) {
 	effects := map[policy.Effect]limits.Effect{policy.Safe: limits.Safe, policy.Keyed: limits.Keyed, policy.Unsafe: limits.Unsafe}
 	for i, name := range set.Classes {
 		if set.Class(name) != i {
@@ -78,7 +78,7 @@
 	if path == "" {
 		return nil, nil
 	}
-	return config.Load(path, limitClasses(set))
+	return config.Load(path, LimitClasses(set))
 }
 
 // limited puts limits in force with settings: the settings first, as the limits name their classes.
--- a/internal/limits/route.go
+++ b/internal/limits/route.go
@@ -38,7 +38,14 @@
 	Match  Match
 	Limits Limits
 	Plan   Plan
-	Line   int // where it stands, for operators
+	Line   int            // where it stands, for operators
+	Lines  map[string]int // and each of its fields
+}
+
+// LineOf is where a field stands, or the object that it is of; the route's own line where neither is known.
+func (r *Route) LineOf(field string) int {
+	whole, _, _ := strings.Cut(field, ".")
+	return cmp.Or(r.Lines[field], r.Lines[whole], r.Line)
 }
 
 // exactness orders routes: index before class, header, client group, method and front, as each of these tells more of
