A record of every request and attempt, and an audit that proves limits from it

Need: that limits held could not be shown after the fact.

Change: the core tells arrivals with the limits in force, attempts and final answers to a writer that never waits (a ring, dropped entries counted, files rotated and bounded, checksums, torn ends passed over); audit checks attempts, overlap, window, give-up, concurrency, rate and budget, and prints each breach with its entries.

Result: 600 requests among erring, hanging and returning lot stores under limits narrowed half-way: no breach; each of 8 breaches put in on purpose is found.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	c.LimitsFile = f.Limits
+	c.LimitsFile, c.RecordDir = f.Limits, f.Record
 	front, err := lifecycle.LoadFront(f.OpenSearch, &c.Settings)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,58 @@
+package audit
+
+import (
+	"strings"
+	"testing"
+
+	"pulleygw.example/pulleygw/internal/record"
+)
+
+func ms(n int64) int64 { return 1_790_000_000_000_000 + n*1000 }
+
+func in() *record.InForce {
+	return &record.InForce{Attempts: 2, GiveUp: 3_000_000, Window: 4_000_000, Most: 1, PerSecond: 2, Burst: 1, Share: 0.1, Free: 0.5, Span: 10_000_000}
+}
+
+func arrived(id uint64, at int64) record.Entry {
+	return record.Entry{Kind: record.Arrived, At: ms(at), Request: id, Route: "r", Verdict: "admit", In: in()}
+}
+
+func try(id uint64, number int, sent, end int64) record.Entry {
+	return record.Entry{Kind: record.Attempt, At: ms(end), Request: id, Shard: 3, Number: number, Sent: ms(sent), Ran: true, Status: "error"}
+}
+
+func final(id uint64, at int64) record.Entry {
+	return record.Entry{Kind: record.Final, At: ms(at), Request: id, Verdict: "answered"}
+}
+
+// Each breach that is put in on purpose is found, with its entries, and none where there is none.
+func TestBreaches(t *testing.T) {
+	loose := arrived(1, 0)
+	loose.In = &record.InForce{Attempts: 4, GiveUp: 9_000_000, Window: 4_000_000}
+	for name, c := range map[string]struct {
+		entries []record.Entry
+		want    string
+	}{
+		"none":           {[]record.Entry{arrived(1, 0), try(1, 0, 5, 100), final(1, 110), arrived(2, 600), try(2, 0, 605, 700), final(2, 710)}, ""},
+		"a third try":    {[]record.Entry{loose, try(1, 0, 5, 100), try(1, 1, 105, 200), try(1, 2, 205, 300), try(1, 3, 305, 400), try(1, 4, 405, 500), final(1, 510)}, "5 attempts over its steps, 4 allowed"},
+		"overlap":        {[]record.Entry{loose, try(1, 0, 5, 100), try(1, 1, 90, 200), final(1, 210)}, "attempt 1 left before attempt 0 had ended"},
+		"past window":    {[]record.Entry{loose, try(1, 0, 5, 100), try(1, 1, 4006, 4100), final(1, 4110)}, "its window is 4s"},
+		"too late":       {[]record.Entry{arrived(1, 0), final(1, 3100)}, "3s allowed"},
+		"twice":          {[]record.Entry{arrived(1, 0), final(1, 10), final(1, 20)}, "two final answers"},
+		"two in hand":    {[]record.Entry{arrived(1, 0), arrived(2, 600), final(1, 700), final(2, 700)}, "2 requests in hand, 1 allowed"},
+		"too soon":       {[]record.Entry{arrived(1, 0), final(1, 10), arrived(2, 100), final(2, 110)}, "too soon for 2 a second"},
+		"budget":         {[]record.Entry{arrived(1, 0), try(1, 0, 5, 100), try(1, 1, 105, 200), final(1, 210), arrived(2, 600), try(2, 0, 605, 700), try(2, 1, 705, 800), final(2, 810)}, "2 further attempts within 10s"},
+		"never left":     {[]record.Entry{loose, try(1, 0, 5, 100), {Kind: record.Attempt, At: ms(101), Request: 1, Shard: 3, Number: 1, Status: "not sent"}, final(1, 110)}, ""},
+		"another start":  {[]record.Entry{arrived(1, 0), {Kind: record.Begun}, arrived(1, 100), final(1, 110)}, ""},
+		"entries lacked": {[]record.Entry{{Kind: record.Dropped, Count: 3}, arrived(1, 0), arrived(2, 600)}, ""},
+	} {
+		a := New()
+		for _, e := range c.entries {
+			a.Add(e)
+		}
+		r := a.Report()
+		if c.want == "" && len(r.Breaches) > 0 || c.want != "" && (len(r.Breaches) != 1 || !strings.Contains(r.Breaches[0].String(), c.want) || len(r.Breaches[0].Entries) == 0) {
+			t.Errorf("%s: %v, want %q", name, r.Breaches, c.want)
+		}
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,9 +18,11 @@
 
 	"github.com/spf13/cobra"
 
+	"pulleygw.example/pulleygw/internal/audit"
 	"pulleygw.example/pulleygw/internal/config"
 	"pulleygw.example/pulleygw/internal/lifecycle"
 	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/settings"
 )
 
@@ -41,7 +43,7 @@
 func (e *codeError) Unwrap() error { return e.err }
 
 // Files are what a process is told by its command line.
-type Files struct{ Config, OpenSearch, Operations, Limits string }
+type Files struct{ Config, OpenSearch, Operations, Limits, Record string }
 
 // Run carries out a command line, and returns the exit code. serve serves until it is told to stop.
 func Run(args []string, out, errOut io.Writer, serve func(Files) error) int {
@@ -68,10 +70,11 @@
 	f.StringVar(&files.Limits, "limits", "deploy/limits.yaml", "the file of limits by route; without it there are none")
 	root.Flags().StringVar(&files.OpenSearch, "opensearch", "deploy/opensearch.json", "the OpenSearch-style front's file; without it that front is off")
 	root.Flags().StringVar(&files.Operations, "operations", "deploy/operations.json", "the file of the balancers' endpoints and the store; without it they are off")
+	root.Flags().StringVar(&files.Record, "record", "", "the folder for the record of attempts; none for no record")
 	serveCommand := &cobra.Command{Use: "serve", Short: "Serve; what no command means", Args: noArgs,
 		RunE: func(*cobra.Command, []string) error { return serve(files) }}
 	serveCommand.Flags().AddFlagSet(root.Flags())
-	root.AddCommand(serveCommand, check(&files), explain(&files), ctl(), version())
+	root.AddCommand(serveCommand, check(&files), explain(&files), auditCommand(), ctl(), version())
 	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return 0
@@ -100,7 +103,7 @@
 	for i, a := range args {
 		name, _, _ := strings.Cut(strings.TrimPrefix(a, "-"), "=")
 		switch list[i] = a; name {
-		case "config", "limits", "opensearch", "operations":
+		case "config", "limits", "opensearch", "operations", "record":
 			if !strings.HasPrefix(a, "--") && strings.HasPrefix(a, "-") {
 				list[i] = "-" + a
 			}
@@ -239,6 +242,37 @@
 	return c
 }
 
+// auditCommand reads a record and says whether every limit held.
+func auditCommand() *cobra.Command {
+	return &cobra.Command{Use: "audit FOLDER", Short: "Prove from the record of attempts that every limit held", Args: cobra.ExactArgs(1),
+		Example: "  pulleygw audit /var/lib/pulleygw/record",
+		RunE: func(c *cobra.Command, args []string) error {
+			a, n := audit.New(), 0
+			torn, err := record.Read(args[0], func(e record.Entry) error {
+				if n++; n%1_000_000 == 0 {
+					fmt.Fprintf(c.ErrOrStderr(), "%d entries read\n", n)
+				}
+				a.Add(e)
+				return nil
+			})
+			if err != nil {
+				return err
+			}
+			r, out := a.Report(), c.OutOrStdout()
+			fmt.Fprintf(out, "%d entries, %d files that end torn, %d entries dropped\n", n, torn, r.Dropped)
+			fmt.Fprintf(out, "%d requests: %d answered, %d refused, %d failed, %d left by their clients, %d still open; %d attempts\n",
+				r.Requests, r.Answered, r.Refused, r.Failed, r.Left, r.Open, r.Attempts)
+			for _, b := range r.Breaches {
+				fmt.Fprintln(out, "breach:", b)
+			}
+			if found := len(r.Breaches) + r.More; found > 0 {
+				return &codeError{ExitFault, fmt.Errorf("%d breaches", found)}
+			}
+			fmt.Fprintln(out, "every limit held")
+			return nil
+		}}
+}
+
 // ctl makes operators' calls, one line each; docs/operating.md says what they do.
 func ctl() *cobra.Command {
 	admin := os.Getenv("LB_ADMIN")
--- a/internal/gather/admit.go
+++ b/internal/gather/admit.go
@@ -16,11 +16,13 @@
 	switch {
 	case !c.flight.Room(len(r.Shards)):
 		r.out(c.now(), false)
+		c.recordFinal(r, "refused", ReasonFull)
 		r.Done <- Result{Kind: Refused, RetryAfter: c.set.Policy.MaxRetryAfter, Reason: ReasonFull, Parts: partResults(r)}
 		return
 	case c.flight.Named(r.Name, time.Now()):
 		// Its parts could not be told from the first one's. Nothing is known of what that may do.
 		r.out(c.now(), false)
+		c.recordFinal(r, "failed", ReasonDuplicate)
 		r.Done <- Result{Kind: Failed, Reason: ReasonDuplicate, Parts: partResults(r)}
 		return
 	}
--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -116,6 +116,7 @@
 	part    *part
 	sent    time.Duration
 	called  bool          // handed to the transport
+	handed  time.Duration // and when
 	settled time.Duration // when its cancel is through, 0 while it is not cancelled or its server not told
 	outcome bool          // has ended
 }
--- a/internal/gather/book.go
+++ b/internal/gather/book.go
@@ -36,6 +36,7 @@
 func (c *Core) report(a *Attempt, s policy.Status) {
 	p, took := a.part, max(c.now()-a.sent, time.Microsecond)
 	c.ended(a)
+	c.recordAttempt(a, s)
 	if s != policy.OK {
 		p.res.Last = s
 	}
--- a/internal/gather/core.go
+++ b/internal/gather/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/policy"
 )
@@ -43,6 +44,7 @@
 	endBy     time.Time // when the last answer is due, zero for no such time
 	searches
 	doors
+	recorder func(record.Entry) // nil for none
 }
 
 // query is a request in hand.
--- a/internal/gather/door.go
+++ b/internal/gather/door.go
@@ -91,28 +91,18 @@
 // arrive asks a request's route to let it in.
 func (c *Core) arrive(r *Request) {
 	r.arrived = c.now()
-	if c.limits.Table == nil || r.Origin == nil || !c.endBy.IsZero() {
-		c.admit(r)
-		return
-	}
-	if r.Class >= len(c.set.Classes) {
-		c.admit(r)
-		return
+	c.lastID++
+	r.ticket = c.lastID
+	var route *limits.Route
+	if c.limits.Table != nil && r.Origin != nil && c.endBy.IsZero() && r.Class < len(c.set.Classes) {
+		route = c.limits.Table.Find(r.Origin, c.set.Classes[r.Class])
 	}
-	route := c.limits.Table.Find(r.Origin, c.set.Classes[r.Class])
 	if route == nil {
+		c.recordArrival(r, "", limits.Decision{})
 		c.admit(r)
 		return
 	}
 	l := route.Limits
-	switch {
-	case l.Body > 0 && len(r.Text) > l.Body:
-		r.Done <- Result{Kind: Failed, Reason: ReasonBody, Parts: partResults(r)}
-		return
-	case l.Depth > 0 && r.Search != nil && r.Search.From+r.Search.Size > l.Depth:
-		r.Done <- Result{Kind: Failed, Reason: ReasonDepth, Parts: partResults(r)}
-		return
-	}
 	if c.limits.Class != nil {
 		r.Class = c.limits.Class(route, r.Class)
 	}
@@ -121,9 +111,23 @@
 	}
 	r.WholeOnly = r.WholeOnly || l.Whole
 	r.gate, r.answerMost = c.gates[route.Name], l.Answer
-	c.lastID++
-	r.ticket = c.lastID
-	switch d := r.gate.Arrive(r.ticket, l.Priority, c.now(), c.at(r.Deadline)); d.Verdict {
+	wrong := ""
+	switch {
+	case l.Body > 0 && len(r.Text) > l.Body:
+		wrong = ReasonBody
+	case l.Depth > 0 && r.Search != nil && r.Search.From+r.Search.Size > l.Depth:
+		wrong = ReasonDepth
+	}
+	if wrong != "" {
+		c.recordArrival(r, route.Name, limits.Decision{Verdict: limits.Refuse, Why: wrong})
+		c.recordFinal(r, "failed", wrong)
+		r.gate = nil
+		r.Done <- Result{Kind: Failed, Reason: wrong, Parts: partResults(r)}
+		return
+	}
+	d := r.gate.Arrive(r.ticket, l.Priority, c.now(), c.at(r.Deadline))
+	c.recordArrival(r, route.Name, d)
+	switch d.Verdict {
 	case limits.Admit:
 		c.admit(r)
 	case limits.Wait:
@@ -137,6 +141,7 @@
 // turnAway refuses a request at the door.
 func (c *Core) turnAway(r *Request, d limits.Decision) {
 	r.gate = nil // it was never let in
+	c.recordFinal(r, "refused", d.Why)
 	r.Done <- Result{Kind: Refused, RetryAfter: d.RetryAfter, Reason: d.Why, Parts: partResults(r)}
 }
 
@@ -155,6 +160,7 @@
 		for _, x := range r.gate.Next(now) {
 			r := c.waiting[x.ID]
 			delete(c.waiting, x.ID)
+			c.recordLet(r, x.Decision)
 			if x.Verdict == limits.Admit {
 				c.admit(r)
 			} else {
--- a/internal/gather/relay.go
+++ b/internal/gather/relay.go
@@ -62,6 +62,7 @@
 	}
 	c.finishSearch(q, &r)
 	q.out(c.now(), r.Kind == Answered)
+	c.recordFinal(q.Request, kinds[r.Kind], r.Reason)
 	q.Done <- r
 	c.forget(q)
 }
--- a/internal/gather/send.go
+++ b/internal/gather/send.go
@@ -8,7 +8,7 @@
 		attempts := k.attempts[:0]
 		for _, a := range k.attempts {
 			if !a.outcome {
-				a.called = true
+				a.called, a.handed = true, c.steppedAt
 				attempts = append(attempts, a)
 			}
 		}
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -155,9 +155,11 @@
 		m.to <- c.countGates()
 	case left:
 		if c.leaveDoor(m.r) {
+			c.recordFinal(m.r, "left", "")
 			return
 		}
 		if q, ok := c.flight.Query(m.r.id); ok && q.Request == m.r {
+			c.recordFinal(m.r, "left", "")
 			c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(m.r.id)})
 			c.forget(q)
 		}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -25,6 +25,7 @@
 type Config struct {
 	Name, Listen, Discovery string
 	Admin                   string // where operators call; empty for nowhere
+	RecordDir               string // of the record of attempts; empty for none
 	LimitsFile              string // of limits by route; empty, or not there, for none
 	Inherited               int    // descriptor of the clients' listening socket, 0 where Listen is to be opened
 	Seed                    uint64
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -22,6 +22,7 @@
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/net/opensearch"
 	"pulleygw.example/pulleygw/internal/net/platform"
+	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/policy"
 )
@@ -40,6 +41,13 @@
 	boundBytes  = 128   // of one such memory
 )
 
+// Bounds of the record of attempts: 512 MiB of files, and so many entries in memory that a disk may stall for a second.
+const (
+	recordFile  = 16 << 20
+	recordFiles = 32
+	recordRing  = 16384
+)
+
 // answerFor is how long after SIGTERM the last answer is given where the clients' socket is inherited: SIGKILL
 // comes 0.7 s after the longest deadline, of which at most 3 s count.
 const (
@@ -96,6 +104,7 @@
 	second   *opensearch.Front // nil when off
 	front    FrontConfig       // of the second front
 	limits   *config.Config    // in force, nil for none
+	record   *record.Writer    // nil for none
 	ops      *operations       // nil when off
 	bodies   chan struct{}     // has room for the request bodies that may be held at once
 	draining atomic.Bool
@@ -138,6 +147,13 @@
 	d.tr = tr
 	d.share()
 	d.core = core
+	if c.RecordDir != "" {
+		if d.record, err = record.Open(record.Config{Dir: c.RecordDir, FileSize: recordFile, Files: recordFiles, Ring: recordRing, Log: logger.Printf}); err != nil {
+			return nil, err
+		}
+		core.RecordTo(d.record.Record)
+		logger.Printf("record: writing to %s", c.RecordDir)
+	}
 	go core.Run()
 	if d.limits != nil {
 		set := d.limited(c.Settings, d.limits)
@@ -280,5 +296,11 @@
 		d.unwatch()
 	}
 	d.core.Stop()
+	if d.record != nil {
+		d.record.Close()
+		if total, dropped := d.record.Counts(); dropped > 0 {
+			d.log.Printf("record: %d of %d entries were dropped", dropped, total)
+		}
+	}
 	d.log.Printf("drain: all answered, exiting")
 }
--- a/internal/lifecycle/limits_test.go
+++ b/internal/lifecycle/limits_test.go
@@ -9,6 +9,9 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"pulleygw.example/pulleygw/internal/audit"
+	"pulleygw.example/pulleygw/internal/record"
 )
 
 // lockedBuffer takes log lines from any goroutine.
@@ -40,7 +43,8 @@
 	}
 	write("version: 1\nlimits:\n  routes:\n    - name: bids\n      class: place-bid\n      rate: {per_second: 0.001, burst: 2}\n    - name: pages\n      match: {front: opensearch, index: lots}\n      depth: 5\n")
 	logs := &lockedBuffer{}
-	w := startConfig(t, "opensearch", nil, func(c *Config) { c.LimitsFile = file })
+	dir := t.TempDir()
+	w := startConfig(t, "opensearch", nil, func(c *Config) { c.LimitsFile, c.RecordDir = file, dir })
 	w.log.SetOutput(logs)
 	bid := func(id string) int {
 		return do(t, w.Addrs()[0], "POST", "/place-bid", textproto.MIMEHeader{"Req-Id": {id}, "Idempotency-Key": {id}, "Req-Deadline": {"3000m"}},
@@ -70,9 +74,17 @@
 	if got := w.core.Gates(); len(got) != 0 {
 		t.Errorf("without the file: %v", got)
 	}
+	w.Drain()
+	a := audit.New()
+	if _, err := record.Read(dir, func(e record.Entry) error { a.Add(e); return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if r := a.Report(); len(r.Breaches) > 0 || r.Requests < 7 || r.Refused != 1 || r.Open != 0 || r.Attempts < 4 {
+		t.Errorf("the record: %+v", r)
+	}
 	write("version: 2\nlimits: []\n")
 	c := w.config
-	c.LimitsFile = file
+	c.LimitsFile, c.RecordDir = file, ""
 	if _, err := Start(c, nil, nil, log.New(io.Discard, "", 0)); err == nil || !strings.Contains(err.Error(), ":1:10: version: is 2") || !strings.Contains(err.Error(), ":2:9: limits: wants members") {
 		t.Errorf("started with a bad file: %v", err)
 	}
--- a/internal/net/opensearch/limits_test.go
+++ b/internal/net/opensearch/limits_test.go
@@ -8,9 +8,11 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/audit"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/limits"
 	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/internal/standin"
@@ -208,3 +210,57 @@
 		})
 	}
 }
+
+// The record of a rough half minute under limits that a reload narrows proves that every one of them held: lot stores err,
+// hang and come back, clients leave, and more is asked than is let in.
+func TestRecordProvesLimits(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		a, entries := audit.New(), 0
+		o := usual
+		o.record = func(e record.Entry) { entries++; a.Add(e) }
+		r := newRig(o)
+		rng := rand.New(rand.NewPCG(5, 5))
+		l := limits.Limits{GiveUp: 2 * time.Second, Concurrency: limits.Concurrency{Most: 6, Queue: 10, Wait: 300 * time.Millisecond},
+			Rate: limits.Rate{PerSecond: 30, Burst: 10}, Repeats: limits.Repeats{Share: 0.1, Free: 3, Span: 5 * time.Second}}
+		r.limit(t, limits.Repeats{}, greedy(l))
+		var all sync.WaitGroup
+		for i := range 600 {
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(50*time.Millisecond)))
+			if i == 300 {
+				l.Concurrency.Most, l.Rate.PerSecond = 3, 10
+				r.limit(t, limits.Repeats{}, greedy(l))
+			}
+			if i%50 == 0 {
+				bad, end := rng.IntN(6), []standin.End{standin.Fault, standin.Silent, standin.Hit}[rng.IntN(3)]
+				r.mu.Lock()
+				for id, s := range r.stores {
+					mine := (int(id)-1)/3 == bad || id%5 == 0
+					s.trouble = func(int, lots.Phase) (standin.End, time.Duration) {
+						if mine {
+							return end, 0
+						}
+						return standin.Hit, 0
+					}
+				}
+				r.mu.Unlock()
+			}
+			addr := []string{"10.0.0.1", "9.9.9.9"}[rng.IntN(2)]
+			gone := make(chan struct{})
+			leaves := rng.IntN(10) == 0
+			all.Go(func() { r.from(addr, "", tractors, gone) })
+			if leaves {
+				all.Go(func() { time.Sleep(100 * time.Millisecond); close(gone) })
+			}
+		}
+		all.Wait()
+		time.Sleep(5 * time.Second)
+		r.stop()
+		got := a.Report()
+		for _, b := range got.Breaches {
+			t.Errorf("%v", b)
+		}
+		if got.Requests != 600 || got.Open != 0 || got.Answered == 0 || got.Refused == 0 || got.Left == 0 || got.Attempts < 1000 {
+			t.Errorf("%+v of %d entries", got, entries)
+		}
+	})
+}
--- a/internal/net/opensearch/rig_test.go
+++ b/internal/net/opensearch/rig_test.go
@@ -17,6 +17,7 @@
 	"pulleygw.example/pulleygw/internal/mem"
 	"pulleygw.example/pulleygw/internal/merge"
 	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/internal/standin"
@@ -83,6 +84,7 @@
 	bytes        int
 	unit         float64 // work is so many times as much; 0 for 1
 	change       func(*settings.Settings)
+	record       func(record.Entry)
 }
 
 // bubble runs f on a false clock.
@@ -107,6 +109,9 @@
 	}
 	core.Searches(gather.SearchConfig{Phases: o.phases, Ranges: o.ranges, Bounds: o.bounds, Bytes: o.bytes})
 	r.core, r.report = core, core
+	if o.record != nil {
+		core.RecordTo(o.record)
+	}
 	current := &settings.Current{}
 	current.Store(&set)
 	r.front = &Front{Core: core, Settings: current, Name: "os", Plans: true, Ties: true}
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,189 @@
+package record
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"sync"
+	"testing"
+
+	"pulleygw.example/pulleygw/internal/garble"
+)
+
+func entry(n int) Entry {
+	return Entry{Kind: Attempt, At: int64(n), Request: uint64(n), Shard: n % 24, Status: "ok", Sent: int64(n)}
+}
+
+func open(t *testing.T, change func(*Config)) (*Writer, string) {
+	c := Config{Dir: t.TempDir(), FileSize: 64 << 10, Files: 3, Ring: 100000, Log: t.Logf}
+	if change != nil {
+		change(&c)
+	}
+	w, err := Open(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w, c.Dir
+}
+
+// What was written is read, over files and starts; only the newest files stay; a torn end costs what stands behind it.
+func TestFiles(t *testing.T) {
+	w, dir := open(t, nil)
+	for n := range 3000 {
+		w.Record(entry(n))
+	}
+	w.Close()
+	again, err := Open(Config{Dir: dir, FileSize: 64 << 10, Files: 3, Ring: 1000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.Record(entry(3000))
+	again.Close()
+	last, count := -1, 0
+	read := func() (torn int) {
+		last, count = -1, 0
+		torn, err := Read(dir, func(e Entry) error {
+			if e.Kind == Begun {
+				return nil
+			}
+			if int(e.At) <= last || e.Request != uint64(e.At) {
+				t.Fatalf("entry %+v after %d", e, last)
+			}
+			last, count = int(e.At), count+1
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return torn
+	}
+	if torn := read(); torn != 0 || last != 3000 || count < 1000 {
+		t.Errorf("%d torn, %d entries, the last %d", torn, count, last)
+	}
+	names, err := files(dir)
+	if err != nil || len(names) != 3 {
+		t.Fatalf("%v %v", names, err)
+	}
+	info, err := os.Stat(names[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Truncate(names[0], info.Size()-3); err != nil {
+		t.Fatal(err)
+	}
+	before := count
+	if torn := read(); torn != 1 || count != before-1 || last != 3000 {
+		t.Errorf("%d torn, %d entries of %d", torn, count, before)
+	}
+	if _, err := Read(t.TempDir(), nil); err == nil {
+		t.Error("an empty folder is read")
+	}
+}
+
+// full is a disk with room for so many bytes.
+type full struct {
+	mu   sync.Mutex
+	left int
+	b    bytes.Buffer
+}
+
+func (f *full) Write(p []byte) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.left < len(p) {
+		return 0, errors.New("no space left on device")
+	}
+	f.left -= len(p)
+	return f.b.Write(p)
+}
+func (f *full) Close() error { return nil }
+
+// A full disk, and a writer that is behind, lose entries and count them; nobody waits, and what has room is good.
+func TestFullDiskAndRing(t *testing.T) {
+	disk := &full{left: 200 << 10}
+	w, _ := open(t, func(c *Config) {
+		c.FileSize = 1 << 20
+		c.Open = func(string) (io.WriteCloser, error) { return disk, nil }
+	})
+	for n := range 50000 {
+		w.Record(entry(n))
+	}
+	w.Close()
+	if total, dropped := w.Counts(); total != 50001 || dropped == 0 {
+		t.Errorf("%d dropped of %d on a full disk", dropped, total)
+	}
+	hold := make(chan struct{})
+	w, _ = open(t, func(c *Config) {
+		c.Ring = 10
+		c.Open = func(string) (io.WriteCloser, error) { <-hold; return &full{left: 1 << 20}, nil }
+	})
+	for n := range 1000 {
+		w.Record(entry(n))
+	}
+	close(hold)
+	w.Close()
+	if _, dropped := w.Counts(); dropped < 900 {
+		t.Errorf("%d dropped of 1000 with room for 10", dropped)
+	}
+	if _, err := Open(Config{Dir: t.TempDir()}); err == nil {
+		t.Error("a record of no files")
+	}
+}
+
+var seven = entry(7)
+
+func feed(b []byte) error {
+	n := 0
+	good, err := Decode(bytes.NewReader(b), func(Entry) error { n++; return nil })
+	if err != nil || !good || n == 0 {
+		return errors.New("torn")
+	}
+	return nil
+}
+
+// Cuts and garbage are torn places, and never more.
+func TestGarbage(t *testing.T) {
+	var b bytes.Buffer
+	if _, err := new(Encoder).Append(&b, &seven); err != nil {
+		t.Fatal(err)
+	}
+	garble.Check(t, true, feed, b.String())
+}
+
+func FuzzDecode(f *testing.F) {
+	var b bytes.Buffer
+	if _, err := new(Encoder).Append(&b, &seven); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b.Bytes())
+	f.Fuzz(func(_ *testing.T, b []byte) { _ = feed(b) })
+}
+
+// BenchmarkAppend is what the writer does for an entry.
+func BenchmarkAppend(b *testing.B) {
+	b.ReportAllocs()
+	var x Encoder
+	for b.Loop() {
+		e := entry(5)
+		if _, err := x.Append(io.Discard, &e); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRecord is what an entry costs whoever hands it over, and the writer with it.
+func BenchmarkRecord(b *testing.B) {
+	w, err := Open(Config{Dir: b.TempDir(), FileSize: 16 << 20, Files: 2, Ring: 16384})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Record(entry(5))
+	}
+	b.StopTimer()
+	w.Close()
+	total, dropped := w.Counts()
+	b.ReportMetric(float64(dropped)/float64(total), "dropped/entry")
+}
