A structured log: events with fields, console or JSON, storms held down

Need: free-text lines cannot be filtered by store or reason, and a storm of one line could be what a core spends itself on.

Change: log/slog throughout, events by short names with fields, JSON or console, a level, at most 200 lines a second of one event with a count of what was left out. docs/oncall.md has each event, and a test fails where one of the code is missing there.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -4,13 +4,15 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"pulleygw.example/pulleygw/internal/cli"
 	"pulleygw.example/pulleygw/internal/lifecycle"
+	"pulleygw.example/pulleygw/internal/logging"
 )
 
 func main() {
@@ -22,7 +24,10 @@
 }
 
 func serve(f cli.Files, terminate, reload <-chan os.Signal) error {
-	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
+	level := &slog.LevelVar{}
+	level.Set(f.LogLevel)
+	// A storm of one event, as of connections to a lot store that died, must not be what the core spends itself on.
+	logger := logging.New(logging.Config{Out: os.Stderr, Format: f.LogFormat, Level: level, Most: 200, Span: time.Second})
 	c, err := lifecycle.LoadConfig(f.Config, os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/netip"
 	"os"
@@ -22,6 +23,7 @@
 	"pulleygw.example/pulleygw/internal/config"
 	"pulleygw.example/pulleygw/internal/lifecycle"
 	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/logging"
 	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/settings"
 )
@@ -43,7 +45,11 @@
 func (e *codeError) Unwrap() error { return e.err }
 
 // Files are what a process is told by its command line.
-type Files struct{ Config, OpenSearch, Operations, Limits, Record string }
+type Files struct {
+	Config, OpenSearch, Operations, Limits, Record string
+	LogLevel                                       slog.Level
+	LogFormat                                      logging.Format
+}
 
 // Run carries out a command line, and returns the exit code. serve serves until it is told to stop.
 func Run(args []string, out, errOut io.Writer, serve func(Files) error) int {
@@ -59,7 +65,6 @@
 3 nobody answers at the address.`,
 		Example:       "  pulleygw --config examples/config.json --limits examples/limits.yaml\n  pulleygw check examples/limits.yaml --config examples/config.json",
 		SilenceErrors: true, SilenceUsage: true, Args: noArgs,
-		RunE: func(*cobra.Command, []string) error { return serve(files) },
 	}
 	root.SetArgs(longFlags(args))
 	root.SetOut(out)
@@ -71,8 +76,21 @@
 	root.Flags().StringVar(&files.OpenSearch, "opensearch", "deploy/opensearch.json", "the OpenSearch-style front's file; without it that front is off")
 	root.Flags().StringVar(&files.Operations, "operations", "deploy/operations.json", "the file of the balancers' endpoints and the store; without it they are off")
 	root.Flags().StringVar(&files.Record, "record", "", "the folder for the record of attempts; none for no record")
+	level, format := "info", "console"
+	root.Flags().StringVar(&level, "log-level", level, "what is logged: debug, info, warn or error and above")
+	root.Flags().StringVar(&format, "log-format", format, "console or json")
+	serving := func() (err error) {
+		if files.LogLevel, err = logging.ParseLevel(level); err != nil {
+			return &codeError{ExitUsage, fmt.Errorf("--log-level: %w", err)}
+		}
+		if files.LogFormat = logging.Format(format); files.LogFormat != logging.Console && files.LogFormat != logging.JSON {
+			return &codeError{ExitUsage, fmt.Errorf("--log-format: %.20q is neither console nor json", format)}
+		}
+		return serve(files)
+	}
+	root.RunE = func(*cobra.Command, []string) error { return serving() }
 	serveCommand := &cobra.Command{Use: "serve", Short: "Serve; what no command means", Args: noArgs,
-		RunE: func(*cobra.Command, []string) error { return serve(files) }}
+		RunE: func(*cobra.Command, []string) error { return serving() }}
 	serveCommand.Flags().AddFlagSet(root.Flags())
 	root.AddCommand(serveCommand, check(&files), explain(&files), auditCommand(), ctl(), version())
 	err := root.ExecuteContext(context.Background())
--- a/internal/gather/core.go
+++ b/internal/gather/core.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -23,7 +23,7 @@
 // Core owns the Mixer and all tables. Only Run's goroutine touches what stands below quit.
 type Core struct {
 	transport Transport
-	log       *log.Logger
+	log       *slog.Logger
 	seed      uint64
 	start     time.Time
 	in        chan any
@@ -69,7 +69,7 @@
 }
 
 // New makes a core. The transport must not report before Run.
-func New(set settings.Settings, seed uint64, t Transport, logger *log.Logger) (*Core, error) {
+func New(set settings.Settings, seed uint64, t Transport, logger *slog.Logger) (*Core, error) {
 	m, err := policy.New(set.Policy, seed)
 	if err != nil {
 		return nil, err
@@ -181,7 +181,7 @@
 		case policy.WakeAt:
 			c.wakeAt = a.At
 		case policy.Log:
-			c.log.Printf("mixer: %s", a.Text)
+			c.log.Info("mixer", "state", a.Text)
 		}
 	}
 	c.sendCalls()
@@ -204,7 +204,7 @@
 
 // restart ends all that is in hand honestly and goes on with a fresh Mixer on the list as known.
 func (c *Core) restart(err error) {
-	c.log.Printf("mixer panic, starting a new one: %v", err)
+	c.log.Error("mixer panic", "reason", err)
 	for a := range c.out {
 		c.transport.Cancel(a)
 		c.ended(a)
--- a/internal/gather/search.go
+++ b/internal/gather/search.go
@@ -61,7 +61,7 @@
 	if c.chooser != nil && class.MaxAttempts > 1 { // the listings want an attempt of their own
 		why := ""
 		if phases, why = c.chooser.Choose(q.Class, q.Search, len(q.Shards)); why != "" {
-			c.log.Printf("search: %s", why)
+			c.log.Info("phases changed", "why", why)
 		}
 	}
 	ranges := make([]search.Range, len(q.Shards))
@@ -153,7 +153,7 @@
 func (c *Core) guard(q *query, f func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			c.log.Printf("search panic: %v\n%s", p, debug.Stack())
+			c.log.Error("search panic", "reason", p, "stack", string(debug.Stack()))
 			c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(q.id)})
 			c.finish(q, Result{Kind: Failed, Reason: ReasonPanic})
 		}
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -214,7 +214,7 @@
 		if c.index != nil { // what a process promised ends with it
 			c.index.Forget(uint32(s.ID))
 		}
-		c.log.Printf("list: server=%d name=%s addr=%s cell=%d state=%s", s.ID, s.Name, s.Addr, s.Cell, stateNames[s.State])
+		c.log.Info("list", "store", s.ID, "name", s.Name, "addr", s.Addr, "cell", s.Cell, "state", stateNames[s.State])
 	}
 	c.events = append(c.events, policy.ServerList{Kind: kind, Servers: c.infos(news)})
 }
--- a/internal/lifecycle/calls.go
+++ b/internal/lifecycle/calls.go
@@ -43,7 +43,7 @@
 	}
 	if link := d.handover.other(); link != nil {
 		if err := link.Tell(handover.Message{Verb: string(c.Verb), Name: c.Name, AtMs: now.UnixMilli()}); err != nil {
-			d.log.Printf("handover: the other process did not take %s %s: %v", c.Verb, c.Name, err)
+			d.log.Warn("handover call not taken", "call", c.Verb, "name", c.Name, "reason", err)
 		}
 	}
 	return "done", nil
@@ -63,7 +63,7 @@
 		d.sendAway(false)
 	}
 	if known {
-		d.log.Printf("operator: %s %s", c.Verb, c.Name)
+		d.log.Info("operator", "call", c.Verb, "name", c.Name)
 	}
 	return known
 }
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"os"
@@ -66,7 +66,7 @@
 }
 
 // newTransport makes the side towards the lot stores: frames, or the API where the front's file says so.
-func newTransport(c Config, f *FrontConfig, current *settings.Current, logger *log.Logger) transport {
+func newTransport(c Config, f *FrontConfig, current *settings.Current, logger *slog.Logger) transport {
 	set, conns := c.Settings, int(storeShare*float64(c.Sockets))
 	if f == nil || !f.Stores {
 		return frames.New(frames.Config{Streams: set.StreamsPerConn, ConnectTimeout: set.ConnectTimeout,
@@ -96,7 +96,7 @@
 
 // Daemon is a gatherer that serves.
 type Daemon struct {
-	log      *log.Logger
+	log      *slog.Logger
 	core     *gather.Core
 	settings settings.Current
 	mu       sync.Mutex
@@ -126,7 +126,7 @@
 
 // Start makes a gatherer that serves. A nil front leaves the OpenSearch-style front off, and nil operations
 // the balancers' endpoints and the store.
-func Start(c Config, f *FrontConfig, o *OperationsConfig, logger *log.Logger) (*Daemon, error) {
+func Start(c Config, f *FrontConfig, o *OperationsConfig, logger *slog.Logger) (*Daemon, error) {
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 
 	d := &Daemon{log: logger, config: c, bodies: make(chan struct{}, int(bodyShare*float64(c.MemoryMB<<20)/mem.BufferSize))}
@@ -148,17 +148,17 @@
 	d.share()
 	d.core = core
 	if c.RecordDir != "" {
-		if d.record, err = record.Open(record.Config{Dir: c.RecordDir, FileSize: recordFile, Files: recordFiles, Ring: recordRing, Log: logger.Printf}); err != nil {
+		if d.record, err = record.Open(record.Config{Dir: c.RecordDir, FileSize: recordFile, Files: recordFiles, Ring: recordRing, Log: logger}); err != nil {
 			return nil, err
 		}
 		core.RecordTo(d.record.Record)
-		logger.Printf("record: writing to %s", c.RecordDir)
+		logger.Info("record", "folder", c.RecordDir)
 	}
 	go core.Run()
 	if d.limits != nil {
 		set := d.limited(c.Settings, d.limits)
 		d.settings.Store(&set)
-		logger.Printf("limits: %d routes of %s in force", len(d.limits.Limits.Routes), c.LimitsFile)
+		logger.Info("limits in force", "routes", len(d.limits.Limits.Routes), "file", c.LimitsFile)
 	}
 	if err := d.openAdmin(); err != nil {
 		d.Drain()
@@ -195,10 +195,10 @@
 		}
 	}
 	if err := d.offer(); err != nil {
-		logger.Printf("handover: no successor can be welcomed: %v", err)
+		logger.Warn("handover cannot be offered", "reason", err)
 	}
 	d.ready.Store(true)
-	logger.Printf("ready: name=%s listen=%v known=%d", c.Name, d.Addrs(), len(c.Known.Servers))
+	logger.Info("ready", "name", c.Name, "listen", d.Addrs(), "known", len(c.Known.Servers))
 	return d, nil
 }
 
@@ -273,12 +273,12 @@
 				longest = max(longest, k.Deadline)
 			}
 			longest = min(longest, deadlineMost) + answerFor
-			d.log.Printf("drain: accepting no more, all is answered within %v", longest)
+			d.log.Info("drain accepts no more", "answered_within", longest)
 			d.core.EndBy(time.Now().Add(longest))
 			x.HandOff()
 			continue
 		}
-		d.log.Printf("drain: accepting at %s for %v more", x.addr, acceptFor)
+		d.log.Info("drain accepts for a while", "addr", x.addr.String(), "for", acceptFor)
 		x.Drain(acceptFor)
 	}
 	for _, x := range d.doors {
@@ -299,8 +299,8 @@
 	if d.record != nil {
 		d.record.Close()
 		if total, dropped := d.record.Counts(); dropped > 0 {
-			d.log.Printf("record: %d of %d entries were dropped", dropped, total)
+			d.log.Warn("record entries dropped", "dropped", dropped, "total", total)
 		}
 	}
-	d.log.Printf("drain: all answered, exiting")
+	d.log.Info("drain done")
 }
--- a/internal/lifecycle/handover.go
+++ b/internal/lifecycle/handover.go
@@ -92,14 +92,14 @@
 		}
 	}
 	if err != nil {
-		d.log.Printf("handover: no predecessor, starting without its state: %v", err)
+		d.log.Warn("handover no predecessor", "reason", err)
 		return false
 	}
 	d.core.Restore(s)
 	if state.Drain {
 		d.sendAway(true)
 	}
-	d.log.Printf("handover: took over %d lot stores, %d records, out %v, drain %v", len(s.Servers), len(s.Records), s.Banned, state.Drain)
+	d.log.Info("handover took over", "stores", len(s.Servers), "records", len(s.Records), "out", s.Banned, "drain", state.Drain)
 	d.linked(link)
 	go d.serveLink(link, false)
 	return true
@@ -130,10 +130,10 @@
 			}
 			link, err := handover.Welcome(nc, d.linked, d.handState)
 			if err != nil {
-				d.log.Printf("handover: a process that came as successor failed: %v", err)
+				d.log.Warn("handover successor failed", "reason", err)
 			}
 			if link != nil {
-				d.log.Printf("handover: a successor has come, its part of the limits is its own")
+				d.log.Info("handover successor has come")
 				d.serveLink(link, true)
 			}
 		}
@@ -167,7 +167,7 @@
 	if d.draining.Load() {
 		return
 	}
-	d.log.Printf("handover: the other process has ended (%v), all limits are this one's", err)
+	d.log.Info("handover other has ended", "reason", err)
 	d.share()
 	if !successor {
 		return
@@ -177,7 +177,7 @@
 	h.mu.Unlock()
 	// The successor has died: the name is to lead here again.
 	if err := d.offer(); err != nil {
-		d.log.Printf("handover: no successor can be welcomed: %v", err)
+		d.log.Warn("handover cannot be offered", "reason", err)
 	}
 }
 
--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -101,15 +101,15 @@
 	switch {
 	case errors.As(err, &faults):
 		for _, f := range faults {
-			d.log.Printf("reload: limits stay: %v", f)
+			d.log.Warn("reload limits stay", "reason", f.Error())
 		}
 		return d.limits
 	case err != nil:
-		d.log.Printf("reload: limits stay: %v", err)
+		d.log.Warn("reload limits stay", "reason", err)
 		return d.limits
 	}
 	for _, line := range difference(d.limits, c) {
-		d.log.Printf("reload: limits: %s", line)
+		d.log.Info("reload limits", "change", line)
 	}
 	return c
 }
--- a/internal/lifecycle/operations.go
+++ b/internal/lifecycle/operations.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/textproto"
 	"os"
@@ -35,7 +36,7 @@
 			return nil, fmt.Errorf("store.dir: %w", err)
 		}
 		changed := func(values map[string]string) { x.changed(c, values) }
-		if x.store, err = store.Open(store.Config{Name: c.Name, Dir: o.Dir, Nodes: o.Nodes, Log: d.log.Writer(), Changed: changed}); err != nil {
+		if x.store, err = store.Open(store.Config{Name: c.Name, Dir: o.Dir, Nodes: o.Nodes, Log: slog.NewLogLogger(d.log.Handler(), slog.LevelInfo).Writer(), Changed: changed}); err != nil {
 			return nil, err
 		}
 	}
@@ -48,7 +49,7 @@
 		return nil, fmt.Errorf("operations: health: %w", err)
 	}
 	go agentcheck.Serve(x.agent, d.state)
-	d.log.Printf("operations: agent check=%s health=%s", x.agent.Addr(), d.Addrs()[len(d.doors)-1])
+	d.log.Info("operations", "agent_check", x.agent.Addr().String(), "health", d.Addrs()[len(d.doors)-1])
 	return x, nil
 }
 
@@ -72,13 +73,13 @@
 	marked := values[drainKey+c.Name] == "on"
 	if x.marked != marked { // the last word counts, the store's or an operator's call
 		x.marked = marked
-		x.d.log.Printf("store: drain mark %s", map[bool]string{true: "on", false: "off"}[marked])
+		x.d.log.Info("store drain mark", "on", marked)
 		x.d.sendAway(marked)
 	}
 	if text, ok := values[indicesKey]; ok && x.d.second != nil {
 		indices, err := parseIndices(gjson.Parse(text), x.d.settings.Load())
 		if err != nil {
-			x.d.log.Printf("store: %s cannot be used: %v", indicesKey, err)
+			x.d.log.Warn("store value cannot be used", "key", indicesKey, "reason", err)
 			return
 		}
 		x.d.second.SetIndices(indices)
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -12,11 +12,11 @@
 		return
 	}
 	if err := d.front.loadKeys(); err != nil {
-		d.log.Printf("reload: the keys of points in time stay: %v", err)
+		d.log.Warn("reload keys stay", "reason", err)
 		return
 	}
 	d.second.SetKeys(d.front.Keys)
-	d.log.Printf("reload: keys of points in time read from %s", d.front.KeyFile)
+	d.log.Info("reload keys", "file", d.front.KeyFile)
 }
 
 // Reload reads the configuration file again and puts its settings and its address of discovery in force. The file
@@ -26,7 +26,7 @@
 	d.reloadKeys()
 	c, err := LoadConfig(path, func(string) string { return "" })
 	if err != nil {
-		d.log.Printf("reload: the file cannot be used, the configuration stays: %v", err)
+		d.log.Warn("reload configuration stays", "reason", err)
 		return
 	}
 	set, kept := c.Settings.Over(*d.settings.Load())
@@ -42,7 +42,7 @@
 		}
 	}
 	for _, name := range kept {
-		d.log.Printf("reload: %s has changed, which takes effect at the next start only", name)
+		d.log.Warn("reload waits for the next start", "field", name)
 	}
 	// The core hears first, so that it knows each class by the time that a request names it.
 	d.limits = d.reloadLimits(&set)
@@ -54,7 +54,7 @@
 			classes = append(classes, name)
 		}
 	}
-	d.log.Printf("reload: settings in force, classes %s", strings.Join(classes, " "))
+	d.log.Info("reload settings in force", "classes", strings.Join(classes, " "))
 	if c.Discovery == d.config.Discovery {
 		return // the watch goes on: a new one would not be told again what this one was
 	}
@@ -63,5 +63,5 @@
 	d.unwatch()
 	d.config.Discovery = c.Discovery
 	d.follow(discovery.Fresh)
-	d.log.Printf("reload: following discovery at %s", c.Discovery)
+	d.log.Info("reload discovery", "addr", c.Discovery)
 }
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -37,7 +37,7 @@
 type Watcher struct {
 	Addr  string
 	Zones []string
-	Log   *log.Logger
+	Log   *slog.Logger
 	// Siblings is how many gatherers ask, this one included.
 	Siblings func() int
 	// Tell takes the news, in order.
@@ -135,7 +135,7 @@
 		next, err := w.watch(ctx, c, seq)
 		if err == nil {
 			if failing {
-				w.Log.Printf("discovery: following again, seq=%d", next)
+				w.Log.Info("discovery follows again", "seq", next)
 			}
 			seq, back, turns, failing = next, backFirst, 1, false
 			continue // at once: a watch goes on only if the next call comes within 200 ms
@@ -145,7 +145,7 @@
 			return
 		}
 		if !failing {
-			w.Log.Printf("discovery: failing: %v", err)
+			w.Log.Warn("discovery fails", "reason", err)
 		}
 		failing = true
 		w.rest(ctx, max(back, turns*w.round()))
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -3,7 +3,7 @@
 import (
 	"bufio"
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -21,7 +21,7 @@
 	ConnectTimeout time.Duration // also a probe's
 	ConnIdle       time.Duration // the lot store closes a connection idle for so long
 	MaxConns       int           // in all
-	Log            *log.Logger
+	Log            *slog.Logger
 }
 
 // Transport implements gather.Transport on frames. One lock covers all its books; nothing is written, read
@@ -168,7 +168,7 @@
 	}
 	c := t.conn(s, len(attempts))
 	if c == nil {
-		t.Log.Printf("conn: all %d connections are in use, server=%d", t.MaxConns, id)
+		t.Log.Warn("connections used up", "most", t.MaxConns, "store", id)
 		t.end(attempts, policy.ConnectFailed)
 		return
 	}
@@ -342,7 +342,7 @@
 	id := c.s.ID
 	t.mu.Unlock()
 	if !was || len(reset)+len(never) > 0 {
-		t.Log.Printf("conn: server=%d ended, %d parts out, %d never sent: %v", id, len(reset), len(never), err)
+		t.Log.Info("connection ended", "store", id, "out", len(reset), "never_sent", len(never), "reason", err)
 	}
 	for _, a := range reset {
 		t.report.Outcome(a, ran, "")
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/netip"
 	"net/textproto"
@@ -41,7 +41,7 @@
 	MaxConns int
 	Keep     int           // past so many connections, each new one closes one that rests; 0 for no such bound
 	Bodies   chan struct{} // bounds the bodies held at once, of all servers that share it; nil for no bound
-	Log      *log.Logger
+	Log      *slog.Logger
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -68,7 +68,7 @@
 }
 
 // New makes a server on a listener; Serve must follow.
-func New(l *net.TCPListener, h Handler, maxConns int, logger *log.Logger) *Server {
+func New(l *net.TCPListener, h Handler, maxConns int, logger *slog.Logger) *Server {
 	return &Server{Handle: h, MaxConns: maxConns, Log: logger, listener: l,
 		conns: map[*conn]struct{}{}, freed: make(chan struct{}, 1)}
 }
@@ -95,7 +95,7 @@
 				return
 			}
 			// Out of descriptors, most likely: free one, and try again when something has closed.
-			s.Log.Printf("accept failed: %v", err)
+			s.Log.Warn("accept failed", "reason", err)
 			s.closeIdle(1)
 			s.awaitFree(100 * time.Millisecond)
 			continue
@@ -403,7 +403,7 @@
 func (s *Server) handle(r *Request, gone <-chan struct{}) (p *Response) {
 	defer func() {
 		if x := recover(); x != nil {
-			s.Log.Printf("front panic: %v\n%s", x, debug.Stack())
+			s.Log.Error("front panic", "reason", x, "stack", string(debug.Stack()))
 			p = Text(500, "internal error")
 			p.Close = true
 		}
--- a/internal/net/opensearch/stores.go
+++ b/internal/net/opensearch/stores.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -30,7 +30,7 @@
 	ConnIdle       time.Duration // the lot store closes a connection idle for so long
 	MaxConns       int           // in all
 	MaxAnswer      int           // bytes of an answer, where more than 64 KiB
-	Log            *log.Logger
+	Log            *slog.Logger
 }
 
 // Stores implements gather.Transport on the API: the searches of a call travel as one _msearch, its
@@ -219,7 +219,7 @@
 		t.conns--
 	}
 	if t.conns >= t.MaxConns {
-		t.Log.Printf("conn: all %d connections are in use, server=%d", t.MaxConns, id)
+		t.Log.Warn("connections used up", "most", t.MaxConns, "store", id)
 		return nil, false, false
 	}
 	t.conns++
@@ -335,7 +335,7 @@
 		if a.Ask != nil && status == policy.OK {
 			found, why := parseFound(items[i].whole, a.Ask)
 			if why != "" {
-				t.Log.Printf("conn: server=%d answered a search with %s", id, why)
+				t.Log.Warn("answer not believed", "store", id, "reason", why)
 				t.end(a, policy.Error, "")
 				continue
 			}
@@ -354,7 +354,7 @@
 func (t *Stores) broken(ctx context.Context, id policy.ServerID, c *http1.Client, out []*gather.Attempt, err error) {
 	c.Close()
 	if ctx.Err() == nil {
-		t.Log.Printf("conn: server=%d ended, %d parts out, 0 never sent: %v", id, len(out), err)
+		t.Log.Info("connection ended", "store", id, "out", len(out), "never_sent", 0, "reason", err)
 	}
 	status := policy.Reset
 	if e := (*http1.Error)(nil); errors.As(err, &e) || errors.Is(err, errMalformed) {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
@@ -79,7 +80,7 @@
 	Ring     int   // entries that may wait for the writer
 	// Open makes a file; nil for os.OpenFile, appending.
 	Open func(path string) (io.WriteCloser, error)
-	Log  func(format string, args ...any)
+	Log  *slog.Logger // nil for none
 }
 
 // Bounds of an entry's text.
@@ -161,7 +162,7 @@
 	defer timer.Stop()
 	fail := func(err error) { // a full disk: what is lost is counted, and the next file is tried a moment later
 		if !failing && w.c.Log != nil {
-			w.c.Log("record: entries are dropped: %v", err)
+			w.c.Log.Warn("record drops entries", "reason", err)
 		}
 		failing = true
 		if out != nil {
