Counts by route at the health endpoint, and the log's level from the file of limits

Need: operators could not see what a limit does at present, and the level of the log changed by a restart only.

Change: GET /-/limits tells each route's counts and where its limit stands; logging.level in the file of limits is put in force at the start and by SIGHUP.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	c.LimitsFile, c.RecordDir = f.Limits, f.Record
+	c.LimitsFile, c.RecordDir, c.Level = f.Limits, f.Record, level
 	front, err := lifecycle.LoadFront(f.OpenSearch, &c.Settings)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 	"slices"
@@ -9,11 +10,13 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/logging"
 )
 
 // Config is what an installation's file says.
 type Config struct {
 	Limits Limits
+	Level  *slog.Level // of the log, nil where the file does not say
 }
 
 // Limits are the routes and what bounds all of them together.
@@ -48,13 +51,20 @@
 	top, r := read(file, text)
 	c := &Config{}
 	if len(r.faults) == 0 {
-		members := top.object("version", "limits")
+		members := top.object("version", "limits", "logging")
 		if v := members["version"]; !v.there() {
 			top.fault("lacks version: 1")
 		} else {
 			v.whole(1, 1, 1)
 		}
 		c.limits(members["limits"], classes)
+		if at := members["logging"].object("level")["level"]; at.there() {
+			level, err := logging.ParseLevel(at.of("info", "debug", "info", "warn", "error"))
+			if err != nil {
+				at.fault("%v", err)
+			}
+			c.Level = &level
+		}
 	}
 	if err := r.done(); err != nil {
 		return nil, err
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net"
 	"os"
@@ -24,10 +25,11 @@
 // Config is what one daemon is told.
 type Config struct {
 	Name, Listen, Discovery string
-	Admin                   string // where operators call; empty for nowhere
-	RecordDir               string // of the record of attempts; empty for none
-	LimitsFile              string // of limits by route; empty, or not there, for none
-	Inherited               int    // descriptor of the clients' listening socket, 0 where Listen is to be opened
+	Admin                   string         // where operators call; empty for nowhere
+	Level                   *slog.LevelVar // of the log, for the file of limits to set; nil for not
+	RecordDir               string         // of the record of attempts; empty for none
+	LimitsFile              string         // of limits by route; empty, or not there, for none
+	Inherited               int            // descriptor of the clients' listening socket, 0 where Listen is to be opened
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -84,6 +84,10 @@
 // limited puts limits in force with settings: the settings first, as the limits name their classes.
 func (d *Daemon) limited(set settings.Settings, c *config.Config) settings.Settings {
 	l := gather.Limits{}
+	if c != nil && c.Level != nil && d.config.Level != nil && d.config.Level.Level() != *c.Level {
+		d.config.Level.Set(*c.Level)
+		d.log.Warn("log level", "level", c.Level.String())
+	}
 	if c != nil {
 		set, l.Class = narrowed(set, c.Limits.Routes)
 		l.Table, l.Repeats = c.Limits.Table, c.Limits.Repeats
--- a/internal/lifecycle/limits_test.go
+++ b/internal/lifecycle/limits_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 
+	"github.com/tidwall/gjson"
+
 	"pulleygw.example/pulleygw/internal/audit"
 	"pulleygw.example/pulleygw/internal/record"
 )
@@ -42,8 +44,8 @@
 	}
 	write("version: 1\nlimits:\n  routes:\n    - name: bids\n      class: place-bid\n      rate: {per_second: 0.001, burst: 2}\n    - name: pages\n      match: {front: opensearch, index: lots}\n      depth: 5\n")
 	logs := &lockedBuffer{}
-	dir := t.TempDir()
-	w := startConfig(t, "opensearch", nil, func(c *Config) { c.LimitsFile, c.RecordDir = file, dir })
+	dir, level := t.TempDir(), &slog.LevelVar{}
+	w := startConfig(t, "opensearch", &OperationsConfig{AgentCheck: "127.0.0.1:0", Health: "127.0.0.1:0"}, func(c *Config) { c.LimitsFile, c.RecordDir, c.Level = file, dir, level })
 	w.log = slog.New(slog.NewTextHandler(logs, nil))
 	bid := func(id string) int {
 		return do(t, w.Addrs()[0], "POST", "/place-bid", textproto.MIMEHeader{"Req-Id": {id}, "Idempotency-Key": {id}, "Req-Deadline": {"3000m"}},
@@ -53,12 +55,16 @@
 	if a, b, c, d := bid("b1"), bid("b2"), bid("b3"), depth(); a != 200 || b != 200 || c != 503 || d != 400 {
 		t.Errorf("two bids and one too many: %d, %d, %d; a page too deep: %d", a, b, c, d)
 	}
+	p := do(t, w.Addrs()[2], "GET", "/-/limits", nil, "")
+	if g := gjson.ParseBytes(p.Body); p.Status != 200 || g.Get("bids.admitted").Int() != 2 || g.Get("bids.refused").Int() != 1 || !g.Get("pages").Exists() {
+		t.Errorf("counts: %d %s", p.Status, p.Body)
+	}
 	write("version: 1\nlimits:\n  routes:\n    - name: bids\n      attempts: 9\n      rate: {per_second: 0}\n")
 	w.Reload(w.file)
 	if got := depth(); got != 400 || !strings.Contains(logs.String(), "limits.yaml:5:17: limits.routes[0].attempts") || !strings.Contains(logs.String(), "rate.per_second") {
 		t.Errorf("a bad file: %d\n%s", got, logs)
 	}
-	write("version: 1\nlimits:\n  routes:\n    - name: bids\n      class: place-bid\n      attempts: 2\n      rate: {per_second: 1000, burst: 50}\n")
+	write("version: 1\nlogging: {level: debug}\nlimits:\n  routes:\n    - name: bids\n      class: place-bid\n      attempts: 2\n      rate: {per_second: 1000, burst: 50}\n")
 	w.Reload(w.file)
 	if a, d := bid("b4"), depth(); a != 200 || d != 200 {
 		t.Errorf("wider limits: bid %d, page %d\n%s", a, d, logs)
@@ -68,6 +74,9 @@
 			t.Errorf("the log lacks %s:\n%s", line, logs)
 		}
 	}
+	if level.Level() != slog.LevelDebug {
+		t.Errorf("level %v", level.Level())
+	}
 	os.Remove(file)
 	w.Reload(w.file)
 	if got := w.core.Gates(); len(got) != 0 {
--- a/internal/lifecycle/operations.go
+++ b/internal/lifecycle/operations.go
@@ -91,6 +91,16 @@
 	if p := agentcheck.Health(r, x.d.state); p != nil {
 		return p
 	}
+	if r.Path == "/-/limits" {
+		if r.Method != "GET" {
+			return http1.Text(405, "the counts are a GET")
+		}
+		b, err := json.Marshal(x.d.core.Gates())
+		if err != nil {
+			return http1.Text(500, err.Error())
+		}
+		return &http1.Response{Status: 200, Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}, Body: b}
+	}
 	key, isState := strings.CutPrefix(r.Path, "/-/state")
 	key = strings.TrimPrefix(key, "/")
 	switch {
--- a/internal/lifecycle/replay_test.go
+++ b/internal/lifecycle/replay_test.go
@@ -93,7 +93,14 @@
 		}
 		hosts = append(hosts, standin.Host(fmt.Sprintf("s-%d", i), l.Addr().String(), []string{"cheonan", "pyeongtaek"}[i%2], i/2, "ready"))
 	}
-	list := standin.List(1, hosts...)
+	f := &FrontConfig{Listen: "127.0.0.1:0", Indices: map[string]string{"lots": "lot-search", "bids": "place-bid"},
+		Stores: storesSpeak == "opensearch"}
+	d, file := startAmong(t, standin.List(1, hosts...), f, o, change)
+	return world{d, s, file}
+}
+
+// startAmong starts a daemon whose discovery has a list, and tells its configuration file.
+func startAmong(t *testing.T, list string, f *FrontConfig, o *OperationsConfig, change func(*Config)) (*Daemon, string) {
 	agent := standin.Listen(t)
 	go standin.Discovery(agent, list)
 	set, err := os.ReadFile("testdata/settings.json")
@@ -111,14 +118,12 @@
 		t.Fatal(err)
 	}
 	change(&c)
-	f := &FrontConfig{Listen: "127.0.0.1:0", Indices: map[string]string{"lots": "lot-search", "bids": "place-bid"},
-		Stores: storesSpeak == "opensearch"}
 	d, err := Start(c, f, o, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Drain)
-	return world{d, s, file}
+	return d, file
 }
 
 // do sends one request on a connection of its own.
--- a/internal/lifecycle/search_test.go
+++ b/internal/lifecycle/search_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -41,8 +40,8 @@
 			go lots.Serve(l.(*net.TCPListener), corpus.NewCopy(name, time.Hour), script, asked)
 			hosts = append(hosts, standin.Host(name, l.Addr().String(), []string{"cheonan", "pyeongtaek"}[i%2], i/2, "ready"))
 		}
-		d := startAmong(t, standin.List(1, hosts...), &FrontConfig{Listen: "127.0.0.1:0",
-			Indices: map[string]string{"lots": "lot-search", "bids": "place-bid"}, Stores: true, Phases: phases})
+		d, _ := startAmong(t, standin.List(1, hosts...), &FrontConfig{Listen: "127.0.0.1:0",
+			Indices: map[string]string{"lots": "lot-search", "bids": "place-bid"}, Stores: true, Phases: phases}, nil, func(*Config) {})
 		for i := range 4 {
 			p := do(t, d.Addrs()[1], "POST", fmt.Sprintf("/lots/_search?from=%d&size=5&timeout=3s", i%2*5), nil,
 				`{"query":{"match":{"title":"tractor"}},"sort":[{"price":"desc"}],"_source":["title","price"]}`)
@@ -65,32 +64,6 @@
 	}
 }
 
-// startAmong starts a daemon whose discovery has a list.
-func startAmong(t *testing.T, list string, f *FrontConfig) *Daemon {
-	agent := standin.Listen(t)
-	go standin.Discovery(agent, list)
-	set, err := os.ReadFile("testdata/settings.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	file := t.TempDir() + "/config.json"
-	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, agent.Addr(), list, set)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c, err := LoadConfig(file, func(string) string { return "" })
-	if err != nil {
-		t.Fatal(err)
-	}
-	d, err := Start(c, f, nil, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Drain)
-	return d
-}
-
 // Keys of points in time rotate by SIGHUP: tokens of the key before stay good until it is taken out, at every process
 // that has the file, and a file that others can read or that holds no key changes nothing.
 func TestKeysRotate(t *testing.T) {
@@ -123,7 +96,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return startAmong(t, standin.List(1, hosts...), f)
+		d, _ := startAmong(t, standin.List(1, hosts...), f, nil, func(*Config) {})
+		return d
 	}
 	one, two := startOne(), startOne()
 	open := func(d *Daemon) string {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -360,8 +360,15 @@
 
 // Counts are what a gate has done, for operators.
 type Counts struct {
-	Admitted, Queued, Refused, GivenUp, Repeats, RepeatsRefused uint64
-	InHand, Waiting, Limit                                      int
+	Admitted       uint64 `json:"admitted"`
+	Queued         uint64 `json:"queued"`
+	Refused        uint64 `json:"refused"`  // at the door
+	GivenUp        uint64 `json:"given_up"` // after they had waited
+	Repeats        uint64 `json:"repeats"`
+	RepeatsRefused uint64 `json:"repeats_refused"`
+	InHand         int    `json:"in_hand"`
+	Waiting        int    `json:"waiting"`
+	Limit          int    `json:"limit"` // of concurrency now, 0 for none
 }
 
 type waiter struct {
