The installation's own file holds the second front and operations too

Need: what an installation says stood in three JSON files and one of limits, of which only the last told faults by line.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -41,6 +41,19 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	fileFront, fileOperations, err := lifecycle.LoadFile(f.Limits, &c.Settings)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	if front != nil && fileFront != nil || operations != nil && fileOperations != nil {
+		return fmt.Errorf("configuration: %s says what %s or %s says too: want it in one of them", f.Limits, f.OpenSearch, f.Operations)
+	}
+	if fileFront != nil {
+		front = fileFront
+	}
+	if fileOperations != nil {
+		operations = fileOperations
+	}
 	d, err := lifecycle.Start(c, front, operations, logger)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -63,7 +63,7 @@
 
 Exit codes: 0 all is well, 1 a file has faults or a call was answered no, 2 the command line is not understood,
 3 nobody answers at the address.`,
-		Example:       "  pulleygw --config examples/config.json --limits examples/limits.yaml\n  pulleygw check examples/limits.yaml --config examples/config.json",
+		Example:       "  pulleygw --config examples/config.json --file examples/pulleygw.yaml\n  pulleygw check examples/pulleygw.yaml --config examples/config.json",
 		SilenceErrors: true, SilenceUsage: true, Args: noArgs,
 	}
 	root.SetArgs(longFlags(args))
@@ -72,7 +72,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &codeError{ExitUsage, err} })
 	f := root.PersistentFlags()
 	f.StringVar(&files.Config, "config", os.Getenv("LB_CONFIG"), "the configuration file (default $LB_CONFIG)")
-	f.StringVar(&files.Limits, "limits", "deploy/limits.yaml", "the file of limits by route; without it there are none")
+	f.StringVar(&files.Limits, "file", "deploy/pulleygw.yaml", "the installation's own file: fronts, operations, limits, log level; without it there are none")
 	root.Flags().StringVar(&files.OpenSearch, "opensearch", "deploy/opensearch.json", "the OpenSearch-style front's file; without it that front is off")
 	root.Flags().StringVar(&files.Operations, "operations", "deploy/operations.json", "the file of the balancers' endpoints and the store; without it they are off")
 	root.Flags().StringVar(&files.Record, "record", "", "the folder for the record of attempts; none for no record")
@@ -121,7 +121,7 @@
 	for i, a := range args {
 		name, _, _ := strings.Cut(strings.TrimPrefix(a, "-"), "=")
 		switch list[i] = a; name {
-		case "config", "limits", "opensearch", "operations", "record":
+		case "config", "file", "opensearch", "operations", "record":
 			if !strings.HasPrefix(a, "--") && strings.HasPrefix(a, "-") {
 				list[i] = "-" + a
 			}
@@ -145,7 +145,7 @@
 func check(files *Files) *cobra.Command {
 	asJSON := false
 	c := &cobra.Command{Use: "check [FILE]", Short: "Check a file of limits: all its faults, by line and rule",
-		Example: "  pulleygw check deploy/limits.yaml --config config.json\n  pulleygw check --json",
+		Example: "  pulleygw check deploy/pulleygw.yaml --config config.json\n  pulleygw check --json",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			path := files.Limits
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -22,8 +22,8 @@
 
 // No command means serving, with the flags that there were, by one dash or two; a fault at the start is code 1.
 func TestServe(t *testing.T) {
-	for _, args := range [][]string{{}, {"serve"}, {"-config", "c", "-limits=l", "-opensearch", "o"}, {"--config", "c", "--limits", "l", "--opensearch=o"},
-		{"serve", "-config=c", "--limits", "l", "-opensearch", "o"}} {
+	for _, args := range [][]string{{}, {"serve"}, {"-config", "c", "-file=l", "-opensearch", "o"}, {"--config", "c", "--file", "l", "--opensearch=o"},
+		{"serve", "-config=c", "--file", "l", "-opensearch", "o"}} {
 		code, _, errOut, served := run(t, args...)
 		if code != 0 || served == nil || len(args) > 1 && (served.Config != "c" || served.Limits != "l" || served.OpenSearch != "o") || served.Operations != "deploy/operations.json" {
 			t.Errorf("%v: code %d, %+v %s", args, code, served, errOut)
@@ -42,7 +42,7 @@
 
 // Faults come one a line with code 1, as JSON too; a good file is said to be.
 func TestCheck(t *testing.T) {
-	if code, out, _, _ := run(t, "check", "../../examples/limits.yaml", "--config", platform); code != 0 || !strings.Contains(out, "good, 3 routes") {
+	if code, out, _, _ := run(t, "check", "../../examples/pulleygw.yaml", "--config", platform); code != 0 || !strings.Contains(out, "good, 3 routes") {
 		t.Errorf("code %d: %s", code, out)
 	}
 	bad := t.TempDir() + "/limits.yaml"
@@ -70,9 +70,9 @@
 
 // A request's route, class and limits are told, each with the line that it comes from.
 func TestExplain(t *testing.T) {
-	args := []string{"explain", "--config", platform, "--limits", "../../examples/limits.yaml", "--front", "opensearch", "--index", "lots"}
+	args := []string{"explain", "--config", platform, "--file", "../../examples/pulleygw.yaml", "--front", "opensearch", "--index", "lots"}
 	code, out, errOut, _ := run(t, append(args, "--client", "10.1.2.3")...)
-	for _, want := range []string{"route: floor terminals", "limits.yaml:15", "wanted             900ms        ../../examples/limits.yaml:10", "rate.per_second    500          ../../examples/limits.yaml:19",
+	for _, want := range []string{"route: floor terminals", "pulleygw.yaml:15", "wanted             900ms        ../../examples/pulleygw.yaml:10", "rate.per_second    500          ../../examples/pulleygw.yaml:19",
 		"attempts           4            ../../examples/config.json (class lot-search)"} {
 		if code != 0 || !strings.Contains(out, want) {
 			t.Errorf("code %d, want %q in\n%s%s", code, want, out, errOut)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,9 @@
 type Config struct {
 	Limits Limits
 	Level  *slog.Level // of the log, nil where the file does not say
+
+	OpenSearch *OpenSearch // nil for off
+	Operations *Operations // nil for off
 }
 
 // Limits are the routes and what bounds all of them together.
@@ -51,13 +54,15 @@
 	top, r := read(file, text)
 	c := &Config{}
 	if len(r.faults) == 0 {
-		members := top.object("version", "limits", "logging")
+		members := top.object("version", "limits", "logging", "fronts", "operations")
 		if v := members["version"]; !v.there() {
 			top.fault("lacks version: 1")
 		} else {
 			v.whole(1, 1, 1)
 		}
 		c.limits(members["limits"], classes)
+		c.OpenSearch = openSearch(members["fronts"].object("opensearch")["opensearch"], classes)
+		c.Operations = operations(members["operations"])
 		if at := members["logging"].object("level")["level"]; at.there() {
 			level, err := logging.ParseLevel(at.of("info", "debug", "info", "warn", "error"))
 			if err != nil {
--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -9,7 +9,9 @@
 	"pulleygw.example/pulleygw/internal/config"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/internal/store"
 	"pulleygw.example/pulleygw/policy"
 )
 
@@ -81,6 +83,30 @@
 	return config.Load(path, LimitClasses(set))
 }
 
+// LoadFile reads the installation's file, and what it says of the second front and of operations; all nil without it.
+func LoadFile(path string, set *settings.Settings) (*FrontConfig, *OperationsConfig, error) {
+	c, err := loadLimits(path, set)
+	if err != nil || c == nil {
+		return nil, nil, err
+	}
+	var front *FrontConfig
+	if o := c.OpenSearch; o != nil {
+		front = &FrontConfig{Listen: o.Listen, Indices: o.Indices, Stores: o.Stores == "opensearch", Ties: o.Ties == "id", KeyFile: o.KeyFile,
+			Phases: map[string]search.Phases{"one": search.One, "two": search.Two}[o.Phases]}
+		if err := front.loadKeys(); err != nil {
+			return nil, nil, fmt.Errorf("%s: fronts.opensearch.pit.keys: %w", path, err)
+		}
+	}
+	var operations *OperationsConfig
+	if o := c.Operations; o != nil {
+		operations = &OperationsConfig{AgentCheck: o.AgentCheck, Health: o.Health, Dir: o.Dir}
+		for _, n := range o.Nodes {
+			operations.Nodes = append(operations.Nodes, store.Node{Name: n.Name, Raft: n.Raft, Operations: n.Operations})
+		}
+	}
+	return front, operations, nil
+}
+
 // limited puts limits in force with settings: the settings first, as the limits name their classes.
 func (d *Daemon) limited(set settings.Settings, c *config.Config) settings.Settings {
 	l := gather.Limits{}
--- a/internal/lifecycle/limits_test.go
+++ b/internal/lifecycle/limits_test.go
@@ -100,8 +100,8 @@
 
 // On the platform, whose deploy folder has no file of limits, there are none.
 func TestNoLimitsOnThePlatform(t *testing.T) {
-	if _, err := os.Stat("../../deploy/limits.yaml"); !os.IsNotExist(err) {
-		t.Error("deploy/limits.yaml is there")
+	if _, err := os.Stat("../../deploy/pulleygw.yaml"); !os.IsNotExist(err) {
+		t.Error("deploy/pulleygw.yaml is there")
 	}
 	w := start(t, "frames")
 	if got := w.core.Gates(); len(got) != 0 {
