--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -92,7 +93,7 @@
 	serveCommand := &cobra.Command{Use: "serve", Short: "Serve; what no command means", Args: noArgs,
 		RunE: func(*cobra.Command, []string) error { return serving() }}
 	serveCommand.Flags().AddFlagSet(root.Flags())
-	root.AddCommand(serveCommand, check(&files), explain(&files), auditCommand(), ctl(), version())
+	root.AddCommand(serveCommand, check(&files), explain(&files), auditCommand(), logCommand(), ctl(), version())
 	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return 0
@@ -291,6 +292,66 @@
 		}}
 }
 
+var kindNames = map[record.Kind]string{record.Arrived: "arrived", record.Let: "let", record.Attempt: "attempt", record.Final: "final",
+	record.Dropped: "dropped", record.Begun: "begun"}
+
+// logCommand shows a record, filtered, and goes on as it grows.
+func logCommand() *cobra.Command {
+	var route, class, verdict, kind string
+	var request uint64
+	var store uint32
+	follow := false
+	c := &cobra.Command{Use: "log FOLDER", Short: "Show the record of attempts, one entry a line as JSON", Args: cobra.ExactArgs(1),
+		Example: "  pulleygw log FOLDER --route dealers --verdict refuse --follow\n  pulleygw log FOLDER --request 812",
+		RunE: func(c *cobra.Command, args []string) error {
+			out := json.NewEncoder(c.OutOrStdout())
+			show := func(e record.Entry) error {
+				if kind != "" && kindNames[e.Kind] != kind || route != "" && e.Route != route || class != "" && e.Class != class ||
+					verdict != "" && e.Verdict != verdict || request > 0 && e.Request != request || store > 0 && e.Store != store {
+					return nil
+				}
+				return out.Encode(struct {
+					Kind string    `json:"kind"`
+					At   time.Time `json:"at"`
+					record.Entry
+				}{kindNames[e.Kind], time.UnixMicro(e.At).UTC(), e})
+			}
+			tail := &record.Tail{Dir: args[0]}
+			if _, err := os.Stat(args[0]); err != nil {
+				return err
+			}
+			if err := tail.Next(show); err != nil || !follow {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt)
+			defer stop()
+			tick := time.NewTicker(followEvery)
+			defer tick.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-tick.C:
+					if err := tail.Next(show); err != nil {
+						return err
+					}
+				}
+			}
+		}}
+	f := c.Flags()
+	f.StringVar(&kind, "kind", "", "arrived, let, attempt, final, dropped or begun")
+	f.StringVar(&route, "route", "", "of a route's arrivals")
+	f.StringVar(&class, "class", "", "of a class's arrivals")
+	f.StringVar(&verdict, "verdict", "", "admit, wait, refuse, answered, refused, failed or left")
+	f.Uint64Var(&request, "request", 0, "of one request, by its number")
+	f.Uint32Var(&store, "store", 0, "of attempts at a lot store, by its number")
+	f.BoolVar(&follow, "follow", false, "go on as it grows, until interrupted")
+	return c
+}
+
+// followEvery is how often a record is looked at for what is new.
+const followEvery = 200 * time.Millisecond
+
 // ctl makes operators' calls, one line each; docs/operating.md says what they do.
 func ctl() *cobra.Command {
 	admin := os.Getenv("LB_ADMIN")
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"pulleygw.example/pulleygw/internal/net/admin"
+	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/standin"
 )
 
@@ -86,6 +87,45 @@
 	}
 }
 
+// A record is shown by what is asked for, and proved or not.
+func TestLogAndAudit(t *testing.T) {
+	dir := t.TempDir()
+	w, err := record.Open(record.Config{Dir: dir, FileSize: 1 << 20, Files: 2, Ring: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := &record.InForce{Attempts: 1}
+	for n := range uint64(3) {
+		w.Record(record.Entry{Kind: record.Arrived, At: int64(n), Request: n + 1, Route: "r", Verdict: "admit", In: in})
+		w.Record(record.Entry{Kind: record.Attempt, At: int64(n) + 10, Request: n + 1, Sent: int64(n) + 5, Store: 4, Status: "ok"})
+		w.Record(record.Entry{Kind: record.Final, At: int64(n) + 11, Request: n + 1, Verdict: "answered"})
+	}
+	w.Close()
+	if code, out, _, _ := run(t, "log", dir, "--request", "2"); code != 0 || strings.Count(out, "\n") != 3 || !strings.Contains(out, `"kind":"arrived"`) {
+		t.Errorf("code %d: %s", code, out)
+	}
+	if code, out, _, _ := run(t, "log", dir, "--store", "4", "--kind", "attempt"); code != 0 || strings.Count(out, "\n") != 3 {
+		t.Errorf("code %d: %s", code, out)
+	}
+	if code, out, _, _ := run(t, "audit", dir); code != 0 || !strings.Contains(out, "3 requests: 3 answered") || !strings.Contains(out, "every limit held") {
+		t.Errorf("code %d: %s", code, out)
+	}
+	if w, err = record.Open(record.Config{Dir: dir, FileSize: 1 << 20, Files: 2, Ring: 100}); err != nil {
+		t.Fatal(err)
+	}
+	w.Record(record.Entry{Kind: record.Arrived, At: 1, Request: 1, Route: "r", Verdict: "admit", In: in})
+	for n := range 2 {
+		w.Record(record.Entry{Kind: record.Attempt, At: int64(10 * n), Request: 1, Number: n, Sent: int64(10*n + 1), Status: "error"})
+	}
+	w.Close()
+	if code, out, errOut, _ := run(t, "audit", dir); code != ExitFault || !strings.Contains(out, "2 attempts over its steps, 1 allowed") || !strings.Contains(errOut, "breaches") {
+		t.Errorf("code %d: %s%s", code, out, errOut)
+	}
+	if code, _, _, _ := run(t, "log", dir+"/none"); code != ExitFault {
+		t.Errorf("no folder: code %d", code)
+	}
+}
+
 // Calls are made as operators make them; no, and nobody there, are told apart by the code.
 func TestCtl(t *testing.T) {
 	l := standin.Listen(t)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -297,7 +297,7 @@
 		if err != nil {
 			return torn, fmt.Errorf("record: %w", err)
 		}
-		good, err := Decode(in, f)
+		good, _, err := Decode(in, f)
 		in.Close()
 		if err != nil {
 			return torn, fmt.Errorf("%s: %w", name, err)
@@ -309,28 +309,72 @@
 	return torn, nil
 }
 
-// Decode hands each entry of a text to f; false where the text ends torn. An error is f's.
-func Decode(in io.Reader, f func(Entry) error) (good bool, err error) {
+// Decode hands each entry of a text to f; false where the text ends torn. read is the bytes of whole entries. An error
+// is f's.
+func Decode(in io.Reader, f func(Entry) error) (good bool, read int64, err error) {
 	r := bufio.NewReader(in)
 	var head [8]byte
 	for {
 		if _, err := io.ReadFull(r, head[:]); err != nil {
-			return err == io.EOF, nil
+			return err == io.EOF, read, nil
 		}
 		n := binary.LittleEndian.Uint32(head[:4])
 		if n > maxEntry {
-			return false, nil
+			return false, read, nil
 		}
 		text := make([]byte, n)
 		if _, err := io.ReadFull(r, text); err != nil || crc32.Checksum(text, table) != binary.LittleEndian.Uint32(head[4:]) {
-			return false, nil
+			return false, read, nil
 		}
 		var e Entry
 		if msgpack.Unmarshal(text, &e) != nil {
-			return false, nil
+			return false, read, nil
 		}
+		read += 8 + int64(n)
 		if err := f(e); err != nil {
-			return false, err
+			return false, read, err
 		}
 	}
 }
+
+// Tail reads a folder's entries as they come.
+type Tail struct {
+	Dir  string
+	name string
+	at   int64
+}
+
+// Next hands the entries that are new since the last call to f. An end that is torn is perhaps still being written, and
+// is tried again until a later file is there.
+func (t *Tail) Next(f func(Entry) error) error {
+	names, err := files(t.Dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if name < t.name {
+			continue
+		}
+		if name > t.name {
+			t.name, t.at = name, 0
+		}
+		in, err := os.Open(name)
+		if errors.Is(err, os.ErrNotExist) {
+			continue // it was the oldest, and has gone since
+		}
+		if err != nil {
+			return fmt.Errorf("record: %w", err)
+		}
+		_, err = in.Seek(t.at, io.SeekStart)
+		if err == nil {
+			var read int64
+			_, read, err = Decode(in, f)
+			t.at += read
+		}
+		in.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -82,6 +82,40 @@
 	}
 }
 
+// A tail hands each entry over once, over files, a torn end included once it is whole.
+func TestTail(t *testing.T) {
+	dir := t.TempDir()
+	var got []uint64
+	tail := &Tail{Dir: dir}
+	next := func() {
+		if err := tail.Next(func(e Entry) error { got = append(got, e.Request); return nil }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next()
+	var b bytes.Buffer
+	var x Encoder
+	for n := range 3 {
+		e := entry(n + 1)
+		if _, err := x.Append(&b, &e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text := b.Bytes()
+	for _, step := range []struct {
+		name string
+		upTo int
+		want int
+	}{{"record-000000001", 20, 0}, {"record-000000001", len(text) - 1, 2}, {"record-000000001", len(text), 3}, {"record-000000002", len(text) / 3, 4}} {
+		if err := os.WriteFile(dir+"/"+step.name, text[:step.upTo], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if next(); len(got) != step.want {
+			t.Errorf("%s up to %d: %v", step.name, step.upTo, got)
+		}
+	}
+}
+
 // full is a disk with room for so many bytes.
 type full struct {
 	mu   sync.Mutex
@@ -136,8 +170,8 @@
 
 func feed(b []byte) error {
 	n := 0
-	good, err := Decode(bytes.NewReader(b), func(Entry) error { n++; return nil })
-	if err != nil || !good || n == 0 {
+	good, read, err := Decode(bytes.NewReader(b), func(Entry) error { n++; return nil })
+	if err != nil || !good || n == 0 || read != int64(len(b)) {
 		return errors.New("torn")
 	}
 	return nil
