Random walks of pages, listings of a pinned page pinned too, a timeout in a search's body

Random walks found that listings of a page at a point in time were asked of the newest view, so that a lot that had changed was left out although its copy still held what was pinned.

Planner and the platform's path are untouched.

--- a/internal/net/opensearch/ask.go
+++ b/internal/net/opensearch/ask.go
@@ -69,7 +69,7 @@
 		}
 		b = append(b, ']')
 	}
-	if v, pinned := q.Pins[shard]; pinned && a.IDs == nil { // a lot store that still has it answers from there
+	if v, pinned := q.Pins[shard]; pinned { // a lot store that still has it answers from there
 		b = append(strconv.AppendInt(append(b, `,"view":{"version":`...), v, 10), '}')
 	}
 	for _, name := range []string{"min_score", "terminate_after"} {
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -140,6 +140,9 @@
 			return e
 		}
 		a.q.Search, a.q.Text = w.Query, w.text()
+		if w.timeout > 0 && !params.Has("timeout") { // the nearest to the search counts
+			a.q.Deadline = now.Add(w.timeout)
+		}
 		if e := f.pinned(a, w, now); e != nil {
 			return e
 		}
--- a/internal/net/opensearch/parsers_test.go
+++ b/internal/net/opensearch/parsers_test.go
@@ -80,6 +80,7 @@
 	for _, x := range []struct{ body, params, want string }{
 		{"{\n \"query\":7}", "", "line 2, column 10: not an object"},
 		{`{"query":{"function_score":{}}}`, "", "unknown query [function_score]"},
+		{`{"timeout":"soon"}`, "", "[timeout] with value [soon]"},
 		{`{"_source":5}`, "", "[_source] is neither"},
 		{`{}`, "q=a:[1 TO", "[q] line 1, column"},
 		{`{"query":{"match_all":{}}}`, "q=a", "[q] and [query]"},
--- a/internal/net/opensearch/phases_test.go
+++ b/internal/net/opensearch/phases_test.go
@@ -177,9 +177,7 @@
 			}
 			time.Sleep(11 * time.Second) // promises have run out: all is asked
 			for cell := range silent {
-				for _, s := range r.holders(cell) {
-					s.trouble = func(int, lots.Phase) (standin.End, time.Duration) { return standin.Silent, 0 }
-				}
+				r.silence(cell)
 			}
 			begin := time.Now()
 			status, got := r.search("", tractors)
@@ -207,9 +205,7 @@
 		o.unit = 0.0001
 		r := newRig(o)
 		defer r.stop()
-		for _, s := range r.holders(0) {
-			s.trouble = func(int, lots.Phase) (standin.End, time.Duration) { return standin.Silent, 0 }
-		}
+		r.silence(0)
 		for range 10 {
 			time.Sleep(11 * time.Second)
 			if status, got := r.search("", tractors); status != 200 || len(hitIDs(got)) != 10 {
@@ -533,9 +529,7 @@
 				}
 			}
 			time.Sleep(usual.refresh)
-			for _, s := range r.holders(0) {
-				s.trouble = func(int, lots.Phase) (standin.End, time.Duration) { return standin.Silent, 0 }
-			}
+			r.silence(0)
 			status, got := r.search("", body)
 			if n := got.Get("aggregations.n"); status != 200 || n.Get("meta.bound").Str != "lower" || n.Get("value").Num >= want.Get("n.value").Num {
 				t.Errorf("%d %s of %s", status, n.Raw, want.Get("n").Raw)
@@ -544,19 +538,27 @@
 	}
 }
 
-// walk reads all pages of a search at a point in time, five lots each, and calls between before each further page.
-func (r *rig) walk(t *testing.T, token, body string, between func(page int)) (ids []string, last gjson.Result) {
+// walk reads all pages of a search at a point in time, five lots each, and calls between before each further page. named
+// are the ranges that some page said to be missing, and under changedOf how many lots pages left out as they had changed.
+func (r *rig) walk(t testing.TB, token, body string, between func(page int)) (ids []string, last gjson.Result, named map[int]int) {
 	t.Helper()
 	after := ""
+	named = map[int]int{}
 	for page := 1; ; page++ {
 		text := strings.TrimSuffix(body, "}") + `,"size":5,"pit":{"id":"` + token + `","keep_alive":"2m"}` + after + "}"
 		status, got := r.call("POST", "/_search", "", text)
 		if status != 200 {
 			t.Fatalf("page %d: %d %s", page, status, got.Raw)
 		}
+		for _, x := range got.Get("coverage.missing").Array() {
+			named[int(x.Int())] = 1
+		}
+		if n := int(got.Get("coverage.changed").Int()); n > 0 {
+			named[changedOf] += n
+		}
 		hits := got.Get("hits.hits").Array()
 		if last = got; len(hits) == 0 {
-			return ids, last
+			return ids, last, named
 		}
 		for _, h := range hits {
 			ids = append(ids, h.Get("_id").Str)
@@ -567,12 +569,14 @@
 	}
 }
 
+const changedOf = -1
+
 func (r *rig) call(method, path, query, body string) (int, gjson.Result) {
 	p := r.front.Handle(&http1.Request{Method: method, Path: path, Query: query, Body: []byte(body), At: time.Now()}, nil)
 	return p.Status, gjson.ParseBytes(p.Body)
 }
 
-func (r *rig) open(t *testing.T) string {
+func (r *rig) open(t testing.TB) string {
 	t.Helper()
 	keys, err := pages.NewKeys([]byte(strings.Repeat("k", 32)))
 	if err != nil {
@@ -601,7 +605,7 @@
 			token := r.open(t)
 			want, _ := r.truth(body, 0, 10000)
 			moved := map[int]bool{}
-			ids, last := r.walk(t, token, body, func(page int) {
+			ids, last, _ := r.walk(t, token, body, func(page int) {
 				if page > 8 { // two ranges change for good
 					return
 				}
@@ -641,15 +645,13 @@
 		for range 3 {
 			r.search("", tractors)
 		}
-		for _, s := range r.holders(0) {
-			s.trouble = func(int, lots.Phase) (standin.End, time.Duration) { return standin.Silent, 0 }
-		}
+		r.silence(0)
 		token := r.open(t)
 		for _, s := range r.holders(0) {
 			s.trouble = nil
 		}
 		time.Sleep(5 * time.Second)
-		ids, last := r.walk(t, token, tractors, func(int) {})
+		ids, last, _ := r.walk(t, token, tractors, func(int) {})
 		c := last.Get("coverage")
 		if c.Get("whole").Bool() || c.Get("missing").Raw != "[0,6,12,18]" || c.Get("weight").Num > 0.84 || len(ids) == 0 {
 			t.Errorf("%d lots, %s", len(ids), c.Raw)
@@ -709,7 +711,7 @@
 			t.Fatal("the copy that has caught up never answered")
 		}
 		before := r.asked(3, lots.Scores) + r.asked(3, lots.Both)
-		ids, last := r.walk(t, token, tractors, func(int) {})
+		ids, last, _ := r.walk(t, token, tractors, func(int) {})
 		want, _ := r.truth(tractors, 0, 10000)
 		pagesSeen := (len(ids)+4)/5 + 1
 		if asked := r.asked(3, lots.Scores) + r.asked(3, lots.Both) - before; asked <= pagesSeen {
--- a/internal/net/opensearch/query.go
+++ b/internal/net/opensearch/query.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tidwall/gjson"
 
@@ -36,7 +37,8 @@
 	source    string // of _source as JSON, empty for all
 	pit, keep string // a point in time's token, and a longer life for it
 	minScore  string // as JSON, empty for none
-	terminate int    // lots that a range looks at, 0 for all
+	timeout   time.Duration
+	terminate int // lots that a range looks at, 0 for all
 	aggs      []*aggs.Node
 }
 
@@ -66,6 +68,12 @@
 			return nil
 		case name == "_source":
 			return w.parseSource(v)
+		case name == "timeout":
+			ok := false
+			if w.timeout, ok = parseTime(v.Str); !ok {
+				return illegal("failed to parse setting [timeout] with value [%.40s] as a time value", v.String())
+			}
+			return nil
 		case name == "size":
 			return whole(&q.Size, name, v, sizeMost)
 		case name == "from":
--- a/internal/net/opensearch/random_test.go
+++ b/internal/net/opensearch/random_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -113,6 +114,76 @@
 	return nil
 }
 
+// walkWrite puts a lot into a range between two pages: a new one, or in place of one that may have been shown.
+type walkWrite struct {
+	shard, place int
+	lot          lots.Lot
+}
+
+// drawWrite draws a lot that may rank anywhere.
+func drawWrite(t *rapid.T) walkWrite {
+	return walkWrite{rapid.IntRange(0, 3).Draw(t, "range"), rapid.IntRange(0, usual.each+5).Draw(t, "place"), lots.Lot{
+		Title: "tractor" + strings.Repeat(" of no use to anybody", rapid.IntRange(0, 4).Draw(t, "words")), Year: rapid.IntRange(1985, 2026).Draw(t, "year"),
+		Make: rapid.SampledFrom([]string{"Allis", "Kubota", "Zetor"}).Draw(t, "make"), Price: 1}}
+}
+
+// Pages of a point in time, walked to the end with copies that refresh at times of their own, some of which keep what was
+// pinned, and a few ranges written between the pages: no lot stands on two pages, none that came later stands on any, and
+// one that was there is on a page or of a range that a page named. Where nothing was named, all of them are there in order.
+func TestRandomWalks(t *testing.T) {
+	garble.Seed(t, 40)
+	rapid.Check(t, func(rt *rapid.T) {
+		refresh := rapid.SliceOfN(rapid.IntRange(1, 20), 18, 18).Draw(rt, "refresh in seconds")
+		keep := rapid.SliceOfN(rapid.IntRange(0, 5), 18, 18).Draw(rt, "views kept")
+		writes := rapid.SliceOfN(rapid.Custom(drawWrite), 0, 12).Draw(rt, "writes")
+		sort := rapid.SampledFrom([]string{``, `,"sort":[{"year":"desc"}]`, `,"sort":["make",{"price":"desc"}]`}).Draw(rt, "sort")
+		var wrong error
+		bubble(t, func(t *testing.T) {
+			r := newRig(usual)
+			defer r.stop()
+			for id, s := range r.stores {
+				r.copyOf(s, fmt.Sprint("c-", id), time.Duration(refresh[id-1])*time.Second)
+				s.copy.Keep = keep[id-1]
+			}
+			body := `{"query":{"match":{"title":"tractor"}}` + sort + `}`
+			token := r.open(t)
+			want, _ := r.truth(body, 0, 10000)
+			ids, _, named := r.walk(t, token, body, func(page int) {
+				if page <= len(writes) {
+					w := writes[page-1]
+					w.lot.ID = fmt.Sprintf("lot-%d-%d", w.shard, w.place) // from usual.each on a new one
+					r.corpus.Put(w.shard, w.lot)
+				}
+				time.Sleep(time.Second)
+			})
+			seen := map[string]bool{}
+			for _, id := range ids {
+				if seen[id] || !slices.Contains(want, id) {
+					wrong = fmt.Errorf("lot %s is on two pages, or came later", id)
+				}
+				seen[id] = true
+			}
+			unsaid := 0
+			for _, id := range want {
+				shard := 0
+				fmt.Sscanf(id, "lot-%d-", &shard)
+				if !seen[id] && named[shard] == 0 {
+					unsaid++
+				}
+			}
+			if unsaid > named[changedOf] {
+				wrong = fmt.Errorf("%d lots are on no page and not told of: %v", unsaid, named)
+			}
+			if len(named) == 0 && !slices.Equal(ids, want) {
+				wrong = fmt.Errorf("got %v, want %v", ids, want)
+			}
+		})
+		if wrong != nil {
+			rt.Fatal(wrong)
+		}
+	})
+}
+
 // BenchmarkDecode reads 200 ranges' answers of ten lots, checks and ranks them.
 func BenchmarkDecode(b *testing.B) {
 	c := lots.New(1, 200, 40)
--- a/internal/net/opensearch/rig_test.go
+++ b/internal/net/opensearch/rig_test.go
@@ -155,6 +155,13 @@
 	return s
 }
 
+// silence has all copies of a range, and so of its cell, answer nothing.
+func (r *rig) silence(shard int) {
+	for _, s := range r.holders(shard) {
+		s.trouble = func(int, lots.Phase) (standin.End, time.Duration) { return standin.Silent, 0 }
+	}
+}
+
 // search asks the front, and waits for its answer.
 func (r *rig) search(target, body string) (int, gjson.Result) {
 	p := r.front.Handle(&http1.Request{Method: "POST", Path: "/lots/_search", Query: target, Body: []byte(body), At: time.Now()}, nil)
--- a/internal/query/parse.go
+++ b/internal/query/parse.go
@@ -325,7 +325,7 @@
 	return q, e
 }
 
-func (p *parser) terms(v gjson.Result, _ int) (q1 Query, e *Error) {
+func (p *parser) terms(v gjson.Result, _ int) (_ Query, e *Error) {
 	q := Terms{}
 	v.ForEach(func(k, x gjson.Result) bool {
 		switch {
--- a/internal/query/short.go
+++ b/internal/query/short.go
@@ -124,29 +124,24 @@
 func (s *short) row(r *shortRow, field string) (Query, *Error) {
 	b := Bool{}
 	for _, a := range r.Alts {
+		var q Query
+		var e *Error
+		sign := &shortSigned{}
 		if len(a.Conjs) == 1 && len(a.Conjs[0].Signed) == 1 { // a sign binds to the row
-			one := a.Conjs[0].Signed[0]
-			q, e := s.value(one, field)
-			if e != nil {
-				return nil, e
-			}
-			switch {
-			case one.Not:
-				b.MustNot = append(b.MustNot, q)
-			case one.Must || s.and:
-				b.Must = append(b.Must, q)
-			default:
-				b.Should = append(b.Should, q)
-			}
-			continue
+			sign = a.Conjs[0].Signed[0]
+			q, e = s.value(sign, field)
+		} else {
+			q, e = s.alt(a, field)
 		}
-		q, e := s.alt(a, field)
 		if e != nil {
 			return nil, e
 		}
-		if s.and {
+		switch {
+		case sign.Not:
+			b.MustNot = append(b.MustNot, q)
+		case sign.Must || s.and:
 			b.Must = append(b.Must, q)
-		} else {
+		default:
 			b.Should = append(b.Should, q)
 		}
 	}
