--- a/internal/net/opensearch/limits_test.go
+++ b/internal/net/opensearch/limits_test.go
@@ -227,7 +227,7 @@
 		for i := range 600 {
 			time.Sleep(time.Duration(rng.ExpFloat64() * float64(50*time.Millisecond)))
 			if i == 300 {
-				l.Concurrency.Most, l.Rate.PerSecond = 3, 10
+				l.Concurrency.Most, l.Rate.PerSecond = 3, 4 // under half of what comes
 				r.limit(t, limits.Repeats{}, greedy(l))
 			}
 			if i%50 == 0 {
