In a large fleet a silent part moves while it can be in time; refusals spare cheap queries

Ruled out: cancels are not slow (5 ms each); budgets (never used up: 0.3 for each part taken). Change: among eight gatherers or more, where from no replica anything was to be heard meanwhile, a part moves at the tail if at twice the tail it could not be in time, and one of a whole-only class until its client leaves. A query cheaper in parts for its worth than the average is refused by so much less.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,7 @@
 	leastTurns   = 0.015            // the trickle: share of its turns that the worst server keeps
 	trusted      = 0.3              // below this share of turns a server is suspect
 
-	subsetFrom = 8 // so many mixers or more each keep to a part of the servers ...
+	subsetFrom = 8 // so many mixers or more meet each server seldom, and each keep to a part of them ...
 	subsetSize = 2 // ... of so many replicas of a shard, where they serve
 
 	ownFree   = 10.0 // the budget where none is stated: further attempts whatever came in ...
@@ -70,6 +70,7 @@
 	mostDone   = 0.75                    // with less time than this share of its like take, a client leaves
 	waitHalf   = 8 * time.Second         // it is forgotten so: small mixers hear little between queries
 	shedGain   = 3.0                     // share refused for each share of misses over the threshold
+	costWeight = 0.05                    // smoothing of parts by worth: twenty queries tell the classes' mix
 	shedFall   = 0.15                    // a second: some queries of a small mixer come in between
 	adviseMin  = 200 * time.Millisecond
 	adviseMax  = 1500 * time.Millisecond
@@ -280,8 +281,7 @@
 	return q.aimAt - min(duration(m.pool.quantile(m.product, tail))+stepTicks*m.set.Tick, (q.aimAt-q.at)/2)
 }
 
-// placeAll chooses a replica for each part that has none. Where a call has a cost of its own, parts
-// that have a replica in common share its turn and so its call.
+// placeAll chooses replicas for parts that have none; where calls cost, parts share one and its turn.
 func (m *Mixer) placeAll(parts []*part) {
 	left := unplaced(parts)
 	if len(left) > 0 && m.unproven(left[0].q) {
@@ -309,8 +309,7 @@
 	}
 }
 
-// choose takes the replica whose turn it is: of those in the best tier for the first part and, where
-// calls cost, of those that hold most of the parts, the one with the longest weighted wait.
+// choose takes the replica whose turn it is: of the best tier for the first part, the longest waiting.
 func (m *Mixer) choose(parts []*part) (best *server, cover int) {
 	if m.set.CallCost == 0 {
 		parts = parts[:1]
@@ -385,7 +384,7 @@
 
 // Queues and release.
 
-// before is the order of release: earliest deadline first, parts with no positive budget ahead of all.
+// before is the order of release: earliest deadline first, headless parts ahead of all.
 func before(a, b *part) bool {
 	switch {
 	case a.headless != b.headless:
@@ -497,9 +496,7 @@
 	case e.Status != Moot:
 		m.note(a.s, false, 1)
 		if e.Status == Error {
-			if a.s.errors == 0 {
-				a.s.errorTook = age
-			}
+			a.s.errorTook = cmp.Or(a.s.errorTook, age)
 			a.s.errorTook += latWeight * (age - a.s.errorTook)
 			a.s.errors += errorWeight * (1 - a.s.errors)
 		}
@@ -543,10 +540,7 @@
 	if a.sentOut > 0 {
 		return // on a connection that another part may hang on
 	}
-	x := &m.lost[0]
-	if a.idle {
-		x = &m.lost[1]
-	}
+	x := &m.lost[map[bool]int{true: 1}[a.idle]]
 	*x += lossWeight * (lost - *x)
 	if dead := m.lost[1] > lossLeast && m.lost[1] > lossTimes*m.lost[0]; dead && !m.idleDead {
 		for _, s := range m.order {
@@ -648,7 +642,7 @@
 	m.reply(p.q)
 }
 
-// replace sends a spare part, if there is one, where another is late or lost.
+// replace sends a spare part, if any, for one late or lost.
 func (m *Mixer) replace(q *query) {
 	if p := q.useSpare(); p != nil {
 		m.placeAll([]*part{p})
@@ -682,8 +676,7 @@
 	}
 	s := m.pick(p)
 	_, _, _, in := share(p.q)
-	n := float64(len(p.q.parts))
-	last := n-float64(in) <= lastShare*n // the others' work would be lost with it: any replica not tried will do
+	last := float64(len(p.q.parts)-in) <= lastShare*float64(len(p.q.parts)) // any untried replica will do
 	if s == nil || m.tier(s, p) > 2 || !last && (m.tier(s, p) > 0 || m.trust(s) < trusted) {
 		return
 	}
@@ -691,23 +684,30 @@
 	m.send(p, s)
 }
 
-// move calls off a part out too long at a server from which nothing has come since, or something sent later
-// has, if a sound replica with room can still answer it. It goes again when the call-off is through. Scores,
-// which the listings wait for, are not left to a slow server until it is proven to hang.
+// move calls off a part too long at a server from which nothing has come since, or something sent later
+// has, if a sound replica can still answer it: at twice the tail, or at the tail if that is too late. Scores,
+// which the listings wait for, go sooner. It goes again when the call-off is through.
 func (m *Mixer) move(p *part, a *attempt) {
 	if !m.set.Cancel || a.moved || a.inTurn() {
 		return
 	}
 	m.cdf(a.s)
-	takes, s := m.typical+m.waitNow(), m.pick(p)
+	takes, s, age, until := m.typical+m.waitNow(), m.pick(p), seconds(m.now-a.at), m.lastCall(p.q)
 	scores, tooLong := p.q.Phased && p.q.step == 1, farTimes*m.typical+m.waitNow()
+	seldom := m.set.Siblings >= subsetFrom && m.usual*age < 1 // nothing was to be heard from a replica meanwhile
+	if seldom && p.q.class.Floor >= p.q.class.Need {
+		until = p.q.end // late is worth something, and what lacks is worth nothing
+	}
 	if !scores {
-		tooLong = 2 * max(a.s.patience, tooLong)
+		tooLong = max(a.s.patience, tooLong)
+		if !seldom || a.at+duration(2*tooLong+takes) < until { // there is time for certainty
+			tooLong *= 2
+		}
 	}
-	if seconds(m.now-a.at) < tooLong || m.now+duration(takes) > m.stepAim(p.q) {
+	if age < tooLong || m.now+duration(takes) > until || s == nil || m.tier(s, p) > 0 || m.trust(s) < trusted {
 		return
 	}
-	if s != nil && (scores || s.answerAt > a.at) && m.tier(s, p) == 0 && m.trust(s) >= trusted && m.budget(1) {
+	if (scores || seldom || s.answerAt > a.at) && m.budget(1) {
 		a.moved = true
 		m.do(Cancel{Part: p.ID, Attempt: a.number})
 	}
@@ -840,13 +840,15 @@
 // refuses decides on a whole query before any part is sent: on the miss share. Where a query can do without
 // those of its parts that would be late, it is taken without them, as of a cell with too few servers left.
 func (m *Mixer) refuses(q *query) bool {
+	cost := float64(len(q.parts)) / max(q.class.Worth, weightSlip) // what it frees to refuse it, and loses
+	m.cost = (1-costWeight)*cmp.Or(m.cost, cost) + costWeight*cost
 	if m.unheld(q) || m.now+duration(m.fanoutTail(q, mostDone)+m.waitNow()) > q.end {
 		return true // the client would leave before: work for nobody
 	}
 	if m.shed == 0 {
 		return false // the misses tell what was; wait and room at every shard what is
 	}
-	shed := m.rng.Float64() < m.shed
+	shed := m.rng.Float64() < m.shed*min(cost/m.cost, 1)
 	left := q.drop(func(p *part) bool {
 		s := m.pick(p)
 		return m.wouldMiss(p) || shed && (s == nil || len(s.out)+len(s.held) >= m.room(s))
@@ -928,7 +930,6 @@
 	m.typical, m.tailAge = pool.quantile(m.poolCDF, 0.5), pool.quantile(m.poolCDF, tail)
 }
 
-// surveyServers compares the servers.
 func (m *Mixer) surveyServers() {
 	lats, size := m.scratch[:0], 0.0
 	m.countStuck(m.now - duration(farTimes*m.typical))
@@ -951,8 +952,8 @@
 	m.flip(&m.alarm, dead >= deathLeast && zones > 1, "crashes=%v servers=%d", dead)
 }
 
-// late is the design's skip: the oldest part out is past the 99th percentile of the server's record or
-// of all servers' together, whichever is less, so that a slow server's own record does not excuse it.
+// late is the design's skip: the oldest part out is past the 99th percentile of the server's record or of
+// all servers' together, whichever is less: a slow one's own record does not excuse it.
 func (m *Mixer) late(s *server) bool {
 	if len(s.out) == 0 {
 		return false
@@ -1027,15 +1028,14 @@
 }
 
 // sendable says whether a server may be sent one part more: listed, ready, and if cold, within our own share
-// of what it can do: one part in the time that a warm server takes to answer us one, longer by its warmth.
-// Told by answers: in a storm of parts turned away, sends say nothing of what a server carries.
+// of what it can do, told by answers: one part in the time that a warm one takes to answer us one, by warmth.
 func (m *Mixer) sendable(s *server) bool {
 	if !s.listed || s.State != Ready {
 		return false
 	}
 	w := m.warmth(s)
-	rate := w * m.usual * s.Nominal * m.set.Rules.FallMultiple
-	return w >= 1 || m.now >= max(s.sentAt, s.Started, s.coldFrom)+duration(1/rate)
+	gap := 1 / (w * m.usual * s.Nominal * m.set.Rules.FallMultiple)
+	return w >= 1 || m.now >= max(s.sentAt, s.Started, s.coldFrom)+duration(gap)
 }
 
 // Membership.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -403,6 +403,74 @@
 	}
 }
 
+// thin returns settings of one mixer of a large fleet that meets each server seldom: aims ten times an answer's time.
+func thin() Settings {
+	set := base()
+	set.Siblings, set.Tick, set.SecondCopies, set.MaxAttempts = 80, ms, false, 4
+	set.Classes = []Class{
+		{Aim: 300 * ms, Deadline: time.Second, Worth: 3, Effect: Safe, Need: 1, Floor: 0.7},
+		{Aim: 380 * ms, Deadline: 1300 * ms, Worth: 2, Effect: Keyed, Window: 4 * time.Second, Need: 1, Floor: 1},
+	}
+	return set
+}
+
+// A part at a server that went silent is moved while another replica can still answer it in time, though that one
+// was not heard from meanwhile: in a thin fleet it was not asked anything. Nor does a bid wait for its client's end.
+func TestMovedInTime(t *testing.T) {
+	for class, in := range []time.Duration{300 * ms, 380 * ms} {
+		b := newBed(t, thin(), 0, 0, 0)
+		b.warm(60, 30*ms)
+		b.run(3 * time.Second)
+		came := b.now
+		q, _ := b.query(class, time.Second, 0)
+		silent := b.sends[0].Server
+		for b.now < came+in && b.finals[q] == 0 {
+			b.now += 2 * ms
+			b.step(Wake{})
+			for _, a := range b.acts {
+				if c, ok := a.(Cancel); ok {
+					b.outcome(b.sends[c.Attempt], Cancelled)
+				}
+			}
+			if s := b.sends[len(b.sends)-1]; s.Server != silent && b.now-s.at >= 30*ms {
+				b.outcome(s, OK)
+			}
+		}
+		if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+			t.Errorf("class %d: %d attempts and no answer within the aim", class, len(b.sends))
+		}
+	}
+}
+
+// Where queries must be refused, those go first that take most parts for their worth: a bid of one part frees
+// nothing to speak of, and is worth two thirds of a search of 20.
+func TestRefusedByPartsForWorth(t *testing.T) {
+	set := thin()
+	set.Cells, set.Width = 20, 1
+	cells := make([]int, 40)
+	var shards []int
+	for i := range cells {
+		cells[i] = i % 20
+		if i < 20 {
+			shards = append(shards, i)
+		}
+	}
+	refused, b := [2]int{}, newBed(t, set, cells...)
+	for range 200 {
+		b.m.shed, b.m.shedAt, b.m.wait, b.m.waitAt = 0.5, b.now, 0.35, b.now
+		for class, at := range [][]int{shards, shards[:1]} {
+			q, _ := b.query(class, time.Second, at...)
+			if _, ok := b.last[q].(Refuse); ok {
+				refused[class]++
+			}
+			b.step(ClientLeft{q})
+		}
+	}
+	if refused[0] < 70 || refused[1] > 30 {
+		t.Errorf("of 200 each, %d searches and %d bids refused", refused[0], refused[1])
+	}
+}
+
 func TestHangIsLeft(t *testing.T) {
 	hangIsLeft(t, false)
 	hangIsLeft(t, true)
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,6 +55,7 @@
 	shed            float64
 	shedAt, waitAt  time.Duration
 	wait            float64 // smoothed wait at sound servers, seconds
+	cost            float64 // smoothed parts of a query by its worth
 	shedding        bool
 	lost            [2]float64 // smoothed share lost, on busy and on idle connections
 	idleDead        bool       // idle connections lose what is sent on them
