A lot store that turned a part away is left alone for the time of an answer

The attempts of one part went to the same full store within milliseconds. Line: sendable asks the list and the ramp alone, so again sends at once. Change: Full makes a store not sendable for an answer's usual time; its parts go to other replicas, or wait and count as misses. The test fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -505,6 +505,8 @@
 			if a.s.resetAt > 0 && m.now-a.s.resetAt < deathSpan && a.s.State == Ready {
 				a.s.diedAt = m.now
 			}
+		} else if e.Status == Full { // it is as full for the next: what was turned away goes on when a slot is free
+			a.s.fullTo = m.now + duration(m.typical)
 		} else if e.Status == Reset { // no death by itself: a connection may break alone
 			a.s.resetAt = m.now
 		}
@@ -602,7 +604,6 @@
 	}
 }
 
-// suspect says whether a query is like one that brought servers down of late.
 func (m *Mixer) suspect(q *query) bool {
 	at, is := m.suspects[likeness(q)]
 	return is && m.now-at <= suspectSpan
@@ -917,7 +918,6 @@
 	m.flip(&m.shedding, m.shed > 0, "shedding=%v missed=%.0f of %.0f", missed, decided)
 }
 
-// surveyPool makes the others' average anew from the pool.
 func (m *Mixer) surveyPool() {
 	m.news = false
 	pool := m.pool
@@ -1030,7 +1030,7 @@
 // sendable says whether a server may be sent one part more: listed, ready, and if cold, within our own share
 // of what it can do, told by answers: one part in the time that a warm one takes to answer us one, by warmth.
 func (m *Mixer) sendable(s *server) bool {
-	if !s.listed || s.State != Ready {
+	if !s.listed || s.State != Ready || m.now < s.fullTo {
 		return false
 	}
 	w := m.warmth(s)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -442,6 +442,28 @@
 	}
 }
 
+// A server that turned a part away is full for the next one too: its only replica's parts wait for about an answer's
+// time, in place of spending all attempts on it at once (a thousand of 80 gatherers in a second, and more in each later).
+func TestFullIsLeftAlone(t *testing.T) {
+	b := newBed(t, thin(), 0)
+	b.warm(60, 30*ms)
+	b.query(0, time.Second, 0)
+	first := b.sends[0]
+	for b.now < first.at+15*ms {
+		for _, s := range b.sends[max(len(b.sends)-1, 0):] {
+			b.outcome(s, Full)
+		}
+		b.now += ms
+		b.step(Wake{})
+	}
+	if len(b.sends) > 1 {
+		t.Errorf("sent %d times in half the time of an answer", len(b.sends))
+	}
+	if b.wakes(first.at + 100*ms); len(b.sends) < 2 {
+		t.Error("not sent again in three answers' time")
+	}
+}
+
 // Where queries must be refused, those go first that take most parts for their worth: a bid of one part frees
 // nothing to speak of, and is worth two thirds of a search of 20.
 func TestRefusedByPartsForWorth(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -150,6 +150,7 @@
 	diedAt          time.Duration // when it was last seen to have crashed
 	errorTook       float64       // smoothed time of its errors, seconds; 0 for none
 	errors          float64       // smoothed share of errors among its answers
+	fullTo          time.Duration // it turned a part away: until when it is left alone
 	resetAt         time.Duration // when a connection to it last broke under a part
 	wasBad          bool
 	coldFrom        time.Duration
