A zone in doubt is passed over at once and not after three lost probes

Line: tier asks zone.far, which needs three probes in a row lost, 200 ms apart and 250 ms each; doubtful is true 0.6 s sooner and was used for blame alone. Ruled out: the count of parts stuck (reached within 0.3 s), the probes' sending (at once). Change: tier passes over a zone in doubt; a probe that gets through ends the doubt within milliseconds if it was none. The test fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -374,7 +374,7 @@
 	switch {
 	case tried:
 		return 3
-	case m.late(s) || m.zones[s.Zone].far || m.trust(s) < trusted && !trial:
+	case m.late(s) || m.zones[s.Zone].far || m.doubtful(&m.zones[s.Zone]) || m.trust(s) < trusted && !trial:
 		return 2 // the design's skip; and a suspect is tried with one part now and then
 	case n >= m.room(s) && !trial || s.reserve && len(p.attempts) == 0:
 		return 1
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -950,6 +950,36 @@
 	}
 }
 
+// A zone in doubt gets nothing new while it is probed: three probes take a second to be lost, in which 80 gatherers
+// sent half of all parts to a zone that had vanished.
+func TestZoneInDoubt(t *testing.T) {
+	set := thin()
+	set.Probes, set.Siblings = true, 4 // no subset
+	b := newBed(t, set)
+	var l []ServerInfo
+	for i := range 40 {
+		l = append(l, ServerInfo{ID: ServerID(i + 1), Cell: 0, State: Ready, Zone: i % 2})
+	}
+	b.step(ServerList{Kind: Whole, Servers: l})
+	b.warm(60, 30*ms)
+	there := func(s sent) bool { return s.Server%2 == 0 } // zone 1, from which nothing comes any more
+	for i, n := 0, 0; i < 40; i++ {
+		if i == 25 {
+			n = len(b.sends)
+		}
+		b.query(0, time.Second, 0)
+		b.run(10 * ms)
+		for _, s := range slices.Clone(b.sends) {
+			if !there(s) && b.now-s.at >= 30*ms && b.now-s.at < 40*ms {
+				b.outcome(s, OK)
+			}
+		}
+		if i == 39 && (b.m.zones[1].far || slices.ContainsFunc(b.sends[n:], there)) {
+			t.Errorf("far %v, and parts still go there after 250 ms", b.m.zones[1].far)
+		}
+	}
+}
+
 // The way to a zone turns slow and loses probes: its servers are skipped without blame, until a probe
 // gets through. The same silence with probes answered is the servers' own.
 func TestFarZone(t *testing.T) {
