--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,8 +11,7 @@
 	"time"
 )
 
-// Every tuned value, with its reason. None belongs to a deployment: all are ratios of what is
-// observed or of the settings, or times of human scale.
+// Every tuned value, with its reason: ratios of what is observed or set, or times of human scale.
 const (
 	stallLeast   = 200 * time.Millisecond // a wake so late is our own stall, not a busy moment
 	pace         = 10 * time.Millisecond  // sweeps: far below any aim, cheap in CPU
@@ -247,8 +246,7 @@
 	q.useSpares(q.class.Need - weightSlip)
 }
 
-// cdf is a server's record with some of the others' mixed in: an unheard one counts as they do. With
-// it comes the patience of the skip, made of the shorter of both tails.
+// cdf is a server's record with some of the others' mixed in; with it comes the skip's patience.
 func (m *Mixer) cdf(s *server) []float64 {
 	if m.pool.total == 0 {
 		s.patience = m.tailAge
@@ -542,7 +540,10 @@
 	if a.sentOut > 0 {
 		return // on a connection that another part may hang on
 	}
-	x := &m.lost[map[bool]int{true: 1}[a.idle]]
+	x := &m.lost[0]
+	if a.idle {
+		x = &m.lost[1]
+	}
 	*x += lossWeight * (lost - *x)
 	if dead := m.lost[1] > lossLeast && m.lost[1] > lossTimes*m.lost[0]; dead && !m.idleDead {
 		for _, s := range m.order {
@@ -893,8 +894,7 @@
 
 // Health.
 
-// survey brings up to date what is compared against: each step the pool, and now and then, as it costs
-// a look at every server, the others' median.
+// survey brings up to date what is compared against; the others' median now and then, as it costs a look.
 func (m *Mixer) survey() {
 	if m.surveyed < 0 || m.news {
 		m.surveyPool()
--- a/policy/state.go
+++ b/policy/state.go
@@ -206,12 +206,7 @@
 }
 
 func (s *server) drop(a *attempt) {
-	for i, x := range s.out {
-		if x == a {
-			s.out = append(s.out[:i], s.out[i+1:]...)
-			return
-		}
-	}
+	s.out = slices.DeleteFunc(s.out, func(x *attempt) bool { return x == a })
 }
 
 // histogram is a decaying record of durations in buckets of even ratio. Nothing is decayed as time
@@ -667,11 +662,8 @@
 // neverRan works out anew when the first attempt that may have run was sent.
 func (p *part) neverRan() {
 	p.mayRun = -1
-	for _, a := range p.attempts {
-		if !a.spared {
-			p.mayRun = a.at
-			return
-		}
+	if i := slices.IndexFunc(p.attempts, func(a *attempt) bool { return !a.spared }); i >= 0 {
+		p.mayRun = p.attempts[i].at
 	}
 }
 
