Test that few gatherers move silent parts as before

The test has 3 gatherers and a silent lot store for 290 ms: no move without news of another replica.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -464,6 +464,24 @@
 	}
 }
 
+// Where gatherers are few, a part still waits for twice the tail and for news of its next replica: early moves cost there.
+func TestFewMoveAsBefore(t *testing.T) {
+	set := thin()
+	set.Siblings = 3
+	b := newBed(t, set, 0, 0, 0)
+	b.warm(60, 30*ms)
+	b.run(3 * time.Second)
+	b.query(0, time.Second, 0)
+	for range 29 {
+		b.run(10 * ms)
+		for _, a := range b.acts {
+			if c, ok := a.(Cancel); ok {
+				t.Fatalf("%v moved with no news of another replica", c)
+			}
+		}
+	}
+}
+
 // Where queries must be refused, those go first that take most parts for their worth: a bid of one part frees
 // nothing to speak of, and is worth two thirds of a search of 20.
 func TestRefusedByPartsForWorth(t *testing.T) {
