--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,111 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// fleet is 100 cells of two replicas, one in each zone, as on the standing days.
+func fleet(cells, replicas int) [][]Replica {
+	all := make([][]Replica, cells)
+	for c := range all {
+		for r := range replicas {
+			all[c] = append(all[c], Replica{Name: fmt.Sprintf("store-%d-%d", c, r), Usable: true})
+		}
+	}
+	return all
+}
+
+// kept counts, for each store, the gatherers that keep to it.
+func kept(gatherers int, cells [][]Replica, k int) map[string]int {
+	n := map[string]int{}
+	for g := range gatherers {
+		seed := Weight(0, fmt.Sprintf("gatherer-%d", g))
+		for _, cell := range cells {
+			for i, on := range Keep(seed, cell, k) {
+				if on {
+					n[cell[i].Name]++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// 300 gatherers over 200 stores, each keeping one replica a cell: no store holds more than 1.25 of the mean, none
+// under 0.25 of it. Binomial(300, 1/2) gives about 1.15 at the largest of 100 cells.
+func TestEvenAmongMany(t *testing.T) {
+	cells := fleet(100, 2)
+	n := kept(300, cells, 1)
+	mean := 300.0 / 2
+	for _, cell := range cells {
+		for _, r := range cell {
+			if got := float64(n[r.Name]); got > 1.25*mean || got < 0.25*mean {
+				t.Errorf("%s is kept by %v gatherers, mean %v", r.Name, got, mean)
+			}
+		}
+	}
+}
+
+// A store that goes moves only its own gatherers, and each of them to a usable one; when it comes back they return.
+func TestLeavingMovesOnlyItsOwn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		replicas := rapid.IntRange(2, 5).Draw(t, "replicas")
+		k := rapid.IntRange(1, replicas).Draw(t, "k")
+		cell := fleet(1, replicas)[0]
+		seed := rapid.Uint64().Draw(t, "seed")
+		gone := rapid.IntRange(0, replicas-1).Draw(t, "gone")
+		before := Keep(seed, cell, k)
+		cell[gone].Usable = false
+		after := Keep(seed, cell, k)
+		if after[gone] {
+			t.Fatalf("an unusable store is kept")
+		}
+		moved := 0
+		for i := range cell {
+			if before[i] && !after[i] && i != gone {
+				t.Fatalf("store %d left though %d went", i, gone)
+			}
+			if !before[i] && after[i] {
+				moved++
+			}
+		}
+		if want := 0; !before[gone] && moved != want {
+			t.Fatalf("%d stores taken up though the one that went was not kept", moved)
+		}
+		spare := 0 // usable and not kept before
+		for i := range cell {
+			if !before[i] && i != gone {
+				spare++
+			}
+		}
+		if before[gone] && moved != min(spare, 1) {
+			t.Fatalf("%d stores taken up for one that went", moved)
+		}
+		cell[gone].Usable = true
+		if back := Keep(seed, cell, k); fmt.Sprint(back) != fmt.Sprint(before) {
+			t.Fatalf("after the return %v, before %v", back, before)
+		}
+	})
+}
+
+// The subset never holds more stores than the table has room for, once a cell has one each.
+func TestSizeKeepsToRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.IntRange(1, 2000).Draw(t, "room")
+		cells := rapid.IntRange(1, 300).Draw(t, "cells")
+		replicas := rapid.IntRange(1, 5).Draw(t, "replicas")
+		k := Size(room, cells, replicas)
+		if k < 1 || k > replicas {
+			t.Fatalf("size %d of %d replicas", k, replicas)
+		}
+		if k > 1 && k*cells > room {
+			t.Fatalf("size %d at %d cells needs %d places of %d", k, cells, k*cells, room)
+		}
+	})
+	if k := Size(182, 100, 2); k != 1 {
+		t.Errorf("the standing days' table keeps %d replicas a cell, want 1", k)
+	}
+}
