internal/spread: Keep takes the caller's rank, so policy's lead and rendezvous share it

Read again: the module drew its own rendezvous weight inside Keep, while policy/'s keepSubset already ranks replicas by a draw of its own (lead) and keeps the first of them; two subset rules for one decision, and wiring the module would have changed the rank along with the call. Size names its upper bound once; the leaving test counts moved and spare in one pass with one expectation.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -1,37 +1,40 @@
 // Package spread decides which lot stores one gatherer keeps to, so that many gatherers that share nothing load the
 // stores evenly. It holds no I/O, clock or wire type: callers pass what they were told and what is set.
 //
-// Each gatherer ranks the replicas of a cell by rendezvous hashing of its own seed and the store's name (highest
-// random weight), and keeps the first k that are usable. A store that comes or goes moves only the gatherers that
+// Each gatherer ranks the replicas of a cell, by rendezvous hashing of its own seed and the store's name (highest
+// random weight, Rank) or by a draw of its own such as policy's lead, and keeps the first k that are usable. A store that comes or goes moves only the gatherers that
 // ranked it among their first k. See docs/design/spread.md.
 package spread
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 )
 
 // Replica is one store of a cell, as the caller sees it now.
 type Replica struct {
-	Name   string // as the discovery list names it; the rank depends on nothing else of the store
-	Usable bool   // ready, not draining, not gone, not in doubt
+	Rank   float64 // higher first: Rank's rendezvous weight, or any draw of the caller's that is its own
+	Usable bool    // ready, not draining, not gone, not in doubt
 }
 
 // Size is how many replicas of each cell a gatherer keeps to: as many as its table of connections has room for, one
 // each at the least, never more than a cell has. room is the bound on connections to lot stores, cells the number of
 // cells listed, replicas the most replicas of one cell. With no cells, or no room stated, it keeps all.
 func Size(room, cells, replicas int) int {
+	most := max(replicas, 1)
 	if cells <= 0 || room <= 0 {
-		return max(replicas, 1)
+		return most
 	}
-	return min(max(room/cells, 1), max(replicas, 1))
+	return min(max(room/cells, 1), most)
 }
 
-// Weight is the rendezvous weight of a store for the gatherer of this seed: higher ranks first.
-func Weight(seed uint64, name string) uint64 {
+// Rank is the rendezvous weight of a store, by its name in the discovery list, for the gatherer of this seed: in
+// [0, 1), the same for the same two, and independent between gatherers.
+func Rank(seed uint64, name string) float64 {
 	h := fnv.New64a()
 	h.Write([]byte(name))
-	return mix(h.Sum64() ^ seed)
+	return float64(mix(h.Sum64()^seed)>>11) / (1 << 53)
 }
 
 // mix is SplitMix64's finaliser: FNV alone leaves weights of names that differ in their last byte close together.
@@ -43,26 +46,17 @@
 	return x ^ x>>31
 }
 
-// Keep says which replicas of one cell the gatherer of this seed keeps to: the k usable ones of highest weight. The
-// result is in the order of cell, true for kept. Where fewer than k are usable, all usable ones are kept; an unusable
-// replica is never kept, so that one gives way to the next by rank for as long as it is unusable.
-func Keep(seed uint64, cell []Replica, k int) []bool {
+// Keep says which replicas of one cell are kept to: the k usable ones of highest rank. The result is in the order of
+// cell, true for kept. Where fewer than k are usable, all usable ones are kept; an unusable replica is never kept, so
+// that one gives way to the next by rank for as long as it is unusable.
+func Keep(cell []Replica, k int) []bool {
 	order := make([]int, 0, len(cell))
 	for i, r := range cell {
 		if r.Usable {
 			order = append(order, i)
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		wa, wb := Weight(seed, cell[a].Name), Weight(seed, cell[b].Name)
-		switch {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(cell[b].Rank, cell[a].Rank) })
 	kept := make([]bool, len(cell))
 	for _, i := range order[:min(k, len(order))] {
 		kept[i] = true
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -7,26 +7,35 @@
 	"pgregory.net/rapid"
 )
 
-// fleet is 100 cells of two replicas, one in each zone, as on the standing days.
-func fleet(cells, replicas int) [][]Replica {
-	all := make([][]Replica, cells)
+// fleet is cells of so many replicas, named by cell and replica, as the discovery list would.
+func fleet(cells, replicas int) [][]string {
+	all := make([][]string, cells)
 	for c := range all {
 		for r := range replicas {
-			all[c] = append(all[c], Replica{Name: fmt.Sprintf("store-%d-%d", c, r), Usable: true})
+			all[c] = append(all[c], fmt.Sprintf("store-%d-%d", c, r))
 		}
 	}
 	return all
 }
 
+// ranked is one cell as the gatherer of this seed sees it, all usable.
+func ranked(seed uint64, names []string) []Replica {
+	cell := make([]Replica, len(names))
+	for i, name := range names {
+		cell[i] = Replica{Rank: Rank(seed, name), Usable: true}
+	}
+	return cell
+}
+
 // kept counts, for each store, the gatherers that keep to it.
-func kept(gatherers int, cells [][]Replica, k int) map[string]int {
+func kept(gatherers int, cells [][]string, k int) map[string]int {
 	n := map[string]int{}
 	for g := range gatherers {
-		seed := Weight(0, fmt.Sprintf("gatherer-%d", g))
-		for _, cell := range cells {
-			for i, on := range Keep(seed, cell, k) {
+		seed := mix(uint64(g) + 1)
+		for _, names := range cells {
+			for i, on := range Keep(ranked(seed, names), k) {
 				if on {
-					n[cell[i].Name]++
+					n[names[i]]++
 				}
 			}
 		}
@@ -40,10 +49,10 @@
 	cells := fleet(100, 2)
 	n := kept(300, cells, 1)
 	mean := 300.0 / 2
-	for _, cell := range cells {
-		for _, r := range cell {
-			if got := float64(n[r.Name]); got > 1.25*mean || got < 0.25*mean {
-				t.Errorf("%s is kept by %v gatherers, mean %v", r.Name, got, mean)
+	for _, names := range cells {
+		for _, name := range names {
+			if got := float64(n[name]); got > 1.25*mean || got < 0.25*mean {
+				t.Errorf("%s is kept by %v gatherers, mean %v", name, got, mean)
 			}
 		}
 	}
@@ -54,16 +63,16 @@
 	rapid.Check(t, func(t *rapid.T) {
 		replicas := rapid.IntRange(2, 5).Draw(t, "replicas")
 		k := rapid.IntRange(1, replicas).Draw(t, "k")
-		cell := fleet(1, replicas)[0]
 		seed := rapid.Uint64().Draw(t, "seed")
+		cell := ranked(seed, fleet(1, replicas)[0])
 		gone := rapid.IntRange(0, replicas-1).Draw(t, "gone")
-		before := Keep(seed, cell, k)
+		before := Keep(cell, k)
 		cell[gone].Usable = false
-		after := Keep(seed, cell, k)
+		after := Keep(cell, k)
 		if after[gone] {
 			t.Fatalf("an unusable store is kept")
 		}
-		moved := 0
+		moved, spare := 0, 0 // taken up now; usable and not kept before
 		for i := range cell {
 			if before[i] && !after[i] && i != gone {
 				t.Fatalf("store %d left though %d went", i, gone)
@@ -71,21 +80,19 @@
 			if !before[i] && after[i] {
 				moved++
 			}
-		}
-		if want := 0; !before[gone] && moved != want {
-			t.Fatalf("%d stores taken up though the one that went was not kept", moved)
-		}
-		spare := 0 // usable and not kept before
-		for i := range cell {
 			if !before[i] && i != gone {
 				spare++
 			}
 		}
-		if before[gone] && moved != min(spare, 1) {
-			t.Fatalf("%d stores taken up for one that went", moved)
+		want := 0
+		if before[gone] {
+			want = min(spare, 1)
+		}
+		if moved != want {
+			t.Fatalf("%d stores taken up for one that went, want %d (it was kept: %v)", moved, want, before[gone])
 		}
 		cell[gone].Usable = true
-		if back := Keep(seed, cell, k); fmt.Sprint(back) != fmt.Sprint(before) {
+		if back := Keep(cell, k); fmt.Sprint(back) != fmt.Sprint(before) {
 			t.Fatalf("after the return %v, before %v", back, before)
 		}
 	})
