A class's own second step, by scores, apart from a search's

E frames' scores are read; an answer without one goes to another replica and costs one query at the most. Carrying out an action, booking an outcome and beginning a query are guarded: a panic there fails one query with the line 'query panic' and no longer ends the process. The audit counts a second step's own attempts.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -244,6 +244,9 @@
 				first = e.Sent
 			}
 		}
+		if k.step == record.LoadStep { // its parts have attempts of their own, where listings share their range's
+			shards[k.shard] = 0
+		}
 		shards[k.shard] += sent
 		if in != nil && in.Attempts > 0 && shards[k.shard] > in.Attempts {
 			a.breach(list, "request %d, range %d: %d attempts over its steps, %d allowed", id, k.shard, shards[k.shard], in.Attempts)
--- a/internal/gather/admit.go
+++ b/internal/gather/admit.go
@@ -30,6 +30,12 @@
 	r.id = c.lastID
 	q := &query{Request: r}
 	c.flight.AddQuery(r.id, r.Name, q)
+	c.guard(q, func() { c.begin(q) })
+}
+
+// begin tells the Mixer of a query and of its parts.
+func (c *Core) begin(q *query) {
+	r := q.Request
 	first, phased, fetch := c.startSearch(q)
 	c.events = append(c.events, policy.QueryArrived{ID: policy.QueryID(r.id), Class: r.Class, Key: subject(r),
 		Left: max(time.Until(r.Deadline), 0), Parts: len(r.Shards), Phased: phased, Fetch: fetch})
--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -61,6 +61,7 @@
 	Parts      []PartResult // every part, in the request's order
 	RetryAfter time.Duration
 	Reason     string        // one of the Reason constants, where not answered
+	Second     []PartResult  // of a plain second step: its values are the answer's, not the first one's
 	Search     search.Result // what came of a search; Whole says that nothing is missing there
 	Phases     search.Phases // how a search was put
 	Detail     string        // where Reason is ReasonQuestion, what a lot store says of it
@@ -79,6 +80,14 @@
 	ReasonQuestion  = "lot stores cannot answer such a question"
 )
 
+// Values are the parts whose values make the answer: those of the last step that the query came to.
+func (r *Result) Values() []PartResult {
+	if r.Second != nil {
+		return r.Second
+	}
+	return r.Parts
+}
+
 // PartResult is what came of one part.
 type PartResult struct {
 	Shard    int
@@ -98,6 +107,12 @@
 	Extremes bool     // of the first sort key's field too
 }
 
+// Load is what an attempt of a plain second step tells of the first one.
+type Load struct {
+	From  []int // the shards that were in, in order
+	Whole bool  // what the first step's answer was
+}
+
 // Attempt is one try of a part at a server. All fields are fixed before the transport sees it.
 type Attempt struct {
 	Query  string
@@ -108,6 +123,7 @@
 	Text   []byte
 	Server policy.ServerID
 	Ask    *Ask      // of a search
+	Load   *Load     // of a plain second step
 	Until  time.Time // when the core stops waiting for it
 	// NotAfter, where set, is the last moment at which it may be written: later, a repeat of a keyed
 	// part would no longer be dropped by the lot stores.
@@ -146,6 +162,8 @@
 type Reporter interface {
 	// Outcome tells how an attempt ended, with its value where it is OK.
 	Outcome(a *Attempt, s policy.Status, value string)
+	// Scored tells that an attempt ended well, with its value and the score by which a second step chooses shards.
+	Scored(a *Attempt, value string, score float64)
 	// Found tells what an attempt with an Ask brought; it has ended well. The answer has passed its Check.
 	Found(a *Attempt, found *search.Answer)
 	// Unanswerable tells that the lot store cannot answer what an attempt with an Ask asks, and why: whoever asked it
--- a/internal/gather/book.go
+++ b/internal/gather/book.go
@@ -11,8 +11,8 @@
 // valuesMost bounds the values of one answer, as a body holds 64 KiB at most.
 const valuesMost = 56 << 10
 
-// book takes in the outcome that the transport tells of.
-func (c *Core) book(a *Attempt, s policy.Status, value string) {
+// book takes in the outcome that the transport tells of. A score is told of a value that has one.
+func (c *Core) book(a *Attempt, s policy.Status, value string, score *float64) {
 	if a.outcome {
 		return // timed out while this was on its way
 	}
@@ -21,12 +21,18 @@
 		return
 	}
 	p := a.part
-	if s == policy.OK && !p.res.OK {
-		if p.q.bytes+len(value) > valuesMost {
-			s = policy.Error // an answer with it could not be given
-		} else {
-			p.q.bytes += len(value)
-			p.res.OK, p.res.Value = true, value
+	switch {
+	case s != policy.OK || p.res.OK || p.closed:
+	case c.scored(p) && score == nil: // its shard could not be ranked among the others; another replica's may be
+		c.log.Warn("answer without a score", "store", a.Server, "request", p.q.Name, "shard", p.res.Shard)
+		s = policy.Error
+	case p.q.bytes+len(value) > valuesMost:
+		s = policy.Error // an answer with it could not be given
+	default:
+		p.q.bytes += len(value)
+		p.res.OK, p.res.Value = true, value
+		if score != nil {
+			p.score = *score
 		}
 	}
 	c.report(a, s)
--- a/internal/gather/core.go
+++ b/internal/gather/core.go
@@ -50,9 +50,10 @@
 // query is a request in hand.
 type query struct {
 	*Request
-	parts []*part // of the first step
-	bytes int     // of the values that are in
-	over  bool    // has its final answer, or its client is gone
+	parts  []*part // of the first step
+	second []*part // of the second, once it has begun
+	bytes  int     // of the values that are in
+	over   bool    // has its final answer, or its client is gone
 	lead
 }
 
@@ -63,9 +64,12 @@
 	res      *PartResult
 	attempts []*Attempt
 	mayRun   time.Duration // when the first attempt that may have run was sent, 0 for none
-	place    int           // of its range in its query's plan
-	cut      bool          // was still to come when the first of two steps ended
+	place    int           // of its shard in its query's request
+	score    float64       // that came with its value
+	closed   bool          // its step, the first of two, has ended
+	cut      bool          // it was still to come then
 	ask      *Ask          // of a search
+	load     *Load         // of a plain second step
 }
 
 // New makes a core. The transport must not report before Run.
@@ -163,32 +167,81 @@
 		return
 	}
 	for _, a := range actions {
-		switch a := a.(type) {
-		case policy.Send:
-			c.route(a)
-		case policy.Cancel:
-			c.cancel(a)
-		case policy.Answer:
-			c.relayAnswer(a)
-		case policy.Refuse:
-			c.relayRefusal(a)
-		case policy.Fail:
-			c.relayFailure(a)
-		case policy.Probe:
-			c.transport.Probe(a.Server)
-		case policy.CloseIdle:
-			c.transport.CloseIdle(a.Server)
-		case policy.WakeAt:
-			c.wakeAt = a.At
-		case policy.Log:
-			c.log.Info("mixer", "state", a.Text)
-		}
+		c.guard(c.concerned(a), func() { c.carryOut(a) })
 	}
 	c.sendCalls()
 	queries, parts := c.flight.Len()
 	c.open.Store(int64(queries + parts))
 }
 
+func (c *Core) carryOut(a policy.Action) {
+	switch a := a.(type) {
+	case policy.Send:
+		c.route(a)
+	case policy.Cancel:
+		c.cancel(a)
+	case policy.Answer:
+		c.relayAnswer(a)
+	case policy.Refuse:
+		c.relayRefusal(a)
+	case policy.Fail:
+		c.relayFailure(a)
+	case policy.Probe:
+		c.transport.Probe(a.Server)
+	case policy.CloseIdle:
+		c.transport.CloseIdle(a.Server)
+	case policy.WakeAt:
+		c.wakeAt = a.At
+	case policy.Log:
+		c.log.Info("mixer", "state", a.Text)
+	}
+}
+
+// concerned is the query that an action is about; nil for none that is in hand.
+func (c *Core) concerned(a policy.Action) *query {
+	id, part := uint64(0), uint64(0)
+	switch a := a.(type) {
+	case policy.Send:
+		part = uint64(a.Part)
+	case policy.Cancel:
+		part = uint64(a.Part)
+	case policy.Answer:
+		id = uint64(a.Query)
+	case policy.Refuse:
+		id = uint64(a.Query)
+	case policy.Fail:
+		id = uint64(a.Query)
+	}
+	if p, ok := c.flight.Part(part); ok {
+		return p.q
+	}
+	q, _ := c.flight.Query(id)
+	return q
+}
+
+// guard keeps a fault that one query brings out from taking down all that the daemon holds: it fails, and a line tells.
+func (c *Core) guard(q *query, f func()) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		name := ""
+		if q != nil {
+			name = q.Name
+		}
+		c.log.Error("query panic", "request", name, "reason", p, "stack", string(debug.Stack()))
+		if q == nil || q.over {
+			return
+		}
+		c.forgetSearch(q)
+		q.plan = nil // what broke must not be asked what came of it
+		c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(q.id)})
+		c.tellFinal(q, Result{Kind: Failed, Reason: ReasonPanic, Parts: partResults(q.Request)})
+	}()
+	f()
+}
+
 // Load is the share of the in-flight table that is taken. Any goroutine may ask.
 func (c *Core) Load() float64 { return float64(c.open.Load()) / float64(c.openCap.Load()) }
 
--- a/internal/gather/recorder.go
+++ b/internal/gather/recorder.go
@@ -71,8 +71,11 @@
 	}
 	e := record.Entry{Kind: record.Attempt, At: c.micros(c.now()), Request: a.part.q.ticket, Shard: a.Shard, Number: a.Number,
 		Store: uint32(a.Server), Status: statuses[s]}
-	if a.Ask != nil && a.Ask.IDs != nil {
-		e.Step = 1
+	switch {
+	case a.Load != nil:
+		e.Step = record.LoadStep
+	case a.Ask != nil && a.Ask.IDs != nil:
+		e.Step = record.ListingStep
 	}
 	if a.called {
 		e.Sent = c.micros(a.handed)
--- a/internal/gather/relay.go
+++ b/internal/gather/relay.go
@@ -14,7 +14,7 @@
 	switch {
 	case !ok:
 	case !a.Final && !(q.WholeOnly && !a.Whole):
-		c.fetch(q)
+		c.fetch(q, a.Whole)
 	case q.WholeOnly && !(a.Whole && q.allIn()):
 		c.events = append(c.events, policy.ClientLeft{Query: a.Query}) // of the first step, all that is left to do
 		c.finish(q, Result{Kind: Failed, Reason: ReasonPartial})
@@ -60,7 +60,13 @@
 	for i, p := range q.parts {
 		r.Parts[i] = p.result()
 	}
+	q.finishSecond(&r)
 	c.finishSearch(q, &r)
+	c.tellFinal(q, r)
+}
+
+// tellFinal hands a query's final answer over and takes it off the table.
+func (c *Core) tellFinal(q *query, r Result) {
 	q.out(c.now(), r.Kind == Answered)
 	c.recordFinal(q.Request, kinds[r.Kind], r.Reason)
 	q.Done <- r
@@ -70,7 +76,8 @@
 // result is what has come of a part so far.
 func (p *part) result() PartResult {
 	r := *p.res
-	r.Waiting = !r.OK && !r.Skipped && (p.cut || len(p.attempts) == 0 || !p.attempts[len(p.attempts)-1].outcome)
+	r.Waiting = !r.OK && !r.Skipped && (p.cut || len(p.attempts) == 0 ||
+		slices.ContainsFunc(p.attempts, func(a *Attempt) bool { return !a.outcome }))
 	return r
 }
 
@@ -79,7 +86,7 @@
 	q.over = true
 	q.out(c.now(), false) // unless finish has told
 	c.forgetSearch(q)
-	c.flight.Remove(q.id, q.Name, append(ids(q.parts), ids(q.listings)...), time.Now())
+	c.flight.Remove(q.id, q.Name, append(ids(q.parts), ids(q.second)...), time.Now())
 }
 
 func ids(parts []*part) []uint64 {
--- a/internal/gather/route.go
+++ b/internal/gather/route.go
@@ -22,7 +22,7 @@
 	}
 	now := c.steppedAt
 	a := &Attempt{Query: p.q.Name, Class: p.q.Class, Key: p.q.Key, Shard: p.res.Shard, Number: len(p.attempts),
-		Text: p.q.Text, Server: s.Server, Ask: p.ask, Until: c.start.Add(now - epoch + s.Limit), part: p, sent: now}
+		Text: p.q.Text, Server: s.Server, Ask: p.ask, Load: p.load, Until: c.start.Add(now - epoch + s.Limit), part: p, sent: now}
 	k := c.set.Policy.Classes[p.q.Class]
 	if k.Effect == policy.Keyed && p.mayRun > 0 {
 		// Two ticks short of the window: the way to the lot store takes time as well.
--- a/internal/gather/search.go
+++ b/internal/gather/search.go
@@ -1,7 +1,7 @@
 package gather
 
 import (
-	"runtime/debug"
+	"slices"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/search"
@@ -45,13 +45,12 @@
 
 // lead is what a query has more if it is a search.
 type lead struct {
-	plan     *search.Plan
-	at       time.Duration
-	listings []*part // of the second step
+	plan *search.Plan
+	at   time.Duration
 }
 
-// startSearch makes the plan of a query that is a search. It says which ranges are asked first, whether the query has
-// two steps, and how many parts the second is expected to have.
+// startSearch makes the plan of a query that is a search. It says which ranges are asked first, whether the plan has
+// two steps, and how many parts its second is expected to have.
 func (c *Core) startSearch(q *query) (first search.Orders, phased bool, fetch int) {
 	if q.Search == nil {
 		return first, false, 0
@@ -126,13 +125,11 @@
 	p.res.OK = a.Ask.IDs != nil || !q.plan.Closed()
 	sent := a.sent
 	c.report(a, policy.OK)
-	c.guard(q, func() {
-		if a.Ask.IDs != nil {
-			q.plan.Listed(p.place, found)
-			return
-		}
-		c.order(q, q.plan.Scored(p.place, uint32(a.Server), found, sent, c.now()))
-	})
+	if a.Ask.IDs != nil {
+		q.plan.Listed(p.place, found)
+		return
+	}
+	c.order(q, q.plan.Scored(p.place, uint32(a.Server), found, sent, c.now()))
 }
 
 // bookUnanswerable takes in that a lot store cannot answer a question. It counts as never sent, as nothing speaks
@@ -149,39 +146,6 @@
 	}
 }
 
-// guard keeps a fault in a plan from taking down all that the daemon holds: its one query fails.
-func (c *Core) guard(q *query, f func()) {
-	defer func() {
-		if p := recover(); p != nil {
-			c.log.Error("search panic", "reason", p, "stack", string(debug.Stack()))
-			c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(q.id)})
-			c.finish(q, Result{Kind: Failed, Reason: ReasonPanic})
-		}
-	}()
-	f()
-}
-
-// fetch begins the second step: the listings of the page, each first at the copy that ranked it.
-func (c *Core) fetch(q *query) {
-	for _, p := range q.parts {
-		p.cut = p.result().Waiting
-	}
-	delete(c.phased, q)
-	c.flight.RemoveParts(ids(q.parts)) // ended, and the second step has no more than the first had
-	fetches := q.plan.Close()
-	c.events = append(c.events, policy.Planned{Query: policy.QueryID(q.id), Fetch: len(fetches)})
-	for _, f := range fetches {
-		first := q.parts[f.Place]
-		c.lastID++
-		p := &part{id: c.lastID, q: q, res: &PartResult{Shard: first.res.Shard}, place: f.Place,
-			ask: &Ask{Query: q.Search, IDs: f.IDs}}
-		q.listings = append(q.listings, p)
-		c.flight.AddPart(p.id, p)
-		c.events = append(c.events, policy.PartArrived{ID: policy.PartID(p.id), Query: policy.QueryID(q.id),
-			Shard: p.res.Shard, Weight: f.Weight, Prefer: policy.ServerID(f.Source), Used: len(first.attempts)})
-	}
-}
-
 // allIn says whether nothing of the page is missing; true of what is no search.
 func (q *query) allIn() bool {
 	if q.plan == nil {
@@ -194,7 +158,7 @@
 	return r.Whole()
 }
 
-// finishSearch fills in what came of a search. A range whose listings are missing is not in.
+// finishSearch fills in what came of a search.
 func (c *Core) finishSearch(q *query, r *Result) {
 	if q.plan == nil {
 		return
@@ -203,17 +167,7 @@
 		q.plan.Close()
 	}
 	r.Search, r.Phases = q.plan.Result(), q.plan.Phases
-	sent := false
-	for i := range r.Parts {
-		sent = sent || r.Parts[i].Attempts > 0
-	}
-	for _, p := range q.listings {
-		l, first := p.result(), &r.Parts[p.place]
-		first.Attempts += l.Attempts
-		if !l.OK {
-			first.OK, first.Last, first.Waiting = false, l.Last, l.Waiting
-		}
-	}
+	sent := slices.ContainsFunc(r.Parts, func(p PartResult) bool { return p.Attempts > 0 })
 	if c.chooser != nil && sent && r.Reason != ReasonQuestion { // one that was refused unsent says nothing of either way
 		c.chooser.Measured(q.Class, q.plan, c.now()-q.at, c.set.Policy.Classes[q.Class].Aim, r.Kind == Answered)
 	}
@@ -241,7 +195,7 @@
 func (c *Core) tickSearches(now time.Duration) {
 	for q := range c.phased {
 		if d := q.plan.Due(); d > 0 && now >= d {
-			c.order(q, q.plan.Tick(now))
+			c.guard(q, func() { c.order(q, q.plan.Tick(now)) })
 		}
 	}
 }
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -18,6 +18,7 @@
 		a     *Attempt
 		s     policy.Status
 		value string
+		score *float64 // nil for none
 	}
 	found struct {
 		a      *Attempt
@@ -127,7 +128,12 @@
 func (c *Core) List(l List) { c.tell(l) }
 
 // Outcome implements Reporter.
-func (c *Core) Outcome(a *Attempt, s policy.Status, value string) { c.tell(outcome{a, s, value}) }
+func (c *Core) Outcome(a *Attempt, s policy.Status, value string) { c.tell(outcome{a, s, value, nil}) }
+
+// Scored implements Reporter.
+func (c *Core) Scored(a *Attempt, value string, score float64) {
+	c.tell(outcome{a, policy.OK, value, &score})
+}
 
 // Found implements Reporter.
 func (c *Core) Found(a *Attempt, answer *search.Answer) { c.tell(found{a, answer}) }
@@ -164,11 +170,11 @@
 			c.forget(q)
 		}
 	case outcome:
-		c.book(m.a, m.s, m.value)
+		c.guard(m.a.part.q, func() { c.book(m.a, m.s, m.value, m.score) })
 	case found:
-		c.bookFound(m.a, m.answer)
+		c.guard(m.a.part.q, func() { c.bookFound(m.a, m.answer) })
 	case unanswerable:
-		c.bookUnanswerable(m.a, m.why)
+		c.guard(m.a.part.q, func() { c.bookUnanswerable(m.a, m.why) })
 	case probed:
 		c.events = append(c.events, policy.Probed{Server: m.server, OK: m.ok})
 	case List:
--- a/internal/lifecycle/replay_test.go
+++ b/internal/lifecycle/replay_test.go
@@ -101,9 +101,14 @@
 
 // startAmong starts a daemon whose discovery has a list, and tells its configuration file.
 func startAmong(t *testing.T, list string, f *FrontConfig, o *OperationsConfig, change func(*Config)) (*Daemon, string) {
+	return startSettings(t, "testdata/settings.json", list, f, o, change)
+}
+
+// startSettings is startAmong with the settings of a file.
+func startSettings(t *testing.T, settings, list string, f *FrontConfig, o *OperationsConfig, change func(*Config)) (*Daemon, string) {
 	agent := standin.Listen(t)
 	go standin.Discovery(agent, list)
-	set, err := os.ReadFile("testdata/settings.json")
+	set, err := os.ReadFile(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/frames/codec.go
+++ b/internal/net/frames/codec.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
+	"strings"
 
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
@@ -72,11 +74,12 @@
 // end is what an E frame tells of one part.
 type end struct {
 	id, how string
+	score   *float64 // nil for none that can be read
 	value   []byte
 }
 
-// parseEnd reads the rest of an E frame: the line ID END SCORE REPORT, and the value. A report that
-// cannot be read does not spoil the answer.
+// parseEnd reads the rest of an E frame: the line ID END SCORE REPORT, and the value. A score or a report that cannot
+// be read does not spoil the answer: whoever needs the score sees that there is none.
 func parseEnd(rest []byte) (end, error) {
 	line, value, ok := bytes.Cut(rest, []byte{'\n'})
 	fields := bytes.SplitN(line, []byte{' '}, 4)
@@ -88,7 +91,11 @@
 	default:
 		return end{}, malformed("E with the end %.20q", fields[1])
 	}
-	return end{string(fields[0]), string(fields[1]), value}, nil
+	e := end{id: string(fields[0]), how: string(fields[1]), value: value}
+	if score, err := strconv.ParseFloat(string(fields[2]), 64); err == nil && !math.IsNaN(score) && !math.IsInf(score, 0) {
+		e.score = &score
+	}
+	return e, nil
 }
 
 // appendFrame appends a frame whose rest is given.
@@ -97,16 +104,41 @@
 	return append(append(b, letter), rest...)
 }
 
+// loadMark ends the id of a part of a second step.
+const loadMark = ".load"
+
 // partID is a part's name on this wire.
-func partID(a *gather.Attempt) string { return a.Query + "." + strconv.Itoa(a.Shard) }
+func partID(a *gather.Attempt) string {
+	id := a.Query + "." + strconv.Itoa(a.Shard)
+	if a.Load != nil {
+		id += loadMark
+	}
+	return id
+}
 
 // partLine is what goes before a part's text in a call.
 func partLine(a *gather.Attempt, waitMs int64) string {
-	key := ""
+	list := "d=" + strconv.FormatInt(max(waitMs, 1), 10)
 	if a.Key != "" {
-		key = ",k=" + a.Key
+		list += ",k=" + a.Key
+	}
+	if a.Load != nil {
+		list += "," + loadList(a.Load)
+	}
+	return fmt.Sprintf("%s %d %s %d\n", partID(a), a.Shard, list, len(a.Text))
+}
+
+// loadList is what a part of a second step tells of the first.
+func loadList(l *gather.Load) string {
+	from := make([]string, len(l.From))
+	for i, shard := range l.From {
+		from[i] = strconv.Itoa(shard)
+	}
+	whole := 0
+	if l.Whole {
+		whole = 1
 	}
-	return fmt.Sprintf("%s %d d=%d%s %d\n", partID(a), a.Shard, max(waitMs, 1), key, len(a.Text))
+	return fmt.Sprintf("from=%s,whole=%d", strings.Join(from, "+"), whole)
 }
 
 // writeCall writes one call. Large ones go out in pieces, as buffers have one size.
--- a/internal/net/frames/frames_test.go
+++ b/internal/net/frames/frames_test.go
@@ -53,6 +53,57 @@
 	}
 }
 
+// A part of a second step has a name of its own, and tells of the first step. Its answer cannot be taken for that of the
+// first step's part of the shard, and one that comes twice is dropped.
+func TestLoad(t *testing.T) {
+	list := attempts(2)
+	first, load := list[0], list[1]
+	load.Shard, load.Load = 0, &gather.Load{From: []int{0, 5, 9}, Whole: true}
+	if l := partLine(load, 240); l != "q.0.load 0 d=240,from=0+5+9,whole=1 0\n" {
+		t.Errorf("line %q", l)
+	}
+	load.Key, load.Load.Whole = "5c0f", false
+	if l := partLine(load, 240); l != "q.0.load 0 d=240,k=5c0f,from=0+5+9,whole=0 0\n" {
+		t.Errorf("line %q", l)
+	}
+	tr, r := transport("127.0.0.1:1", time.Minute)
+	c := parked(tr, nil)
+	c.out["q.0"], c.out["q.0.load"] = &entry{a: first}, &entry{a: load}
+	for _, x := range []struct {
+		id   string
+		want *gather.Attempt
+	}{{"q.0.load", load}, {"q.0.load", nil}, {"q.0", first}} {
+		if err := c.take('E', []byte(x.id+" hit 7 -\nv")); err != nil {
+			t.Fatal(err)
+		}
+		var got *gather.Attempt
+		if len(r.ch) > 0 {
+			got = (<-r.ch).a
+		}
+		if got != x.want {
+			t.Errorf("%s: reported %+v", x.id, got)
+		}
+	}
+	if err := c.take('E', []byte("q.4.load hit 7 -\nv")); err == nil {
+		t.Error("took an answer to a part of a second step that was never out")
+	}
+}
+
+// A score is a number or there is none; the answer is good all the same.
+func TestScore(t *testing.T) {
+	for text, want := range map[string]float64{"1840277719": 1840277719, "-3": -3, "0": 0, "-": -1, "": -1, "nan": -1, "inf": -1, "1e999": -1, "7x": -1} {
+		e, err := parseEnd([]byte("q.1 hit " + text + " -\nv"))
+		got := -1.0
+		if e.score != nil {
+			got = *e.score
+		}
+		if err != nil || got != want || string(e.value) != "v" {
+			t.Errorf("%q: score %v, value %q, error %v", text, got, e.value, err)
+		}
+	}
+	garble.Check(t, false, func(b []byte) error { _, err := parseEnd(b); return err }, "9b1f03aa5c7e2d41.3.load hit 1840277719 inflight=7\nvalue")
+}
+
 // reports collects what the transport tells.
 type reports struct{ ch chan report }
 
@@ -63,6 +114,7 @@
 }
 
 func (r reports) Outcome(a *gather.Attempt, s policy.Status, v string) { r.ch <- report{a, s, v} }
+func (r reports) Scored(a *gather.Attempt, v string, _ float64)        { r.ch <- report{a, policy.OK, v} }
 func (r reports) Found(*gather.Attempt, *search.Answer)                {}
 func (r reports) Unanswerable(*gather.Attempt, string)                 {}
 func (r reports) Probed(_ policy.ServerID, ok bool) {
--- a/internal/net/frames/take.go
+++ b/internal/net/frames/take.go
@@ -60,7 +60,11 @@
 		c.settle()
 	}
 	c.t.mu.Unlock()
-	if e != nil {
+	switch {
+	case e == nil:
+	case statuses[x.how] == policy.OK && x.score != nil:
+		c.t.report.Scored(e.a, string(x.value), *x.score)
+	default:
 		c.t.report.Outcome(e.a, statuses[x.how], string(x.value))
 	}
 	return nil
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -367,7 +367,7 @@
 	}
 	var all []hit
 	total := int64(0)
-	for _, p := range res.Parts {
+	for _, p := range res.Values() {
 		if !p.OK {
 			continue
 		}
@@ -502,14 +502,15 @@
 
 func (a *asked) created(res gather.Result, counts shardCounts) *http1.Response {
 	doc := map[string]any{"_index": a.index, "_id": a.q.Key, "_version": 1, "result": "created", "_shards": counts}
-	if v := gjson.Parse(res.Parts[0].Value); gjson.Valid(res.Parts[0].Value) && v.Get("_id").Exists() {
+	item := res.Values()[0].Value
+	if v := gjson.Parse(item); gjson.Valid(item) && v.Get("_id").Exists() {
 		for _, k := range []string{"_version", "_seq_no", "_primary_term"} {
 			if x := v.Get(k); x.Type == gjson.Number {
 				doc[k] = json.Number(x.Raw)
 			}
 		}
 	} else {
-		doc["get"] = map[string]any{"_source": map[string]string{"item": res.Parts[0].Value}}
+		doc["get"] = map[string]any{"_source": map[string]string{"item": item}}
 	}
 	return jsonResponse(201, doc)
 }
--- a/internal/net/opensearch/stores_test.go
+++ b/internal/net/opensearch/stores_test.go
@@ -26,6 +26,7 @@
 }
 
 func (r reports) Outcome(a *gather.Attempt, s policy.Status, v string) { r <- report{a.Shard, s, v} }
+func (r reports) Scored(a *gather.Attempt, v string, _ float64)        { r <- report{a.Shard, policy.OK, v} }
 func (r reports) Found(a *gather.Attempt, f *search.Answer) {
 	r <- report{a.Shard, policy.OK, fmt.Sprintf("%d hits of %d", len(f.Hits), f.Total)}
 }
--- a/internal/net/platform/platform.go
+++ b/internal/net/platform/platform.go
@@ -166,7 +166,7 @@
 	switch res.Kind {
 	case gather.Answered:
 		b := fmt.Appendf(nil, `{"finished":%v,"found":[`, res.Whole)
-		for _, p := range res.Parts {
+		for _, p := range res.Values() {
 			if !p.OK {
 				continue
 			}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -34,6 +34,12 @@
 	Begun                   // a process began: numbers of requests begin again
 )
 
+// Steps of an attempt past the first one's 0.
+const (
+	ListingStep = 1 // a search's listings: attempts of both steps count together
+	LoadStep    = 2 // a class's own second step
+)
+
 // Entry is one thing that happened. Times are Unix times in microseconds, by one clock that never goes back.
 type Entry struct {
 	Kind    Kind   `msgpack:"k"`
@@ -49,7 +55,7 @@
 
 	// Of an attempt.
 	Shard  int    `msgpack:"p,omitempty"`
-	Step   int    `msgpack:"s,omitempty"` // 1 for listings of a second step
+	Step   int    `msgpack:"s,omitempty"` // 0, ListingStep or LoadStep
 	Number int    `msgpack:"n,omitempty"`
 	Store  uint32 `msgpack:"d,omitempty"`
 	Sent   int64  `msgpack:"b,omitempty"` // when it was handed over; At is its end
--- a/internal/standin/frames.go
+++ b/internal/standin/frames.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 )
 
 // Frames is a lot store that speaks frames, until the listener closes.
@@ -65,12 +66,19 @@
 		n, _ := strconv.Atoi(string(f[3]))
 		text := string(rest[:n])
 		b = rest[n:]
-		switch end := s.Next(shard, text); end {
+		end, value := Hit, Value(shard)
+		if strings.HasSuffix(string(f[0]), ".load") {
+			end, value = s.Load(shard, string(f[2])), LoadValue(shard)
+		}
+		if end == Hit {
+			end = s.Next(shard, text)
+		}
+		switch end {
 		case Reset:
 			return false
 		case Silent:
 		case Hit:
-			c.Write(Frame('E', fmt.Sprintf("%s hit 0 latency_ms=1,queue=0\n%s", f[0], Value(shard))))
+			c.Write(Frame('E', fmt.Sprintf("%s hit %s latency_ms=1,queue=0\n%s", f[0], s.score(shard), value)))
 		default:
 			c.Write(Frame('E', fmt.Sprintf("%s %s 0 -\n", f[0], end)))
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 )
@@ -23,10 +25,64 @@
 
 // Script says how parts end and remembers what was asked. It may serve many stores.
 type Script struct {
+	// Fetch is how many shards a second step goes to; a part of it for any other ends as Fault.
+	Fetch int
+	// Scores words an answer's score by shard; nil for Score's.
+	Scores func(shard int) string
+
 	mu       sync.Mutex
 	ends     map[int][]End // by shard: what its next attempts get; Hit once these are used up
 	attempts map[int]int
 	texts    map[int]string
+	loads    []string // shards, with the lists of the second step's parts
+}
+
+// Score is what an answer of a shard scores: in no order of the shards, so that a mix-up shows.
+func Score(shard int) int { return (shard*7919 + 13) % 1009 }
+
+func (s *Script) score(shard int) string {
+	if s.Scores != nil {
+		return s.Scores(shard)
+	}
+	return fmt.Sprint(Score(shard))
+}
+
+// Load notes a part of a second step, and says how it ends: Fault for a shard that is not among the best of those that
+// were in, or where the list does not say which were.
+func (s *Script) Load(shard int, list string) End {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads = append(s.loads, fmt.Sprintf("%d %s", shard, list))
+	in, better, whole := false, 0, false
+	for _, field := range strings.Split(list, ",") {
+		name, value, _ := strings.Cut(field, "=")
+		switch name {
+		case "whole":
+			whole = value == "0" || value == "1"
+		case "from":
+			for _, x := range strings.Split(value, "+") {
+				n, err := strconv.Atoi(x)
+				if err != nil {
+					return Fault
+				}
+				in = in || n == shard
+				if Score(n) > Score(shard) {
+					better++
+				}
+			}
+		}
+	}
+	if !in || !whole || better >= s.Fetch {
+		return Fault
+	}
+	return Hit
+}
+
+// Loads lists the parts of second steps that came, as SHARD LIST.
+func (s *Script) Loads() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.loads)
 }
 
 // Set makes the script forget what was asked and gives it the ends to come.
@@ -66,9 +122,12 @@
 	return c
 }
 
-// Value is what a store answers for a shard.
+// Value is what a store answers for a shard, and LoadValue in a second step.
 func Value(shard int) string { return fmt.Sprintf("value-%d", shard) }
 
+// LoadValue is what a store answers for a shard in a second step.
+func LoadValue(shard int) string { return fmt.Sprintf("load-%d", shard) }
+
 // Cleaner is what a stand-in needs of a test.
 type Cleaner interface {
 	Cleanup(func())
