Young mixers and successors tell at once what a cold lot store may be sent

Lines: surveyServers divided what was answered by 10 s however young the mixer was, and sendable lets a cold store have parts in proportion to that. Ruled out: news of the list (all ready at 11.83 s), blame (no store of these was failing), turns (at the first handover, with no cold store, each got 40 at once).

Change: usual is told by the time the mixer has lived, FallSpan at the least; Learned and the handover's state bring how many parts a second were answered. The audit took each second copy for a breach where the settings allow two out.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -29,6 +29,8 @@
 func TestBreaches(t *testing.T) {
 	loose := arrived(1, 0)
 	loose.In = &record.InForce{Attempts: 4, GiveUp: 9_000_000, Window: 4_000_000}
+	copies := arrived(1, 0)
+	copies.In = &record.InForce{Attempts: 4, GiveUp: 9_000_000, Copies: true}
 	for name, c := range map[string]struct {
 		entries []record.Entry
 		want    string
@@ -36,6 +38,8 @@
 		"none":           {[]record.Entry{arrived(1, 0), try(1, 0, 5, 100), final(1, 110), arrived(2, 600), try(2, 0, 605, 700), final(2, 710)}, ""},
 		"a third try":    {[]record.Entry{loose, try(1, 0, 5, 100), try(1, 1, 105, 200), try(1, 2, 205, 300), try(1, 3, 305, 400), try(1, 4, 405, 500), final(1, 510)}, "5 attempts over its steps, 4 allowed"},
 		"overlap":        {[]record.Entry{loose, try(1, 0, 5, 100), try(1, 1, 90, 200), final(1, 210)}, "attempt 1 left before attempt 0 had ended"},
+		"a second copy":  {[]record.Entry{copies, try(1, 0, 5, 300), try(1, 1, 90, 200), try(1, 2, 205, 400), final(1, 410)}, ""},
+		"a third copy":   {[]record.Entry{copies, try(1, 0, 5, 300), try(1, 1, 90, 200), try(1, 2, 195, 400), final(1, 410)}, "attempt 2 left before attempt 0 had ended"},
 		"past window":    {[]record.Entry{loose, try(1, 0, 5, 100), try(1, 1, 4006, 4100), final(1, 4110)}, "its window is 4s"},
 		"too late":       {[]record.Entry{arrived(1, 0), final(1, 3100)}, "3s allowed"},
 		"twice":          {[]record.Entry{arrived(1, 0), final(1, 10), final(1, 20)}, "two final answers"},
--- a/internal/gather/recorder.go
+++ b/internal/gather/recorder.go
@@ -33,6 +33,7 @@
 		if in.Attempts == 0 {
 			in.Attempts = c.set.Policy.MaxAttempts
 		}
+		in.Copies = c.set.Policy.SecondCopies
 		if k.Effect == policy.Keyed {
 			in.Window = k.Window.Microseconds()
 		}
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -68,6 +68,8 @@
 	Banned  []string
 	Back    map[string]time.Time // servers put back, and when
 	Records map[string]policy.Record
+	// PerSecond is how many parts a second all servers together answered.
+	PerSecond float64
 }
 
 // Snapshot tells what a successor is to go on from.
@@ -85,7 +87,7 @@
 func (c *Core) Restore(s Snapshot) { c.tell(restored{s}) }
 
 func (c *Core) snapshot() Snapshot {
-	s := Snapshot{Servers: c.servers.Listed(), Records: map[string]policy.Record{}}
+	s := Snapshot{Servers: c.servers.Listed(), Records: map[string]policy.Record{}, PerSecond: c.mixer.PerSecond()}
 	s.Banned, s.Back = c.servers.Bans()
 	names := map[policy.ServerID]string{}
 	for _, x := range s.Servers {
@@ -109,7 +111,7 @@
 			records = append(records, r)
 		}
 	}
-	c.events = append(c.events, policy.Learned{Records: records})
+	c.events = append(c.events, policy.Learned{Records: records, PerSecond: s.PerSecond})
 }
 
 // Retune puts other settings in force for what is submitted from then on. They must be Over those before.
--- a/internal/lifecycle/handover.go
+++ b/internal/lifecycle/handover.go
@@ -186,7 +186,7 @@
 	s := d.core.Snapshot()
 	zones := d.settings.Load().Zones
 	x := handover.State{Hosts: discovery.AppendList(nil, 0, s.Servers, zones), Banned: append([]string{}, s.Banned...),
-		Attached: map[string]int64{}, Drain: d.lame.Load(), Records: []handover.Record{}}
+		Attached: map[string]int64{}, Drain: d.lame.Load(), Records: []handover.Record{}, PerSecond: s.PerSecond}
 	for name, at := range s.Back {
 		x.Attached[name] = at.UnixMilli()
 	}
@@ -210,7 +210,8 @@
 	if len(list.Servers) == 0 {
 		return s, fmt.Errorf("its list is empty")
 	}
-	s = gather.Snapshot{Servers: list.Servers, Banned: state.Banned, Back: map[string]time.Time{}, Records: map[string]policy.Record{}}
+	s = gather.Snapshot{Servers: list.Servers, Banned: state.Banned, Back: map[string]time.Time{}, Records: map[string]policy.Record{},
+		PerSecond: state.PerSecond}
 	for name, at := range state.Attached {
 		s.Back[name] = time.UnixMilli(at)
 	}
--- a/internal/net/handover/message.go
+++ b/internal/net/handover/message.go
@@ -39,6 +39,8 @@
 	Attached map[string]int64 `json:"attached"` // lot stores put back: cold from then, in Unix time in ms
 	Drain    bool             `json:"drain"`
 	Records  []Record         `json:"records"`
+	// PerSecond is how many parts a second all lot stores together answered; 0 for not told.
+	PerSecond float64 `json:"per_second,omitempty"`
 }
 
 // Record is what is known of a lot store.
@@ -92,7 +94,11 @@
 	if !hosts.IsObject() || !drain.IsBool() || !banned.IsArray() || !attached.IsObject() || !records.IsArray() {
 		return nil, bad("the state lacks hosts, banned, attached, drain or records")
 	}
-	s := &State{Hosts: json.RawMessage(hosts.Raw), Drain: drain.Bool(), Banned: []string{}, Attached: map[string]int64{}}
+	s := &State{Hosts: json.RawMessage(hosts.Raw), Drain: drain.Bool(), Banned: []string{}, Attached: map[string]int64{},
+		PerSecond: root.Get("per_second").Num}
+	if s.PerSecond < 0 {
+		return nil, bad("per_second is below 0")
+	}
 	for _, name := range banned.Array() {
 		s.Banned = append(s.Banned, name.String())
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -70,6 +70,7 @@
 	Attempts  int     `msgpack:"a"`
 	GiveUp    int64   `msgpack:"g"`
 	Window    int64   `msgpack:"w,omitempty"` // of a keyed class
+	Copies    bool    `msgpack:"c,omitempty"` // a part may have two attempts out at once
 	Most      int     `msgpack:"m,omitempty"`
 	PerSecond float64 `msgpack:"r,omitempty"`
 	Burst     int     `msgpack:"b,omitempty"`
--- a/policy/api.go
+++ b/policy/api.go
@@ -183,8 +183,11 @@
 	// Retuned brings other settings. Cells, Width and the numbers of the classes told before stay; queries in
 	// hand keep the class that they came under.
 	Retuned struct{ Settings Settings }
-	// Learned brings what another mixer knew of servers already listed.
-	Learned struct{ Records []Record }
+	// Learned brings what another mixer knew of servers already listed, and its PerSecond.
+	Learned struct {
+		Records   []Record
+		PerSecond float64
+	}
 	// Wake is a WakeAt come due.
 	Wake struct{}
 )
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,7 @@
 	badDown      = 0.12             // ... and successes count less, as fast errors mix with answers
 	cancelWeight = 0.5              // of a cancelled part that was overdue, perhaps only late; more where ...
 	cancelMost   = 1.5              // ... memory is longer, as there is no second look
-	usualSpan    = 10 * time.Second // what servers carry is counted so long: small mixers hear little in less
+	usualSpan    = 10 * time.Second // what servers carry is counted so long, by young mixers since their start
 	badLog       = 0.5              // the log says failing above this, and well again below badBack
 	badBack      = 0.1
 	badHalf      = 5 * time.Second  // trust comes back by itself so, to be tested by a trickle
@@ -107,7 +107,7 @@
 		set: set.filled(), rng: rand.New(rand.NewPCG(seed, 1)), queries: map[QueryID]*query{},
 		parts: map[PartID]*part{}, servers: map[ServerID]*server{}, pool: record(),
 		suspects: map[uint64]time.Duration{}, replicas: make([][]*server, set.Cells),
-		askWait: askFirst, askAt: -1, surveyed: -1,
+		askWait: askFirst, askAt: -1, surveyed: -1, begun: math.MaxInt64,
 	}, nil
 }
 
@@ -216,9 +216,6 @@
 	m.reply(q)
 }
 
-// Usual is what a part sent now takes at a sound server.
-func (m *Mixer) Usual() time.Duration { return duration(m.typical + m.waitNow()) }
-
 // stamp gives all parts of a step one deadline: the aim minus the fan-out's unloaded tail.
 func (m *Mixer) stamp(q *query) {
 	aimAt := m.stepAim(q)
@@ -896,6 +893,7 @@
 
 // survey brings up to date what is compared against; the others' median now and then, as it costs a look.
 func (m *Mixer) survey() {
+	m.begun = min(m.begun, m.now)
 	if m.surveyed < 0 || m.news {
 		m.surveyPool()
 	}
@@ -944,7 +942,8 @@
 	}
 	m.scratch, m.median = lats, middle(lats)
 	least := 1 / seconds(m.set.Rules.FallSpan) / float64(m.set.Siblings) // unheard: one part of all mixers
-	m.usual = max(m.answered.since(m.now-usualSpan)/seconds(usualSpan)/max(size, 1), least)
+	span := max(min(usualSpan, m.now-m.begun), m.set.Rules.FallSpan, m.set.Tick)
+	m.usual = max(m.answered.since(m.now-usualSpan)/seconds(span)/max(size, 1), least)
 	m.lost[1] = min(m.lost[1], faded(m.lost[1], surveyGap, latHalf))
 	m.flip(&m.idleDead, m.idleDead && m.lost[1] > lossLeast, "idle connections dead=%v")
 	m.prune(m.now-recordHalf, m.now-max(m.set.Rules.BudgetSpan, ownSpan)-m.set.Tick)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1644,6 +1644,55 @@
 	}
 }
 
+// What warm servers carry is told by the time that a mixer has lived, and a successor goes on from what its predecessor
+// knew of it: else a cold server gets next to nothing for the first seconds, and one that warms by its work stays cold
+// (kochi-checkin upgrade+hand: five cold ones got 2 to 5 parts a second each beside three that got 60).
+func TestYoungMixerFeedsCold(t *testing.T) {
+	set := base()
+	set.Width, set.Rules.FallMultiple, set.Rules.FallSpan = 1, 1, time.Second
+	cold := func(b *bed) int { // parts that a cold server gets within a second, beside a warm one
+		b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 2, Cell: 0, State: Ready, Nominal: 1, Started: b.now}}})
+		k := len(b.sends)
+		b.steady(time.Second)
+		n := 0
+		for _, s := range b.sends[k:] {
+			if s.Server == 2 {
+				n++
+			}
+		}
+		return n
+	}
+	old, young := newBed(t, set, 0, 0), newBed(t, set, 0, 0)
+	old.steady(15 * time.Second)
+	young.steady(set.Rules.FallSpan)
+	want, got := cold(old), cold(young)
+	if want < 5 || got < want*2/3 {
+		t.Errorf("a cold server gets %d parts a second of a young mixer, %d of an old one", got, want)
+	}
+	next := newBed(t, set, 0, 0)
+	next.now = old.now
+	next.step(Learned{Records: old.m.Records(), PerSecond: old.m.PerSecond()})
+	if got := cold(next); got < want*2/3 {
+		t.Errorf("a cold server gets %d parts a second of a successor, %d of its predecessor", got, want)
+	}
+}
+
+// steady puts a query of one part every 20 ms, and answers each after 40 ms.
+func (b *bed) steady(d time.Duration) {
+	for end := b.now + d; b.now < end; {
+		b.query(0, 4*time.Second, 0)
+		for range 2 {
+			b.now += 10 * ms
+			for i := len(b.sends) - 1; i >= 0 && b.now-b.sends[i].at <= 40*ms; i-- {
+				if b.now-b.sends[i].at == 40*ms {
+					b.outcome(b.sends[i], OK)
+				}
+			}
+			b.step(Wake{})
+		}
+	}
+}
+
 // What we hold for a server counts: an erring one that answers some at once is asked before a sound one whose
 // parts wait here (hanbit-lots retune+drain: 39 held for the one sound of three, nothing out at the others).
 func TestHeldPartsCount(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,9 +32,10 @@
 	product          []float64   // of the CDFs at hand
 	alone            [1]*part
 	scratch          []float64
-	answered         sliding    // parts answered by any server
-	news             bool       // the pool has news since poolCDF was made
-	pool             *histogram // all servers' answers
+	answered         sliding       // parts answered by any server
+	begun            time.Duration // first step
+	news             bool          // the pool has news since poolCDF was made
+	pool             *histogram    // all servers' answers
 	poolCDF          []float64
 	surveyed         time.Duration
 	typical, tailAge float64 // quantiles of the pool, seconds
@@ -444,10 +445,18 @@
 	case Retuned:
 		m.set = e.Settings.filled() // queries in hand point to the class that they came under
 	case Learned:
-		m.learn(e.Records)
+		m.learn(e)
 	}
 }
 
+// Usual is what a part sent now takes at a sound server.
+func (m *Mixer) Usual() time.Duration { return duration(m.typical + m.waitNow()) }
+
+// PerSecond hands out how many parts a second all servers together have answered of late.
+func (m *Mixer) PerSecond() float64 {
+	return m.answered.since(m.now-usualSpan) / seconds(max(min(usualSpan, m.now-m.begun), m.set.Tick))
+}
+
 // Records hands out what is known of the servers, as of the last step.
 func (m *Mixer) Records() (all []Record) {
 	for _, s := range m.order {
@@ -464,8 +473,14 @@
 }
 
 // learn takes in what another mixer knew. What does not fit this one's records is passed over.
-func (m *Mixer) learn(records []Record) {
-	for _, r := range records {
+func (m *Mixer) learn(e Learned) {
+	if len(m.answered.at) == 0 && e.PerSecond > 0 { // as if it had heard them itself
+		for at := -usualSpan; at < 0; at += surveyGap {
+			m.answered.add(m.now+at, e.PerSecond*seconds(surveyGap))
+		}
+		m.begun = m.now - usualSpan
+	}
+	for _, r := range e.Records {
 		s := m.servers[r.Server]
 		if s == nil || len(r.Answers) != len(s.record.n) {
 			continue
