Parts queue where they wait the least, and for a cold lot store too

Seen in the lines: both replicas full, nine held at a store with two out and none at one with six, as choose took turns among queues of any length; and shards 0 and 11 with 20 held at a store that stood still while the other replica, cold, had an empty queue: a cold store between two parts was no candidate (choose, sendable), and with warmth under 0.3 it was a suspect (tier, trust).

Change: where every replica is full or cold, the part goes to the queue of least time (expected, with a cold store's pace); parts may be held for a cold store and leave at its pace; to be cold makes no suspect. cdf and surveyPool, which are curves of records, stand in state.go.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -243,20 +243,6 @@
 	q.useSpares(q.class.Need - weightSlip)
 }
 
-// cdf is a server's record with some of the others' mixed in; with it comes the skip's patience.
-func (m *Mixer) cdf(s *server) []float64 {
-	if m.pool.total == 0 {
-		s.patience = m.tailAge
-		return m.poolCDF
-	}
-	if !s.fresh {
-		s.cdf = blend(s.cdf, s.record, m.pool, recordPrior, m.now)
-		s.patience = min(m.tailAge, m.pool.quantile(s.cdf, tail))
-		s.fresh = true
-	}
-	return s.cdf
-}
-
 // stepAim is when a step should be answered: the first of two leaves the second its fan-out's tail. A phased
 // query's listings go to servers that have answered already, as far as these are known.
 func (m *Mixer) stepAim(q *query) time.Duration {
@@ -313,7 +299,7 @@
 	for _, p := range parts {
 		for _, s := range m.replicas[p.Shard%m.set.Cells] {
 			if s.round != m.round {
-				s.round, s.cover, s.able = m.round, 0, m.sendable(s)
+				s.round, s.cover, s.able = m.round, 0, m.open(s)
 				if s.able {
 					m.candidates = append(m.candidates, s)
 				}
@@ -332,6 +318,9 @@
 			continue
 		}
 		tier, wait := m.tier(c, parts[0]), (float64(m.turn-c.turn)+c.lead)*m.turns(c)
+		if tier == 1 { // there is a queue at each: the shortest, told by time
+			wait = 1 / m.expected(c)
+		}
 		if best == nil || tier < bestTier ||
 			tier == bestTier && (c.cover > cover || c.cover == cover && wait > bestWait) {
 			best, cover, bestTier, bestWait = c, c.cover, tier, wait
@@ -369,9 +358,9 @@
 	switch {
 	case tried:
 		return 3
-	case m.late(s) || m.zones[s.Zone].far || m.doubtful(&m.zones[s.Zone]) || m.trust(s) < trusted && !trial:
+	case m.late(s) || m.zones[s.Zone].far || m.doubtful(&m.zones[s.Zone]) || !m.sound(s) && !trial:
 		return 2 // the design's skip; and a suspect is tried with one part now and then
-	case n >= m.room(s) && !trial || s.reserve && len(p.attempts) == 0:
+	case !m.sendable(s) || n >= m.room(s) && !trial || s.reserve && len(p.attempts) == 0:
 		return 1
 	}
 	return 0
@@ -394,9 +383,9 @@
 func (m *Mixer) release() {
 	for _, s := range m.order {
 		var wait []*part
-		for len(s.held) > 0 && len(s.out) < m.room(s) {
+		for len(s.held) > 0 && len(s.out) < m.room(s) && (m.sendable(s) || !m.open(s)) {
 			p := heap.Pop(&s.held).(*part)
-			if !m.sendable(s) {
+			if !m.open(s) {
 				m.placeAll([]*part{p})
 				continue
 			}
@@ -676,7 +665,7 @@
 	s := m.pick(p)
 	_, _, _, in := share(p.q)
 	last := float64(len(p.q.parts)-in) <= lastShare*float64(len(p.q.parts)) // any untried replica will do
-	if s == nil || m.tier(s, p) > 2 || !last && (m.tier(s, p) > 0 || m.trust(s) < trusted) {
+	if s == nil || !m.sendable(s) || m.tier(s, p) > 2 || !last && (m.tier(s, p) > 0 || !m.sound(s)) {
 		return
 	}
 	m.turn, s.turn = m.turn+1, m.turn+1
@@ -703,7 +692,7 @@
 			tooLong *= 2
 		}
 	}
-	if age < tooLong || m.now+duration(takes) > until || s == nil || m.tier(s, p) > 0 || m.trust(s) < trusted {
+	if age < tooLong || m.now+duration(takes) > until || s == nil || m.tier(s, p) > 0 || !m.sound(s) {
 		return
 	}
 	if (scores || seldom || s.answerAt > a.at) && m.budget(1) {
@@ -824,7 +813,7 @@
 	if p.index < 0 {
 		m.placeAll([]*part{p})
 	} else if c := m.pick(p); c != p.server &&
-		(c == nil || !m.sendable(p.server) || m.trust(c) >= trusted && m.tier(c, p) < m.tier(p.server, p)) {
+		(c == nil || !m.open(p.server) || m.sound(c) && m.tier(c, p) < m.tier(p.server, p)) {
 		p.server.unhold(p) // held where it cannot leave, while another replica has room
 		m.placeAll([]*part{p})
 	}
@@ -882,7 +871,7 @@
 func (m *Mixer) waitAtShard(p *part) float64 {
 	best := recordHigh
 	for _, s := range m.replicas[p.Shard%m.set.Cells] {
-		if m.sendable(s) {
+		if m.open(s) {
 			best = min(best, m.expected(s)/max(1-faded(s.bad, m.now-s.badAt, m.memory(badHalf)), weightSlip))
 		}
 	}
@@ -916,18 +905,6 @@
 	m.flip(&m.shedding, m.shed > 0, "shedding=%v missed=%.0f of %.0f", missed, decided)
 }
 
-func (m *Mixer) surveyPool() {
-	m.news = false
-	pool := m.pool
-	if pool.total == 0 { // before any answer: a start curve from the classes' aims
-		least := slices.MinFunc(m.set.Classes, func(a, b Class) int { return cmp.Compare(a.Aim, b.Aim) })
-		pool = record()
-		pool.fill(seconds(least.Aim) * startTail)
-	}
-	m.poolCDF = blend(m.poolCDF, pool, pool, 0, m.now)
-	m.typical, m.tailAge = pool.quantile(m.poolCDF, 0.5), pool.quantile(m.poolCDF, tail)
-}
-
 func (m *Mixer) surveyServers() {
 	lats, size := m.scratch[:0], 0.0
 	m.countStuck(m.now - duration(farTimes*m.typical))
@@ -1008,6 +985,9 @@
 	return w * w * w / max(slow*slow, 1) * m.warmth(s)
 }
 
+// sound says whether a server is no suspect. To be cold is no fault: it limits the turns and the pace.
+func (m *Mixer) sound(s *server) bool { return m.trust(s) >= trusted*m.warmth(s) }
+
 // memory is how long what was seen of a server lasts: at full size the next meeting is far off.
 func (m *Mixer) memory(half time.Duration) time.Duration {
 	return max(half, min(duration(meetings/max(m.usual, weightSlip)), memoryMost))
@@ -1026,15 +1006,26 @@
 	return r.StartCapacity + (1-r.StartCapacity)*max(seconds(m.now-from), 0)/seconds(r.Ramp)
 }
 
-// sendable says whether a server may be sent one part more: listed, ready, and if cold, within our own share
-// of what it can do, told by answers: one part in the time that a warm one takes to answer us one, by warmth.
+// sendable says whether a server may be sent one part more now.
 func (m *Mixer) sendable(s *server) bool {
-	if !s.listed || s.State != Ready || m.now < s.fullTo {
-		return false
+	return m.open(s) && m.now >= m.sendableFrom(s)
+}
+
+// open says whether parts may be held for a server: a cold one's next may have to wait.
+func (m *Mixer) open(s *server) bool { return s.listed && s.State == Ready && m.now >= s.fullTo }
+
+// sendableFrom is when a server's next part may leave.
+func (m *Mixer) sendableFrom(s *server) time.Duration {
+	return max(s.sentAt, s.Started, s.coldFrom) + duration(m.gap(s))
+}
+
+// gap is the least time between parts sent to a cold server, within our own share of what it can do, told by
+// answers: one part in the time that a warm one takes to answer us one, by warmth.
+func (m *Mixer) gap(s *server) float64 {
+	if w := m.warmth(s); w < 1 {
+		return 1 / (w * m.usual * s.Nominal * m.set.Rules.FallMultiple)
 	}
-	w := m.warmth(s)
-	gap := 1 / (w * m.usual * s.Nominal * m.set.Rules.FallMultiple)
-	return w >= 1 || m.now >= max(s.sentAt, s.Started, s.coldFrom)+duration(gap)
+	return 0
 }
 
 // Membership.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1693,6 +1693,64 @@
 	}
 }
 
+// full makes a server's parts out as many as may be, sent just now.
+func (b *bed) full(s *server) {
+	p := &part{q: &query{class: &b.m.set.Classes[0], ended: true}, index: -1, mayRun: -1}
+	for len(s.out) < b.m.room(s) {
+		s.out = append(s.out, &attempt{p: p, s: s, at: b.now, live: true})
+	}
+}
+
+// Where every replica is full, a part goes to the queue that takes the least time, whoever's turn it is
+// (kochi-checkin upgrade+hand: nine held at one that had two out, none at one that had six out, in turn).
+func TestShortestQueue(t *testing.T) {
+	b := newBed(t, base(), 0, 0)
+	b.warm(60, 50*ms)
+	quick, slow := b.m.servers[1], b.m.servers[2]
+	quick.cap, slow.cap, slow.turn = 8, 2, 0
+	quick.turn = b.m.turn
+	b.full(quick)
+	b.full(slow)
+	for range 3 {
+		slow.hold(&part{q: &query{}, seq: uint64(len(slow.held))})
+		quick.hold(&part{q: &query{}, seq: uint64(len(quick.held))})
+	}
+	if p := (&part{q: &query{class: &b.m.set.Classes[0]}}); b.m.pick(p) != quick {
+		t.Errorf("put where it takes %.2f s, not %.2f s", b.m.expected(slow), b.m.expected(quick))
+	}
+}
+
+// A part may wait for a cold server's next turn while the other replica's queue is longer; it leaves when the pace
+// allows it and not before. To be cold makes no suspect (shard 0 there had all its parts at a store that stood still
+// while the cold one's queue was empty).
+func TestWaitsForCold(t *testing.T) {
+	b := newBed(t, base(), 0, 0)
+	b.warm(60, 50*ms)
+	b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 2, Cell: 0, State: Ready, Nominal: 1, Started: b.now}}})
+	b.run(2 * surveyGap) // what warm ones carry is told anew
+	m, still, cold := b.m, b.m.servers[1], b.m.servers[2]
+	b.full(still)
+	if b.full(cold); m.tier(cold, &part{q: &query{class: &m.set.Classes[0]}}) == 2 {
+		t.Error("a server is suspect for being cold")
+	}
+	cold.out = nil
+	for len(still.held) < 200 {
+		still.hold(&part{q: &query{}, seq: uint64(len(still.held))})
+	}
+	cold.sentAt = b.now
+	_, parts := b.query(0, 4*time.Second, 0)
+	if p := m.parts[parts[0]]; p.server != cold {
+		t.Fatalf("held for server %d, where it takes %.2f s, not %.2f s", p.server.ID, m.expected(still), m.expected(cold))
+	}
+	from := m.sendableFrom(cold)
+	for len(b.sends) == 0 && b.now < from+time.Second {
+		b.run(10 * ms)
+	}
+	if len(b.sends) != 1 || b.sends[0].at < from || b.sends[0].at > from+20*ms {
+		t.Errorf("sent %+v, may leave from %v", b.sends, from)
+	}
+}
+
 // What we hold for a server counts: an erring one that answers some at once is asked before a sound one whose
 // parts wait here (hanbit-lots retune+drain: 39 held for the one sound of three, nothing out at the others).
 func TestHeldPartsCount(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -501,7 +501,8 @@
 
 // expected is how long a part given to a server now takes: its answer time, and that of those we hold for it.
 func (m *Mixer) expected(s *server) float64 {
-	return s.latNow(m.median, m.now, m.memory(latHalf)) * float64(len(s.held)+m.room(s)) / float64(m.room(s))
+	takes := s.latNow(m.median, m.now, m.memory(latHalf))
+	return takes + float64(len(s.held))*max(takes/float64(m.room(s)), m.gap(s)) + seconds(max(m.sendableFrom(s)-m.now, 0))
 }
 
 // waitNow is what sound servers' answers take beyond the usual.
@@ -534,6 +535,33 @@
 	})
 }
 
+// cdf is a server's record with some of the others' mixed in; with it comes the skip's patience.
+func (m *Mixer) cdf(s *server) []float64 {
+	if m.pool.total == 0 {
+		s.patience = m.tailAge
+		return m.poolCDF
+	}
+	if !s.fresh {
+		s.cdf = blend(s.cdf, s.record, m.pool, recordPrior, m.now)
+		s.patience = min(m.tailAge, m.pool.quantile(s.cdf, tail))
+		s.fresh = true
+	}
+	return s.cdf
+}
+
+// surveyPool makes the curve of all servers' answers anew.
+func (m *Mixer) surveyPool() {
+	m.news = false
+	pool := m.pool
+	if pool.total == 0 { // before any answer: a start curve from the classes' aims
+		least := slices.MinFunc(m.set.Classes, func(a, b Class) int { return cmp.Compare(a.Aim, b.Aim) })
+		pool = record()
+		pool.fill(seconds(least.Aim) * startTail)
+	}
+	m.poolCDF = blend(m.poolCDF, pool, pool, 0, m.now)
+	m.typical, m.tailAge = pool.quantile(m.poolCDF, 0.5), pool.quantile(m.poolCDF, tail)
+}
+
 // fanoutTail multiplies the CDFs of the servers chosen and inverts the product.
 func (m *Mixer) fanoutTail(q *query, tail float64) float64 {
 	m.product = m.product[:0]
