No second copy of a keyed part: one too long out is called off and sent again

The operators hold a commit to one attempt at a time. Change: where the class is not safe, move calls the first off, as where copies are not allowed. TestNoCopyOfKeyed fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -638,7 +638,8 @@
 }
 
 // hedge sends a second copy of a part that is out too long, to a sound replica with room, if it can still be
-// of use there. All mixers' copies take one mixer's free attempts; failed parts any.
+// of use there, and of a safe class alone: any other is called off first. All mixers' copies take one mixer's
+// free attempts; failed parts any.
 func (m *Mixer) hedge(p *part) {
 	if n := len(p.attempts); m.stalled || p.done || p.index >= 0 || n == 0 || n+p.Used >= p.q.class.MaxAttempts {
 		return
@@ -647,7 +648,7 @@
 	if !a.live || !m.repeatable(p) || !p.q.sure && p.q.deaths > 0 {
 		return
 	}
-	if !m.set.SecondCopies {
+	if !m.set.SecondCopies || p.q.class.Effect != Safe {
 		m.move(p, a)
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1112,6 +1112,35 @@
 	}
 }
 
+// Two copies of a keyed part are never out at once, where copies are allowed: the one too long out is called off, and
+// only when that is through it goes again.
+func TestNoCopyOfKeyed(t *testing.T) {
+	set := base()
+	set.Classes[1].Window = 4 * time.Second
+	b := newBed(t, set, 0, 1, 2)
+	b.warm(30, 50*ms)
+	_, parts := b.query(1, 4*time.Second, 0)
+	for range 120 { // the others answer meanwhile, so that it is seen to be passed by
+		b.query(0, 4*time.Second, 1)
+		b.run(10 * ms)
+		for _, s := range b.sends[1:] {
+			if s.Part != parts[0] && b.now-s.at == 10*ms {
+				b.outcome(s, OK)
+			}
+		}
+		if n := b.tries[parts[0]]; n != 1 {
+			t.Fatalf("%d attempts of a keyed part, the first still out", n)
+		}
+	}
+	if !b.m.parts[parts[0]].attempts[0].moved {
+		t.Fatal("it was not called off")
+	}
+	b.outcome(b.sends[0], Cancelled)
+	if n := b.tries[parts[0]]; n != 2 {
+		t.Errorf("%d attempts when the first was called off", n)
+	}
+}
+
 // A server met seldom is known slow after one answer: what is old gives way to what is new.
 func TestSlowMetSeldom(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
