Each of many gatherers keeps to one replica a shard; no suspect before the first survey

Change: trust compares with nothing before there is a median; keepSubset calls internal/spread (Size by the host's bound on connections, which LoadConfig tells the module; Keep by each mixer's own lead); seldomMost is 1. Small fleets keep all they have connections for.

--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -67,7 +67,7 @@
 
 // newTransport makes the side towards the lot stores: frames, or the API where the front's file says so.
 func newTransport(c Config, f *FrontConfig, current *settings.Current, logger *slog.Logger) transport {
-	set, conns := c.Settings, int(storeShare*float64(c.Sockets))
+	set, conns := c.Settings, c.Settings.Policy.Connections
 	if f == nil || !f.Stores {
 		return frames.New(frames.Config{Streams: set.StreamsPerConn, ConnectTimeout: set.ConnectTimeout,
 			ConnIdle: set.ConnIdle, MaxConns: conns, Log: logger})
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -149,6 +149,7 @@
 	stay("limits.connectTimeoutUs", s.ConnectTimeout == old.ConnectTimeout)
 	merged.Zones, merged.Shards, merged.StreamsPerConn = old.Zones, old.Shards, old.StreamsPerConn
 	merged.ConnIdle, merged.ConnectTimeout = old.ConnIdle, old.ConnectTimeout
+	merged.Policy.Connections = old.Policy.Connections
 	merged.Policy.Tick, merged.Policy.Cells, merged.Policy.Width = old.Policy.Tick, old.Policy.Cells, old.Policy.Width
 	return merged, kept
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -75,6 +75,7 @@
 	Probes         bool          // servers may be probed
 	MaxRetryAfter  time.Duration // longest wait a client will obey
 	OverShareWorth float64       // worth of a query past its tenant's share
+	Connections    int           // that the host may hold to all servers together; 0 for no bound
 	Classes        []Class
 	Tenants        []Tenant
 	Rules          Rules
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,8 +54,8 @@
 	leastTurns   = 0.015            // the trickle: share of its turns that the worst server keeps
 	trusted      = 0.3              // below this share of turns a server is suspect
 
-	subsetFrom = 8 // so many mixers or more meet each server seldom, and each keep to a part of them ...
-	subsetSize = 2 // ... of so many replicas of a shard, where they serve
+	seldomFrom = 8 // so many mixers or more meet each server seldom, and each keep to a part of them ...
+	seldomMost = 1 // ... of so many replicas of a shard at the most, where they serve
 
 	ownFree   = 10.0 // the budget where none is stated: further attempts whatever came in ...
 	ownShare  = 0.30 // ... and for each query and part taken: a fifth of a large fleet may be slow ...
@@ -683,7 +683,7 @@
 	m.cdf(a.s)
 	takes, s, age, until := m.typical+m.waitNow(), m.pick(p), seconds(m.now-a.at), m.lastCall(p.q)
 	scores, tooLong := p.q.Phased && p.q.step == 1, farTimes*m.typical+m.waitNow()
-	seldom := m.set.Siblings >= subsetFrom && m.usual*age < 1 // nothing was to be heard from a replica meanwhile
+	seldom := m.set.Siblings >= seldomFrom && m.usual*age < 1 // nothing was to be heard from a replica meanwhile
 	if seldom && p.q.class.Floor >= p.q.class.Need {
 		until = p.q.end // late is worth something, and what lacks is worth nothing
 	}
@@ -982,7 +982,10 @@
 // trust is 1 on the ordinary path, and less while a server fails, is slower than the others, or is cold.
 func (m *Mixer) trust(s *server) float64 {
 	w := 1 - faded(s.bad, m.now-s.badAt, m.memory(badHalf))
-	slow := s.latNow(m.median, m.now, m.memory(latHalf)) / max(slowSlack*m.median, recordLow)
+	slow := 0.0
+	if m.median > 0 { // before the first survey there is nothing to be slower than
+		slow = s.latNow(m.median, m.now, m.memory(latHalf)) / max(slowSlack*m.median, recordLow)
+	}
 	return w * w * w / max(slow*slow, 1) * m.warmth(s)
 }
 
@@ -1051,7 +1054,11 @@
 			s.lead = 1 + m.rng.Float64() // ties, lest all mixers that start begin at the same servers
 		}
 	})
-	m.keepSubset(subsetFrom, subsetSize) // what each opens and has to find out falls with their number
+	most := math.MaxInt
+	if m.set.Siblings >= seldomFrom {
+		most = seldomMost
+	}
+	m.keepSubset(most) // what each opens and has to find out falls with their number
 }
 
 // keepList keeps an ask-mode list subscribed.
--- a/policy/state.go
+++ b/policy/state.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"pulleygw.example/pulleygw/internal/spread"
 )
 
 // Plain data and mechanism. No decision is taken here: every parameter comes from policy.go.
@@ -424,18 +426,26 @@
 
 func record() *histogram { return newHistogram(recordLow, recordHigh, recordRatio, recordHalf) }
 
-// keepSubset makes a reserve of the servers that this mixer needs least: those past size of each shard's ready and
-// warm ones, by a lead that each mixer draws for itself; none among fewer mixers than from.
-func (m *Mixer) keepSubset(from, size int) {
-	if m.set.Siblings < from {
-		return
+// keepSubset makes a reserve of the servers that this mixer needs least: of each shard's ready and warm ones those past
+// what its table of connections has room for, and past most, by a lead that each mixer draws for itself.
+func (m *Mixer) keepSubset(most int) {
+	cells, replicas := 0, 0
+	for _, list := range m.replicas {
+		cells, replicas = cells+min(len(list), 1), max(replicas, len(list))
 	}
+	size, kept := min(spread.Size(m.set.Connections, cells, replicas), most), map[*server]bool{}
 	for _, list := range m.replicas {
-		ready := slices.DeleteFunc(slices.Clone(list), func(s *server) bool { return s.State != Ready || m.warmth(s) < 1 })
-		slices.SortFunc(ready, func(a, b *server) int { return cmp.Compare(b.lead, a.lead) })
-		for _, s := range ready[min(size, len(ready)):] {
-			s.reserve = true
+		cell := make([]spread.Replica, len(list))
+		for i, s := range list {
+			cell[i] = spread.Replica{Rank: s.lead, Usable: s.State == Ready && m.warmth(s) >= 1}
+			s.reserve = s.reserve || cell[i].Usable
 		}
+		for i, keep := range spread.Keep(cell, size) {
+			kept[list[i]] = kept[list[i]] || keep
+		}
+	}
+	for s := range kept {
+		s.reserve = s.reserve && !kept[s]
 	}
 }
 
