A silent watch is opened anew at once where lists are asked for; tests of what differs

Change: the first silence rests 0.15 to 0.45 s, refusals and second silences go in turn as before. Indented lists were taken already; now a test says so.

Tests that need no bench: silence (pushed and asked), indented lists, the ring's holders on sockets and no answer in part there, a pause of 280 ms is no death, a query of 10 s. TestSilentWatch fails without pause (15 s and more).

--- a/internal/lifecycle/ring_test.go
+++ b/internal/lifecycle/ring_test.go
@@ -14,10 +14,15 @@
 
 // startRing puts a daemon among six lot stores that stand in a ring, each of which holds two shards.
 func startRing(t *testing.T, s *standin.Script) *Daemon {
+	return startRingOf(t, func(int) *standin.Script { return s })
+}
+
+// startRingOf gives each store a script of its own.
+func startRingOf(t *testing.T, script func(store int) *standin.Script) *Daemon {
 	var hosts []string
 	for i := range 6 {
 		l := standin.Listen(t)
-		go standin.Frames(l, s)
+		go standin.Frames(l, script(i))
 		hosts = append(hosts, standin.Host(fmt.Sprint("r-", i), l.Addr().String(), []string{"east", "middle", "west"}[i%3], i, "ready"))
 	}
 	d, _ := startSettings(t, "testdata/ring.json", standin.List(1, hosts...), nil, nil, func(*Config) {})
@@ -69,6 +74,42 @@
 	}
 }
 
+// In a ring a shard goes to the store where it begins and to the next one, and to no other, in halls of which one may
+// have a holder of it or none; a class that takes no answer in part fails or is refused when a shard has no holder that
+// answers, and nothing marked served is given.
+func TestRing(t *testing.T) {
+	scripts := make([]*standin.Script, 6)
+	for i := range scripts {
+		scripts[i] = &standin.Script{}
+	}
+	d := startRingOf(t, func(i int) *standin.Script { return scripts[i] })
+	for n := range 12 {
+		if status, body := query(t, d, fmt.Sprint("r", n), "pax-lookup"); status != 200 || !body.Get("finished").Bool() {
+			t.Errorf("%d %s", status, body.Raw)
+		}
+	}
+	asked := map[int]int{}
+	for i, s := range scripts {
+		for shard, n := range s.Attempts() {
+			if asked[shard] += n; i != shard && i != (shard+1)%6 {
+				t.Errorf("store %d is asked for shard %d", i, shard)
+			}
+		}
+	}
+	if len(asked) != 6 {
+		t.Errorf("asked of shards %v", asked)
+	}
+	fault := []standin.End{standin.Fault, standin.Fault, standin.Fault}
+	scripts[2].Set(map[int][]standin.End{2: fault})
+	scripts[3].Set(map[int][]standin.End{2: fault})
+	if status, body := query(t, d, "none", "pax-lookup"); status == 200 {
+		t.Errorf("%d %s", status, body.Raw)
+	}
+	if n := scripts[2].Attempts()[2] + scripts[3].Attempts()[2]; n < 2 || n > 3 { // each holder, and no more than are allowed
+		t.Errorf("%d attempts of the shard without a sound holder", n)
+	}
+}
+
 // Lot stores that tell no score, or an unreadable one, cost the one query that needs it, and nobody else's.
 func TestNoScoreOnSockets(t *testing.T) {
 	for _, score := range []string{"-", "nan", "1e999", "0x"} {
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"time"
 
@@ -31,6 +32,10 @@
 	few      = 4
 	turnFor  = 50 * time.Millisecond
 	turnMost = 4 // failures in a row double the time up to so much
+
+	// A watch that has fallen silent is broken, and what it misses counts as told 2 s after its wait: with graceFor and
+	// the dial, a new one has to be begun within what is left, more or less, by all that it befell.
+	reopenFor = 300 * time.Millisecond
 )
 
 // Watcher follows the list.
@@ -150,13 +155,23 @@
 		if !failing {
 			w.Log.Warn("discovery fails", "reason", err)
 		}
+		w.rest(ctx, w.pause(err, !failing, back, turns))
 		failing = true
-		w.rest(ctx, max(back, turns*w.round()))
 		back, turns = min(2*back, backMost), min(2*turns, turnMost)
 	}
 	c.Close()
 }
 
+// pause is how long to leave discovery alone after a failure, more or less: the first after a watch that went on, or one
+// of several in a row.
+func (w *Watcher) pause(err error, first bool, back, turns time.Duration) time.Duration {
+	d := max(back, turns*w.round())
+	if first && errors.Is(err, os.ErrDeadlineExceeded) { // it is silent, and has refused nothing
+		d = min(d, reopenFor)
+	}
+	return d
+}
+
 // round is the time in which all gatherers have had their turn to begin a watch; none where they are few, or where
 // asking costs nothing.
 func (w *Watcher) round() time.Duration {
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -1,9 +1,15 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
 	"log/slog"
 	"net"
+	"os"
+	"reflect"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,6 +32,13 @@
 	if s := l.Servers[0]; s.Zone != 1 || s.Cell != 3 || s.State != policy.Draining || s.Weight != 1.5 || s.Born.UnixMilli() != 1700000000000 {
 		t.Errorf("%+v", s)
 	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, []byte(delta), " ", "\t"); err != nil {
+		t.Fatal(err)
+	}
+	if seq, same, err := ParseList(indented.Bytes(), zones); err != nil || seq != 43 || !reflect.DeepEqual(same, l) {
+		t.Errorf("indented: %d %+v %v", seq, same, err)
+	}
 	garble.Check(t, true, func(b []byte) error { _, _, err := ParseList(b, zones); return err },
 		delta, standin.List(1, standin.Host("s", "1:2", "a", 0, "ready")))
 }
@@ -65,6 +78,46 @@
 	}
 }
 
+// A watch that has fallen silent is broken, and opened anew on a connection of its own, whatever the old one still
+// brings. It comes in time for what it missed to count as told, however many gatherers there are and whether the list
+// is pushed or asked for; a refusal, or a second silence, is left in turn.
+func TestSilentWatch(t *testing.T) {
+	l := standin.Listen(t)
+	var n atomic.Int32
+	h := func(r *http1.Request, gone <-chan struct{}) *http1.Response {
+		if n.Add(1) == 2 {
+			return standin.JSON(200, standin.List(9, standin.Host("s", "127.0.0.1:1", "a", 0, "draining")))
+		}
+		<-gone
+		return nil
+	}
+	go http1.New(l.(*net.TCPListener), h, 10, slog.New(slog.DiscardHandler)).Serve()
+	told := make(chan gather.List, 10)
+	w := &Watcher{Addr: l.Addr().String(), Zones: zones, Log: slog.New(slog.DiscardHandler), Tell: func(l gather.List) { told <- l },
+		Siblings: func() int { return 300 }, Asked: func() bool { return false }}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx, 3)
+	if got := <-told; len(got.Servers) != 1 || got.Servers[0].State != policy.Draining {
+		t.Errorf("told %+v", got)
+	}
+	for _, asked := range []bool{false, true} {
+		w.Asked = func() bool { return asked }
+		silent := fmt.Errorf("read: %w", os.ErrDeadlineExceeded)
+		longest := 3 * w.pause(silent, true, backFirst, 1) / 2
+		if late := graceFor + longest; late > 2*time.Second-dialFor/2 {
+			t.Errorf("asked %v: a new watch comes %v after the wait of a silent one is over", asked, late)
+		}
+		refused := errors.New("status 503")
+		if d := w.pause(refused, true, backFirst, 1); d < w.round() {
+			t.Errorf("asked %v: refused, it comes back after %v of a round of %v", asked, d, w.round())
+		}
+		if d := w.pause(silent, false, backFirst, turnMost); d < turnMost*w.round() {
+			t.Errorf("asked %v: silent again, it comes back after %v", asked, d)
+		}
+	}
+}
+
 // Among many, gatherers begin their watches spread out over a time that grows with their number, and hold them
 // for as long; what fails is left for longer each time. Few begin at once.
 func TestManyWatchInTurn(t *testing.T) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1673,6 +1673,57 @@
 	}
 }
 
+// A pause is no death: a server that stands still for 280 ms and then answers all at once is neither cold nor crashed, and
+// is no suspect for long, as each does so every few seconds.
+func TestPauseIsNoDeath(t *testing.T) {
+	b := newBed(t, base(), 0, 1, 2)
+	b.steady(3 * time.Second)
+	var stood *server
+	k := len(b.sends)
+	for range 14 { // 280 ms
+		b.query(0, 4*time.Second, 0)
+		for range 2 {
+			b.now += 10 * ms
+			for i := k; i < len(b.sends); i++ {
+				if s := b.sends[i]; s.Server != 1 && b.now-s.at == 40*ms {
+					b.outcome(s, OK)
+				}
+			}
+			b.step(Wake{})
+		}
+	}
+	stood = b.m.servers[1]
+	for _, s := range append([]sent(nil), b.sends[k:]...) {
+		if s.Server == 1 {
+			b.outcome(s, OK) // a second answer of one that was called off is heard by nobody
+		}
+	}
+	if stood.diedAt != 0 || stood.coldFrom != 0 {
+		t.Errorf("taken for dead at %v, for cold from %v", stood.diedAt, stood.coldFrom)
+	}
+	b.steady(2 * time.Second)
+	if tr := b.m.trust(stood); tr < trusted {
+		t.Errorf("trust %v two seconds after a pause", tr)
+	}
+}
+
+// Nothing assumes that clients wait no longer than some seconds: a query may take 10 s, and a part may be out for 9 of them.
+func TestTenSeconds(t *testing.T) {
+	set := base()
+	set.SecondCopies, set.Cancel = false, false
+	set.Classes[0].Aim, set.Classes[0].Deadline = 5*time.Second, 10*time.Second
+	b := newBed(t, set, 0, 1, 2)
+	q, _ := b.query(0, 10*time.Second, 0)
+	b.run(9 * time.Second)
+	if b.finals[q] != 0 || b.sends[0].Limit < 9*time.Second {
+		t.Fatalf("ended with %+v; the part had %v", b.last[q], b.sends[0].Limit)
+	}
+	b.outcome(b.sends[0], OK)
+	if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+		t.Errorf("last word %+v", b.last[q])
+	}
+}
+
 // What warm servers carry is told by the time that a mixer has lived, and a successor goes on from what its predecessor
 // knew of it: else a cold server gets next to nothing for the first seconds, and one that warms by its work stays cold
 // (kochi-checkin upgrade+hand: five cold ones got 2 to 5 parts a second each beside three that got 60).
