--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/internal/wire"
 	"pulleygw.example/pulleygw/policy"
@@ -19,16 +20,16 @@
 // instance is one mixer and the wire's numbers for its queries.
 type instance struct {
 	mixer   *policy.Mixer
-	events  []policy.Event
-	numbers map[float32]policy.QueryID
-	byID    map[policy.QueryID]float32
+	events  []mix.Event
+	numbers map[float32]mix.QueryID
+	byID    map[mix.QueryID]float32
 }
 
 type host struct {
 	instances map[uint32]*instance
 	active    []uint32 // with events in this batch, in order of first mention
 	current   uint32
-	sheets    map[uint32][]policy.ServerInfo
+	sheets    map[uint32][]mix.ServerInfo
 	reply     wire.Reply
 }
 
@@ -41,7 +42,7 @@
 
 func serve(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
-	h := &host{instances: map[uint32]*instance{}, sheets: map[uint32][]policy.ServerInfo{}}
+	h := &host{instances: map[uint32]*instance{}, sheets: map[uint32][]mix.ServerInfo{}}
 	var buf []byte
 	for n := 0; ; n++ {
 		var f wire.Frame
@@ -78,9 +79,9 @@
 		h.current = e.Instance
 		return nil
 	case wire.Sheet:
-		list := make([]policy.ServerInfo, len(e.Entries))
+		list := make([]mix.ServerInfo, len(e.Entries))
 		for i, x := range e.Entries {
-			list[i] = policy.ServerInfo{ID: policy.ServerID(x.Server), Zone: int(x.Zone), Cell: int(x.Cell),
+			list[i] = mix.ServerInfo{ID: mix.ServerID(x.Server), Zone: int(x.Zone), Cell: int(x.Cell),
 				State: states[x.State], Nominal: float64(x.Nominal), Started: time.Duration(x.StartedUs) * time.Microsecond}
 		}
 		h.sheets[e.Table] = list
@@ -94,8 +95,8 @@
 		if err != nil {
 			return err
 		}
-		h.instances[h.current] = &instance{mixer: m, numbers: map[float32]policy.QueryID{},
-			byID: map[policy.QueryID]float32{}}
+		h.instances[h.current] = &instance{mixer: m, numbers: map[float32]mix.QueryID{},
+			byID: map[mix.QueryID]float32{}}
 		h.touch()
 		return nil
 	case wire.Exit:
@@ -108,34 +109,34 @@
 	}
 	switch e := e.(type) {
 	case wire.Targets:
-		l := policy.ServerList{Kind: kinds[e.Kind]}
-		if l.Kind != policy.ListFailed {
+		l := mix.ServerList{Kind: kinds[e.Kind]}
+		if l.Kind != mix.ListFailed {
 			l.Servers = h.sheets[e.Table]
 		}
 		x.events = append(x.events, l)
 	case wire.Query:
 		if e.Shard < 0 {
-			id := policy.QueryID(e.ID)
+			id := mix.QueryID(e.ID)
 			x.numbers[e.Number], x.byID[id] = id, e.Number
-			x.events = append(x.events, policy.QueryArrived{ID: id, Class: int(e.Class), Tenant: int(e.Tenant),
+			x.events = append(x.events, mix.QueryArrived{ID: id, Class: int(e.Class), Tenant: int(e.Tenant),
 				Key: e.Key, Left: time.Duration(e.LeftUs) * time.Microsecond, Parts: int(e.Share)})
 		} else if id, ok := x.numbers[e.Number]; ok {
-			x.events = append(x.events, policy.PartArrived{ID: policy.PartID(e.ID), Query: id,
+			x.events = append(x.events, mix.PartArrived{ID: mix.PartID(e.ID), Query: id,
 				Shard: int(e.Shard), Weight: float64(e.Share)})
 		}
 	case wire.Outcome:
 		status, ok := statuses[e.Status]
 		if !ok {
-			status = policy.Error
+			status = mix.Error
 		}
-		x.events = append(x.events, policy.Outcome{Part: policy.PartID(e.ID), Server: policy.ServerID(e.Server),
+		x.events = append(x.events, mix.Outcome{Part: mix.PartID(e.ID), Server: mix.ServerID(e.Server),
 			Attempt: int(e.Attempt), Status: status, Took: time.Duration(e.TookUs) * time.Microsecond})
 	case wire.Gone:
-		x.events = append(x.events, policy.ClientLeft{Query: policy.QueryID(e.ID)})
+		x.events = append(x.events, mix.ClientLeft{Query: mix.QueryID(e.ID)})
 	case wire.Probed:
-		x.events = append(x.events, policy.Probed{Server: policy.ServerID(e.Server), OK: e.Status == 0})
+		x.events = append(x.events, mix.Probed{Server: mix.ServerID(e.Server), OK: e.Status == 0})
 	case wire.Timer:
-		x.events = append(x.events, policy.Wake{})
+		x.events = append(x.events, mix.Wake{})
 	}
 	h.touch()
 	return nil
@@ -148,10 +149,10 @@
 }
 
 var (
-	states   = map[uint8]policy.ServerState{0: policy.Gone, 1: policy.Ready, 2: policy.Draining}
-	kinds    = map[uint8]policy.ListKind{0: policy.Delta, 2: policy.Whole, 3: policy.ListFailed, 4: policy.Cached}
-	statuses = map[uint16]policy.Status{0: policy.OK, 13: policy.Error, 8: policy.Full, 4: policy.TimedOut,
-		14: policy.ConnectFailed, 10: policy.Reset, 1: policy.Cancelled, 9: policy.Moot}
+	states   = map[uint8]mix.ServerState{0: mix.Gone, 1: mix.Ready, 2: mix.Draining}
+	kinds    = map[uint8]mix.ListKind{0: mix.Delta, 2: mix.Whole, 3: mix.ListFailed, 4: mix.Cached}
+	statuses = map[uint16]mix.Status{0: mix.OK, 13: mix.Error, 8: mix.Full, 4: mix.TimedOut,
+		14: mix.ConnectFailed, 10: mix.Reset, 1: mix.Cancelled, 9: mix.Moot}
 )
 
 // step lets one instance decide and writes what it wants done. A panic in the decisions is reported.
@@ -165,42 +166,42 @@
 	}()
 	for _, a := range x.mixer.Step(now, x.events) {
 		switch a := a.(type) {
-		case policy.Send:
+		case mix.Send:
 			h.reply.Send(uint64(a.Part), uint32(a.Limit.Microseconds()), uint32(a.Server))
-		case policy.Cancel:
+		case mix.Cancel:
 			h.reply.Cancel(uint64(a.Part), uint8(a.Attempt))
-		case policy.Answer:
+		case mix.Answer:
 			h.reply.Answer(uint64(a.Query), a.Whole)
 			if a.Final {
 				x.forget(a.Query)
 			}
-		case policy.Refuse:
+		case mix.Refuse:
 			h.reply.Refuse(uint64(a.Query), uint32(a.RetryAfter.Microseconds()))
 			x.forget(a.Query)
-		case policy.Fail:
+		case mix.Fail:
 			h.reply.Fail(uint64(a.Query))
 			x.forget(a.Query)
-		case policy.Probe:
+		case mix.Probe:
 			h.reply.Probe(uint32(a.Server))
-		case policy.CloseIdle:
+		case mix.CloseIdle:
 			h.reply.CloseIdle(uint32(a.Server))
-		case policy.WakeAt:
+		case mix.WakeAt:
 			h.reply.Timer(uint64(a.At.Microseconds()), 0)
-		case policy.Subscribe:
+		case mix.Subscribe:
 			h.reply.Watch(true)
-		case policy.Log:
+		case mix.Log:
 			h.reply.Log(a.Text)
 		}
 	}
 	for _, e := range x.events {
-		if g, ok := e.(policy.ClientLeft); ok {
+		if g, ok := e.(mix.ClientLeft); ok {
 			x.forget(g.Query)
 		}
 	}
 }
 
 // forget drops the wire's number of a query that has ended.
-func (x *instance) forget(q policy.QueryID) {
+func (x *instance) forget(q mix.QueryID) {
 	if n, ok := x.byID[q]; ok {
 		delete(x.byID, q)
 		delete(x.numbers, n)
--- a/internal/gather/admit.go
+++ b/internal/gather/admit.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Admit: a request that the table has no room for is refused here, unseen by the Mixer, as in the
@@ -37,7 +37,7 @@
 func (c *Core) begin(q *query) {
 	r := q.Request
 	first, phased, fetch := c.startSearch(q)
-	c.events = append(c.events, policy.QueryArrived{ID: policy.QueryID(r.id), Class: r.Class, Key: subject(r),
+	c.events = append(c.events, mix.QueryArrived{ID: mix.QueryID(r.id), Class: r.Class, Key: subject(r),
 		Left: max(time.Until(r.Deadline), 0), Parts: len(r.Shards), Phased: phased, Fetch: fetch})
 	results := partResults(r)
 	for i, s := range r.Shards {
@@ -45,7 +45,7 @@
 		p := &part{id: c.lastID, q: q, res: &results[i], place: i, ask: q.askScores(i)}
 		q.parts = append(q.parts, p)
 		c.flight.AddPart(p.id, p)
-		c.events = append(c.events, policy.PartArrived{ID: policy.PartID(p.id), Query: policy.QueryID(r.id),
+		c.events = append(c.events, mix.PartArrived{ID: mix.PartID(p.id), Query: mix.QueryID(r.id),
 			Shard: s.Number, Weight: s.Weight, Later: phased && !slices.Contains(first.Ask, i)})
 	}
 	c.order(q, search.Orders{Skip: first.Skip})
--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -11,8 +11,8 @@
 
 	"pulleygw.example/pulleygw/internal/limits"
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Request is one query as a front took it.
@@ -94,9 +94,9 @@
 	OK       bool
 	Value    string
 	Attempts int
-	Last     policy.Status // of the last attempt that ended, where not OK
-	Waiting  bool          // not OK, and still to come when the request ended
-	Skipped  bool          // not asked, or called off, as it could not change the page
+	Last     mix.Status // of the last attempt that ended, where not OK
+	Waiting  bool       // not OK, and still to come when the request ended
+	Skipped  bool       // not asked, or called off, as it could not change the page
 }
 
 // Ask is what an attempt of a search asks for, beside its text.
@@ -121,7 +121,7 @@
 	Shard  int
 	Number int
 	Text   []byte
-	Server policy.ServerID
+	Server mix.ServerID
 	Ask    *Ask      // of a search
 	Load   *Load     // of a plain second step
 	Until  time.Time // when the core stops waiting for it
@@ -148,20 +148,20 @@
 	// Servers tells what the list now says of some servers.
 	Servers(news []mem.Server)
 	// Call sends the attempts to one server as one call.
-	Call(server policy.ServerID, attempts []*Attempt)
+	Call(server mix.ServerID, attempts []*Attempt)
 	// Cancel gives an attempt up. Of one that has not ended it reports that it is cancelled, and no more, once
 	// its server has been told or the connection was closed: from then on the part may be sent elsewhere.
 	Cancel(a *Attempt)
 	// Probe asks whether a server is there.
-	Probe(server policy.ServerID)
+	Probe(server mix.ServerID)
 	// CloseIdle closes the connections to a server on which nothing is out.
-	CloseIdle(server policy.ServerID)
+	CloseIdle(server mix.ServerID)
 }
 
 // Reporter takes what a transport has to tell; it may wait for the core.
 type Reporter interface {
 	// Outcome tells how an attempt ended, with its value where it is OK.
-	Outcome(a *Attempt, s policy.Status, value string)
+	Outcome(a *Attempt, s mix.Status, value string)
 	// Scored tells that an attempt ended well, with its value and the score by which a second step chooses shards.
 	Scored(a *Attempt, value string, score float64)
 	// Found tells what an attempt with an Ask brought; it has ended well. The answer has passed its Check.
@@ -170,11 +170,11 @@
 	// is at fault, and the lot store is sound.
 	Unanswerable(a *Attempt, why string)
 	// Probed tells how a probe ended.
-	Probed(server policy.ServerID, ok bool)
+	Probed(server mix.ServerID, ok bool)
 }
 
 // List is news of the server list.
 type List struct {
-	Kind    policy.ListKind
+	Kind    mix.ListKind
 	Servers []mem.Server // their IDs are not set yet
 }
--- a/internal/gather/core.go
+++ b/internal/gather/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/policy"
@@ -36,7 +37,7 @@
 	servers   *mem.Servers
 	flight    *mem.InFlight[*query, *part]
 	out       map[*Attempt]struct{} // attempts that have not ended
-	events    []policy.Event        // for the next step
+	events    []mix.Event           // for the next step
 	calls     []call                // of the step at hand
 	lastID    uint64
 	wakeAt    time.Duration // the Mixer's, 0 for none
@@ -157,7 +158,7 @@
 	c.openDoors(now)
 	if c.wakeAt > 0 && now >= c.wakeAt {
 		c.wakeAt = 0
-		c.events = append(c.events, policy.Wake{})
+		c.events = append(c.events, mix.Wake{})
 	}
 	events := c.events
 	c.events = nil // what carrying out brings is for the next step
@@ -174,42 +175,42 @@
 	c.open.Store(int64(queries + parts))
 }
 
-func (c *Core) carryOut(a policy.Action) {
+func (c *Core) carryOut(a mix.Action) {
 	switch a := a.(type) {
-	case policy.Send:
+	case mix.Send:
 		c.route(a)
-	case policy.Cancel:
+	case mix.Cancel:
 		c.cancel(a)
-	case policy.Answer:
+	case mix.Answer:
 		c.relayAnswer(a)
-	case policy.Refuse:
+	case mix.Refuse:
 		c.relayRefusal(a)
-	case policy.Fail:
+	case mix.Fail:
 		c.relayFailure(a)
-	case policy.Probe:
+	case mix.Probe:
 		c.transport.Probe(a.Server)
-	case policy.CloseIdle:
+	case mix.CloseIdle:
 		c.transport.CloseIdle(a.Server)
-	case policy.WakeAt:
+	case mix.WakeAt:
 		c.wakeAt = a.At
-	case policy.Log:
+	case mix.Log:
 		c.log.Info("mixer", "state", a.Text)
 	}
 }
 
 // concerned is the query that an action is about; nil for none that is in hand.
-func (c *Core) concerned(a policy.Action) *query {
+func (c *Core) concerned(a mix.Action) *query {
 	id, part := uint64(0), uint64(0)
 	switch a := a.(type) {
-	case policy.Send:
+	case mix.Send:
 		part = uint64(a.Part)
-	case policy.Cancel:
+	case mix.Cancel:
 		part = uint64(a.Part)
-	case policy.Answer:
+	case mix.Answer:
 		id = uint64(a.Query)
-	case policy.Refuse:
+	case mix.Refuse:
 		id = uint64(a.Query)
-	case policy.Fail:
+	case mix.Fail:
 		id = uint64(a.Query)
 	}
 	if p, ok := c.flight.Part(part); ok {
@@ -236,7 +237,7 @@
 		}
 		c.forgetSearch(q)
 		q.plan = nil // what broke must not be asked what came of it
-		c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(q.id)})
+		c.events = append(c.events, mix.ClientLeft{Query: mix.QueryID(q.id)})
 		c.tellFinal(q, Result{Kind: Failed, Reason: ReasonPanic, Parts: partResults(q.Request)})
 	}()
 	f()
@@ -246,7 +247,7 @@
 func (c *Core) Load() float64 { return float64(c.open.Load()) / float64(c.openCap.Load()) }
 
 // decide runs one step of the Mixer. A panic there must not take down the daemon with all that it holds.
-func (c *Core) decide(now time.Duration, events []policy.Event) (actions []policy.Action, err error) {
+func (c *Core) decide(now time.Duration, events []mix.Event) (actions []mix.Action, err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("%v\n%s", p, debug.Stack())
@@ -268,5 +269,5 @@
 	c.seed++
 	c.mixer, _ = policy.New(c.set.Policy, c.seed) // New took the same settings before
 	c.events, c.calls, c.wakeAt = nil, nil, 0
-	c.events = append(c.events, policy.ServerList{Kind: policy.Cached, Servers: c.infos(c.servers.All())})
+	c.events = append(c.events, mix.ServerList{Kind: mix.Cached, Servers: c.infos(c.servers.All())})
 }
--- a/internal/gather/recorder.go
+++ b/internal/gather/recorder.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/record"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Recorder: what becomes of requests and attempts is told to whoever keeps the record. It must not wait.
@@ -34,7 +34,7 @@
 			in.Attempts = c.set.Policy.MaxAttempts
 		}
 		in.Copies = c.set.Policy.SecondCopies
-		if k.Effect == policy.Keyed {
+		if k.Effect == mix.Keyed {
 			in.Window = k.Window.Microseconds()
 		}
 		if r.gate != nil {
@@ -62,11 +62,11 @@
 
 var kinds = map[Kind]string{Answered: "answered", Refused: "refused", Failed: "failed"}
 
-var statuses = map[policy.Status]string{policy.OK: "ok", policy.Error: "error", policy.Full: "full", policy.TimedOut: "timed out",
-	policy.ConnectFailed: "not connected", policy.Reset: "reset", policy.Cancelled: "cancelled", policy.Moot: "not sent"}
+var statuses = map[mix.Status]string{mix.OK: "ok", mix.Error: "error", mix.Full: "full", mix.TimedOut: "timed out",
+	mix.ConnectFailed: "not connected", mix.Reset: "reset", mix.Cancelled: "cancelled", mix.Moot: "not sent"}
 
 // recordAttempt tells of an attempt's end; one that never left has no time of leaving.
-func (c *Core) recordAttempt(a *Attempt, s policy.Status) {
+func (c *Core) recordAttempt(a *Attempt, s mix.Status) {
 	if c.recorder == nil {
 		return
 	}
@@ -81,6 +81,6 @@
 	if a.called {
 		e.Sent = c.micros(a.handed)
 	}
-	e.Ran = a.called && s != policy.Full && s != policy.ConnectFailed && s != policy.Moot
+	e.Ran = a.called && s != mix.Full && s != mix.ConnectFailed && s != mix.Moot
 	c.recorder(e)
 }
--- a/internal/gather/relay.go
+++ b/internal/gather/relay.go
@@ -4,32 +4,32 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/policy"
+	"pulleygw.example/pulleygw/internal/mix"
 )
 
 // Relay: the Mixer's final word on a query goes to its front at once. Nothing is ever held back.
 
-func (c *Core) relayAnswer(a policy.Answer) {
+func (c *Core) relayAnswer(a mix.Answer) {
 	q, ok := c.flight.Query(uint64(a.Query))
 	switch {
 	case !ok:
 	case !a.Final && !(q.WholeOnly && !a.Whole):
 		c.fetch(q, a.Whole)
 	case q.WholeOnly && !(a.Whole && q.allIn()):
-		c.events = append(c.events, policy.ClientLeft{Query: a.Query}) // of the first step, all that is left to do
+		c.events = append(c.events, mix.ClientLeft{Query: a.Query}) // of the first step, all that is left to do
 		c.finish(q, Result{Kind: Failed, Reason: ReasonPartial})
 	default:
 		c.finish(q, Result{Kind: Answered, Whole: a.Whole && q.allIn()})
 	}
 }
 
-func (c *Core) relayRefusal(r policy.Refuse) {
+func (c *Core) relayRefusal(r mix.Refuse) {
 	if q, ok := c.flight.Query(uint64(r.Query)); ok {
 		c.finish(q, Result{Kind: Refused, RetryAfter: r.RetryAfter, Reason: ReasonGivenUp})
 	}
 }
 
-func (c *Core) relayFailure(f policy.Fail) {
+func (c *Core) relayFailure(f mix.Fail) {
 	if q, ok := c.flight.Query(uint64(f.Query)); ok {
 		reason := ReasonGivenUp
 		if c.now() >= c.at(q.Deadline)-3*c.set.Policy.Tick {
@@ -46,10 +46,10 @@
 	}
 	for _, q := range c.flight.Queries() {
 		kind := Failed
-		if c.set.Policy.Classes[q.Class].Effect == policy.Safe || !slices.ContainsFunc(q.parts, func(p *part) bool { return p.mayRun > 0 }) {
+		if c.set.Policy.Classes[q.Class].Effect == mix.Safe || !slices.ContainsFunc(q.parts, func(p *part) bool { return p.mayRun > 0 }) {
 			kind = Refused
 		}
-		c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(q.id)}) // the Mixer calls off what is out
+		c.events = append(c.events, mix.ClientLeft{Query: mix.QueryID(q.id)}) // the Mixer calls off what is out
 		c.finish(q, Result{Kind: kind, Reason: ReasonStopping})
 	}
 }
--- a/internal/gather/search.go
+++ b/internal/gather/search.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Searches: a request with a search.Query is led by a plan, which says what to ask of which range and what the page
@@ -90,13 +90,13 @@
 	if len(o.Ask)+len(o.Skip) == 0 {
 		return
 	}
-	e := policy.Planned{Query: policy.QueryID(q.id)}
+	e := mix.Planned{Query: mix.QueryID(q.id)}
 	for _, i := range o.Ask {
-		e.Ask = append(e.Ask, policy.PartID(q.parts[i].id))
+		e.Ask = append(e.Ask, mix.PartID(q.parts[i].id))
 	}
 	for _, i := range o.Skip {
 		q.parts[i].res.Skipped = true
-		e.Skip = append(e.Skip, policy.PartID(q.parts[i].id))
+		e.Skip = append(e.Skip, mix.PartID(q.parts[i].id))
 	}
 	c.events = append(c.events, e)
 }
@@ -108,23 +108,23 @@
 	case a.outcome:
 		return // timed out while this was on its way
 	case q.over || p.res.OK:
-		c.report(a, policy.OK)
+		c.report(a, mix.OK)
 		return
 	case a.Ask.IDs == nil && !q.plan.Fits(p.place, found):
-		c.report(a, policy.Moot) // another copy may; and nothing speaks against this one
+		c.report(a, mix.Moot) // another copy may; and nothing speaks against this one
 		return
 	case q.overAnswer(found.Bytes):
-		c.report(a, policy.Error) // as the route has it
+		c.report(a, mix.Error) // as the route has it
 		return
 	case c.most > 0 && (c.held+found.Bytes > c.most || float64(q.bytes+found.Bytes) > queryMost*float64(c.most)):
-		c.report(a, policy.Error) // there is no room for it
+		c.report(a, mix.Error) // there is no room for it
 		return
 	}
 	q.bytes += found.Bytes
 	c.held += found.Bytes
 	p.res.OK = a.Ask.IDs != nil || !q.plan.Closed()
 	sent := a.sent
-	c.report(a, policy.OK)
+	c.report(a, mix.OK)
 	if a.Ask.IDs != nil {
 		q.plan.Listed(p.place, found)
 		return
@@ -139,9 +139,9 @@
 		return
 	}
 	q := a.part.q
-	c.report(a, policy.Moot)
+	c.report(a, mix.Moot)
 	if !q.over && q.plan.Refused(uint32(a.Server)) {
-		c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(q.id)})
+		c.events = append(c.events, mix.ClientLeft{Query: mix.QueryID(q.id)})
 		c.finish(q, Result{Kind: Failed, Reason: ReasonQuestion, Detail: why})
 	}
 }
--- a/internal/gather/takein.go
+++ b/internal/gather/takein.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Take in: what fronts, transport and discovery tell comes through one channel, and becomes events of
@@ -16,7 +16,7 @@
 	left    struct{ r *Request }
 	outcome struct {
 		a     *Attempt
-		s     policy.Status
+		s     mix.Status
 		value string
 		score *float64 // nil for none
 	}
@@ -29,7 +29,7 @@
 		why string
 	}
 	probed struct {
-		server policy.ServerID
+		server mix.ServerID
 		ok     bool
 	}
 	ban struct {
@@ -67,7 +67,7 @@
 	Servers []mem.Server // as listed
 	Banned  []string
 	Back    map[string]time.Time // servers put back, and when
-	Records map[string]policy.Record
+	Records map[string]mix.Record
 	// PerSecond is how many parts a second all servers together answered.
 	PerSecond float64
 }
@@ -87,9 +87,9 @@
 func (c *Core) Restore(s Snapshot) { c.tell(restored{s}) }
 
 func (c *Core) snapshot() Snapshot {
-	s := Snapshot{Servers: c.servers.Listed(), Records: map[string]policy.Record{}, PerSecond: c.mixer.PerSecond()}
+	s := Snapshot{Servers: c.servers.Listed(), Records: map[string]mix.Record{}, PerSecond: c.mixer.PerSecond()}
 	s.Banned, s.Back = c.servers.Bans()
-	names := map[policy.ServerID]string{}
+	names := map[mix.ServerID]string{}
 	for _, x := range s.Servers {
 		names[x.ID] = x.Name
 	}
@@ -103,15 +103,15 @@
 
 func (c *Core) restore(s Snapshot) {
 	c.servers.Inherit(s.Banned, s.Back)
-	c.list(List{Kind: policy.Cached, Servers: s.Servers})
-	var records []policy.Record
+	c.list(List{Kind: mix.Cached, Servers: s.Servers})
+	var records []mix.Record
 	for _, x := range c.servers.Listed() {
 		if r, ok := s.Records[x.Name]; ok {
 			r.Server = x.ID
 			records = append(records, r)
 		}
 	}
-	c.events = append(c.events, policy.Learned{Records: records, PerSecond: s.PerSecond})
+	c.events = append(c.events, mix.Learned{Records: records, PerSecond: s.PerSecond})
 }
 
 // Retune puts other settings in force for what is submitted from then on. They must be Over those before.
@@ -130,11 +130,11 @@
 func (c *Core) List(l List) { c.tell(l) }
 
 // Outcome implements Reporter.
-func (c *Core) Outcome(a *Attempt, s policy.Status, value string) { c.tell(outcome{a, s, value, nil}) }
+func (c *Core) Outcome(a *Attempt, s mix.Status, value string) { c.tell(outcome{a, s, value, nil}) }
 
 // Scored implements Reporter.
 func (c *Core) Scored(a *Attempt, value string, score float64) {
-	c.tell(outcome{a, policy.OK, value, &score})
+	c.tell(outcome{a, mix.OK, value, &score})
 }
 
 // Found implements Reporter.
@@ -144,7 +144,7 @@
 func (c *Core) Unanswerable(a *Attempt, why string) { c.tell(unanswerable{a, why}) }
 
 // Probed implements Reporter.
-func (c *Core) Probed(server policy.ServerID, ok bool) { c.tell(probed{server, ok}) }
+func (c *Core) Probed(server mix.ServerID, ok bool) { c.tell(probed{server, ok}) }
 
 func (c *Core) tell(m any) {
 	select {
@@ -168,7 +168,7 @@
 		}
 		if q, ok := c.flight.Query(m.r.id); ok && q.Request == m.r {
 			c.recordFinal(m.r, "left", "")
-			c.events = append(c.events, policy.ClientLeft{Query: policy.QueryID(m.r.id)})
+			c.events = append(c.events, mix.ClientLeft{Query: mix.QueryID(m.r.id)})
 			c.forget(q)
 		}
 	case outcome:
@@ -178,7 +178,7 @@
 	case unanswerable:
 		c.guard(m.a.part.q, func() { c.bookUnanswerable(m.a, m.why) })
 	case probed:
-		c.events = append(c.events, policy.Probed{Server: m.server, OK: m.ok})
+		c.events = append(c.events, mix.Probed{Server: m.server, OK: m.ok})
 	case List:
 		c.list(m)
 	case ban:
@@ -189,7 +189,7 @@
 		} else {
 			news, ok = c.servers.Unban(m.name, m.at)
 		}
-		c.news(policy.Delta, news)
+		c.news(mix.Delta, news)
 		m.done <- ok
 	case snapshot:
 		m.to <- c.snapshot()
@@ -199,7 +199,7 @@
 		c.set = m.set
 		c.flight.SetCap(m.set.OpenCap)
 		c.openCap.Store(int64(m.set.OpenCap))
-		c.events = append(c.events, policy.Retuned{Settings: m.set.Policy})
+		c.events = append(c.events, mix.Retuned{Settings: m.set.Policy})
 	case lastCall:
 		c.endBy = m.at
 		c.closeDoors()
@@ -209,14 +209,14 @@
 // list brings the list up to date. The transport hears of it first, so that nothing that waits to be
 // written goes to a server that drains or is gone.
 func (c *Core) list(l List) {
-	if l.Kind == policy.ListFailed {
-		c.events = append(c.events, policy.ServerList{Kind: l.Kind})
+	if l.Kind == mix.ListFailed {
+		c.events = append(c.events, mix.ServerList{Kind: l.Kind})
 		return
 	}
-	c.news(l.Kind, c.servers.Apply(l.Kind != policy.Delta, l.Servers, time.Now()))
+	c.news(l.Kind, c.servers.Apply(l.Kind != mix.Delta, l.Servers, time.Now()))
 }
 
-func (c *Core) news(kind policy.ListKind, news []mem.Server) {
+func (c *Core) news(kind mix.ListKind, news []mem.Server) {
 	c.transport.Servers(news)
 	for _, s := range news {
 		if c.index != nil { // what a process promised ends with it
@@ -224,16 +224,16 @@
 		}
 		c.log.Info("list", "store", s.ID, "name", s.Name, "addr", s.Addr, "cell", s.Cell, "state", stateNames[s.State])
 	}
-	c.events = append(c.events, policy.ServerList{Kind: kind, Servers: c.infos(news)})
+	c.events = append(c.events, mix.ServerList{Kind: kind, Servers: c.infos(news)})
 }
 
-var stateNames = map[policy.ServerState]string{policy.Ready: "ready", policy.Draining: "draining", policy.Gone: "gone"}
+var stateNames = map[mix.ServerState]string{mix.Ready: "ready", mix.Draining: "draining", mix.Gone: "gone"}
 
 // infos gives lines of the list the Mixer's form.
-func (c *Core) infos(list []mem.Server) []policy.ServerInfo {
-	infos := make([]policy.ServerInfo, 0, len(list))
+func (c *Core) infos(list []mem.Server) []mix.ServerInfo {
+	infos := make([]mix.ServerInfo, 0, len(list))
 	for _, s := range list {
-		i := policy.ServerInfo{ID: s.ID, Zone: s.Zone, Cell: s.Cell, State: s.State, Nominal: s.Weight}
+		i := mix.ServerInfo{ID: s.ID, Zone: s.Zone, Cell: s.Cell, State: s.State, Nominal: s.Weight}
 		if !s.Born.IsZero() {
 			i.Started = max(c.at(s.Born), 0)
 		}
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -16,6 +16,7 @@
 	"pulleygw.example/pulleygw/internal/config"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/agentcheck"
 	"pulleygw.example/pulleygw/internal/net/discovery"
 	"pulleygw.example/pulleygw/internal/net/frames"
@@ -24,7 +25,6 @@
 	"pulleygw.example/pulleygw/internal/net/platform"
 	"pulleygw.example/pulleygw/internal/record"
 	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Shares of the limits. The rest is spare: for the runtime, for discovery, for what is being closed.
@@ -79,7 +79,7 @@
 	class := func(n int) (index string, keyed bool) {
 		s := current.Load()
 		// A class that came with a reload stands under its own name.
-		return cmp.Or(indices[s.Classes[n]], s.Classes[n]), s.Policy.Classes[n].Effect != policy.Safe
+		return cmp.Or(indices[s.Classes[n]], s.Classes[n]), s.Policy.Classes[n].Effect != mix.Safe
 	}
 	return opensearch.NewStores(opensearch.StoresConfig{Class: class, Shards: set.Shards,
 		ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle, MaxConns: conns, MaxAnswer: c.MemoryMB << 20 / answerPart,
@@ -164,7 +164,7 @@
 		d.Drain()
 		return nil, err
 	}
-	c.Known.Kind = policy.Cached
+	c.Known.Kind = mix.Cached
 	core.List(c.Known)
 	// A predecessor's list is younger than the one that the configuration has; the whole one is asked for then.
 	if d.takeOver() {
--- a/internal/lifecycle/handover.go
+++ b/internal/lifecycle/handover.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/admin"
 	"pulleygw.example/pulleygw/internal/net/discovery"
 	"pulleygw.example/pulleygw/internal/net/handover"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // A process that inherits the clients' socket may be started beside another of its name: a successor beside its
@@ -210,7 +210,7 @@
 	if len(list.Servers) == 0 {
 		return s, fmt.Errorf("its list is empty")
 	}
-	s = gather.Snapshot{Servers: list.Servers, Banned: state.Banned, Back: map[string]time.Time{}, Records: map[string]policy.Record{},
+	s = gather.Snapshot{Servers: list.Servers, Banned: state.Banned, Back: map[string]time.Time{}, Records: map[string]mix.Record{},
 		PerSecond: state.PerSecond}
 	for name, at := range state.Attached {
 		s.Back[name] = time.UnixMilli(at)
@@ -220,7 +220,7 @@
 		if r.ColdMs >= 0 {
 			cold = time.Duration(r.ColdMs) * time.Millisecond
 		}
-		s.Records[r.Name] = policy.Record{Answers: r.Answers, Latency: r.Latency, Failing: r.Failing, Cap: r.Cap, ColdFor: cold}
+		s.Records[r.Name] = mix.Record{Answers: r.Answers, Latency: r.Latency, Failing: r.Failing, Cap: r.Cap, ColdFor: cold}
 	}
 	return s, nil
 }
--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -9,15 +9,15 @@
 	"pulleygw.example/pulleygw/internal/config"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
 	"pulleygw.example/pulleygw/internal/store"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // LimitClasses are the operator's classes as limits know them.
 func LimitClasses(set *settings.Settings) (list []limits.Class) {
-	effects := map[policy.Effect]limits.Effect{policy.Safe: limits.Safe, policy.Keyed: limits.Keyed, policy.Unsafe: limits.Unsafe}
+	effects := map[mix.Effect]limits.Effect{mix.Safe: limits.Safe, mix.Keyed: limits.Keyed, mix.Unsafe: limits.Unsafe}
 	for i, name := range set.Classes {
 		if set.Class(name) != i {
 			continue // kept for requests in hand only
@@ -50,7 +50,7 @@
 			}
 			l := r.Limits
 			var n int
-			set, n = set.Narrow(i, func(k *policy.Class) {
+			set, n = set.Narrow(i, func(k *mix.Class) {
 				if l.Wanted > 0 {
 					k.Aim = min(k.Aim, l.Wanted)
 				}
--- /dev/null
+++ b/internal/mem/curve/curve.go
@@ -0,0 +1,158 @@
+// Package curve keeps records of durations and what is read off them: decaying histograms, cumulative distributions and
+// their quantiles, sums over a moving span. It decides nothing, does no I/O and keeps no clock.
+package curve
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// The shape of a record.
+const (
+	RecordLow   = 0.001 // seconds: records span 1 ms to 60 s ...
+	RecordHigh  = 60.0
+	RecordRatio = 1.12             // ... in buckets of 12%, finer than any decision needs
+	RecordHalf  = 20 * time.Second // half-life: outlives a stall, follows a change of machine
+	RecordPrior = 8.0              // answers' worth of the others' average mixed into a record
+)
+
+// Histogram is a decaying record of durations in buckets of even ratio. Nothing is decayed as time
+// goes by: what comes in later weighs more, and all is scaled down once a half-life.
+type Histogram struct {
+	Low, Ratio float64 // seconds of the first bucket's upper end, and the buckets' ratio
+	Half       time.Duration
+	N          []float64
+	Total      float64
+	Epoch      time.Duration // when an answer weighed 1
+}
+
+func NewHistogram(low, high, ratio float64, half time.Duration) *Histogram {
+	size := int(math.Ceil(math.Log(high/low)/math.Log(ratio))) + 1
+	return &Histogram{Low: low, Ratio: ratio, Half: half, N: make([]float64, size)}
+}
+
+func (h *Histogram) Bucket(sec float64) int {
+	if sec <= h.Low {
+		return 0
+	}
+	return min(int(math.Ceil(math.Log(sec/h.Low)/math.Log(h.Ratio))), len(h.N)-1)
+}
+
+func (h *Histogram) Edge(i int) float64 { return h.Low * math.Pow(h.Ratio, float64(i)) }
+
+// Weight is what an answer heard now weighs beside those of the epoch.
+func (h *Histogram) Weight(now time.Duration) float64 {
+	return math.Exp2(float64(now-h.Epoch) / float64(h.Half))
+}
+
+// Size is the number of answers in the record, faded.
+func (h *Histogram) Size(now time.Duration) float64 { return h.Total / h.Weight(now) }
+
+func (h *Histogram) Add(now time.Duration, sec float64) { h.Put(now, h.Bucket(sec), 1) }
+
+// Put adds answers to a bucket.
+func (h *Histogram) Put(now time.Duration, bucket int, answers float64) {
+	w := h.Weight(now)
+	if now-h.Epoch > h.Half {
+		for i := range h.N {
+			h.N[i] /= w
+		}
+		h.Total, h.Epoch, w = h.Total/w, now, 1
+	}
+	h.N[bucket] += w * answers
+	h.Total += w * answers
+}
+
+// Blend fills out with the cumulative distribution of own, with k answers' worth of prior mixed in.
+func Blend(out []float64, own, prior *Histogram, k float64, now time.Duration) []float64 {
+	if out == nil {
+		out = make([]float64, len(own.N))
+	}
+	switch {
+	case prior.Total == 0 || k == 0:
+		k = 0
+	case own.Total == 0: // its epoch is not set
+		own, k = prior, 0
+	default:
+		k *= own.Weight(now) / prior.Total
+	}
+	sum := 0.0
+	for i := range out {
+		sum += own.N[i] + k*prior.N[i]
+		out[i] = sum
+	}
+	for i := range out {
+		out[i] /= sum
+	}
+	return out
+}
+
+// Quantile inverts a cumulative distribution on h's buckets.
+func (h *Histogram) Quantile(cdf []float64, q float64) float64 {
+	i := sort.Search(len(cdf), func(i int) bool { return cdf[i] >= q })
+	return h.Edge(min(i, len(cdf)-1))
+}
+
+// Sliding counts amounts over a moving span.
+type Sliding struct {
+	At  []time.Duration
+	N   []float64
+	Sum float64
+}
+
+func (w *Sliding) Add(now time.Duration, n float64) {
+	w.At, w.N, w.Sum = append(w.At, now), append(w.N, n), w.Sum+n
+}
+
+// Since drops what lies before from and returns the sum of the rest.
+func (w *Sliding) Since(from time.Duration) float64 {
+	i := 0
+	for i < len(w.At) && w.At[i] < from {
+		w.Sum -= w.N[i]
+		i++
+	}
+	w.At, w.N = w.At[i:], w.N[i:]
+	if len(w.At) == 0 {
+		w.Sum = 0
+	}
+	return w.Sum
+}
+
+// Faded returns what is left of x after d with the given half-life.
+func Faded(x float64, d, half time.Duration) float64 {
+	return x * math.Exp2(-float64(d)/float64(half))
+}
+
+func Seconds(d time.Duration) float64 { return d.Seconds() }
+
+func Duration(sec float64) time.Duration { return time.Duration(sec * float64(time.Second)) }
+
+// Middle returns the median, 0 of nothing.
+func Middle(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	sort.Float64s(x)
+	return x[len(x)/2]
+}
+
+// Multiply returns the product of two distributions, with x anew from y where x is empty.
+func Multiply(x, y []float64) []float64 {
+	if len(x) == 0 {
+		return append(x, y...)
+	}
+	for i := range x {
+		x[i] *= y[i]
+	}
+	return x
+}
+
+func NewRecord() *Histogram { return NewHistogram(RecordLow, RecordHigh, RecordRatio, RecordHalf) }
+
+// Fill makes h an even distribution from 0 to top.
+func (h *Histogram) Fill(top float64) {
+	for i := range h.N {
+		h.Add(h.Epoch, top*float64(i+1)/float64(len(h.N)))
+	}
+}
--- a/policy/api.go
+++ b/internal/mix/mix.go
@@ -1,9 +1,4 @@
-// Package policy holds the decisions of a co-ordinator ("mixer") of queries over replicated shards.
-//
-// The package does no input or output and keeps no clock: a host hands it what happened and the
-// time, and carries out the actions it returns. policy.go holds every decision; this file is the
-// whole interface; state.go is plain mechanism.
-package policy
+package mix
 
 import (
 	"fmt"
@@ -194,15 +189,24 @@
 )
 
 func (QueryArrived) event() {}
-func (PartArrived) event()  {}
-func (Outcome) event()      {}
-func (ClientLeft) event()   {}
-func (ServerList) event()   {}
-func (Probed) event()       {}
-func (Planned) event()      {}
-func (Wake) event()         {}
-func (Retuned) event()      {}
-func (Learned) event()      {}
+
+func (PartArrived) event() {}
+
+func (Outcome) event() {}
+
+func (ClientLeft) event() {}
+
+func (ServerList) event() {}
+
+func (Probed) event() {}
+
+func (Planned) event() {}
+
+func (Wake) event() {}
+
+func (Retuned) event() {}
+
+func (Learned) event() {}
 
 // Action is something the host is to do, in order, at the Step's time.
 type Action interface{ action() }
@@ -245,16 +249,25 @@
 	Log struct{ Text string }
 )
 
-func (Send) action()      {}
-func (Cancel) action()    {}
-func (Answer) action()    {}
-func (Refuse) action()    {}
-func (Fail) action()      {}
-func (Probe) action()     {}
+func (Send) action() {}
+
+func (Cancel) action() {}
+
+func (Answer) action() {}
+
+func (Refuse) action() {}
+
+func (Fail) action() {}
+
+func (Probe) action() {}
+
 func (CloseIdle) action() {}
-func (WakeAt) action()    {}
+
+func (WakeAt) action() {}
+
 func (Subscribe) action() {}
-func (Log) action()       {}
+
+func (Log) action() {}
 
 // Record is what a mixer knows of a server, to be handed to a successor. Spans are ages, as clocks differ.
 type Record struct {
@@ -265,8 +278,8 @@
 	ColdFor          time.Duration // since it was seen to start over, -1 for never
 }
 
-// filled gives each class its own most attempts.
-func (set Settings) filled() Settings {
+// Filled gives each class its own most attempts.
+func (set Settings) Filled() Settings {
 	set.Classes = slices.Clone(set.Classes)
 	for i := range set.Classes {
 		if c := &set.Classes[i]; c.MaxAttempts == 0 {
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -16,9 +16,9 @@
 
 	"pulleygw.example/pulleygw/internal/garble"
 	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/policy"
 )
 
 var zones = []string{"a", "b"}
@@ -26,10 +26,10 @@
 func TestParseList(t *testing.T) {
 	delta := `{"seq":43,"whole":false,"hosts":[{"host":"s-1","dial":"10.1.0.18:8000","site":"b","class":"m2","block":3,"health":"draining","share":1.5,"born_ms":1700000000000}]}`
 	seq, l, err := ParseList([]byte(delta), zones)
-	if err != nil || seq != 43 || l.Kind != policy.Delta || len(l.Servers) != 1 {
+	if err != nil || seq != 43 || l.Kind != mix.Delta || len(l.Servers) != 1 {
 		t.Fatalf("%d %+v %v", seq, l, err)
 	}
-	if s := l.Servers[0]; s.Zone != 1 || s.Cell != 3 || s.State != policy.Draining || s.Weight != 1.5 || s.Born.UnixMilli() != 1700000000000 {
+	if s := l.Servers[0]; s.Zone != 1 || s.Cell != 3 || s.State != mix.Draining || s.Weight != 1.5 || s.Born.UnixMilli() != 1700000000000 {
 		t.Errorf("%+v", s)
 	}
 	var indented bytes.Buffer
@@ -73,7 +73,7 @@
 			t.Errorf("asked %q, want %q", got, want)
 		}
 	}
-	if len(told) != 1 || (<-told).Kind != policy.Whole {
+	if len(told) != 1 || (<-told).Kind != mix.Whole {
 		t.Error("told otherwise than once, whole")
 	}
 }
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go w.Run(ctx, 3)
-	if got := <-told; len(got.Servers) != 1 || got.Servers[0].State != policy.Draining {
+	if got := <-told; len(got.Servers) != 1 || got.Servers[0].State != mix.Draining {
 		t.Errorf("told %+v", got)
 	}
 	for _, asked := range []bool{false, true} {
--- a/internal/net/frames/frames_test.go
+++ b/internal/net/frames/frames_test.go
@@ -14,9 +14,9 @@
 	"pulleygw.example/pulleygw/internal/garble"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/policy"
 )
 
 func TestGarbage(t *testing.T) {
@@ -109,23 +109,23 @@
 
 type report struct {
 	a     *gather.Attempt
-	s     policy.Status
+	s     mix.Status
 	value string
 }
 
-func (r reports) Outcome(a *gather.Attempt, s policy.Status, v string) { r.ch <- report{a, s, v} }
-func (r reports) Scored(a *gather.Attempt, v string, _ float64)        { r.ch <- report{a, policy.OK, v} }
-func (r reports) Found(*gather.Attempt, *search.Answer)                {}
-func (r reports) Unanswerable(*gather.Attempt, string)                 {}
-func (r reports) Probed(_ policy.ServerID, ok bool) {
-	r.ch <- report{s: map[bool]policy.Status{true: policy.OK, false: policy.Error}[ok]}
+func (r reports) Outcome(a *gather.Attempt, s mix.Status, v string) { r.ch <- report{a, s, v} }
+func (r reports) Scored(a *gather.Attempt, v string, _ float64)     { r.ch <- report{a, mix.OK, v} }
+func (r reports) Found(*gather.Attempt, *search.Answer)             {}
+func (r reports) Unanswerable(*gather.Attempt, string)              {}
+func (r reports) Probed(_ mix.ServerID, ok bool) {
+	r.ch <- report{s: map[bool]mix.Status{true: mix.OK, false: mix.Error}[ok]}
 }
 
 func transport(addr string, idle time.Duration) (*Transport, reports) {
 	tr := New(Config{Streams: 16, ConnectTimeout: 250 * time.Millisecond, ConnIdle: idle, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
 	r := reports{make(chan report, 100)}
 	tr.Start(r)
-	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: policy.Ready}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: mix.Ready}})
 	return tr, r
 }
 
@@ -136,7 +136,7 @@
 	return list
 }
 
-func (r reports) want(t *testing.T, n int, s policy.Status) {
+func (r reports) want(t *testing.T, n int, s mix.Status) {
 	t.Helper()
 	for range n {
 		if got := <-r.ch; got.s != s {
@@ -153,29 +153,29 @@
 	go standin.Frames(l, script)
 	tr, r := transport(l.Addr().String(), time.Minute)
 	tr.Call(1, attempts(3))
-	r.want(t, 3, policy.Reset)
+	r.want(t, 3, mix.Reset)
 	tr.Call(1, attempts(3))
-	r.want(t, 3, policy.OK)
+	r.want(t, 3, mix.OK)
 	tr.Probe(1)
-	r.want(t, 1, policy.OK)
+	r.want(t, 1, mix.OK)
 
 	refused := standin.Listen(t)
 	refused.Close()
 	tr, r = transport(refused.Addr().String(), time.Minute)
 	tr.Call(1, attempts(2))
-	r.want(t, 2, policy.ConnectFailed)
+	r.want(t, 2, mix.ConnectFailed)
 	tr.Probe(1)
-	r.want(t, 1, policy.Error)
+	r.want(t, 1, mix.Error)
 }
 
 // A malformed frame closes its connection at once, and its parts may have run; they are not counted as if the
 // lot store had died, but for its own word that it closes. An id that nobody waits for leaves somebody waiting.
 func TestMalformedFrame(t *testing.T) {
-	for frame, want := range map[string]policy.Status{
-		string(standin.Frame('Z', "?")): policy.Error, string(standin.Frame('E', "no line")): policy.Error,
-		"\x00\x00\x00\x00E": policy.Error, "\xff\xff\xff\xffE": policy.Error, "\x40\x00\x00\x00Z": policy.Error,
-		string(standin.Frame('E', "q.0 what 0 -\nv")): policy.Error, string(standin.Frame('E', "z.0 hit 0 -\nv")): policy.Error,
-		"\x40\x00\x00\x00Eq.0 hit 0 -\nv": policy.Error, string(standin.Frame('F', "what?")): policy.Reset,
+	for frame, want := range map[string]mix.Status{
+		string(standin.Frame('Z', "?")): mix.Error, string(standin.Frame('E', "no line")): mix.Error,
+		"\x00\x00\x00\x00E": mix.Error, "\xff\xff\xff\xffE": mix.Error, "\x40\x00\x00\x00Z": mix.Error,
+		string(standin.Frame('E', "q.0 what 0 -\nv")): mix.Error, string(standin.Frame('E', "z.0 hit 0 -\nv")): mix.Error,
+		"\x40\x00\x00\x00Eq.0 hit 0 -\nv": mix.Error, string(standin.Frame('F', "what?")): mix.Reset,
 	} {
 		l := standin.Listen(t)
 		closed := make(chan error, 1)
@@ -209,7 +209,7 @@
 		}()
 		tr, r := transport(l.Addr().String(), time.Minute)
 		tr.Call(1, attempts(1))
-		r.want(t, 1, policy.OK)
+		r.want(t, 1, mix.OK)
 		if len(r.ch) > 0 {
 			t.Errorf("%q: a second outcome", more)
 		}
@@ -221,7 +221,7 @@
 	tr, _ := transport("127.0.0.1:1", time.Minute)
 	c := parked(tr, nil)
 	tr.Call(1, attempts(1))
-	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:2", State: policy.Ready}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:2", State: mix.Ready}})
 	tr.Call(1, attempts(1))
 	if c.load != 1 || c.Ready() != 0 {
 		t.Errorf("load %d, ready %d", c.load, c.Ready())
@@ -234,7 +234,7 @@
 	l := standin.Listen(t)
 	tr, _ := transport(l.Addr().String(), time.Minute)
 	tr.MaxConns = 4
-	tr.Servers([]mem.Server{{ID: 2, Addr: "127.0.0.1:1", State: policy.Ready}})
+	tr.Servers([]mem.Server{{ID: 2, Addr: "127.0.0.1:1", State: mix.Ready}})
 	for i, want := range []int{1, 2, 2, 2, 3} {
 		tr.Call(1, attempts(8))
 		tr.mu.Lock()
@@ -256,17 +256,17 @@
 
 // Nothing queued may go to a server since told draining or gone: the rule allows 250 ms after that.
 func TestDrainDropsQueue(t *testing.T) {
-	for _, state := range []policy.ServerState{policy.Draining, policy.Gone} {
+	for _, state := range []mix.ServerState{mix.Draining, mix.Gone} {
 		tr, r := transport("127.0.0.1:1", time.Minute)
 		c := parked(tr, nil)
 		tr.Call(1, attempts(3))
 		tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:1", State: state}})
-		r.want(t, 3, policy.Moot)
+		r.want(t, 3, mix.Moot)
 		if len(c.queue) != 0 || c.load != 0 {
 			t.Errorf("queue %v, load %d", c.queue, c.load)
 		}
 		tr.Call(1, attempts(1))
-		r.want(t, 1, policy.Moot)
+		r.want(t, 1, mix.Moot)
 	}
 }
 
@@ -284,7 +284,7 @@
 	if more, err := c.write(); !more || err != nil { // a write to the pipe would fail: nobody reads
 		t.Errorf("more %v, error %v", more, err)
 	}
-	r.want(t, 2, policy.Moot)
+	r.want(t, 2, mix.Moot)
 }
 
 // A cancelled part gives its place up, and an answer that crosses that is dropped.
@@ -295,7 +295,7 @@
 	queued, out := list[0], list[1]
 	tr.Call(1, list)
 	tr.Cancel(queued)
-	r.want(t, 1, policy.Cancelled)
+	r.want(t, 1, mix.Cancelled)
 	c.out["q.1"], c.queue = &entry{a: out, written: time.Now()}, nil
 	tr.Cancel(out)
 	if c.load != 0 || len(c.out) != 0 || len(c.give) != 1 || c.give[0] != out {
@@ -329,10 +329,10 @@
 	if err := <-told; !errors.Is(err, errMalformed) { // B is no letter that a lot store sends
 		t.Errorf("told %v", err)
 	}
-	r.want(t, 1, policy.Cancelled)
+	r.want(t, 1, mix.Cancelled)
 	tr.Cancel(list[1])
 	c.fail(io.EOF)
-	r.want(t, 1, policy.Cancelled)
+	r.want(t, 1, mix.Cancelled)
 }
 
 // A connection that was silent for long under a part that is given up takes no further part, and is closed
@@ -366,7 +366,7 @@
 	}
 	io.ReadFull(c, make([]byte, 5))
 	c.Write(standin.Frame('C', "fault"))
-	r.want(t, 1, policy.Error)
+	r.want(t, 1, mix.Error)
 	if n, err := c.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("%d bytes, %v", n, err)
 	}
@@ -380,12 +380,12 @@
 	list := attempts(1)
 	busy.out["q.0"], busy.load, tr.where[list[0]] = &entry{a: list[0], written: time.Now()}, 1, busy
 	tr.conns = 2
-	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:1", State: policy.Gone}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:1", State: mix.Gone}})
 	if tr.conns != 1 || len(tr.servers) != 1 {
 		t.Errorf("%d connections, %d servers while one part is out", tr.conns, len(tr.servers))
 	}
 	busy.fail(io.EOF)
-	r.want(t, 1, policy.Reset)
+	r.want(t, 1, mix.Reset)
 	if tr.conns != 0 || len(tr.servers) != 0 || len(tr.where) != 0 {
 		t.Errorf("%d connections, %d servers, %d attempts are kept", tr.conns, len(tr.servers), len(tr.where))
 	}
@@ -402,12 +402,12 @@
 		frame := len(standin.Frame('A', partLine(attempts(1)[0], 59999)))
 		io.ReadFull(there, make([]byte, frame-1))
 		c.t.mu.Lock()
-		c.dead, c.ran = true, policy.Error // as fail leaves it
+		c.dead, c.ran = true, mix.Error // as fail leaves it
 		c.t.mu.Unlock()
 		io.ReadFull(there, make([]byte, 1))
 	}()
 	if _, err := c.write(); err != nil {
 		t.Fatal(err)
 	}
-	r.want(t, 1, policy.Error)
+	r.want(t, 1, mix.Error)
 }
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -12,7 +12,7 @@
 
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/policy"
+	"pulleygw.example/pulleygw/internal/mix"
 )
 
 // Config is what a transport needs to know.
@@ -31,7 +31,7 @@
 	report gather.Reporter
 
 	mu      sync.Mutex
-	servers map[policy.ServerID]*server
+	servers map[mix.ServerID]*server
 	where   map[*gather.Attempt]*conn
 	conns   int
 }
@@ -63,17 +63,17 @@
 	load     int                 // parts queued and out
 	asked    []time.Time         // probes that are out
 	up, dead bool
-	ran      policy.Status // how parts end that were written whole when the connection ended
-	silent   bool          // an attempt was given up with nothing heard for long: not chosen any more
-	heard    time.Time     // when something last came
-	idle     time.Time     // since when nothing is on it
+	ran      mix.Status // how parts end that were written whole when the connection ended
+	silent   bool       // an attempt was given up with nothing heard for long: not chosen any more
+	heard    time.Time  // when something last came
+	idle     time.Time  // since when nothing is on it
 	wake     chan struct{}
 	gone     chan struct{}
 }
 
 // New makes a transport; Start must come before any other call.
 func New(c Config) *Transport {
-	return &Transport{Config: c, servers: map[policy.ServerID]*server{}, where: map[*gather.Attempt]*conn{}}
+	return &Transport{Config: c, servers: map[mix.ServerID]*server{}, where: map[*gather.Attempt]*conn{}}
 }
 
 // Start names whom outcomes are reported to.
@@ -107,7 +107,7 @@
 	for _, n := range news {
 		s := t.servers[n.ID]
 		if s == nil {
-			if n.State == policy.Gone {
+			if n.State == mix.Gone {
 				continue
 			}
 			s = &server{}
@@ -115,17 +115,17 @@
 		}
 		moved := s.Addr != "" && s.Addr != n.Addr
 		s.Server = n
-		if n.State != policy.Ready {
+		if n.State != mix.Ready {
 			var dropped []*gather.Attempt
 			for _, c := range s.pool.All() {
 				dropped = append(dropped, c.dropQueue()...)
 			}
-			t.end(dropped, policy.Moot)
+			t.end(dropped, mix.Moot)
 		}
-		if n.State == policy.Gone || moved {
+		if n.State == mix.Gone || moved {
 			t.closeIdle(s)
 		}
-		if n.State == policy.Gone && s.pool.Len() == 0 {
+		if n.State == mix.Gone && s.pool.Len() == 0 {
 			delete(t.servers, n.ID)
 		}
 	}
@@ -146,7 +146,7 @@
 
 // end reports the same outcome for attempts, from a goroutine of its own as the caller holds the lock or is
 // the core itself.
-func (t *Transport) end(attempts []*gather.Attempt, s policy.Status) {
+func (t *Transport) end(attempts []*gather.Attempt, s mix.Status) {
 	if len(attempts) == 0 {
 		return
 	}
@@ -158,18 +158,18 @@
 }
 
 // Call implements gather.Transport.
-func (t *Transport) Call(id policy.ServerID, attempts []*gather.Attempt) {
+func (t *Transport) Call(id mix.ServerID, attempts []*gather.Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
-	if s == nil || s.State != policy.Ready {
-		t.end(attempts, policy.Moot)
+	if s == nil || s.State != mix.Ready {
+		t.end(attempts, mix.Moot)
 		return
 	}
 	c := t.conn(s, len(attempts))
 	if c == nil {
 		t.Log.Warn("connections used up", "most", t.MaxConns, "store", id)
-		t.end(attempts, policy.ConnectFailed)
+		t.end(attempts, mix.ConnectFailed)
 		return
 	}
 	c.queue = append(c.queue, attempts)
@@ -190,7 +190,7 @@
 	if t.conns >= t.MaxConns {
 		return c // nil where none has room
 	}
-	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, ran: policy.Reset, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
+	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, ran: mix.Reset, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
 	s.pool.Add(c)
 	t.conns++
 	go c.run()
@@ -218,12 +218,12 @@
 	for i, call := range c.queue {
 		if j := slices.Index(call, a); j >= 0 {
 			c.queue[i] = slices.Delete(call, j, j+1)
-			t.end([]*gather.Attempt{a}, policy.Cancelled)
+			t.end([]*gather.Attempt{a}, mix.Cancelled)
 			return
 		}
 	}
 	if c.dead { // its writer is about to find out, and the frame was never whole
-		t.end([]*gather.Attempt{a}, policy.Cancelled)
+		t.end([]*gather.Attempt{a}, mix.Cancelled)
 		return
 	}
 	e := c.out[partID(a)]
@@ -249,7 +249,7 @@
 }
 
 // Probe implements gather.Transport.
-func (t *Transport) Probe(id policy.ServerID) {
+func (t *Transport) Probe(id mix.ServerID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
@@ -267,7 +267,7 @@
 }
 
 // CloseIdle implements gather.Transport.
-func (t *Transport) CloseIdle(id policy.ServerID) {
+func (t *Transport) CloseIdle(id mix.ServerID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[id]; s != nil {
@@ -308,9 +308,9 @@
 	if c.nc != nil {
 		c.nc.Close()
 	}
-	c.t.end(c.give, policy.Cancelled) // by the close
+	c.t.end(c.give, mix.Cancelled) // by the close
 	c.give = nil
-	if c.s.State == policy.Gone && c.s.pool.Len() == 0 && c.t.servers[c.s.ID] == c.s {
+	if c.s.State == mix.Gone && c.s.pool.Len() == 0 && c.t.servers[c.s.ID] == c.s {
 		delete(c.t.servers, c.s.ID)
 	}
 }
@@ -319,9 +319,9 @@
 // Parts end as reset where the connection broke, and as faulty where the lot store wrote what cannot be
 // read, or did not end what it began: that store lives, and is not to be taken for one that died. A frame that is being written at this moment is left to its writer.
 func (c *conn) fail(err error) {
-	t, ran := c.t, policy.Reset
+	t, ran := c.t, mix.Reset
 	if errors.Is(err, errMalformed) || errors.Is(err, os.ErrDeadlineExceeded) {
-		ran = policy.Error
+		ran = mix.Error
 	}
 	t.mu.Lock()
 	if !c.dead {
@@ -348,7 +348,7 @@
 		t.report.Outcome(a, ran, "")
 	}
 	for _, a := range never {
-		t.report.Outcome(a, policy.ConnectFailed, "")
+		t.report.Outcome(a, mix.ConnectFailed, "")
 	}
 	for range probes {
 		t.report.Probed(id, false)
@@ -419,7 +419,7 @@
 			c.nc.Close() // that, too, gives them up
 		}
 		for _, a := range given {
-			t.report.Outcome(a, policy.Cancelled, "")
+			t.report.Outcome(a, mix.Cancelled, "")
 		}
 		return true, err
 	case len(c.queue) > 0:
@@ -456,7 +456,7 @@
 	var lines []string
 	var late, attempts []*gather.Attempt
 	for _, a := range call {
-		if c.s.State != policy.Ready || a.Stale(now) {
+		if c.s.State != mix.Ready || a.Stale(now) {
 			late = append(late, a)
 			delete(t.where, a)
 			c.load--
@@ -469,7 +469,7 @@
 	c.settle()
 	t.mu.Unlock()
 	for _, a := range late {
-		t.report.Outcome(a, policy.Moot, "")
+		t.report.Outcome(a, mix.Moot, "")
 	}
 	if len(attempts) == 0 {
 		return nil
@@ -494,7 +494,7 @@
 	status := c.ran // written whole, and the connection ended before that was booked
 	t.mu.Unlock()
 	if err != nil {
-		status = policy.ConnectFailed
+		status = mix.ConnectFailed
 	}
 	for _, a := range ended {
 		t.report.Outcome(a, status, "")
--- a/internal/net/opensearch/calls.go
+++ b/internal/net/opensearch/calls.go
@@ -13,10 +13,10 @@
 	"github.com/tidwall/gjson"
 
 	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/pages"
 	"pulleygw.example/pulleygw/internal/query"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Limits of calls that carry several requests.
@@ -190,9 +190,9 @@
 	}
 	k := set.Policy.Classes[class]
 	switch {
-	case !keyed && k.Effect != policy.Safe:
+	case !keyed && k.Effect != mix.Safe:
 		return nil, illegal("index [%s] takes only create", index)
-	case keyed && k.Effect == policy.Safe:
+	case keyed && k.Effect == mix.Safe:
 		return nil, illegal("index [%s] takes only _search", index)
 	}
 	wait := k.Deadline
@@ -732,7 +732,7 @@
 	holders := make([]int, set.Policy.Cells)
 	nodes := 0
 	for _, x := range s.Servers {
-		if x.State != policy.Ready || slices.Contains(s.Banned, x.Name) {
+		if x.State != mix.Ready || slices.Contains(s.Banned, x.Name) {
 			continue
 		}
 		nodes++
--- a/internal/net/opensearch/front.go
+++ b/internal/net/opensearch/front.go
@@ -22,12 +22,12 @@
 	"pulleygw.example/pulleygw/internal/aggs"
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/merge"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/pages"
 	"pulleygw.example/pulleygw/internal/query"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Core is what the front needs of the gatherer's core.
@@ -287,14 +287,14 @@
 }
 
 // causes words how a part's last attempt ended.
-var causes = map[policy.Status]cause{
-	policy.Error:         {"query_phase_execution_exception", "the lot store reported a failure"},
-	policy.Full:          {"rejected_execution_exception", "the lot store turned it away"},
-	policy.TimedOut:      {"receive_timeout_transport_exception", "no answer in time"},
-	policy.ConnectFailed: {"connect_transport_exception", "no connection to the lot store"},
-	policy.Reset:         {"node_disconnected_exception", "the connection to the lot store broke"},
-	policy.Cancelled:     {"task_cancelled_exception", "given up"},
-	policy.Moot:          {"task_cancelled_exception", "not sent"},
+var causes = map[mix.Status]cause{
+	mix.Error:         {"query_phase_execution_exception", "the lot store reported a failure"},
+	mix.Full:          {"rejected_execution_exception", "the lot store turned it away"},
+	mix.TimedOut:      {"receive_timeout_transport_exception", "no answer in time"},
+	mix.ConnectFailed: {"connect_transport_exception", "no connection to the lot store"},
+	mix.Reset:         {"node_disconnected_exception", "the connection to the lot store broke"},
+	mix.Cancelled:     {"task_cancelled_exception", "given up"},
+	mix.Moot:          {"task_cancelled_exception", "not sent"},
 }
 
 func (a *asked) counts(res gather.Result) (c shardCounts, timedOut bool) {
@@ -311,8 +311,8 @@
 		}
 		c.Failed++
 		why := causes[p.Last]
-		if p.Waiting || p.Last == policy.TimedOut {
-			why, timedOut = causes[policy.TimedOut], true
+		if p.Waiting || p.Last == mix.TimedOut {
+			why, timedOut = causes[mix.TimedOut], true
 		}
 		c.Failures = append(c.Failures, shardError{Shard: p.Shard, Index: a.index, Reason: why})
 	}
--- a/internal/net/opensearch/phases_test.go
+++ b/internal/net/opensearch/phases_test.go
@@ -11,12 +11,12 @@
 
 	"github.com/tidwall/gjson"
 
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/pages"
 	"pulleygw.example/pulleygw/internal/search"
 	"pulleygw.example/pulleygw/internal/standin"
 	"pulleygw.example/pulleygw/internal/standin/lots"
-	"pulleygw.example/pulleygw/policy"
 )
 
 var usual = rigOptions{ranges: 24, each: 30, phases: search.Two, refresh: 10 * time.Second, bounds: 100000}
@@ -343,7 +343,7 @@
 				}
 				done = true
 				set := *r.front.Settings.Load()
-				set.Policy.Classes = append(slices.Clone(set.Policy.Classes), policy.Class{Aim: time.Second, Deadline: 2 * time.Second, Need: 1, Floor: 1, MaxAttempts: 1})
+				set.Policy.Classes = append(slices.Clone(set.Policy.Classes), mix.Class{Aim: time.Second, Deadline: 2 * time.Second, Need: 1, Floor: 1, MaxAttempts: 1})
 				set.Classes = append(slices.Clone(set.Classes), "other")
 				go func() {
 					r.core.Retune(set)
--- a/internal/net/opensearch/stores.go
+++ b/internal/net/opensearch/stores.go
@@ -17,9 +17,9 @@
 
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // StoresConfig is what the lot-store side needs to know.
@@ -41,7 +41,7 @@
 	report  gather.Reporter
 
 	mu      sync.Mutex
-	servers map[policy.ServerID]*store
+	servers map[mix.ServerID]*store
 	where   map[*gather.Attempt]*exchange
 	conns   int
 }
@@ -72,7 +72,7 @@
 			found++
 		}
 	}
-	return &Stores{StoresConfig: c, routing: routing, servers: map[policy.ServerID]*store{}, where: map[*gather.Attempt]*exchange{}}
+	return &Stores{StoresConfig: c, routing: routing, servers: map[mix.ServerID]*store{}, where: map[*gather.Attempt]*exchange{}}
 }
 
 // Start names whom outcomes are reported to.
@@ -90,10 +90,10 @@
 		}
 		moved := s.Addr != n.Addr
 		s.Server = n
-		if n.State == policy.Gone || moved {
+		if n.State == mix.Gone || moved {
 			t.closeIdle(s, time.Now())
 		}
-		if n.State == policy.Gone {
+		if n.State == mix.Gone {
 			delete(t.servers, n.ID)
 		}
 	}
@@ -122,7 +122,7 @@
 }
 
 // CloseIdle implements gather.Transport.
-func (t *Stores) CloseIdle(id policy.ServerID) {
+func (t *Stores) CloseIdle(id mix.ServerID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[id]; s != nil {
@@ -131,7 +131,7 @@
 }
 
 // Call implements gather.Transport.
-func (t *Stores) Call(id policy.ServerID, attempts []*gather.Attempt) {
+func (t *Stores) Call(id mix.ServerID, attempts []*gather.Attempt) {
 	var kinds [2][]*gather.Attempt
 	for _, a := range attempts {
 		k := 0
@@ -170,7 +170,7 @@
 }
 
 // end reports an attempt's outcome, unless it has been cancelled.
-func (t *Stores) end(a *gather.Attempt, s policy.Status, value string) {
+func (t *Stores) end(a *gather.Attempt, s mix.Status, value string) {
 	if t.ended(a) {
 		t.report.Outcome(a, s, value)
 	}
@@ -195,14 +195,14 @@
 	return x != nil
 }
 
-func (t *Stores) endAll(attempts []*gather.Attempt, s policy.Status) {
+func (t *Stores) endAll(attempts []*gather.Attempt, s mix.Status) {
 	for _, a := range attempts {
 		t.end(a, s, "")
 	}
 }
 
 // take gets an open connection or room for a new one.
-func (t *Stores) take(id policy.ServerID) (c *http1.Client, open, ok bool) {
+func (t *Stores) take(id mix.ServerID) (c *http1.Client, open, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
@@ -227,7 +227,7 @@
 }
 
 // put gives a connection back. One that is closed, or leads to where the server no longer is, is dropped.
-func (t *Stores) put(id policy.ServerID, c *http1.Client) {
+func (t *Stores) put(id mix.ServerID, c *http1.Client) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
@@ -246,25 +246,25 @@
 }
 
 // run carries one call.
-func (t *Stores) run(ctx context.Context, id policy.ServerID, x *exchange, attempts []*gather.Attempt) {
+func (t *Stores) run(ctx context.Context, id mix.ServerID, x *exchange, attempts []*gather.Attempt) {
 	defer func() {
 		x.stop()
 		t.mu.Lock()
 		gone := x.gone
 		t.mu.Unlock()
 		for _, a := range gone {
-			t.report.Outcome(a, policy.Cancelled, "")
+			t.report.Outcome(a, mix.Cancelled, "")
 		}
 	}()
 	c, open, ok := t.take(id)
 	if !ok {
-		t.endAll(attempts, policy.ConnectFailed)
+		t.endAll(attempts, mix.ConnectFailed)
 		return
 	}
 	defer func() { t.put(id, c) }()
 	if !open {
 		if err := c.Dial(ctx, t.ConnectTimeout); err != nil {
-			t.endAll(attempts, policy.ConnectFailed)
+			t.endAll(attempts, mix.ConnectFailed)
 			return
 		}
 	}
@@ -273,7 +273,7 @@
 	now := time.Now()
 	t.mu.Lock()
 	s := t.servers[id]
-	ready := s != nil && s.State == policy.Ready
+	ready := s != nil && s.State == mix.Ready
 	var live []*gather.Attempt
 	var stale []*gather.Attempt
 	for _, a := range attempts {
@@ -286,7 +286,7 @@
 		}
 	}
 	t.mu.Unlock()
-	t.endAll(stale, policy.Moot)
+	t.endAll(stale, mix.Moot)
 	if len(live) == 0 {
 		return
 	}
@@ -300,7 +300,7 @@
 	head := textproto.MIMEHeader{"Content-Type": {"application/x-ndjson"}}
 	if err := c.Write(now.Add(4*t.ConnectTimeout), "POST", target, head, body); err != nil {
 		c.Close()
-		t.endAll(live, policy.ConnectFailed)
+		t.endAll(live, mix.ConnectFailed)
 		return
 	}
 	p, err := c.Read(live[0].Until.Add(time.Second))
@@ -312,10 +312,10 @@
 	switch p.Status {
 	case 200:
 	case 429:
-		t.endAll(live, policy.Full)
+		t.endAll(live, mix.Full)
 		return
 	default:
-		t.endAll(live, policy.Error)
+		t.endAll(live, mix.Error)
 		return
 	}
 	_, keyed := t.Class(live[0].Class)
@@ -332,18 +332,18 @@
 			}
 			continue
 		}
-		if a.Ask != nil && status == policy.OK {
+		if a.Ask != nil && status == mix.OK {
 			found, why := parseFound(items[i].whole, a.Ask)
 			if why != "" {
 				t.Log.Warn("answer not believed", "store", id, "reason", why)
-				t.end(a, policy.Error, "")
+				t.end(a, mix.Error, "")
 				continue
 			}
 			t.found(a, found)
 			continue
 		}
 		if items[i].conflict && a.Number > 0 {
-			status = policy.OK // the document is there: an earlier attempt ran
+			status = mix.OK // the document is there: an earlier attempt ran
 		}
 		t.end(a, status, value)
 	}
@@ -351,14 +351,14 @@
 
 // broken ends a connection after a call was written whole: its parts may have run. One whose answer cannot be
 // read is faulty, and is not to be taken for one that died.
-func (t *Stores) broken(ctx context.Context, id policy.ServerID, c *http1.Client, out []*gather.Attempt, err error) {
+func (t *Stores) broken(ctx context.Context, id mix.ServerID, c *http1.Client, out []*gather.Attempt, err error) {
 	c.Close()
 	if ctx.Err() == nil {
 		t.Log.Info("connection ended", "store", id, "out", len(out), "never_sent", 0, "reason", err)
 	}
-	status := policy.Reset
+	status := mix.Reset
 	if e := (*http1.Error)(nil); errors.As(err, &e) || errors.Is(err, errMalformed) {
-		status = policy.Error
+		status = mix.Error
 	}
 	t.endAll(out, status)
 }
@@ -401,7 +401,7 @@
 
 // item is what came of one part.
 type item struct {
-	status   policy.Status
+	status   mix.Status
 	value    string
 	whole    gjson.Result // of a search
 	conflict bool         // the document was there already
@@ -431,22 +431,22 @@
 		hits, status := a.Get("hits"), a.Get("status").Int()
 		switch {
 		case status == 429:
-			items[i].status = policy.Full
+			items[i].status = mix.Full
 		case keyed && status == 201:
-			items[i] = item{status: policy.OK, value: a.Raw}
+			items[i] = item{status: mix.OK, value: a.Raw}
 		case keyed && status == 409:
-			items[i] = item{status: policy.Error, value: a.Raw, conflict: true}
+			items[i] = item{status: mix.Error, value: a.Raw, conflict: true}
 		case !keyed && hits.Get("hits").IsArray() && !a.Get("timed_out").Bool() && a.Get("_shards.failed").Int() == 0:
-			items[i] = item{status: policy.OK, value: hits.Raw, whole: a}
+			items[i] = item{status: mix.OK, value: hits.Raw, whole: a}
 		default:
-			items[i] = item{status: policy.Error, whole: a}
+			items[i] = item{status: mix.Error, whole: a}
 		}
 	}
 	return items, nil
 }
 
 // Probe implements gather.Transport.
-func (t *Stores) Probe(id policy.ServerID) {
+func (t *Stores) Probe(id mix.ServerID) {
 	go func() {
 		c, open, ok := t.take(id)
 		if !ok {
--- a/internal/net/opensearch/stores_test.go
+++ b/internal/net/opensearch/stores_test.go
@@ -11,9 +11,9 @@
 
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // reports collects what the transport tells.
@@ -21,18 +21,18 @@
 
 type report struct {
 	shard int
-	s     policy.Status
+	s     mix.Status
 	value string
 }
 
-func (r reports) Outcome(a *gather.Attempt, s policy.Status, v string) { r <- report{a.Shard, s, v} }
-func (r reports) Scored(a *gather.Attempt, v string, _ float64)        { r <- report{a.Shard, policy.OK, v} }
+func (r reports) Outcome(a *gather.Attempt, s mix.Status, v string) { r <- report{a.Shard, s, v} }
+func (r reports) Scored(a *gather.Attempt, v string, _ float64)     { r <- report{a.Shard, mix.OK, v} }
 func (r reports) Found(a *gather.Attempt, f *search.Answer) {
-	r <- report{a.Shard, policy.OK, fmt.Sprintf("%d hits of %d", len(f.Hits), f.Total)}
+	r <- report{a.Shard, mix.OK, fmt.Sprintf("%d hits of %d", len(f.Hits), f.Total)}
 }
-func (r reports) Unanswerable(a *gather.Attempt, why string) { r <- report{a.Shard, policy.Moot, why} }
-func (r reports) Probed(_ policy.ServerID, ok bool) {
-	r <- report{s: map[bool]policy.Status{true: policy.OK, false: policy.Error}[ok]}
+func (r reports) Unanswerable(a *gather.Attempt, why string) { r <- report{a.Shard, mix.Moot, why} }
+func (r reports) Probed(_ mix.ServerID, ok bool) {
+	r <- report{s: map[bool]mix.Status{true: mix.OK, false: mix.Error}[ok]}
 }
 
 func listen(t *testing.T) net.Listener {
@@ -56,7 +56,7 @@
 		ConnectTimeout: 250 * time.Millisecond, ConnIdle: time.Minute, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
 	r := make(reports, 100)
 	tr.Start(r)
-	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: policy.Ready}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: mix.Ready}})
 	return tr, r
 }
 
@@ -79,18 +79,18 @@
 		name   string
 		handle http1.Handler
 		number int
-		want   policy.Status
+		want   mix.Status
 	}{
-		{"created", answer(200, create("201")), 0, policy.OK},
-		{"turned away", answer(200, create("429")), 0, policy.Full},
-		{"all turned away", answer(429, "{}"), 0, policy.Full},
-		{"failed", answer(200, create("500")), 0, policy.Error},
-		{"all failed", answer(503, "{}"), 0, policy.Error},
-		{"there already, on the first try", answer(200, create("409")), 0, policy.Error},
-		{"there already, from an earlier try", answer(200, create("409")), 1, policy.OK},
-		{"not JSON", answer(200, "x"), 0, policy.Error},
-		{"too few items", answer(200, `{"items":[]}`), 0, policy.Error},
-		{"closed", func(*http1.Request, <-chan struct{}) *http1.Response { return nil }, 0, policy.Reset},
+		{"created", answer(200, create("201")), 0, mix.OK},
+		{"turned away", answer(200, create("429")), 0, mix.Full},
+		{"all turned away", answer(429, "{}"), 0, mix.Full},
+		{"failed", answer(200, create("500")), 0, mix.Error},
+		{"all failed", answer(503, "{}"), 0, mix.Error},
+		{"there already, on the first try", answer(200, create("409")), 0, mix.Error},
+		{"there already, from an earlier try", answer(200, create("409")), 1, mix.OK},
+		{"not JSON", answer(200, "x"), 0, mix.Error},
+		{"too few items", answer(200, `{"items":[]}`), 0, mix.Error},
+		{"closed", func(*http1.Request, <-chan struct{}) *http1.Response { return nil }, 0, mix.Reset},
 	} {
 		tr, r := stores(t, x.handle)
 		tr.Call(1, []*gather.Attempt{bid(x.number)})
@@ -102,11 +102,11 @@
 	gone.Close()
 	tr, r := storesAt(gone.Addr().String())
 	tr.Call(1, []*gather.Attempt{bid(0)})
-	if got := <-r; got.s != policy.ConnectFailed {
+	if got := <-r; got.s != mix.ConnectFailed {
 		t.Errorf("refused: status %v", got.s)
 	}
 	tr.Probe(1)
-	if got := <-r; got.s != policy.Error {
+	if got := <-r; got.s != mix.Error {
 		t.Errorf("probe: %v", got.s)
 	}
 }
@@ -121,13 +121,13 @@
 	over.Until = time.Now().Add(-time.Millisecond)
 	for _, a := range []*gather.Attempt{late, over} {
 		tr.Call(1, []*gather.Attempt{a})
-		if got := <-r; got.s != policy.Moot && got.s != policy.ConnectFailed { // the dial, too, ends with the time
+		if got := <-r; got.s != mix.Moot && got.s != mix.ConnectFailed { // the dial, too, ends with the time
 			t.Errorf("status %v", got.s)
 		}
 	}
-	tr.Servers([]mem.Server{{ID: 1, Addr: tr.servers[1].Addr, State: policy.Draining}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: tr.servers[1].Addr, State: mix.Draining}})
 	tr.Call(1, []*gather.Attempt{bid(0)})
-	if got := <-r; got.s != policy.Moot || asked.Load() != 0 {
+	if got := <-r; got.s != mix.Moot || asked.Load() != 0 {
 		t.Errorf("status %v, asked %d times", got.s, asked.Load())
 	}
 }
@@ -186,7 +186,7 @@
 		done := make(chan struct{})
 		go func() { serve(); close(done) }()
 		tr.Call(1, []*gather.Attempt{bid(0)})
-		if got := <-r; got.s != policy.OK {
+		if got := <-r; got.s != mix.OK {
 			t.Errorf("call %d: status %v", i, got.s)
 		}
 		<-done
@@ -213,7 +213,7 @@
 	tr.Cancel(list[1])
 	<-closed
 	for range list {
-		if got := <-r; got.s != policy.Cancelled {
+		if got := <-r; got.s != mix.Cancelled {
 			t.Errorf("reported %+v", got)
 		}
 	}
--- a/internal/net/opensearch/twophase_bench_test.go
+++ b/internal/net/opensearch/twophase_bench_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // inBubble runs f on a false clock within a benchmark; synctest wants a test.
@@ -41,7 +41,7 @@
 	rng := rand.New(rand.NewPCG(11, uint64(o.ranges)))
 	if slow {
 		for id := 1; id <= len(r.stores); id += 5 {
-			r.stores[policy.ServerID(id)].slow *= 4 + 6*rng.Float64()
+			r.stores[mix.ServerID(id)].slow *= 4 + 6*rng.Float64()
 		}
 	}
 	bodies := queries(rng, int(perSecond*(warm+span).Seconds())+10)
--- a/internal/net/platform/platform.go
+++ b/internal/net/platform/platform.go
@@ -12,9 +12,9 @@
 	"github.com/tidwall/gjson"
 
 	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/policy"
 )
 
 // Core is what a front needs of the gatherer's core.
@@ -88,7 +88,7 @@
 	if !http1.IsName(q.Name) {
 		return nil, bad("Req-Id is missing, too long or has characters other than letters, digits, - and _")
 	}
-	if k.Effect != policy.Safe && q.Key == "" {
+	if k.Effect != mix.Safe && q.Key == "" {
 		return nil, bad("Idempotency-Key is missing")
 	}
 	if q.Key != "" && !http1.IsName(q.Key) {
--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -9,9 +9,9 @@
 
 	"pulleygw.example/pulleygw/internal/garble"
 	"pulleygw.example/pulleygw/internal/gather"
+	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/http1"
 	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/policy"
 )
 
 type core struct {
@@ -32,7 +32,7 @@
 func front(res gather.Result) (*Front, *core) {
 	c := &core{result: res}
 	set := settings.Settings{Classes: []string{"lot-search", "place-bid"}, Shards: 24}
-	set.Policy.Classes = []policy.Class{{Deadline: 3 * time.Second}, {Deadline: 4 * time.Second, Effect: policy.Keyed}}
+	set.Policy.Classes = []mix.Class{{Deadline: 3 * time.Second}, {Deadline: 4 * time.Second, Effect: mix.Keyed}}
 	current := &settings.Current{}
 	current.Store(&set)
 	return &Front{Core: c, Settings: current, Ready: func() bool { return true }}, c
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"pulleygw.example/pulleygw/policy"
+	"pulleygw.example/pulleygw/internal/mix"
 )
 
 // options mirrors the settings text. Keys not named here are skipped; pointers tell absent keys.
@@ -60,7 +60,7 @@
 
 // Settings are what the operator states: the module's part, and what only a daemon on sockets needs.
 type Settings struct {
-	Policy         policy.Settings
+	Policy         mix.Settings
 	Classes        []string // names, in the order of Policy.Classes
 	Dropped        []bool   // of those, the ones kept only for requests in hand; the rest are in force
 	Zones          []string
@@ -78,13 +78,13 @@
 		return Settings{}, fmt.Errorf("settings: not the JSON expected: %w", err)
 	}
 	f, l, r := o.FamilyInfo, o.Limits, o.Rules
-	s := policy.Settings{
+	s := mix.Settings{
 		Siblings: o.Siblings, Tick: us(o.TickUs), AskMode: o.Discovery == "ask",
 		Cells: f.Positions, Width: f.Width, Batch: f.Batch, CallCost: us(f.CallUs),
 		MaxAttempts: l.MaxAttempts, SecondCopies: l.SecondCopies, Cancel: l.Cancel,
 		Probes:         l.Probes,
 		OverShareWorth: o.OverShareWorth,
-		Rules: policy.Rules{
+		Rules: mix.Rules{
 			AskWithin: us(r.AskWithinUs), StartCapacity: r.StartCapacity,
 			Ramp: us(r.RampTimeUs), FallMultiple: r.FallMultiple, FallSpan: us(r.FallUs),
 			BudgetOn: r.ExtraPerRequest != nil || r.BudgetFree != nil, BudgetSpan: us(r.BudgetSpanUs),
@@ -100,7 +100,7 @@
 		s.Rules.BudgetShare = *r.ExtraPerRequest
 	}
 	for i, c := range o.Classes {
-		k := policy.Class{
+		k := mix.Class{
 			Deadline: us(c.DeadlineUs),
 			Aim:      us(c.OnTimeUs), Worth: c.Worth, Window: us(c.MemorySpanUs),
 			Need: at(f.CompleteFrom, i, 1), Floor: at(f.LeastShare, i, 1), MaxAttempts: l.MaxAttempts,
@@ -110,11 +110,11 @@
 		}
 		switch c.Effect {
 		case "safe":
-			k.Effect = policy.Safe
+			k.Effect = mix.Safe
 		case "keyed":
-			k.Effect = policy.Keyed
+			k.Effect = mix.Keyed
 		default: // what is not known is taken for the worst
-			k.Effect = policy.Unsafe
+			k.Effect = mix.Unsafe
 		}
 		s.Classes = append(s.Classes, k)
 	}
@@ -126,7 +126,7 @@
 		out.Classes = append(out.Classes, c.Name)
 	}
 	for _, t := range o.Tenants {
-		s.Tenants = append(s.Tenants, policy.Tenant{PerSecond: t.AllowancePerS})
+		s.Tenants = append(s.Tenants, mix.Tenant{PerSecond: t.AllowancePerS})
 	}
 	out.Policy = s
 	return out, nil
--- a/policy/phased_test.go
+++ b/policy/phased_test.go
@@ -3,54 +3,56 @@
 import (
 	"testing"
 	"time"
+
+	"pulleygw.example/pulleygw/internal/mix"
 )
 
 // phased hands over a phased query of six shards; those from later on wait to be asked for.
-func (b *bed) phased(class, later int, left time.Duration) (QueryID, []PartID) {
+func (b *bed) phased(class, later int, left time.Duration) (mix.QueryID, []mix.PartID) {
 	b.nextID += 100
-	q := QueryID(b.nextID)
-	ev := []Event{QueryArrived{ID: q, Class: class, Left: left, Parts: 6, Phased: true, Fetch: 2}}
-	var ids []PartID
+	q := mix.QueryID(b.nextID)
+	ev := []mix.Event{mix.QueryArrived{ID: q, Class: class, Left: left, Parts: 6, Phased: true, Fetch: 2}}
+	var ids []mix.PartID
 	for i := range 6 {
-		id := PartID(b.nextID + uint64(i) + 1)
+		id := mix.PartID(b.nextID + uint64(i) + 1)
 		b.owner[id] = q
 		ids = append(ids, id)
-		ev = append(ev, PartArrived{ID: id, Query: q, Shard: i, Weight: 1.0 / 6, Later: i >= later})
+		ev = append(ev, mix.PartArrived{ID: id, Query: q, Shard: i, Weight: 1.0 / 6, Later: i >= later})
 	}
 	b.step(ev...)
 	return q, ids
 }
 
 // fetch hands over the parts of the second step, of the shards given.
-func (b *bed) fetch(q QueryID, used int, prefer ServerID, shards ...int) (ids []PartID) {
+func (b *bed) fetch(q mix.QueryID, used int, prefer mix.ServerID, shards ...int) (ids []mix.PartID) {
 	b.nextID += 100
-	ev := []Event{Planned{Query: q, Fetch: len(shards)}}
+	ev := []mix.Event{mix.Planned{Query: q, Fetch: len(shards)}}
 	for i, s := range shards {
-		id := PartID(b.nextID + uint64(i) + 1)
+		id := mix.PartID(b.nextID + uint64(i) + 1)
 		b.owner[id] = q
 		ids = append(ids, id)
-		ev = append(ev, PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards)), Prefer: prefer, Used: used})
+		ev = append(ev, mix.PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards)), Prefer: prefer, Used: used})
 	}
 	b.step(ev...)
 	return ids
 }
 
-func (b *bed) ok(ids ...PartID) {
+func (b *bed) ok(ids ...mix.PartID) {
 	for _, id := range ids {
-		b.step(Outcome{Part: id, Attempt: b.tries[id] - 1, Status: OK})
+		b.step(mix.Outcome{Part: id, Attempt: b.tries[id] - 1, Status: mix.OK})
 	}
 }
 
-func (b *bed) nonFinal(q QueryID) (got, whole bool) {
+func (b *bed) nonFinal(q mix.QueryID) (got, whole bool) {
 	for _, a := range b.acts {
-		if a, ok := a.(Answer); ok && a.Query == q && !a.Final {
+		if a, ok := a.(mix.Answer); ok && a.Query == q && !a.Final {
 			return true, a.Whole
 		}
 	}
 	return false, false
 }
 
-func phasedBase() Settings {
+func phasedBase() mix.Settings {
 	set := base()
 	set.SecondCopies, set.MaxAttempts = false, 4
 	set.Classes[0].Floor = 0.7
@@ -65,10 +67,10 @@
 		t.Fatalf("%d parts sent, want the 4 of the first wave", len(b.sends))
 	}
 	b.ok(ids[0], ids[1], ids[2])
-	b.step(Planned{Query: q, Ask: ids[4:5], Skip: []PartID{ids[3], ids[5]}})
+	b.step(mix.Planned{Query: q, Ask: ids[4:5], Skip: []mix.PartID{ids[3], ids[5]}})
 	cancelled := false
 	for _, a := range b.acts {
-		c, ok := a.(Cancel)
+		c, ok := a.(mix.Cancel)
 		cancelled = cancelled || ok && c.Part == ids[3]
 	}
 	if len(b.sends) != 5 || b.sends[4].Part != ids[4] || !cancelled {
@@ -85,7 +87,7 @@
 		}
 	}
 	b.ok(fetch...)
-	if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+	if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
 		t.Errorf("final %+v", b.last[q])
 	}
 }
@@ -96,7 +98,7 @@
 	q, ids := b.phased(0, 6, 4*time.Second)
 	b.ok(ids...)
 	b.fetch(q, 0, 0)
-	if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+	if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
 		t.Errorf("final %+v", b.last[q])
 	}
 }
@@ -108,9 +110,9 @@
 	b.ok(ids[0], ids[1], ids[2])
 	for at := b.now + time.Second; b.now < at; {
 		b.now += 10 * ms
-		b.step(Wake{})
+		b.step(mix.Wake{})
 	}
-	if _, ok := b.last[q].(Refuse); !ok {
+	if _, ok := b.last[q].(mix.Refuse); !ok {
 		t.Errorf("final %+v after the aim with half of the weight", b.last[q])
 	}
 }
@@ -128,7 +130,7 @@
 			if b.now += 10 * ms; b.now > start+time.Second {
 				t.Fatal("the first step did not end")
 			}
-			b.step(Wake{})
+			b.step(mix.Wake{})
 		}
 		if b.now > start+900*ms {
 			t.Errorf("the first step ended %v after the start, with nothing left for the second", b.now-start)
@@ -138,10 +140,10 @@
 		b.ok(fetch[lost:]...)
 		for b.now < start+1010*ms {
 			b.now += 10 * ms
-			b.step(Wake{})
+			b.step(mix.Wake{})
 		}
-		a, ok := b.last[q].(Answer)
-		if _, refused := b.last[q].(Refuse); lost == 0 && (!ok || a.Whole) || lost == 1 && !refused {
+		a, ok := b.last[q].(mix.Answer)
+		if _, refused := b.last[q].(mix.Refuse); lost == 0 && (!ok || a.Whole) || lost == 1 && !refused {
 			t.Errorf("%d listings lost: final %+v", lost, b.last[q])
 		}
 	}
@@ -151,10 +153,10 @@
 func TestPhasedAttempts(t *testing.T) {
 	b := newBed(t, phasedBase(), 0, 1, 2)
 	q, ids := b.phased(0, 6, 4*time.Second)
-	fail := func(id PartID) {
+	fail := func(id mix.PartID) {
 		for n := 0; n < b.tries[id]; n++ {
 			b.now += 10 * ms
-			b.step(Outcome{Part: id, Attempt: n, Status: Error})
+			b.step(mix.Outcome{Part: id, Attempt: n, Status: mix.Error})
 		}
 	}
 	b.ok(ids[1:]...)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,14 +1,19 @@
+// Package policy holds the decisions of a co-ordinator ("mixer") of queries over replicated shards: which
+// server gets a part and when, whether it is tried again, and what is refused. It does no input or output and
+// keeps no clock: a host hands it what happened and the time, and carries out the actions it returns. Package
+// mix is the whole interface, fleet the tables and curve the records; read this file from the top.
 package policy
 
-// Read api.go first, the whole interface, then this file from the top.
-
 import (
 	"cmp"
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"pulleygw.example/pulleygw/internal/mem/curve"
+	"pulleygw.example/pulleygw/internal/mem/fleet"
+	"pulleygw.example/pulleygw/internal/mix"
 )
 
 // Every tuned value, with its reason: ratios of what is observed or set, or times of human scale.
@@ -19,12 +24,7 @@
 	tail         = 0.99                   // percentile of the fan-out's unloaded tail, as in the paper
 	maxTailShare = 0.6                    // of the aim: a slowdown in the records must not eat all budgets
 	startTail    = 0.5                    // of the aim: the start curve's 99th percentile before any answer
-	recordLow    = 0.001                  // records span 1 ms to 60 s ...
-	recordHigh   = 60.0
-	recordRatio  = 1.12             // ... in buckets of 12%, finer than any decision needs
-	recordHalf   = 20 * time.Second // half-life: outlives a stall, follows a change of machine
-	recordPrior  = 8.0              // answers' worth of the others' average mixed into a record
-	quietOut     = 2                // a record takes answers sent when so few of ours were out: unloaded
+	quietOut     = 2                      // a record takes answers sent when so few of ours were out: unloaded
 
 	capStart = 4.0  // no part waits on a quiet day
 	capMin   = 2.0  // one in work, one on the way
@@ -92,184 +92,182 @@
 	deathsMost  = 2                // dead when tried with others and again alone: no chance
 	suspectSpan = 20 * time.Second // its like is refused so long: several tries of a client
 
-	stepTicks  = 4                      // of a second step: to leave, to be heard, and as many to spare
-	askFirst   = 500 * time.Millisecond // back-off of failed list calls, doubled up to askMost
-	askMost    = 4 * time.Second
+	stepTicks  = 4       // of a second step: to leave, to be heard, and as many to spare
 	weightSlip = 0.00005 // rounding of parts' weights
 )
 
+// Mixer decides for one co-ordinator. It is not safe for concurrent use.
+type Mixer struct{ fleet.State }
+
 // New makes a Mixer. Its only randomness comes from seed.
-func New(set Settings, seed uint64) (*Mixer, error) {
+func New(set mix.Settings, seed uint64) (*Mixer, error) {
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	return &Mixer{
-		set: set.filled(), rng: rand.New(rand.NewPCG(seed, 1)), queries: map[QueryID]*query{},
-		parts: map[PartID]*part{}, servers: map[ServerID]*server{}, pool: record(),
-		suspects: map[uint64]time.Duration{}, replicas: make([][]*server, set.Cells),
-		askWait: askFirst, askAt: -1, surveyed: -1, begun: math.MaxInt64,
-	}, nil
+	return &Mixer{fleet.New(set, rand.New(rand.NewPCG(seed, 1)), fleet.Tuning{Before: before, Tail: tail,
+		StartTail: startTail, UsualSpan: usualSpan, SurveyGap: surveyGap, CapMin: capMin, CapMax: capMax})}, nil
 }
 
 // Step takes the time and what happened and returns what to do. A time before the last one counts
 // as the last one. The result is valid until the next Step.
-func (m *Mixer) Step(now time.Duration, events []Event) []Action {
+func (m *Mixer) Step(now time.Duration, events []mix.Event) []mix.Action {
 	// A wake that comes late is our own stall: what passed meanwhile is nobody's fault and no miss.
-	m.stalled = m.wakeAt > m.now && now > m.wakeAt+stallLeast
-	m.now, m.acts = max(m.now, now), m.acts[:0]
+	m.Stalled = m.WakeAt > m.Now && now > m.WakeAt+stallLeast
+	m.Now, m.Acts = max(m.Now, now), m.Acts[:0]
 	m.survey()
 	for _, e := range events {
 		switch e := e.(type) {
-		case QueryArrived:
+		case mix.QueryArrived:
 			m.onQuery(e)
-		case PartArrived:
+		case mix.PartArrived:
 			m.onPart(e)
-		case Outcome:
+		case mix.Outcome:
 			m.onOutcome(e)
-		case ClientLeft:
-			m.end(m.queries[e.Query])
-		case ServerList:
+		case mix.ClientLeft:
+			m.End(m.Queries[e.Query])
+		case mix.ServerList:
 			m.onList(e)
-		case Planned:
-			m.planned(m.queries[e.Query], e)
-		case Probed:
-			if s := m.servers[e.Server]; s != nil {
-				m.probed(&m.zones[s.Zone], e.OK)
+		case mix.Planned:
+			m.planned(m.Queries[e.Query], e)
+		case mix.Probed:
+			if s := m.Servers[e.Server]; s != nil {
+				m.probed(&m.Zones[s.Zone], e.OK)
 			}
 		default:
-			m.told(e)
+			m.Told(e)
 		}
 	}
 	m.sweep()
 	m.release()
 	m.probeZones()
-	m.keepList()
-	if (len(m.live) > 0 || m.asking()) && (m.wakeAt <= m.now || m.wakeAt > m.wanted) {
-		m.wakeAt = m.wanted
-		m.do(WakeAt{m.wakeAt})
+	m.KeepList()
+	if (len(m.Live) > 0 || m.Asking()) && (m.WakeAt <= m.Now || m.WakeAt > m.Wanted) {
+		m.WakeAt = m.Wanted
+		m.Do(mix.WakeAt{At: m.WakeAt})
 	}
-	return m.acts
+	return m.Acts
 }
 
 // Arrival and deadline.
 
-func (m *Mixer) onQuery(e QueryArrived) {
-	m.taken.add(m.now, 1)
-	if m.queries[e.ID] != nil {
+func (m *Mixer) onQuery(e mix.QueryArrived) {
+	m.Taken.Add(m.Now, 1)
+	if m.Queries[e.ID] != nil {
 		return
-	} else if e.Class < 0 || e.Class >= len(m.set.Classes) {
-		m.do(Refuse{Query: e.ID}) // a class we were not told of: nothing has run
+	} else if e.Class < 0 || e.Class >= len(m.Set.Classes) {
+		m.Do(mix.Refuse{Query: e.ID}) // a class we were not told of: nothing has run
 		return
 	}
-	q := &query{QueryArrived: e, class: &m.set.Classes[e.Class], step: 1, want: e.Parts, at: m.now}
-	q.end, q.aimAt = m.now+e.Left, m.now+min(q.class.Aim, e.Left) // never beyond the client's own time
-	m.queries[e.ID], m.live = q, append(m.live, q)
+	q := &fleet.Query{QueryArrived: e, Terms: &m.Set.Classes[e.Class], Step: 1, Want: e.Parts, At: m.Now}
+	q.End, q.AimAt = m.Now+e.Left, m.Now+min(q.Terms.Aim, e.Left) // never beyond the client's own time
+	m.Queries[e.ID], m.Live = q, append(m.Live, q)
 }
 
-func (m *Mixer) onPart(e PartArrived) {
-	m.taken.add(m.now, 1)
-	q := m.queries[e.Query]
-	if q == nil || m.parts[e.ID] != nil || e.Shard < 0 {
+func (m *Mixer) onPart(e mix.PartArrived) {
+	m.Taken.Add(m.Now, 1)
+	q := m.Queries[e.Query]
+	if q == nil || m.Parts[e.ID] != nil || e.Shard < 0 {
 		return
 	}
-	m.seq++
-	if q.Phased && q.step == 1 {
+	m.Seq++
+	if q.Phased && q.Step == 1 {
 		e.Used = 1 // one is left for the listings
 	}
-	p := &part{PartArrived: e, q: q, index: -1, seq: m.seq, mayRun: -1, spare: e.Later}
-	m.parts[e.ID] = p
-	q.parts, q.all = append(q.parts, p), append(q.all, p)
-	if len(q.parts) < q.want {
+	p := &fleet.Part{PartArrived: e, Q: q, Index: -1, Seq: m.Seq, MayRun: -1, Spare: e.Later}
+	m.Parts[e.ID] = p
+	q.Current, q.All = append(q.Current, p), append(q.All, p)
+	if len(q.Current) < q.Want {
 		return
 	}
 	m.stamp(q)
-	if q.step == 1 && (m.suspect(q) || m.refuses(q)) {
+	if q.Step == 1 && (m.suspect(q) || m.refuses(q)) {
 		m.giveUp(q)
 		return
 	}
-	q.admitted = true
-	if q.step == 1 && q.class.Need < 1 && !q.Phased {
+	q.Admitted = true
+	if q.Step == 1 && q.Terms.Need < 1 && !q.Phased {
 		m.keepSpares(q)
 	}
-	m.placeAll(q.parts)
+	m.placeAll(q.Current)
 	m.stamp(q)
 }
 
 // planned takes in what a search's planner made of its answers: parts to ask now, parts to do without, which
 // count as in, and how many the second step has. A part held back on purpose is no miss.
-func (m *Mixer) planned(q *query, e Planned) {
+func (m *Mixer) planned(q *fleet.Query, e mix.Planned) {
 	if q == nil {
 		return
 	}
-	for _, p := range q.parts {
+	for _, p := range q.Current {
 		if slices.Contains(e.Skip, p.ID) {
-			m.settle(p)
-			p.done, p.dead, p.server = true, false, nil
-		} else if p.spare && slices.Contains(e.Ask, p.ID) {
-			p.spare, p.headless = false, p.deadline <= m.now
+			m.Settle(p)
+			p.Done, p.Dead, p.Server = true, false, nil
+		} else if p.Spare && slices.Contains(e.Ask, p.ID) {
+			p.Spare, p.Headless = false, p.Deadline <= m.Now
 		}
 	}
-	if q.step == 2 {
-		q.want = e.Fetch
+	if q.Step == 2 {
+		q.Want = e.Fetch
 	}
-	m.placeAll(q.parts)
+	m.placeAll(q.Current)
 	m.reply(q)
 }
 
 // stamp gives all parts of a step one deadline: the aim minus the fan-out's unloaded tail.
-func (m *Mixer) stamp(q *query) {
+func (m *Mixer) stamp(q *fleet.Query) {
 	aimAt := m.stepAim(q)
-	x := min(m.fanoutTail(q, tail), maxTailShare*seconds(max(aimAt-m.now, 0)))
-	for _, p := range q.parts {
-		p.deadline = aimAt - duration(x)
-		p.headless = p.deadline <= m.now
-		if p.index >= 0 {
-			heap.Fix(&p.server.held, p.index)
+	x := min(m.FanoutTail(q, tail), maxTailShare*curve.Seconds(max(aimAt-m.Now, 0)))
+	for _, p := range q.Current {
+		p.Deadline = aimAt - curve.Duration(x)
+		p.Headless = p.Deadline <= m.Now
+		if p.Index >= 0 {
+			p.Server.Reorder(p)
 		}
 	}
 }
 
 // keepSpares leaves out the parts that a whole answer can do without, those of the weakest shards: they go
 // when others are late or lost.
-func (m *Mixer) keepSpares(q *query) {
-	for _, p := range q.parts {
-		p.spare, p.strength = true, 0
-		for _, s := range m.replicas[p.Shard%m.set.Cells] {
+func (m *Mixer) keepSpares(q *fleet.Query) {
+	for _, p := range q.Current {
+		p.Spare, p.Strength = true, 0
+		for _, s := range m.Replicas[p.Shard%m.Set.Cells] {
 			if m.sendable(s) && !m.late(s) {
-				p.strength += m.turns(s)
+				p.Strength += m.turns(s)
 			}
 		}
 	}
-	q.useSpares(q.class.Need - weightSlip)
+	q.UseSpares(q.Terms.Need - weightSlip)
 }
 
 // stepAim is when a step should be answered: the first of two leaves the second its fan-out's tail. A phased
 // query's listings go to servers that have answered already, as far as these are known.
-func (m *Mixer) stepAim(q *query) time.Duration {
-	if q.step == 2 || q.class.Fetch == 0 && !q.Phased {
-		return q.aimAt
+func (m *Mixer) stepAim(q *fleet.Query) time.Duration {
+	if q.Step == 2 || q.Terms.Fetch == 0 && !q.Phased {
+		return q.AimAt
 	}
 	left := max(q.Fetch, 1)
-	m.product = m.product[:0]
-	for i := 0; i < len(q.parts) && left > 0; i++ {
-		if p := q.parts[i]; q.Phased && p.done && p.server != nil {
-			m.product, left = multiply(m.product, m.cdf(p.server)), left-1
+	m.Product = m.Product[:0]
+	for i := 0; i < len(q.Current) && left > 0; i++ {
+		if p := q.Current[i]; q.Phased && p.Done && p.Server != nil {
+			m.Product, left = curve.Multiply(m.Product, m.CDF(p.Server)), left-1
 		}
 	}
 	for ; left > 0; left-- {
-		m.product = multiply(m.product, m.poolCDF)
+		m.Product = curve.Multiply(m.Product, m.PoolCDF)
 	}
-	return q.aimAt - min(duration(m.pool.quantile(m.product, tail))+stepTicks*m.set.Tick, (q.aimAt-q.at)/2)
+	return q.AimAt - min(curve.Duration(m.Pool.Quantile(m.Product, tail))+stepTicks*m.Set.Tick, (q.AimAt-q.At)/2)
 }
 
 // placeAll chooses replicas for parts that have none; where calls cost, parts share one and its turn.
-func (m *Mixer) placeAll(parts []*part) {
-	left := unplaced(parts)
-	if len(left) > 0 && m.unproven(left[0].q) {
-		if waits(left[0].q, m.now-duration(proveWait*m.typical)) {
+func (m *Mixer) placeAll(parts []*fleet.Part) {
+	left := fleet.Unplaced(parts)
+	if len(left) > 0 && m.unproven(left[0].Q) {
+		if fleet.Waits(left[0].Q, m.Now-curve.Duration(proveWait*m.Typical)) {
 			return
 		}
-		left = []*part{slices.MinFunc(left, func(a, b *part) int { return len(a.attempts) - len(b.attempts) })}
+		fewest := func(a, b *fleet.Part) int { return len(a.Attempts) - len(b.Attempts) }
+		left = []*fleet.Part{slices.MinFunc(left, fewest)}
 	}
 	for len(left) > 0 {
 		first := left[0].Prefer
@@ -278,11 +276,11 @@
 			left = left[1:]
 			continue
 		}
-		m.turn, s.turn = m.turn+1, m.turn+1
-		left = slices.DeleteFunc(left, func(p *part) bool {
-			its := cover > 0 && m.holds(s, p.Shard) && !outAt(p, s) && p.Prefer == first
+		m.Turn, s.Turn = m.Turn+1, m.Turn+1
+		left = slices.DeleteFunc(left, func(p *fleet.Part) bool {
+			its := cover > 0 && m.Holds(s, p.Shard) && !fleet.OutAt(p, s) && p.Prefer == first
 			if its {
-				s.hold(p)
+				s.Hold(p)
 				cover--
 			}
 			return its
@@ -291,39 +289,39 @@
 }
 
 // choose takes the replica whose turn it is: of the best tier for the first part, the longest waiting.
-func (m *Mixer) choose(parts []*part) (best *server, cover int) {
-	if m.set.CallCost == 0 {
+func (m *Mixer) choose(parts []*fleet.Part) (best *fleet.Server, cover int) {
+	if m.Set.CallCost == 0 {
 		parts = parts[:1]
 	}
-	m.round, m.candidates = m.round+1, m.candidates[:0]
+	m.Round, m.Candidates = m.Round+1, m.Candidates[:0]
 	for _, p := range parts {
-		for _, s := range m.replicas[p.Shard%m.set.Cells] {
-			if s.round != m.round {
-				s.round, s.cover, s.able = m.round, 0, m.open(s)
-				if s.able {
-					m.candidates = append(m.candidates, s)
+		for _, s := range m.Replicas[p.Shard%m.Set.Cells] {
+			if s.Round != m.Round {
+				s.Round, s.Cover, s.Able = m.Round, 0, m.open(s)
+				if s.Able {
+					m.Candidates = append(m.Candidates, s)
 				}
 			}
-			if !outAt(p, s) {
-				s.cover = min(s.cover+1, max(m.set.Batch, 1))
+			if !fleet.OutAt(p, s) {
+				s.Cover = min(s.Cover+1, max(m.Set.Batch, 1))
 			}
 		}
 	}
 	bestTier, bestWait := 0, 0.0
-	for _, c := range m.candidates {
-		if c.ID == parts[0].Prefer && c.cover > 0 && m.tier(c, parts[0]) == 0 {
-			return c, c.cover // it knows the versions that were ranked
+	for _, c := range m.Candidates {
+		if c.ID == parts[0].Prefer && c.Cover > 0 && m.tier(c, parts[0]) == 0 {
+			return c, c.Cover // it knows the versions that were ranked
 		}
-		if c.cover == 0 || best != nil && c.cover < cover && bestTier == 0 {
+		if c.Cover == 0 || best != nil && c.Cover < cover && bestTier == 0 {
 			continue
 		}
-		tier, wait := m.tier(c, parts[0]), (float64(m.turn-c.turn)+c.lead)*m.turns(c)
+		tier, wait := m.tier(c, parts[0]), (float64(m.Turn-c.Turn)+c.Lead)*m.turns(c)
 		if tier == 1 { // there is a queue at each: the shortest, told by time
 			wait = 1 / m.expected(c)
 		}
 		if best == nil || tier < bestTier ||
-			tier == bestTier && (c.cover > cover || c.cover == cover && wait > bestWait) {
-			best, cover, bestTier, bestWait = c, c.cover, tier, wait
+			tier == bestTier && (c.Cover > cover || c.Cover == cover && wait > bestWait) {
+			best, cover, bestTier, bestWait = c, c.Cover, tier, wait
 		}
 	}
 	return m.sooner(best, cover, parts[0])
@@ -331,36 +329,36 @@
 
 // sooner replaces a choice by a server that errs at once on some, where asking there until it answers takes
 // less than the queue at the chosen one: else one sound server would carry all. Not for the last attempt.
-func (m *Mixer) sooner(best *server, cover int, p *part) (*server, int) {
-	if best == nil || len(p.attempts) > p.q.class.MaxAttempts-p.Used-2 || m.set.Rules.BudgetOn {
+func (m *Mixer) sooner(best *fleet.Server, cover int, p *fleet.Part) (*fleet.Server, int) {
+	if best == nil || len(p.Attempts) > p.Q.Terms.MaxAttempts-p.Used-2 || m.Set.Rules.BudgetOn {
 		return best, cover
 	}
 	soonest := m.expected(best)
-	for _, c := range m.candidates {
-		quick := c.errors > 0 && c.errorTook < errorQuick*m.typical
-		if !quick || c.lat == 0 || c.cover == 0 || len(c.out)+len(c.held) >= m.room(c) {
+	for _, c := range m.Candidates {
+		quick := c.Errors > 0 && c.ErrorTook < errorQuick*m.Typical
+		if !quick || c.Lat == 0 || c.Cover == 0 || len(c.Out)+len(c.Held) >= m.room(c) {
 			continue
 		}
-		if takes := c.lat + c.errorTook*c.errors/max(1-c.errors, weightSlip); takes < soonest {
-			best, cover, soonest = c, c.cover, takes
+		if takes := c.Lat + c.ErrorTook*c.Errors/max(1-c.Errors, weightSlip); takes < soonest {
+			best, cover, soonest = c, c.Cover, takes
 		}
 	}
 	return best, cover
 }
 
 // tier ranks a replica for a part: 0 takes its turn, the rest are skipped while a better one is there.
-func (m *Mixer) tier(s *server, p *part) int {
-	tried := slices.ContainsFunc(p.attempts, func(a *attempt) bool { return a.s == s })
-	n := len(s.out) + len(s.held)
+func (m *Mixer) tier(s *fleet.Server, p *fleet.Part) int {
+	tried := slices.ContainsFunc(p.Attempts, func(a *fleet.Attempt) bool { return a.S == s })
+	n := len(s.Out) + len(s.Held)
 	// A trial is for first attempts, at full size only now and then; it must not chase itself off.
-	trial := len(p.attempts) == 0 && (n == 1 && p.index >= 0 && p.server == s ||
-		n == 0 && m.now-s.failedAt >= m.memory(badHalf)-badHalf)
+	trial := len(p.Attempts) == 0 && (n == 1 && p.Index >= 0 && p.Server == s ||
+		n == 0 && m.Now-s.FailedAt >= m.memory(badHalf)-badHalf)
 	switch {
 	case tried:
 		return 3
-	case m.late(s) || m.zones[s.Zone].far || m.doubtful(&m.zones[s.Zone]) || !m.sound(s) && !trial:
+	case m.late(s) || m.Zones[s.Zone].Far || m.doubtful(&m.Zones[s.Zone]) || !m.sound(s) && !trial:
 		return 2 // the design's skip; and a suspect is tried with one part now and then
-	case !m.sendable(s) || n >= m.room(s) && !trial || s.reserve && len(p.attempts) == 0:
+	case !m.sendable(s) || n >= m.room(s) && !trial || s.Reserve && len(p.Attempts) == 0:
 		return 1
 	}
 	return 0
@@ -369,336 +367,337 @@
 // Queues and release.
 
 // before is the order of release: earliest deadline first, headless parts ahead of all.
-func before(a, b *part) bool {
+func before(a, b *fleet.Part) bool {
 	switch {
-	case a.headless != b.headless:
-		return a.headless
-	case a.deadline != b.deadline:
-		return a.deadline < b.deadline
+	case a.Headless != b.Headless:
+		return a.Headless
+	case a.Deadline != b.Deadline:
+		return a.Deadline < b.Deadline
 	}
-	return a.seq < b.seq
+	return a.Seq < b.Seq
 }
 
 // release lets held parts leave, earliest deadline first, while fewer than the cap are out.
 func (m *Mixer) release() {
-	for _, s := range m.order {
-		var wait []*part
-		for len(s.held) > 0 && len(s.out) < m.room(s) && (m.sendable(s) || !m.open(s)) {
-			p := heap.Pop(&s.held).(*part)
+	for _, s := range m.Order {
+		var wait []*fleet.Part
+		for len(s.Held) > 0 && len(s.Out) < m.room(s) && (m.sendable(s) || !m.open(s)) {
+			p := s.Next()
 			if !m.open(s) {
-				m.placeAll([]*part{p})
+				m.placeAll([]*fleet.Part{p})
 				continue
 			}
-			if len(p.attempts) > 0 && !p.cheap && !m.budget(1) {
+			if len(p.Attempts) > 0 && !p.Cheap && !m.budget(1) {
 				wait = append(wait, p)
 				continue
 			}
 			m.send(p, s)
-			o := s.unsent(p.q) // the query's other parts share the call
-			for n := 1; o != nil && m.set.CallCost > 0 && n < m.set.Batch && m.sendable(s); n, o = n+1, s.unsent(p.q) {
-				s.unhold(o)
+			o := s.Unsent(p.Q) // the query's other parts share the call
+			for n := 1; o != nil && m.Set.CallCost > 0 && n < m.Set.Batch && m.sendable(s); n, o = n+1, s.Unsent(p.Q) {
+				s.Unhold(o)
 				m.send(o, s)
 			}
 		}
 		for _, p := range wait {
-			s.hold(p)
+			s.Hold(p)
 		}
 	}
 }
 
 // room is how many of our parts may be out at a server: the cap, and of a cold one its warm share.
-func (m *Mixer) room(s *server) int { return max(int(s.cap*m.warmth(s)), 1) }
+func (m *Mixer) room(s *fleet.Server) int { return max(int(s.Cap*m.warmth(s)), 1) }
 
 // send launches an attempt. Rules kept here: nothing for an ended query, attempts and budget counted,
 // repeats only where the class allows them now.
-func (m *Mixer) send(p *part, s *server) {
-	if p.done || p.q.ended || len(p.attempts)+p.Used >= p.q.class.MaxAttempts || !m.repeatable(p) {
+func (m *Mixer) send(p *fleet.Part, s *fleet.Server) {
+	if p.Done || p.Q.Ended || len(p.Attempts)+p.Used >= p.Q.Terms.MaxAttempts || !m.repeatable(p) {
 		return
 	}
-	if len(p.attempts) > 0 && !p.cheap {
-		m.extras.add(m.now, 1)
-	} else if len(p.attempts) == 0 && !p.headless && !p.late {
-		m.decided.add(m.now, 1)
+	if len(p.Attempts) > 0 && !p.Cheap {
+		m.Extras.Add(m.Now, 1)
+	} else if len(p.Attempts) == 0 && !p.Headless && !p.Late {
+		m.Decided.Add(m.Now, 1)
 		if m.wouldMiss(p) {
-			m.missed.add(m.now, 1)
+			m.Missed.Add(m.Now, 1)
 		}
 	}
-	idle := len(s.out) == 0 && s.endAt > 0 && m.now-s.endAt > idleLeast
-	if idle && m.idleDead {
-		m.do(CloseIdle{s.ID})
+	idle := len(s.Out) == 0 && s.EndAt > 0 && m.Now-s.EndAt > idleLeast
+	if idle && m.IdleDead {
+		m.Do(mix.CloseIdle{Server: s.ID})
 		idle = false
 	}
-	if n := len(s.out); n > 0 && s.out[n-1].at == m.now {
-		idle = s.out[n-1].idle // in the same call
+	if n := len(s.Out); n > 0 && s.Out[n-1].At == m.Now {
+		idle = s.Out[n-1].Idle // in the same call
 	}
-	m.launch(p, s, idle)
-	m.do(Send{Part: p.ID, Server: s.ID, Limit: max(p.q.end-m.now, m.set.Tick)})
+	m.Launch(p, s, idle)
+	m.Do(mix.Send{Part: p.ID, Server: s.ID, Limit: max(p.Q.End-m.Now, m.Set.Tick)})
 }
 
 // Outcomes.
 
-func (m *Mixer) onOutcome(e Outcome) {
-	p := m.parts[e.Part]
-	if p == nil || e.Attempt < 0 || e.Attempt >= len(p.attempts) || !p.attempts[e.Attempt].live {
+func (m *Mixer) onOutcome(e mix.Outcome) {
+	p := m.Parts[e.Part]
+	if p == nil || e.Attempt < 0 || e.Attempt >= len(p.Attempts) || !p.Attempts[e.Attempt].Live {
 		return
 	}
-	a := p.attempts[e.Attempt]
-	a.live, a.s.endAt = false, m.now
-	a.s.drop(a)
-	if e.Status == OK || e.Status == Error || e.Status == Full {
-		a.s.answerAt, a.s.passedAt = m.now, max(a.s.passedAt, a.at)
+	a := p.Attempts[e.Attempt]
+	a.Live, a.S.EndAt = false, m.Now
+	a.S.Drop(a)
+	if e.Status == mix.OK || e.Status == mix.Error || e.Status == mix.Full {
+		a.S.AnswerAt, a.S.PassedAt = m.Now, max(a.S.PassedAt, a.At)
 	}
-	age := seconds(m.now - a.at)
-	if m.stalled && e.Took > 0 { // as measured on the way in, which our own stall does not lengthen
-		age = min(age, seconds(e.Took))
+	age := curve.Seconds(m.Now - a.At)
+	if m.Stalled && e.Took > 0 { // as measured on the way in, which our own stall does not lengthen
+		age = min(age, curve.Seconds(e.Took))
 	}
-	silent := age > min(m.tailAge, farTimes*m.typical)+m.waitNow()
-	if e.Status == OK {
+	silent := age > min(m.TailAge, farTimes*m.Typical)+m.waitNow()
+	if e.Status == mix.OK {
 		m.lossAfter(a, 0)
-	} else if silent && e.Status != Moot {
+	} else if silent && e.Status != mix.Moot {
 		m.lossAfter(a, 1)
 	}
-	z := &m.zones[a.s.Zone]
-	if age >= farTimes*m.typical || e.Status == ConnectFailed {
-		z.slow++
-	} else if e.Status != Cancelled && e.Status != Moot {
-		z.slow = 0
+	z := &m.Zones[a.S.Zone]
+	if age >= farTimes*m.Typical || e.Status == mix.ConnectFailed {
+		z.Slow++
+	} else if e.Status != mix.Cancelled && e.Status != mix.Moot {
+		z.Slow = 0
 	}
 	switch {
-	case e.Status != Full && m.doubtful(z): // the way's doing, or so it looks: no server's fault
-	case e.Status == OK:
-		m.answered.add(m.now, 1)
-		a.s.errors -= errorWeight * a.s.errors
-		m.note(a.s, true, 1)
-		m.heard(a.s, age, a.sentOut < quietOut)
-	case a.idle && m.idleDead: // the connection's doing
-	case e.Status == Cancelled:
+	case e.Status != mix.Full && m.doubtful(z): // the way's doing, or so it looks: no server's fault
+	case e.Status == mix.OK:
+		m.Answered.Add(m.Now, 1)
+		a.S.Errors -= errorWeight * a.S.Errors
+		m.note(a.S, true, 1)
+		m.heard(a.S, age, a.SentOut < quietOut)
+	case a.Idle && m.IdleDead: // the connection's doing
+	case e.Status == mix.Cancelled:
 		if silent { // it must not leave a server looking good
-			m.note(a.s, false, min(cancelWeight*seconds(m.memory(badHalf))/seconds(badHalf), cancelMost))
-			m.heard(a.s, age, false)
+			m.note(a.S, false, min(cancelWeight*curve.Seconds(m.memory(badHalf))/curve.Seconds(badHalf), cancelMost))
+			m.heard(a.S, age, false)
 		}
-	case e.Status != Moot:
-		m.note(a.s, false, 1)
-		if e.Status == Error {
-			a.s.errorTook = cmp.Or(a.s.errorTook, age)
-			a.s.errorTook += latWeight * (age - a.s.errorTook)
-			a.s.errors += errorWeight * (1 - a.s.errors)
+	case e.Status != mix.Moot:
+		m.note(a.S, false, 1)
+		if e.Status == mix.Error {
+			a.S.ErrorTook = cmp.Or(a.S.ErrorTook, age)
+			a.S.ErrorTook += latWeight * (age - a.S.ErrorTook)
+			a.S.Errors += errorWeight * (1 - a.S.Errors)
 		}
-		if e.Status == ConnectFailed {
-			a.s.coldFrom = m.now // it may come back cold before the list tells
-			if a.s.resetAt > 0 && m.now-a.s.resetAt < deathSpan && a.s.State == Ready {
-				a.s.diedAt = m.now
+		if e.Status == mix.ConnectFailed {
+			a.S.ColdFrom = m.Now // it may come back cold before the list tells
+			if a.S.ResetAt > 0 && m.Now-a.S.ResetAt < deathSpan && a.S.State == mix.Ready {
+				a.S.DiedAt = m.Now
 			}
-		} else if e.Status == Full { // it is as full for the next: what was turned away goes on when a slot is free
-			a.s.fullTo = m.now + duration(m.typical)
-		} else if e.Status == Reset { // no death by itself: a connection may break alone
-			a.s.resetAt = m.now
+		} else if e.Status == mix.Full { // it is as full for the next, until a slot is free
+			a.S.FullTo = m.Now + curve.Duration(m.Typical)
+		} else if e.Status == mix.Reset { // no death by itself: a connection may break alone
+			a.S.ResetAt = m.Now
 		}
 	}
-	if e.Status == Full || e.Status == ConnectFailed || e.Status == Moot {
-		a.spared = true
-		p.neverRan()
+	if e.Status == mix.Full || e.Status == mix.ConnectFailed || e.Status == mix.Moot {
+		a.Spared = true
+		p.NeverRan()
 	}
-	if p.q.ended {
-		m.forget(p)
+	if p.Q.Ended {
+		m.Forget(p)
 		return
 	}
-	p.cheap = e.Status == Error && age < errorQuick*m.typical && !m.set.Rules.BudgetOn
-	if e.Status == Reset {
-		m.died(p.q, a)
+	p.Cheap = e.Status == mix.Error && age < errorQuick*m.Typical && !m.Set.Rules.BudgetOn
+	if e.Status == mix.Reset {
+		m.died(p.Q, a)
 	}
-	if e.Status == OK {
-		p.done = true
-		m.settle(p)
-		if !p.q.sure { // what was held back until one part had come goes now
-			p.q.sure = true
-			m.placeAll(p.q.parts)
+	if e.Status == mix.OK {
+		p.Done = true
+		m.Settle(p)
+		if !p.Q.Sure { // what was held back until one part had come goes now
+			p.Q.Sure = true
+			m.placeAll(p.Q.Current)
 		}
-		m.reply(p.q)
-	} else if !p.done && !p.q.ended && !anyLive(p) && p.index < 0 {
+		m.reply(p.Q)
+	} else if !p.Done && !p.Q.Ended && !fleet.AnyLive(p) && p.Index < 0 {
 		m.again(p)
 	}
 }
 
 // lossAfter takes in whether an attempt was lost. Where those on a connection that had been idle are lost and
 // the others are not, idle connections have died unseen: they are closed, until that is forgotten in time.
-func (m *Mixer) lossAfter(a *attempt, lost float64) {
-	if a.sentOut > 0 {
+func (m *Mixer) lossAfter(a *fleet.Attempt, lost float64) {
+	if a.SentOut > 0 {
 		return // on a connection that another part may hang on
 	}
-	x := &m.lost[0]
-	if a.idle {
-		x = &m.lost[1]
+	x := &m.Lost[0]
+	if a.Idle {
+		x = &m.Lost[1]
 	}
 	*x += lossWeight * (lost - *x)
-	if dead := m.lost[1] > lossLeast && m.lost[1] > lossTimes*m.lost[0]; dead && !m.idleDead {
-		for _, s := range m.order {
-			s.bad = 0 // blamed for their connections
+	if dead := m.Lost[1] > lossLeast && m.Lost[1] > lossTimes*m.Lost[0]; dead && !m.IdleDead {
+		for _, s := range m.Order {
+			s.Bad = 0 // blamed for their connections
 		}
-		m.flip(&m.idleDead, dead, "idle connections dead=%v")
+		m.Flip(&m.IdleDead, dead, "idle connections dead=%v")
 	}
 }
 
 // Zones: a way that is slow or loses makes all its servers look bad at once, the quickest too.
 
 // doubtful says whether nothing quick has come from a zone for many parts in a row, while another is well.
-func (m *Mixer) doubtful(z *zone) bool {
-	doubt := func(z zone) bool { return z.slow+z.stuck >= farRun }
-	well := slices.ContainsFunc(m.zones, func(o zone) bool { return len(o.servers) > 0 && !doubt(o) })
-	return m.set.Probes && well && (z.far || doubt(*z) && m.now > z.clearTo)
+func (m *Mixer) doubtful(z *fleet.Zone) bool {
+	doubt := func(z fleet.Zone) bool { return z.Slow+z.Stuck >= farRun }
+	well := slices.ContainsFunc(m.Zones, func(o fleet.Zone) bool { return len(o.Servers) > 0 && !doubt(o) })
+	return m.Set.Probes && well && (z.Far || doubt(*z) && m.Now > z.ClearTo)
 }
 
 // probeZones asks a doubtful zone's servers in turn, so that one dead server proves nothing. A busy server
 // answers a probe, and a lost way does not: so the one is told from the other.
 func (m *Mixer) probeZones() {
-	for i := range m.zones {
-		z := &m.zones[i]
-		if !m.doubtful(z) || m.now < z.probeAt || len(z.servers) == 0 {
+	for i := range m.Zones {
+		z := &m.Zones[i]
+		if !m.doubtful(z) || m.Now < z.ProbeAt || len(z.Servers) == 0 {
 			continue
 		}
-		z.probeAt, z.next = m.now+farProbe, z.next+1
-		m.do(Probe{z.servers[z.next%len(z.servers)].ID})
+		z.ProbeAt, z.Next = m.Now+farProbe, z.Next+1
+		m.Do(mix.Probe{Server: z.Servers[z.Next%len(z.Servers)].ID})
 	}
 }
 
 // probed takes in a probe: a far zone's servers are skipped, and not blamed, until one gets through.
-func (m *Mixer) probed(z *zone, ok bool) {
-	if z.fails++; ok {
-		z.fails, z.slow, z.clearTo = 0, 0, m.now+farClear
+func (m *Mixer) probed(z *fleet.Zone, ok bool) {
+	if z.Fails++; ok {
+		z.Fails, z.Slow, z.ClearTo = 0, 0, m.Now+farClear
 	}
-	m.flip(&z.far, z.fails >= farFails, "far=%v zone=%d", z.number)
+	m.Flip(&z.Far, z.Fails >= farFails, "far=%v zone=%d", z.Number)
 }
 
 // Poison: queries that bring down the servers that begin their parts. A part that comes back clears its
 // query, as the cause kills each time. Servers dying undrained in several zones tell that one is abroad.
 
 // unproven says whether only one part of a query may be out until one has come back.
-func (m *Mixer) unproven(q *query) bool {
-	return !q.sure && (q.deaths > 0 || m.alarm && len(q.parts) >= proveFrom)
+func (m *Mixer) unproven(q *fleet.Query) bool {
+	return !q.Sure && (q.Deaths > 0 || m.Alarm && len(q.Current) >= proveFrom)
 }
 
 // died counts the deaths that a query was out at; what was sent before the last one is the same evidence.
 // One that dies again, with a server seen to have crashed of late, ends, and its like is refused for a while.
-func (m *Mixer) died(q *query, a *attempt) {
-	if q.sure || a.at < q.diedAt {
+func (m *Mixer) died(q *fleet.Query, a *fleet.Attempt) {
+	if q.Sure || a.At < q.DiedAt {
 		return
 	}
-	q.deaths, q.diedAt = q.deaths+1, m.now
-	if dead, _ := m.countDead(m.now - deathSpan); dead > 0 && q.deaths >= deathsMost {
-		m.suspects[likeness(q)] = m.now
-		m.log("poison class=%d key=%x", q.Class, q.Key)
+	q.Deaths, q.DiedAt = q.Deaths+1, m.Now
+	if dead, _ := m.CountDead(m.Now - deathSpan); dead > 0 && q.Deaths >= deathsMost {
+		m.Suspects[fleet.Likeness(q)] = m.Now
+		m.Log("poison class=%d key=%x", q.Class, q.Key)
 		m.giveUp(q)
 	}
 }
 
-func (m *Mixer) suspect(q *query) bool {
-	at, is := m.suspects[likeness(q)]
-	return is && m.now-at <= suspectSpan
+func (m *Mixer) suspect(q *fleet.Query) bool {
+	at, is := m.Suspects[fleet.Likeness(q)]
+	return is && m.Now-at <= suspectSpan
 }
 
 // Extra attempts.
 
 // repeatable says whether another attempt of the part keeps the rule on effects.
-func (m *Mixer) repeatable(p *part) bool {
-	c := p.q.class
-	return p.mayRun < 0 || c.Effect == Safe || c.Effect == Keyed && m.now-p.mayRun < c.Window-m.set.Tick
+func (m *Mixer) repeatable(p *fleet.Part) bool {
+	c := p.Q.Terms
+	return p.MayRun < 0 || c.Effect == mix.Safe || c.Effect == mix.Keyed && m.Now-p.MayRun < c.Window-m.Set.Tick
 }
 
 // budget says whether another attempt fits; part is the share of the free ones that the caller may use up.
 func (m *Mixer) budget(part float64) bool {
-	r := m.set.Rules
+	r := m.Set.Rules
 	free, each, span := ownFree, ownShare, ownSpan
 	if r.BudgetOn {
 		free, each, span = r.BudgetFree, r.BudgetShare, r.BudgetSpan
 	}
-	used := m.extras.since(m.now - span - m.set.Tick) // edges counted against us
-	return used+1 <= part*free+each*m.taken.since(m.now-span+m.set.Tick)
+	used := m.Extras.Since(m.Now - span - m.Set.Tick) // edges counted against us
+	return used+1 <= part*free+each*m.Taken.Since(m.Now-span+m.Set.Tick)
 }
 
 // again queues a part whose attempts have all failed, or gives it up.
-func (m *Mixer) again(p *part) {
-	if len(p.attempts)+p.Used < p.q.class.MaxAttempts && m.repeatable(p) {
-		parts := []*part{p}
-		if m.unproven(p.q) { // another part first: this one's shard may have lost a server to it
-			parts = p.q.parts
+func (m *Mixer) again(p *fleet.Part) {
+	if len(p.Attempts)+p.Used < p.Q.Terms.MaxAttempts && m.repeatable(p) {
+		parts := []*fleet.Part{p}
+		if m.unproven(p.Q) { // another part first: this one's shard may have lost a server to it
+			parts = p.Q.Current
 		}
 		m.placeAll(parts)
 		return
 	}
-	p.dead = true
-	m.replace(p.q)
-	m.reply(p.q)
+	p.Dead = true
+	m.replace(p.Q)
+	m.reply(p.Q)
 }
 
 // replace sends a spare part, if any, for one late or lost.
-func (m *Mixer) replace(q *query) {
-	if p := q.useSpare(); p != nil {
-		m.placeAll([]*part{p})
+func (m *Mixer) replace(q *fleet.Query) {
+	if p := q.UseSpare(); p != nil {
+		m.placeAll([]*fleet.Part{p})
 	}
 }
 
 // hedge sends a second copy of a part that is out too long, to a sound replica with room, if it can still be
 // of use there, and of a safe class alone: any other is called off first. All mixers' copies take one mixer's
 // free attempts; failed parts any.
-func (m *Mixer) hedge(p *part) {
-	if n := len(p.attempts); m.stalled || p.done || p.index >= 0 || n == 0 || n+p.Used >= p.q.class.MaxAttempts {
+func (m *Mixer) hedge(p *fleet.Part) {
+	if n := len(p.Attempts); m.Stalled || p.Done || p.Index >= 0 || n == 0 || n+p.Used >= p.Q.Terms.MaxAttempts {
 		return
 	}
-	a := p.attempts[len(p.attempts)-1]
-	if !a.live || !m.repeatable(p) || !p.q.sure && p.q.deaths > 0 {
+	a := p.Attempts[len(p.Attempts)-1]
+	if !a.Live || !m.repeatable(p) || !p.Q.Sure && p.Q.Deaths > 0 {
 		return
 	}
-	if !m.set.SecondCopies || p.q.class.Effect != Safe {
+	if !m.Set.SecondCopies || p.Q.Terms.Effect != mix.Safe {
 		m.move(p, a)
 		return
 	}
-	dear := m.set.Rules.BudgetOn // where copies are not, all that will be late for the aim get one in time
-	takes := m.typical + m.waitNow()
-	if dear && m.shed > 0 || m.now+duration(takes) > p.q.end {
+	dear := m.Set.Rules.BudgetOn // where copies are not, all that will be late for the aim get one in time
+	takes := m.Typical + m.waitNow()
+	if dear && m.Shed > 0 || m.Now+curve.Duration(takes) > p.Q.End {
 		return // it is too late for one, or everything is slow and copies are fuel
 	}
-	m.cdf(a.s)
-	age := seconds(m.now - a.at)
-	due := m.now > p.deadline-duration(m.typical) && (age > a.s.patience || !dear && age > farTimes*m.typical)
-	if !due && !m.zones[a.s.Zone].far || !m.budget(1/float64(m.set.Siblings)) {
+	m.CDF(a.S)
+	age := curve.Seconds(m.Now - a.At)
+	due := m.Now > p.Deadline-curve.Duration(m.Typical) &&
+		(age > a.S.Patience || !dear && age > farTimes*m.Typical)
+	if !due && !m.Zones[a.S.Zone].Far || !m.budget(1/float64(m.Set.Siblings)) {
 		return
 	}
 	s := m.pick(p)
-	_, _, _, in := share(p.q)
-	last := float64(len(p.q.parts)-in) <= lastShare*float64(len(p.q.parts)) // any untried replica will do
+	_, _, _, in := fleet.Share(p.Q)
+	last := float64(len(p.Q.Current)-in) <= lastShare*float64(len(p.Q.Current)) // any untried replica will do
 	if s == nil || !m.sendable(s) || m.tier(s, p) > 2 || !last && (m.tier(s, p) > 0 || !m.sound(s)) {
 		return
 	}
-	m.turn, s.turn = m.turn+1, m.turn+1
+	m.Turn, s.Turn = m.Turn+1, m.Turn+1
 	m.send(p, s)
 }
 
 // move calls off a part too long at a server from which nothing has come since, or something sent later
 // has, if a sound replica can still answer it: at twice the tail, or at the tail if that is too late. Scores,
 // which the listings wait for, go sooner. It goes again when the call-off is through.
-func (m *Mixer) move(p *part, a *attempt) {
-	if !m.set.Cancel || a.moved || a.inTurn() {
+func (m *Mixer) move(p *fleet.Part, a *fleet.Attempt) {
+	if !m.Set.Cancel || a.Moved || a.InTurn() {
 		return
 	}
-	m.cdf(a.s)
-	takes, s, age, until := m.typical+m.waitNow(), m.pick(p), seconds(m.now-a.at), m.lastCall(p.q)
-	scores, tooLong := p.q.Phased && p.q.step == 1, farTimes*m.typical+m.waitNow()
-	seldom := m.set.Siblings >= seldomFrom && m.usual*age < 1 // nothing was to be heard from a replica meanwhile
-	if seldom && p.q.class.Floor >= p.q.class.Need {
-		until = p.q.end // late is worth something, and what lacks is worth nothing
+	m.CDF(a.S)
+	takes, s, age, until := m.Typical+m.waitNow(), m.pick(p), curve.Seconds(m.Now-a.At), m.lastCall(p.Q)
+	scores, tooLong := p.Q.Phased && p.Q.Step == 1, farTimes*m.Typical+m.waitNow()
+	seldom := m.Set.Siblings >= seldomFrom && m.Carried*age < 1 // nothing was to be heard meanwhile
+	if seldom && p.Q.Terms.Floor >= p.Q.Terms.Need {
+		until = p.Q.End // late is worth something, and what lacks is worth nothing
 	}
 	if !scores {
-		tooLong = max(a.s.patience, tooLong)
-		if !seldom || a.at+duration(2*tooLong+takes) < until { // there is time for certainty
+		tooLong = max(a.S.Patience, tooLong)
+		if !seldom || a.At+curve.Duration(2*tooLong+takes) < until { // there is time for certainty
 			tooLong *= 2
 		}
 	}
-	if age < tooLong || m.now+duration(takes) > until || s == nil || m.tier(s, p) > 0 || !m.sound(s) {
+	if age < tooLong || m.Now+curve.Duration(takes) > until || s == nil || m.tier(s, p) > 0 || !m.sound(s) {
 		return
 	}
-	if (scores || seldom || s.answerAt > a.at) && m.budget(1) {
-		a.moved = true
-		m.do(Cancel{Part: p.ID, Attempt: a.number})
+	if (scores || seldom || s.AnswerAt > a.At) && m.budget(1) {
+		a.Moved = true
+		m.Do(mix.Cancel{Part: p.ID, Attempt: a.Number})
 	}
 }
 
@@ -706,86 +705,86 @@
 
 // reply answers a query when it is time to: whole as soon as it can be, in part when waiting longer
 // would cost the aim, or gives it up when what is lacking cannot come.
-func (m *Mixer) reply(q *query) {
-	if q.ended || !q.admitted || len(q.parts) < q.want || len(q.parts) == 0 && q.step == 1 {
+func (m *Mixer) reply(q *fleet.Query) {
+	if q.Ended || !q.Admitted || len(q.Current) < q.Want || len(q.Current) == 0 && q.Step == 1 {
 		return
 	}
-	got, can, lost, in := share(q)
-	need, floor, over := q.class.Need, q.class.Floor, m.now >= m.lastCall(q)
-	if q.step == 2 {
-		need, got, can = 1, got*q.first, can*q.first // a share of a page is one of what was ranked
-		if q.class.Floor >= q.class.Need {
+	got, can, lost, in := fleet.Share(q)
+	need, floor, over := q.Terms.Need, q.Terms.Floor, m.Now >= m.lastCall(q)
+	if q.Step == 2 {
+		need, got, can = 1, got*q.First, can*q.First // a share of a page is one of what was ranked
+		if q.Terms.Floor >= q.Terms.Need {
 			floor = 1
 		}
 	}
 	whole := got >= need-weightSlip
-	if q.step == 2 || need == 1 {
-		whole = in == len(q.parts)
+	if q.Step == 2 || need == 1 {
+		whole = in == len(q.Current)
 	}
 	partial := floor < need && got >= floor-weightSlip
 	switch {
 	case whole:
-	case partial && (over || lost+in == len(q.parts)):
+	case partial && (over || lost+in == len(q.Current)):
 	case can < floor-weightSlip || over && q.Phased: // what is in and what can still come is too little
 		m.giveUp(q)
 		return
 	default:
 		return
 	}
-	if q.step == 1 && (q.class.Fetch > 0 || q.Phased) {
-		m.do(Answer{Query: q.ID, Whole: whole})
-		for _, p := range q.parts {
-			if !p.done { // abandoned: it no longer counts
-				p.dead = true
-				m.settle(p)
+	if q.Step == 1 && (q.Terms.Fetch > 0 || q.Phased) {
+		m.Do(mix.Answer{Query: q.ID, Whole: whole})
+		for _, p := range q.Current {
+			if !p.Done { // abandoned: it no longer counts
+				p.Dead = true
+				m.Settle(p)
 			}
 		}
-		q.step, q.want, q.parts, q.firstWhole, q.first = 2, min(q.class.Fetch, in), nil, whole, 1
+		q.Step, q.Want, q.Current, q.FirstWhole, q.First = 2, min(q.Terms.Fetch, in), nil, whole, 1
 		if q.Phased {
-			q.want, q.first = math.MaxInt, got // until the planner has told
+			q.Want, q.First = math.MaxInt, got // until the planner has told
 		}
 		return
 	}
-	m.do(Answer{Query: q.ID, Whole: whole && (q.step == 1 || q.firstWhole), Final: true})
-	m.end(q)
+	m.Do(mix.Answer{Query: q.ID, Whole: whole && (q.Step == 1 || q.FirstWhole), Final: true})
+	m.End(q)
 }
 
 // lastCall is when an answer must leave to be in time.
-func (m *Mixer) lastCall(q *query) time.Duration { return m.stepAim(q) - stepTicks*m.set.Tick }
+func (m *Mixer) lastCall(q *fleet.Query) time.Duration { return m.stepAim(q) - stepTicks*m.Set.Tick }
 
 // giveUp gives a query its final answer at once: refused where trying again is harmless, else failed.
-func (m *Mixer) giveUp(q *query) {
-	ran := slices.ContainsFunc(q.all, func(p *part) bool { return p.mayRun >= 0 })
-	if q.class.Effect != Safe && ran {
-		m.do(Fail{Query: q.ID})
+func (m *Mixer) giveUp(q *fleet.Query) {
+	ran := slices.ContainsFunc(q.All, func(p *fleet.Part) bool { return p.MayRun >= 0 })
+	if q.Terms.Effect != mix.Safe && ran {
+		m.Do(mix.Fail{Query: q.ID})
 	} else {
-		after := adviseMin + duration(m.shed*seconds(adviseMax-adviseMin))
-		m.do(Refuse{Query: q.ID, RetryAfter: min(after, m.set.MaxRetryAfter)})
+		after := adviseMin + curve.Duration(m.Shed*curve.Seconds(adviseMax-adviseMin))
+		m.Do(mix.Refuse{Query: q.ID, RetryAfter: min(after, m.Set.MaxRetryAfter)})
 	}
-	m.end(q)
+	m.End(q)
 }
 
 // sweep looks at every query for what time alone brings: the client's end, partial answers, hopeless
 // parts, misses and second copies.
 func (m *Mixer) sweep() {
-	soon := duration(m.base)
-	m.live, m.wanted = slices.DeleteFunc(m.live, func(q *query) bool { return q.ended }), m.now+pace
-	for _, q := range m.live {
-		if at := m.lastCall(q); at > m.now {
-			m.wanted = min(m.wanted, at) // a sweep later would be late
+	soon := curve.Duration(m.Base)
+	m.Live, m.Wanted = slices.DeleteFunc(m.Live, func(q *fleet.Query) bool { return q.Ended }), m.Now+pace
+	for _, q := range m.Live {
+		if at := m.lastCall(q); at > m.Now {
+			m.Wanted = min(m.Wanted, at) // a sweep later would be late
 		}
-		if m.reply(q); !q.ended && m.now >= q.end-2*m.set.Tick {
+		if m.reply(q); !q.Ended && m.Now >= q.End-2*m.Set.Tick {
 			m.giveUp(q) // any answer in part was given at the aim
 		}
-		for _, p := range q.parts {
-			if p.done || p.dead || p.spare || q.ended {
+		for _, p := range q.Current {
+			if p.Done || p.Dead || p.Spare || q.Ended {
 				continue
 			}
-			if m.now > p.deadline && !p.replaced {
-				p.replaced = true
+			if m.Now > p.Deadline && !p.Replaced {
+				p.Replaced = true
 				m.replace(q)
 			}
-			if !anyLive(p) && q.admitted {
+			if !fleet.AnyLive(p) && q.Admitted {
 				m.mind(p, soon)
 			} else {
 				m.hedge(p)
@@ -796,31 +795,31 @@
 
 // mind looks after a part that is not out: counts its miss, moves it off a server that went bad and,
 // when refusing, ends its query once the aim is out of reach.
-func (m *Mixer) mind(p *part, soon time.Duration) {
-	if m.now > p.deadline && !p.late && !p.headless && len(p.attempts) == 0 && !m.unproven(p.q) && !m.stalled {
-		p.late = true
-		m.missed.add(m.now, 1)
-		m.decided.add(m.now, 1)
-	}
-	if m.unheld(p.q) {
-		m.giveUp(p.q)
+func (m *Mixer) mind(p *fleet.Part, soon time.Duration) {
+	if m.Now > p.Deadline && !p.Late && !p.Headless && len(p.Attempts) == 0 && !m.unproven(p.Q) && !m.Stalled {
+		p.Late = true
+		m.Missed.Add(m.Now, 1)
+		m.Decided.Add(m.Now, 1)
+	}
+	if m.unheld(p.Q) {
+		m.giveUp(p.Q)
 		return
 	}
 	if !m.repeatable(p) { // held past its window: no attempt can follow
-		p.server.unhold(p)
+		p.Server.Unhold(p)
 		m.again(p)
 		return
 	}
-	if p.index < 0 {
-		m.placeAll([]*part{p})
-	} else if c := m.pick(p); c != p.server &&
-		(c == nil || !m.open(p.server) || m.sound(c) && m.tier(c, p) < m.tier(p.server, p)) {
-		p.server.unhold(p) // held where it cannot leave, while another replica has room
-		m.placeAll([]*part{p})
+	if p.Index < 0 {
+		m.placeAll([]*fleet.Part{p})
+	} else if c := m.pick(p); c != p.Server &&
+		(c == nil || !m.open(p.Server) || m.sound(c) && m.tier(c, p) < m.tier(p.Server, p)) {
+		p.Server.Unhold(p) // held where it cannot leave, while another replica has room
+		m.placeAll([]*fleet.Part{p})
 	}
-	if m.shed > 0 && m.now+soon > p.q.aimAt &&
-		!slices.ContainsFunc(p.q.all, func(o *part) bool { return len(o.attempts) > 0 }) {
-		m.giveUp(p.q) // nothing was sent, so nothing is wasted
+	if m.Shed > 0 && m.Now+soon > p.Q.AimAt &&
+		!slices.ContainsFunc(p.Q.All, func(o *fleet.Part) bool { return len(o.Attempts) > 0 }) {
+		m.giveUp(p.Q) // nothing was sent, so nothing is wasted
 	}
 }
 
@@ -828,251 +827,243 @@
 
 // refuses decides on a whole query before any part is sent: on the miss share. Where a query can do without
 // those of its parts that would be late, it is taken without them, as of a cell with too few servers left.
-func (m *Mixer) refuses(q *query) bool {
-	cost := float64(len(q.parts)) / max(q.class.Worth, weightSlip) // what it frees to refuse it, and loses
-	m.cost = (1-costWeight)*cmp.Or(m.cost, cost) + costWeight*cost
-	if m.unheld(q) || m.now+duration(m.fanoutTail(q, mostDone)+m.waitNow()) > q.end {
+func (m *Mixer) refuses(q *fleet.Query) bool {
+	cost := float64(len(q.Current)) / max(q.Terms.Worth, weightSlip) // what it frees to refuse it, and loses
+	m.Cost = (1-costWeight)*cmp.Or(m.Cost, cost) + costWeight*cost
+	if m.unheld(q) || m.Now+curve.Duration(m.FanoutTail(q, mostDone)+m.waitNow()) > q.End {
 		return true // the client would leave before: work for nobody
 	}
-	sure := q.class.Floor >= q.class.Need && slices.ContainsFunc(q.parts, func(p *part) bool {
-		return m.queued(p) && m.now+duration(m.waitAtShard(p)+m.median) > m.stepAim(q)
+	sure := q.Terms.Floor >= q.Terms.Need && slices.ContainsFunc(q.Current, func(p *fleet.Part) bool {
+		return m.queued(p) && m.Now+curve.Duration(m.waitAtShard(p)+m.Median) > m.stepAim(q)
 	})
-	if m.shed == 0 && !sure {
+	if m.Shed == 0 && !sure {
 		return false // the misses tell what was; wait and room at every shard what is
 	}
-	shed := sure || m.rng.Float64() < m.shed*min(cost/m.cost, 1)
-	left := q.drop(func(p *part) bool {
+	shed := sure || m.RNG.Float64() < m.Shed*min(cost/m.Cost, 1)
+	left := q.Drop(func(p *fleet.Part) bool {
 		s := m.pick(p)
-		return m.wouldMiss(p) || shed && (s == nil || len(s.out)+len(s.held) >= m.room(s))
+		return m.wouldMiss(p) || shed && (s == nil || len(s.Out)+len(s.Held) >= m.room(s))
 	})
-	little := left < q.class.Floor-weightSlip || left < q.class.Need-weightSlip && q.class.Fetch > 0
+	little := left < q.Terms.Floor-weightSlip || left < q.Terms.Need-weightSlip && q.Terms.Fetch > 0
 	if little && !shed {
-		q.drop(func(*part) bool { return false })
+		q.Drop(func(*fleet.Part) bool { return false })
 	}
 	return little && shed
 }
 
 // unheld says whether the list names a ready server for so few of a query's parts that no answer could be
 // given. One that comes back is listed seconds later: the client is told at once, and may come back itself.
-func (m *Mixer) unheld(q *query) bool {
+func (m *Mixer) unheld(q *fleet.Query) bool {
 	can := 0.0
-	ready := func(s *server) bool { return s.State == Ready }
-	for _, p := range q.parts {
-		if p.done || anyLive(p) || slices.ContainsFunc(m.replicas[p.Shard%m.set.Cells], ready) {
+	ready := func(s *fleet.Server) bool { return s.State == mix.Ready }
+	for _, p := range q.Current {
+		if p.Done || fleet.AnyLive(p) || slices.ContainsFunc(m.Replicas[p.Shard%m.Set.Cells], ready) {
 			can += p.Weight
 		}
 	}
-	return can < q.class.Floor-weightSlip
+	return can < q.Terms.Floor-weightSlip
 }
 
 // wouldMiss says whether a part sent now would still wait at its server when its deadline passes, by what
 // sound servers' answers lately took beyond the usual: among dozens of mixers the queues stand there.
-func (m *Mixer) wouldMiss(p *part) bool {
-	return m.now+duration(max(m.waitNow(), m.waitAtShard(p))) > p.deadline
+func (m *Mixer) wouldMiss(p *fleet.Part) bool {
+	return m.Now+curve.Duration(max(m.waitNow(), m.waitAtShard(p))) > p.Deadline
 }
 
 // queued says whether parts of ours wait at each replica of a part's shard: as they leave, it is heard from.
-func (m *Mixer) queued(p *part) bool {
-	none := func(s *server) bool { return m.open(s) && len(s.held) == 0 }
-	list := m.replicas[p.Shard%m.set.Cells]
+func (m *Mixer) queued(p *fleet.Part) bool {
+	none := func(s *fleet.Server) bool { return m.open(s) && len(s.Held) == 0 }
+	list := m.Replicas[p.Shard%m.Set.Cells]
 	return slices.ContainsFunc(list, m.open) && !slices.ContainsFunc(list, none)
 }
 
 // waitAtShard is what the quickest replica of a part's shard took beyond the usual, longer the more it fails.
-func (m *Mixer) waitAtShard(p *part) float64 {
-	best := recordHigh
-	for _, s := range m.replicas[p.Shard%m.set.Cells] {
+func (m *Mixer) waitAtShard(p *fleet.Part) float64 {
+	best := curve.RecordHigh
+	for _, s := range m.Replicas[p.Shard%m.Set.Cells] {
 		if m.open(s) {
-			best = min(best, m.expected(s)/max(1-faded(s.bad, m.now-s.badAt, m.memory(badHalf)), weightSlip))
+			best = min(best, m.expected(s)/max(1-curve.Faded(s.Bad, m.Now-s.BadAt, m.memory(badHalf)), weightSlip))
 		}
 	}
-	return best - m.median
+	return best - m.Median
 }
 
 // Health.
 
 // survey brings up to date what is compared against; the others' median now and then, as it costs a look.
 func (m *Mixer) survey() {
-	m.begun = min(m.begun, m.now)
-	if m.surveyed < 0 || m.news {
-		m.surveyPool()
+	m.Begun = min(m.Begun, m.Now)
+	if m.Surveyed < 0 || m.News {
+		m.SurveyPool()
 	}
 	// The cap's yardstick follows the pool down at once and up slowly, lest a jam pass for the usual.
-	since := m.now - m.surveyed
-	if m.surveyed < 0 || since >= surveyGap && !m.stalled {
-		m.surveyed = m.now
-		m.base = min(m.typical, m.base*(1+baseRise*seconds(since)))
-		if m.base == 0 || m.pool.size(m.now) < recordPrior {
-			m.base = m.typical
+	since := m.Now - m.Surveyed
+	if m.Surveyed < 0 || since >= surveyGap && !m.Stalled {
+		m.Surveyed = m.Now
+		m.Base = min(m.Typical, m.Base*(1+baseRise*curve.Seconds(since)))
+		if m.Base == 0 || m.Pool.Size(m.Now) < curve.RecordPrior {
+			m.Base = m.Typical
 		}
 		m.surveyServers()
 	}
-	missed, decided := m.missed.since(m.now-missWindow), m.decided.since(m.now-missWindow)
+	missed, decided := m.Missed.Since(m.Now-missWindow), m.Decided.Since(m.Now-missWindow)
 	target := 0.0
 	if missed >= missLeast {
 		target = min(max(shedGain*(missed/decided-missShare), 0), 1)
 	}
-	m.shed, m.shedAt = max(target, m.shed-shedFall*seconds(m.now-m.shedAt)), m.now
-	m.flip(&m.shedding, m.shed > 0, "shedding=%v missed=%.0f of %.0f", missed, decided)
+	m.Shed, m.ShedAt = max(target, m.Shed-shedFall*curve.Seconds(m.Now-m.ShedAt)), m.Now
+	m.Flip(&m.Shedding, m.Shed > 0, "shedding=%v missed=%.0f of %.0f", missed, decided)
 }
 
 func (m *Mixer) surveyServers() {
-	lats, size := m.scratch[:0], 0.0
-	m.countStuck(m.now - duration(farTimes*m.typical))
-	for _, s := range m.order {
-		s.fresh = false
-		if s.lat > 0 {
-			lats = append(lats, s.lat)
-		}
-		if s.listed && m.warmth(s) >= 1 {
-			size += s.Nominal
-		}
-	}
-	m.scratch, m.median = lats, middle(lats)
-	least := 1 / seconds(m.set.Rules.FallSpan) / float64(m.set.Siblings) // unheard: one part of all mixers
-	span := max(min(usualSpan, m.now-m.begun), m.set.Rules.FallSpan, m.set.Tick)
-	m.usual = max(m.answered.since(m.now-usualSpan)/seconds(span)/max(size, 1), least)
-	m.lost[1] = min(m.lost[1], faded(m.lost[1], surveyGap, latHalf))
-	m.flip(&m.idleDead, m.idleDead && m.lost[1] > lossLeast, "idle connections dead=%v")
-	m.prune(m.now-recordHalf, m.now-max(m.set.Rules.BudgetSpan, ownSpan)-m.set.Tick)
-	dead, zones := m.countDead(m.now - deathSpan)
-	m.flip(&m.alarm, dead >= deathLeast && zones > 1, "crashes=%v servers=%d", dead)
+	m.CountStuck(m.Now - curve.Duration(farTimes*m.Typical))
+	size := m.Survey(func(s *fleet.Server) bool { return m.warmth(s) >= 1 })
+	least := 1 / curve.Seconds(m.Set.Rules.FallSpan) / float64(m.Set.Siblings) // unheard: one part of all mixers
+	span := max(min(usualSpan, m.Now-m.Begun), m.Set.Rules.FallSpan, m.Set.Tick)
+	m.Carried = max(m.Answered.Since(m.Now-usualSpan)/curve.Seconds(span)/max(size, 1), least)
+	m.Lost[1] = min(m.Lost[1], curve.Faded(m.Lost[1], surveyGap, latHalf))
+	m.Flip(&m.IdleDead, m.IdleDead && m.Lost[1] > lossLeast, "idle connections dead=%v")
+	m.Prune(m.Now-curve.RecordHalf, m.Now-max(m.Set.Rules.BudgetSpan, ownSpan)-m.Set.Tick)
+	dead, zones := m.CountDead(m.Now - deathSpan)
+	m.Flip(&m.Alarm, dead >= deathLeast && zones > 1, "crashes=%v servers=%d", dead)
 }
 
 // late is the design's skip: the oldest part out is past the 99th percentile of the server's record or of
 // all servers' together, whichever is less: a slow one's own record does not excuse it.
-func (m *Mixer) late(s *server) bool {
-	if len(s.out) == 0 {
+func (m *Mixer) late(s *fleet.Server) bool {
+	if len(s.Out) == 0 {
 		return false
 	}
-	m.cdf(s)
-	return seconds(m.now-s.out[0].at) > s.patience
+	m.CDF(s)
+	return curve.Seconds(m.Now-s.Out[0].At) > s.Patience
 }
 
 // heard takes in an answer time.
-func (m *Mixer) heard(s *server, sec float64, quiet bool) {
-	s.lat = cmp.Or(s.lat, sec)
-	w := max(latWeight, 1-faded(1, m.now-s.latAt, latStale))
-	if sec < capNear*m.base { // quick again: what held it up is over
+func (m *Mixer) heard(s *fleet.Server, sec float64, quiet bool) {
+	s.Lat = cmp.Or(s.Lat, sec)
+	w := max(latWeight, 1-curve.Faded(1, m.Now-s.LatAt, latStale))
+	if sec < capNear*m.Base { // quick again: what held it up is over
 		w = max(w, latBack)
 	}
-	s.lat, s.latAt = s.lat+w*(sec-s.lat), m.now
+	s.Lat, s.LatAt = s.Lat+w*(sec-s.Lat), m.Now
 	if m.trust(s) >= trusted {
-		m.wait, m.waitAt = m.waitNow(), m.now
-		step := waitWeight * (m.wait + m.base) // it follows the median: a costly query's parts are no queue
-		if sec < m.base+m.wait {
+		m.Wait, m.WaitAt = m.waitNow(), m.Now
+		step := waitWeight * (m.Wait + m.Base) // it follows the median: a costly query's parts are no queue
+		if sec < m.Base+m.Wait {
 			step = -step
 		}
-		m.wait = max(m.wait+step, 0)
+		m.Wait = max(m.Wait+step, 0)
 	}
 	if quiet {
-		s.record.add(m.now, sec)
-		m.pool.add(m.now, sec)
-		s.fresh, m.news = false, true
+		s.Record.Add(m.Now, sec)
+		m.Pool.Add(m.Now, sec)
+		s.Fresh, m.News = false, true
 	}
 	switch {
-	case s.lat < capNear*m.base:
-		s.cap = min(s.cap+1/s.cap, capMax)
-	case s.lat > capFar*m.base && seconds(m.now-s.capAt) > s.lat:
-		s.cap, s.capAt = max(s.cap*capFall, capMin), m.now
+	case s.Lat < capNear*m.Base:
+		s.Cap = min(s.Cap+1/s.Cap, capMax)
+	case s.Lat > capFar*m.Base && curve.Seconds(m.Now-s.CapAt) > s.Lat:
+		s.Cap, s.CapAt = max(s.Cap*capFall, capMin), m.Now
 	}
 }
 
 // note takes in a success or a failure.
-func (m *Mixer) note(s *server, ok bool, weight float64) {
-	s.bad, s.badAt = faded(s.bad, m.now-s.badAt, m.memory(badHalf)), m.now
+func (m *Mixer) note(s *fleet.Server, ok bool, weight float64) {
+	s.Bad, s.BadAt = curve.Faded(s.Bad, m.Now-s.BadAt, m.memory(badHalf)), m.Now
 	if ok {
-		s.bad -= badDown * s.bad
+		s.Bad -= badDown * s.Bad
 	} else {
-		s.bad, s.failedAt = s.bad+badUp*weight*(1-s.bad), m.now
+		s.Bad, s.FailedAt = s.Bad+badUp*weight*(1-s.Bad), m.Now
 	}
-	m.flip(&s.wasBad, s.bad > badLog || s.wasBad && s.bad > badBack, "failing=%v server=%d", s.ID)
+	m.Flip(&s.WasBad, s.Bad > badLog || s.WasBad && s.Bad > badBack, "failing=%v server=%d", s.ID)
 }
 
 // trust is 1 on the ordinary path, and less while a server fails, is slower than the others, or is cold.
-func (m *Mixer) trust(s *server) float64 {
-	w := 1 - faded(s.bad, m.now-s.badAt, m.memory(badHalf))
+func (m *Mixer) trust(s *fleet.Server) float64 {
+	w := 1 - curve.Faded(s.Bad, m.Now-s.BadAt, m.memory(badHalf))
 	slow := 0.0
-	if m.median > 0 { // before the first survey there is nothing to be slower than
-		slow = s.latNow(m.median, m.now, m.memory(latHalf)) / max(slowSlack*m.median, recordLow)
+	if m.Median > 0 { // before the first survey there is nothing to be slower than
+		slow = s.LatNow(m.Median, m.Now, m.memory(latHalf)) / max(slowSlack*m.Median, curve.RecordLow)
 	}
 	return w * w * w / max(slow*slow, 1) * m.warmth(s)
 }
 
 // sound says whether a server is no suspect. To be cold is no fault: it limits the turns and the pace.
-func (m *Mixer) sound(s *server) bool { return m.trust(s) >= trusted*m.warmth(s) }
+func (m *Mixer) sound(s *fleet.Server) bool { return m.trust(s) >= trusted*m.warmth(s) }
 
 // memory is how long what was seen of a server lasts: at full size the next meeting is far off.
 func (m *Mixer) memory(half time.Duration) time.Duration {
-	return max(half, min(duration(meetings/max(m.usual, weightSlip)), memoryMost))
+	return max(half, min(curve.Duration(meetings/max(m.Carried, weightSlip)), memoryMost))
 }
 
 // turns is the share of its turns that a server gets: its trust, by size.
-func (m *Mixer) turns(s *server) float64 { return max(m.trust(s), leastTurns) * s.Nominal }
+func (m *Mixer) turns(s *fleet.Server) float64 { return max(m.trust(s), leastTurns) * s.Nominal }
 
 // warmth is the share of its capacity that a started server has at the least: 1 when warm.
-func (m *Mixer) warmth(s *server) float64 {
-	from := max(s.Started, s.coldFrom)
-	r := m.set.Rules
-	if from <= 0 || r.Ramp <= 0 || m.now-from >= r.Ramp {
+func (m *Mixer) warmth(s *fleet.Server) float64 {
+	from := max(s.Started, s.ColdFrom)
+	r := m.Set.Rules
+	if from <= 0 || r.Ramp <= 0 || m.Now-from >= r.Ramp {
 		return 1
 	}
-	return r.StartCapacity + (1-r.StartCapacity)*max(seconds(m.now-from), 0)/seconds(r.Ramp)
+	return r.StartCapacity + (1-r.StartCapacity)*max(curve.Seconds(m.Now-from), 0)/curve.Seconds(r.Ramp)
 }
 
 // sendable says whether a server may be sent one part more now.
-func (m *Mixer) sendable(s *server) bool { return m.open(s) && m.now >= m.sendableFrom(s) }
+func (m *Mixer) sendable(s *fleet.Server) bool { return m.open(s) && m.Now >= m.sendableFrom(s) }
 
 // open says whether parts may be held for a server: a cold one's next may have to wait.
-func (m *Mixer) open(s *server) bool { return s.listed && s.State == Ready && m.now >= s.fullTo }
+func (m *Mixer) open(s *fleet.Server) bool {
+	return s.Listed && s.State == mix.Ready && m.Now >= s.FullTo
+}
 
 // sendableFrom is when a server's next part may leave.
-func (m *Mixer) sendableFrom(s *server) time.Duration {
-	return max(s.sentAt, s.Started, s.coldFrom) + duration(m.gap(s))
+func (m *Mixer) sendableFrom(s *fleet.Server) time.Duration {
+	return max(s.SentAt, s.Started, s.ColdFrom) + curve.Duration(m.gap(s))
 }
 
 // gap is the least time between parts sent to a cold server, within our own share of what it can do, told by
 // answers: one part in the time that a warm one takes to answer us one, by warmth.
-func (m *Mixer) gap(s *server) float64 {
+func (m *Mixer) gap(s *fleet.Server) float64 {
 	if w := m.warmth(s); w < 1 {
-		return 1 / (w * m.usual * s.Nominal * m.set.Rules.FallMultiple)
+		return 1 / (w * m.Carried * s.Nominal * m.Set.Rules.FallMultiple)
 	}
 	return 0
 }
 
 // Membership.
 
-func (m *Mixer) onList(e ServerList) {
-	if e.Kind == ListFailed {
-		m.subscribed, m.askWait = false, min(2*m.askWait, askMost)
-		m.askAt = m.now + duration(seconds(m.askWait)*(0.5+m.rng.Float64()/2))
-		m.flip(&m.listBad, true, "list failing=%v")
+func (m *Mixer) onList(e mix.ServerList) {
+	if !m.ListCame(e.Kind) {
 		return
 	}
-	if e.Kind != Cached {
-		m.subscribed, m.askWait = true, askFirst
-		m.flip(&m.listBad, false, "list failing=%v")
-	}
-	m.apply(e, record, func(s *server, i ServerInfo) {
-		if s.listed && s.State == Ready && (i.State == Gone || i.Started > s.Started) {
-			s.diedAt = m.now // a release drains first
+	m.Apply(e, func(s *fleet.Server, i mix.ServerInfo) {
+		if s.Listed && s.State == mix.Ready && (i.State == mix.Gone || i.Started > s.Started) {
+			s.DiedAt = m.Now // a release drains first
 		}
 		if s.Started != i.Started { // a new process: what we knew of the old one is void
-			s.bad, s.lat, s.cap, s.turn = 0, 0, capStart, m.turn
-			s.lead = 1 + m.rng.Float64() // ties, lest all mixers that start begin at the same servers
+			s.Bad, s.Lat, s.Cap, s.Turn = 0, 0, capStart, m.Turn
+			s.Lead = 1 + m.RNG.Float64() // ties, lest all mixers that start begin at the same servers
 		}
 	})
-	m.keepSubset(seldomFrom, seldomMost) // what each opens and has to find out falls with their number
+	m.KeepSubset(seldomFrom, seldomMost, m.warmth) // what each opens and has to find out falls with their number
 }
 
-// keepList keeps an ask-mode list subscribed.
-func (m *Mixer) keepList() {
-	if !m.asking() || m.now < m.askAt {
-		return
-	}
-	m.do(Subscribe{})
-	m.askAt = m.now + askMost
-	if w := m.set.Rules.AskWithin / 2; w > 0 {
-		m.askAt = min(m.askAt, m.now+w) // asked too seldom, we count as told what we were not
-	}
+// pick chooses a replica for one part that is to go on its own.
+func (m *Mixer) pick(p *fleet.Part) *fleet.Server {
+	m.Alone[0] = p
+	s, _ := m.choose(m.Alone[:])
+	return s
 }
+
+// Usual is what a part sent now takes at a sound server.
+func (m *Mixer) Usual() time.Duration { return curve.Duration(m.Typical + m.waitNow()) }
+
+// expected is how long a part given to a server now takes: its answer time, and that of those we hold for it.
+func (m *Mixer) expected(s *fleet.Server) float64 {
+	takes, until := s.LatNow(m.Median, m.Now, m.memory(latHalf)), curve.Seconds(max(m.sendableFrom(s)-m.Now, 0))
+	return until + takes + float64(len(s.Held))*max(takes/float64(m.room(s)), m.gap(s))
+}
+
+// waitNow is what sound servers' answers take beyond the usual.
+func (m *Mixer) waitNow() float64 { return curve.Faded(m.Wait, m.Now-m.WaitAt, waitHalf) }
