--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,28 +1,32 @@
 package policy
 
 import (
-	"bufio"
 	"os"
+	"path/filepath"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
+
+	"pulleygw.example/pulleygw/internal/mem/fleet"
+	"pulleygw.example/pulleygw/internal/mix"
 )
 
 const ms = time.Millisecond
 
 // base returns settings with three servers' worth of cells, each shard held by all three.
-func base() Settings {
-	return Settings{
+func base() mix.Settings {
+	return mix.Settings{
 		Siblings: 1, Tick: 5 * ms, Cells: 3, Width: 3, Batch: 1, MaxAttempts: 3,
 		SecondCopies: true, Cancel: true, MaxRetryAfter: time.Second,
-		Classes: []Class{
-			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: Safe, Need: 1, Floor: 1},
-			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: Keyed, Window: 300 * ms, Need: 1, Floor: 1},
-			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: Unsafe, Need: 1, Floor: 1},
-			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: Safe, Need: 1, Floor: 0.5, Fetch: 1},
+		Classes: []mix.Class{
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: mix.Safe, Need: 1, Floor: 1},
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: mix.Keyed, Window: 300 * ms, Need: 1, Floor: 1},
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: mix.Unsafe, Need: 1, Floor: 1},
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: mix.Safe, Need: 1, Floor: 0.5, Fetch: 1},
 		},
-		Rules: Rules{StartCapacity: 0.2, Ramp: 10 * time.Second, FallMultiple: 2,
+		Rules: mix.Rules{StartCapacity: 0.2, Ramp: 10 * time.Second, FallMultiple: 2,
 			FallSpan: 3 * time.Second},
 	}
 }
@@ -33,62 +37,62 @@
 	m      *Mixer
 	now    time.Duration
 	nextID uint64
-	finals map[QueryID]int
-	last   map[QueryID]Action
+	finals map[mix.QueryID]int
+	last   map[mix.QueryID]mix.Action
 	sends  []sent
-	tries  map[PartID]int
-	owner  map[PartID]QueryID
-	acts   []Action
+	tries  map[mix.PartID]int
+	owner  map[mix.PartID]mix.QueryID
+	acts   []mix.Action
 	wake   time.Duration // asked for last
 }
 
 type sent struct {
-	Send
+	mix.Send
 	at      time.Duration
 	attempt int
 }
 
-func newBed(t *testing.T, set Settings, cells ...int) *bed {
+func newBed(t *testing.T, set mix.Settings, cells ...int) *bed {
 	m, err := New(set, 7)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bed{t: t, m: m, now: time.Second, finals: map[QueryID]int{}, last: map[QueryID]Action{},
-		tries: map[PartID]int{}, owner: map[PartID]QueryID{}}
-	var l []ServerInfo
+	b := &bed{t: t, m: m, now: time.Second, finals: map[mix.QueryID]int{}, last: map[mix.QueryID]mix.Action{},
+		tries: map[mix.PartID]int{}, owner: map[mix.PartID]mix.QueryID{}}
+	var l []mix.ServerInfo
 	for i, c := range cells {
-		l = append(l, ServerInfo{ID: ServerID(i + 1), Cell: c, State: Ready, Nominal: 1})
+		l = append(l, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: c, State: mix.Ready, Nominal: 1})
 	}
-	b.step(ServerList{Kind: Cached, Servers: l})
+	b.step(mix.ServerList{Kind: mix.Cached, Servers: l})
 	return b
 }
 
-func (b *bed) step(events ...Event) []Action {
-	b.acts = append([]Action(nil), b.m.Step(b.now, events)...)
+func (b *bed) step(events ...mix.Event) []mix.Action {
+	b.acts = append([]mix.Action(nil), b.m.Step(b.now, events)...)
 	for _, a := range b.acts {
 		switch a := a.(type) {
-		case WakeAt:
+		case mix.WakeAt:
 			b.wake = a.At
-		case Send:
+		case mix.Send:
 			if b.finals[b.owner[a.Part]] > 0 {
 				b.t.Errorf("part %d sent after its query's final answer", a.Part)
 			}
 			b.sends = append(b.sends, sent{a, b.now, b.tries[a.Part]})
 			b.tries[a.Part]++
-		case Answer:
+		case mix.Answer:
 			if a.Final {
 				b.final(a.Query, a)
 			}
-		case Refuse:
+		case mix.Refuse:
 			b.final(a.Query, a)
-		case Fail:
+		case mix.Fail:
 			b.final(a.Query, a)
 		}
 	}
 	return b.acts
 }
 
-func (b *bed) final(q QueryID, a Action) {
+func (b *bed) final(q mix.QueryID, a mix.Action) {
 	b.finals[q]++
 	b.last[q] = a
 	if b.finals[q] > 1 {
@@ -97,16 +101,16 @@
 }
 
 // query hands over a query with one part for each shard and returns its ID and its parts'.
-func (b *bed) query(class int, left time.Duration, shards ...int) (QueryID, []PartID) {
+func (b *bed) query(class int, left time.Duration, shards ...int) (mix.QueryID, []mix.PartID) {
 	b.nextID += 100
-	q := QueryID(b.nextID)
-	ev := []Event{QueryArrived{ID: q, Class: class, Left: left, Parts: len(shards)}}
-	var ids []PartID
+	q := mix.QueryID(b.nextID)
+	ev := []mix.Event{mix.QueryArrived{ID: q, Class: class, Left: left, Parts: len(shards)}}
+	var ids []mix.PartID
 	for i, s := range shards {
-		id := PartID(b.nextID + uint64(i) + 1)
+		id := mix.PartID(b.nextID + uint64(i) + 1)
 		b.owner[id] = q
 		ids = append(ids, id)
-		ev = append(ev, PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards))})
+		ev = append(ev, mix.PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards))})
 	}
 	b.step(ev...)
 	return q, ids
@@ -116,12 +120,12 @@
 func (b *bed) run(d time.Duration) {
 	for end := b.now + d; b.now < end; {
 		b.now += 10 * ms
-		b.step(Wake{})
+		b.step(mix.Wake{})
 	}
 }
 
-func (b *bed) outcome(s sent, st Status) {
-	b.step(Outcome{Part: s.Part, Server: s.Server, Attempt: s.attempt, Status: st, Took: b.now - s.at})
+func (b *bed) outcome(s sent, st mix.Status) {
+	b.step(mix.Outcome{Part: s.Part, Server: s.Server, Attempt: s.attempt, Status: st, Took: b.now - s.at})
 }
 
 // warm answers n one-part queries so that there are records.
@@ -131,7 +135,7 @@
 		b.query(0, 4*time.Second, 0)
 		b.run(took)
 		for _, s := range b.sends[k:] {
-			b.outcome(s, OK)
+			b.outcome(s, mix.OK)
 		}
 	}
 	b.sends = nil
@@ -142,9 +146,9 @@
 	q, _ := b.query(0, 4*time.Second, 0, 1, 2)
 	b.run(50 * ms)
 	for _, s := range append([]sent(nil), b.sends...) {
-		b.outcome(s, OK)
+		b.outcome(s, mix.OK)
 	}
-	if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+	if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
 		t.Fatalf("last word %v, want a whole answer", b.last[q])
 	}
 }
@@ -172,10 +176,10 @@
 		}
 	}
 	for _, s := range append([]sent(nil), b.sends...) {
-		b.outcome(s, Error)
+		b.outcome(s, mix.Error)
 	}
 	b.run(100 * ms)
-	if _, ok := b.last[q].(Fail); !ok {
+	if _, ok := b.last[q].(mix.Fail); !ok {
 		t.Errorf("last word %v, want Fail", b.last[q])
 	}
 }
@@ -185,25 +189,25 @@
 	b := newBed(t, base(), 0, 1, 2)
 	q, _ := b.query(1, 4*time.Second, 0)
 	b.run(20 * ms)
-	b.outcome(b.sends[0], Error)
+	b.outcome(b.sends[0], mix.Error)
 	b.run(20 * ms)
 	if len(b.sends) != 2 {
 		t.Fatalf("%d attempts, want a second within the window", len(b.sends))
 	}
 	b.run(300 * ms) // past the window
-	b.outcome(b.sends[1], Full)
+	b.outcome(b.sends[1], mix.Full)
 	b.run(20 * ms)
 	if len(b.sends) != 2 {
 		t.Error("sent again past its window")
 	}
-	if _, ok := b.last[q].(Fail); !ok {
+	if _, ok := b.last[q].(mix.Fail); !ok {
 		t.Errorf("last word %v, want Fail", b.last[q])
 	}
 }
 
 // An unsafe part goes again only when every attempt is known not to have run.
 func TestUnsafe(t *testing.T) {
-	for st, want := range map[Status]int{Error: 1, TimedOut: 1, Reset: 1, Cancelled: 1, Full: 2, ConnectFailed: 2} {
+	for st, want := range map[mix.Status]int{mix.Error: 1, mix.TimedOut: 1, mix.Reset: 1, mix.Cancelled: 1, mix.Full: 2, mix.ConnectFailed: 2} {
 		b := newBed(t, base(), 0, 1, 2)
 		q, _ := b.query(2, 4*time.Second, 0)
 		b.run(20 * ms)
@@ -212,7 +216,7 @@
 		if len(b.sends) != want {
 			t.Errorf("status %d: %d attempts, want %d", st, len(b.sends), want)
 		}
-		if _, refused := b.last[q].(Refuse); refused {
+		if _, refused := b.last[q].(mix.Refuse); refused {
 			t.Errorf("status %d: refused though it may have run", st)
 		}
 	}
@@ -225,10 +229,10 @@
 		b.query(0, 4*time.Second, 0, 1, 2)
 	}
 	n := len(b.sends)
-	b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 2, Cell: 1, State: Draining, Nominal: 1}}})
+	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 1, State: mix.Draining, Nominal: 1}}})
 	for i := 0; i < n; i++ {
 		b.now += 20 * ms
-		b.outcome(b.sends[i], OK)
+		b.outcome(b.sends[i], mix.OK)
 	}
 	b.run(100 * ms)
 	for _, s := range b.sends[n:] {
@@ -253,7 +257,7 @@
 		taken = append(taken, b.now, b.now)
 		b.run(50 * ms)
 		for _, s := range append([]sent(nil), b.sends[k:]...) {
-			b.outcome(s, Error)
+			b.outcome(s, mix.Error)
 		}
 	}
 	extra := 0
@@ -286,16 +290,16 @@
 func TestColdServer(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(60, 50*ms)
-	b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 3, Cell: 2, State: Ready, Nominal: 1, Started: b.now}}})
+	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 3, Cell: 2, State: mix.Ready, Nominal: 1, Started: b.now}}})
 	for range 60 {
 		k := len(b.sends)
 		b.query(0, 4*time.Second, 0)
 		b.run(50 * ms)
 		for _, s := range append([]sent(nil), b.sends[k:]...) {
-			b.outcome(s, OK)
+			b.outcome(s, mix.OK)
 		}
 	}
-	n := map[ServerID]int{}
+	n := map[mix.ServerID]int{}
 	for _, s := range b.sends {
 		n[s.Server]++
 	}
@@ -309,22 +313,22 @@
 	b := newBed(t, base(), 0, 1, 2)
 	q, _ := b.query(3, 4*time.Second, 0, 1)
 	b.run(50 * ms)
-	b.outcome(b.sends[0], OK)
+	b.outcome(b.sends[0], mix.OK)
 	b.run(1000 * ms) // the other stays out: a partial answer saves the aim
-	if b.m.queries[q] == nil || b.m.queries[q].step != 2 {
+	if b.m.Queries[q] == nil || b.m.Queries[q].Step != 2 {
 		t.Fatal("no partial first answer by the aim")
 	}
 	b.owner[999] = q
 	k := len(b.sends)
-	b.step(PartArrived{ID: 999, Query: q, Shard: 0, Weight: 1})
+	b.step(mix.PartArrived{ID: 999, Query: q, Shard: 0, Weight: 1})
 	b.run(20 * ms)
 	for _, s := range append([]sent(nil), b.sends[k:]...) {
 		if s.Part == 999 {
-			b.outcome(s, OK)
+			b.outcome(s, mix.OK)
 			break
 		}
 	}
-	a, ok := b.last[q].(Answer)
+	a, ok := b.last[q].(mix.Answer)
 	if !ok || a.Whole {
 		t.Errorf("last word %v, want an answer that is not whole", b.last[q])
 	}
@@ -342,13 +346,13 @@
 			b.run(20 * ms)
 			for _, s := range append([]sent(nil), b.sends[k:]...) {
 				if s.Server == 1 {
-					b.outcome(s, Error)
+					b.outcome(s, mix.Error)
 				} else if b.now-s.at >= 40*ms {
-					b.outcome(s, OK)
+					b.outcome(s, mix.OK)
 				}
 			}
 		}
-		if _, ok := b.last[q].(Answer); !ok {
+		if _, ok := b.last[q].(mix.Answer); !ok {
 			lost++
 		}
 	}
@@ -370,7 +374,7 @@
 func (b *bed) wakes(until time.Duration) {
 	for b.wake > b.now && b.wake <= until {
 		b.now = b.wake
-		b.step(Wake{})
+		b.step(mix.Wake{})
 	}
 }
 
@@ -379,7 +383,7 @@
 func TestPartInTime(t *testing.T) {
 	set := base()
 	set.Tick, set.SecondCopies = ms, false
-	set.Classes[0] = Class{Aim: 300 * ms, Deadline: time.Second, Worth: 1, Effect: Safe, Need: 1, Floor: 0.5}
+	set.Classes[0] = mix.Class{Aim: 300 * ms, Deadline: time.Second, Worth: 1, Effect: mix.Safe, Need: 1, Floor: 0.5}
 	for _, offset := range []time.Duration{1, 3, 7, 9} {
 		b := newBed(t, set, 0, 1, 2)
 		b.now += 11 * ms
@@ -389,7 +393,7 @@
 		q, ids := b.query(0, time.Second, 0, 1)
 		for _, s := range slices.Clone(b.sends) {
 			if s.Part == ids[0] {
-				b.outcome(s, OK)
+				b.outcome(s, mix.OK)
 			}
 		}
 		b.wakes(came + 290*ms)
@@ -397,19 +401,19 @@
 			t.Fatalf("offset %v: answered in part while the rest could still come", offset)
 		}
 		b.wakes(came + 299*ms)
-		if a, ok := b.last[q].(Answer); !ok || a.Whole {
+		if a, ok := b.last[q].(mix.Answer); !ok || a.Whole {
 			t.Errorf("offset %v: no answer in part before the aim", offset)
 		}
 	}
 }
 
 // thin returns settings of one mixer of a large fleet that meets each server seldom: aims ten times an answer's time.
-func thin() Settings {
+func thin() mix.Settings {
 	set := base()
 	set.Siblings, set.Tick, set.SecondCopies, set.MaxAttempts = 80, ms, false, 4
-	set.Classes = []Class{
-		{Aim: 300 * ms, Deadline: time.Second, Worth: 3, Effect: Safe, Need: 1, Floor: 0.7},
-		{Aim: 380 * ms, Deadline: 1300 * ms, Worth: 2, Effect: Keyed, Window: 4 * time.Second, Need: 1, Floor: 1},
+	set.Classes = []mix.Class{
+		{Aim: 300 * ms, Deadline: time.Second, Worth: 3, Effect: mix.Safe, Need: 1, Floor: 0.7},
+		{Aim: 380 * ms, Deadline: 1300 * ms, Worth: 2, Effect: mix.Keyed, Window: 4 * time.Second, Need: 1, Floor: 1},
 	}
 	return set
 }
@@ -426,17 +430,17 @@
 		silent := b.sends[0].Server
 		for b.now < came+in && b.finals[q] == 0 {
 			b.now += 2 * ms
-			b.step(Wake{})
+			b.step(mix.Wake{})
 			for _, a := range b.acts {
-				if c, ok := a.(Cancel); ok {
-					b.outcome(b.sends[c.Attempt], Cancelled)
+				if c, ok := a.(mix.Cancel); ok {
+					b.outcome(b.sends[c.Attempt], mix.Cancelled)
 				}
 			}
 			if s := b.sends[len(b.sends)-1]; s.Server != silent && b.now-s.at >= 30*ms {
-				b.outcome(s, OK)
+				b.outcome(s, mix.OK)
 			}
 		}
-		if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+		if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
 			t.Errorf("class %d: %d attempts and no answer within the aim", class, len(b.sends))
 		}
 	}
@@ -451,10 +455,10 @@
 	first := b.sends[0]
 	for b.now < first.at+15*ms {
 		for _, s := range b.sends[max(len(b.sends)-1, 0):] {
-			b.outcome(s, Full)
+			b.outcome(s, mix.Full)
 		}
 		b.now += ms
-		b.step(Wake{})
+		b.step(mix.Wake{})
 	}
 	if len(b.sends) > 1 {
 		t.Errorf("sent %d times in half the time of an answer", len(b.sends))
@@ -475,7 +479,7 @@
 	for range 29 {
 		b.run(10 * ms)
 		for _, a := range b.acts {
-			if c, ok := a.(Cancel); ok {
+			if c, ok := a.(mix.Cancel); ok {
 				t.Fatalf("%v moved with no news of another replica", c)
 			}
 		}
@@ -497,13 +501,13 @@
 	}
 	refused, b := [2]int{}, newBed(t, set, cells...)
 	for range 200 {
-		b.m.shed, b.m.shedAt, b.m.wait, b.m.waitAt = 0.5, b.now, 0.35, b.now
+		b.m.Shed, b.m.ShedAt, b.m.Wait, b.m.WaitAt = 0.5, b.now, 0.35, b.now
 		for class, at := range [][]int{shards, shards[:1]} {
 			q, _ := b.query(class, time.Second, at...)
-			if _, ok := b.last[q].(Refuse); ok {
+			if _, ok := b.last[q].(mix.Refuse); ok {
 				refused[class]++
 			}
-			b.step(ClientLeft{q})
+			b.step(mix.ClientLeft{Query: q})
 		}
 	}
 	if refused[0] < 70 || refused[1] > 30 {
@@ -526,7 +530,7 @@
 	run := func(steps int) {
 		for range steps {
 			b.run(10 * ms)
-			called = called || stuck.Part > 0 && slices.Contains(b.acts, Action(Cancel{Part: stuck.Part}))
+			called = called || stuck.Part > 0 && slices.Contains(b.acts, mix.Action(mix.Cancel{Part: stuck.Part}))
 		}
 	}
 	for i := range 12 {
@@ -541,7 +545,7 @@
 			if s.Server == 1 && stuck.Part == 0 {
 				stuck = s
 			} else if s.Server != 1 || passed {
-				b.outcome(s, OK)
+				b.outcome(s, mix.OK)
 			}
 		}
 		if i == 11 && stuck.Part == 0 {
@@ -560,7 +564,7 @@
 	if !called || again() != 1 {
 		t.Fatalf("called off %v, %d attempts before that is through", called, again())
 	}
-	b.outcome(stuck, Cancelled)
+	b.outcome(stuck, mix.Cancelled)
 	b.run(10 * ms)
 	if s := b.sends[len(b.sends)-1]; again() != 2 || s.Part != stuck.Part || s.Server == 1 {
 		t.Errorf("%d attempts, the last %+v", again(), s)
@@ -575,7 +579,7 @@
 	b := newBed(t, set, 0, 0, 0)
 	b.warm(30, 60*ms)
 	var due []sent // answers to come; at is when
-	n, asked, late, seen := map[ServerID]int{}, map[QueryID]time.Duration{}, 0, 0
+	n, asked, late, seen := map[mix.ServerID]int{}, map[mix.QueryID]time.Duration{}, 0, 0
 	busy := b.now // until then the sound one has work
 	for i := range 3000 {
 		if i%3 == 0 {
@@ -586,7 +590,7 @@
 		for ; seen < len(b.sends); seen++ {
 			s := b.sends[seen]
 			if n[s.Server]++; s.Server < 3 && n[s.Server]%5 > 0 {
-				b.outcome(s, Error)
+				b.outcome(s, mix.Error)
 				continue
 			}
 			if s.at = b.now + 60*ms; s.Server == 3 {
@@ -599,7 +603,7 @@
 			if s.at > b.now {
 				return false
 			}
-			b.outcome(s, OK)
+			b.outcome(s, mix.OK)
 			if b.now-asked[b.owner[s.Part]] > 600*ms {
 				late++
 			}
@@ -622,14 +626,14 @@
 			b.run(20 * ms)
 			for _, s := range append([]sent(nil), b.sends...) {
 				if s.Server != 2 && b.now-s.at >= 40*ms && b.now-s.at < 80*ms {
-					b.outcome(s, OK)
+					b.outcome(s, mix.OK)
 				}
 			}
 			if b.finals[q] > 0 {
 				break
 			}
 		}
-		if _, ok := b.last[q].(Answer); !ok {
+		if _, ok := b.last[q].(mix.Answer); !ok {
 			late++
 		}
 	}
@@ -645,7 +649,7 @@
 	b := newBed(t, set, 0, 1, 2)
 	asks := func() (n int) {
 		for _, a := range b.acts {
-			if _, ok := a.(Subscribe); ok {
+			if _, ok := a.(mix.Subscribe); ok {
 				n++
 			}
 		}
@@ -656,10 +660,10 @@
 	}
 	total := 0
 	for range 20 {
-		b.step(ServerList{Kind: ListFailed})
+		b.step(mix.ServerList{Kind: mix.ListFailed})
 		for range 500 {
 			b.now += 10 * ms
-			b.step(Wake{})
+			b.step(mix.Wake{})
 			if asks() > 0 {
 				total++
 				break
@@ -669,7 +673,7 @@
 	if total != 20 {
 		t.Errorf("asked again %d times after 20 failures", total)
 	}
-	b.step(ServerList{Kind: Whole, Servers: []ServerInfo{{ID: 1, Cell: 0, State: Ready}}})
+	b.step(mix.ServerList{Kind: mix.Whole, Servers: []mix.ServerInfo{{ID: 1, Cell: 0, State: mix.Ready}}})
 	b.run(10 * time.Second)
 	if asks() != 0 {
 		t.Error("asked though subscribed")
@@ -679,14 +683,14 @@
 // Bad input to the public interface is ignored, or refused where a query is owed its answer.
 func TestBadInput(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
-	b.step(QueryArrived{ID: 1, Class: 99, Left: time.Second, Parts: 1}, Outcome{Part: 5}, ClientLeft{Query: 9},
-		PartArrived{ID: 8, Query: 77}, PartArrived{ID: 9, Query: 1, Shard: -4})
-	if _, ok := b.last[1].(Refuse); !ok {
+	b.step(mix.QueryArrived{ID: 1, Class: 99, Left: time.Second, Parts: 1}, mix.Outcome{Part: 5}, mix.ClientLeft{Query: 9},
+		mix.PartArrived{ID: 8, Query: 77}, mix.PartArrived{ID: 9, Query: 1, Shard: -4})
+	if _, ok := b.last[1].(mix.Refuse); !ok {
 		t.Error("a query of an unknown class was not refused")
 	}
 	q, p := b.query(0, time.Second, 0)
 	b.now -= 500 * ms // time going backwards counts as standing still
-	b.step(QueryArrived{ID: q, Left: time.Second, Parts: 1}, Outcome{Part: p[0], Attempt: 7})
+	b.step(mix.QueryArrived{ID: q, Left: time.Second, Parts: 1}, mix.Outcome{Part: p[0], Attempt: 7})
 	b.now += 500 * ms
 	b.run(time.Second)
 	if b.finals[q] != 1 {
@@ -711,27 +715,27 @@
 				b.run(20 * ms)
 				for _, s := range append([]sent(nil), b.sends[k:]...) {
 					if bad && s.Server == 1 {
-						b.outcome(s, Error)
+						b.outcome(s, mix.Error)
 					} else if b.now-s.at >= 40*ms {
-						b.outcome(s, OK)
+						b.outcome(s, mix.OK)
 					}
 				}
 			}
-			if _, is := b.last[q].(Answer); is {
+			if _, is := b.last[q].(mix.Answer); is {
 				ok++
 			}
 		}
 		return ok
 	}
-	b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 2, Cell: 1, State: Ready, Started: b.now},
-		{ID: 3, Cell: 2, State: Draining}}})
+	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 1, State: mix.Ready, Started: b.now},
+		{ID: 3, Cell: 2, State: mix.Draining}}})
 	play(40, true)
 	for _, s := range b.sends {
 		if s.Server == 3 {
 			t.Fatal("sent to a draining server")
 		}
 	}
-	b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 3, Cell: 2, State: Ready}}})
+	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 3, Cell: 2, State: mix.Ready}}})
 	b.run(15 * time.Second)
 	if ok := play(40, false); ok < 38 {
 		t.Errorf("after the symptoms %d of 40 were answered", ok)
@@ -740,14 +744,14 @@
 
 // Identical events give identical actions.
 func TestDeterminism(t *testing.T) {
-	play := func() (all []Action) {
+	play := func() (all []mix.Action) {
 		b := newBed(t, base(), 0, 1, 2, 0, 1, 2)
 		for i := range 300 {
 			b.query(i%4, 2*time.Second, i%3, (i+1)%3)
 			b.now += 7 * ms
 			for j := len(b.sends) - 8; j < len(b.sends); j += 3 {
 				if j >= 0 {
-					b.outcome(b.sends[j], []Status{OK, OK, Error, TimedOut}[j%4])
+					b.outcome(b.sends[j], []mix.Status{mix.OK, mix.OK, mix.Error, mix.TimedOut}[j%4])
 				}
 			}
 			all = append(all, b.acts...)
@@ -759,19 +763,27 @@
 	}
 }
 
-// The module stays readable: at most 1000 lines that are not blank, none over 110 characters.
+// The module stays readable: at most 1000 lines that are not blank in all of its folder, none over 110 characters.
 func TestSize(t *testing.T) {
-	f, err := os.Open("policy.go")
-	if err != nil {
-		t.Fatal(err)
+	files, err := filepath.Glob("*.go")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
 	}
-	defer f.Close()
-	n, lines := 0, bufio.NewScanner(f)
-	for at := 1; lines.Scan(); at++ {
-		if l := []rune(lines.Text()); len(l) > 0 {
-			n++
-			if len(l) > 110 {
-				t.Errorf("line %d has %d characters", at, len(l))
+	n := 0
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for at, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				n++
+			}
+			if l := len([]rune(line)); l > 110 {
+				t.Errorf("%s: line %d has %d characters", name, at+1, l)
 			}
 		}
 	}
@@ -788,9 +800,9 @@
 	b.sends = nil
 	q, _ := b.query(3, 2*time.Second, 0, 1) // half the class's wait, as a late repeat would have
 	b.run(50 * ms)
-	b.outcome(b.sends[0], OK)
+	b.outcome(b.sends[0], mix.OK)
 	b.run(100 * ms)
-	if b.m.queries[q] == nil || b.m.queries[q].step != 1 {
+	if b.m.Queries[q] == nil || b.m.Queries[q].Step != 1 {
 		t.Fatal("answered in part long before the aim")
 	}
 }
@@ -799,7 +811,7 @@
 func TestAllSuspect(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 50*ms)
-	play := func(n int, st Status) (ok int) {
+	play := func(n int, st mix.Status) (ok int) {
 		for range n {
 			k := len(b.sends)
 			q, _ := b.query(0, 4*time.Second, 0)
@@ -809,18 +821,18 @@
 					b.outcome(s, st)
 				}
 			}
-			if _, is := b.last[q].(Answer); is {
+			if _, is := b.last[q].(mix.Answer); is {
 				ok++
 			}
 		}
 		return ok
 	}
-	play(20, Error)
+	play(20, mix.Error)
 	if len(b.sends) < 20 {
 		t.Errorf("only %d attempts for 20 queries: the least bad replica is not used", len(b.sends))
 	}
 	b.run(5 * time.Second)
-	if ok := play(30, OK); ok < 28 {
+	if ok := play(30, mix.OK); ok < 28 {
 		t.Errorf("%d of 30 answered once the errors had ended", ok)
 	}
 }
@@ -832,14 +844,14 @@
 		b.query(0, time.Second, 0, 1, 2)
 		b.run(10 * ms)
 		if n := len(b.sends); n > 3 && n%3 == 0 {
-			b.outcome(b.sends[n/2], OK)
+			b.outcome(b.sends[n/2], mix.OK)
 		}
 	}
 	b.run(1500 * ms)
 	if len(b.finals) != 300 {
 		t.Errorf("%d of 300 queries have a final answer", len(b.finals))
 	}
-	if len(b.m.queries) != 0 || len(b.m.live) != 0 {
+	if len(b.m.Queries) != 0 || len(b.m.Live) != 0 {
 		t.Error("ended queries are still on the books")
 	}
 }
@@ -849,13 +861,13 @@
 func TestPoison(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 50*ms)
-	kill := func(q QueryID) {
+	kill := func(q mix.QueryID) {
 		for range 20 {
 			b.run(20 * ms)
 			for _, s := range append([]sent(nil), b.sends...) {
 				if b.owner[s.Part] == q {
-					b.outcome(s, Reset)
-					b.m.servers[s.Server].diedAt = b.now // as when the next connection is refused
+					b.outcome(s, mix.Reset)
+					b.m.Servers[s.Server].DiedAt = b.now // as when the next connection is refused
 				}
 			}
 		}
@@ -865,12 +877,12 @@
 	if n := len(b.sends); n != 4 {
 		t.Errorf("%d attempts of a query that kills servers, want 3 and one alone", n)
 	}
-	if _, ok := b.last[q].(Refuse); !ok {
+	if _, ok := b.last[q].(mix.Refuse); !ok {
 		t.Errorf("last word %v, want Refuse", b.last[q])
 	}
 	b.sends = nil
 	again, _ := b.query(0, 4*time.Second, 0, 1, 2)
-	if _, ok := b.last[again].(Refuse); !ok || len(b.sends) > 0 {
+	if _, ok := b.last[again].(mix.Refuse); !ok || len(b.sends) > 0 {
 		t.Error("the same query was not refused when it came again")
 	}
 	if other, _ := b.query(0, 4*time.Second, 1, 2); b.finals[other] > 0 || len(b.sends) == 0 {
@@ -885,14 +897,14 @@
 	b := newBed(t, set, 0, 1, 2)
 	b.warm(30, 50*ms)
 	q, _ := b.query(0, 4*time.Second, 0)
-	for i, st := range []Status{Reset, Reset, OK} {
+	for i, st := range []mix.Status{mix.Reset, mix.Reset, mix.OK} {
 		b.run(20 * ms)
 		if len(b.sends) != i+1 {
 			t.Fatalf("%d attempts, want %d; last word %v", len(b.sends), i+1, b.last[q])
 		}
 		b.outcome(b.sends[i], st)
 	}
-	if _, ok := b.last[q].(Answer); !ok {
+	if _, ok := b.last[q].(mix.Answer); !ok {
 		t.Errorf("last word %v, want an answer", b.last[q])
 	}
 }
@@ -903,14 +915,14 @@
 	b.warm(30, 50*ms)
 	q, _ := b.query(0, 4*time.Second, 0, 1)
 	b.run(50 * ms)
-	b.outcome(b.sends[0], OK)
-	b.outcome(b.sends[1], Reset)
+	b.outcome(b.sends[0], mix.OK)
+	b.outcome(b.sends[1], mix.Reset)
 	b.run(10 * ms)
 	if len(b.sends) != 3 {
 		t.Fatalf("%d attempts, want the lost part sent again", len(b.sends))
 	}
-	b.outcome(b.sends[2], OK)
-	if _, ok := b.last[q].(Answer); !ok {
+	b.outcome(b.sends[2], mix.OK)
+	if _, ok := b.last[q].(mix.Answer); !ok {
 		t.Errorf("last word %v, want an answer", b.last[q])
 	}
 }
@@ -922,7 +934,7 @@
 	b := newBed(t, set, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 	for i := range 3 {
 		b.now += 100 * ms
-		b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: ServerID(i + 1), Cell: i, Zone: i % 2, Nominal: 1}}})
+		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: mix.ServerID(i + 1), Cell: i, Zone: i % 2, Nominal: 1}}})
 	}
 	b.run(200 * ms)
 	b.query(0, 4*time.Second, 3, 4, 5)
@@ -930,7 +942,7 @@
 	if len(b.sends) != 1 {
 		t.Fatalf("%d parts sent while crashes are about, want one first", len(b.sends))
 	}
-	b.outcome(b.sends[0], OK)
+	b.outcome(b.sends[0], mix.OK)
 	b.run(20 * ms)
 	if len(b.sends) != 3 {
 		t.Errorf("%d parts sent once the first came back, want all", len(b.sends))
@@ -941,29 +953,29 @@
 // breaks and whose server then cannot be reached is.
 func TestLoneResetsAreNoCrashes(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
-	for i, s := range b.m.order {
+	for i, s := range b.m.Order {
 		s.Zone = i % 2
 	}
-	b.m.index()
-	end := func(st Status) {
+	b.m.Index()
+	end := func(st mix.Status) {
 		for i := range 3 {
 			k := len(b.sends)
 			b.query(0, 4*time.Second, i)
 			for n := range 3 { // each server in turn, as one that was tried is passed over
 				b.run(20 * ms)
-				if len(b.sends) > k+n && (st != Reset || n == 0) {
+				if len(b.sends) > k+n && (st != mix.Reset || n == 0) {
 					b.outcome(b.sends[k+n], st)
 				}
 			}
 		}
 		b.run(200 * ms)
 	}
-	end(Reset)
-	if b.m.alarm {
+	end(mix.Reset)
+	if b.m.Alarm {
 		t.Error("lone resets count as crashes")
 	}
-	end(ConnectFailed)
-	if !b.m.alarm {
+	end(mix.ConnectFailed)
+	if !b.m.Alarm {
 		t.Error("servers that reset and then refuse do not count as crashes")
 	}
 }
@@ -974,11 +986,11 @@
 	set := thin()
 	set.Probes, set.Siblings = true, 4 // no subset
 	b := newBed(t, set)
-	var l []ServerInfo
+	var l []mix.ServerInfo
 	for i := range 40 {
-		l = append(l, ServerInfo{ID: ServerID(i + 1), Cell: 0, State: Ready, Zone: i % 2})
+		l = append(l, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: 0, State: mix.Ready, Zone: i % 2})
 	}
-	b.step(ServerList{Kind: Whole, Servers: l})
+	b.step(mix.ServerList{Kind: mix.Whole, Servers: l})
 	b.warm(60, 30*ms)
 	there := func(s sent) bool { return s.Server%2 == 0 } // zone 1, from which nothing comes any more
 	for i, n := 0, 0; i < 40; i++ {
@@ -989,11 +1001,11 @@
 		b.run(10 * ms)
 		for _, s := range slices.Clone(b.sends) {
 			if !there(s) && b.now-s.at >= 30*ms && b.now-s.at < 40*ms {
-				b.outcome(s, OK)
+				b.outcome(s, mix.OK)
 			}
 		}
-		if i == 39 && (b.m.zones[1].far || slices.ContainsFunc(b.sends[n:], there)) {
-			t.Errorf("far %v, and parts still go there after 250 ms", b.m.zones[1].far)
+		if i == 39 && (b.m.Zones[1].Far || slices.ContainsFunc(b.sends[n:], there)) {
+			t.Errorf("far %v, and parts still go there after 250 ms", b.m.Zones[1].Far)
 		}
 	}
 }
@@ -1005,16 +1017,16 @@
 		set := base()
 		set.Probes = true
 		b := newBed(t, set)
-		var l []ServerInfo
+		var l []mix.ServerInfo
 		for i := range 3 {
-			l = append(l, ServerInfo{ID: ServerID(i + 1), Cell: i, State: Ready, Zone: min(i, 1)})
+			l = append(l, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: i, State: mix.Ready, Zone: min(i, 1)})
 		}
-		b.step(ServerList{Kind: Whole, Servers: l})
+		b.step(mix.ServerList{Kind: mix.Whole, Servers: l})
 		b.warm(30, 50*ms)
 		probe := func(ok bool) {
 			for _, a := range b.acts {
-				if p, is := a.(Probe); is {
-					b.step(Probed{Server: p.Server, OK: ok})
+				if p, is := a.(mix.Probe); is {
+					b.step(mix.Probed{Server: p.Server, OK: ok})
 				}
 			}
 		}
@@ -1026,24 +1038,24 @@
 				b.run(10 * ms)
 				for _, s := range append([]sent(nil), b.sends...) {
 					if s.Server == 1 && b.now-s.at >= 40*ms {
-						b.outcome(s, OK)
+						b.outcome(s, mix.OK)
 					}
 				}
 				b.run(10 * ms)
 				probe(through)
 			}
 		}
-		if far := b.m.zones[1].far; far == through {
+		if far := b.m.Zones[1].Far; far == through {
 			t.Errorf("probes through %v: far is %v", through, far)
 		}
 		if through {
 			continue
 		}
-		if bad := b.m.servers[2].bad; bad > badBack {
+		if bad := b.m.Servers[2].Bad; bad > badBack {
 			t.Errorf("a server behind the slow way is blamed: %v", bad)
 		}
-		b.step(Probed{Server: 2, OK: true})
-		if b.m.zones[1].far {
+		b.step(mix.Probed{Server: 2, OK: true})
+		if b.m.Zones[1].Far {
 			t.Error("still far after a probe got through")
 		}
 	}
@@ -1060,15 +1072,15 @@
 			q, _ := b.query(0, 4*time.Second, 0, 1, 2, 0, 1, 2)
 			b.run(took)
 			for ; k < len(b.sends); k++ { // copies sent meanwhile too
-				b.outcome(b.sends[k], OK)
+				b.outcome(b.sends[k], mix.OK)
 			}
-			if _, is := b.last[q].(Refuse); is {
+			if _, is := b.last[q].(mix.Refuse); is {
 				r++
 			}
 		}
 		return r
 	}
-	if refused(20, 1200*ms); b.m.shed == 0 && refused(5, 1200*ms) == 0 {
+	if refused(20, 1200*ms); b.m.Shed == 0 && refused(5, 1200*ms) == 0 {
 		t.Error("nothing refused though every part waits past its deadline at the servers")
 	}
 	b.run(5 * time.Second)
@@ -1082,13 +1094,13 @@
 func TestLateClock(t *testing.T) {
 	for _, start := range []time.Duration{0, 300 * time.Hour} {
 		m, _ := New(base(), 7)
-		m.Step(start+time.Second, []Event{ServerList{Kind: Cached, Servers: []ServerInfo{{ID: 1, State: Ready}}}})
-		if m.typical <= 0 || m.typical > 0.5 {
-			t.Errorf("clock from %v: the start curve's median is %v s", start, m.typical)
+		m.Step(start+time.Second, []mix.Event{mix.ServerList{Kind: mix.Cached, Servers: []mix.ServerInfo{{ID: 1, State: mix.Ready}}}})
+		if m.Typical <= 0 || m.Typical > 0.5 {
+			t.Errorf("clock from %v: the start curve's median is %v s", start, m.Typical)
 		}
-		m.pool.add(start+time.Second, 0.05)
-		m.surveyPool()
-		if cdf := m.cdf(m.servers[1]); !(cdf[len(cdf)-1] > 0.99) {
+		m.Pool.Add(start+time.Second, 0.05)
+		m.SurveyPool()
+		if cdf := m.CDF(m.Servers[1]); !(cdf[len(cdf)-1] > 0.99) {
 			t.Errorf("clock from %v: an unheard server's record ends at %v", start, cdf[len(cdf)-1])
 		}
 	}
@@ -1106,8 +1118,8 @@
 	if len(b.sends) < 2 {
 		t.Fatal("no copy by the deadline")
 	}
-	b.outcome(b.sends[1], OK)
-	if _, ok := b.last[q].(Answer); !ok {
+	b.outcome(b.sends[1], mix.OK)
+	if _, ok := b.last[q].(mix.Answer); !ok {
 		t.Errorf("last word %v, want an answer", b.last[q])
 	}
 }
@@ -1125,17 +1137,17 @@
 		b.run(10 * ms)
 		for _, s := range b.sends[1:] {
 			if s.Part != parts[0] && b.now-s.at == 10*ms {
-				b.outcome(s, OK)
+				b.outcome(s, mix.OK)
 			}
 		}
 		if n := b.tries[parts[0]]; n != 1 {
 			t.Fatalf("%d attempts of a keyed part, the first still out", n)
 		}
 	}
-	if !b.m.parts[parts[0]].attempts[0].moved {
+	if !b.m.Parts[parts[0]].Attempts[0].Moved {
 		t.Fatal("it was not called off")
 	}
-	b.outcome(b.sends[0], Cancelled)
+	b.outcome(b.sends[0], mix.Cancelled)
 	if n := b.tries[parts[0]]; n != 2 {
 		t.Errorf("%d attempts when the first was called off", n)
 	}
@@ -1146,7 +1158,7 @@
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 50*ms)
 	b.run(20 * time.Second)
-	s := b.m.servers[1]
+	s := b.m.Servers[1]
 	b.m.heard(s, 0.5, true) // ten times the usual
 	b.m.surveyServers()
 	if tr := b.m.trust(s); tr >= trusted {
@@ -1159,7 +1171,7 @@
 func TestOwnStall(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 50*ms)
-	lat, missed := b.m.servers[1].lat, b.m.missed.sum
+	lat, missed := b.m.Servers[1].Lat, b.m.Missed.Sum
 	for range 8 { // more than the caps let out, so that some are held
 		b.query(0, 4*time.Second, 0, 1, 2)
 	}
@@ -1167,16 +1179,16 @@
 	b.now += 900 * ms
 	b.nextID++
 	out, sends := append([]sent(nil), b.sends...), len(b.sends)
-	var ev []Event
+	var ev []mix.Event
 	for _, s := range out[:len(out)-3] {
-		ev = append(ev, Outcome{Part: s.Part, Server: s.Server, Attempt: s.attempt, Status: OK, Took: 50 * ms})
+		ev = append(ev, mix.Outcome{Part: s.Part, Server: s.Server, Attempt: s.attempt, Status: mix.OK, Took: 50 * ms})
 	}
 	b.step(ev...)
-	if got := b.m.servers[1].lat; got > 2*lat {
+	if got := b.m.Servers[1].Lat; got > 2*lat {
 		t.Errorf("answer time %v after the stall, %v before", got, lat)
 	}
-	if b.m.missed.sum > missed {
-		t.Errorf("%v misses counted of our own stall", b.m.missed.sum-missed)
+	if b.m.Missed.Sum > missed {
+		t.Errorf("%v misses counted of our own stall", b.m.Missed.Sum-missed)
 	}
 	for _, s := range b.sends[sends:] {
 		if s.attempt > 0 {
@@ -1191,7 +1203,7 @@
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 200*ms)
 	q, _ := b.query(0, 100*ms, 0, 1)
-	if _, ok := b.last[q].(Refuse); !ok || len(b.sends) > 0 {
+	if _, ok := b.last[q].(mix.Refuse); !ok || len(b.sends) > 0 {
 		t.Errorf("last word %v and %d parts sent, want a refusal and none", b.last[q], len(b.sends))
 	}
 	if q, _ = b.query(0, 400*ms, 0, 1); b.finals[q] > 0 || len(b.sends) != 2 {
@@ -1214,7 +1226,7 @@
 	b.run(40 * ms)
 	for _, s := range append([]sent(nil), b.sends...) {
 		if s.Server != 1 {
-			b.outcome(s, OK)
+			b.outcome(s, mix.OK)
 		}
 	}
 	b.run(300 * ms)
@@ -1232,7 +1244,7 @@
 		t.Errorf("%d copies for 48 queries and parts, want a twentieth of them", copies)
 	}
 	for _, s := range append([]sent(nil), b.sends...) {
-		b.outcome(s, Error)
+		b.outcome(s, mix.Error)
 	}
 	b.run(50 * ms)
 	if n := len(b.sends) - 24 - copies; n < 2 {
@@ -1244,30 +1256,30 @@
 func TestLongLife(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	for i := range 200 {
-		id := ServerID(100 + i)
-		b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: id, Cell: 1, State: Ready, Nominal: 1}}})
+		id := mix.ServerID(100 + i)
+		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: id, Cell: 1, State: mix.Ready, Nominal: 1}}})
 		for range 10 {
 			k := len(b.sends)
 			b.query(0, 4*time.Second, 0, 1)
 			b.run(50 * ms)
 			for _, s := range append([]sent(nil), b.sends[k:]...) {
-				b.outcome(s, OK)
+				b.outcome(s, mix.OK)
 			}
 		}
-		b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: id, Cell: 1, State: Gone, Nominal: 1}}})
+		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: id, Cell: 1, State: mix.Gone, Nominal: 1}}})
 		b.sends = nil
 	}
-	b.m.suspects[1] = b.now - time.Hour
+	b.m.Suspects[1] = b.now - time.Hour
 	b.run(time.Minute)
 	b.query(0, 4*time.Second, 0)
 	b.run(200 * ms)
-	if n := len(b.m.servers); n > 10 || len(b.m.order) != n {
-		t.Errorf("%d servers and %d in order after 200 came and went", n, len(b.m.order))
+	if n := len(b.m.Servers); n > 10 || len(b.m.Order) != n {
+		t.Errorf("%d servers and %d in order after 200 came and went", n, len(b.m.Order))
 	}
-	if n := len(b.m.taken.at); n > 1000 {
+	if n := len(b.m.Taken.At); n > 1000 {
 		t.Errorf("%d entries of what was taken, want only the last span's", n)
 	}
-	if n := len(b.m.suspects); n > 0 {
+	if n := len(b.m.Suspects); n > 0 {
 		t.Errorf("%d old suspects kept", n)
 	}
 }
@@ -1277,12 +1289,12 @@
 func TestColdShareOfSmallMixers(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.run(time.Minute)
-	s := b.m.servers[2]
+	s := b.m.Servers[2]
 	s.Started = b.now
 	can := func(after time.Duration) bool {
 		b.now = s.Started + after
-		b.step(Wake{})
-		b.m.usual = 0.5 / 3 // parts a second that a warm server answers us
+		b.step(mix.Wake{})
+		b.m.Carried = 0.5 / 3 // parts a second that a warm server answers us
 		return b.m.sendable(s)
 	}
 	if can(time.Second) || can(2*time.Second) {
@@ -1298,17 +1310,17 @@
 func TestColdServerInStorm(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 300*ms) // one part a second and server
-	b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 3, Cell: 2, State: Ready, Nominal: 1, Started: b.now}}})
-	n, cold := 0, b.m.servers[3]
+	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 3, Cell: 2, State: mix.Ready, Nominal: 1, Started: b.now}}})
+	n, cold := 0, b.m.Servers[3]
 	for range 300 { // 3 s, in which the warm ones are sent a hundred parts a second each, and answer none
-		for _, s := range []*server{b.m.servers[1], b.m.servers[2]} {
-			p := &part{}
-			b.m.launch(p, s, false)
-			s.drop(p.attempts[0])
+		for _, s := range []*fleet.Server{b.m.Servers[1], b.m.Servers[2]} {
+			p := &fleet.Part{}
+			b.m.Launch(p, s, false)
+			s.Drop(p.Attempts[0])
 		}
 		b.run(10 * ms)
 		if b.m.sendable(cold) {
-			b.m.launch(&part{}, cold, false)
+			b.m.Launch(&fleet.Part{}, cold, false)
 			n++
 		}
 	}
@@ -1323,7 +1335,7 @@
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(20, 50*ms)
 	b.query(0, 4*time.Second, 0) // what the class usually has left
-	b.m.shed = 1
+	b.m.Shed = 1
 	k := len(b.sends)
 	q, _ := b.query(0, 2*time.Second, 0, 1) // as much less as a late repeat would have
 	b.run(20 * ms)
@@ -1334,16 +1346,16 @@
 
 // Mixers that start together do not all begin at the same servers.
 func TestStartsSpread(t *testing.T) {
-	first := map[ServerID]int{}
+	first := map[mix.ServerID]int{}
 	for seed := range uint64(30) {
 		m, _ := New(base(), seed)
-		var list []ServerInfo
+		var list []mix.ServerInfo
 		for i := range 3 {
-			list = append(list, ServerInfo{ID: ServerID(i + 1), Cell: i, State: Ready})
+			list = append(list, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: i, State: mix.Ready})
 		}
-		for _, a := range m.Step(time.Second, []Event{ServerList{Kind: Cached, Servers: list},
-			QueryArrived{ID: 1, Left: 4 * time.Second, Parts: 1}, PartArrived{ID: 2, Query: 1, Weight: 1}}) {
-			if s, ok := a.(Send); ok {
+		for _, a := range m.Step(time.Second, []mix.Event{mix.ServerList{Kind: mix.Cached, Servers: list},
+			mix.QueryArrived{ID: 1, Left: 4 * time.Second, Parts: 1}, mix.PartArrived{ID: 2, Query: 1, Weight: 1}}) {
+			if s, ok := a.(mix.Send); ok {
 				first[s.Server]++
 			}
 		}
@@ -1361,7 +1373,7 @@
 	set.Width = 1
 	b := newBed(t, set, 0, 1, 2)
 	b.warm(20, 50*ms)
-	b.m.servers[1].bad, b.m.servers[1].badAt = 0.5, b.now
+	b.m.Servers[1].Bad, b.m.Servers[1].BadAt = 0.5, b.now
 	q, _ := b.query(0, 4*time.Second, 0, 1, 2, 1, 2)
 	if len(b.sends) != 3 {
 		t.Fatalf("%d parts sent, want the 3 of 5 that make a whole", len(b.sends))
@@ -1371,7 +1383,7 @@
 			t.Error("a part of the weak shard was asked for first")
 		}
 	}
-	b.outcome(b.sends[0], Error)
+	b.outcome(b.sends[0], mix.Error)
 	if len(b.sends) != 4 || b.finals[q] > 0 {
 		t.Fatalf("%d parts sent and %d last words after a lost part, want 4 and none", len(b.sends), b.finals[q])
 	}
@@ -1379,11 +1391,11 @@
 	if len(b.sends) != 5 {
 		t.Errorf("%d parts sent once others were late, want all 5", len(b.sends))
 	}
-	b.outcome(b.sends[1], Error)
+	b.outcome(b.sends[1], mix.Error)
 	if b.finals[q] > 0 {
 		t.Fatal("given up though three parts can still come")
 	}
-	b.outcome(b.sends[2], Error)
+	b.outcome(b.sends[2], mix.Error)
 	if b.finals[q] != 1 {
 		t.Error("not given up at once when two of five could still come")
 	}
@@ -1399,12 +1411,12 @@
 		if b.run(10 * ms); i%5 == 4 {
 			for k := 0; k < len(b.sends); k++ {
 				if b.sends[k].Server > 2 {
-					b.outcome(b.sends[k], OK)
+					b.outcome(b.sends[k], mix.OK)
 				}
 			}
 		}
 	}
-	if _, is := b.last[q].(Answer); !is {
+	if _, is := b.last[q].(mix.Answer); !is {
 		t.Errorf("last word %v, want an answer within the aim by copies", b.last[q])
 	}
 }
@@ -1417,19 +1429,19 @@
 		k := len(b.sends)
 		b.query(0, 4*time.Second, 0)
 		b.run(500 * ms)
-		b.outcome(b.sends[k], OK)
+		b.outcome(b.sends[k], mix.OK)
 	}
-	s := b.m.servers[1]
-	p := &part{PartArrived: PartArrived{ID: 9}, q: &query{class: &b.m.set.Classes[0], ended: true}, index: -1}
-	b.m.parts[9] = p
-	b.m.launch(p, s, false)
+	s := b.m.Servers[1]
+	p := &fleet.Part{PartArrived: mix.PartArrived{ID: 9}, Q: &fleet.Query{Terms: &b.m.Set.Classes[0], Ended: true}, Index: -1}
+	b.m.Parts[9] = p
+	b.m.Launch(p, s, false)
 	b.run(3 * time.Second)
-	b.step(Outcome{Part: 9, Server: 1, Status: Cancelled})
+	b.step(mix.Outcome{Part: 9, Server: 1, Status: mix.Cancelled})
 	b.run(6 * time.Second)
 	if got := b.m.trust(s); got >= trusted {
 		t.Errorf("trust %.2f two meetings after a silence, want a suspect still", got)
 	}
-	if again := (&part{attempts: p.attempts}); b.m.tier(b.m.servers[1], again) == 0 {
+	if again := (&fleet.Part{Attempts: p.Attempts}); b.m.tier(b.m.Servers[1], again) == 0 {
 		t.Error("a suspect takes a further attempt as if it were sound")
 	}
 	b.run(time.Minute)
@@ -1445,13 +1457,13 @@
 	set.SecondCopies = false
 	b := newBed(t, set, 0, 1, 2)
 	b.warm(30, 50*ms)
-	closed := map[ServerID]bool{}
+	closed := map[mix.ServerID]bool{}
 	n, answered := 0, 0
 	for range 60 {
 		k := len(b.sends)
 		q, _ := b.query(0, time.Second, 0, 1, 2)
 		for _, a := range b.acts {
-			if c, is := a.(CloseIdle); is {
+			if c, is := a.(mix.CloseIdle); is {
 				closed[c.Server] = true
 				n++
 			}
@@ -1459,15 +1471,15 @@
 		b.run(100 * ms)
 		for _, s := range b.sends[k:] {
 			if closed[s.Server] { // opened anew
-				b.outcome(s, OK)
+				b.outcome(s, mix.OK)
 			}
 		}
-		if _, is := b.last[q].(Answer); is {
+		if _, is := b.last[q].(mix.Answer); is {
 			answered++
 		}
 		b.run(time.Second)
 		for ; k < len(b.sends); k++ {
-			b.outcome(b.sends[k], Cancelled)
+			b.outcome(b.sends[k], mix.Cancelled)
 		}
 		clear(closed)
 		b.run(500 * ms)
@@ -1475,9 +1487,9 @@
 	if answered < 30 {
 		t.Errorf("%d of 60 queries answered with %d connections closed, want most once it is known", answered, n)
 	}
-	for _, s := range b.m.order {
-		if s.bad > badLog {
-			t.Errorf("server %d is blamed for its connections: %.2f", s.ID, s.bad)
+	for _, s := range b.m.Order {
+		if s.Bad > badLog {
+			t.Errorf("server %d is blamed for its connections: %.2f", s.ID, s.Bad)
 		}
 	}
 }
@@ -1488,10 +1500,10 @@
 func TestTrialsAreFew(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(60, 50*ms)
-	s, p := b.m.servers[1], &part{q: &query{class: &b.m.set.Classes[0]}, index: -1}
+	s, p := b.m.Servers[1], &fleet.Part{Q: &fleet.Query{Terms: &b.m.Set.Classes[0]}, Index: -1}
 	tier := func(answers float64) int { // a second and server
-		b.m.usual = answers
-		s.bad, s.badAt = 0.9, b.now
+		b.m.Carried = answers
+		s.Bad, s.BadAt = 0.9, b.now
 		return b.m.tier(s, p)
 	}
 	b.m.note(s, false, 1)
@@ -1514,31 +1526,31 @@
 	b := newBed(t, set, 0, 1, 2)
 	b.warm(60, 50*ms)
 	for range 20 {
-		b.m.heard(b.m.servers[2], 2, false)
+		b.m.heard(b.m.Servers[2], 2, false)
 	}
 	for range 10 {
-		b.m.note(b.m.servers[3], false, 1)
+		b.m.note(b.m.Servers[3], false, 1)
 	}
 	for shard, want := range []bool{false, true, true} {
-		p := &part{PartArrived: PartArrived{Shard: shard}, deadline: b.now + time.Second}
+		p := &fleet.Part{PartArrived: mix.PartArrived{Shard: shard}, Deadline: b.now + time.Second}
 		if got := b.m.wouldMiss(p); got != want {
 			t.Errorf("shard %d: a miss is %v, want %v", shard, got, want)
 		}
 	}
-	b.m.shed = 1
+	b.m.Shed = 1
 	if q, _ := b.query(0, 4*time.Second, 0, 1); b.finals[q] != 1 {
 		t.Error("taken while refusing, though its second shard is slow")
 	}
 	// One that can do without the slow shard is taken without it, and answered as soon as the rest is in
 	// (hanbit-lots hand: operators took out two of a cell's three).
-	b.m.set.Classes[0].Floor = 0.5
+	b.m.Set.Classes[0].Floor = 0.5
 	q, _ := b.query(0, 4*time.Second, 0, 1)
 	if len(b.sends) != 1 || b.finals[q] > 0 {
 		t.Fatalf("%d parts sent, %d final answers", len(b.sends), b.finals[q])
 	}
 	b.now += 50 * ms
-	b.outcome(b.sends[0], OK)
-	if a, ok := b.last[q].(Answer); !ok || a.Whole || !a.Final {
+	b.outcome(b.sends[0], mix.OK)
+	if a, ok := b.last[q].(mix.Answer); !ok || a.Whole || !a.Final {
 		t.Errorf("last word %+v", b.last[q])
 	}
 }
@@ -1550,12 +1562,12 @@
 	set.Width = 1
 	b := newBed(t, set, 0, 0, 1, 1, 2, 2)
 	b.warm(40, 50*ms)
-	b.m.alarm = true
+	b.m.Alarm = true
 	b.query(0, 4*time.Second, 0, 1, 2)
 	if len(b.sends) != 1 {
 		t.Fatalf("%d parts sent while servers crash, want one", len(b.sends))
 	}
-	b.outcome(b.sends[0], Reset)
+	b.outcome(b.sends[0], mix.Reset)
 	b.run(20 * ms)
 	if len(b.sends) != 2 || b.sends[1].Part == b.sends[0].Part {
 		t.Errorf("after a death %v, want one part of another shard", b.sends[1:])
@@ -1571,10 +1583,10 @@
 	b.warm(20, 50*ms)
 	b.run(time.Second)
 	b.query(0, 4*time.Second, 0, 1, 2)
-	for _, s := range b.m.order {
-		for _, a := range s.out {
-			if !a.idle {
-				t.Errorf("attempt %d of part %d counts as sent on a busy connection", a.number, a.p.ID)
+	for _, s := range b.m.Order {
+		for _, a := range s.Out {
+			if !a.Idle {
+				t.Errorf("attempt %d of part %d counts as sent on a busy connection", a.Number, a.P.ID)
 			}
 		}
 	}
@@ -1587,17 +1599,17 @@
 	b.warm(60, 50*ms)
 	q, _ := b.query(0, 4*time.Second, 0, 1, 2, 0, 1, 2, 0, 1)
 	last := b.sends[0]
-	for _, s := range b.m.order {
+	for _, s := range b.m.Order {
 		if s.ID != last.Server {
-			s.bad, s.badAt, s.failedAt = 0.9, b.now, b.now
+			s.Bad, s.BadAt, s.FailedAt = 0.9, b.now, b.now
 		}
 	}
 	for _, s := range append([]sent(nil), b.sends[1:]...) {
-		b.step(Outcome{Part: s.Part, Server: s.Server, Status: OK})
+		b.step(mix.Outcome{Part: s.Part, Server: s.Server, Status: mix.OK})
 	}
-	for _, s := range b.m.order {
+	for _, s := range b.m.Order {
 		if s.ID != last.Server {
-			s.bad, s.badAt = 0.9, b.now
+			s.Bad, s.BadAt = 0.9, b.now
 		}
 	}
 	k := len(b.sends)
@@ -1612,8 +1624,8 @@
 	set := base()
 	set.Classes[0].Need, set.Classes[0].Floor = 0.6, 0.6
 	b := newBed(t, set, 0, 1, 2)
-	b.step(QueryArrived{ID: 1, Left: time.Second, Parts: 2},
-		PartArrived{ID: 2, Query: 1, Shard: 0}, PartArrived{ID: 3, Query: 1, Shard: 1})
+	b.step(mix.QueryArrived{ID: 1, Left: time.Second, Parts: 2},
+		mix.PartArrived{ID: 2, Query: 1, Shard: 0}, mix.PartArrived{ID: 3, Query: 1, Shard: 1})
 	if b.finals[1] != 1 || len(b.sends) > 0 {
 		t.Errorf("%d last words and %d parts sent, want one and none", b.finals[1], len(b.sends))
 	}
@@ -1626,14 +1638,14 @@
 	set.Width = 1
 	b := newBed(t, set, 0, 1)
 	lost, _ := b.query(0, 4*time.Second, 0, 2)
-	if r, ok := b.last[lost].(Refuse); !ok || r.RetryAfter <= 0 {
+	if r, ok := b.last[lost].(mix.Refuse); !ok || r.RetryAfter <= 0 {
 		t.Errorf("without a server: %+v", b.last[lost])
 	}
 	held, parts := b.query(2, 4*time.Second, 1)
 	b.now += 10 * ms
-	b.step(Outcome{Part: parts[0], Server: 2, Status: ConnectFailed},
-		ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 2, Cell: 1, State: Gone}}})
-	if _, ok := b.last[held].(Refuse); !ok {
+	b.step(mix.Outcome{Part: parts[0], Server: 2, Status: mix.ConnectFailed},
+		mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 1, State: mix.Gone}}})
+	if _, ok := b.last[held].(mix.Refuse); !ok {
 		t.Errorf("its last server gone: %+v", b.last[held])
 	}
 }
@@ -1645,11 +1657,11 @@
 	set := base()
 	set.MaxAttempts = 1
 	set.Classes = append(set.Classes, set.Classes[0])
-	b.step(Retuned{Settings: set})
+	b.step(mix.Retuned{Settings: set})
 	_, after := b.query(len(set.Classes)-1, 4*time.Second, 0)
 	for i := 0; i < len(b.sends); i++ {
 		b.now += 10 * ms
-		b.outcome(b.sends[i], Error)
+		b.outcome(b.sends[i], mix.Error)
 	}
 	if b.tries[before[0]] != 3 || b.tries[after[0]] != 1 {
 		t.Errorf("%d attempts of a part from before, %d of one from after", b.tries[before[0]], b.tries[after[0]])
@@ -1660,16 +1672,16 @@
 func TestLearned(t *testing.T) {
 	old := newBed(t, base(), 0, 1, 2)
 	old.warm(60, 50*ms)
-	old.m.note(old.m.servers[2], false, 1)
-	old.m.servers[3].coldFrom = old.now
+	old.m.note(old.m.Servers[2], false, 1)
+	old.m.Servers[3].ColdFrom = old.now
 	young := newBed(t, base(), 0, 1, 2)
 	young.now += time.Hour
-	young.step(Learned{Records: append(old.m.Records(), Record{Server: 9}, Record{Server: 1, Answers: []float64{1}})})
+	young.step(mix.Learned{Records: append(old.m.Records(), mix.Record{Server: 9}, mix.Record{Server: 1, Answers: []float64{1}})})
 	young.step()
 	m := young.m
-	if m.typical != old.m.typical || m.servers[1].lat != old.m.servers[1].lat || m.servers[2].bad == 0 || m.warmth(m.servers[3]) > 0.21 {
-		t.Errorf("typical %v, want %v; server 1 %v; server 2 fails %v; server 3 warm %v", m.typical, old.m.typical,
-			m.servers[1].lat, m.servers[2].bad, m.warmth(m.servers[3]))
+	if m.Typical != old.m.Typical || m.Servers[1].Lat != old.m.Servers[1].Lat || m.Servers[2].Bad == 0 || m.warmth(m.Servers[3]) > 0.21 {
+		t.Errorf("typical %v, want %v; server 1 %v; server 2 fails %v; server 3 warm %v", m.Typical, old.m.Typical,
+			m.Servers[1].Lat, m.Servers[2].Bad, m.warmth(m.Servers[3]))
 	}
 }
 
@@ -1678,7 +1690,7 @@
 func TestPauseIsNoDeath(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.steady(3 * time.Second)
-	var stood *server
+	var stood *fleet.Server
 	k := len(b.sends)
 	for range 14 { // 280 ms
 		b.query(0, 4*time.Second, 0)
@@ -1686,20 +1698,20 @@
 			b.now += 10 * ms
 			for i := k; i < len(b.sends); i++ {
 				if s := b.sends[i]; s.Server != 1 && b.now-s.at == 40*ms {
-					b.outcome(s, OK)
+					b.outcome(s, mix.OK)
 				}
 			}
-			b.step(Wake{})
+			b.step(mix.Wake{})
 		}
 	}
-	stood = b.m.servers[1]
+	stood = b.m.Servers[1]
 	for _, s := range append([]sent(nil), b.sends[k:]...) {
 		if s.Server == 1 {
-			b.outcome(s, OK) // a second answer of one that was called off is heard by nobody
+			b.outcome(s, mix.OK) // a second answer of one that was called off is heard by nobody
 		}
 	}
-	if stood.diedAt != 0 || stood.coldFrom != 0 {
-		t.Errorf("taken for dead at %v, for cold from %v", stood.diedAt, stood.coldFrom)
+	if stood.DiedAt != 0 || stood.ColdFrom != 0 {
+		t.Errorf("taken for dead at %v, for cold from %v", stood.DiedAt, stood.ColdFrom)
 	}
 	b.steady(2 * time.Second)
 	if tr := b.m.trust(stood); tr < trusted {
@@ -1718,8 +1730,8 @@
 	if b.finals[q] != 0 || b.sends[0].Limit < 9*time.Second {
 		t.Fatalf("ended with %+v; the part had %v", b.last[q], b.sends[0].Limit)
 	}
-	b.outcome(b.sends[0], OK)
-	if a, ok := b.last[q].(Answer); !ok || !a.Whole {
+	b.outcome(b.sends[0], mix.OK)
+	if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
 		t.Errorf("last word %+v", b.last[q])
 	}
 }
@@ -1731,7 +1743,7 @@
 	set := base()
 	set.Width, set.Rules.FallMultiple, set.Rules.FallSpan = 1, 1, time.Second
 	cold := func(b *bed) int { // parts that a cold server gets within a second, beside a warm one
-		b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 2, Cell: 0, State: Ready, Nominal: 1, Started: b.now}}})
+		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 0, State: mix.Ready, Nominal: 1, Started: b.now}}})
 		k := len(b.sends)
 		b.steady(time.Second)
 		n := 0
@@ -1751,7 +1763,7 @@
 	}
 	next := newBed(t, set, 0, 0)
 	next.now = old.now
-	next.step(Learned{Records: old.m.Records(), PerSecond: old.m.PerSecond()})
+	next.step(mix.Learned{Records: old.m.Records(), PerSecond: old.m.PerSecond()})
 	if got := cold(next); got < want*2/3 {
 		t.Errorf("a cold server gets %d parts a second of a successor, %d of its predecessor", got, want)
 	}
@@ -1765,10 +1777,10 @@
 			b.now += 10 * ms
 			for i := len(b.sends) - 1; i >= 0 && b.now-b.sends[i].at <= 40*ms; i-- {
 				if b.now-b.sends[i].at == 40*ms {
-					b.outcome(b.sends[i], OK)
+					b.outcome(b.sends[i], mix.OK)
 				}
 			}
-			b.step(Wake{})
+			b.step(mix.Wake{})
 		}
 	}
 }
@@ -1783,29 +1795,29 @@
 		refused              bool
 	}{{0, 200, 200, true}, {0, 200, 0, false}, {0, 2, 2, false}, {4, 200, 200, false}} {
 		set := base()
-		set.Classes = append(set.Classes, Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Need: 1, Floor: 0.5})
+		set.Classes = append(set.Classes, mix.Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Need: 1, Floor: 0.5})
 		b := newBed(t, set, 0, 0)
 		b.warm(60, 50*ms)
 		for i, n := range []int{x.first, x.second} {
-			s := b.m.servers[ServerID(i+1)]
-			s.cap = capMin
+			s := b.m.Servers[mix.ServerID(i+1)]
+			s.Cap = capMin
 			b.full(s)
 			for range n {
-				s.hold(&part{q: &query{class: &b.m.set.Classes[0]}, seq: uint64(len(s.held)), deadline: b.now})
+				s.Hold(&fleet.Part{Q: &fleet.Query{Terms: &b.m.Set.Classes[0]}, Seq: uint64(len(s.Held)), Deadline: b.now})
 			}
 		}
 		q, _ := b.query(x.class, 4*time.Second, 0)
-		if _, is := b.last[q].(Refuse); is != x.refused {
+		if _, is := b.last[q].(mix.Refuse); is != x.refused {
 			t.Errorf("class %d, %d and %d held: last word %+v", x.class, x.first, x.second, b.last[q])
 		}
 	}
 }
 
 // full makes a server's parts out as many as may be, sent just now.
-func (b *bed) full(s *server) {
-	p := &part{q: &query{class: &b.m.set.Classes[0], ended: true}, index: -1, mayRun: -1}
-	for len(s.out) < b.m.room(s) {
-		s.out = append(s.out, &attempt{p: p, s: s, at: b.now, live: true})
+func (b *bed) full(s *fleet.Server) {
+	p := &fleet.Part{Q: &fleet.Query{Terms: &b.m.Set.Classes[0], Ended: true}, Index: -1, MayRun: -1}
+	for len(s.Out) < b.m.room(s) {
+		s.Out = append(s.Out, &fleet.Attempt{P: p, S: s, At: b.now, Live: true})
 	}
 }
 
@@ -1814,16 +1826,16 @@
 func TestShortestQueue(t *testing.T) {
 	b := newBed(t, base(), 0, 0)
 	b.warm(60, 50*ms)
-	quick, slow := b.m.servers[1], b.m.servers[2]
-	quick.cap, slow.cap, slow.turn = 8, 2, 0
-	quick.turn = b.m.turn
+	quick, slow := b.m.Servers[1], b.m.Servers[2]
+	quick.Cap, slow.Cap, slow.Turn = 8, 2, 0
+	quick.Turn = b.m.Turn
 	b.full(quick)
 	b.full(slow)
 	for range 3 {
-		slow.hold(&part{q: &query{}, seq: uint64(len(slow.held))})
-		quick.hold(&part{q: &query{}, seq: uint64(len(quick.held))})
+		slow.Hold(&fleet.Part{Q: &fleet.Query{}, Seq: uint64(len(slow.Held))})
+		quick.Hold(&fleet.Part{Q: &fleet.Query{}, Seq: uint64(len(quick.Held))})
 	}
-	if p := (&part{q: &query{class: &b.m.set.Classes[0]}}); b.m.pick(p) != quick {
+	if p := (&fleet.Part{Q: &fleet.Query{Terms: &b.m.Set.Classes[0]}}); b.m.pick(p) != quick {
 		t.Errorf("put where it takes %.2f s, not %.2f s", b.m.expected(slow), b.m.expected(quick))
 	}
 }
@@ -1834,21 +1846,21 @@
 func TestWaitsForCold(t *testing.T) {
 	b := newBed(t, base(), 0, 0)
 	b.warm(60, 50*ms)
-	b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: 2, Cell: 0, State: Ready, Nominal: 1, Started: b.now}}})
+	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 0, State: mix.Ready, Nominal: 1, Started: b.now}}})
 	b.run(2 * surveyGap) // what warm ones carry is told anew
-	m, still, cold := b.m, b.m.servers[1], b.m.servers[2]
+	m, still, cold := b.m, b.m.Servers[1], b.m.Servers[2]
 	b.full(still)
-	if b.full(cold); m.tier(cold, &part{q: &query{class: &m.set.Classes[0]}}) == 2 {
+	if b.full(cold); m.tier(cold, &fleet.Part{Q: &fleet.Query{Terms: &m.Set.Classes[0]}}) == 2 {
 		t.Error("a server is suspect for being cold")
 	}
-	cold.out = nil
-	for len(still.held) < 200 {
-		still.hold(&part{q: &query{}, seq: uint64(len(still.held))})
+	cold.Out = nil
+	for len(still.Held) < 200 {
+		still.Hold(&fleet.Part{Q: &fleet.Query{}, Seq: uint64(len(still.Held))})
 	}
-	cold.sentAt = b.now
+	cold.SentAt = b.now
 	_, parts := b.query(0, 4*time.Second, 0)
-	if p := m.parts[parts[0]]; p.server != cold {
-		t.Fatalf("held for server %d, where it takes %.2f s, not %.2f s", p.server.ID, m.expected(still), m.expected(cold))
+	if p := m.Parts[parts[0]]; p.Server != cold {
+		t.Fatalf("held for server %d, where it takes %.2f s, not %.2f s", p.Server.ID, m.expected(still), m.expected(cold))
 	}
 	from := m.sendableFrom(cold)
 	for len(b.sends) == 0 && b.now < from+time.Second {
@@ -1866,14 +1878,14 @@
 	set.MaxAttempts = 4
 	b := newBed(t, set, 0, 0)
 	b.warm(60, 50*ms)
-	m, sound, errs := b.m, b.m.servers[1], b.m.servers[2]
-	errs.errors, errs.errorTook, errs.bad, errs.badAt, errs.failedAt = 0.8, 0.002, 0.9, b.now, b.now+time.Minute // no trial is due there
-	p := &part{q: &query{class: &m.set.Classes[0]}}
+	m, sound, errs := b.m, b.m.Servers[1], b.m.Servers[2]
+	errs.Errors, errs.ErrorTook, errs.Bad, errs.BadAt, errs.FailedAt = 0.8, 0.002, 0.9, b.now, b.now+time.Minute // no trial is due there
+	p := &fleet.Part{Q: &fleet.Query{Terms: &m.Set.Classes[0]}}
 	if m.pick(p) != sound {
 		t.Error("an erring server is asked while the sound one is free")
 	}
-	for len(sound.held) < 40 {
-		sound.hold(&part{seq: uint64(len(sound.held))})
+	for len(sound.Held) < 40 {
+		sound.Hold(&fleet.Part{Seq: uint64(len(sound.Held))})
 	}
 	if m.pick(p) != errs {
 		t.Errorf("one more is held where it takes %.2f s", m.expected(sound))
@@ -1883,9 +1895,9 @@
 // Each of many mixers keeps to one replica of a shard while it serves, not all to the same; cold ones come beside, and
 // the others where it cannot take a part. Few mixers keep to as many as their host has connections for.
 func TestSubset(t *testing.T) {
-	kept := func(b *bed) (list []*server) {
-		for _, s := range b.m.order {
-			if s.listed && !s.reserve {
+	kept := func(b *bed) (list []*fleet.Server) {
+		for _, s := range b.m.Order {
+			if s.Listed && !s.Reserve {
 				list = append(list, s)
 			}
 		}
@@ -1893,23 +1905,23 @@
 	}
 	set := base()
 	set.Width, set.Siblings = 1, 36
-	first := map[ServerID]bool{}
+	first := map[mix.ServerID]bool{}
 	for seed := range uint64(20) {
 		b := newBed(t, set, 0, 0, 0, 0)
 		b.m, _ = New(set, seed)
-		b.step(ServerList{Kind: Cached, Servers: []ServerInfo{{ID: 1, State: Ready}, {ID: 2, State: Ready}, {ID: 3, State: Ready}, {ID: 4, State: Ready}}})
+		b.step(mix.ServerList{Kind: mix.Cached, Servers: []mix.ServerInfo{{ID: 1, State: mix.Ready}, {ID: 2, State: mix.Ready}, {ID: 3, State: mix.Ready}, {ID: 4, State: mix.Ready}}})
 		b.warm(60, 50*ms)
 		own := kept(b)
 		if len(own) != 1 {
 			t.Fatalf("a subset of %d", len(own))
 		}
 		first[own[0].ID] = true
-		for _, s := range b.m.order {
-			if s.reserve == (s.lat > 0) {
-				t.Errorf("server %d: of the reserve %v, got a part %v", s.ID, s.reserve, s.lat > 0)
+		for _, s := range b.m.Order {
+			if s.Reserve == (s.Lat > 0) {
+				t.Errorf("server %d: of the reserve %v, got a part %v", s.ID, s.Reserve, s.Lat > 0)
 			}
 		}
-		b.step(ServerList{Kind: Delta, Servers: []ServerInfo{{ID: own[0].ID, State: Gone}}})
+		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: own[0].ID, State: mix.Gone}}})
 		if next := kept(b); len(next) != 1 || next[0] == own[0] {
 			t.Errorf("with the subset gone, %d are kept to", len(next))
 		}
@@ -1930,9 +1942,9 @@
 	b := newBed(t, base(), 0, 1, 2)
 	b.query(0, 4*time.Second, 0)
 	b.now += 50 * ms
-	b.outcome(b.sends[0], OK)
-	if s := b.m.servers[b.sends[0].Server]; b.m.median != 0 || b.m.trust(s) < 1 {
-		t.Errorf("trust %v after the first answer, with a median of %v", b.m.trust(s), b.m.median)
+	b.outcome(b.sends[0], mix.OK)
+	if s := b.m.Servers[b.sends[0].Server]; b.m.Median != 0 || b.m.trust(s) < 1 {
+		t.Errorf("trust %v after the first answer, with a median of %v", b.m.trust(s), b.m.Median)
 	}
 }
 
@@ -1941,15 +1953,15 @@
 	b := newBed(t, base(), 0, 1, 2)
 	q, parts := b.query(1, 4*time.Second, 0)
 	b.now += 10 * ms
-	var cold []ServerInfo
+	var cold []mix.ServerInfo
 	for i := range 3 {
-		cold = append(cold, ServerInfo{ID: ServerID(i + 1), Cell: i, State: Ready, Nominal: 1, Started: b.now})
+		cold = append(cold, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: i, State: mix.Ready, Nominal: 1, Started: b.now})
 	}
-	b.step(ServerList{Kind: Delta, Servers: cold}, Outcome{Part: parts[0], Server: b.sends[0].Server, Status: Error})
+	b.step(mix.ServerList{Kind: mix.Delta, Servers: cold}, mix.Outcome{Part: parts[0], Server: b.sends[0].Server, Status: mix.Error})
 	for end := b.now + 310*ms; b.now < end; b.now += 10 * ms {
-		b.step(Wake{})
+		b.step(mix.Wake{})
 	}
-	if _, ok := b.last[q].(Fail); !ok || len(b.sends) != 1 {
+	if _, ok := b.last[q].(mix.Fail); !ok || len(b.sends) != 1 {
 		t.Errorf("%d sends, then %+v", len(b.sends), b.last[q])
 	}
 }
