How many replicas a gatherer keeps to follows how even chance leaves the stores

Change: spread.Size takes the number of gatherers: the least k of r replicas with sqrt((r-k)/(k n)) within a tenth, and within the table's room, counted by stores and not by shards (a ring counted each thrice). 300 of two keep one, 80 of three two, 36 of three and small fleets all. seldomMost is gone.

--- a/internal/mem/fleet/fleet.go
+++ b/internal/mem/fleet/fleet.go
@@ -318,16 +318,19 @@
 func (m *State) Asking() bool { return m.Set.AskMode && !m.Subscribed }
 
 // KeepSubset makes a reserve of the servers that this mixer needs least: of each shard's ready and warm ones those past
-// what its table of connections has room for, and past most among so many mixers as from, by a lead that each draws.
-func (m *State) KeepSubset(from, most int, warmth func(*Server) float64) {
-	if m.Set.Siblings < from {
-		most = math.MaxInt
-	}
-	cells, replicas := 0, 0
+// the size that the host's connections and the number of mixers allow, by a lead that each draws for itself.
+func (m *State) KeepSubset(uneven float64, warmth func(*Server) float64) {
+	servers, replicas := 0, 1
 	for _, list := range m.Replicas {
-		cells, replicas = cells+min(len(list), 1), max(replicas, len(list))
+		replicas = max(replicas, len(list))
+	}
+	for _, s := range m.Order {
+		if s.Listed {
+			servers++
+		}
 	}
-	size, kept := min(spread.Size(m.Set.Connections, cells, replicas), most), map[*Server]bool{}
+	cells := (servers + replicas - 1) / replicas
+	size, kept := spread.Size(m.Set.Connections, cells, replicas, m.Set.Siblings, uneven), map[*Server]bool{}
 	for _, list := range m.Replicas {
 		cell := make([]spread.Replica, len(list))
 		for i, s := range list {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -18,15 +18,22 @@
 	Usable bool    // ready, not draining, not gone, not in doubt
 }
 
-// Size is how many replicas of each cell a gatherer keeps to: as many as its table of connections has room for, one
-// each at the least, never more than a cell has. room is the bound on connections to lot stores, cells the number of
-// cells listed, replicas the most replicas of one cell. With no cells, or no room stated, it keeps all.
-func Size(room, cells, replicas int) int {
+// Size is how many replicas of each cell a gatherer keeps to. The fewer, the more often it meets each and the sooner it
+// learns; but each of so many gatherers chooses alone, so that a store's share of them is drawn: k of r replicas kept by
+// n gatherers give shares with a standard deviation of sqrt((r-k)/(k n)) of the mean. So it is the least k at which that
+// is no more than uneven, and no more than the table of connections has room for, one at the least: room is the bound on
+// connections to lot stores (0 for none stated), cells the number of cells listed, replicas the most of one cell.
+func Size(room, cells, replicas, gatherers int, uneven float64) int {
 	most := max(replicas, 1)
-	if cells <= 0 || room <= 0 {
-		return most
+	if cells > 0 && room > 0 {
+		most = min(max(room/cells, 1), most)
 	}
-	return min(max(room/cells, 1), most)
+	for k := 1; k < most; k++ {
+		if float64(replicas-k) <= uneven*uneven*float64(k*max(gatherers, 1)) {
+			return k
+		}
+	}
+	return most
 }
 
 // Rank is the rendezvous weight of a store, by its name in the discovery list, for the gatherer of this seed: in
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,8 +54,8 @@
 	leastTurns   = 0.015            // the trickle: share of its turns that the worst server keeps
 	trusted      = 0.3              // below this share of turns a server is suspect
 
-	seldomFrom = 8 // so many mixers or more meet each server seldom, and each keep to a part of them ...
-	seldomMost = 1 // ... of so many replicas of a shard at the most, where they serve
+	seldomFrom = 8   // so many mixers or more meet each server seldom
+	uneven     = 0.1 // servers' shares of the mixers may differ so by chance: more tells in their queues
 
 	ownFree   = 10.0 // the budget where none is stated: further attempts whatever came in ...
 	ownShare  = 0.30 // ... and for each query and part taken: a fifth of a large fleet may be slow ...
@@ -1046,7 +1046,7 @@
 			s.Lead = 1 + m.RNG.Float64() // ties, lest all mixers that start begin at the same servers
 		}
 	})
-	m.KeepSubset(seldomFrom, seldomMost, m.warmth) // what each opens and has to find out falls with their number
+	m.KeepSubset(uneven, m.warmth) // what each opens and has to find out falls with their number
 }
 
 // pick chooses a replica for one part that is to go on its own.
