Docs of what became exported, a test's race, and a bound on what a predecessor tells

Change: the pure part of the test has a watcher of its own, per_second over 1e6 is refused, the names have docs.

TestParse has -1 and 1e9 per second.

--- a/internal/mem/curve/curve.go
+++ b/internal/mem/curve/curve.go
@@ -27,11 +27,13 @@
 	Epoch      time.Duration // when an answer weighed 1
 }
 
+// NewHistogram makes an empty one, from low to high seconds, with a half-life.
 func NewHistogram(low, high, ratio float64, half time.Duration) *Histogram {
 	size := int(math.Ceil(math.Log(high/low)/math.Log(ratio))) + 1
 	return &Histogram{Low: low, Ratio: ratio, Half: half, N: make([]float64, size)}
 }
 
+// Bucket is the number of the bucket that a duration in seconds falls into.
 func (h *Histogram) Bucket(sec float64) int {
 	if sec <= h.Low {
 		return 0
@@ -39,6 +41,7 @@
 	return min(int(math.Ceil(math.Log(sec/h.Low)/math.Log(h.Ratio))), len(h.N)-1)
 }
 
+// Edge is a bucket's upper end in seconds.
 func (h *Histogram) Edge(i int) float64 { return h.Low * math.Pow(h.Ratio, float64(i)) }
 
 // Weight is what an answer heard now weighs beside those of the epoch.
@@ -49,6 +52,7 @@
 // Size is the number of answers in the record, faded.
 func (h *Histogram) Size(now time.Duration) float64 { return h.Total / h.Weight(now) }
 
+// Add adds an answer that took so many seconds.
 func (h *Histogram) Add(now time.Duration, sec float64) { h.Put(now, h.Bucket(sec), 1) }
 
 // Put adds answers to a bucket.
@@ -101,6 +105,7 @@
 	Sum float64
 }
 
+// Add adds an amount; moments come in order.
 func (w *Sliding) Add(now time.Duration, n float64) {
 	w.At, w.N, w.Sum = append(w.At, now), append(w.N, n), w.Sum+n
 }
@@ -124,8 +129,10 @@
 	return x * math.Exp2(-float64(d)/float64(half))
 }
 
+// Seconds is a duration as seconds.
 func Seconds(d time.Duration) float64 { return d.Seconds() }
 
+// Duration is so many seconds as a duration.
 func Duration(sec float64) time.Duration { return time.Duration(sec * float64(time.Second)) }
 
 // Middle returns the median, 0 of nothing.
@@ -148,6 +155,7 @@
 	return x
 }
 
+// NewRecord makes an empty record of answer times.
 func NewRecord() *Histogram { return NewHistogram(RecordLow, RecordHigh, RecordRatio, RecordHalf) }
 
 // Fill makes h an even distribution from 0 to top.
--- a/internal/mem/fleet/fleet.go
+++ b/internal/mem/fleet/fleet.go
@@ -18,7 +18,7 @@
 	"pulleygw.example/pulleygw/internal/spread"
 )
 
-// Mixer decides for one co-ordinator. It is not safe for concurrent use.
+// State is what one mixer knows, and what it has been told. It is not safe for concurrent use.
 type State struct {
 	Tuning           Tuning
 	Set              mix.Settings
@@ -104,6 +104,7 @@
 	Far     bool
 }
 
+// Query is a query in hand. Times are the host's clock, as everywhere here.
 type Query struct {
 	mix.QueryArrived
 	Terms      *mix.Class
@@ -122,6 +123,7 @@
 	Want       int // parts of this step still to be handed over
 }
 
+// Part is one shard's share of a query.
 type Part struct {
 	mix.PartArrived
 	Q        *Query
@@ -141,6 +143,7 @@
 	Cheap    bool          // its last attempt was an error at once: another is no load to speak of
 }
 
+// Attempt is one sending of a part.
 type Attempt struct {
 	P           *Part
 	S           *Server
@@ -152,6 +155,7 @@
 	Live, Moved bool // out, and called off to be sent elsewhere
 }
 
+// Server is what is known of a server, listed or not.
 type Server struct {
 	mix.ServerInfo
 	Listed          bool
@@ -310,8 +314,10 @@
 	}
 }
 
+// Do adds to what the host is to do.
 func (m *State) Do(a mix.Action) { m.Acts = append(m.Acts, a) }
 
+// Log adds a line for the on-call staff.
 func (m *State) Log(format string, args ...any) { m.Do(mix.Log{Text: fmt.Sprintf(format, args...)}) }
 
 // Asking says whether the list is still to be subscribed to.
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -102,7 +102,7 @@
 		t.Errorf("told %+v", got)
 	}
 	for _, asked := range []bool{false, true} {
-		w.Asked = func() bool { return asked }
+		w := &Watcher{Siblings: w.Siblings, Asked: func() bool { return asked }}
 		silent := fmt.Errorf("read: %w", os.ErrDeadlineExceeded)
 		longest := 3 * w.pause(silent, true, backFirst, 1) / 2
 		if late := graceFor + longest; late > 2*time.Second-dialFor/2 {
--- a/internal/net/handover/handover_test.go
+++ b/internal/net/handover/handover_test.go
@@ -20,7 +20,8 @@
 		line(Message{Kind: CallHeard, ID: 1}), line(Message{Kind: StateIs, State: &state})}
 	garble.Check(t, true, func(b []byte) error { _, err := Parse(b); return err }, valid...)
 	for _, text := range []string{`{}`, `[]`, `{"kind":"call"}`, `{"kind":"state"}`, `{"kind":"call","verb":"DETACH","at_ms":-1}`,
-		strings.Replace(valid[3], `"failing":0.1`, `"failing":2`, 1), strings.Replace(valid[3], `1.5`, `-1.5`, 1)} {
+		strings.Replace(valid[3], `"failing":0.1`, `"failing":2`, 1), strings.Replace(valid[3], `1.5`, `-1.5`, 1),
+		strings.Replace(valid[3], `"per_second":12.5`, `"per_second":-1`, 1), strings.Replace(valid[3], `"per_second":12.5`, `"per_second":1e9`, 1)} {
 		if m, err := Parse([]byte(text)); err == nil {
 			t.Errorf("took %s for %+v", text, m)
 		}
--- a/internal/net/handover/message.go
+++ b/internal/net/handover/message.go
@@ -53,6 +53,9 @@
 	ColdMs  int64     `json:"cold_ms"` // how long ago it was seen to start over, -1 for never
 }
 
+// perSecondMost is more parts a second than one gatherer can have answered.
+const perSecondMost = 1e6
+
 // maxLine bounds a line: a state of some hundred lot stores.
 const maxLine = 4 << 20
 
@@ -96,8 +99,8 @@
 	}
 	s := &State{Hosts: json.RawMessage(hosts.Raw), Drain: drain.Bool(), Banned: []string{}, Attached: map[string]int64{},
 		PerSecond: root.Get("per_second").Num}
-	if s.PerSecond < 0 {
-		return nil, bad("per_second is below 0")
+	if s.PerSecond < 0 || s.PerSecond > perSecondMost {
+		return nil, bad("per_second is out of range")
 	}
 	for _, name := range banned.Array() {
 		s.Banned = append(s.Banned, name.String())
