--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -33,8 +33,8 @@
 	turnFor  = 50 * time.Millisecond
 	turnMost = 4 // failures in a row double the time up to so much
 
-	// A watch that has fallen silent is broken, and what it misses counts as told 2 s after its wait: with graceFor and
-	// the dial, a new one has to be begun within what is left, more or less, by all that it befell.
+	// A watch that has fallen silent is broken, and what it misses counts as told 2 s after its wait: less graceFor and
+	// the dial, this much is left to spread the new watches over.
 	reopenFor = 300 * time.Millisecond
 )
 
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -43,9 +43,21 @@
 		delta, standin.List(1, standin.Host("s", "1:2", "a", 0, "ready")))
 }
 
+// watch follows an agent from version 3 on, as one of so many gatherers, until the test ends; what it tells comes.
+func watch(t *testing.T, agent http1.Handler, siblings int, asked bool) (told chan gather.List) {
+	l := standin.Listen(t)
+	go http1.New(l.(*net.TCPListener), agent, 10, slog.New(slog.DiscardHandler)).Serve()
+	told = make(chan gather.List, 100)
+	w := &Watcher{Addr: l.Addr().String(), Zones: zones, Log: slog.New(slog.DiscardHandler), Tell: func(l gather.List) { told <- l },
+		Siblings: func() int { return siblings }, Asked: func() bool { return asked }}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.Run(ctx, 3)
+	return told
+}
+
 // A watch that fails is made again, from the version last had; nothing told twice.
 func TestWatchReconnects(t *testing.T) {
-	l := standin.Listen(t)
 	targets := make(chan string, 10)
 	var n atomic.Int32
 	h := func(r *http1.Request, gone <-chan struct{}) *http1.Response {
@@ -61,13 +73,7 @@
 		<-gone
 		return nil
 	}
-	go http1.New(l.(*net.TCPListener), h, 10, slog.New(slog.DiscardHandler)).Serve()
-	told := make(chan gather.List, 10)
-	w := &Watcher{Addr: l.Addr().String(), Zones: zones, Log: slog.New(slog.DiscardHandler), Tell: func(l gather.List) { told <- l },
-		Siblings: func() int { return 2 }, Asked: func() bool { return true }}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go w.Run(ctx, 3)
+	told := watch(t, h, 2, true)
 	for _, since := range []string{"3", "7", "7", "7"} {
 		if got, want := <-targets, "since="+since+"&timeout_ms=2000"; got != want {
 			t.Errorf("asked %q, want %q", got, want)
@@ -82,7 +88,6 @@
 // brings. It comes in time for what it missed to count as told, however many gatherers there are and whether the list
 // is pushed or asked for; a refusal, or a second silence, is left in turn.
 func TestSilentWatch(t *testing.T) {
-	l := standin.Listen(t)
 	var n atomic.Int32
 	h := func(r *http1.Request, gone <-chan struct{}) *http1.Response {
 		if n.Add(1) == 2 {
@@ -91,18 +96,12 @@
 		<-gone
 		return nil
 	}
-	go http1.New(l.(*net.TCPListener), h, 10, slog.New(slog.DiscardHandler)).Serve()
-	told := make(chan gather.List, 10)
-	w := &Watcher{Addr: l.Addr().String(), Zones: zones, Log: slog.New(slog.DiscardHandler), Tell: func(l gather.List) { told <- l },
-		Siblings: func() int { return 300 }, Asked: func() bool { return false }}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go w.Run(ctx, 3)
-	if got := <-told; len(got.Servers) != 1 || got.Servers[0].State != mix.Draining {
+	const many = 300
+	if got := <-watch(t, h, many, false); len(got.Servers) != 1 || got.Servers[0].State != mix.Draining {
 		t.Errorf("told %+v", got)
 	}
 	for _, asked := range []bool{false, true} {
-		w := &Watcher{Siblings: w.Siblings, Asked: func() bool { return asked }}
+		w := &Watcher{Siblings: func() int { return many }, Asked: func() bool { return asked }}
 		silent := fmt.Errorf("read: %w", os.ErrDeadlineExceeded)
 		longest := 3 * w.pause(silent, true, backFirst, 1) / 2
 		if late := graceFor + longest; late > 2*time.Second-dialFor/2 {
@@ -139,18 +138,12 @@
 	if n = 80; 3*w.round()/2 > 10*time.Second { // the longest rest; settings let 10 s pass between calls
 		t.Errorf("one of 80 may go without news for %v after its start", 3*w.round()/2)
 	}
-	l := standin.Listen(t)
 	targets := make(chan string, 100)
 	h := func(r *http1.Request, _ <-chan struct{}) *http1.Response {
 		targets <- r.Query
 		return standin.JSON(200, `{"seq":3,"whole":false,"hosts":[]}`)
 	}
-	go http1.New(l.(*net.TCPListener), h, 10, slog.New(slog.DiscardHandler)).Serve()
-	n = 5
-	w = &Watcher{Addr: l.Addr().String(), Zones: zones, Log: slog.New(slog.DiscardHandler), Tell: func(gather.List) {}, Siblings: w.Siblings, Asked: w.Asked}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go w.Run(ctx, 3)
+	watch(t, h, 5, true)
 	for range 2 {
 		if got := <-targets; got != "since=3&timeout_ms=2000" {
 			t.Errorf("asked %q", got)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1690,21 +1690,8 @@
 func TestPauseIsNoDeath(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.steady(3 * time.Second)
-	var stood *fleet.Server
-	k := len(b.sends)
-	for range 14 { // 280 ms
-		b.query(0, 4*time.Second, 0)
-		for range 2 {
-			b.now += 10 * ms
-			for i := k; i < len(b.sends); i++ {
-				if s := b.sends[i]; s.Server != 1 && b.now-s.at == 40*ms {
-					b.outcome(s, mix.OK)
-				}
-			}
-			b.step(mix.Wake{})
-		}
-	}
-	stood = b.m.Servers[1]
+	stood, k := b.m.Servers[1], len(b.sends)
+	b.steady(280*ms, stood.ID)
 	for _, s := range append([]sent(nil), b.sends[k:]...) {
 		if s.Server == 1 {
 			b.outcome(s, mix.OK) // a second answer of one that was called off is heard by nobody
@@ -1769,14 +1756,14 @@
 	}
 }
 
-// steady puts a query of one part every 20 ms, and answers each after 40 ms.
-func (b *bed) steady(d time.Duration) {
+// steady puts a query of one part every 20 ms, and answers each after 40 ms, but at servers that stand still.
+func (b *bed) steady(d time.Duration, still ...mix.ServerID) {
 	for end := b.now + d; b.now < end; {
 		b.query(0, 4*time.Second, 0)
 		for range 2 {
 			b.now += 10 * ms
 			for i := len(b.sends) - 1; i >= 0 && b.now-b.sends[i].at <= 40*ms; i-- {
-				if b.now-b.sends[i].at == 40*ms {
+				if b.now-b.sends[i].at == 40*ms && !slices.Contains(still, b.sends[i].Server) {
 					b.outcome(b.sends[i], mix.OK)
 				}
 			}
