--- a/internal/net/platform/platform_test.go
+++ b/internal/net/platform/platform_test.go
@@ -31,8 +31,9 @@
 
 func front(res gather.Result) (*Front, *core) {
 	c := &core{result: res}
-	set := settings.Settings{Classes: []string{"lot-search", "place-bid"}, Shards: 24}
-	set.Policy.Classes = []mix.Class{{Deadline: 3 * time.Second}, {Deadline: 4 * time.Second, Effect: mix.Keyed}}
+	set := settings.Settings{Classes: []string{"lot-search", "place-bid", "close-lot"}, Shards: 24}
+	set.Policy.Classes = []mix.Class{{Deadline: 3 * time.Second}, {Deadline: 4 * time.Second, Effect: mix.Keyed},
+		{Deadline: 4 * time.Second, Effect: mix.Unsafe}}
 	current := &settings.Current{}
 	current.Store(&set)
 	return &Front{Core: c, Settings: current, Ready: func() bool { return true }}, c
@@ -62,6 +63,14 @@
 	}
 }
 
+// Only a keyed class's queries carry a key: one of a class that may not be repeated at all is served without.
+func TestUnsafeCarriesNoKey(t *testing.T) {
+	f, c := front(gather.Result{})
+	if p := f.Handle(post("/close-lot", good, "Idempotency-Key", ""), nil); p.Status != 200 || c.asked == nil || c.asked.Key != "" {
+		t.Errorf("%d %s, asked %+v", p.Status, p.Body, c.asked)
+	}
+}
+
 // A refusal tells at once when to come back; a failure promises nothing.
 func TestRefusedAndFailed(t *testing.T) {
 	for _, x := range []struct {
