Nothing is taken behind the end of a client's connection, and no end resets or is hidden

Ends are half-closes now, what crosses is read off for 250 ms and 256 KiB at most, then closed; room for other clients is still made by closing at once. - read waited in its hand-off with a pipelined request, so that the end of a client that had gone was not seen before the request in hand was answered (TestPipelinedRequestsHideNoEnd: 1 to 500 pipelined). It looks out for the end now; what is over 4 KiB ahead is dropped and the last answer says close. - a request already read when a drain begins is answered before the connection closes (closing looks at what is ahead). Ruled out: a drain against a connection accepted just then (TestDrainAgainstAccept) and half a request at a shutdown (TestDrainAgainstHalfARequest) held before; they pass on the old code too.

--- /dev/null
+++ b/internal/net/http1/crossings_test.go
@@ -0,0 +1,300 @@
+package http1
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// tapped tells when bytes of the client are in the reader's hands.
+type tapped struct {
+	*net.TCPConn
+	read chan struct{}
+}
+
+func (c *tapped) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.read <- struct{}{}
+	}
+	return n, err
+}
+
+// SetReadDeadline lets no time of a connection come, so that nothing is brought on by one.
+func (c *tapped) SetReadDeadline(t time.Time) error {
+	if t.After(time.Now()) {
+		t = time.Time{}
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// tap serves one connection over loopback, whose reads are told.
+func tap(t *testing.T, h Handler) (s *Server, client net.Conn, c *tapped) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, _ = dial(t, l.Addr().String())
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = New(l.(*net.TCPListener), h, 10, slog.New(slog.DiscardHandler))
+	c = &tapped{nc.(*net.TCPConn), make(chan struct{}, 100)}
+	x := &conn{nc: c, since: time.Now()}
+	s.conns[x] = struct{}{}
+	s.done.Add(1)
+	go s.serve(x)
+	return s, client, c
+}
+
+func await[T any](t *testing.T, ch <-chan T, what string) (x T) {
+	t.Helper()
+	select {
+	case x = <-ch:
+	case <-time.After(20 * time.Second):
+		t.Fatalf("never: %s", what)
+	}
+	return x
+}
+
+// wantEnd reads what the client still gets: the connection's end, and no reset, as that could take an answer with it.
+func wantEnd(t *testing.T, client net.Conn) {
+	t.Helper()
+	if rest, err := io.ReadAll(client); len(rest) > 0 || err != nil {
+		t.Errorf("behind the last answer: %q, %v", rest, err)
+	}
+}
+
+// A request whose bytes the reader has in its hands in the moment in which its resting connection is ended is not
+// taken: the client sees the end with no answer and sends it again elsewhere, so that it must not be sent on here.
+func TestRequestCrossesIdleClose(t *testing.T) {
+	for name, end := range map[string]func(s *Server){
+		"idle close": func(s *Server) { s.closeIdle() },
+		"room made": func(s *Server) {
+			if !s.shutLongest(func(*conn) bool { return true }) {
+				t.Error("no connection to close")
+			}
+		},
+	} {
+		taken := make(chan string, 10)
+		s, client, c := tap(t, func(r *Request, _ <-chan struct{}) *Response { taken <- r.Path; return Text(200, "done") })
+		io.WriteString(client, post)
+		await(t, c.read, "the first request is read")
+		if p, err := NewReader(client).Response(); err != nil || p.Close {
+			t.Fatalf("%s: %+v %v", name, p, err)
+		}
+		await(t, taken, "the first request is taken")
+		s.mu.Lock()
+		io.WriteString(client, post)
+		await(t, c.read, "the second request is read")
+		end(s)
+		s.mu.Unlock()
+		if name == "idle close" {
+			wantEnd(t, client)
+		}
+		client.Close()
+		s.Wait()
+		if len(taken) > 0 {
+			t.Errorf("%s: the request that crossed it was taken", name)
+		}
+	}
+}
+
+// An answer with which a connection ends is not followed by a reset, though the client has sent more than was read;
+// nor is the end of a resting connection that bytes cross.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	more := strings.Repeat("x", 60<<10)
+	for name, end := range map[string]func(s *Server, client net.Conn, finish chan struct{}) string{
+		"the client asked for it": func(_ *Server, client net.Conn, finish chan struct{}) string {
+			finish <- struct{}{}
+			return strings.Replace(post, "Host", "Connection: close\r\nHost", 1) + more
+		},
+		"the process drains": func(s *Server, client net.Conn, finish chan struct{}) string {
+			s.mu.Lock()
+			s.draining = true
+			s.mu.Unlock()
+			finish <- struct{}{}
+			return post + more
+		},
+	} {
+		finish := make(chan struct{}, 1)
+		s, client, _ := tap(t, func(*Request, <-chan struct{}) *Response { <-finish; return Text(200, "done") })
+		io.WriteString(client, end(s, client, finish))
+		r := NewReader(client)
+		p, err := r.Response()
+		if err != nil || p.Status != 200 {
+			t.Errorf("%s: %+v %v", name, p, err)
+		}
+		if !p.Close { // it has read that what follows is no request
+			if p, err = r.Response(); err != nil || p.Status == 200 || !p.Close {
+				t.Errorf("%s: %+v %v", name, p, err)
+			}
+		}
+		if err := r.Await(); err != io.EOF {
+			t.Errorf("%s: behind the answer: %v", name, err)
+		}
+		client.Close()
+		s.Wait()
+	}
+}
+
+// A client that ends its connection has gone, whatever it sent before: what it pipelined does not hide its end from
+// the request in hand, be it one request more, some, or more than are read ahead.
+func TestPipelinedRequestsHideNoEnd(t *testing.T) {
+	for _, n := range []int{1, 2, 5, 500} {
+		addr, _, began, finish, closed := serve(t)
+		c, _ := dial(t, addr)
+		io.WriteString(c, strings.Repeat(post, n))
+		await(t, began, "a request is in hand")
+		c.Close()
+		await(t, finish, "it hears that the client has gone")
+		closed()
+		if len(began) > 0 {
+			t.Errorf("%d pipelined: one that waited was taken after the client had gone", n)
+		}
+	}
+}
+
+// Pipelined requests are answered in turn. Of more than are read ahead the rest is dropped, and the last answer says so.
+func TestPipelined(t *testing.T) {
+	for _, n := range []int{2, 5, 500} {
+		taken := 0
+		s, client, _ := tap(t, func(*Request, <-chan struct{}) *Response { taken++; return Text(200, "done") })
+		go io.WriteString(client, strings.Repeat(post, n)+"GET /last HTTP/1.1\r\nConnection: close\r\n\r\n")
+		r, answers, last := NewReader(client), 0, false
+		for !last {
+			p, err := r.Response()
+			if err != nil || p.Status != 200 {
+				t.Fatalf("%d pipelined: %+v %v after %d", n, p, err, answers)
+			}
+			answers++
+			last = p.Close
+		}
+		if err := r.Await(); n < 500 && (err != io.EOF || answers != n+1) {
+			t.Errorf("%d pipelined: %d answers, then %v", n, answers, err)
+		}
+		client.Close()
+		s.Wait()
+		if taken != answers {
+			t.Errorf("%d pipelined: %d taken, %d answered", n, taken, answers)
+		}
+	}
+}
+
+// Requests too far ahead of the one in hand are dropped, and the answer behind which they were says that it is the last.
+func TestPipelinedTooFar(t *testing.T) {
+	began, finish := make(chan struct{}, 1000), make(chan struct{}, 1000)
+	s, client, c := tap(t, func(*Request, <-chan struct{}) *Response { began <- struct{}{}; <-finish; return Text(200, "done") })
+	go io.WriteString(client, strings.Repeat(post, 500))
+	await(t, began, "a request is in hand")
+	for last := false; !last; { // the reader is past what it holds
+		await(t, c.read, "more is read")
+		s.mu.Lock()
+		for x := range s.conns {
+			last = x.last
+		}
+		s.mu.Unlock()
+	}
+	for range 500 {
+		finish <- struct{}{}
+	}
+	r, answers := NewReader(client), 0
+	for last := false; !last; answers++ {
+		p, err := r.Response()
+		if err != nil || p.Status != 200 {
+			t.Fatalf("%+v %v after %d answers", p, err, answers)
+		}
+		last = p.Close
+	}
+	if err := r.Await(); err != io.EOF || answers != 2 {
+		t.Errorf("%d answers, then %v", answers, err)
+	}
+	client.Close()
+	s.Wait()
+}
+
+// Half a request at a shutdown is waited for and answered; what follows it is not taken.
+func TestDrainAgainstHalfARequest(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		taken := make(chan struct{}, 10)
+		s, client, c := tap(t, func(*Request, <-chan struct{}) *Response { taken <- struct{}{}; return Text(200, "done") })
+		if used {
+			io.WriteString(client, post)
+			if p, err := NewReader(client).Response(); err != nil || p.Close {
+				t.Fatalf("%+v %v", p, err)
+			}
+			await(t, c.read, "the first is read")
+			await(t, taken, "the first is taken")
+		}
+		io.WriteString(client, post[:30])
+		await(t, c.read, "half of it is read")
+		for begun := false; !begun; { // by the reader, which has it in its hands
+			s.mu.Lock()
+			for x := range s.conns {
+				begun = x.busy == 1
+			}
+			s.mu.Unlock()
+		}
+		s.mu.Lock()
+		s.draining = true
+		s.closeIdle()
+		s.mu.Unlock()
+		io.WriteString(client, post[30:])
+		r := NewReader(client)
+		if p, err := r.Response(); err != nil || p.Status != 200 || !p.Close {
+			t.Errorf("%+v %v", p, err)
+		}
+		io.WriteString(client, post)
+		if err := r.Await(); err != io.EOF {
+			t.Errorf("behind the answer: %v", err)
+		}
+		client.Close()
+		s.Wait()
+		if n := len(taken); n != 1 {
+			t.Errorf("%d taken, want 1", n)
+		}
+	}
+}
+
+// A connection accepted in the moment in which a drain begins, and not on the books then, is served; one that says
+// nothing is ended in a drain's time.
+func TestDrainAgainstAccept(t *testing.T) {
+	s, client, _ := tap(t, func(*Request, <-chan struct{}) *Response { return Text(200, "done") })
+	s.mu.Lock()
+	s.draining = true // its reader may or may not have set its time
+	s.mu.Unlock()
+	io.WriteString(client, post)
+	r := NewReader(client)
+	if p, err := r.Response(); err != nil || p.Status != 200 || !p.Close {
+		t.Errorf("%+v %v", p, err)
+	}
+	if err := r.Await(); err != io.EOF {
+		t.Errorf("behind the answer: %v", err)
+	}
+	client.Close()
+	s.Wait()
+}
+
+// What cannot be read is answered though the client has ended its side; pipelined behind a request in hand, it hides
+// no end.
+func TestUnreadableThenEnd(t *testing.T) {
+	addr, _, began, finish, closed := serve(t)
+	c, r := dial(t, addr)
+	io.WriteString(c, "nonsense\r\n\r\n")
+	c.(*net.TCPConn).CloseWrite()
+	if p, err := r.Response(); err != nil || p.Status != 400 || !p.Close {
+		t.Errorf("%+v %v", p, err)
+	}
+	c.Close()
+	c, _ = dial(t, addr)
+	io.WriteString(c, post+"nonsense\r\n\r\n")
+	await(t, began, "a request is in hand")
+	c.Close()
+	await(t, finish, "it hears that the client has gone")
+	closed()
+}
--- a/internal/net/http1/message.go
+++ b/internal/net/http1/message.go
@@ -138,6 +138,13 @@
 	return err
 }
 
+// More waits until more has come than is read ahead. bufio.ErrBufferFull says that so much is as may be.
+func (r *Reader) More() error {
+	r.lim.n = ahead
+	_, err := r.br.Peek(r.br.Buffered() + 1)
+	return err
+}
+
 // Request reads one request. Errors of type *Error are the peer's doing and can be answered.
 func (r *Reader) Request() (*Request, error) {
 	r.lim.n = maxHead + ahead
--- a/internal/net/http1/server.go
+++ b/internal/net/http1/server.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"log/slog"
@@ -27,7 +28,8 @@
 	restFor   = 500 * time.Millisecond // so long an answered connection is left in peace where there are many
 	settleFor = 100 * time.Millisecond // so long a new connection is not closed to make room: its request may wait unread
 	writeFor  = 5 * time.Second
-	lingerFor = time.Second
+	lingerFor = time.Second            // behind an answer to what could not be read, for the rest of that
+	partFor   = 250 * time.Millisecond // behind any other end of ours, for what crosses it
 	awayFor   = 700 * time.Millisecond // so long new connections may come after clients were sent away
 	firstFor  = 300 * time.Millisecond // while draining: for a new connection's first byte
 	lastLook  = 20 * time.Millisecond  // a drain ends when so long nothing waits to be accepted
@@ -64,9 +66,22 @@
 	busy  int       // requests that have begun and are not answered
 	whole int       // those of them that are read: the connection is not closed before they are answered
 	used  bool      // a request has been answered
-	shut  bool      // closed to make room
+	shut  bool      // this side has ended it: no request is taken any more, though its bytes may be here already
+	ahead int       // of busy: those read and not in hand yet
+	last  bool      // nothing behind what was read is taken: it could not be read, or was too far ahead
+	look  lookout
 }
 
+// lookout is what the reader does while a request waits behind the one in hand: it reads no further one, but looks
+// for the client's end, which would be hidden behind that request otherwise.
+type lookout uint8
+
+const (
+	lookoutOff lookout = iota
+	lookoutOn
+	lookoutCalled // back: its read was broken off, and the deadline that did so is to be put right
+)
+
 // New makes a server on a listener; Serve must follow.
 func New(l *net.TCPListener, h Handler, maxConns int, logger *slog.Logger) *Server {
 	return &Server{Handle: h, MaxConns: maxConns, Log: logger, listener: l,
@@ -96,7 +111,9 @@
 			}
 			// Out of descriptors, most likely: free one, and try again when something has closed.
 			s.Log.Warn("accept failed", "reason", err)
-			s.closeIdle(1)
+			s.mu.Lock()
+			s.shutLongest(func(c *conn) bool { return c.busy == 0 && c.used })
+			s.mu.Unlock()
 			s.awaitFree(100 * time.Millisecond)
 			continue
 		}
@@ -167,18 +184,26 @@
 	return !s.makeRoom(s.MaxConns + 1)
 }
 
-// closeIdle closes up to n connections on which no request has begun and one was answered.
-func (s *Server) closeIdle(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// closeIdle ends the connections on which no request has begun and one was answered. The lock is held.
+func (s *Server) closeIdle() {
 	for c := range s.conns {
-		if n > 0 && c.busy == 0 && c.used {
-			c.nc.Close()
-			n--
+		if c.busy == 0 && c.used && !c.shut {
+			c.end(partFor)
 		}
 	}
 }
 
+// end says to the client that the connection ends, and gives it a time to end it too. Closing at once over bytes that
+// nobody has read would reset the connection, and an answer on its way could go with it; the connection's reader reads
+// off what crosses the end, and closes. The server's lock is held.
+func (c *conn) end(within time.Duration) {
+	c.shut = true
+	if t, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		t.CloseWrite()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(within))
+}
+
 // SetLimits gives other bounds, and closes the longest resting connections that have no room any more.
 func (s *Server) SetLimits(maxConns, keep int) {
 	s.mu.Lock()
@@ -202,8 +227,8 @@
 			c.nc.SetReadDeadline(time.Now().Add(firstFor)) // its first request may be on the way
 		}
 	}
+	s.closeIdle()
 	s.mu.Unlock()
-	s.closeIdle(len(s.conns))
 }
 
 // HandOff stops accepting at once, as a successor has the same socket and takes its backlog. The connections
@@ -227,10 +252,9 @@
 	if now := s.lame; on {
 		time.AfterFunc(awayFor, func() {
 			s.mu.Lock()
-			all, still := len(s.conns), s.lame == now
-			s.mu.Unlock()
-			if still {
-				s.closeIdle(all)
+			defer s.mu.Unlock()
+			if s.lame == now {
+				s.closeIdle()
 			}
 		})
 	}
@@ -245,45 +269,130 @@
 	return s.last
 }
 
-func (s *Server) closing() bool {
+// closing says whether the connection is to close behind the answer to the request in hand.
+func (s *Server) closing(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining || s.lame%2 == 1
+	return c.ahead == 0 && (s.draining || s.lame%2 == 1 || c.last)
 }
 
-// begun notes that a request has begun: the connection is not closed as idle any more.
-func (s *Server) begun(c *conn) {
+// first sets by when a new connection's first request has to begin or, where none is awaited any more, to come.
+func (s *Server) first(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	within := takeFor
+	if s.draining || s.lame%2 == 1 {
+		within = firstFor
+	}
+	c.nc.SetReadDeadline(c.since.Add(within))
+}
+
+// begun notes that a request has begun, so that the connection is not closed as idle any more, and says whether it
+// may: not where the connection was ended just before.
+func (s *Server) begun(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.shut {
+		return false
+	}
 	c.busy++
 	if c.used || c.whole > 0 {
 		c.since = time.Now()
 		c.nc.SetReadDeadline(c.since.Add(takeFor))
 	}
+	return true
 }
 
 // taken notes that a request was read whole, and says whether it is to be answered: not where the
 // connection was closed just before.
-func (s *Server) taken(c *conn) bool {
+func (s *Server) taken(c *conn, last bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.shut {
+		return false
+	}
 	c.nc.SetReadDeadline(time.Time{}) // what the answer takes is the request's deadline's affair
 	c.whole++
-	return !c.shut
+	c.ahead++
+	c.last = c.last || last
+	return true
 }
 
-// answered notes that a request was answered, and says whether the connection goes on. A client may have
-// sent its next request before this is noted; that one is taken and is answered, draining or not.
-func (s *Server) answered(c *conn) bool {
+// inHand notes that the request that was ahead is in hand, and calls the reader back to read the next.
+func (s *Server) inHand(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.ahead--
+	if c.look == lookoutOn {
+		c.look = lookoutCalled
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// answered notes that a request was answered, and says whether the connection goes on; if not, it has been ended. A
+// client may have sent its next request before this is noted; that one is taken and is answered, draining or not.
+func (s *Server) answered(c *conn, closes bool, linger time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.busy--
 	c.whole--
 	c.used, c.since = true, time.Now()
-	if c.busy == 0 {
+	switch more := !s.draining && s.lame%2 == 0 || c.busy > 0; {
+	case !more || closes:
+		if !c.shut {
+			c.end(linger)
+		}
+		return false
+	case c.busy == 0 && c.look != lookoutCalled: // a reader that is being called back sets it, and would not hear the call else
 		c.nc.SetReadDeadline(c.since.Add(idleFor))
 	}
-	return !s.draining && s.lame%2 == 0 || c.busy > 0
+	return true
+}
+
+// ended says whether this side has ended a connection, which is to go on until the client does or its time is up.
+func (s *Server) ended(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.shut
+}
+
+// rested ends a connection on which nothing came in time, and says whether it was resting.
+func (s *Server) rested(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.busy > 0 || c.shut {
+		return false
+	}
+	c.end(partFor)
+	return true
+}
+
+// tooFar notes that what follows the request ahead is dropped, unless that is in hand by now.
+func (s *Server) tooFar(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.ahead > 0 && c.look == lookoutOn {
+		c.last, c.look = true, lookoutOff
+	}
+	return c.last
+}
+
+// lookout says whether a request waits behind the one in hand, so that the reader is to look for the client's end only.
+func (s *Server) lookout(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.look == lookoutCalled && !c.shut {
+		by := time.Time{}
+		if c.busy == 0 {
+			by = c.since.Add(idleFor)
+		}
+		c.nc.SetReadDeadline(by)
+	}
+	c.look = lookoutOff
+	if c.ahead > 0 && c.busy > 1 {
+		c.look = lookoutOn
+	}
+	return c.look == lookoutOn
 }
 
 type incoming struct {
@@ -292,30 +401,37 @@
 }
 
 func (s *Server) serve(c *conn) {
-	requests, gone, over := make(chan incoming), make(chan struct{}), make(chan struct{})
-	defer func() {
-		close(over)
-		c.nc.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-		select {
-		case s.freed <- struct{}{}:
-		default:
-		}
-		s.done.Done()
-	}()
+	// One request may be ahead of the one in hand.
+	requests, gone, over := make(chan incoming, 1), make(chan struct{}), make(chan struct{})
 	go s.read(c, requests, gone, over)
-	for {
+	for more := true; more; {
 		select {
 		case in := <-requests:
-			if !s.answer(c, in, gone) {
-				return
-			}
+			s.inHand(c)
+			more = s.answer(c, in, gone)
 		case <-gone:
-			return
+			more = false
 		}
 	}
+	close(over)
+	if !s.ended(c) { // the client has left, or there is no answering it
+		c.nc.Close()
+	}
+	<-gone // what crossed our end is read off
+	c.nc.Close()
+	select {
+	case in := <-requests:
+		in.r.Release()
+	default:
+	}
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
+	s.done.Done()
 }
 
 // read hands over one request after another, and waits for the next while one is being answered: that is
@@ -332,16 +448,29 @@
 	if a, ok := c.nc.RemoteAddr().(*net.TCPAddr); ok {
 		client = a.AddrPort().Addr().Unmap()
 	}
-	first := takeFor
-	if s.closing() {
-		first = firstFor
-	}
-	c.nc.SetReadDeadline(c.since.Add(first))
+	s.first(c)
 	for {
-		if r.Await() != nil {
+		for s.lookout(c) {
+			switch err := r.More(); {
+			case errors.Is(err, bufio.ErrBufferFull):
+				if s.tooFar(c) {
+					s.readOff(c, over)
+					return
+				}
+			case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+				return
+			}
+		}
+		if err := r.Await(); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && s.rested(c) {
+				s.discard(c)
+			}
+			return
+		}
+		if !s.begun(c) {
+			s.discard(c)
 			return
 		}
-		s.begun(c)
 		q, err := r.Request()
 		if err != nil && r.lim.late {
 			err = errTooSlow
@@ -352,23 +481,38 @@
 		if q != nil {
 			q.Client = client
 		}
-		if !s.taken(c) {
+		if !s.taken(c, err != nil) {
 			q.Release()
 			return
 		}
-		select {
-		case requests <- incoming{q, err}:
-			if err != nil {
-				<-over
-				return
-			}
-		case <-over:
-			q.Release()
+		requests <- incoming{q, err}
+		if err != nil {
+			s.readOff(c, over)
 			return
 		}
 	}
 }
 
+// readOff drops what comes behind the last request that is taken, and returns when the client has left or the
+// connection is over.
+func (s *Server) readOff(c *conn, over <-chan struct{}) {
+	err := s.discard(c)
+	s.mu.Lock()
+	only := c.busy == 1
+	s.mu.Unlock()
+	// One that has sent nothing but what cannot be read, and has ended its side, is still told why.
+	if err == nil || only {
+		<-over
+		s.discard(c)
+	}
+}
+
+// discard reads off and drops what comes, within bounds.
+func (s *Server) discard(c *conn) error {
+	_, err := io.CopyN(io.Discard, c.nc, 4*MaxBody)
+	return err
+}
+
 // answer answers one request and says whether another may follow.
 func (s *Server) answer(c *conn, in incoming, gone <-chan struct{}) bool {
 	var p *Response
@@ -384,7 +528,7 @@
 		} else if p = s.handle(in.r, gone); p == nil {
 			return false // the client has left
 		}
-		p.Close = p.Close || in.r.Close || s.closing()
+		p.Close = p.Close || in.r.Close || s.closing(c)
 	}
 	buf := mem.GetBuffer()
 	defer mem.PutBuffer(buf)
@@ -392,11 +536,11 @@
 	if _, err := c.nc.Write(AppendResponse(buf[:0], p)); err != nil {
 		return false
 	}
-	more := s.answered(c)
+	linger := partFor
 	if in.err != nil {
-		s.linger(c.nc)
+		linger = lingerFor
 	}
-	return more && !p.Close
+	return s.answered(c, p.Close, linger)
 }
 
 // handle calls the handler. A fault in it fails its own request, and must not take down all others.
@@ -411,16 +555,6 @@
 	return s.Handle(r, gone)
 }
 
-// linger reads off what the client still sends: closing with that unread would reset the connection, and
-// the answer could be lost with it.
-func (s *Server) linger(nc net.Conn) {
-	if t, ok := nc.(*net.TCPConn); ok {
-		t.CloseWrite()
-	}
-	nc.SetReadDeadline(time.Now().Add(lingerFor))
-	io.CopyN(io.Discard, nc, 4*MaxBody)
-}
-
 // Text makes a plain answer.
 func Text(status int, text string) *Response {
 	return &Response{Status: status, Header: textproto.MIMEHeader{"Content-Type": {"text/plain"}},
