An answer that states no length ends with its connection; a reset is no end

Reader.Response refused them ('the body has neither a length nor chunks'), so that a watch or a lot store that words answers so was of no use. They are read to the peer's FIN, up to the bound on bodies; a reset, or more than that, is an error, and the error of a reset stays the connection's, not the peer's words. TestAnswerWithoutLength has the 3 cases and fails without the mend.

--- a/internal/net/http1/crossings_test.go
+++ b/internal/net/http1/crossings_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -298,3 +299,68 @@
 	await(t, finish, "it hears that the client has gone")
 	closed()
 }
+
+// An answer of a peer that states no length ends with the connection. A reset is no end, and one without bound is
+// given up.
+func TestAnswerWithoutLength(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+	for name, x := range map[string]struct {
+		send string
+		end  func(*net.TCPConn)
+		ok   bool
+	}{
+		"end":     {head + "whole", func(c *net.TCPConn) { c.CloseWrite() }, true},
+		"reset":   {head + "whole", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, false},
+		"endless": {head + strings.Repeat("x", MaxBody+1), func(*net.TCPConn) {}, false},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make(chan struct{})
+		go func() {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			io.WriteString(nc, x.send)
+			if name == "reset" {
+				<-got // the client has read all of it, and has seen no end
+			}
+			x.end(nc.(*net.TCPConn))
+		}()
+		c := &Client{Addr: l.Addr().String()}
+		if err := c.Dial(t.Context(), time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		c.nc = &counted{Conn: c.nc, left: len(x.send), all: got}
+		c.r = NewReader(c.nc)
+		p, err := c.Read(time.Now().Add(time.Minute))
+		var e *Error
+		switch {
+		case x.ok && (err != nil || string(p.Body) != "whole" || !p.Close || c.Open()):
+			t.Errorf("%s: %+v %v, open %v", name, p, err, c.Open())
+		case !x.ok && (err == nil || errors.Is(err, io.EOF) || c.Open()):
+			t.Errorf("%s: %+v %v, open %v", name, p, err, c.Open())
+		case name == "reset" && errors.As(err, &e):
+			t.Errorf("a reset is taken for the peer's words: %v", err)
+		}
+		l.Close()
+	}
+}
+
+// counted tells when so many bytes have been read.
+type counted struct {
+	net.Conn
+	left int
+	all  chan struct{}
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.left -= n; c.left <= 0 && c.all != nil {
+		close(c.all)
+		c.all = nil
+	}
+	return n, err
+}
--- a/internal/net/http1/message.go
+++ b/internal/net/http1/message.go
@@ -171,7 +171,7 @@
 	if r.Continue != nil && strings.EqualFold(q.Header.Get("Expect"), "100-continue") {
 		r.Continue()
 	}
-	q.buf, q.Body, err = r.body(q.Header, false)
+	q.buf, q.Body, err = r.body(q.Header)
 	if err != nil {
 		return nil, err
 	}
@@ -197,10 +197,14 @@
 		return nil, err
 	}
 	p.Close = closes(p.Header, proto)
-	if status == 204 || status == 304 {
-		return p, nil
+	switch {
+	case status == 204 || status == 304:
+	case len(p.Header["Content-Length"])+len(p.Header["Transfer-Encoding"]) == 0:
+		p.Close = true
+		p.Body, err = r.toEnd()
+	default:
+		p.buf, p.Body, err = r.body(p.Header)
 	}
-	p.buf, p.Body, err = r.body(p.Header, true)
 	return p, err
 }
 
@@ -218,8 +222,22 @@
 	return strings.Contains(c, "close") || proto == "HTTP/1.0" && !strings.Contains(c, "keep-alive")
 }
 
+// toEnd reads a body that ends with its connection. Only the peer's end is one: a connection that breaks may have
+// brought a part.
+func (r *Reader) toEnd() ([]byte, error) {
+	r.lim.n = r.most() + ahead
+	body, err := io.ReadAll(io.LimitReader(r.br, int64(r.most())+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > r.most():
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
 // body reads a body of a stated length or in chunks into one pooled buffer.
-func (r *Reader) body(h textproto.MIMEHeader, mustSay bool) (buf *[mem.BufferSize]byte, body []byte, err error) {
+func (r *Reader) body(h textproto.MIMEHeader) (buf *[mem.BufferSize]byte, body []byte, err error) {
 	lengths, codings := h["Content-Length"], h["Transfer-Encoding"]
 	switch {
 	case len(codings) > 0 && len(lengths) > 0:
@@ -227,9 +245,6 @@
 	case len(codings) > 1 || len(codings) == 1 && !strings.EqualFold(codings[0], "chunked"):
 		return nil, nil, &Error{501, "the only transfer coding known here is chunked"}
 	case len(codings) == 0 && len(lengths) == 0:
-		if mustSay {
-			return nil, nil, bad("the body has neither a length nor chunks")
-		}
 		return nil, nil, nil
 	}
 	n := 0
