A call that crosses a lot store's idle close goes on another connection, not into a reset

One look without waiting (package peek, which the API's client uses too) before a call is written to a connection that rests.

--- a/internal/net/frames/take.go
+++ b/internal/net/frames/take.go
@@ -54,6 +54,7 @@
 	}
 	c.heard, c.silent = time.Now(), false
 	if e != nil {
+		c.served = true
 		c.over(x.id)
 		delete(c.t.where, e.a)
 		c.load--
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -13,6 +14,7 @@
 	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
 	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/net/peek"
 )
 
 // Config is what a transport needs to know.
@@ -61,6 +63,7 @@
 	out      map[string]*entry   // begun to be written, by part
 	past     []string            // parts lately out
 	load     int                 // parts queued and out
+	served   bool                // a part has been answered
 	asked    []time.Time         // probes that are out
 	up, dead bool
 	ran      mix.Status // how parts end that were written whole when the connection ended
@@ -161,6 +164,11 @@
 func (t *Transport) Call(id mix.ServerID, attempts []*gather.Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.call(id, attempts)
+}
+
+// call queues a call on a connection; the lock is held.
+func (t *Transport) call(id mix.ServerID, attempts []*gather.Attempt) {
 	s := t.servers[id]
 	if s == nil || s.State != mix.Ready {
 		t.end(attempts, mix.Moot)
@@ -328,6 +336,10 @@
 		c.ran = ran
 	}
 	var reset []*gather.Attempt
+	var crossed [][]*gather.Attempt
+	if c.resting() {
+		crossed = c.queue
+	}
 	never := c.dropQueue()
 	for id, e := range c.out {
 		if !e.written.IsZero() {
@@ -340,9 +352,17 @@
 	c.probes, c.asked = 0, nil
 	c.remove()
 	id := c.s.ID
+	for _, call := range crossed {
+		if len(call) > 0 { // not all cancelled
+			t.call(id, call)
+		}
+	}
+	if crossed != nil {
+		never = nil
+	}
 	t.mu.Unlock()
 	if !was || len(reset)+len(never) > 0 {
-		t.Log.Info("connection ended", "store", id, "out", len(reset), "never_sent", len(never), "reason", err)
+		t.Log.Info("connection ended", "store", id, "out", len(reset), "never_sent", len(never), "moved", len(crossed), "reason", err)
 	}
 	for _, a := range reset {
 		t.report.Outcome(a, ran, "")
@@ -355,6 +375,24 @@
 	}
 }
 
+// resting says whether nothing is out on a connection that has served: if it ends now, its lot store closed it as idle,
+// or right behind an answer, and what is queued on it has not gone and goes on another. One that has served nothing is
+// not taken for resting, or a lot store that closes each at once would be dialled for ever. The lock is held.
+func (c *conn) resting() bool { return c.served && len(c.out) == 0 && !c.dead }
+
+// crossed says whether a call is queued on a connection that rested and whose end has come, though its reader has not
+// seen it yet: what is written to it would end as a reset, and might have run for all that is known here.
+func (c *conn) crossed() bool {
+	c.t.mu.Lock()
+	resting := c.resting() && len(c.queue) > 0
+	c.t.mu.Unlock()
+	if !resting {
+		return false
+	}
+	_, ended := peek.Look(c.nc)
+	return ended
+}
+
 // run opens the connection and writes what is to be written.
 func (c *conn) run() {
 	nc, err := (&net.Dialer{Timeout: c.t.ConnectTimeout, KeepAlive: -1}).Dial("tcp", c.addr)
@@ -394,6 +432,9 @@
 
 // write writes the next thing in line and says whether there was one. An idle connection is closed here.
 func (c *conn) write() (more bool, err error) {
+	if c.crossed() {
+		return false, io.EOF
+	}
 	t, now := c.t, time.Now()
 	t.mu.Lock()
 	switch {
--- a/internal/net/http1/client.go
+++ b/internal/net/http1/client.go
@@ -4,10 +4,10 @@
 	"context"
 	"net"
 	"net/textproto"
-	"syscall"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/net/peek"
 )
 
 // Client is one connection for one request at a time. It is not safe for concurrent use.
@@ -75,21 +75,8 @@
 // this look, a call on a connection that the peer closed while it was idle would end as broken after it
 // was written, and would count as one that may have run.
 func (c *Client) Alive() bool {
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN
-		return true
-	})
-	return alive && err == nil
+	waiting, ended := peek.Look(c.nc)
+	return !waiting && !ended
 }
 
 // Aborter returns what ends a Read or Write from another goroutine, by closing the connection that is
--- /dev/null
+++ b/internal/net/peek/peek_test.go
@@ -0,0 +1,53 @@
+package peek_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"pulleygw.example/pulleygw/internal/net/peek"
+	"pulleygw.example/pulleygw/internal/standin"
+)
+
+// What has come is seen and left in place, for a reader that waits at the same time too; an end, a reset and a close of
+// this side are ends.
+func TestLook(t *testing.T) {
+	for name, x := range map[string]struct {
+		do             func(here, there *net.TCPConn)
+		waiting, ended bool
+	}{
+		"nothing":     {func(_, _ *net.TCPConn) {}, false, false},
+		"bytes":       {func(_, there *net.TCPConn) { io.WriteString(there, "x") }, true, false},
+		"an end":      {func(_, there *net.TCPConn) { there.CloseWrite() }, false, true},
+		"a reset":     {func(_, there *net.TCPConn) { there.SetLinger(0); there.Close() }, false, true},
+		"closed here": {func(here, _ *net.TCPConn) { here.Close() }, false, true},
+	} {
+		l := standin.Listen(t)
+		here, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		there, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.do(here.(*net.TCPConn), there.(*net.TCPConn))
+		waiting, ended := peek.Look(here)
+		for x.waiting != waiting || x.ended != ended { // loopback hands it over at once, or nearly so
+			if !x.waiting && !x.ended {
+				t.Fatalf("%s: waiting %v, ended %v", name, waiting, ended)
+			}
+			waiting, ended = peek.Look(here)
+		}
+		if x.waiting {
+			if b, err := io.ReadAll(io.LimitReader(here, 1)); string(b) != "x" || err != nil {
+				t.Errorf("%s: %q %v", name, b, err)
+			}
+		}
+		here.Close()
+		there.Close()
+	}
+	if waiting, ended := peek.Look(nil); waiting || ended {
+		t.Error("something is known of no connection")
+	}
+}
