No part goes on a connection that was open before its lot store last started

Found by reading: transport.go unfit and Servers looked for another address only. A lot store that starts over at its address, where the machine had vanished and so reset nothing, kept its old connections: seen by the loopback test on the program before as 'a part goes to the process before' and 'idle one closed false'. Such a part ends as a reset, or silent at the end of its time. Idle ones are closed when the list tells of the start, busy ones take nothing new; one opened since stays. TestReplacedAtTheSameAddress fails without the mend.

--- a/internal/net/frames/crossings_test.go
+++ b/internal/net/frames/crossings_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/mem"
 	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/peek"
 	"pulleygw.example/pulleygw/internal/standin"
@@ -79,3 +80,31 @@
 		}
 	}
 }
+
+// A lot store that is replaced at the same address, or starts over there, ends nothing if its machine vanished: what is
+// open to it looks sound and leads nowhere. Once the list tells of the new start, no part goes there; one that is open
+// since stays, and what is out on an old one is waited for.
+func TestReplacedAtTheSameAddress(t *testing.T) {
+	l := standin.Listen(t)
+	tr, r := transport(l.Addr().String(), time.Minute)
+	idle, _ := linked(t, tr, l)
+	busy, _ := linked(t, tr, l)
+	list := attempts(2)
+	busy.out["q.0"], busy.load, tr.where[list[0]] = &entry{a: list[0], written: time.Now()}, 1, busy
+	started := mem.Server{ID: 1, Addr: l.Addr().String(), State: mix.Ready, Born: time.Now()}
+	young, _ := linked(t, tr, l)
+	young.since = started.Born.Add(time.Microsecond)
+	tr.Servers([]mem.Server{started})
+	if !idle.dead || busy.dead || busy.Ready() != 0 || young.dead || young.Ready() == 0 {
+		t.Errorf("idle one closed %v, busy one closed %v, fit %v, young one closed %v, fit %v",
+			idle.dead, busy.dead, busy.Ready() != 0, young.dead, young.Ready() != 0)
+	}
+	tr.Call(1, list[1:])
+	if tr.where[list[1]] != young {
+		t.Error("a part goes to the process before")
+	}
+	if err := busy.take('E', []byte("q.0 hit 7 -\nv")); err != nil {
+		t.Error(err)
+	}
+	r.want(t, 1, mix.OK)
+}
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -68,6 +68,7 @@
 	up, dead bool
 	ran      mix.Status // how parts end that were written whole when the connection ended
 	silent   bool       // an attempt was given up with nothing heard for long: not chosen any more
+	since    time.Time  // when it came up
 	heard    time.Time  // when something last came
 	idle     time.Time  // since when nothing is on it
 	wake     chan struct{}
@@ -88,8 +89,11 @@
 // Load implements mem.Conn.
 func (c *conn) Load() int { return c.load }
 
-// unfit says whether a connection is to take no further part: it is silent, or its server has moved.
-func (c *conn) unfit() bool { return c.silent || c.addr != c.s.Addr }
+// unfit says whether a connection is to take no further part: it is silent, or its server has moved or has started
+// since, and it leads to a process that is no more.
+func (c *conn) unfit() bool {
+	return c.silent || c.addr != c.s.Addr || c.up && c.since.Before(c.s.Born)
+}
 
 // Ready implements mem.Conn.
 func (c *conn) Ready() int {
@@ -116,7 +120,6 @@
 			s = &server{}
 			t.servers[n.ID] = s
 		}
-		moved := s.Addr != "" && s.Addr != n.Addr
 		s.Server = n
 		if n.State != mix.Ready {
 			var dropped []*gather.Attempt
@@ -125,9 +128,7 @@
 			}
 			t.end(dropped, mix.Moot)
 		}
-		if n.State == mix.Gone || moved {
-			t.closeIdle(s)
-		}
+		t.closeIdle(s, func(c *conn) bool { return n.State == mix.Gone || c.unfit() })
 		if n.State == mix.Gone && s.pool.Len() == 0 {
 			delete(t.servers, n.ID)
 		}
@@ -279,7 +280,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[id]; s != nil {
-		t.closeIdle(s)
+		t.closeIdle(s, every)
 	}
 }
 
@@ -292,13 +293,17 @@
 		if t.conns <= n {
 			return
 		}
-		t.closeIdle(s)
+		t.closeIdle(s, every)
 	}
 }
 
-func (t *Transport) closeIdle(s *server) {
+func every(*conn) bool { return true }
+
+// closeIdle closes those of a server's connections on which nothing is out or asked and that are to be closed. The lock
+// is held.
+func (t *Transport) closeIdle(s *server, which func(*conn) bool) {
 	for _, c := range s.pool.All() {
-		if c.load == 0 && len(c.asked) == 0 && c.probes == 0 {
+		if which(c) && c.load == 0 && len(c.asked) == 0 && c.probes == 0 {
 			c.remove()
 		}
 	}
@@ -406,7 +411,8 @@
 		nc.Close()
 		return
 	}
-	c.nc, c.up, c.heard = nc, true, time.Now()
+	c.nc, c.up, c.since = nc, true, time.Now()
+	c.heard = c.since
 	c.t.mu.Unlock()
 	go c.read()
 	// Closed well before the lot store would, as what crosses that close ends as a reset.
