A write to a lot store that does not read ends within the drain's grace, and any window

Found by reading: writeCall looks at state and window, then writes for up to 4 x connectTimeoutUs (1 s on both sites). What waits for a full buffer there begins past the grace (250 ms) of a drain told meanwhile, past the 0.3 s for which a request may still go whose client has left, or ends past the window of a repeat. It was bounded by nothing that the settings say of these. Settings.WriteFor is the least of 4 x connectTimeoutUs, rules.drainGraceUs and 250 ms, and gather.WriteBy ends a call at the window of its parts; both transports take them. rules.drainGraceUs below 0 is an error that names it; it changes at the next start. By the loopback test with full buffers: before, 'a drain is told: the write goes on' and 'a window ends: the write goes on' (20 s). TestBlockedWriteIsGivenUp fails without either half of the mend; TestWriteFor has 4 settings.

--- a/internal/gather/api.go
+++ b/internal/gather/api.go
@@ -142,6 +142,18 @@
 	return !now.Before(a.Until) || !a.NotAfter.IsZero() && now.After(a.NotAfter)
 }
 
+// WriteBy is by when a call of attempts has to be written whole, where a server that does not read is waited for so long:
+// not past the window of any of them.
+func WriteBy(now time.Time, most time.Duration, attempts []*Attempt) time.Time {
+	by := now.Add(most)
+	for _, a := range attempts {
+		if !a.NotAfter.IsZero() && a.NotAfter.Before(by) {
+			by = a.NotAfter
+		}
+	}
+	return by
+}
+
 // Transport carries attempts to servers. No method may block, nor call its Reporter before it returns:
 // the core's goroutine calls them.
 type Transport interface {
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -70,7 +70,7 @@
 	set, conns := c.Settings, c.Settings.Policy.Connections
 	if f == nil || !f.Stores {
 		return frames.New(frames.Config{Streams: set.StreamsPerConn, ConnectTimeout: set.ConnectTimeout,
-			ConnIdle: set.ConnIdle, MaxConns: conns, Log: logger})
+			ConnIdle: set.ConnIdle, WriteFor: set.WriteFor(), MaxConns: conns, Log: logger})
 	}
 	indices := map[string]string{}
 	for index, class := range f.Indices {
@@ -82,8 +82,8 @@
 		return cmp.Or(indices[s.Classes[n]], s.Classes[n]), s.Policy.Classes[n].Effect != mix.Safe
 	}
 	return opensearch.NewStores(opensearch.StoresConfig{Class: class, Shards: set.Shards,
-		ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle, MaxConns: conns, MaxAnswer: c.MemoryMB << 20 / answerPart,
-		Log: logger})
+		ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle, WriteFor: set.WriteFor(), MaxConns: conns,
+		MaxAnswer: c.MemoryMB << 20 / answerPart, Log: logger})
 }
 
 // door is one listener and what serves it.
--- a/internal/net/frames/crossings_test.go
+++ b/internal/net/frames/crossings_test.go
@@ -1,8 +1,10 @@
 package frames
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -108,3 +110,50 @@
 	}
 	r.want(t, 1, mix.OK)
 }
+
+// A write to a lot store that does not read cannot be called off when that is told to drain, or when a client leaves, and
+// must not end past the window of a repeat: it is given up in time for each of these, and its frame never came whole.
+func TestBlockedWriteIsGivenUp(t *testing.T) {
+	now := time.Now()
+	for name, x := range map[string]struct {
+		writeFor      time.Duration
+		now, notAfter time.Time
+	}{
+		"a drain is told": {20 * time.Millisecond, now, time.Time{}},
+		"a window ends":   {2 * time.Hour, now.Add(-time.Hour), now}, // chosen in time, and written until then
+	} {
+		l := standin.Listen(t)
+		tr, r := transport(l.Addr().String(), time.Minute)
+		tr.ConnectTimeout, tr.WriteFor = time.Hour, x.writeFor
+		c, there := linked(t, tr, l)
+		c.nc.(*net.TCPConn).SetWriteBuffer(4 << 10)
+		there.SetReadBuffer(4 << 10)
+		list := attempts(1)
+		list[0].Text, list[0].NotAfter = make([]byte, 4<<20), x.notAfter
+		tr.Call(1, list)
+		ended := make(chan error, 1)
+		tr.mu.Lock()
+		call := c.queue[0]
+		c.queue = nil
+		go func() { ended <- c.writeCall(call, x.now) }() // it has the lock, and gives it back
+		for begun := false; !begun; {
+			tr.mu.Lock()
+			begun = len(c.out) > 0 || len(ended) > 0
+			tr.mu.Unlock()
+		}
+		tr.Servers([]mem.Server{{ID: 1, Addr: l.Addr().String(), State: mix.Draining}})
+		select {
+		case err := <-ended:
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%s: the write ended with %v", name, err)
+			}
+			c.fail(err)
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s: the write goes on", name)
+		}
+		r.want(t, 1, mix.ConnectFailed)
+		if n, _ := io.Copy(io.Discard, there); n >= 4<<20 {
+			t.Errorf("%s: the frame came whole", name)
+		}
+	}
+}
--- a/internal/net/frames/frames_test.go
+++ b/internal/net/frames/frames_test.go
@@ -122,7 +122,7 @@
 }
 
 func transport(addr string, idle time.Duration) (*Transport, reports) {
-	tr := New(Config{Streams: 16, ConnectTimeout: 250 * time.Millisecond, ConnIdle: idle, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
+	tr := New(Config{Streams: 16, ConnectTimeout: 250 * time.Millisecond, ConnIdle: idle, WriteFor: time.Second, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
 	r := reports{make(chan report, 100)}
 	tr.Start(r)
 	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: mix.Ready}})
--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -22,6 +22,7 @@
 	Streams        int           // parts that one connection carries at once
 	ConnectTimeout time.Duration // also a probe's
 	ConnIdle       time.Duration // the lot store closes a connection idle for so long
+	WriteFor       time.Duration // a lot store that does not read is waited for so long
 	MaxConns       int           // in all
 	Log            *slog.Logger
 }
@@ -460,7 +461,7 @@
 		}
 		c.give, c.probes = nil, 0
 		t.mu.Unlock()
-		c.nc.SetWriteDeadline(now.Add(t.writeFor()))
+		c.nc.SetWriteDeadline(now.Add(t.WriteFor))
 		_, err := c.nc.Write(b)
 		if err != nil {
 			c.nc.Close() // that, too, gives them up
@@ -492,9 +493,6 @@
 // silentFor is how long a connection may be silent with a part out on it.
 func (t *Transport) silentFor() time.Duration { return 4 * t.ConnectTimeout }
 
-// writeFor is how long a peer that does not read is waited for.
-func (t *Transport) writeFor() time.Duration { return 4 * t.ConnectTimeout }
-
 // writeCall writes one call; the lock is held on entry and is not on return. It looks again at what time
 // and the list say: a keyed part past its window, a part past its time or a server that drains by now are
 // not written, and never ran.
@@ -521,7 +519,7 @@
 	if len(attempts) == 0 {
 		return nil
 	}
-	c.nc.SetWriteDeadline(now.Add(t.writeFor()))
+	c.nc.SetWriteDeadline(gather.WriteBy(now, t.WriteFor, attempts))
 	err := writeCall(c.nc, lines, attempts)
 	t.mu.Lock()
 	var ended []*gather.Attempt
--- a/internal/net/opensearch/stores.go
+++ b/internal/net/opensearch/stores.go
@@ -28,6 +28,7 @@
 	Shards         int
 	ConnectTimeout time.Duration // also a probe's
 	ConnIdle       time.Duration // the lot store closes a connection idle for so long
+	WriteFor       time.Duration // a lot store that does not read is waited for so long
 	MaxConns       int           // in all
 	MaxAnswer      int           // bytes of an answer, where more than 64 KiB
 	Log            *slog.Logger
@@ -298,7 +299,7 @@
 	}()
 	target, body := t.request(live, now)
 	head := textproto.MIMEHeader{"Content-Type": {"application/x-ndjson"}}
-	if err := c.Write(now.Add(4*t.ConnectTimeout), "POST", target, head, body); err != nil {
+	if err := c.Write(gather.WriteBy(now, t.WriteFor, live), "POST", target, head, body); err != nil {
 		c.Close()
 		t.endAll(live, mix.ConnectFailed)
 		return
--- a/internal/net/opensearch/stores_test.go
+++ b/internal/net/opensearch/stores_test.go
@@ -53,7 +53,7 @@
 
 func storesAt(addr string) (*Stores, reports) {
 	tr := NewStores(StoresConfig{Class: func(n int) (string, bool) { return []string{"lots", "bids"}[n], n == 1 }, Shards: 24,
-		ConnectTimeout: 250 * time.Millisecond, ConnIdle: time.Minute, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
+		ConnectTimeout: 250 * time.Millisecond, ConnIdle: time.Minute, WriteFor: time.Second, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
 	r := make(reports, 100)
 	tr.Start(r)
 	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: mix.Ready}})
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -84,6 +84,9 @@
 			return s, fmt.Errorf("settings: %s is not above 0", path)
 		}
 	}
+	if s.DrainGrace < 0 {
+		return s, errors.New("settings: rules.drainGraceUs is below 0")
+	}
 	classes := root.Get("classes").Array()
 	for _, path := range byClass {
 		if n := len(root.Get(path).Array()); n != len(classes) {
@@ -147,8 +150,9 @@
 	stay("limits.streamsPerConn", s.StreamsPerConn == old.StreamsPerConn)
 	stay("limits.connIdleUs", s.ConnIdle == old.ConnIdle)
 	stay("limits.connectTimeoutUs", s.ConnectTimeout == old.ConnectTimeout)
+	stay("rules.drainGraceUs", s.DrainGrace == old.DrainGrace)
 	merged.Zones, merged.Shards, merged.StreamsPerConn = old.Zones, old.Shards, old.StreamsPerConn
-	merged.ConnIdle, merged.ConnectTimeout = old.ConnIdle, old.ConnectTimeout
+	merged.ConnIdle, merged.ConnectTimeout, merged.DrainGrace = old.ConnIdle, old.ConnectTimeout, old.DrainGrace
 	merged.Policy.Connections = old.Policy.Connections
 	merged.Policy.Tick, merged.Policy.Cells, merged.Policy.Width = old.Policy.Tick, old.Policy.Cells, old.Policy.Width
 	return merged, kept
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,7 @@
 		AskWithinUs, RampTimeUs, FallUs, BudgetSpanUs int64
 		StartCapacity, FallMultiple                   float64
 		BudgetFree, ExtraPerRequest                   *float64
+		DrainGraceUs                                  int64
 	}
 }
 
@@ -69,6 +70,20 @@
 	StreamsPerConn int           // parts that one connection carries at once
 	ConnIdle       time.Duration // a lot store closes a connection idle for so long
 	ConnectTimeout time.Duration
+	DrainGrace     time.Duration // sends to a lot store that drains must have ended so long after that is told; 0 for not stated
+}
+
+// leftFor is less than the time for which a request may still be sent on whose client has left.
+const leftFor = 250 * time.Millisecond
+
+// WriteFor is how long a lot store that does not read is waited for. What is being written to it cannot be called off,
+// though the store may be told to drain meanwhile and clients leave.
+func (s Settings) WriteFor() time.Duration {
+	most := min(4*s.ConnectTimeout, leftFor)
+	if s.DrainGrace > 0 {
+		most = min(most, s.DrainGrace)
+	}
+	return most
 }
 
 // Parse translates the settings text.
@@ -120,7 +135,7 @@
 	}
 	out := Settings{
 		Zones: o.Zones, Shards: f.Shards, OpenCap: l.OpenCap, StreamsPerConn: l.StreamsPerConn,
-		ConnIdle: us(l.ConnIdleUs), ConnectTimeout: us(l.ConnectTimeoutUs),
+		ConnIdle: us(l.ConnIdleUs), ConnectTimeout: us(l.ConnectTimeoutUs), DrainGrace: us(r.DrainGraceUs),
 	}
 	for _, c := range o.Classes {
 		out.Classes = append(out.Classes, c.Name)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"pulleygw.example/pulleygw/internal/garble"
 	"pulleygw.example/pulleygw/internal/mix"
@@ -60,7 +61,8 @@
 		}
 	}
 	for old, x := range map[string][2]string{`"deadlineUs":4000000,`: {``, "classes[1].deadlineUs"}, `"deadlineUs":3000000`: {`"deadlineUs":0`, "classes[0].deadlineUs"},
-		`"maxAttempts":4`: {`"maxAttempts":0`, "limits.maxAttempts"}, `"effect":"keyed",`: {``, "classes[1].effect"}, `"name":"lot-search"`: {`"name":"place-bid"`, "classes[1].name"}} {
+		`"fallUs":1500000`: {`"fallUs":1500000,"drainGraceUs":-1`, "rules.drainGraceUs"},
+		`"maxAttempts":4`:  {`"maxAttempts":0`, "limits.maxAttempts"}, `"effect":"keyed",`: {``, "classes[1].effect"}, `"name":"lot-search"`: {`"name":"place-bid"`, "classes[1].name"}} {
 		if _, err := ParseDaemon([]byte(strings.Replace(good, old, x[0], 1))); err == nil || !strings.Contains(err.Error(), x[1]) {
 			t.Errorf("%s to %s: %v", old, x[0], err)
 		}
@@ -103,3 +105,15 @@
 		t.Errorf("kept %v, %d shards", kept, third.Shards)
 	}
 }
+
+// What a lot store that does not read is written for is within each time that runs meanwhile.
+func TestWriteFor(t *testing.T) {
+	for _, x := range []struct{ connect, grace, want time.Duration }{
+		{250 * time.Millisecond, 0, leftFor}, {250 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
+		{250 * time.Millisecond, 2 * time.Second, leftFor}, {20 * time.Millisecond, 2 * time.Second, 80 * time.Millisecond},
+	} {
+		if got := (Settings{ConnectTimeout: x.connect, DrainGrace: x.grace}).WriteFor(); got != x.want {
+			t.Errorf("connects within %v, drains within %v: %v, want %v", x.connect, x.grace, got, x.want)
+		}
+	}
+}
