A SIGHUP that comes while the process drains is carried out

Found by reading: cmd/pulleygw serve called Drain in the loop that takes SIGHUP. By the process test, before: 'ended with the new address not asked'. The drain runs beside the loop now; Reload and Drain share the watch under a lock, and a watch that a drain has ended is not begun again. A link to a successor that comes up as the drain passes is closed as well (handover.go linked). TestReloadWhileDraining fails without the mend. Two more crossings that held before are forced: TestTerminateDuringStart (two SIGTERMs while a predecessor dies after half of its state) and TestReadyWhileDiscoveryIsDown.

--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -58,12 +58,15 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	drained := make(chan struct{})
 	for {
 		select {
-		case <-reload:
+		case <-reload: // also while draining, which may take as long as the longest deadline
 			d.Reload(f.Config)
 		case <-terminate:
-			d.Drain()
+			terminate = nil // a second one changes nothing
+			go func() { d.Drain(); close(drained) }()
+		case <-drained:
 			return nil
 		}
 	}
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -116,7 +116,8 @@
 	handover handoverState
 	tr       transport
 	config   Config // as started with, but for what a reload has changed
-	unwatch  func() // ends the watch of discovery and waits for its end
+	watching sync.Mutex
+	unwatch  func() // under watching; ends the watch of discovery and waits for its end; nil once a drain has done so
 }
 
 // state is how the gatherer is, for balancers.
@@ -293,9 +294,12 @@
 		d.admin.Close()
 	}
 	d.handover.close()
+	d.watching.Lock()
 	if d.unwatch != nil {
 		d.unwatch()
+		d.unwatch = nil
 	}
+	d.watching.Unlock()
 	d.core.Stop()
 	if d.record != nil {
 		d.record.Close()
--- a/internal/lifecycle/handover.go
+++ b/internal/lifecycle/handover.go
@@ -148,7 +148,9 @@
 	if h.link != nil {
 		h.link.Close()
 	}
-	h.link = link
+	if h.link = link; h.closed { // the drain has passed here already
+		link.Close()
+	}
 	h.mu.Unlock()
 	d.share()
 }
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -21,7 +21,7 @@
 
 // Reload reads the configuration file again and puts its settings and its address of discovery in force. The file
 // counts alone, as the environment still says what held at the start. A file that cannot be used in any part
-// changes nothing. It must not be called beside itself or Drain.
+// changes nothing. It may be called beside Drain, as what is in hand then needs a true list for seconds, but not beside itself.
 func (d *Daemon) Reload(path string) {
 	d.reloadKeys()
 	c, err := LoadConfig(path, func(string) string { return "" })
@@ -55,8 +55,10 @@
 		}
 	}
 	d.log.Info("reload settings in force", "classes", strings.Join(classes, " "))
-	if c.Discovery == d.config.Discovery {
-		return // the watch goes on: a new one would not be told again what this one was
+	d.watching.Lock()
+	defer d.watching.Unlock()
+	if c.Discovery == d.config.Discovery || d.unwatch == nil {
+		return // the watch goes on: a new one would not be told again what this one was; or nothing is in hand any more
 	}
 	// The old watch ends first, so that none of its news can follow the new list. Versions of one address
 	// mean nothing at another: the new one is followed from its whole list on.
--- a/internal/lifecycle/reload_test.go
+++ b/internal/lifecycle/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -74,31 +75,139 @@
 	}
 }
 
-// The program outlives SIGHUP, and a SIGTERM right behind it still drains: exit code 0.
-func TestSignals(t *testing.T) {
-	addr, asked, _ := agent(t, standin.List(1))
+// program builds the daemon.
+func program(t *testing.T) string {
 	bin := t.TempDir() + "/pulleygw"
 	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/pulleygw").CombinedOutput(); err != nil {
 		t.Fatal(err, string(out))
 	}
-	cmd := exec.Command(bin, "-config", "../../examples/config.json")
-	cmd.Env = append(os.Environ(), "LB_LISTEN=127.0.0.1:0", "LB_DISCOVERY="+addr)
-	lines := &strings.Builder{}
+	return bin
+}
+
+// run starts the daemon with more in its environment, and returns what ends with it and what it logs until then.
+func run(t *testing.T, config string, files []*os.File, env ...string) (cmd *exec.Cmd, ended chan error, lines *lockedBuffer) {
+	cmd = exec.Command(program(t), "-config", config)
+	cmd.Env, cmd.ExtraFiles = append(os.Environ(), env...), files
+	lines = &lockedBuffer{}
 	cmd.Stderr = lines
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	<-asked // by now it handles signals
-	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM} {
+	ended = make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	t.Cleanup(func() { cmd.Process.Kill() })
+	return cmd, ended, lines
+}
+
+func signals(t *testing.T, cmd *exec.Cmd, list ...syscall.Signal) {
+	for _, s := range list {
 		if err := cmd.Process.Signal(s); err != nil {
 			t.Error(err)
 		}
 	}
-	if err := cmd.Wait(); err != nil || !strings.Contains(lines.String(), "drain done") {
+}
+
+// The program outlives SIGHUP, and a SIGTERM right behind it still drains: exit code 0.
+func TestSignals(t *testing.T) {
+	addr, asked, _ := agent(t, standin.List(1))
+	cmd, ended, lines := run(t, "../../examples/config.json", nil, "LB_LISTEN=127.0.0.1:0", "LB_DISCOVERY="+addr)
+	<-asked // by now it handles signals
+	signals(t, cmd, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM)
+	if err := <-ended; err != nil || !strings.Contains(lines.String(), "drain done") {
 		t.Error(fmt.Sprint(err), lines)
 	}
 }
 
+// A SIGHUP that comes while a drain waits for what is in hand is carried out: the old address may be gone, and what is told
+// at the new one binds this process until its end. A second SIGTERM cuts nothing short.
+func TestReloadWhileDraining(t *testing.T) {
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	store, script := standin.Listen(t), &standin.Script{}
+	script.Set(map[int][]standin.End{3: {standin.Silent}})
+	go standin.Frames(store, script)
+	list := standin.List(1, standin.Host("s", store.Addr().String(), "cheonan", 3, "ready"))
+	first, _, _ := agent(t, list)
+	second, asked, _ := agent(t, list)
+	listen := standin.Listen(t)
+	listen.Close() // the address is the process's
+	addr := listen.Addr().String()
+	file := write(t, strings.NewReplacer("127.0.0.1:8500", first, "127.0.0.1:8000", addr, `"seq": 1,`, `"seq": 0,`).Replace(string(text)))
+	cmd, ended, lines := run(t, file, nil)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(lines)
+		}
+	})
+	until(func() bool { return strings.Count(lines.String(), "event=list") > 12 }) // of the configuration's list, and of the agent's
+	status := make(chan int, 1)
+	go func() {
+		status <- do(t, addr, "POST", "/lot-search", map[string][]string{"Req-Id": {"r"}, "Req-Deadline": {"3000m"}},
+			`{"buckets":[{"bucket":3,"part":1}],"body":"x"}`).Status
+	}()
+	until(func() bool { return script.Attempts()[3] > 0 })
+	signals(t, cmd, syscall.SIGTERM)
+	until(func() bool { return strings.Contains(lines.String(), "drain accepts for a while") })
+	if err := os.WriteFile(file, []byte(strings.Replace(string(text), "127.0.0.1:8500", second, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	signals(t, cmd, syscall.SIGHUP, syscall.SIGTERM)
+	select {
+	case <-asked:
+	case err := <-ended:
+		t.Fatal("ended with the new address not asked:", err, lines)
+	}
+	if s := <-status; s != 200 && s != 504 && s != 503 {
+		t.Errorf("what was in hand is answered %d", s)
+	}
+	if err := <-ended; err != nil || !strings.Contains(lines.String(), "drain done") {
+		t.Error(fmt.Sprint(err), lines)
+	}
+}
+
+// A SIGTERM, or two, that come while the process starts are carried out once it has: here it waits for a predecessor, which
+// dies after half of its state.
+func TestTerminateDuringStart(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	addr, _, _ := agent(t, standin.List(1))
+	clients, err := standin.Listen(t).(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer clients.Close()
+	old, err := net.Listen("unix", os.TempDir()+"/pulleygw-young.sock")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	cmd, ended, lines := run(t, "../../examples/config.json", []*os.File{clients}, "LB_INHERITED_FD=3", "LB_NAME=young", "LB_DISCOVERY="+addr)
+	nc, err := old.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	signals(t, cmd, syscall.SIGTERM, syscall.SIGTERM)
+	io.WriteString(nc, `{"kind":"state","state":{"hosts":`)
+	nc.Close()
+	if err := <-ended; err != nil || !strings.Contains(lines.String(), "handover no predecessor") || !strings.Contains(lines.String(), "drain done") {
+		t.Error(fmt.Sprint(err), lines)
+	}
+}
+
+// A process is ready, and serves by the list that its configuration knows, while discovery is down.
+func TestReadyWhileDiscoveryIsDown(t *testing.T) {
+	down := standin.Listen(t)
+	down.Close()
+	w := startConfig(t, "frames", nil, func(c *Config) { c.Discovery = down.Addr().String() })
+	if p := do(t, w.Addrs()[0], "GET", "/-/ready", nil, ""); p.Status != 200 {
+		t.Errorf("not ready: %d", p.Status)
+	}
+	if a := w.platform(t, 1, recorded{Shards: []int{4, 8}}); a.kind != "answered whole" {
+		t.Error(a.kind)
+	}
+}
+
 // A new class is served from the reload on, a dropped one no more, the second front's indices stay, and a file that
 // is broken anywhere changes neither settings nor discovery.
 func TestReloadSettings(t *testing.T) {
