--- a/policy/policy.go
+++ b/policy/policy.go
@@ -488,8 +488,12 @@
 			if a.S.ResetAt > 0 && m.Now-a.S.ResetAt < deathSpan && a.S.State == mix.Ready {
 				a.S.DiedAt = m.Now
 			}
-		} else if e.Status == mix.Full { // it stays full if all mixers come again before they would have met it
-			a.S.FullTo = m.Now + curve.Duration(max(m.Typical, min(1/max(m.Carried, weightSlip), fullMost)))
+		} else if e.Status == mix.Full { // it is as full for the next, until a slot is free
+			alone := m.Typical
+			if m.Set.Siblings >= seldomFrom { // and stays full if all come again before they would have met it
+				alone = max(alone, min(1/max(m.Carried, weightSlip), fullMost))
+			}
+			a.S.FullTo = m.Now + curve.Duration(alone)
 		} else if e.Status == mix.Reset { // no death by itself: a connection may break alone
 			a.S.ResetAt = m.Now
 		}
