A list of an older version is not told, and the watch goes on from the newer

Found by reading: Watcher.watch took whatever version an answer had, told it and asked from there on. An agent that has fallen behind, or an answer long on its way, so took back a drain that had been told. By the loopback test, before: 'asked "since=7"' behind version 9 and 'told 2 lists, want the newer one alone', whole and delta alike. It is a failed watch now, logged with both versions. A new configuration asks the new address for the whole list, whose versions are its own. TestNeverBack fails without the mend. Three more crossings held before and are forced: TestResetBeforeADrain and TestDroppedWatchTellsNothing (each at 0 bytes, 20, and all but one), TestDownAndBack.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -223,6 +223,9 @@
 	if seq == Fresh && l.Kind != mix.Whole {
 		return 0, errors.New("the list is not whole")
 	}
+	if seq != Fresh && next < seq { // an answer that was long on its way, or an agent that has fallen behind
+		return 0, fmt.Errorf("the list went back from version %d to %d", seq, next)
+	}
 	if ctx.Err() == nil && (l.Kind == mix.Whole || len(l.Servers) > 0) {
 		w.Tell(l)
 	}
