--- a/internal/net/frames/crossings_test.go
+++ b/internal/net/frames/crossings_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gather"
 	"pulleygw.example/pulleygw/internal/mem"
 	"pulleygw.example/pulleygw/internal/mix"
 	"pulleygw.example/pulleygw/internal/net/peek"
@@ -157,3 +158,112 @@
 		}
 	}
 }
+
+// What an answer breaks off with decides how its parts end: the store's end or a reset may have run and are the way's doing;
+// one that has begun and goes on for ever, or is larger than any, is the store's fault. A part answered before it is in.
+func TestAnswerBreaksOff(t *testing.T) {
+	whole := string(standin.Frame('E', "q.0 hit 7 -\nv"))
+	half := string(standin.Frame('E', "q.1 hit 7 -\nvalue"))
+	half = half[:len(half)-3]
+	for name, x := range map[string]struct {
+		send string
+		end  func(there *net.TCPConn)
+		want mix.Status
+	}{
+		"half a line, then its end": {whole + half, func(c *net.TCPConn) { c.CloseWrite() }, mix.Reset},
+		"half a head, then its end": {whole + half[:3], func(c *net.TCPConn) { c.CloseWrite() }, mix.Reset},
+		"half a line, then a reset": {whole + half, func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, mix.Reset},
+		"half a line for ever":      {whole + half, func(*net.TCPConn) {}, mix.Error},
+		"a line without bound":      {whole + "\xff\xff\xff\x7fEq.1 hit", func(*net.TCPConn) {}, mix.Error},
+	} {
+		l := standin.Listen(t)
+		tr, r := transport(l.Addr().String(), time.Minute)
+		tr.Call(1, attempts(2))
+		nc, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.ReadFull(nc, make([]byte, 5))
+		io.WriteString(nc, x.send[:len(whole)])
+		r.want(t, 1, mix.OK)
+		io.WriteString(nc, x.send[len(whole):])
+		x.end(nc.(*net.TCPConn))
+		if got := <-r.ch; got.a.Shard != 1 || got.s != x.want {
+			t.Errorf("%s: shard %d ends as %v, want %v", name, got.a.Shard, got.s, x.want)
+		}
+		nc.Close()
+	}
+}
+
+// A connection that breaks while a frame is written never had its last byte: its parts did not run, while those written
+// whole before may have, however long ago.
+func TestResetWithinAWrite(t *testing.T) {
+	l := standin.Listen(t)
+	tr, r := transport(l.Addr().String(), time.Minute)
+	tr.WriteFor = time.Hour
+	c, there := linked(t, tr, l)
+	c.nc.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	there.SetReadBuffer(4 << 10)
+	list := attempts(2)
+	tr.Call(1, list[:1])
+	if _, err := c.write(); err != nil {
+		t.Fatal(err)
+	}
+	list[1].Text = make([]byte, 4<<20)
+	tr.mu.Lock()
+	c.queue, c.load, tr.where[list[1]] = [][]*gather.Attempt{list[1:]}, 2, c // it shares the connection
+	tr.mu.Unlock()
+	ended := make(chan error, 1)
+	go func() { _, err := c.write(); ended <- err }()
+	io.ReadFull(there, make([]byte, 8<<10)) // the second frame has begun
+	there.SetLinger(0)
+	there.Close()
+	c.fail(<-ended)
+	got := map[int]mix.Status{}
+	for range 2 {
+		x := <-r.ch
+		got[x.a.Shard] = x.s
+	}
+	if got[0] != mix.Reset || got[1] != mix.ConnectFailed {
+		t.Errorf("written whole: %v, begun: %v", got[0], got[1])
+	}
+}
+
+// A connection may come up after its part has ended, as its client left or its store went: nothing of that part is written
+// then, the connection serves the next part, and one whose store is gone is closed.
+func TestDialAfterItsPart(t *testing.T) {
+	l := standin.Listen(t)
+	for _, gone := range []bool{false, true} {
+		tr, r := transport(l.Addr().String(), time.Minute)
+		c := parked(tr, nil)
+		c.up = false // it is being dialled
+		tr.conns = 1
+		list := attempts(2)
+		tr.Call(1, list[:1])
+		tr.Cancel(list[0])
+		r.want(t, 1, mix.Cancelled)
+		if gone {
+			tr.Servers([]mem.Server{{ID: 1, Addr: c.addr, State: mix.Gone}})
+		} else {
+			tr.Call(1, list[1:])
+		}
+		go c.run()
+		there, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := string(standin.Frame('A', partLine(list[1], 0)))[headSize:]
+		want = want[:len("q.1 ")]
+		b := make([]byte, headSize+len(want))
+		switch n, err := io.ReadFull(there, b); {
+		case gone && (n > 0 || err == nil):
+			t.Errorf("to a store that is gone: %q", b[:n])
+		case !gone && (err != nil || string(b[headSize:]) != want):
+			t.Errorf("first written: %q, %v", b[:n], err)
+		}
+		there.Close()
+		if !gone {
+			r.want(t, 1, mix.Reset)
+		}
+	}
+}
