--- a/internal/lifecycle/handover_test.go
+++ b/internal/lifecycle/handover_test.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -115,3 +116,52 @@
 		t.Errorf("an empty state is taken: %v", err)
 	}
 }
+
+// A successor that dies before, in or behind its hello leaves the old process with all limits, and its name leads there
+// again; a reload of the old one while a successor is there changes nothing for their link.
+func TestSuccessorDiesHalfway(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	l := standin.Listen(t).(*net.TCPListener)
+	old := startConfig(t, "frames", nil, func(c *Config) { c.Inherited = descriptor(t, l) })
+	limit := func() int {
+		old.mu.Lock()
+		defer old.mu.Unlock()
+		return old.conns(1)
+	}
+	hello := string(handover.Message{Kind: handover.Hello}.Append(nil))
+	for _, sent := range []string{"", hello[:5], hello} {
+		var nc net.Conn
+		until(func() (is bool) { // a moment passes before the name leads here again
+			var err error
+			nc, err = net.Dial("unix", old.path())
+			return err == nil
+		})
+		io.WriteString(nc, sent)
+		if sent == hello {
+			until(func() bool { return limit() < 1024 })
+		}
+		nc.Close()
+		until(func() bool { return limit() == 1024 })
+	}
+	var link *handover.Link
+	until(func() (is bool) {
+		var err error
+		link, _, err = handover.Greet(old.path())
+		return err == nil
+	})
+	defer link.Close()
+	other := standin.Listen(t)
+	go standin.Discovery(other, standin.List(1))
+	text, err := os.ReadFile(old.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.Reload(write(t, strings.Replace(string(text), old.config.Discovery, other.Addr().String(), 1)))
+	go link.Serve(func(handover.Message) {})
+	if err := link.Tell(handover.Message{Verb: "LAMEDUCK", AtMs: 1}); err != nil || !old.lame.Load() {
+		t.Errorf("a call behind a reload: %v, sent away %v", err, old.lame.Load())
+	}
+	if old.config.Discovery != other.Addr().String() {
+		t.Error("the reload is not in force")
+	}
+}
--- a/internal/net/http1/crossings_test.go
+++ b/internal/net/http1/crossings_test.go
@@ -364,3 +364,51 @@
 	}
 	return n, err
 }
+
+// Floods of bytes that are no request, of halves of one and of requests pipelined without end, by clients that go at once,
+// are answered or dropped within bounds, and all their goroutines end; a sound client is served meanwhile and after.
+func TestFloods(t *testing.T) {
+	for name, flood := range map[string]string{
+		"bytes that are no request": strings.Repeat("\x00\xff{}\r\n", 40<<10),
+		"a line without end":        "GET /" + strings.Repeat("x", 256<<10),
+		"half a request":            post[:30],
+		"requests without end":      strings.Repeat(post, 2000),
+		"a body larger than any":    "POST /q HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n" + strings.Repeat("x", 128<<10),
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := New(l.(*net.TCPListener), func(*Request, <-chan struct{}) *Response { return Text(200, "done") }, 10, slog.New(slog.DiscardHandler))
+		served := make(chan struct{})
+		go func() { s.Serve(); close(served) }()
+		bad := make(chan struct{})
+		for range 40 {
+			c, _ := dial(t, l.Addr().String())
+			go func() {
+				io.WriteString(c, flood) // it may be cut off
+				c.Close()
+				bad <- struct{}{}
+			}()
+		}
+		for answered := false; !answered; { // it may be told that there are too many
+			c, r := dial(t, l.Addr().String())
+			io.WriteString(c, post)
+			p, err := r.Response()
+			if err == nil && p.Status != 200 && p.Status != 503 {
+				t.Fatalf("%s: a sound client gets %+v", name, p)
+			}
+			answered = err == nil && p.Status == 200 // a connection that waited for long may be closed unread for another's sake
+			c.Close()
+		}
+		for range 40 {
+			await(t, bad, "a flood ends")
+		}
+		l.Close()
+		await(t, served, "the listener is closed")
+		s.Wait()
+		if n := len(s.conns); n > 0 {
+			t.Errorf("%s: %d connections are left", name, n)
+		}
+	}
+}
