--- a/internal/lifecycle/calls.go
+++ b/internal/lifecycle/calls.go
@@ -73,7 +73,7 @@
 	d.lame.Store(on)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, x := range d.doors {
+	for _, x := range d.listeners {
 		x.SendAway(on)
 	}
 }
--- a/internal/lifecycle/daemon.go
+++ b/internal/lifecycle/daemon.go
@@ -86,8 +86,8 @@
 		MaxAnswer: c.MemoryMB << 20 / answerPart, Log: logger})
 }
 
-// door is one listener and what serves it.
-type door struct {
+// listener is one listening socket and what serves it.
+type listener struct {
 	*http1.Server
 	share  float64 // of the descriptors
 	addr   net.Addr
@@ -96,28 +96,28 @@
 
 // Daemon is a gatherer that serves.
 type Daemon struct {
-	log      *slog.Logger
-	core     *gather.Core
-	settings settings.Current
-	mu       sync.Mutex
-	doors    []*door           // under mu; the platform's first, then the OpenSearch-style front's if it is on, then operations'
-	second   *opensearch.Front // nil when off
-	front    FrontConfig       // of the second front
-	limits   *config.Config    // in force, nil for none
-	record   *record.Writer    // nil for none
-	ops      *operations       // nil when off
-	bodies   chan struct{}     // has room for the request bodies that may be held at once
-	draining atomic.Bool
-	drained  sync.Once
-	ready    atomic.Bool // started whole
-	lame     atomic.Bool // clients are sent away, by an operator or by the store's mark
-	admin    net.Listener
-	calls    sync.Mutex // operators' calls are carried out one after another
-	handover handoverState
-	tr       transport
-	config   Config // as started with, but for what a reload has changed
-	watching sync.Mutex
-	unwatch  func() // under watching; ends the watch of discovery and waits for its end; nil once a drain has done so
+	log       *slog.Logger
+	core      *gather.Core
+	settings  settings.Current
+	mu        sync.Mutex
+	listeners []*listener       // under mu; the platform's first, then the OpenSearch-style front's if it is on, then operations'
+	second    *opensearch.Front // nil when off
+	front     FrontConfig       // of the second front
+	limits    *config.Config    // in force, nil for none
+	record    *record.Writer    // nil for none
+	ops       *operations       // nil when off
+	bodies    chan struct{}     // has room for the request bodies that may be held at once
+	draining  atomic.Bool
+	drained   sync.Once
+	ready     atomic.Bool // started whole
+	lame      atomic.Bool // clients are sent away, by an operator or by the store's mark
+	admin     net.Listener
+	calls     sync.Mutex // operators' calls are carried out one after another
+	handover  handoverState
+	tr        transport
+	config    Config // as started with, but for what a reload has changed
+	watching  sync.Mutex
+	unwatch   func() // under watching; ends the watch of discovery and waits for its end; nil once a drain has done so
 }
 
 // state is how the gatherer is, for balancers.
@@ -173,7 +173,7 @@
 	}
 	d.follow(c.KnownSeq)
 
-	// Doors open only now: a gatherer is ready when it has its list.
+	// Listeners open only now: a gatherer is ready when it has its list.
 	front := &platform.Front{Core: core, Settings: &d.settings, Ready: func() bool { return !d.state().Draining }}
 	if err := d.open(c.Listen, c.Inherited, front.Handle, clientShare); err != nil {
 		d.Drain()
@@ -241,7 +241,7 @@
 	if err != nil {
 		return err
 	}
-	x := &door{http1.New(l.(*net.TCPListener), h, 0, d.log), share, l.Addr(), make(chan struct{})}
+	x := &listener{http1.New(l.(*net.TCPListener), h, 0, d.log), share, l.Addr(), make(chan struct{})}
 	x.Bodies = d.bodies
 	d.mu.Lock()
 	x.SetLimits(d.conns(x.share), d.conns(keepShare))
@@ -249,14 +249,14 @@
 	go func() { x.Serve(); close(x.served) }()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.doors = append(d.doors, x)
+	d.listeners = append(d.listeners, x)
 	x.SendAway(d.lame.Load())
 	return nil
 }
 
 // Addrs tells where the fronts listen, the platform's first.
 func (d *Daemon) Addrs() (addrs []string) {
-	for _, x := range d.doors {
+	for _, x := range d.listeners {
 		addrs = append(addrs, x.addr.String())
 	}
 	return addrs
@@ -268,7 +268,7 @@
 
 func (d *Daemon) drain() {
 	d.draining.Store(true)
-	for i, x := range d.doors {
+	for i, x := range d.listeners {
 		if i == 0 && d.config.Inherited > 0 {
 			longest := time.Duration(0)
 			for _, k := range d.settings.Load().Policy.Classes {
@@ -283,7 +283,7 @@
 		d.log.Info("drain accepts for a while", "addr", x.addr.String(), "for", acceptFor)
 		x.Drain(acceptFor)
 	}
-	for _, x := range d.doors {
+	for _, x := range d.listeners {
 		<-x.served
 		x.Wait()
 	}
--- a/internal/lifecycle/handover.go
+++ b/internal/lifecycle/handover.go
@@ -71,7 +71,7 @@
 	d.tr.SetMaxConns(d.conns(storeShare))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, x := range d.doors {
+	for _, x := range d.listeners {
 		x.SetLimits(d.conns(x.share), d.conns(keepShare))
 	}
 }
--- a/internal/lifecycle/operations.go
+++ b/internal/lifecycle/operations.go
@@ -49,7 +49,7 @@
 		return nil, fmt.Errorf("operations: health: %w", err)
 	}
 	go agentcheck.Serve(x.agent, d.state)
-	d.log.Info("operations", "agent_check", x.agent.Addr().String(), "health", d.Addrs()[len(d.doors)-1])
+	d.log.Info("operations", "agent_check", x.agent.Addr().String(), "health", d.Addrs()[len(d.listeners)-1])
 	return x, nil
 }
 
