A dial that nobody answers ends when its lot store is gone

Found by reading: remove took a connection that was still being dialled off the books (conns--), while its dial went on for up to connectTimeoutUs with its descriptor, beside the bound that another connection could take up by then. By the loopback test at a listener whose backlog is full, before: 'it is dialled on, though its store is gone and nobody waits'. The dial has the connection's context, which remove ends. It was dialled on for the test's 20 s before, and ends at once now.

--- a/internal/net/frames/transport.go
+++ b/internal/net/frames/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -73,7 +74,8 @@
 	heard    time.Time  // when something last came
 	idle     time.Time  // since when nothing is on it
 	wake     chan struct{}
-	gone     chan struct{}
+	ctx      context.Context // ends when it is off the books
+	end      context.CancelFunc
 }
 
 // New makes a transport; Start must come before any other call.
@@ -200,7 +202,8 @@
 	if t.conns >= t.MaxConns {
 		return c // nil where none has room
 	}
-	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, ran: mix.Reset, wake: make(chan struct{}, 1), gone: make(chan struct{}), idle: time.Now()}
+	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, ran: mix.Reset, wake: make(chan struct{}, 1), idle: time.Now()}
+	c.ctx, c.end = context.WithCancel(context.Background())
 	s.pool.Add(c)
 	t.conns++
 	go c.run()
@@ -316,7 +319,7 @@
 		return
 	}
 	c.dead = true
-	close(c.gone)
+	c.end() // a dial, too, as it holds a descriptor
 	c.s.pool.Remove(c)
 	c.t.conns--
 	if c.nc != nil {
@@ -401,7 +404,7 @@
 
 // run opens the connection and writes what is to be written.
 func (c *conn) run() {
-	nc, err := (&net.Dialer{Timeout: c.t.ConnectTimeout, KeepAlive: -1}).Dial("tcp", c.addr)
+	nc, err := (&net.Dialer{Timeout: c.t.ConnectTimeout, KeepAlive: -1}).DialContext(c.ctx, "tcp", c.addr)
 	if err != nil {
 		c.fail(err)
 		return
@@ -431,7 +434,7 @@
 		select {
 		case <-c.wake:
 		case <-check.C:
-		case <-c.gone:
+		case <-c.ctx.Done():
 			return
 		}
 	}
