--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -196,15 +196,17 @@
 	var class, client string
 	var headers []string
 	c := &cobra.Command{Use: "explain", Short: "Say which route a request takes, under which class, and where each limit comes from",
-		Example: "  pulleygw explain --front opensearch --method POST --index lots --class lot-search --client 10.1.2.3",
+		Example: "  pulleygw explain --front opensearch --method POST --index lots --class CLASS --client 10.1.2.3",
 		Args:    noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			set, of, err := classes(files.Config)
 			if err != nil {
 				return err
 			}
-			n := set.Class(class)
-			if n < 0 {
+			if class == "" && len(set.Classes) > 0 {
+				class = set.Classes[0]
+			}
+			if set.Class(class) < 0 {
 				return &codeError{ExitUsage, fmt.Errorf("--class: %q is not a class of the settings", class)}
 			}
 			if client != "" {
@@ -255,7 +257,7 @@
 	c.Flags().StringVar(&r.Front, "front", "platform", "platform or opensearch")
 	c.Flags().StringVar(&r.Method, "method", "POST", "the method")
 	c.Flags().StringVar(&r.Index, "index", "", "the index; on the platform's front the class")
-	c.Flags().StringVar(&class, "class", "lot-search", "the class")
+	c.Flags().StringVar(&class, "class", "", "the class; without it the first of the settings")
 	c.Flags().StringVar(&client, "client", "", "the client's address")
 	c.Flags().StringArrayVar(&headers, "header", nil, "a header as NAME=VALUE, as often as wanted")
 	return c
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -82,6 +82,17 @@
 	if _, out, _, _ := run(t, append(args, "--index", "bids")...); !strings.Contains(out, "route: none") {
 		t.Error(out)
 	}
+	text, err := os.ReadFile(platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := t.TempDir() + "/config.json" // a deployment whose classes have other names
+	if err := os.WriteFile(other, []byte(strings.ReplaceAll(string(text), "lot-search", "seat-search")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out, errOut, _ := run(t, "explain", "--config", other, "--file", ""); code != 0 || !strings.Contains(out, "class seat-search") {
+		t.Errorf("code %d: %s%s", code, out, errOut)
+	}
 	if code, _, errOut, _ := run(t, append(args, "--client", "here")...); code != ExitUsage {
 		t.Errorf("code %d: %s", code, errOut)
 	}
