A client's connection that is closed is not alive

Read again: since the look moved to package peek, http1.Client.Alive said yes of a connection that is closed on this side, where before it said no: peek knows nothing of a connection that is none. 'alive, though it is closed' in all 3 cases of TestAnswerWithoutLength, which now asks, and fails without the mend.

--- a/internal/net/http1/client.go
+++ b/internal/net/http1/client.go
@@ -76,7 +76,7 @@
 // was written, and would count as one that may have run.
 func (c *Client) Alive() bool {
 	waiting, ended := peek.Look(c.nc)
-	return !waiting && !ended
+	return c.Open() && !waiting && !ended
 }
 
 // Aborter returns what ends a Read or Write from another goroutine, by closing the connection that is
--- a/internal/net/http1/crossings_test.go
+++ b/internal/net/http1/crossings_test.go
@@ -345,6 +345,9 @@
 		case name == "reset" && errors.As(err, &e):
 			t.Errorf("a reset is taken for the peer's words: %v", err)
 		}
+		if c.Alive() {
+			t.Errorf("%s: alive, though it is closed", name)
+		}
 		l.Close()
 	}
 }
