--- /dev/null
+++ b/internal/tier/command/role.go
@@ -0,0 +1,103 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/process"
+	"pulleygw.example/pulleygw/internal/tier/settings"
+)
+
+// Role is one of the programs that the tier is made of. Run returns when ctx has ended and all is shut down in order.
+type Role struct {
+	Name string
+	Help string
+	Run  func(ctx context.Context, live *settings.Live, log hclog.Logger) error
+}
+
+// errNotBuilt tells of a part that this build lacks.
+var errNotBuilt = eris.New("not part of this build")
+
+// pollInterval is how often the settings file is looked at without a signal.
+const pollInterval = 2 * time.Second
+
+type runRole struct {
+	role     Role
+	Settings string `help:"Settings file." env:"PULLEYGW_SETTINGS" default:"/etc/pulleygw/node.toml"`
+}
+
+// Run runs the role until SIGTERM or SIGINT.
+func (r *runRole) Run(around *environment) error {
+	log := around.logger(r.role.Name)
+	live, err := settings.NewLive(r.Settings)
+	if err != nil {
+		log.Error("settings cannot be used", "file", r.Settings, "error", err)
+		around.code = ExitBadSettings
+		return nil
+	}
+	if r.role.Run == nil {
+		return errNotBuilt
+	}
+	process.Fit(live.Current().Limits)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	reloading := &reloader{live: live, log: log}
+	go reloading.run(ctx, hangups, ticker.C)
+
+	log.Info("started", "node", live.Current().NodeName, "ip", live.Current().IP, "zone", live.Current().Zone)
+	if err := r.role.Run(ctx, live, log); err != nil {
+		log.Error("ended by an error", "error", err)
+		around.code = ExitRoleFailed
+		return nil
+	}
+	log.Info("stopped")
+	return nil
+}
+
+// reloader puts a changed settings file in force.
+type reloader struct {
+	live    *settings.Live
+	log     hclog.Logger
+	refused string // the last error told, so that a file that stays bad is logged once
+}
+
+// run reads the file again at each hang-up signal and each tick until ctx ends.
+func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal, ticks <-chan time.Time) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			r.log.Info("SIGHUP: reading the settings again")
+			r.refused = ""
+			r.reload()
+		case <-ticks:
+			r.reload()
+		}
+	}
+}
+
+func (r *reloader) reload() {
+	changed, err := r.live.Reload()
+	switch {
+	case err != nil && err.Error() != r.refused:
+		r.refused = err.Error()
+		r.log.Error("changed settings cannot be used, the earlier ones stay", "error", err)
+	case err != nil:
+	case changed:
+		r.refused = ""
+		process.Fit(r.live.Current().Limits)
+		r.log.Info("settings changed")
+	}
+}
--- /dev/null
+++ b/internal/tier/command/roles.go
@@ -0,0 +1,9 @@
+package command
+
+// roles are the programs of the tier. deploy/system.toml says on which machines each runs.
+var roles = []Role{
+	{Name: "proxy", Help: "Take clients' requests and send them to stores."},
+	{Name: "agent", Help: "Keep the link to the coordinators and feed the proxy beside it."},
+	{Name: "coordinator", Help: "Keep the configuration and the list of stores; serve the control API."},
+	{Name: "turn-store", Help: "Keep turns and the budgets of programs."},
+}
