--- a/internal/tier/configuration/configuration.go
+++ b/internal/tier/configuration/configuration.go
@@ -21,7 +21,7 @@
 	Services   []Service
 	Limits     Limits
 
-	hosts    map[string][]*Route // by host, longest prefix first
+	places   map[string]*place // by host in lower case
 	services map[string]*Service
 }
 
