--- /dev/null
+++ b/internal/tier/replica/collect.go
@@ -0,0 +1,272 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Reply is an answer of a turn store.
+type Reply interface {
+	GetVerdict() *tierpb.StoreVerdict
+}
+
+// Quorum says how many members of a replica set of this size are needed.
+type Quorum func(tolerance, size int) int
+
+// Operation is a call that is made to members of a key's replica sets until enough have answered.
+type Operation[R Reply] struct {
+	Key    string
+	Quorum Quorum
+	Call   func(ctx context.Context, address string, header *tierpb.StoreHeader) (R, error)
+	// Visit is called with each answer that counts, from one goroutine; true ends the operation with success.
+	Visit func(R) bool
+	// Fresh forgets the answers of an older membership: a read is whole only within one membership, while a
+	// write that a member has synced stays there.
+	Fresh bool
+}
+
+// Collect runs an operation until a quorum of the replica set has answered, of both sets while members change.
+// It returns ErrUncertain when ctx ends before.
+func Collect[R Reply](ctx context.Context, client *Client, operation Operation[R]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	run := &collection[R]{
+		client:    client,
+		operation: operation,
+		answers:   make(chan answer[R], answersAhead),
+		voted:     make(map[uint64]bool),
+	}
+	return run.loop(ctx)
+}
+
+const answersAhead = 16
+
+type answer[R Reply] struct {
+	node  *tierpb.Node
+	epoch uint64
+	reply R
+	err   error
+	took  time.Duration
+}
+
+// collection is one run of an operation. It is used by one goroutine; calls report through answers.
+type collection[R Reply] struct {
+	client     *Client
+	operation  Operation[R]
+	membership *tierpb.StoreMembership
+	sets       [][]*tierpb.Node
+	order      []*tierpb.Node // all members of the sets, preferred ones first
+	answers    chan answer[R]
+	voted      map[uint64]bool
+	called     map[uint64]bool // called in this round
+	pending    int
+}
+
+func (r *collection[R]) loop(ctx context.Context) error {
+	for {
+		r.place()
+		if r.complete() {
+			return nil
+		}
+		done, err := r.round(ctx)
+		if done || err != nil {
+			return err
+		}
+		if err := r.pause(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// place takes the newest membership and forgets what counted only under an older one.
+func (r *collection[R]) place() {
+	newest := r.client.membership()
+	if r.membership != nil && newest.GetEpoch() != r.membership.GetEpoch() && r.operation.Fresh {
+		clear(r.voted)
+	}
+	r.membership = newest
+	r.sets = Sets(newest, r.operation.Key, r.client.options.Tolerance)
+	r.order = r.order[:0]
+	for _, set := range r.sets {
+		for _, member := range set {
+			if !Contains(r.order, member.Identity) {
+				r.order = append(r.order, member)
+			}
+		}
+	}
+	r.order = r.client.prefer(r.order)
+	r.called = make(map[uint64]bool, len(r.order))
+}
+
+// Sets are the replica sets of a key: of the current members, and of the previous ones while records move.
+func Sets(membership *tierpb.StoreMembership, key string, tolerance int) [][]*tierpb.Node {
+	if len(membership.GetCurrent()) == 0 {
+		return nil
+	}
+	sets := [][]*tierpb.Node{Set(membership.Current, key, Size(tolerance))}
+	if len(membership.Previous) > 0 {
+		sets = append(sets, Set(membership.Previous, key, Size(tolerance)))
+	}
+	return sets
+}
+
+// complete says whether each set has its quorum.
+func (r *collection[R]) complete() bool {
+	return len(r.sets) > 0 && r.lacking(r.voted) == nil
+}
+
+// lacking returns a set that has no quorum among those counted, nil if all have.
+func (r *collection[R]) lacking(counted map[uint64]bool) []*tierpb.Node {
+	for _, set := range r.sets {
+		count := 0
+		for _, member := range set {
+			if counted[member.Identity] {
+				count++
+			}
+		}
+		if count < r.operation.Quorum(r.client.options.Tolerance, len(set)) {
+			return set
+		}
+	}
+	return nil
+}
+
+// round calls members under one membership, and returns when the operation is done, when the membership is
+// older than a store's, or when all members have been called in vain.
+func (r *collection[R]) round(ctx context.Context) (bool, error) {
+	hopeful := make(map[uint64]bool, len(r.order))
+	for identity := range r.voted {
+		hopeful[identity] = true
+	}
+	r.callPreferred(ctx, hopeful)
+	hedge := r.client.options.After(hedgeAfter)
+	for r.pending > 0 {
+		select {
+		case got := <-r.answers:
+			r.pending--
+			if got.epoch != r.membership.GetEpoch() && r.operation.Fresh {
+				continue
+			}
+			counts, stale := r.judge(got)
+			if stale {
+				return false, nil
+			}
+			if !counts {
+				delete(hopeful, got.node.Identity)
+				r.callPreferred(ctx, hopeful)
+				continue
+			}
+			if r.operation.Visit != nil && r.operation.Visit(got.reply) {
+				return true, nil
+			}
+			r.voted[got.node.Identity] = true
+			if r.complete() {
+				return true, nil
+			}
+		case <-hedge:
+			r.callAll(ctx)
+		case <-ctx.Done():
+			return false, ErrUncertain
+		}
+	}
+	return false, nil
+}
+
+// callPreferred calls the fewest members that would give each set its quorum if all that are hopeful answer.
+func (r *collection[R]) callPreferred(ctx context.Context, hopeful map[uint64]bool) {
+	for _, member := range r.order {
+		set := r.lacking(hopeful)
+		if set == nil {
+			return
+		}
+		if hopeful[member.Identity] || r.called[member.Identity] || !r.useful(member, hopeful) {
+			continue
+		}
+		hopeful[member.Identity] = true
+		r.start(ctx, member)
+	}
+}
+
+// useful says whether a member belongs to a set that still lacks its quorum.
+func (r *collection[R]) useful(member *tierpb.Node, counted map[uint64]bool) bool {
+	for _, set := range r.sets {
+		if !Contains(set, member.Identity) {
+			continue
+		}
+		count := 0
+		for _, other := range set {
+			if counted[other.Identity] {
+				count++
+			}
+		}
+		if count < r.operation.Quorum(r.client.options.Tolerance, len(set)) {
+			return true
+		}
+	}
+	return false
+}
+
+// callAll calls the members that were not called yet and could still help.
+func (r *collection[R]) callAll(ctx context.Context) {
+	for _, member := range r.order {
+		if !r.called[member.Identity] && !r.voted[member.Identity] && r.useful(member, r.voted) {
+			r.start(ctx, member)
+		}
+	}
+}
+
+func (r *collection[R]) start(ctx context.Context, member *tierpb.Node) {
+	r.called[member.Identity] = true
+	r.pending++
+	epoch := r.membership.GetEpoch()
+	answers := r.answers
+	go func() {
+		callContext, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		began := r.client.options.Now()
+		header := &tierpb.StoreHeader{Identity: member.Identity, Epoch: epoch}
+		reply, err := r.operation.Call(callContext, member.Address, header)
+		got := answer[R]{node: member, epoch: epoch, reply: reply, err: err}
+		got.took = r.client.options.Now().Sub(began)
+		select {
+		case answers <- got:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// judge says whether an answer counts, and whether it shows that the membership is older than the store's.
+func (r *collection[R]) judge(got answer[R]) (counts, stale bool) {
+	if got.err != nil {
+		r.client.failed(got.node.Identity)
+		return false, false
+	}
+	verdict := got.reply.GetVerdict()
+	switch verdict.GetStatus() {
+	case tierpb.StoreStatus_STORE_OK:
+		r.client.answered(got.node.Identity, got.took)
+		return true, false
+	case tierpb.StoreStatus_STORE_STALE_EPOCH:
+		r.client.learn(verdict.GetMembership())
+		return false, verdict.GetMembership().GetEpoch() > r.membership.GetEpoch()
+	case tierpb.StoreStatus_STORE_BEHIND:
+		return false, false
+	}
+	r.client.failed(got.node.Identity)
+	return false, false
+}
+
+// pause waits before the next round, unless a newer membership is known already.
+func (r *collection[R]) pause(ctx context.Context) error {
+	if r.client.membership().GetEpoch() != r.membership.GetEpoch() {
+		return nil
+	}
+	select {
+	case <-r.client.options.After(pauseBetween):
+		return nil
+	case <-ctx.Done():
+		return ErrUncertain
+	}
+}
