--- /dev/null
+++ b/internal/tier/watch/follower.go
@@ -0,0 +1,347 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Times of a Follower.
+const (
+	DefaultWait    = 700 * time.Millisecond // for which a source may hold a poll
+	replySlack     = 400 * time.Millisecond // after which a poll that should have been answered has failed
+	retryFirst     = 50 * time.Millisecond
+	retryMost      = 500 * time.Millisecond
+	avoidFirst     = 2 * time.Second // for which a source that failed comes last
+	avoidMost      = 15 * time.Second
+	reconsiderMost = 8 * time.Second // after which a slot looks whether a better source is back
+)
+
+// Target is a source that may be followed.
+type Target struct {
+	Address string
+	Zone    string
+}
+
+// Options of a Follower.
+type Options struct {
+	Caller     rpc.Caller
+	State      *State
+	Targets    func() []Target // sources in order of preference; asked again for each poll
+	Count      int             // sources followed at a time; 0 means all
+	Wait       time.Duration   // for which a poll may be held; DefaultWait where it is 0
+	Self       *tierpb.Node
+	Heartbeats bool
+	// Changed is called when a source begins or stops to answer; it may be nil.
+	Changed func(address string, answers bool)
+}
+
+// Follower keeps a State up to date by long polls to several sources at a time, so that one which is silent or lags
+// delays nothing. A source that fails comes last for a while, and another is asked at once.
+type Follower struct {
+	options Options
+
+	mu      sync.Mutex
+	sources map[string]*source
+	running int
+	done    sync.WaitGroup
+}
+
+// source is what a Follower knows of a target.
+type source struct {
+	feed       uint64
+	cursor     uint64
+	followed   bool
+	answers    bool
+	failures   int
+	avoidUntil time.Time
+}
+
+// NewFollower makes a Follower; Run sets it to work.
+func NewFollower(options Options) *Follower {
+	if options.Wait == 0 {
+		options.Wait = DefaultWait
+	}
+	return &Follower{options: options, sources: make(map[string]*source)}
+}
+
+// Follow keeps the State up to date until the context ends.
+func Follow(ctx context.Context, options Options) { NewFollower(options).Run(ctx) }
+
+// Run follows until the context ends and all polls have returned.
+func (f *Follower) Run(ctx context.Context) {
+	f.startSlots(ctx)
+	<-ctx.Done()
+	f.done.Wait()
+}
+
+// Answering returns the addresses of the sources that answered their last poll.
+func (f *Follower) Answering() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for address, s := range f.sources {
+		if s.answers {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// startSlots sees to it that as many slots run as there are sources to follow, and at least one.
+func (f *Follower) startSlots(ctx context.Context) {
+	targets := f.options.Targets()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.running < f.wanted(targets) && ctx.Err() == nil {
+		f.running++
+		f.done.Add(1)
+		go f.slot(ctx)
+	}
+}
+
+func (f *Follower) wanted(targets []Target) int {
+	wanted := len(targets)
+	if f.options.Count > 0 {
+		wanted = min(wanted, f.options.Count)
+	}
+	return max(wanted, 1)
+}
+
+// slot follows one source at a time.
+func (f *Follower) slot(ctx context.Context) {
+	defer f.done.Done()
+	retry := retryFirst
+	for ctx.Err() == nil {
+		address, more := f.claim()
+		if !more {
+			return
+		}
+		if address != "" && f.follow(ctx, address) {
+			retry = retryFirst
+		}
+		f.startSlots(ctx)
+		if !pause(ctx, jittered(retry)) {
+			return
+		}
+		retry = min(2*retry, retryMost)
+	}
+}
+
+// claim picks the best source that no slot follows, empty where there is none. More is false when the slot is one too
+// many.
+func (f *Follower) claim() (address string, more bool) {
+	targets := f.options.Targets()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.running > f.wanted(targets) {
+		f.running--
+		return "", false
+	}
+	f.forgetOthers(targets)
+	best := f.best(targets)
+	if best == "" {
+		return "", true
+	}
+	f.sources[best].followed = true
+	return best, true
+}
+
+// best orders the free sources: those not avoided first, then those of a zone that no slot follows a source of, then
+// by preference.
+func (f *Follower) best(targets []Target) string {
+	zones := f.followedZones(targets)
+	now := time.Now()
+	best, bestRank := "", 0
+	for i, target := range targets {
+		s := f.sources[target.Address]
+		if s == nil {
+			s = &source{}
+			f.sources[target.Address] = s
+		}
+		if s.followed {
+			continue
+		}
+		rank := i
+		if zones[target.Zone] && target.Zone != "" {
+			rank += len(targets)
+		}
+		if now.Before(s.avoidUntil) {
+			rank += len(targets) * (1 + min(s.failures, 100)) * 2
+		}
+		if best == "" || rank < bestRank {
+			best, bestRank = target.Address, rank
+		}
+	}
+	return best
+}
+
+func (f *Follower) followedZones(targets []Target) map[string]bool {
+	zones := make(map[string]bool)
+	for _, target := range targets {
+		if s := f.sources[target.Address]; s != nil && s.followed {
+			zones[target.Zone] = true
+		}
+	}
+	return zones
+}
+
+// forgetOthers drops what is known of sources that are neither named any more nor followed.
+func (f *Follower) forgetOthers(targets []Target) {
+	if len(f.sources) <= 2*len(targets)+8 {
+		return
+	}
+	named := make(map[string]bool, len(targets))
+	for _, target := range targets {
+		named[target.Address] = true
+	}
+	for address, s := range f.sources {
+		if !named[address] && !s.followed {
+			delete(f.sources, address)
+		}
+	}
+}
+
+// follow polls a source until it fails, is named no more or another is to be looked at, and says whether it ever
+// answered.
+func (f *Follower) follow(ctx context.Context, address string) bool {
+	answered := false
+	until := time.Now().Add(reconsiderMost/2 + rand.N(reconsiderMost/2))
+	for {
+		err := f.poll(ctx, address, !answered)
+		if err != nil || ctx.Err() != nil {
+			f.failed(ctx, address)
+			return answered
+		}
+		if !answered {
+			answered = true
+			f.succeeded(address)
+			f.startSlots(ctx)
+		}
+		if f.shouldLeave(address, &until) {
+			f.release(address)
+			return true
+		}
+	}
+}
+
+// shouldLeave says that the source is named no more or, looked at only now and then, that a better one is free.
+func (f *Follower) shouldLeave(address string, until *time.Time) bool {
+	targets := f.options.Targets()
+	if !names(targets, address) {
+		return true
+	}
+	now := time.Now()
+	if now.Before(*until) {
+		return false
+	}
+	*until = now.Add(reconsiderMost/2 + rand.N(reconsiderMost/2))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := f.sources[address]
+	own.followed = false
+	better := f.best(targets)
+	own.followed = true
+	return better != address
+}
+
+func names(targets []Target, address string) bool {
+	for _, target := range targets {
+		if target.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// poll asks a source once. The first poll of a source is not to be held, so that one which cannot answer is known soon.
+func (f *Follower) poll(ctx context.Context, address string, first bool) error {
+	wait := f.options.Wait
+	if first {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+replySlack)
+	defer cancel()
+	request := f.request(address, wait)
+	reply := &tierpb.WatchReply{}
+	if err := f.options.Caller.Call(ctx, address, rpc.MethodWatch, request, reply); err != nil {
+		return err
+	}
+	f.options.State.Merge(reply)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.sources[address]; s != nil {
+		s.feed, s.cursor = reply.Feed, reply.Cursor
+	}
+	return nil
+}
+
+func (f *Follower) request(address string, wait time.Duration) *tierpb.WatchRequest {
+	request := &tierpb.WatchRequest{
+		ControlVersion: f.options.State.Control().GetVersion(), WaitMs: uint32(wait / time.Millisecond),
+		Follower: f.options.Self, Heartbeats: f.options.Heartbeats,
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.sources[address]; s != nil {
+		request.Feed, request.Cursor = s.feed, s.cursor
+	}
+	return request
+}
+
+func (f *Follower) succeeded(address string) {
+	f.mu.Lock()
+	s := f.sources[address]
+	was := s.answers
+	s.answers, s.failures, s.avoidUntil = true, 0, time.Time{}
+	f.mu.Unlock()
+	if !was {
+		f.report(address, true)
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, address string) {
+	f.mu.Lock()
+	s := f.sources[address]
+	was := s.answers
+	s.followed, s.answers = false, false
+	s.failures++
+	avoid := min(avoidFirst<<min(s.failures-1, 4), avoidMost)
+	s.avoidUntil = time.Now().Add(jittered(avoid))
+	f.mu.Unlock()
+	if was && ctx.Err() == nil {
+		f.report(address, false)
+	}
+}
+
+// release ends following a source that did not fail.
+func (f *Follower) release(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sources[address]
+	s.followed, s.answers = false, false
+}
+
+func (f *Follower) report(address string, answers bool) {
+	if f.options.Changed != nil {
+		f.options.Changed(address, answers)
+	}
+}
+
+// jittered is between half and one and a half of the duration.
+func jittered(duration time.Duration) time.Duration { return duration/2 + rand.N(duration) }
+
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/tier/watch/join.go
@@ -0,0 +1,86 @@
+package watch
+
+import (
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Change says what a merge did to an instance.
+type Change uint8
+
+// The kinds of change.
+const (
+	Unchanged Change = iota
+	Heartbeat        // only the sequence or the rest of the cold time differs
+	Material         // followers that send requests need to know
+)
+
+// Terminal says that a state stays, whatever comes later.
+func Terminal(state tierpb.InstanceState) bool {
+	return state >= tierpb.InstanceState_INSTANCE_DRAINING
+}
+
+// join merges two descriptions of one instance. It is commutative, associative and idempotent, so descriptions may
+// arrive in any order: the higher sequence wins, at the same one the higher state, and terminal states stay.
+func join(known, told *tierpb.Instance) (*tierpb.Instance, Change) {
+	if known == nil {
+		return told, Material
+	}
+	newer := told.Sequence > known.Sequence || told.Sequence == known.Sequence && told.State > known.State
+	merged := known
+	if newer {
+		merged = told
+	}
+	state := joinStates(known.State, told.State, merged.State)
+	if merged.State != state {
+		merged = merged.CloneVT()
+		merged.State = state
+	}
+	return merged, compare(known, merged)
+}
+
+func joinStates(known, told, newest tierpb.InstanceState) tierpb.InstanceState {
+	highest := max(known, told)
+	if Terminal(highest) {
+		return highest
+	}
+	return newest
+}
+
+func compare(known, merged *tierpb.Instance) Change {
+	switch {
+	case known == merged:
+		return Unchanged
+	case known.State != merged.State || known.Address != merged.Address || known.Backend != merged.Backend ||
+		known.Zone != merged.Zone || known.Generation != merged.Generation || known.Slots != merged.Slots:
+		return Material
+	case !sameStrings(known.Models, merged.Models):
+		return Material
+	case known.Sequence == merged.Sequence && known.ColdRemainingMs == merged.ColdRemainingMs:
+		return Unchanged
+	}
+	return Heartbeat
+}
+
+func sameStrings(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// aged returns the instance with the rest of its cold time as it stands when this much time has passed.
+func aged(instance *tierpb.Instance, passed time.Duration) *tierpb.Instance {
+	if instance.ColdRemainingMs == 0 || passed < time.Millisecond {
+		return instance
+	}
+	older := instance.CloneVT()
+	older.ColdRemainingMs -= uint32(min(passed.Milliseconds(), int64(instance.ColdRemainingMs)))
+	return older
+}
--- /dev/null
+++ b/internal/tier/watch/state_test.go
@@ -0,0 +1,237 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// fakeClock runs timers only when it is advanced.
+type fakeClock struct {
+	now    time.Time
+	timers []fakeTimer
+}
+
+type fakeTimer struct {
+	at  time.Time
+	run func()
+}
+
+func newFakeClock() *fakeClock { return &fakeClock{now: time.Unix(1000, 0)} }
+
+func (c *fakeClock) time() time.Time { return c.now }
+
+func (c *fakeClock) after(delay time.Duration, run func()) {
+	c.timers = append(c.timers, fakeTimer{c.now.Add(delay), run})
+}
+
+func (c *fakeClock) advance(by time.Duration) {
+	c.now = c.now.Add(by)
+	due := c.timers
+	c.timers = nil
+	for _, timer := range due {
+		if timer.at.After(c.now) {
+			c.timers = append(c.timers, timer)
+			continue
+		}
+		timer.run()
+	}
+}
+
+func testState() (*State, *fakeClock) {
+	clock := newFakeClock()
+	return newState(clock.time, clock.after), clock
+}
+
+const (
+	ready    = tierpb.InstanceState_INSTANCE_READY
+	silent   = tierpb.InstanceState_INSTANCE_SILENT
+	draining = tierpb.InstanceState_INSTANCE_DRAINING
+	gone     = tierpb.InstanceState_INSTANCE_GONE
+)
+
+func instance(id string, sequence uint64, state tierpb.InstanceState) *tierpb.Instance {
+	return &tierpb.Instance{Id: id, Sequence: sequence, State: state, Address: "10.0.0.1:80"}
+}
+
+func ask(t *testing.T, s *State, request *tierpb.WatchRequest) *tierpb.WatchReply {
+	t.Helper()
+	reply, err := s.Watch(context.Background(), request)
+	assert.NilError(t, err)
+	return reply
+}
+
+func closed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+func TestJoinIsFreeOfOrder(t *testing.T) {
+	told := []*tierpb.Instance{
+		instance("i", 1, ready), instance("i", 2, ready), instance("i", 2, silent), instance("i", 3, draining),
+		instance("i", 4, ready), instance("i", 5, ready), {Id: "i", State: gone},
+	}
+	for range 200 {
+		rand.Shuffle(len(told), func(i, j int) { told[i], told[j] = told[j], told[i] })
+		s, _ := testState()
+		for _, one := range told {
+			s.Upsert(one)
+		}
+		got := s.Instance("i")
+		assert.Equal(t, got.State, gone)
+		assert.Equal(t, got.Sequence, uint64(5))
+		assert.Equal(t, got.Address, "10.0.0.1:80")
+	}
+}
+
+func TestSilentEndsWithTheNextHeartbeatButDrainingStays(t *testing.T) {
+	s, _ := testState()
+	s.Upsert(instance("i", 1, ready))
+	assert.Equal(t, s.Upsert(instance("i", 1, silent)), Material)
+	assert.Equal(t, s.Upsert(instance("i", 1, ready)), Unchanged)
+	assert.Equal(t, s.Upsert(instance("i", 2, ready)), Material)
+	assert.Equal(t, s.Upsert(instance("i", 3, ready)), Heartbeat)
+	assert.Equal(t, s.Upsert(instance("i", 4, draining)), Material)
+	assert.Equal(t, s.Upsert(instance("i", 9, ready)), Heartbeat)
+	assert.Equal(t, s.Instance("i").State, draining)
+}
+
+func TestGoneMarkOutlivesOlderNews(t *testing.T) {
+	s, clock := testState()
+	s.Upsert(instance("i", 5, ready))
+	s.Upsert(&tierpb.Instance{Id: "i", State: gone})
+	clock.advance(goneKept - time.Second)
+	s.Upsert(instance("i", 4, ready))
+	assert.Equal(t, s.Instance("i").State, gone)
+	clock.advance(time.Second)
+	s.Upsert(instance("other", 1, ready))
+	assert.Assert(t, s.Instance("i") == nil)
+	reply := ask(t, s, &tierpb.WatchRequest{})
+	assert.Equal(t, len(reply.Instances), 1)
+}
+
+func TestControlNeverGoesBack(t *testing.T) {
+	s, _ := testState()
+	assert.Assert(t, s.Merge(&tierpb.WatchReply{Control: &tierpb.ControlState{Version: 7}}))
+	assert.Assert(t, !s.Merge(&tierpb.WatchReply{Control: &tierpb.ControlState{Version: 6}}))
+	assert.Equal(t, s.Control().Version, uint64(7))
+	assert.Assert(t, ask(t, s, &tierpb.WatchRequest{ControlVersion: 7}).Control == nil)
+	assert.Equal(t, ask(t, s, &tierpb.WatchRequest{ControlVersion: 6}).Control.Version, uint64(7))
+}
+
+func TestOrdersTakenGoToCoordinatorsOnly(t *testing.T) {
+	s, _ := testState()
+	s.SetControl(&tierpb.ControlState{Version: 1, Taken: []*tierpb.TakenOrder{{Generation: 1}}})
+	agent := ask(t, s, &tierpb.WatchRequest{Follower: &tierpb.Node{Role: tierpb.Role_ROLE_AGENT}})
+	assert.Equal(t, len(agent.Control.Taken), 0)
+	coordinator := ask(t, s, &tierpb.WatchRequest{Follower: &tierpb.Node{Role: tierpb.Role_ROLE_COORDINATOR}})
+	assert.Equal(t, len(coordinator.Control.Taken), 1)
+}
+
+func TestPollTellsOnlyWhatChanged(t *testing.T) {
+	s, clock := testState()
+	s.Upsert(instance("a", 1, ready))
+	s.Upsert(instance("b", 1, ready))
+	first := ask(t, s, &tierpb.WatchRequest{})
+	assert.Equal(t, len(first.Instances), 2)
+	clock.advance(time.Second)
+	s.Upsert(instance("b", 2, draining))
+	next := ask(t, s, &tierpb.WatchRequest{Feed: first.Feed, Cursor: first.Cursor})
+	assert.Equal(t, len(next.Instances), 1)
+	assert.Equal(t, next.Instances[0].State, draining)
+	other := ask(t, s, &tierpb.WatchRequest{Feed: first.Feed + 2, Cursor: 99})
+	assert.Equal(t, len(other.Instances), 2)
+}
+
+func TestHeartbeatsGoOnlyToThoseThatAsk(t *testing.T) {
+	s, clock := testState()
+	s.Upsert(instance("a", 1, ready))
+	first := ask(t, s, &tierpb.WatchRequest{})
+	clock.advance(time.Second)
+	s.Upsert(instance("a", 2, ready))
+	request := &tierpb.WatchRequest{Feed: first.Feed, Cursor: first.Cursor}
+	reply, changed, beat := s.poll(request)
+	assert.Assert(t, reply == nil && changed != nil && beat == nil)
+	request.Heartbeats = true
+	reply, _, _ = s.poll(request)
+	assert.Equal(t, reply.Instances[0].Sequence, uint64(2))
+}
+
+func TestBurstOfChangesWakesOnceInAGap(t *testing.T) {
+	s, clock := testState()
+	first := s.Changed()
+	s.Upsert(instance("a", 1, ready))
+	assert.Assert(t, closed(first))
+	second := s.Changed()
+	s.Upsert(instance("b", 1, ready))
+	s.Upsert(instance("c", 1, ready))
+	assert.Assert(t, !closed(second))
+	clock.advance(changeGap)
+	assert.Assert(t, closed(second))
+	assert.Equal(t, len(clock.timers), 0)
+}
+
+func TestWaitingPollIsAnsweredAtAChange(t *testing.T) {
+	s := NewState()
+	s.Upsert(instance("a", 1, ready))
+	place := ask(t, s, &tierpb.WatchRequest{})
+	answered := make(chan *tierpb.WatchReply)
+	go func() {
+		reply, _ := s.Watch(context.Background(), &tierpb.WatchRequest{Feed: place.Feed, Cursor: place.Cursor, WaitMs: 5000})
+		answered <- reply
+	}()
+	s.Upsert(instance("a", 2, draining))
+	assert.Equal(t, (<-answered).Instances[0].State, draining)
+}
+
+func TestEmptyStateHoldsAPoll(t *testing.T) {
+	s, _ := testState()
+	reply, _, _ := s.poll(&tierpb.WatchRequest{Feed: 3, Cursor: 9, ControlVersion: 4})
+	assert.Assert(t, reply == nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := s.Watch(ctx, &tierpb.WatchRequest{Feed: 3, WaitMs: 5000})
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
+func TestColdTimeIsToldAsItStands(t *testing.T) {
+	s, clock := testState()
+	cold := instance("a", 1, ready)
+	cold.ColdRemainingMs = 3000
+	s.Upsert(cold)
+	clock.advance(2 * time.Second)
+	assert.Equal(t, ask(t, s, &tierpb.WatchRequest{}).Instances[0].ColdRemainingMs, uint32(1000))
+	clock.advance(2 * time.Second)
+	assert.Equal(t, s.Instances()[0].ColdRemainingMs, uint32(0))
+	assert.Equal(t, cold.ColdRemainingMs, uint32(3000))
+}
+
+func TestJournalStaysNearTheNumberOfInstances(t *testing.T) {
+	s, _ := testState()
+	for sequence := range uint64(10000) {
+		s.Upsert(instance("a", sequence, ready))
+		s.Upsert(instance("b", sequence, ready))
+	}
+	assert.Assert(t, len(s.heartbeats.events) <= 2*2+compactionSlack)
+	assert.Equal(t, len(ask(t, s, &tierpb.WatchRequest{}).Instances), 2)
+}
+
+func TestSinceFoldsIncrementally(t *testing.T) {
+	s, _ := testState()
+	s.Upsert(instance("a", 1, ready))
+	all, version := s.Since(0)
+	assert.Equal(t, len(all), 1)
+	s.Upsert(instance("b", 1, ready))
+	news, _ := s.Since(version)
+	assert.Equal(t, len(news), 1)
+	assert.Equal(t, news[0].Id, "b")
+}
