Admission: TF-EDFQ of one store a request, on rules shared with policy

Cause: the proxy had nobody to ask when and where a request leaves. Change: internal/tier/admission, a core without I/O or clock behind one lock and at most one timer: one deadline (arrival + aim - the store's tail), queues a store, release earliest deadline first below a cap, refusal on the miss share over 5 s, stores by turns with the skip; affinity, zone, told load, cold and failing stores.

--- /dev/null
+++ b/internal/tier/admission/choose.go
@@ -0,0 +1,102 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// A store's tier for a request: 0 takes its turn, the rest are passed over while a better one is there.
+const (
+	inTurn  = iota
+	noRoom  // there is a queue
+	suspect // the design's skip, and what fails or is slow
+	shut    // turned one away or could not be reached a moment ago
+	tried   // this try was there before
+	barred  // drains or is gone
+)
+
+func (s *store) tier(w *waiter, now time.Duration) int {
+	switch {
+	case !s.listed || s.State == Draining || s.State == Gone:
+		return barred
+	case slices.Contains(w.Avoid, s.Instance):
+		return tried
+	case now < s.leftTo:
+		return shut
+	case s.late(now) || !s.sound(now) && (s.out > 0 || w.Attempt > 0):
+		return suspect
+	case !s.room(now):
+		return noRoom
+	}
+	return inTurn
+}
+
+// choose takes the store whose turn it is: of the best tier, the one that the request has an affinity to, else the one
+// that has waited the longest, in the proxy's own zone while its stores have places to spare.
+func (c *core) choose(v *service, w *waiter, now time.Duration) (best *store, bestTier int) {
+	bestTier = barred
+	bestRank := rank{}
+	even := c.evenShare(v, now)
+	for _, s := range v.stores {
+		tier := s.tier(w, now)
+		if tier > bestTier || tier == barred {
+			continue
+		}
+		r := c.rank(s, w, now, even)
+		if best == nil || tier < bestTier || r.above(bestRank) {
+			best, bestTier, bestRank = s, tier, r
+		}
+	}
+	if best != nil {
+		v.turn++
+		best.turn = v.turn
+	}
+	return best, bestTier
+}
+
+// rank orders the stores of one tier.
+type rank struct {
+	near     bool // in the zone, with places to spare
+	affinity uint64
+	wait     float64 // turns waited, by trust
+}
+
+func (r rank) above(o rank) bool {
+	switch {
+	case r.near != o.near:
+		return r.near
+	case r.affinity != o.affinity:
+		return r.affinity > o.affinity
+	}
+	return r.wait > o.wait
+}
+
+func (c *core) rank(s *store, w *waiter, now time.Duration, even float64) rank {
+	load := s.load(now)
+	waited := float64(s.service.turn-s.turn) + 1
+	r := rank{wait: waited * max(s.trust(now), leastTurns)}
+	r.near = s.Zone == c.zone && load < nearShare*float64(s.slots())
+	if w.Affinity != 0 && s.service.engine && load < even {
+		r.affinity = mix(w.Affinity ^ s.hash)
+	}
+	return r
+}
+
+// evenShare is the load up to which a store keeps the requests that have an affinity to it.
+func (c *core) evenShare(v *service, now time.Duration) float64 {
+	if !v.engine || len(v.stores) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, s := range v.stores {
+		sum += s.load(now)
+	}
+	return affinitySlack*sum/float64(len(v.stores)) + affinityFree
+}
+
+// mix spreads the bits of a hash (the finaliser of SplitMix64); it never returns 0.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31 | 1
+}
--- /dev/null
+++ b/internal/tier/admission/service.go
@@ -0,0 +1,110 @@
+package admission
+
+import (
+	"hash/fnv"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/mem/curve"
+)
+
+// service is a pool of stores and what is decided for all of them together.
+type service struct {
+	name    string
+	engine  bool
+	slots   int // of a store, as the configuration tells
+	stores  []*store
+	known   map[string]*store // by instance, also those that have left while requests are out there
+	classes []*class
+	turn    uint64
+	held    int // requests in all queues
+
+	out       int     // requests of ours that are at its stores
+	occupancy float64 // smoothed seconds that a request holds its place
+	decided   curve.Sliding
+	missed    curve.Sliding
+	refused   float64 // share of new requests that is refused
+	refusedAt time.Duration
+	shares    [levels]float64 // smoothed share of what comes in, by priority
+}
+
+func newService(name string) *service {
+	return &service{name: name, known: map[string]*store{}}
+}
+
+// class finds what is usual for an aim and a kind of answer.
+func (v *service) class(aim time.Duration, streaming bool) *class {
+	for _, c := range v.classes {
+		if c.aim == aim && c.streaming == streaming {
+			return c
+		}
+	}
+	c := newClass(aim, streaming)
+	v.classes = append(v.classes, c)
+	return c
+}
+
+// set brings the stores up to date. What is known of one that stays is kept; requests held for one that leaves
+// are returned, to be placed anew.
+func (v *service) set(now time.Duration, at func(time.Time) time.Duration, stores []Store) (homeless []*waiter) {
+	for _, s := range v.stores {
+		s.listed = false
+	}
+	v.stores = v.stores[:0]
+	for _, told := range stores {
+		s := v.known[told.Instance]
+		if s == nil {
+			s = v.start(told)
+		}
+		slots := s.Slots
+		s.Store = told
+		if told.Slots == 0 {
+			s.Slots = slots
+		}
+		if to := at(told.ColdUntil); !told.ColdUntil.IsZero() && to > now && s.coldTo <= now {
+			s.coldFrom, s.coldTo = min(now, to-coldRamp), to
+		}
+		s.listed = told.State != Gone
+		if s.listed {
+			v.stores = append(v.stores, s)
+		}
+	}
+	for instance, s := range v.known {
+		if !s.listed || s.State == Draining {
+			homeless = append(homeless, s.held...)
+			for _, w := range s.held {
+				w.index = -1
+			}
+			v.held -= len(s.held)
+			s.held = nil
+		}
+		if !s.listed && s.out == 0 {
+			delete(v.known, instance)
+		}
+	}
+	return homeless
+}
+
+func (v *service) start(told Store) *store {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(told.Instance)) // never fails
+	s := &store{service: v, hash: h.Sum64(), turn: v.turn, coldTo: -1, Store: told}
+	s.cap = max(float64(s.slots()), capLeast)
+	v.known[told.Instance] = s
+	return s
+}
+
+// places sums the places of the stores that may be sent to, and how many are taken.
+func (v *service) places(now time.Duration) (taken, all float64) {
+	for _, s := range v.stores {
+		if s.State == Ready || s.State == Silent {
+			all += float64(s.slots()) * s.warmth(now)
+			taken += min(s.load(now), float64(s.slots()))
+		}
+	}
+	return taken, all
+}
+
+// wait is how long a request that is held now will wait, by how fast our own leave.
+func (v *service) wait(ahead int) time.Duration {
+	return curve.Duration(float64(ahead) * v.occupancy / float64(max(v.out, 1)))
+}
--- /dev/null
+++ b/internal/tier/admission/store.go
@@ -0,0 +1,141 @@
+package admission
+
+import (
+	"time"
+
+	"pulleygw.example/pulleygw/internal/shared/tailguard"
+)
+
+// store is what is known of one store.
+type store struct {
+	Store
+	service  *service
+	hash     uint64 // of its instance, for affinity
+	listed   bool
+	coldFrom time.Duration
+	coldTo   time.Duration
+
+	out     int      // requests of ours that are there
+	unheard []*Grant // those of them that nothing has come of yet, oldest first
+	held    queue
+	turn    uint64 // number of its last turn
+
+	records   []record
+	slowness  float64 // smoothed answer time as a multiple of the usual; 0 when unheard
+	slowAt    time.Duration
+	failing   float64 // smoothed share of failures
+	failedAt  time.Duration
+	cap       float64
+	capFellAt time.Duration
+
+	others   float64 // requests of other callers there, as it told last
+	othersAt time.Duration
+	leftTo   time.Duration // it turned a request away, or could not be reached: until when it is left alone
+}
+
+// slots is how many requests the store works on at a time.
+func (s *store) slots() int {
+	switch {
+	case s.Slots > 0:
+		return s.Slots
+	case s.service.slots > 0:
+		return s.service.slots
+	}
+	return slotsGuess
+}
+
+// load is how many requests the store has now, by what it told and what we sent.
+func (s *store) load(now time.Duration) float64 {
+	if s.others == 0 {
+		return float64(s.out)
+	}
+	return float64(s.out) + tailguard.Faded(s.others, now-s.othersAt, loadHalf)
+}
+
+// open says whether the store may be sent anything now.
+func (s *store) open(now time.Duration) bool {
+	return s.listed && (s.State == Ready || s.State == Silent) && now >= s.leftTo
+}
+
+// warmth is the share of its capacity that the store has.
+func (s *store) warmth(now time.Duration) float64 {
+	if s.coldTo <= now {
+		return 1
+	}
+	return tailguard.Warmth(coldShare, now-s.coldFrom, s.coldTo-s.coldFrom)
+}
+
+// room says whether the store has a place for one request more: fewer than the cap of ours are out, and as far as it told
+// there are places left.
+func (s *store) room(now time.Duration) bool {
+	warmth := s.warmth(now)
+	if float64(s.out) >= max(s.cap*warmth, 1) {
+		return false
+	}
+	return s.out == 0 && s.others == 0 || s.load(now) < max(float64(s.slots())*warmth, 1)
+}
+
+// late is the design's skip: the oldest request that nothing has come of is past the 99th percentile of the record.
+func (s *store) late(now time.Duration) bool {
+	if len(s.unheard) == 0 {
+		return false
+	}
+	oldest := s.unheard[0]
+	return (now - oldest.sentAt).Seconds() > s.patience(oldest.class, now)
+}
+
+// trust is 1 on the ordinary path, and less while the store fails, is slower than the others, or is cold.
+func (s *store) trust(now time.Duration) float64 {
+	failing := tailguard.Faded(s.failing, now-s.failedAt, failingHalf)
+	slow := 1 + tailguard.Faded(max(s.slowness, 1)-1, now-s.slowAt, latencyHalf)
+	t := tailguard.Trust(failing, slow/slowSlack, s.warmth(now))
+	if s.State == Silent {
+		t *= trusted
+	}
+	return t
+}
+
+// sound says whether the store is no suspect. To be cold is no fault.
+func (s *store) sound(now time.Duration) bool { return s.trust(now) >= trusted*s.warmth(now) }
+
+// note takes in a success or a failure.
+func (s *store) note(now time.Duration, ok bool, weight float64) {
+	s.failing = tailguard.Faded(s.failing, now-s.failedAt, failingHalf)
+	s.failing, s.failedAt = failureRule.Next(s.failing, ok, weight), now
+}
+
+// heard takes in an answer time; quiet says that it was sent while the store was unloaded.
+func (s *store) heard(c *class, now time.Duration, seconds float64, quiet bool) {
+	c.refresh(now)
+	ratio := seconds / c.base
+	if s.slowness == 0 {
+		s.slowness = ratio
+	}
+	weight := latencyWeight
+	if ratio < capRule.Near {
+		weight = latencyBack
+	}
+	s.slowness, s.slowAt = s.slowness+weight*(ratio-s.slowness), now
+	if quiet {
+		s.remember(c, now, seconds)
+	}
+	s.cap, s.capFellAt = capRule.Next(s.cap, s.capFellAt, now, s.slowness*c.base, c.base)
+}
+
+// told takes in the load that the store put into an answer; this request is still counted in it.
+func (s *store) told(now time.Duration, running, waiting, slots int) {
+	if slots > 0 {
+		s.Slots = slots
+	}
+	s.others, s.othersAt = float64(max(running+waiting-s.out, 0)), now
+}
+
+// forget drops a grant from those that nothing has come of.
+func (s *store) forget(g *Grant) {
+	for i, o := range s.unheard {
+		if o == g {
+			s.unheard = append(s.unheard[:i], s.unheard[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/tier/admission/types.go
@@ -0,0 +1,87 @@
+// Package admission decides, in one proxy, when each request leaves and for which store of its service, and which are
+// refused. It follows TF-EDFQ (TailGuard) with a fan-out of one: a request is stamped once with a deadline, its arrival plus
+// the route's aim minus the store's unloaded tail; held requests leave each store's queue earliest deadline first while fewer
+// than a cap are out; new ones are refused on the share of those whose deadline passed while they were held.
+//
+// The decisions are a state machine (core) that is handed the time and does no I/O. Dispatcher puts one lock round it, and
+// at most one timer for all requests that are held.
+package admission
+
+import "time"
+
+// State of a store, as the list of stores tells it.
+type State uint8
+
+// The states of a store.
+const (
+	Ready State = iota
+	Silent
+	Draining
+	Gone
+)
+
+// Store is one incarnation of a store of a service.
+type Store struct {
+	Instance  string
+	Address   string
+	Zone      string
+	Slots     int // requests it works on at a time; 0 where it is not known
+	State     State
+	ColdUntil time.Time // it is slow from its start until then
+}
+
+// Request is what admission knows of one try of a client.
+type Request struct {
+	Service   string
+	Route     string
+	ID        string
+	Arrival   time.Time
+	Aim       time.Duration // within this after its arrival an answer (a stream's first event) earns its full worth
+	Deadline  time.Time     // end of the client's patience or of the route's timeout, whichever is first
+	Priority  int           // 0 is the most urgent
+	Affinity  uint64        // hash of the program or session that a store may remember; 0 for none
+	Zone      string        // of the client; empty for the proxy's own
+	Avoid     []string      // instances that this try was sent to before
+	First     bool          // nothing was done yet for the program that it belongs to
+	Attempt   int           // stores that this try was sent to before
+	Streaming bool
+	Tokens    int           // of the prompt
+	Left      time.Duration // until its program should be over; 0 where it belongs to none
+}
+
+// Outcome says how a sending ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	OK            Outcome = iota // answered whole
+	Error                        // the store answered with a failure of its own
+	Full                         // the store did not run it: it has no place now
+	NotExecuted                  // the store did not run it for another reason (another store lives there, it leaves)
+	ConnectFailed                // no connection came about
+	Broken                       // the answer broke off or never came
+	Cancelled                    // we stopped waiting: the client has left or its time is up
+)
+
+// Reason says why a request was refused.
+type Reason uint8
+
+// The reasons.
+const (
+	Overload Reason = iota // too many requests miss their deadlines
+	NoStore                // the service has no store that could take it
+	Hopeless               // it can't be answered in the time it has left
+	Left                   // its client has gone
+)
+
+var reasonNames = [...]string{"overload", "no store", "hopeless", "client left"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Refusal tells that a request was not sent to any store by this Acquire.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration // when trying again is of use
+}
+
+func (r *Refusal) Error() string { return "refused: " + r.Reason.String() }
