pulleytier: check-config, and tests of the command line

Signals, reloads with and without one, a settings file that cannot be used, exit codes; the reloader's test drives ticks by hand.

--- a/internal/tier/command/check.go
+++ b/internal/tier/command/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 
+	"pulleygw.example/pulleygw/internal/tier/configuration"
 	"pulleygw.example/pulleygw/internal/tier/settings"
 )
 
@@ -27,6 +29,17 @@
 
 // Run checks a configuration as a coordinator would before taking it, but for the version it builds on.
 func (c *checkConfig) Run(around *environment) error {
-	around.fail(ExitBadFile, errNotBuilt)
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		around.fail(ExitBadFile, err)
+		return nil
+	}
+	read, err := configuration.Parse(text)
+	if err != nil {
+		around.fail(ExitBadFile, err)
+		return nil
+	}
+	fmt.Fprintf(around.out, "%s: good: generation %d, %d routes, %d services\n",
+		c.File, read.Generation, len(read.Routes), len(read.Services))
 	return nil
 }
--- /dev/null
+++ b/internal/tier/command/command_test.go
@@ -0,0 +1,197 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/settings"
+)
+
+const goodSettings = `
+nodeName = "edge-a-1"
+ip = "127.0.0.1"
+zone = "a"
+ephemeralPorts = [7300, 7310]
+seeds = ["127.0.0.2:8000"]
+somethingNew = 3
+`
+
+const goodConfiguration = `{"generation":3,
+ "routes":[{"name":"r","hostname":"h.example","pathPrefix":"/a/","kind":"idempotent","timeoutMs":1000,
+  "targetLatencyMs":100,"priority":0,"backend":"s","maxAttempts":1}],
+ "services":[{"name":"s","healthPath":"/healthz","maxConnections":10,"protocol":"h1","tls":false}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// outcome is what a command line has left.
+type outcome struct {
+	code     ExitCode
+	out, err string
+}
+
+func carryOut(table []Role, arguments ...string) outcome {
+	out, err := &bytes.Buffer{}, &bytes.Buffer{}
+	code := run(arguments, out, err, table)
+	return outcome{code, out.String(), err.String()}
+}
+
+func TestHelpNamesEveryRole(t *testing.T) {
+	got := carryOut(roles, "--help")
+	assert.Equal(t, got.code, ExitDone)
+	for _, role := range []string{"proxy", "agent", "coordinator", "turn-store", "check-settings", "check-config"} {
+		assert.Assert(t, strings.Contains(got.out, role), "%s is missing in:\n%s", role, got.out)
+	}
+}
+
+func TestAWrongCommandLineIsUsage(t *testing.T) {
+	for _, arguments := range [][]string{nil, {"bogus"}, {"proxy", "--bogus"}, {"--log-level=loud", "version"}} {
+		got := carryOut(roles, arguments...)
+		assert.Equal(t, got.code, ExitUsage, "%v", arguments)
+		assert.Assert(t, got.err != "", "%v", arguments)
+	}
+}
+
+func TestVersion(t *testing.T) {
+	got := carryOut(roles, "version")
+	assert.Equal(t, got.code, ExitDone)
+	assert.Assert(t, strings.HasPrefix(got.out, "pulleytier "), got.out)
+}
+
+func TestCheckSettings(t *testing.T) {
+	got := carryOut(roles, "check-settings", write(t, goodSettings))
+	assert.Equal(t, got.code, ExitDone, got.err)
+	assert.Assert(t, strings.Contains(got.out, "good: edge-a-1 at 127.0.0.1, 1 seeds"), got.out)
+
+	wrong := strings.Replace(goodSettings, "127.0.0.2:8000", "somewhere", 1)
+	got = carryOut(roles, "check-settings", write(t, wrong))
+	assert.Equal(t, got.code, ExitBadFile)
+	assert.Assert(t, strings.Contains(got.err, `seeds[0] "somewhere" is not ip:port`), got.err)
+
+	got = carryOut(roles, "check-settings", filepath.Join(t.TempDir(), "none"))
+	assert.Equal(t, got.code, ExitBadFile)
+}
+
+func TestCheckConfig(t *testing.T) {
+	got := carryOut(roles, "check-config", write(t, goodConfiguration))
+	assert.Equal(t, got.code, ExitDone, got.err)
+	assert.Assert(t, strings.Contains(got.out, "good: generation 3, 1 routes, 1 services"), got.out)
+
+	got = carryOut(roles, "check-config", write(t, strings.Replace(goodConfiguration, `"backend":"s"`, `"backend":"x"`, 1)))
+	assert.Equal(t, got.code, ExitBadFile)
+	assert.Assert(t, strings.Contains(got.err, "routes[0]"), got.err)
+}
+
+func TestARoleWithoutUsableSettingsNamesTheKey(t *testing.T) {
+	never := []Role{{Name: "proxy", Help: "h", Run: func(context.Context, *settings.Live, hclog.Logger) error {
+		t.Error("the role was started")
+		return nil
+	}}}
+	got := carryOut(never, "proxy", "--settings", write(t, strings.Replace(goodSettings, `"127.0.0.1"`, `"nowhere"`, 1)))
+	assert.Equal(t, got.code, ExitBadSettings)
+	assert.Assert(t, strings.Contains(got.err, "ip "), got.err)
+}
+
+func TestTheSettingsFileIsNamedByTheEnvironment(t *testing.T) {
+	t.Setenv(settings.EnvironmentVariable, write(t, goodSettings))
+	node := ""
+	table := []Role{{Name: "agent", Help: "h", Run: func(_ context.Context, live *settings.Live, _ hclog.Logger) error {
+		node = live.Current().NodeName
+		return nil
+	}}}
+	got := carryOut(table, "agent")
+	assert.Equal(t, got.code, ExitDone, got.err)
+	assert.Equal(t, node, "edge-a-1")
+}
+
+func TestARoleThatBreaksDownIsToldByTheExitCode(t *testing.T) {
+	table := []Role{{Name: "agent", Help: "h", Run: func(context.Context, *settings.Live, hclog.Logger) error {
+		return errors.New("port taken")
+	}}}
+	got := carryOut(table, "--log-format=json", "agent", "--settings", write(t, goodSettings))
+	assert.Equal(t, got.code, ExitRoleFailed)
+	assert.Assert(t, strings.Contains(got.err, `"error":"port taken"`), got.err)
+}
+
+func TestTerminationEndsTheRolesContext(t *testing.T) {
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		table := []Role{{Name: "agent", Help: "h", Run: func(ctx context.Context, _ *settings.Live, _ hclog.Logger) error {
+			if err := syscall.Kill(os.Getpid(), signal); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			return nil
+		}}}
+		got := carryOut(table, "agent", "--settings", write(t, goodSettings))
+		assert.Equal(t, got.code, ExitDone)
+		assert.Assert(t, strings.Contains(got.err, "stopped"), got.err)
+	}
+}
+
+func TestHangUpReadsTheSettingsAgain(t *testing.T) {
+	path := write(t, goodSettings)
+	table := []Role{{Name: "agent", Help: "h", Run: func(_ context.Context, live *settings.Live, _ hclog.Logger) error {
+		changed := live.Changed()
+		if err := os.WriteFile(path, []byte(strings.Replace(goodSettings, `zone = "a"`, `zone = "b"`, 1)), 0o600); err != nil {
+			return err
+		}
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			return err
+		}
+		<-changed
+		assert.Equal(t, live.Current().Zone, "b")
+		return nil
+	}}}
+	got := carryOut(table, "agent", "--settings", path)
+	assert.Equal(t, got.code, ExitDone, got.err)
+}
+
+// TestAChangeWithoutASignalIsSeen drives the reloader by hand: a tick is taken only when the one before is dealt with.
+func TestAChangeWithoutASignalIsSeen(t *testing.T) {
+	path := write(t, goodSettings)
+	live, err := settings.NewLive(path)
+	assert.NilError(t, err)
+	logged := &bytes.Buffer{}
+	ticks, hangups, ended := make(chan time.Time), make(chan os.Signal), make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	reloading := &reloader{live: live, log: hclog.New(&hclog.LoggerOptions{Output: logged})}
+	go func() {
+		defer close(ended)
+		reloading.run(ctx, hangups, ticks)
+	}()
+	tick := func() {
+		ticks <- time.Time{}
+		ticks <- time.Time{}
+	}
+
+	broken := strings.Replace(goodSettings, "[7300, 7310]", "[7300]", 1)
+	assert.NilError(t, os.WriteFile(path, []byte(broken), 0o600))
+	tick()
+	assert.Equal(t, live.Current().Zone, "a")
+
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(goodSettings, `"a"`, `"c"`, 1)), 0o600))
+	tick()
+	assert.Equal(t, live.Current().Zone, "c")
+
+	hangups <- syscall.SIGHUP // unchanged content: nothing happens
+	tick()
+	cancel()
+	<-ended
+	assert.Equal(t, strings.Count(logged.String(), "ephemeralPorts"), 1, logged.String())
+	assert.Equal(t, strings.Count(logged.String(), "settings changed"), 1, logged.String())
+}
