--- /dev/null
+++ b/internal/tier/register/acceptor.go
@@ -0,0 +1,279 @@
+package register
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/storage"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Names of the series of an acceptor's folder.
+const (
+	identitySeries = "identity"
+	promiseSeries  = "promise"
+	acceptedSeries = "accepted"
+)
+
+// maxWaiting bounds the calls that wait for a stalled disk; further ones are refused.
+const maxWaiting = 16
+
+// AcceptorOptions say where an acceptor keeps its state and how it starts on an empty disk.
+type AcceptorOptions struct {
+	Disk      storage.Disk
+	Folder    string
+	Address   string   // inner address of this coordinator
+	Bootstrap bool     // first start of the whole system
+	Seeds     []string // inner addresses of the first coordinators; used where Bootstrap is set
+	Faults    *fault.Points
+}
+
+// Acceptor keeps promises and the accepted value of one identity. It is safe for concurrent use.
+type Acceptor struct {
+	identity uint64
+	fresh    bool
+	faults   *fault.Points
+	promises *storage.Series
+	values   *storage.Series
+	waiting  atomic.Int32
+	turn     chan struct{} // holds one token; its owner may change what follows and the disk
+	unclear  bool          // the disk may hold a value that was never acknowledged
+	state    atomic.Pointer[acceptorState]
+}
+
+// acceptorState is what an acceptor has promised and accepted, all of it on disk; it is replaced, never changed.
+type acceptorState struct {
+	promised *tierpb.Ballot
+	accepted *tierpb.Ballot
+	value    *tierpb.ControlState
+}
+
+// OpenAcceptor reads the state of an acceptor. On an empty disk it gets a new identity: at the first start of the
+// whole system one that follows from its address, with the initial value; at any other time a drawn one, without
+// a value.
+func OpenAcceptor(options AcceptorOptions) (*Acceptor, error) {
+	if err := options.Disk.MakeFolder(options.Folder); err != nil {
+		return nil, eris.Wrap(err, "acceptor")
+	}
+	acceptor := &Acceptor{faults: options.Faults, turn: make(chan struct{}, 1)}
+	acceptor.turn <- struct{}{}
+	var identity *storage.Series
+	for name, series := range map[string]**storage.Series{
+		identitySeries: &identity, promiseSeries: &acceptor.promises, acceptedSeries: &acceptor.values,
+	} {
+		opened, err := storage.Open(options.Disk, options.Folder, name, options.Faults)
+		if err != nil {
+			return nil, err
+		}
+		*series = opened
+	}
+	payload, found := identity.Newest()
+	lost := identity.Damaged() || acceptor.promises.Damaged() || acceptor.values.Damaged()
+	if found && !lost {
+		return acceptor, acceptor.load(payload)
+	}
+	return acceptor, acceptor.begin(options, identity, lost)
+}
+
+// load takes over the state that was read.
+func (a *Acceptor) load(identity []byte) error {
+	var err error
+	if a.identity, err = decodeIdentity(identity); err != nil {
+		return err
+	}
+	state := &acceptorState{promised: &tierpb.Ballot{}, accepted: &tierpb.Ballot{}}
+	if payload, found := a.values.Newest(); found {
+		stored := &tierpb.AcceptRequest{}
+		if err := stored.UnmarshalVT(payload); err != nil {
+			return eris.Wrap(err, "accepted value")
+		}
+		if stored.Ballot != nil {
+			state.accepted = stored.Ballot
+		}
+		state.value = stored.Value
+		state.promised = state.accepted
+	}
+	if payload, found := a.promises.Newest(); found {
+		promised := &tierpb.Ballot{}
+		if err := promised.UnmarshalVT(payload); err != nil {
+			return eris.Wrap(err, "promise")
+		}
+		if higher(promised, state.promised) {
+			state.promised = promised
+		}
+	}
+	a.state.Store(state)
+	return nil
+}
+
+// begin gives the acceptor an identity of its own. The identity is saved last: without it nothing counts.
+func (a *Acceptor) begin(options AcceptorOptions, identity *storage.Series, lost bool) error {
+	a.fresh = true
+	for _, series := range []*storage.Series{identity, a.promises, a.values} {
+		if err := series.Clear(); err != nil {
+			return eris.Wrap(err, "acceptor")
+		}
+	}
+	state := &acceptorState{promised: &tierpb.Ballot{}, accepted: &tierpb.Ballot{}}
+	a.identity = DrawIdentity()
+	if options.Bootstrap && !lost {
+		a.identity = InitialIdentity(options.Address)
+		state.value = InitialState(options.Seeds)
+		if err := a.saveValue(state.accepted, state.value); err != nil {
+			return err
+		}
+	}
+	if err := a.faults.At(fault.IdentityUnsaved); err != nil {
+		return err
+	}
+	a.state.Store(state)
+	return identity.Save(encodeIdentity(a.identity))
+}
+
+// Identity returns the identity under which the acceptor votes.
+func (a *Acceptor) Identity() uint64 { return a.identity }
+
+// Fresh says whether the disk was found empty.
+func (a *Acceptor) Fresh() bool { return a.fresh }
+
+// Value returns the accepted value, which need not be chosen, and nil where there is none. It is not to be changed.
+func (a *Acceptor) Value() *tierpb.ControlState { return a.state.Load().value }
+
+// Promised returns the highest ballot promised.
+func (a *Acceptor) Promised() *tierpb.Ballot { return a.state.Load().promised }
+
+// Prepare promises to accept nothing below the ballot, which is on disk when it returns, and tells what was
+// accepted. A ballot of zero asks for that alone.
+func (a *Acceptor) Prepare(request *tierpb.PrepareRequest) *tierpb.PrepareReply {
+	if request.GetIdentity() != a.identity {
+		return &tierpb.PrepareReply{WrongIdentity: true}
+	}
+	if request.GetBallot().GetCounter() == 0 {
+		state := a.state.Load()
+		return &tierpb.PrepareReply{Promised: true, Accepted: state.accepted, Value: state.value}
+	}
+	if !a.take() {
+		return &tierpb.PrepareReply{}
+	}
+	defer a.give()
+	state := a.state.Load()
+	if higher(state.promised, request.Ballot) {
+		return &tierpb.PrepareReply{Highest: state.promised}
+	}
+	if err := a.promise(state, request.Ballot); err != nil {
+		return &tierpb.PrepareReply{}
+	}
+	return &tierpb.PrepareReply{Promised: true, Accepted: state.accepted, Value: state.value}
+}
+
+// promise saves a promise, unless it is on disk already.
+func (a *Acceptor) promise(state *acceptorState, ballot *tierpb.Ballot) error {
+	if err := a.settle(state); err != nil {
+		return err
+	}
+	if sameBallot(ballot, state.promised) {
+		return nil
+	}
+	if err := a.faults.At(fault.PromiseUnsaved); err != nil {
+		return err
+	}
+	payload, err := ballot.MarshalVT()
+	if err != nil {
+		return err
+	}
+	if err := a.promises.Save(payload); err != nil {
+		return err
+	}
+	a.state.Store(&acceptorState{promised: ballot, accepted: state.accepted, value: state.value})
+	return a.faults.At(fault.PromiseSaved)
+}
+
+// settle writes the known state again after a save that failed: until then the disk may hold a value that would
+// come up at the next start, behind promises that were made without telling of it.
+func (a *Acceptor) settle(state *acceptorState) error {
+	if !a.unclear {
+		return nil
+	}
+	if err := a.saveValue(state.accepted, state.value); err != nil {
+		return err
+	}
+	a.unclear = false
+	return nil
+}
+
+// Accept takes a value unless a higher ballot was promised; the value is on disk when it returns.
+func (a *Acceptor) Accept(request *tierpb.AcceptRequest) *tierpb.AcceptReply {
+	if request.GetIdentity() != a.identity {
+		return &tierpb.AcceptReply{WrongIdentity: true}
+	}
+	if request.GetBallot().GetCounter() == 0 || len(request.GetValue().GetVoters()) == 0 {
+		return &tierpb.AcceptReply{}
+	}
+	if !a.take() {
+		return &tierpb.AcceptReply{}
+	}
+	defer a.give()
+	state := a.state.Load()
+	if higher(state.promised, request.Ballot) {
+		return &tierpb.AcceptReply{Highest: state.promised}
+	}
+	if sameBallot(request.Ballot, state.accepted) {
+		return &tierpb.AcceptReply{Accepted: true}
+	}
+	if err := a.accept(request); err != nil {
+		return &tierpb.AcceptReply{}
+	}
+	return &tierpb.AcceptReply{Accepted: true}
+}
+
+// accept saves the value and takes it over. Nobody is told of it before it is on disk.
+func (a *Acceptor) accept(request *tierpb.AcceptRequest) error {
+	if err := a.faults.At(fault.AcceptUnsaved); err != nil {
+		return err
+	}
+	a.unclear = true
+	if err := a.saveValue(request.Ballot, request.Value); err != nil {
+		return err
+	}
+	a.unclear = false
+	a.state.Store(&acceptorState{promised: request.Ballot, accepted: request.Ballot, value: request.Value})
+	return a.faults.At(fault.AcceptSaved)
+}
+
+func (a *Acceptor) saveValue(ballot *tierpb.Ballot, value *tierpb.ControlState) error {
+	stored := &tierpb.AcceptRequest{Identity: a.identity, Ballot: ballot, Value: value}
+	payload, err := stored.MarshalVT()
+	if err != nil {
+		return eris.Wrap(err, "encode accepted value")
+	}
+	return a.values.Save(payload)
+}
+
+// take waits for the acceptor's turn, unless too many wait already.
+func (a *Acceptor) take() bool {
+	if a.waiting.Add(1) > maxWaiting {
+		a.waiting.Add(-1)
+		return false
+	}
+	<-a.turn
+	return true
+}
+
+func (a *Acceptor) give() {
+	a.turn <- struct{}{}
+	a.waiting.Add(-1)
+}
+
+// Serve registers the acceptor's calls.
+func (a *Acceptor) Serve(server *rpc.Server) {
+	rpc.Handle(server, rpc.MethodPrepare, func(_ context.Context, request *tierpb.PrepareRequest) (*tierpb.PrepareReply, error) {
+		return a.Prepare(request), nil
+	})
+	rpc.Handle(server, rpc.MethodAccept, func(_ context.Context, request *tierpb.AcceptRequest) (*tierpb.AcceptReply, error) {
+		return a.Accept(request), nil
+	})
+}
--- /dev/null
+++ b/internal/tier/register/proposer.go
@@ -0,0 +1,236 @@
+package register
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Results of a change that did not come to an end.
+var (
+	// ErrUncertain: a changed value was sent to acceptors, and whether it is or will be in force is not known.
+	ErrUncertain = eris.New("register: the end of the change is not known")
+	// ErrUnavailable: no quorum was reached, and this call has changed nothing and will not.
+	ErrUnavailable = eris.New("register: no quorum")
+	// ErrTransition: the change of voters asked for is not one of the safe steps.
+	ErrTransition = eris.New("register: unsafe change of voters")
+)
+
+// Times of a proposer.
+const (
+	defaultTimeout = 500 * time.Millisecond  // of one phase, at the first attempt
+	longestTimeout = 1500 * time.Millisecond // of one phase, after several attempts
+	firstBackoff   = 15 * time.Millisecond
+	longestBackoff = 250 * time.Millisecond
+)
+
+// ChangeFunc computes the next value from the current one, which it may alter and return. The same value, or nil,
+// leaves it as it is; an error does too. It may be called several times, and must know its own effect when it
+// meets it: an attempt whose end was not known may have been completed since.
+type ChangeFunc func(current *tierpb.ControlState) (*tierpb.ControlState, error)
+
+// Options of a proposer.
+type Options struct {
+	Caller  rpc.Caller
+	Local   *Acceptor                           // called without the network; may be nil
+	Known   func() *tierpb.ControlState         // newest chosen state known in this process; may be nil or return nil
+	Timeout time.Duration                       // of one phase; 0 for the default
+	Chosen  func(*tierpb.ControlState)          // told of each value found to be chosen; may be nil
+	Faults  *fault.Points                       // tests only
+	Random  func(n time.Duration) time.Duration // from 0 to n; nil for a random one
+}
+
+// Proposer changes and reads the register. It is safe for concurrent use and makes one change at a time.
+type Proposer struct {
+	options Options
+	turn    chan struct{}        // holds one token; its owner may change what follows
+	number  uint64               // drawn at each start, so that no two lives share a ballot
+	counter uint64               // highest counter seen in any ballot
+	newest  *tierpb.ControlState // highest epoch and version seen, chosen or not
+	chosen  *tierpb.ControlState // newest value that this proposer knows to be chosen
+}
+
+// NewProposer makes a proposer.
+func NewProposer(options Options) *Proposer {
+	if options.Timeout <= 0 {
+		options.Timeout = defaultTimeout
+	}
+	if options.Random == nil {
+		options.Random = func(n time.Duration) time.Duration { return rand.N(n + 1) }
+	}
+	proposer := &Proposer{options: options, turn: make(chan struct{}, 1), number: rand.Uint64() | 1}
+	if options.Local != nil {
+		proposer.counter = options.Local.Promised().GetCounter()
+	}
+	proposer.turn <- struct{}{}
+	return proposer
+}
+
+// Change replaces the current value by what the function makes of it, raises its version by one, and returns it
+// when it is chosen. Where the function changes nothing the current value is made sure to be chosen and returned,
+// with the function's error if it gave one. Conflicts and failed attempts are repeated until ctx ends; the error is
+// ErrUncertain or ErrUnavailable then.
+func (p *Proposer) Change(ctx context.Context, change ChangeFunc) (*tierpb.ControlState, error) {
+	select {
+	case <-p.turn:
+	case <-ctx.Done():
+		return nil, ErrUnavailable
+	}
+	defer func() { p.turn <- struct{}{} }()
+	failure := ErrUnavailable
+	timeout := p.options.Timeout
+	for attempt := 0; ; attempt++ {
+		result := p.attempt(ctx, change, timeout)
+		if result.done {
+			return result.value, result.err
+		}
+		if result.sent {
+			failure = ErrUncertain
+		}
+		if eris.Is(result.err, fault.ErrStopped) || !p.pause(ctx, attempt) {
+			return nil, failure
+		}
+		if !result.refused {
+			timeout = min(timeout*3/2, longestTimeout)
+		}
+	}
+}
+
+// Read returns a value that was current at some moment of the call.
+func (p *Proposer) Read(ctx context.Context) (*tierpb.ControlState, error) {
+	if value := p.peek(ctx); value != nil {
+		return value, nil
+	}
+	return p.Change(ctx, func(*tierpb.ControlState) (*tierpb.ControlState, error) { return nil, nil })
+}
+
+// attemptResult is the end of one attempt.
+type attemptResult struct {
+	done    bool // value and err are the result of the change
+	value   *tierpb.ControlState
+	err     error
+	sent    bool // a changed value has left
+	refused bool // somebody has a higher ballot
+}
+
+func (p *Proposer) attempt(ctx context.Context, change ChangeFunc, timeout time.Duration) attemptResult {
+	if err := p.options.Faults.At(fault.PrepareSending); err != nil {
+		return attemptResult{err: err}
+	}
+	p.counter++
+	round := newRound(p, &tierpb.Ballot{Counter: p.counter, Proposer: p.number}, timeout)
+	prepared := round.prepare(ctx, p.startingPoint())
+	p.counter = max(p.counter, prepared.highest)
+	p.sawAny(prepared.value)
+	if !prepared.quorum {
+		return attemptResult{refused: prepared.refused}
+	}
+	if err := p.options.Faults.At(fault.PrepareDone); err != nil {
+		return attemptResult{err: err}
+	}
+	current := prepared.value
+	if prepared.chosen {
+		p.sawChosen(current)
+	}
+	next, changeErr := change(current.CloneVT())
+	if changeErr != nil || next == nil || sameContent(next, current) {
+		return p.writeThrough(ctx, round, prepared, changeErr)
+	}
+	next, err := p.succeed(current, next)
+	if err != nil {
+		return p.writeThrough(ctx, round, prepared, err)
+	}
+	if needsChosen(current, next) && !p.knowsEpoch(current.GetEpoch()) {
+		result := p.writeThrough(ctx, round, prepared, nil)
+		return attemptResult{refused: result.refused || result.done, err: result.err}
+	}
+	return p.accept(ctx, round, current, next)
+}
+
+// writeThrough makes sure that the current value is chosen before anything rests on it.
+func (p *Proposer) writeThrough(ctx context.Context, round *round, prepared preparation, changeErr error) attemptResult {
+	if prepared.chosen {
+		return attemptResult{done: true, value: prepared.value, err: changeErr}
+	}
+	result := p.accept(ctx, round, prepared.value, prepared.value)
+	result.sent = false
+	if result.done {
+		result.err = changeErr
+	}
+	return result
+}
+
+func (p *Proposer) accept(ctx context.Context, round *round, current, next *tierpb.ControlState) attemptResult {
+	accepted := round.accept(ctx, current, next)
+	p.counter = max(p.counter, accepted.highest)
+	if accepted.err != nil || !accepted.quorum {
+		return attemptResult{sent: accepted.sent, refused: accepted.refused, err: accepted.err}
+	}
+	p.sawChosen(next)
+	if err := p.options.Faults.At(fault.AcceptDone); err != nil {
+		return attemptResult{sent: true, err: err}
+	}
+	return attemptResult{done: true, value: next}
+}
+
+// pause waits before the next attempt, the longer the more there were; false says that ctx ended.
+func (p *Proposer) pause(ctx context.Context, attempt int) bool {
+	longest := min(firstBackoff<<min(attempt, 8), longestBackoff)
+	timer := time.NewTimer(p.options.Random(longest))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// startingPoint is the state whose voters are asked first. It decides nothing: the answers name the voters that
+// count.
+func (p *Proposer) startingPoint() *tierpb.ControlState {
+	if p.options.Known != nil {
+		p.sawAny(p.options.Known())
+	}
+	if p.options.Local != nil {
+		p.sawAny(p.options.Local.Value())
+	}
+	return p.newest
+}
+
+func (p *Proposer) sawAny(state *tierpb.ControlState) {
+	if len(state.GetVoters()) == 0 {
+		return
+	}
+	if p.newest == nil || newer(state, p.newest) {
+		p.newest = state
+	}
+}
+
+func (p *Proposer) sawChosen(state *tierpb.ControlState) {
+	p.sawAny(state)
+	if p.chosen == nil || newer(state, p.chosen) {
+		p.chosen = state
+	}
+	if p.options.Chosen != nil {
+		p.options.Chosen(state)
+	}
+}
+
+// knowsEpoch says whether some value with the voters of this epoch is known to be chosen.
+func (p *Proposer) knowsEpoch(epoch uint64) bool {
+	return p.chosen != nil && p.chosen.GetEpoch() == epoch
+}
+
+func newer(state, than *tierpb.ControlState) bool {
+	if state.GetEpoch() != than.GetEpoch() {
+		return state.GetEpoch() > than.GetEpoch()
+	}
+	return state.GetVersion() > than.GetVersion()
+}
--- /dev/null
+++ b/internal/tier/register/round.go
@@ -0,0 +1,229 @@
+package register
+
+import (
+	"context"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// round is one ballot of a proposer: a prepare phase and an accept phase.
+type round struct {
+	proposer *Proposer
+	ballot   *tierpb.Ballot
+	timeout  time.Duration
+}
+
+func newRound(proposer *Proposer, ballot *tierpb.Ballot, timeout time.Duration) *round {
+	return &round{proposer: proposer, ballot: ballot, timeout: timeout}
+}
+
+// preparation is the end of a prepare phase.
+type preparation struct {
+	quorum  bool
+	chosen  bool                 // a quorum holds the value by one and the same ballot
+	value   *tierpb.ControlState // accepted at the highest ballot among the promises
+	refused bool
+	highest uint64 // counter
+}
+
+type promise struct {
+	from  uint64
+	reply *tierpb.PrepareReply // nil where the call failed
+}
+
+// ballotCount follows the answers to prepares.
+type ballotCount struct {
+	asked    identities
+	open     identities // asked and not answered
+	promised map[uint64]*tierpb.Ballot
+	best     *tierpb.PrepareReply // with a value, at the highest ballot
+	refused  bool
+	highest  uint64
+}
+
+// prepare asks the voters of a state, and those that the answers name, for promises until these are a quorum by the
+// value with the highest ballot among them. It does not wait for the slow.
+func (r *round) prepare(ctx context.Context, start *tierpb.ControlState) preparation {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	answers := make(chan promise)
+	count := &ballotCount{asked: identities{}, open: identities{}, promised: map[uint64]*tierpb.Ballot{}}
+	r.ask(ctx, count, start, answers)
+	for len(count.open) > 0 {
+		select {
+		case answer := <-answers:
+			if count.take(answer) {
+				r.ask(ctx, count, count.best.Value, answers)
+			}
+		case <-ctx.Done():
+			return count.result()
+		}
+		if count.decided() {
+			return count.result()
+		}
+	}
+	return count.result()
+}
+
+// ask sends prepares to the voters of a state that have none yet.
+func (r *round) ask(ctx context.Context, count *ballotCount, state *tierpb.ControlState, answers chan<- promise) {
+	for _, node := range Voters(state) {
+		if count.asked.has(node.GetIdentity()) {
+			continue
+		}
+		count.asked.add(node.GetIdentity())
+		count.open.add(node.GetIdentity())
+		go func() {
+			reply := r.proposer.callPrepare(ctx, node, r.ballot)
+			select {
+			case answers <- promise{from: node.GetIdentity(), reply: reply}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+// take counts an answer and says whether it brought a value of a higher ballot.
+func (c *ballotCount) take(answer promise) bool {
+	delete(c.open, answer.from)
+	reply := answer.reply
+	if reply == nil || reply.WrongIdentity {
+		return false
+	}
+	if !reply.Promised {
+		c.refused = c.refused || reply.Highest != nil
+		c.highest = max(c.highest, reply.GetHighest().GetCounter())
+		return false
+	}
+	c.promised[answer.from] = reply.Accepted
+	if len(reply.GetValue().GetVoters()) == 0 {
+		return false
+	}
+	if c.best != nil && !higher(reply.Accepted, c.best.Accepted) {
+		return false
+	}
+	c.best = reply
+	return true
+}
+
+func (c *ballotCount) hasPromised(identity uint64) bool {
+	_, found := c.promised[identity]
+	return found
+}
+
+// decided says whether there is a quorum, or cannot be one.
+func (c *ballotCount) decided() bool {
+	if c.best == nil {
+		return false
+	}
+	if Quorum(c.best.Value.Voters, c.hasPromised) {
+		return true
+	}
+	return !Quorum(c.best.Value.Voters, func(identity uint64) bool {
+		return c.hasPromised(identity) || c.open.has(identity)
+	})
+}
+
+func (c *ballotCount) result() preparation {
+	result := preparation{refused: c.refused, highest: c.highest}
+	if c.best == nil {
+		return result
+	}
+	result.value = c.best.Value
+	result.quorum = Quorum(result.value.Voters, c.hasPromised)
+	result.chosen = Quorum(result.value.Voters, func(identity uint64) bool {
+		accepted, found := c.promised[identity]
+		return found && sameBallot(accepted, c.best.Accepted)
+	})
+	return result
+}
+
+// acceptance is the end of an accept phase.
+type acceptance struct {
+	quorum  bool
+	sent    bool // at least one accept has left
+	refused bool
+	highest uint64
+	err     error
+}
+
+type vote struct {
+	from  uint64
+	reply *tierpb.AcceptReply // nil where the call failed
+}
+
+// accept sends a value to the voters of the value that it is based on and to its own, and waits for a quorum of
+// both. Accepts that are under way then go on by themselves.
+func (r *round) accept(ctx context.Context, current, next *tierpb.ControlState) acceptance {
+	phase, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.timeout)
+	result := acceptance{}
+	voters := append(append([]*tierpb.VoterSet{}, current.GetVoters()...), next.GetVoters()...)
+	targets := Voters(&tierpb.ControlState{Voters: voters})
+	answers := make(chan vote, len(targets))
+	open, accepted := identities{}, identities{}
+	for _, node := range targets {
+		if result.err = r.proposer.options.Faults.At(fault.AcceptSending); result.err != nil {
+			break
+		}
+		result.sent = true
+		open.add(node.GetIdentity())
+		go func() {
+			answers <- vote{from: node.GetIdentity(), reply: r.proposer.callAccept(phase, node, r.ballot, next)}
+		}()
+	}
+	possible := func(identity uint64) bool { return accepted.has(identity) || open.has(identity) }
+	for result.err == nil && !Quorum(voters, accepted.has) && Quorum(voters, possible) {
+		select {
+		case answer := <-answers:
+			delete(open, answer.from)
+			if answer.reply.GetAccepted() {
+				accepted.add(answer.from)
+			} else if answer.reply.GetHighest() != nil {
+				result.refused = true
+				result.highest = max(result.highest, answer.reply.Highest.GetCounter())
+			}
+		case <-phase.Done():
+			open = identities{}
+		case <-ctx.Done():
+			open = identities{}
+		}
+	}
+	result.quorum = Quorum(voters, accepted.has)
+	go drain(answers, len(open), cancel)
+	return result
+}
+
+// drain lets the calls that are under way come to their end before their context is let go.
+func drain(answers <-chan vote, count int, cancel context.CancelFunc) {
+	defer cancel()
+	for range count {
+		<-answers
+	}
+}
+
+func (p *Proposer) callPrepare(ctx context.Context, node *tierpb.Node, ballot *tierpb.Ballot) *tierpb.PrepareReply {
+	request := &tierpb.PrepareRequest{Identity: node.GetIdentity(), Ballot: ballot}
+	if local := p.options.Local; local != nil && local.Identity() == node.GetIdentity() {
+		return local.Prepare(request)
+	}
+	reply := &tierpb.PrepareReply{}
+	if err := p.options.Caller.Call(ctx, node.GetAddress(), rpc.MethodPrepare, request, reply); err != nil {
+		return nil
+	}
+	return reply
+}
+
+func (p *Proposer) callAccept(ctx context.Context, node *tierpb.Node, ballot *tierpb.Ballot, value *tierpb.ControlState) *tierpb.AcceptReply {
+	request := &tierpb.AcceptRequest{Identity: node.GetIdentity(), Ballot: ballot, Value: value}
+	if local := p.options.Local; local != nil && local.Identity() == node.GetIdentity() {
+		return local.Accept(request)
+	}
+	reply := &tierpb.AcceptReply{}
+	if err := p.options.Caller.Call(ctx, node.GetAddress(), rpc.MethodAccept, request, reply); err != nil {
+		return nil
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/tier/register/voters.go
@@ -0,0 +1,92 @@
+package register
+
+import (
+	"context"
+
+	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// ReplaceVoters makes a set of nodes the voters: first joint with the present ones, then alone. A change that
+// somebody else has left halfway is finished first. Whoever meets joint voters may call FinishVoters.
+func ReplaceVoters(ctx context.Context, proposer *Proposer, nodes []*tierpb.Node) (*tierpb.ControlState, error) {
+	wanted := &tierpb.VoterSet{Nodes: nodes}
+	if _, err := FinishVoters(ctx, proposer); err != nil {
+		return nil, err
+	}
+	joint, err := proposer.Change(ctx, func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+		last := current.Voters[len(current.Voters)-1]
+		if len(current.Voters) > 1 || sameMembers(last, wanted) {
+			return current, nil
+		}
+		current.Voters = append(current.Voters, wanted)
+		return current, nil
+	})
+	if err != nil || len(joint.GetVoters()) < 2 {
+		return joint, err
+	}
+	if err := proposer.options.Faults.At(fault.VotersJoint); err != nil {
+		return joint, err
+	}
+	return FinishVoters(ctx, proposer)
+}
+
+// FinishVoters drops the old voters where voters are joint, once the joint value is chosen.
+func FinishVoters(ctx context.Context, proposer *Proposer) (*tierpb.ControlState, error) {
+	return proposer.Change(ctx, func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+		if len(current.Voters) < 2 {
+			return current, nil
+		}
+		current.Voters = current.Voters[len(current.Voters)-1:]
+		return current, nil
+	})
+}
+
+// succeed checks the step from one value to the next and numbers it.
+func (p *Proposer) succeed(current, next *tierpb.ControlState) (*tierpb.ControlState, error) {
+	next.Version = current.GetVersion() + 1
+	next.Epoch = current.GetEpoch()
+	if sameVoters(current.GetVoters(), next.GetVoters()) {
+		return next, nil
+	}
+	if !safeStep(current.GetVoters(), next.GetVoters()) {
+		return nil, ErrTransition
+	}
+	next.Epoch++
+	return next, nil
+}
+
+// safeStep says whether voters may follow others in one change: one set may be joined by another, and of two the
+// first may go.
+func safeStep(from, to []*tierpb.VoterSet) bool {
+	switch {
+	case len(from) == 1 && len(to) == 2:
+		return sameMembers(from[0], to[0]) && len(to[1].GetNodes()) > 0
+	case len(from) == 2 && len(to) == 1:
+		return sameMembers(from[1], to[0])
+	}
+	return false
+}
+
+// needsChosen says whether a step may be proposed only once the voters of the current value are known to be chosen.
+func needsChosen(current, next *tierpb.ControlState) bool {
+	return len(current.GetVoters()) == 2 && len(next.GetVoters()) == 1
+}
+
+func sameVoters(one, other []*tierpb.VoterSet) bool {
+	if len(one) != len(other) {
+		return false
+	}
+	for i := range one {
+		if !sameMembers(one[i], other[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// sameContent says whether a value is another one but for its numbers.
+func sameContent(next, current *tierpb.ControlState) bool {
+	next.Version, next.Epoch = current.GetVersion(), current.GetEpoch()
+	return next.EqualVT(current)
+}
