--- /dev/null
+++ b/internal/tier/agent/agent.go
@@ -0,0 +1,140 @@
+// Package agent is the role beside each proxy: it keeps the link to the coordinators and feeds the proxy over
+// loopback. It holds nothing that it may not lose.
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/peers"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/settings"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+	"pulleygw.example/pulleygw/internal/tier/watch"
+)
+
+// coordinatorsFollowed is how many coordinators an agent follows at a time: one that is silent or lags delays nothing.
+const coordinatorsFollowed = 2
+
+// loopback is where the proxy of the same machine reaches the agent.
+const loopback = "127.0.0.1"
+
+// Agent is one running agent.
+type Agent struct {
+	live    *settings.Live
+	log     hclog.Logger
+	self    *tierpb.Node
+	client  *rpc.Client
+	server  *rpc.Server
+	state   *watch.State
+	sampler *peers.Sampler
+}
+
+// Address is where the agent of this machine serves the machine's own proxy.
+func Address(own *settings.Settings) string { return own.InnerAddress(loopback, settings.AgentPort) }
+
+// Run runs the role until the context ends.
+func Run(ctx context.Context, live *settings.Live, log hclog.Logger) error {
+	a := newAgent(live, log)
+	defer a.client.Close()
+	defer a.server.Close()
+	if err := a.listen(ctx); err != nil {
+		return err
+	}
+	log.Info("agent runs", "node", a.self.Name, "address", a.self.Address)
+	var running sync.WaitGroup
+	running.Go(func() { a.sampler.Run(ctx) })
+	running.Go(func() { a.logChanges(ctx) })
+	running.Go(func() { watch.Follow(ctx, a.followOptions()) })
+	running.Wait()
+	log.Info("agent stops")
+	return nil
+}
+
+func newAgent(live *settings.Live, log hclog.Logger) *Agent {
+	own := live.Current()
+	a := &Agent{live: live, log: log, client: rpc.NewClient(), server: rpc.NewServer(), state: watch.NewState()}
+	a.self = &tierpb.Node{
+		Name: own.NodeName, Address: own.InnerAddress(own.IP, settings.AgentPort), Zone: own.Zone, Role: tierpb.Role_ROLE_AGENT,
+	}
+	a.sampler = peers.NewSampler(a.self, a.client, a.seeds)
+	a.sampler.Serve(a.server)
+	watch.Serve(a.server, a.state)
+	rpc.Handle(a.server, rpc.MethodPing, a.ping)
+	return a
+}
+
+// listen opens the inner listener for other machines and the one for the proxy: a socket bound to the machine's address
+// is not reached at the loopback address.
+func (a *Agent) listen(ctx context.Context) error {
+	for _, address := range []string{a.self.Address, Address(a.live.Current())} {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+		if err != nil {
+			return eris.Wrapf(err, "inner listener %s", address)
+		}
+		go func() { _ = a.server.Serve(listener) }()
+	}
+	return nil
+}
+
+func (a *Agent) ping(context.Context, *tierpb.PingRequest) (*tierpb.PingReply, error) {
+	return &tierpb.PingReply{Node: a.self}, nil
+}
+
+func (a *Agent) seeds() []string { return a.live.Current().SeedCoordinators() }
+
+func (a *Agent) followOptions() watch.Options {
+	return watch.Options{
+		Caller: a.client, State: a.state, Targets: a.targets, Count: coordinatorsFollowed, Self: a.self,
+		Changed: a.logCoordinator,
+	}
+}
+
+func (a *Agent) targets() []watch.Target {
+	return watch.CoordinatorTargets(a.self, a.state, a.sampler.Nodes(tierpb.Role_ROLE_COORDINATOR), a.seeds())
+}
+
+func (a *Agent) logCoordinator(address string, answers bool) {
+	if answers {
+		a.log.Info("coordinator answers", "address", address)
+		return
+	}
+	a.log.Warn("coordinator does not answer", "address", address)
+}
+
+// logChanges tells of new control states and changes of the number of stores.
+func (a *Agent) logChanges(ctx context.Context) {
+	counts, version := storeCounts{}, uint64(0)
+	for {
+		changed := a.state.Changed()
+		if newest := a.state.Control(); newest.GetVersion() != version {
+			version = newest.Version
+			a.log.Info("control state", "version", version, "generation", newest.Configuration.GetGeneration(),
+				"voters", len(newest.Voters), "stores", len(newest.Stores.GetCurrent()))
+		}
+		if now := a.countStores(); now != counts {
+			counts = now
+			a.log.Info("stores", "ready", now.ready, "silent", now.silent, "draining", now.draining)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// storeCounts is how many stores there are by state.
+type storeCounts struct{ ready, silent, draining int }
+
+func (a *Agent) countStores() storeCounts {
+	return storeCounts{
+		ready:    a.state.Count(tierpb.InstanceState_INSTANCE_READY),
+		silent:   a.state.Count(tierpb.InstanceState_INSTANCE_SILENT),
+		draining: a.state.Count(tierpb.InstanceState_INSTANCE_DRAINING),
+	}
+}
--- a/internal/tier/rpc/server.go
+++ b/internal/tier/rpc/server.go
@@ -9,11 +9,11 @@
 
 // Server answers calls. Each call has a goroutine of its own, so a handler may wait.
 type Server struct {
-	handlers [256]func(context.Context, []byte) (Message, error)
-	mu       sync.Mutex
-	closed   bool
-	open     map[net.Conn]struct{}
-	listener net.Listener
+	handlers  [256]func(context.Context, []byte) (Message, error)
+	mu        sync.Mutex
+	closed    bool
+	open      map[net.Conn]struct{}
+	listeners []net.Listener
 }
 
 // NewServer makes a server without handlers.
@@ -33,10 +33,10 @@
 	}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed. A server may serve several listeners.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
-	s.listener = listener
+	s.listeners = append(s.listeners, listener)
 	s.mu.Unlock()
 	for {
 		connection, err := listener.Accept()
@@ -54,8 +54,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	if s.listener != nil {
-		_ = s.listener.Close()
+	for _, listener := range s.listeners {
+		_ = listener.Close()
 	}
 	for connection := range s.open {
 		_ = connection.Close()
--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -34,6 +34,7 @@
 	changes      journal
 	heartbeats   journal
 	gone         []goneMark // oldest first
+	counts       map[tierpb.InstanceState]int
 	coordinators []*tierpb.Node
 	listedAt     uint64 // cursor at which coordinators changed
 	heard        []*tierpb.Node
@@ -61,7 +62,7 @@
 
 func newState(now func() time.Time, after func(time.Duration, func())) *State {
 	return &State{
-		now: now, after: after, feed: randomFeed(), instances: make(map[string]entry),
+		now: now, after: after, feed: randomFeed(), instances: make(map[string]entry), counts: make(map[tierpb.InstanceState]int),
 		changes: newJournal(), heartbeats: newJournal(), changed: newSignal(changeGap), beat: newSignal(heartbeatGap),
 	}
 }
@@ -145,6 +146,13 @@
 	return all
 }
 
+// Count returns how many instances there are in a state.
+func (s *State) Count(state tierpb.InstanceState) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[state]
+}
+
 // Since returns the instances that changed materially after the version, and the version that this brings the caller
 // to. Version 0 returns all.
 func (s *State) Since(version uint64) ([]*tierpb.Instance, uint64) {
@@ -186,6 +194,10 @@
 	if change == Unchanged {
 		return change
 	}
+	if known != nil {
+		s.counts[known.State]--
+	}
+	s.counts[merged.State]++
 	s.instances[told.Id] = entry{instance: merged, at: s.now()}
 	s.cursor++
 	if change == Heartbeat {
@@ -207,6 +219,7 @@
 		id := s.gone[0].id
 		s.gone = s.gone[1:]
 		delete(s.instances, id)
+		s.counts[tierpb.InstanceState_INSTANCE_GONE]--
 		s.changes.forget(id)
 		s.heartbeats.forget(id)
 	}
