--- /dev/null
+++ b/internal/tier/registry/heartbeat.go
@@ -0,0 +1,118 @@
+// Package registry reads what stores tell of themselves and notices stores that say nothing any more. The list itself
+// is a watch.State, which merges and serves it.
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Bounds of a heartbeat.
+const (
+	MaximumBodyBytes    = 64 << 10
+	maximumNameBytes    = 1 << 10
+	maximumModels       = 1 << 10
+	maximumWholeNumber  = 1 << 53 // largest that JSON carries without loss
+	stateDraining       = "draining"
+	stateReady          = "ready"
+	maximumMilliseconds = math.MaxUint32
+)
+
+// Fault says which field of a heartbeat is wrong.
+type Fault struct {
+	Field   string
+	Problem string
+}
+
+// Error names the field and the problem.
+func (f *Fault) Error() string {
+	if f.Field == "" {
+		return f.Problem
+	}
+	return f.Field + ": " + f.Problem
+}
+
+// heartbeat is the body of a registration. Keys that are not known are read over.
+type heartbeat struct {
+	Backend         string   `json:"backend"`
+	Address         string   `json:"address"`
+	Zone            string   `json:"zone"`
+	Generation      string   `json:"generation"`
+	Slots           float64  `json:"slots"`
+	State           string   `json:"state"`
+	ColdRemainingMs float64  `json:"coldRemainingMs"`
+	Sequence        *float64 `json:"sequence"`
+	Models          []model  `json:"models"`
+}
+
+type model struct {
+	Name string `json:"name"`
+}
+
+// ParseHeartbeat reads and checks the body of a store's registration; the id is the one in the path.
+func ParseHeartbeat(id string, body []byte) (*tierpb.Instance, error) {
+	read := heartbeat{}
+	if err := json.Unmarshal(body, &read); err != nil {
+		return nil, unreadable(err)
+	}
+	if err := read.check(id); err != nil {
+		return nil, err
+	}
+	instance := &tierpb.Instance{
+		Id: id, Backend: read.Backend, Address: read.Address, Zone: read.Zone, Generation: read.Generation,
+		Slots: uint32(read.Slots), ColdRemainingMs: uint32(read.ColdRemainingMs), Sequence: uint64(*read.Sequence),
+	}
+	if read.State == stateDraining {
+		instance.State = tierpb.InstanceState_INSTANCE_DRAINING
+	}
+	for _, m := range read.Models {
+		instance.Models = append(instance.Models, m.Name)
+	}
+	return instance, nil
+}
+
+func unreadable(err error) error {
+	if wrong, ok := err.(*json.UnmarshalTypeError); ok {
+		return &Fault{Field: wrong.Field, Problem: "is a " + wrong.Value}
+	}
+	return &Fault{Problem: err.Error()}
+}
+
+func (h *heartbeat) check(id string) error {
+	if id == "" || len(id) > maximumNameBytes {
+		return &Fault{Field: "instanceId", Problem: fmt.Sprintf("has %d bytes, want 1 to %d", len(id), maximumNameBytes)}
+	}
+	if h.Backend == "" || len(h.Backend) > maximumNameBytes {
+		return &Fault{Field: "backend", Problem: fmt.Sprintf("has %d bytes, want 1 to %d", len(h.Backend), maximumNameBytes)}
+	}
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return &Fault{Field: "address", Problem: fmt.Sprintf("%q is not ip:port", h.Address)}
+	}
+	if h.State != stateReady && h.State != stateDraining {
+		return &Fault{Field: "state", Problem: fmt.Sprintf("%q is neither %s nor %s", h.State, stateReady, stateDraining)}
+	}
+	if h.Sequence == nil {
+		return &Fault{Field: "sequence", Problem: "is missing"}
+	}
+	if len(h.Models) > maximumModels {
+		return &Fault{Field: "models", Problem: fmt.Sprintf("has %d entries, want %d at most", len(h.Models), maximumModels)}
+	}
+	for _, number := range []struct {
+		field string
+		value float64
+		most  float64
+	}{
+		{"slots", h.Slots, math.MaxInt32},
+		{"coldRemainingMs", h.ColdRemainingMs, maximumMilliseconds},
+		{"sequence", *h.Sequence, maximumWholeNumber},
+	} {
+		if !(number.value >= 0 && number.value <= number.most) {
+			return &Fault{Field: number.field, Problem: fmt.Sprintf("%v is not within 0 to %.0f", number.value, number.most)}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tier/registry/silence.go
@@ -0,0 +1,73 @@
+package registry
+
+import (
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Periods without a heartbeat after which a store counts as silent, and for which a coordinator has to have run, in
+// touch with most others, before it says so.
+const (
+	silentAfterPeriods = 3.5
+	confidentPeriods   = 5
+	forgetAfter        = 10 * time.Minute // without heartbeats, after which a store is taken for gone
+)
+
+// Silence notices stores whose sequence has stopped to rise. It is not safe for concurrent use.
+type Silence struct {
+	period         time.Duration
+	confidentSince time.Time // zero while the coordinator is out of touch
+	heard          map[string]heardInstance
+}
+
+type heardInstance struct {
+	sequence uint64
+	at       time.Time
+}
+
+// NewSilence makes a Silence for stores that send a heartbeat in each period.
+func NewSilence(period time.Duration) *Silence {
+	return &Silence{period: period, heard: make(map[string]heardInstance)}
+}
+
+// Look notes the heartbeats that arrived since the last look and returns marks for the stores that are newly silent.
+// InTouch says that the coordinator hears most of the voters, so that heartbeats sent to others reach it.
+func (s *Silence) Look(now time.Time, inTouch bool, instances []*tierpb.Instance) []*tierpb.Instance {
+	if !inTouch {
+		s.confidentSince = time.Time{}
+	} else if s.confidentSince.IsZero() {
+		s.confidentSince = now
+	}
+	confident := inTouch && now.Sub(s.confidentSince) >= confidentPeriods*s.period
+	present := make(map[string]heardInstance, len(instances))
+	var marks []*tierpb.Instance
+	for _, instance := range instances {
+		heard, known := s.heard[instance.Id]
+		if !known || instance.Sequence > heard.sequence {
+			heard = heardInstance{sequence: instance.Sequence, at: now}
+		}
+		present[instance.Id] = heard
+		if mark := s.mark(instance, now.Sub(heard.at)); confident && mark != nil {
+			marks = append(marks, mark)
+		}
+	}
+	s.heard = present
+	return marks
+}
+
+// mark is what to say of an instance that has said nothing for so long, nil for nothing new.
+func (s *Silence) mark(instance *tierpb.Instance, quiet time.Duration) *tierpb.Instance {
+	state := instance.State
+	switch {
+	case state != tierpb.InstanceState_INSTANCE_GONE && quiet >= forgetAfter:
+		state = tierpb.InstanceState_INSTANCE_GONE
+	case state == tierpb.InstanceState_INSTANCE_READY && quiet >= time.Duration(silentAfterPeriods*float64(s.period)):
+		state = tierpb.InstanceState_INSTANCE_SILENT
+	default:
+		return nil
+	}
+	marked := instance.CloneVT()
+	marked.State = state
+	return marked
+}
