--- /dev/null
+++ b/internal/tier/coordinator/announce.go
@@ -0,0 +1,118 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Times of announcements.
+const (
+	announceCall   = 400 * time.Millisecond // of one call
+	announcePause  = 50 * time.Millisecond
+	announceEffort = 2500 * time.Millisecond // for which a coordinator that does not answer is called again
+)
+
+// announcements remembers which final states a majority of the voters is known to have.
+type announcements struct {
+	mu   sync.Mutex
+	held map[string]tierpb.InstanceState
+}
+
+func newAnnouncements() *announcements {
+	return &announcements{held: make(map[string]tierpb.InstanceState)}
+}
+
+func (a *announcements) isHeld(instance *tierpb.Instance) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held[instance.Id] >= instance.State
+}
+
+func (a *announcements) hold(instance *tierpb.Instance) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held[instance.Id] = max(a.held[instance.Id], instance.State)
+}
+
+// forget drops instances that the list has no longer.
+func (a *announcements) forget(isListed func(id string) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id := range a.held {
+		if !isListed(id) {
+			delete(a.held, id)
+		}
+	}
+}
+
+// announce tells all coordinators of an instance and says whether a majority of each voter set has it before ctx ends.
+// Those that do not answer are called again for a while, whatever the result.
+func (c *coordinator) announce(ctx context.Context, instance *tierpb.Instance) bool {
+	if c.announced.isHeld(instance) {
+		return true
+	}
+	targets := c.targets()
+	told := make(chan string, len(targets))
+	for _, target := range targets {
+		go func() {
+			if c.announceTo(context.WithoutCancel(ctx), target.Address, instance) {
+				told <- target.Address
+			}
+		}()
+	}
+	sets := c.voters()
+	has := map[string]bool{c.self.Address: true}
+	for !majority(sets, func(voter *tierpb.Node) bool { return has[voter.Address] }) {
+		select {
+		case address := <-told:
+			has[address] = true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	c.announced.hold(instance)
+	return true
+}
+
+// announceTo calls one coordinator until it has answered or the effort is spent.
+func (c *coordinator) announceTo(ctx context.Context, address string, instance *tierpb.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, announceEffort)
+	defer cancel()
+	request := &tierpb.AnnounceRequest{Instances: []*tierpb.Instance{instance}, From: c.self}
+	for {
+		call, done := context.WithTimeout(ctx, announceCall)
+		err := c.caller.Call(call, address, rpc.MethodAnnounce, request, &tierpb.AnnounceReply{})
+		done()
+		if err == nil {
+			return true
+		}
+		if !pause(ctx, announcePause) {
+			return false
+		}
+	}
+}
+
+// takeAnnounce merges what another coordinator was told.
+func (c *coordinator) takeAnnounce(_ context.Context, request *tierpb.AnnounceRequest) (*tierpb.AnnounceReply, error) {
+	c.directory.heard(request.From)
+	for _, instance := range request.Instances {
+		c.state.Upsert(instance)
+	}
+	return &tierpb.AnnounceReply{}, nil
+}
+
+// pause says whether the time passed before ctx ended.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/tier/coordinator/orders.go
@@ -0,0 +1,150 @@
+package coordinator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+
+	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/result"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Bounds of what the register remembers.
+const (
+	takenOrdersKept = 1024
+	retirementsKept = 256
+	digestBytes     = 16
+)
+
+// order is a configuration that an operator sent.
+type order struct {
+	ifMatch    uint64
+	generation uint64
+	digest     []byte
+	body       []byte
+}
+
+func newOrder(ifMatch, generation uint64, body []byte) *order {
+	sum := sha256.Sum256(body)
+	return &order{ifMatch: ifMatch, generation: generation, digest: sum[:digestBytes], body: body}
+}
+
+// change takes the order where it builds on the current version. One that was taken before changes nothing; any other
+// is refused with a *result.Error.
+func (o *order) change(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+	if o.wasTaken(current) {
+		return current, nil
+	}
+	generation := current.GetConfiguration().GetGeneration()
+	if o.ifMatch != generation {
+		if o.mayBeForgotten(current) {
+			return nil, result.New(result.ForgottenOrder, "")
+		}
+		return nil, result.New(result.VersionConflict, fmt.Sprintf("version %d is current", generation))
+	}
+	if o.generation <= generation {
+		return nil, result.InField(result.InvalidConfiguration, "generation",
+			fmt.Sprintf("%d is not above the current %d", o.generation, generation))
+	}
+	current.Configuration = &tierpb.Configuration{Generation: o.generation, Body: o.body}
+	taken := &tierpb.TakenOrder{IfMatch: o.ifMatch, Generation: o.generation, Digest: o.digest}
+	current.Taken = append(current.Taken, taken)
+	if excess := len(current.Taken) - takenOrdersKept; excess > 0 {
+		current.Taken = current.Taken[excess:]
+	}
+	return current, nil
+}
+
+func (o *order) wasTaken(current *tierpb.ControlState) bool {
+	for _, taken := range current.GetTaken() {
+		if taken.IfMatch == o.ifMatch && taken.Generation == o.generation && bytes.Equal(taken.Digest, o.digest) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayBeForgotten says that an order like this could have been taken before the oldest one that is remembered.
+func (o *order) mayBeForgotten(current *tierpb.ControlState) bool {
+	return len(current.GetTaken()) >= takenOrdersKept && o.ifMatch < current.Taken[0].IfMatch
+}
+
+// retirement is an operator's order to empty a turn store's machine.
+type retirement struct {
+	node      string
+	tolerance int
+	waiting   *tierpb.Node // a turn store of that name that is no member yet; may be nil
+}
+
+// change takes the machine out of the members; its records move while the members before keep being asked. An order
+// given again changes nothing.
+func (r *retirement) change(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+	stores := current.GetStores()
+	member := nodeNamed(stores.GetCurrent(), r.node)
+	switch {
+	case member == nil && findRetirement(current, r.node) != nil:
+		return current, nil
+	case member == nil && r.waiting != nil:
+		addRetirement(current, &tierpb.Retirement{Node: r.node, Identity: r.waiting.Identity, Completed: true})
+		return current, nil
+	case member == nil:
+		return nil, result.New(result.UnknownMachine, fmt.Sprintf("no turn store is named %q", r.node))
+	}
+	if least := 2*r.tolerance + 1; len(stores.Current)-1 < least {
+		return nil, result.New(result.TooFewMachines,
+			fmt.Sprintf("%d turn stores would be left, want %d", len(stores.Current)-1, least))
+	}
+	if len(stores.Previous) == 0 {
+		stores.Previous = stores.Current
+	}
+	stores.Current = without(stores.Current, member.Identity)
+	stores.Epoch++
+	addRetirement(current, &tierpb.Retirement{Node: r.node, Identity: member.Identity})
+	return current, nil
+}
+
+func addRetirement(current *tierpb.ControlState, added *tierpb.Retirement) {
+	current.Retirements = append(current.Retirements, added)
+	if excess := len(current.Retirements) - retirementsKept; excess > 0 {
+		current.Retirements = current.Retirements[excess:]
+	}
+}
+
+// findRetirement returns the newest retirement of a machine, nil where there is none.
+func findRetirement(current *tierpb.ControlState, node string) *tierpb.Retirement {
+	list := current.GetRetirements()
+	for i := len(list) - 1; i >= 0; i-- {
+		if list[i].Node == node {
+			return list[i]
+		}
+	}
+	return nil
+}
+
+func nodeNamed(nodes []*tierpb.Node, name string) *tierpb.Node {
+	for _, node := range nodes {
+		if node.Name == name {
+			return node
+		}
+	}
+	return nil
+}
+
+func without(nodes []*tierpb.Node, identity uint64) []*tierpb.Node {
+	var kept []*tierpb.Node
+	for _, node := range nodes {
+		if node.Identity != identity {
+			kept = append(kept, node)
+		}
+	}
+	return kept
+}
+
+// initialVoters is the value's voters, or those of the first start where no value is known.
+func initialVoters(known *tierpb.ControlState, seeds []string) []*tierpb.VoterSet {
+	if len(known.GetVoters()) > 0 {
+		return known.Voters
+	}
+	return register.InitialState(seeds).Voters
+}
--- /dev/null
+++ b/internal/tier/coordinator/retire.go
@@ -0,0 +1,81 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"pulleygw.example/pulleygw/internal/tier/result"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// States of a retirement, as the operator reads them.
+const (
+	retirementRunning   = "running"
+	retirementCompleted = "completed"
+)
+
+// retirementOrder is the body of an order to empty a machine.
+type retirementOrder struct {
+	DeadlineS float64 `json:"deadlineS"`
+}
+
+type retirementBody struct {
+	State string `json:"state"`
+}
+
+func (c *coordinator) postRetirement(w http.ResponseWriter, r *http.Request) {
+	body, refused := readBody(w, r, maximumOrderBytes)
+	if refused != nil {
+		result.Write(w, refused)
+		return
+	}
+	if err := json.Unmarshal(body, &retirementOrder{}); err != nil && len(body) > 0 {
+		result.Write(w, result.New(result.InvalidRetirement, err.Error()))
+		return
+	}
+	name := chi.URLParam(r, "node")
+	sent := &retirement{
+		node: name, tolerance: c.live.Current().FaultTolerance.Machines, waiting: c.directory.waitingStore(name),
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	chosen, err := c.register.Change(ctx, sent.change)
+	if err != nil {
+		c.log.Info("retirement not taken", "node", name, "reason", err)
+		result.Write(w, resultOf(err))
+		return
+	}
+	c.log.Info("retirement taken", "node", name)
+	writeRetirement(w, findRetirement(chosen, name))
+}
+
+// getRetirement tells what is known; a machine of which nothing is known is looked up in the register.
+func (c *coordinator) getRetirement(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "node")
+	if known := findRetirement(c.state.Control(), name); known != nil {
+		writeRetirement(w, known)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	current, err := c.register.Read(ctx)
+	if err != nil {
+		result.Write(w, resultOf(err))
+		return
+	}
+	writeRetirement(w, findRetirement(current, name))
+}
+
+func writeRetirement(w http.ResponseWriter, found *tierpb.Retirement) {
+	switch {
+	case found == nil:
+		result.Write(w, result.New(result.RetirementNotKnown, ""))
+	case found.Completed:
+		writeJSON(w, retirementBody{State: retirementCompleted})
+	default:
+		writeJSON(w, retirementBody{State: retirementRunning})
+	}
+}
--- /dev/null
+++ b/internal/tier/coordinator/serve.go
@@ -0,0 +1,118 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/settings"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+	"pulleygw.example/pulleygw/internal/tier/watch"
+)
+
+// Times of the listeners.
+const (
+	headerTimeout   = 5 * time.Second
+	bodyTimeout     = 15 * time.Second
+	restTimeout     = time.Minute
+	shutdownReserve = 2 * time.Second // of graceS, kept for the rest of the shutdown
+	defaultGrace    = 8 * time.Second
+)
+
+// serve runs all parts of the role until ctx ends.
+func (c *coordinator) serve(ctx context.Context, acceptor *register.Acceptor) error {
+	inner, err := net.Listen("tcp4", c.self.Address)
+	if err != nil {
+		return eris.Wrap(err, "inner listener")
+	}
+	server := rpc.NewServer()
+	defer server.Close()
+	acceptor.Serve(server)
+	c.handleCalls(server)
+	control, err := net.Listen("tcp4", c.self.Control)
+	if err != nil {
+		_ = inner.Close()
+		return eris.Wrap(err, "control listener")
+	}
+	go func() { _ = server.Serve(inner) }()
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	parts := &sync.WaitGroup{}
+	for _, part := range []func(context.Context){c.follow, c.keepJoining, c.keepHouse} {
+		parts.Add(1)
+		go func() {
+			defer parts.Done()
+			part(background)
+		}()
+	}
+	err = c.serveControl(ctx, control)
+	stop()
+	parts.Wait()
+	c.log.Info("stopped")
+	return err
+}
+
+// serveControl serves the control API until ctx ends and the calls in hand are answered.
+func (c *coordinator) serveControl(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler: c.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: restTimeout,
+		ErrorLog: c.log.StandardLogger(nil),
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "control API")
+	case <-ctx.Done():
+	}
+	c.log.Info("stopping")
+	grace := settings.Seconds(c.live.Current().Bounds.GraceS, defaultGrace)
+	patience, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(grace-shutdownReserve, grace/2))
+	defer cancel()
+	if err := server.Shutdown(patience); err != nil {
+		_ = server.Close()
+	}
+	return nil
+}
+
+// handleCalls registers the calls of other processes, but for the acceptor's.
+func (c *coordinator) handleCalls(server *rpc.Server) {
+	rpc.Handle(server, rpc.MethodWatch, c.watch)
+	rpc.Handle(server, rpc.MethodAnnounce, c.takeAnnounce)
+	rpc.Handle(server, rpc.MethodJoin, c.takeJoin)
+	rpc.Handle(server, rpc.MethodPing, c.takePing)
+}
+
+func (c *coordinator) watch(ctx context.Context, request *tierpb.WatchRequest) (*tierpb.WatchReply, error) {
+	c.directory.heard(request.Follower)
+	return c.state.Watch(ctx, request)
+}
+
+func (c *coordinator) takePing(context.Context, *tierpb.PingRequest) (*tierpb.PingReply, error) {
+	return &tierpb.PingReply{Node: c.self}, nil
+}
+
+func (c *coordinator) takeJoin(_ context.Context, request *tierpb.JoinRequest) (*tierpb.JoinReply, error) {
+	if request.GetNode().GetIdentity() == 0 {
+		return nil, eris.New("join without an identity")
+	}
+	c.directory.joined(request)
+	return &tierpb.JoinReply{ControlVersion: c.state.Control().GetVersion()}, nil
+}
+
+// follow keeps up with all other coordinators.
+func (c *coordinator) follow(ctx context.Context) {
+	watch.Follow(ctx, watch.Options{
+		Caller: c.caller, State: c.state, Targets: c.targets, Self: c.self, Heartbeats: true,
+		Changed: func(address string, answers bool) {
+			c.directory.answering(address, answers)
+			c.log.Info("coordinator", "address", address, "answers", answers)
+		},
+	})
+}
--- /dev/null
+++ b/internal/tier/placement/placement.go
@@ -0,0 +1,72 @@
+// Package placement decides which nodes vote and which turn stores keep records. It computes the next step from the
+// control state and from what the holder of the lease knows first hand; it does no I/O.
+package placement
+
+import (
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Times that decisions rest on.
+const (
+	FreshJoin      = 1300 * time.Millisecond // a node whose last join is older than this does not count as running
+	firstQuiet     = 700 * time.Millisecond  // no new turn store for this long: the first members are complete
+	firstWait      = 1500 * time.Millisecond // after the first turn store: the first members are complete
+	batchQuiet     = 300 * time.Millisecond  // no new joiner for this long: those that wait are taken in together
+	batchWait      = time.Second             // after the first of those that wait
+	voterDead      = 1200 * time.Millisecond // a voter silent for so long is replaced, where a standby is there
+	storeDead      = 1500 * time.Millisecond // the same of a turn store
+	storeAbandoned = 10 * time.Second        // a turn store silent for so long is taken out without a replacement
+)
+
+// Join is a node's last call to join.
+type Join struct {
+	Request *tierpb.JoinRequest
+	First   time.Time // when the node was heard of first
+	Heard   time.Time // when it called last
+}
+
+// View is what the holder of the lease knows first hand.
+type View struct {
+	Now       time.Time
+	Since     time.Time // when this process began to listen
+	Tolerance int       // machines that may be lost at once
+	Joins     []Join
+	// VoterSilence is how long the coordinator at an address has not answered, 0 for one that answers.
+	VoterSilence func(address string) time.Duration
+}
+
+// least is the number of members that bears the loss of tolerance of them.
+func (v *View) least() int { return 2*v.Tolerance + 1 }
+
+func (v *View) fresh(join Join) bool { return v.Now.Sub(join.Heard) <= FreshJoin }
+
+// storeSilence is how long a turn store has not called.
+func (v *View) storeSilence(identity uint64) time.Duration {
+	for _, join := range v.Joins {
+		if join.Request.Node.Identity == identity {
+			return v.Now.Sub(join.Heard)
+		}
+	}
+	return v.Now.Sub(v.Since)
+}
+
+func find(nodes []*tierpb.Node, identity uint64) int {
+	for i, node := range nodes {
+		if node.Identity == identity {
+			return i
+		}
+	}
+	return -1
+}
+
+// predecessor is the member that a joiner stands in for: the one of the same name or address. -1 where there is none.
+func predecessor(members []*tierpb.Node, joiner *tierpb.Node) int {
+	for i, member := range members {
+		if member.Address == joiner.Address || member.Name == joiner.Name && joiner.Name != "" {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/tier/placement/stores.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Stores computes the next membership of the turn stores. It alters and returns the state, and says what it did; the
+// reason is empty, and the state as it was, where nothing is to be done.
+func Stores(current *tierpb.ControlState, view *View) (*tierpb.ControlState, string) {
+	if current.Stores == nil {
+		current.Stores = &tierpb.StoreMembership{}
+	}
+	if reason := finishMove(current, view); reason != "" {
+		return current, reason
+	}
+	next, reason := members(current, view)
+	if reason == "" {
+		return current, ""
+	}
+	stores := current.Stores
+	if len(stores.Previous) == 0 {
+		stores.Previous = stores.Current
+	}
+	stores.Current = next
+	stores.Epoch++
+	return current, reason
+}
+
+// members is the set that should follow the current one.
+func members(current *tierpb.ControlState, view *View) ([]*tierpb.Node, string) {
+	present := current.Stores.Current
+	waiting := waitingStores(current, view)
+	if len(present) == 0 {
+		if len(waiting) >= view.least() && settled(waiting, view, firstQuiet, firstWait) {
+			return nodesOf(waiting), "first turn stores"
+		}
+		return nil, ""
+	}
+	if len(waiting) > 0 && settled(waiting, view, batchQuiet, batchWait) {
+		return takeIn(present, waiting, view), "turn stores joined"
+	}
+	return abandon(present, view)
+}
+
+// waitingStores are the turn stores that run, are no members and are not to be emptied.
+func waitingStores(current *tierpb.ControlState, view *View) []Join {
+	var waiting []Join
+	for _, join := range view.Joins {
+		node := join.Request.Node
+		if node.Role != tierpb.Role_ROLE_TURN_STORE || !view.fresh(join) || retired(current, node) {
+			continue
+		}
+		if find(current.Stores.Current, node.Identity) < 0 {
+			waiting = append(waiting, join)
+		}
+	}
+	return waiting
+}
+
+// retired says that a node was taken out on the operator's order, or that its machine is being emptied.
+func retired(current *tierpb.ControlState, node *tierpb.Node) bool {
+	for _, retirement := range current.Retirements {
+		if retirement.Identity == node.Identity || retirement.Node == node.Name && !retirement.Completed {
+			return true
+		}
+	}
+	return false
+}
+
+// settled says that no new one of the nodes has come for quiet, or that the first of them came long ago.
+func settled(waiting []Join, view *View, quiet, longest time.Duration) bool {
+	first, last := waiting[0].First, waiting[0].First
+	for _, join := range waiting {
+		if join.First.Before(first) {
+			first = join.First
+		}
+		if join.First.After(last) {
+			last = join.First
+		}
+	}
+	return view.Now.Sub(last) >= quiet || view.Now.Sub(first) >= longest
+}
+
+// takeIn puts those that wait in the place of a member with their name or address, or of one that is silent; there
+// is room for the others besides.
+func takeIn(present []*tierpb.Node, waiting []Join, view *View) []*tierpb.Node {
+	next := slices.Clone(present)
+	var others []*tierpb.Node
+	for _, join := range waiting {
+		if place := predecessor(next, join.Request.Node); place >= 0 {
+			next[place] = join.Request.Node
+		} else {
+			others = append(others, join.Request.Node)
+		}
+	}
+	for _, joiner := range others {
+		if place := silentStore(next, view, storeDead); place >= 0 {
+			next[place] = joiner
+		} else {
+			next = append(next, joiner)
+		}
+	}
+	return next
+}
+
+// abandon takes out a member that has been silent for long, where enough others run.
+func abandon(present []*tierpb.Node, view *View) ([]*tierpb.Node, string) {
+	place := silentStore(present, view, storeAbandoned)
+	if place < 0 {
+		return nil, ""
+	}
+	next := slices.Delete(slices.Clone(present), place, place+1)
+	if len(next) < view.least() || silentStore(next, view, storeDead) >= 0 {
+		return nil, ""
+	}
+	return next, "turn store abandoned"
+}
+
+// silentStore is the member that has been silent for the longest time and longer than the limit, -1 for none.
+func silentStore(nodes []*tierpb.Node, view *View, limit time.Duration) int {
+	place, longest := -1, limit
+	for i, node := range nodes {
+		if silence := view.storeSilence(node.Identity); silence > longest {
+			place, longest = i, silence
+		}
+	}
+	return place
+}
+
+func nodesOf(joins []Join) []*tierpb.Node {
+	var nodes []*tierpb.Node
+	for _, join := range joins {
+		nodes = append(nodes, join.Request.Node)
+	}
+	return nodes
+}
+
+// finishMove drops the previous members when all but a tolerable number of them have handed on what they held. It
+// waits a while for the others that run.
+func finishMove(current *tierpb.ControlState, view *View) string {
+	stores := current.Stores
+	if len(stores.Previous) == 0 {
+		return ""
+	}
+	reported, awaited := 0, false
+	for _, member := range stores.Previous {
+		join, known := joinOf(member.Identity, view)
+		switch {
+		case known && join.Request.CopiedEpoch >= stores.Epoch:
+			reported++
+		case known && view.fresh(join):
+			awaited = true
+		}
+	}
+	if reported < len(stores.Previous)-view.Tolerance || reported == 0 || awaited {
+		return ""
+	}
+	stores.Previous = nil
+	for _, retirement := range current.Retirements {
+		if find(stores.Current, retirement.Identity) < 0 {
+			retirement.Completed = true
+		}
+	}
+	return "records moved"
+}
+
+func joinOf(identity uint64, view *View) (Join, bool) {
+	for _, join := range view.Joins {
+		if join.Request.Node.Identity == identity {
+			return join, true
+		}
+	}
+	return Join{}, false
+}
