--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -37,11 +37,13 @@
 	state     *watch.State
 	directory *directory
 	register  controlRegister
-	proposer  *register.Proposer
 	accepted  func() *tierpb.ControlState // newest value of the own acceptor, chosen or not
+	lease     interface{ Held() bool }
 	silence   *registry.Silence
 	announced *announcements
 	now       func() time.Time
+
+	replaceVoters func(context.Context, []*tierpb.Node) (*tierpb.ControlState, error)
 }
 
 // Run serves the role until ctx ends and all is shut down in order.
@@ -63,10 +65,14 @@
 	}
 	c := newCoordinator(live, log, self, caller)
 	c.accepted = acceptor.Value
-	c.proposer = register.NewProposer(register.Options{
-		Caller: caller, Local: acceptor, Known: c.state.Control, Chosen: func(chosen *tierpb.ControlState) { c.state.SetControl(chosen) },
+	proposer := register.NewProposer(register.Options{
+		Caller: caller, Local: acceptor, Known: c.state.Control,
+		Chosen: func(chosen *tierpb.ControlState) { c.state.SetControl(chosen) },
 	})
-	c.register = c.proposer
+	c.register = proposer
+	c.replaceVoters = func(ctx context.Context, nodes []*tierpb.Node) (*tierpb.ControlState, error) {
+		return register.ReplaceVoters(ctx, proposer, nodes)
+	}
 	log.Info("starting", "identity", self.Identity, "fresh", acceptor.Fresh(), "bootstrap", current.Bootstrap)
 	return c.serve(ctx, acceptor)
 }
--- /dev/null
+++ b/internal/tier/coordinator/place.go
@@ -0,0 +1,108 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/placement"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+const (
+	placementRole  = "placement" // name of the lease
+	placePatience  = 2 * time.Second
+	placeRetryWait = 400 * time.Millisecond
+)
+
+// keepPlaced changes voters and turn stores where that is called for, while this process holds the lease.
+func (c *coordinator) keepPlaced(ctx context.Context) {
+	wait := houseInterval
+	for pause(ctx, wait) {
+		wait = houseInterval
+		if !c.lease.Held() {
+			continue
+		}
+		if err := c.place(ctx); err != nil {
+			c.log.Info("placement failed", "reason", err)
+			wait = placeRetryWait
+		}
+	}
+}
+
+// place makes the changes that are called for by what is known.
+func (c *coordinator) place(ctx context.Context) error {
+	known := c.state.Control()
+	if known == nil {
+		return c.refresh(ctx)
+	}
+	if err := c.placeVoters(ctx, known); err != nil {
+		return err
+	}
+	return c.placeStores(ctx, c.state.Control())
+}
+
+// refresh reads the register.
+func (c *coordinator) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, placePatience)
+	defer cancel()
+	_, err := c.register.Read(ctx)
+	return err
+}
+
+// placeVoters looks at the newest value before it acts, so that no change of another holder is undone.
+func (c *coordinator) placeVoters(ctx context.Context, known *tierpb.ControlState) error {
+	if placement.Voters(known, c.view()) == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, placePatience)
+	defer cancel()
+	current, err := c.register.Read(ctx)
+	if err != nil {
+		return err
+	}
+	next := placement.Voters(current, c.view())
+	if next == nil {
+		return nil
+	}
+	c.log.Info("voters change", "to", sortedNames(next))
+	_, err = c.replaceVoters(ctx, next)
+	return err
+}
+
+func (c *coordinator) placeStores(ctx context.Context, known *tierpb.ControlState) error {
+	view := c.view()
+	if _, reason := placement.Stores(known.CloneVT(), view); reason == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, placePatience)
+	defer cancel()
+	reason := ""
+	chosen, err := c.register.Change(ctx, func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+		next, why := placement.Stores(current, view)
+		reason = why
+		return next, nil
+	})
+	if err != nil {
+		return err
+	}
+	if reason != "" {
+		stores := chosen.GetStores()
+		c.log.Info("turn stores change", "reason", reason, "epoch", stores.GetEpoch(),
+			"current", sortedNames(stores.GetCurrent()), "previous", sortedNames(stores.GetPrevious()))
+	}
+	return nil
+}
+
+// view is what this process knows first hand.
+func (c *coordinator) view() *placement.View {
+	return &placement.View{
+		Now: c.now(), Since: c.directory.started, Tolerance: c.live.Current().FaultTolerance.Machines,
+		Joins: c.directory.recentJoins(),
+		VoterSilence: func(address string) time.Duration {
+			if address == c.self.Address {
+				return 0
+			}
+			return c.directory.silentFor(address)
+		},
+	}
+}
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/lease"
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/settings"
@@ -34,6 +35,7 @@
 	server := rpc.NewServer()
 	defer server.Close()
 	acceptor.Serve(server)
+	holder := c.candidate(acceptor, server)
 	c.handleCalls(server)
 	control, err := net.Listen("tcp4", c.self.Control)
 	if err != nil {
@@ -44,7 +46,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	parts := &sync.WaitGroup{}
-	for _, part := range []func(context.Context){c.follow, c.keepJoining, c.keepHouse} {
+	for _, part := range []func(context.Context){c.follow, c.keepJoining, c.keepHouse, c.keepPlaced, holder.Run} {
 		parts.Add(1)
 		go func() {
 			defer parts.Done()
@@ -58,6 +60,22 @@
 	return err
 }
 
+// candidate grants leases on behalf of the acceptor's voter, and tries to hold the one for placement.
+func (c *coordinator) candidate(acceptor *register.Acceptor, server *rpc.Server) *lease.Holder {
+	holdBack := lease.LongestTerm
+	if acceptor.Fresh() && c.live.Current().Bootstrap {
+		holdBack = 0
+	}
+	grantor := lease.NewGrantor(c.self.Identity, holdBack)
+	grantor.Serve(server)
+	holder := lease.NewHolder(lease.HolderOptions{
+		Role: placementRole, Self: c.self.Identity, Caller: c.caller, Local: grantor, Voters: c.voters,
+		Changed: func(held bool) { c.log.Info("lease", "role", placementRole, "held", held) },
+	})
+	c.lease = holder
+	return holder
+}
+
 // serveControl serves the control API until ctx ends and the calls in hand are answered.
 func (c *coordinator) serveControl(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
