rpc: a caller waits no longer than its own context while a silent peer is dialled

A dial held the peer's mutex for up to a second, so calls with shorter deadlines queued behind it, each then dialling in turn; writes to a peer that does not read had no bound. One dial now serves all callers, and a frame not taken within a second ends the connection.

--- a/internal/tier/rpc/client.go
+++ b/internal/tier/rpc/client.go
@@ -12,18 +12,31 @@
 
 // Times of connections between the tier's processes.
 const (
-	dialTimeout = time.Second
-	userTimeout = 1500 * time.Millisecond // unacknowledged bytes end a connection after this
+	dialTimeout  = time.Second
+	writeTimeout = time.Second             // a frame that the peer has not taken by then ends the connection
+	userTimeout  = 1500 * time.Millisecond // unacknowledged bytes end a connection after this
 )
 
 // Client calls peers by address. It keeps one connection to each and is safe for concurrent use.
 type Client struct {
+	dial  dialFunc
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
+// dialFunc opens a connection to an address; tests put one of their own in its place.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // NewClient makes a client without connections.
-func NewClient() *Client { return &Client{peers: make(map[string]*peer)} }
+func NewClient() *Client { return newClient(dialTCP) }
+
+func newClient(dial dialFunc) *Client {
+	return &Client{dial: dial, peers: make(map[string]*peer)}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+}
 
 // Caller is what packages that call peers need of a Client; tests put a simulated network in its place.
 type Caller interface {
@@ -54,43 +67,85 @@
 	defer c.mu.Unlock()
 	p := c.peers[address]
 	if p == nil {
-		p = &peer{address: address}
+		p = &peer{address: address, dial: c.dial}
 		c.peers[address] = p
 	}
 	return p
 }
 
-// peer holds the connection to one address; one caller dials while others wait.
+// peer holds the connection to one address. One dial at a time is under way for all its callers, each of which waits
+// no longer than its own context.
 type peer struct {
 	address string
+	dial    dialFunc
 	mu      sync.Mutex
 	current *clientConnection
+	dialing *dialing
+	closed  bool
+}
+
+// dialing is a dial under way; its result may be read once done is closed.
+type dialing struct {
+	done       chan struct{}
+	connection *clientConnection
+	err        error
 }
 
 func (p *peer) connection(ctx context.Context) (*clientConnection, error) {
+	connection, pending := p.connectionOrDial()
+	if connection != nil {
+		return connection, nil
+	}
+	select {
+	case <-pending.done:
+		return pending.connection, pending.err
+	case <-ctx.Done():
+		return nil, ErrTimeout
+	}
+}
+
+// connectionOrDial returns the connection where there is one, else the dial under way.
+func (p *peer) connectionOrDial() (*clientConnection, *dialing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.current != nil && !p.current.isBroken() {
 		return p.current, nil
 	}
-	if ctx.Err() != nil {
-		return nil, ErrTimeout
+	if p.dialing == nil {
+		p.dialing = &dialing{done: make(chan struct{})}
+		go p.open(p.dialing)
 	}
-	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
+	return nil, p.dialing
+}
+
+// open dials and ends the dialing that it is given.
+func (p *peer) open(pending *dialing) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	dialed, err := (&net.Dialer{}).DialContext(dialContext, "tcp4", p.address)
+	dialed, err := p.dial(ctx, p.address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(pending.done)
+	p.dialing = nil
 	if err != nil {
-		return nil, ErrUnreachable
+		pending.err = ErrUnreachable
+		return
+	}
+	if p.closed {
+		_ = dialed.Close()
+		pending.err = ErrUnreachable
+		return
 	}
 	setOptions(dialed)
 	p.current = &clientConnection{connection: dialed, waiting: make(map[uint32]chan frame)}
+	pending.connection = p.current
 	go p.current.read()
-	return p.current, nil
 }
 
 func (p *peer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	if p.current != nil {
 		p.current.fail()
 	}
@@ -130,6 +185,7 @@
 		return err
 	}
 	c.writing.Lock()
+	_ = c.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err = c.connection.Write(buffer)
 	c.writing.Unlock()
 	if err != nil {
--- a/internal/tier/rpc/server.go
+++ b/internal/tier/rpc/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 )
 
 // Server answers calls. Each call has a goroutine of its own, so a handler may wait.
@@ -110,6 +111,7 @@
 	}
 	writing.Lock()
 	defer writing.Unlock()
+	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := connection.Write(buffer); err != nil {
 		_ = connection.Close()
 	}
