--- a/cmd/pulleygw/main.go
+++ b/cmd/pulleygw/main.go
@@ -10,9 +10,9 @@
 	"syscall"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/cli"
-	"pulleygw.example/pulleygw/internal/lifecycle"
-	"pulleygw.example/pulleygw/internal/logging"
+	"pulleygw.example/pulleygw/internal/gatherer/cli"
+	"pulleygw.example/pulleygw/internal/gatherer/lifecycle"
+	"pulleygw.example/pulleygw/internal/gatherer/logging"
 )
 
 func main() {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -11,9 +11,9 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/internal/wire"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/wire"
 	"pulleygw.example/pulleygw/policy"
 )
 
--- a/conformance/conformance_test.go
+++ b/conformance/conformance_test.go
@@ -22,9 +22,9 @@
 	"github.com/opensearch-project/opensearch-go/v4/opensearchapi"
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/lifecycle"
-	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/internal/gatherer/lifecycle"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
 
 const (
--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
 
 // What the lot stores that speak opensearch hold.
--- a/internal/aggs/aggs.go
+++ b/internal/gatherer/aggs/aggs.go
@@ -12,7 +12,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/query"
+	"pulleygw.example/pulleygw/internal/gatherer/query"
 )
 
 // Limits of a tree.
--- a/internal/aggs/aggs_test.go
+++ b/internal/gatherer/aggs/aggs_test.go
@@ -9,10 +9,10 @@
 	"github.com/tidwall/gjson"
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/aggs"
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/query"
-	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/internal/gatherer/aggs"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/query"
+	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
 
 func parse(text string) ([]*aggs.Node, *query.Error) {
--- a/internal/aggs/ask.go
+++ b/internal/gatherer/aggs/ask.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"strconv"
 
-	"pulleygw.example/pulleygw/internal/query"
+	"pulleygw.example/pulleygw/internal/gatherer/query"
 )
 
 // What ranges are asked for beside the figure itself.
--- a/internal/audit/audit.go
+++ b/internal/gatherer/audit/audit.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/record"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
 )
 
 // Breach is a limit that did not hold, with the entries that show it.
--- a/internal/audit/audit_test.go
+++ b/internal/gatherer/audit/audit_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/record"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
 )
 
 func ms(n int64) int64 { return 1_790_000_000_000_000 + n*1000 }
--- a/internal/cli/cli.go
+++ b/internal/gatherer/cli/cli.go
@@ -20,13 +20,13 @@
 
 	"github.com/spf13/cobra"
 
-	"pulleygw.example/pulleygw/internal/audit"
-	"pulleygw.example/pulleygw/internal/config"
-	"pulleygw.example/pulleygw/internal/lifecycle"
-	"pulleygw.example/pulleygw/internal/limits"
-	"pulleygw.example/pulleygw/internal/logging"
-	"pulleygw.example/pulleygw/internal/record"
-	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/audit"
+	"pulleygw.example/pulleygw/internal/gatherer/config"
+	"pulleygw.example/pulleygw/internal/gatherer/lifecycle"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/logging"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
 )
 
 // Exit codes, beside 0.
--- a/internal/cli/cli_test.go
+++ b/internal/gatherer/cli/cli_test.go
@@ -8,9 +8,9 @@
 	"strings"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/net/admin"
-	"pulleygw.example/pulleygw/internal/record"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/net/admin"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 func run(t *testing.T, args ...string) (code int, out, errOut string, served *Files) {
@@ -19,7 +19,7 @@
 	return code, o.String(), e.String(), served
 }
 
-const platform = "../../examples/config.json"
+const platform = "../../../examples/config.json"
 
 // No command means serving, with the flags that there were, by one dash or two; a fault at the start is code 1.
 func TestServe(t *testing.T) {
@@ -43,7 +43,7 @@
 
 // Faults come one a line with code 1, as JSON too; a good file is said to be.
 func TestCheck(t *testing.T) {
-	if code, out, _, _ := run(t, "check", "../../examples/pulleygw.yaml", "--config", platform); code != 0 || !strings.Contains(out, "good, 3 routes") {
+	if code, out, _, _ := run(t, "check", "../../../examples/pulleygw.yaml", "--config", platform); code != 0 || !strings.Contains(out, "good, 3 routes") {
 		t.Errorf("code %d: %s", code, out)
 	}
 	bad := t.TempDir() + "/limits.yaml"
@@ -71,10 +71,10 @@
 
 // A request's route, class and limits are told, each with the line that it comes from.
 func TestExplain(t *testing.T) {
-	args := []string{"explain", "--config", platform, "--file", "../../examples/pulleygw.yaml", "--front", "opensearch", "--index", "lots"}
+	args := []string{"explain", "--config", platform, "--file", "../../../examples/pulleygw.yaml", "--front", "opensearch", "--index", "lots"}
 	code, out, errOut, _ := run(t, append(args, "--client", "10.1.2.3")...)
-	for _, want := range []string{"route: floor terminals", "pulleygw.yaml:15", "wanted             900ms        ../../examples/pulleygw.yaml:10", "rate.per_second    500          ../../examples/pulleygw.yaml:19",
-		"attempts           4            ../../examples/config.json (class lot-search)"} {
+	for _, want := range []string{"route: floor terminals", "pulleygw.yaml:15", "wanted             900ms        ../../../examples/pulleygw.yaml:10", "rate.per_second    500          ../../../examples/pulleygw.yaml:19",
+		"attempts           4            ../../../examples/config.json (class lot-search)"} {
 		if code != 0 || !strings.Contains(out, want) {
 			t.Errorf("code %d, want %q in\n%s%s", code, want, out, errOut)
 		}
--- a/internal/config/config.go
+++ b/internal/gatherer/config/config.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/limits"
-	"pulleygw.example/pulleygw/internal/logging"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/logging"
 )
 
 // Config is what an installation's file says.
--- a/internal/config/config_test.go
+++ b/internal/gatherer/config/config_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
 )
 
 var classes = []limits.Class{
--- a/internal/config/fronts.go
+++ b/internal/gatherer/config/fronts.go
@@ -4,7 +4,7 @@
 	"net"
 	"slices"
 
-	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
 )
 
 // OpenSearch is the second front, as its own file has it too.
--- a/internal/gather/admit.go
+++ b/internal/gatherer/gather/admit.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // Admit: a request that the table has no room for is refused here, unseen by the Mixer, as in the
--- a/internal/gather/api.go
+++ b/internal/gatherer/gather/api.go
@@ -9,10 +9,10 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/limits"
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // Request is one query as a front took it.
--- a/internal/gather/book.go
+++ b/internal/gatherer/gather/book.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // Book: every attempt ends exactly once, and what it brought is written down.
--- a/internal/gather/core.go
+++ b/internal/gatherer/gather/core.go
@@ -7,10 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/record"
-	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
 	"pulleygw.example/pulleygw/policy"
 )
 
--- a/internal/gather/crossings_test.go
+++ b/internal/gatherer/gather/crossings_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // A client that leaves takes its request out of every place where that waits: nothing of it is sent on any more, while what
--- a/internal/gather/door.go
+++ b/internal/gatherer/gather/door.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
 )
 
 // Door: where an installation has limits by route, they are asked before a request is admitted. The core keeps the
--- a/internal/gather/gather_test.go
+++ b/internal/gatherer/gather/gather_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
 	"pulleygw.example/pulleygw/policy"
 )
 
--- a/internal/gather/recorder.go
+++ b/internal/gatherer/gather/recorder.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/limits"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/record"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
 )
 
 // Recorder: what becomes of requests and attempts is told to whoever keeps the record. It must not wait.
--- a/internal/gather/relay.go
+++ b/internal/gatherer/gather/relay.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // Relay: the Mixer's final word on a query goes to its front at once. Nothing is ever held back.
--- a/internal/gather/route.go
+++ b/internal/gatherer/gather/route.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // Route: the sends of one step to one server travel as one call, up to the batch that the settings give.
--- a/internal/gather/search.go
+++ b/internal/gatherer/gather/search.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // Searches: a request with a search.Query is led by a plan, which says what to ask of which range and what the page
--- a/internal/gather/second.go
+++ b/internal/gatherer/gather/second.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // Second step: a class may have one, and a search that goes in two phases has. The Mixer's first answer ends the first
--- a/internal/gather/second_test.go
+++ b/internal/gatherer/gather/second_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 	"pulleygw.example/pulleygw/policy"
 )
 
--- a/internal/gather/takein.go
+++ b/internal/gatherer/gather/takein.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
 )
 
 // Take in: what fronts, transport and discovery tell comes through one channel, and becomes events of
--- a/internal/lifecycle/calls.go
+++ b/internal/gatherer/lifecycle/calls.go
@@ -6,8 +6,8 @@
 	"net"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/net/admin"
-	"pulleygw.example/pulleygw/internal/net/handover"
+	"pulleygw.example/pulleygw/internal/gatherer/net/admin"
+	"pulleygw.example/pulleygw/internal/gatherer/net/handover"
 )
 
 // openAdmin listens for operators' calls, where the configuration says.
--- a/internal/lifecycle/calls_test.go
+++ b/internal/gatherer/lifecycle/calls_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 // operator calls a daemon and returns the first word of the answer.
@@ -145,11 +145,11 @@
 
 // A descriptor that is no listening socket is refused by name.
 func TestInheritedBad(t *testing.T) {
-	c, err := LoadConfig("../../examples/config.json", func(k string) string { return map[string]string{"LB_INHERITED_FD": "4x"}[k] })
+	c, err := LoadConfig("../../../examples/config.json", func(k string) string { return map[string]string{"LB_INHERITED_FD": "4x"}[k] })
 	if err == nil || !strings.Contains(err.Error(), "LB_INHERITED_FD") {
 		t.Errorf("%v", err)
 	}
-	if c, err = LoadConfig("../../examples/config.json", noEnv); err != nil {
+	if c, err = LoadConfig("../../../examples/config.json", noEnv); err != nil {
 		t.Fatal(err)
 	}
 	c.Inherited = 1 << 20
--- a/internal/lifecycle/config.go
+++ b/internal/gatherer/lifecycle/config.go
@@ -14,12 +14,12 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/net/discovery"
-	"pulleygw.example/pulleygw/internal/pages"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/internal/store"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/net/discovery"
+	"pulleygw.example/pulleygw/internal/gatherer/pages"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/store"
 )
 
 // Config is what one daemon is told.
--- a/internal/lifecycle/handover.go
+++ b/internal/gatherer/lifecycle/handover.go
@@ -11,11 +11,11 @@
 	"sync"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/admin"
-	"pulleygw.example/pulleygw/internal/net/discovery"
-	"pulleygw.example/pulleygw/internal/net/handover"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/admin"
+	"pulleygw.example/pulleygw/internal/gatherer/net/discovery"
+	"pulleygw.example/pulleygw/internal/gatherer/net/handover"
 )
 
 // A process that inherits the clients' socket may be started beside another of its name: a successor beside its
--- a/internal/lifecycle/handover_test.go
+++ b/internal/gatherer/lifecycle/handover_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/net/handover"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/net/handover"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 // descriptor is a new descriptor of a listening socket, as a process inherits it.
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/gatherer/lifecycle/lifecycle_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 )
 
 func write(t *testing.T, text string) string {
@@ -28,11 +28,11 @@
 
 // The example's configuration is good, and each field that is not is named.
 func TestConfig(t *testing.T) {
-	good, err := os.ReadFile("../../examples/config.json")
+	good, err := os.ReadFile("../../../examples/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := LoadConfig("../../examples/config.json", func(k string) string { return map[string]string{"LB_NAME": "n7"}[k] })
+	c, err := LoadConfig("../../../examples/config.json", func(k string) string { return map[string]string{"LB_NAME": "n7"}[k] })
 	if err != nil || c.Name != "n7" || c.Seed != 0x8c1f30d27a5be964 || len(c.Known.Servers) != 12 {
 		t.Errorf("%+v %v", c, err)
 	}
@@ -62,7 +62,7 @@
 }
 
 func TestConfigGarbage(t *testing.T) {
-	good, err := os.ReadFile("../../examples/config.json")
+	good, err := os.ReadFile("../../../examples/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,17 +70,17 @@
 }
 
 func TestOptionalFiles(t *testing.T) {
-	c, err := LoadConfig("../../examples/config.json", noEnv)
+	c, err := LoadConfig("../../../examples/config.json", noEnv)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if f, err := LoadFront("../../examples/opensearch.json", &c.Settings); err != nil || f.Indices["bids"] != "place-bid" {
+	if f, err := LoadFront("../../../examples/opensearch.json", &c.Settings); err != nil || f.Indices["bids"] != "place-bid" {
 		t.Errorf("%+v %v", f, err)
 	}
 	if f, err := LoadFront("absent", &c.Settings); f != nil || err != nil {
 		t.Errorf("%+v %v", f, err)
 	}
-	if o, err := LoadOperations("../../examples/operations.json"); err != nil || len(o.Nodes) != 1 {
+	if o, err := LoadOperations("../../../examples/operations.json"); err != nil || len(o.Nodes) != 1 {
 		t.Errorf("%+v %v", o, err)
 	}
 	if o, err := LoadOperations("absent"); o != nil || err != nil {
--- a/internal/lifecycle/limits.go
+++ b/internal/gatherer/lifecycle/limits.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"slices"
 
-	"pulleygw.example/pulleygw/internal/config"
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/limits"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/internal/store"
+	"pulleygw.example/pulleygw/internal/gatherer/config"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/store"
 )
 
 // LimitClasses are the operator's classes as limits know them.
--- a/internal/lifecycle/limits_test.go
+++ b/internal/gatherer/lifecycle/limits_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/audit"
-	"pulleygw.example/pulleygw/internal/record"
+	"pulleygw.example/pulleygw/internal/gatherer/audit"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
 )
 
 // lockedBuffer takes log lines from any goroutine.
@@ -100,7 +100,7 @@
 
 // On the platform, whose deploy folder has no file of limits, there are none.
 func TestNoLimitsOnThePlatform(t *testing.T) {
-	if _, err := os.Stat("../../deploy/pulleygw.yaml"); !os.IsNotExist(err) {
+	if _, err := os.Stat("../../../deploy/pulleygw.yaml"); !os.IsNotExist(err) {
 		t.Error("deploy/pulleygw.yaml is there")
 	}
 	w := start(t, "frames")
--- a/internal/lifecycle/oncall_test.go
+++ b/internal/gatherer/lifecycle/oncall_test.go
@@ -11,13 +11,13 @@
 
 // Each event of the code stands on the page for on-call staff.
 func TestEventsOnCall(t *testing.T) {
-	page, err := os.ReadFile("../../docs/oncall.md")
+	page, err := os.ReadFile("../../../docs/oncall.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	event := regexp.MustCompile(`(?i)(?:log|logger)\.(?:Debug|Info|Warn|Error)\("([^"]*)"`)
 	found := 0
-	for _, root := range []string{"..", "../../cmd"} {
+	for _, root := range []string{"..", "../../../cmd"} {
 		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/internal/lifecycle/operations.go
+++ b/internal/gatherer/lifecycle/operations.go
@@ -12,9 +12,9 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/net/agentcheck"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/store"
+	"pulleygw.example/pulleygw/internal/gatherer/net/agentcheck"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/store"
 )
 
 // operations is what balancers and operators are answered by. It reads the daemon's state, and sets its drain
--- a/internal/lifecycle/reload.go
+++ b/internal/gatherer/lifecycle/reload.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"pulleygw.example/pulleygw/internal/net/discovery"
+	"pulleygw.example/pulleygw/internal/gatherer/net/discovery"
 )
 
 // reloadKeys reads the keys of points in time again: a new first one signs, and tokens of the others stay good.
--- a/internal/lifecycle/reload_test.go
+++ b/internal/gatherer/lifecycle/reload_test.go
@@ -12,8 +12,8 @@
 	"syscall"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 // agent is a discovery agent that notes what it is asked, and answers a watch of version 1 or later never.
@@ -35,7 +35,7 @@
 // A reload drops the old watch and asks the address in the file, whatever the environment says, for the
 // whole list; a file that cannot be used changes nothing and is logged by field.
 func TestReload(t *testing.T) {
-	text, err := os.ReadFile("../../examples/config.json")
+	text, err := os.ReadFile("../../../examples/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +79,7 @@
 // program builds the daemon.
 func program(t *testing.T) string {
 	bin := t.TempDir() + "/pulleygw"
-	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/pulleygw").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", bin, "../../../cmd/pulleygw").CombinedOutput(); err != nil {
 		t.Fatal(err, string(out))
 	}
 	return bin
@@ -111,7 +111,7 @@
 // The program outlives SIGHUP, and a SIGTERM right behind it still drains: exit code 0.
 func TestSignals(t *testing.T) {
 	addr, asked, _ := agent(t, standin.List(1))
-	cmd, ended, lines := run(t, "../../examples/config.json", nil, "LB_LISTEN=127.0.0.1:0", "LB_DISCOVERY="+addr)
+	cmd, ended, lines := run(t, "../../../examples/config.json", nil, "LB_LISTEN=127.0.0.1:0", "LB_DISCOVERY="+addr)
 	<-asked // by now it handles signals
 	signals(t, cmd, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM)
 	if err := <-ended; err != nil || !strings.Contains(lines.String(), "drain done") {
@@ -122,7 +122,7 @@
 // A SIGHUP that comes while a drain waits for what is in hand is carried out: the old address may be gone, and what is told
 // at the new one binds this process until its end. A second SIGTERM cuts nothing short.
 func TestReloadWhileDraining(t *testing.T) {
-	text, err := os.ReadFile("../../examples/config.json")
+	text, err := os.ReadFile("../../../examples/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -190,7 +190,7 @@
 		t.Fatal(err)
 	}
 	defer old.Close()
-	cmd, ended, lines := run(t, "../../examples/config.json", []*os.File{clients}, "LB_INHERITED_FD=3", "LB_NAME=young", "LB_DISCOVERY="+addr)
+	cmd, ended, lines := run(t, "../../../examples/config.json", []*os.File{clients}, "LB_INHERITED_FD=3", "LB_NAME=young", "LB_DISCOVERY="+addr)
 	nc, err := old.Accept()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lifecycle/replay_test.go
+++ b/internal/gatherer/lifecycle/replay_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/net/opensearch"
-	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/internal/store"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/net/opensearch"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/store"
 )
 
 const shards = 24
--- a/internal/lifecycle/ring_test.go
+++ b/internal/gatherer/lifecycle/ring_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 // startRing puts a daemon among six lot stores that stand in a ring, each of which holds two shards.
--- a/internal/lifecycle/search_test.go
+++ b/internal/gatherer/lifecycle/search_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
 
 // A daemon on sockets among lot stores that hold lots: pages are the same in one phase and in two, in which most ranges
--- a/internal/limits/limits_test.go
+++ b/internal/gatherer/limits/limits_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
 )
 
 const (
--- a/internal/mem/fleet/fleet.go
+++ b/internal/gatherer/mem/fleet/fleet.go
@@ -13,9 +13,9 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem/curve"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/spread"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/spread"
+	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
 // State is what one mixer knows, and what it has been told. It is not safe for concurrent use.
--- a/internal/mem/fleet/list.go
+++ b/internal/gatherer/mem/fleet/list.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem/curve"
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
 // Times of list calls, where the list has to be asked for.
--- a/internal/mem/mem_test.go
+++ b/internal/gatherer/mem/mem_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // A whole list says of each server that it lacks that it is gone; numbers are kept, and never used twice.
--- a/internal/mem/servers.go
+++ b/internal/gatherer/mem/servers.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // Server is one lot store as the list last named it.
--- a/internal/merge/merge_test.go
+++ b/internal/gatherer/merge/merge_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
 )
 
 var byScore = []Key{{Field: Score, Desc: true}}
--- a/internal/net/admin/admin.go
+++ b/internal/gatherer/net/admin/admin.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 )
 
 // Verb is what an operator calls for.
--- a/internal/net/admin/admin_test.go
+++ b/internal/gatherer/net/admin/admin_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 func TestParse(t *testing.T) {
--- a/internal/net/agentcheck/agentcheck.go
+++ b/internal/gatherer/net/agentcheck/agentcheck.go
@@ -8,7 +8,7 @@
 	"net"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 )
 
 // State is how a gatherer is.
--- a/internal/net/agentcheck/agentcheck_test.go
+++ b/internal/gatherer/net/agentcheck/agentcheck_test.go
@@ -5,7 +5,7 @@
 	"net"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 )
 
 func TestLine(t *testing.T) {
--- a/internal/net/discovery/crossings_test.go
+++ b/internal/gatherer/net/discovery/crossings_test.go
@@ -5,9 +5,9 @@
 	"net"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 func ready(name string) string { return standin.Host(name, "127.0.0.1:1", "a", 0, "ready") }
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/gatherer/net/discovery/discovery_test.go
@@ -14,11 +14,11 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 var zones = []string{"a", "b"}
--- a/internal/net/frames/codec.go
+++ b/internal/gatherer/net/frames/codec.go
@@ -13,8 +13,8 @@
 	"strconv"
 	"strings"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
 )
 
 // The letters of the frames.
--- a/internal/net/frames/crossings_test.go
+++ b/internal/gatherer/net/frames/crossings_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/peek"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/peek"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 // linked parks a connection that leads to a listener, and gives its other side. The test does what its reader and its
--- a/internal/net/frames/frames_test.go
+++ b/internal/gatherer/net/frames/frames_test.go
@@ -12,12 +12,12 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 func TestGarbage(t *testing.T) {
--- a/internal/net/frames/take.go
+++ b/internal/gatherer/net/frames/take.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 var statuses = map[string]mix.Status{"hit": mix.OK, "fault": mix.Error, "overload": mix.Full}
--- a/internal/net/frames/transport.go
+++ b/internal/gatherer/net/frames/transport.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/peek"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/peek"
 )
 
 // Config is what a transport needs to know.
--- a/internal/net/handover/handover_test.go
+++ b/internal/gatherer/net/handover/handover_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
 )
 
 var state = State{Hosts: []byte(`{"seq":0,"whole":true,"hosts":[]}`), Banned: []string{"s-1"}, Attached: map[string]int64{"s-2": 1764600000000},
--- a/internal/net/http1/client.go
+++ b/internal/gatherer/net/http1/client.go
@@ -6,8 +6,8 @@
 	"net/textproto"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/net/peek"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/net/peek"
 )
 
 // Client is one connection for one request at a time. It is not safe for concurrent use.
--- a/internal/net/http1/http1_test.go
+++ b/internal/gatherer/net/http1/http1_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
 )
 
 const (
--- a/internal/net/http1/message.go
+++ b/internal/gatherer/net/http1/message.go
@@ -15,8 +15,8 @@
 	"strings"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/limits"
-	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
 )
 
 // Bounds on what a peer may send.
--- a/internal/net/http1/server.go
+++ b/internal/gatherer/net/http1/server.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
 )
 
 // Handler answers a request. gone is closed when the client goes away meanwhile. The body is valid only
--- a/internal/net/opensearch/ask.go
+++ b/internal/gatherer/net/opensearch/ask.go
@@ -7,11 +7,11 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/aggs"
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/merge"
-	"pulleygw.example/pulleygw/internal/query"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/aggs"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/query"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // extremesName is the aggregation by which a range is asked for the extremes of a field. The API has none of this
--- a/internal/net/opensearch/calls.go
+++ b/internal/gatherer/net/opensearch/calls.go
@@ -12,11 +12,11 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/pages"
-	"pulleygw.example/pulleygw/internal/query"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/pages"
+	"pulleygw.example/pulleygw/internal/gatherer/query"
 )
 
 // Limits of calls that carry several requests.
--- a/internal/net/opensearch/front.go
+++ b/internal/gatherer/net/opensearch/front.go
@@ -19,15 +19,15 @@
 	"github.com/tidwall/gjson"
 	"github.com/twmb/murmur3"
 
-	"pulleygw.example/pulleygw/internal/aggs"
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/merge"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/pages"
-	"pulleygw.example/pulleygw/internal/query"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/aggs"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/pages"
+	"pulleygw.example/pulleygw/internal/gatherer/query"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
 )
 
 // Core is what the front needs of the gatherer's core.
--- a/internal/net/opensearch/limits_test.go
+++ b/internal/gatherer/net/opensearch/limits_test.go
@@ -8,15 +8,15 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/audit"
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/limits"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/record"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/internal/gatherer/audit"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
 
 // limit puts routes in force.
--- a/internal/net/opensearch/parsers_test.go
+++ b/internal/gatherer/net/opensearch/parsers_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/merge"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 var bodies = []string{
--- a/internal/net/opensearch/phases_test.go
+++ b/internal/gatherer/net/opensearch/phases_test.go
@@ -11,12 +11,12 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/pages"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/pages"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
 
 var usual = rigOptions{ranges: 24, each: 30, phases: search.Two, refresh: 10 * time.Second, bounds: 100000}
--- a/internal/net/opensearch/query.go
+++ b/internal/gatherer/net/opensearch/query.go
@@ -11,10 +11,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/aggs"
-	"pulleygw.example/pulleygw/internal/merge"
-	"pulleygw.example/pulleygw/internal/query"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/aggs"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/query"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // Bounds on a search body.
--- a/internal/net/opensearch/random_test.go
+++ b/internal/gatherer/net/opensearch/random_test.go
@@ -11,11 +11,11 @@
 	"github.com/tidwall/gjson"
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
 
 // Random searches in random trouble: ranges silent or erring in either phase, slow copies, a write now and then. Whatever
--- a/internal/net/opensearch/rig_test.go
+++ b/internal/gatherer/net/opensearch/rig_test.go
@@ -12,16 +12,16 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/merge"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/record"
-	"pulleygw.example/pulleygw/internal/search"
-	"pulleygw.example/pulleygw/internal/settings"
-	"pulleygw.example/pulleygw/internal/standin"
-	"pulleygw.example/pulleygw/internal/standin/lots"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/record"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
 
 // rig is the front and the core on a false clock, among lot stores in memory that hold a corpus: four ranges to a
--- a/internal/net/opensearch/stores.go
+++ b/internal/gatherer/net/opensearch/stores.go
@@ -15,11 +15,11 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // StoresConfig is what the lot-store side needs to know.
--- a/internal/net/opensearch/stores_test.go
+++ b/internal/gatherer/net/opensearch/stores_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mem"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mem"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // reports collects what the transport tells.
--- a/internal/net/opensearch/twophase_bench_test.go
+++ b/internal/gatherer/net/opensearch/twophase_bench_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/search"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
 // inBubble runs f on a false clock within a benchmark; synctest wants a test.
--- a/internal/net/peek/peek_test.go
+++ b/internal/gatherer/net/peek/peek_test.go
@@ -5,8 +5,8 @@
 	"net"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/net/peek"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/net/peek"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 // What has come is seen and left in place, for a reader that waits at the same time too; an end, a reset and a close of
--- a/internal/net/platform/platform.go
+++ b/internal/gatherer/net/platform/platform.go
@@ -11,10 +11,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gather"
-	"pulleygw.example/pulleygw/internal/mix"
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/settings"
+	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/settings"
 )
 
 // Core is what a front needs of the gatherer's core.
--- a/internal/pages/pages_test.go
+++ b/internal/gatherer/pages/pages_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
 )
 
 var now = time.Unix(1_790_000_000, 0)
--- a/internal/query/query_test.go
+++ b/internal/gatherer/query/query_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
 )
 
 func parse(text string) (Query, *Error) {
--- a/internal/record/record_test.go
+++ b/internal/gatherer/record/record_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
 )
 
 func entry(n int) Entry {
--- a/internal/search/index.go
+++ b/internal/gatherer/search/index.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
 )
 
 // Bound is what is known of a range's best lot for a query: no lot of the range comes before it.
--- a/internal/search/plan.go
+++ b/internal/gatherer/search/plan.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/merge"
-	"pulleygw.example/pulleygw/internal/pages"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/pages"
 )
 
 // Tuned values, with their reasons.
--- a/internal/search/search.go
+++ b/internal/gatherer/search/search.go
@@ -9,7 +9,7 @@
 import (
 	"math"
 
-	"pulleygw.example/pulleygw/internal/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
 )
 
 // Counting says what a client wants to know of the number of lots.
--- a/internal/search/search_test.go
+++ b/internal/gatherer/search/search_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
 )
 
 const (
--- a/internal/search/structures_test.go
+++ b/internal/gatherer/search/structures_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/merge"
 )
 
 // plainIndex is the index as one would write it first: a map by name and range.
--- a/internal/settings/daemon.go
+++ b/internal/gatherer/settings/daemon.go
@@ -8,7 +8,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // Current holds the settings in force, for all that read them; they are swapped whole.
--- a/internal/settings/settings.go
+++ b/internal/gatherer/settings/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // options mirrors the settings text. Keys not named here are skipped; pointers tell absent keys.
--- a/internal/settings/settings_test.go
+++ b/internal/gatherer/settings/settings_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/garble"
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 func TestSettings(t *testing.T) {
--- a/internal/standin/http.go
+++ b/internal/gatherer/standin/http.go
@@ -12,7 +12,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 )
 
 // OpenSearch is a lot store that speaks the OpenSearch-style API, until the listener closes. shardOf tells
--- a/internal/standin/lots/store.go
+++ b/internal/gatherer/standin/lots/store.go
@@ -11,8 +11,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/net/http1"
-	"pulleygw.example/pulleygw/internal/standin"
+	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 // Phase is what a question is for.
--- a/internal/tier/admission/core.go
+++ b/internal/tier/admission/core.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem/curve"
+	"pulleygw.example/pulleygw/internal/shared/curve"
 	"pulleygw.example/pulleygw/internal/shared/tailguard"
 )
 
--- a/internal/tier/admission/records.go
+++ b/internal/tier/admission/records.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem/curve"
+	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
 // class is what is usual for the requests of a service that have one aim and one kind of answer. Routes of one service
--- a/internal/tier/admission/refuse.go
+++ b/internal/tier/admission/refuse.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem/curve"
+	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
 // count takes in the priority of a request that came in.
--- a/internal/tier/admission/service.go
+++ b/internal/tier/admission/service.go
@@ -4,7 +4,7 @@
 	"hash/fnv"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem/curve"
+	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
 // service is a pool of stores and what is decided for all of them together.
--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // BenchmarkStep is a step of one of 77 mixers among 170 servers, a wide and a narrow query out at all
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/policy"
 )
 
--- a/policy/phased_test.go
+++ b/policy/phased_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // phased hands over a phased query of six shards; those from later on wait to be asked for.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,9 +11,9 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem/curve"
-	"pulleygw.example/pulleygw/internal/mem/fleet"
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
 // Every tuned value, with its reason: ratios of what is observed or set, or times of human scale.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/mem/fleet"
-	"pulleygw.example/pulleygw/internal/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
+	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 const ms = time.Millisecond
