Turn stores: records and budgets on synced disks, handed on when members change

One segment file takes batches: all writes that came while the last sync ran are synced together and then acknowledged. A pass at each change of members hands on what is held until a write quorum of each key's new replica set has synced it. Replica sets are quorums of both memberships, so a store that is still copying may vote; the status STORE_RECOVERING stays unused.

--- a/internal/tier/budget/merge.go
+++ b/internal/tier/budget/merge.go
@@ -19,8 +19,7 @@
 func Merge(into *tierpb.ProgramBudget, from []*tierpb.BudgetEntry) bool {
 	changed := false
 	for _, entry := range from {
-		at, found := slices.BinarySearchFunc(into.Entries, entry.Request,
-			func(known *tierpb.BudgetEntry, request string) int { return strings.Compare(known.Request, request) })
+		at, found := find(into, entry.Request)
 		switch {
 		case !found:
 			into.Entries = slices.Insert(into.Entries, at, entry)
@@ -68,3 +67,28 @@
 	}
 	return a + b
 }
+
+// Covers says whether merging entries would change nothing.
+func Covers(known *tierpb.ProgramBudget, entries []*tierpb.BudgetEntry) bool {
+	for _, entry := range entries {
+		at, found := find(known, entry.Request)
+		if !found || supersedes(entry, known.Entries[at]) {
+			return false
+		}
+	}
+	return true
+}
+
+func find(known *tierpb.ProgramBudget, request string) (int, bool) {
+	return slices.BinarySearchFunc(known.Entries, request,
+		func(entry *tierpb.BudgetEntry, request string) int { return strings.Compare(entry.Request, request) })
+}
+
+// Copy copies a program's claims. Entries are shared: they never change.
+func Copy(known *tierpb.ProgramBudget) *tierpb.ProgramBudget {
+	return &tierpb.ProgramBudget{
+		Program:       known.Program,
+		Entries:       slices.Clone(known.Entries),
+		TouchedUnixMs: known.TouchedUnixMs,
+	}
+}
--- a/internal/tier/rpc/rpc.go
+++ b/internal/tier/rpc/rpc.go
@@ -28,6 +28,7 @@
 	MethodReserveBudget
 	MethodReadBudget
 	MethodMoveRecords
+	MethodOfferRecords
 )
 
 // Message is a generated protobuf message with the fast encoding.
--- /dev/null
+++ b/internal/tier/turnstore/cluster_test.go
@@ -0,0 +1,279 @@
+package turnstore
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/budget"
+	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/replica"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+	"pulleygw.example/pulleygw/internal/tier/turns"
+)
+
+// cluster is a set of turn stores on simulated disks with a simulated network. Time stands still unless a test moves
+// it, and timers fire when nothing else can happen any more: tests call tick.
+type cluster struct {
+	t      *testing.T
+	random *rand.Rand
+	clock  *testClock
+
+	mu         sync.Mutex
+	machines   map[string]*machine // by address
+	membership *tierpb.StoreMembership
+	nextID     uint64
+	cut        map[string]bool // addresses that nobody reaches; calls fail
+}
+
+// machine is one store's place.
+type machine struct {
+	address string
+	zone    string
+	disk    *memoryDisk
+	store   *Store
+	faults  *fault.Points
+}
+
+// testClock has timers that fire at once where they are short pauses, and never where they are hedges or time-outs.
+type testClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *testClock) time() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *testClock) advance(by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(by)
+}
+
+// never is a timer that does not fire.
+func never(time.Duration) <-chan time.Time { return nil }
+
+// at once is a timer that fires immediately.
+func atOnce(time.Duration) <-chan time.Time {
+	fired := make(chan time.Time, 1)
+	fired <- time.Time{}
+	return fired
+}
+
+func newCluster(t *testing.T, seed uint64, zones ...string) *cluster {
+	c := &cluster{
+		t:        t,
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		clock:    &testClock{now: time.Unix(1_700_000_000, 0)},
+		machines: make(map[string]*machine),
+		cut:      make(map[string]bool),
+	}
+	for i, zone := range zones {
+		c.add(fmt.Sprintf("10.0.0.%d:1", i+1), zone)
+	}
+	c.setMembers(nil)
+	t.Cleanup(c.close)
+	return c
+}
+
+func (c *cluster) close() {
+	for _, m := range c.machines {
+		if m.store != nil {
+			m.store.Close()
+		}
+	}
+}
+
+// add puts an empty machine at an address and starts its store.
+func (c *cluster) add(address, zone string) *machine {
+	m := &machine{address: address, zone: zone, disk: newMemoryDisk()}
+	c.mu.Lock()
+	c.machines[address] = m
+	c.mu.Unlock()
+	c.start(m)
+	return m
+}
+
+func (c *cluster) start(m *machine) {
+	store, err := Open(Options{
+		Disk: m.disk, Folder: "data", Now: c.clock.time, After: never, Identity: c.identity,
+		Log: hclog.NewNullLogger(), Faults: m.faults,
+	})
+	assert.NilError(c.t, err)
+	c.mu.Lock()
+	m.store = store
+	c.mu.Unlock()
+	c.teach(store)
+}
+
+func (c *cluster) identity() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	return c.nextID
+}
+
+// kill ends a store's process; its disk stays.
+func (c *cluster) kill(m *machine) {
+	c.mu.Lock()
+	store := m.store
+	m.store = nil
+	c.mu.Unlock()
+	m.disk.end()
+	if store != nil {
+		store.Close()
+	}
+}
+
+func (c *cluster) wipe(m *machine) {
+	c.kill(m)
+	m.disk = newMemoryDisk()
+}
+
+func (c *cluster) losePower(m *machine) {
+	c.kill(m)
+	m.disk.losePower(c.random)
+}
+
+func (c *cluster) nodes() []*tierpb.Node {
+	var nodes []*tierpb.Node
+	for _, m := range c.machines {
+		if m.store != nil {
+			nodes = append(nodes, &tierpb.Node{Address: m.address, Zone: m.zone, Identity: m.store.Identity()})
+		}
+	}
+	return nodes
+}
+
+// setMembers makes all running stores the members; the members before become the previous ones.
+func (c *cluster) setMembers(previous []*tierpb.Node) {
+	c.mu.Lock()
+	c.membership = &tierpb.StoreMembership{
+		Epoch: c.membership.GetEpoch() + 1, Current: c.nodes(), Previous: previous,
+	}
+	c.mu.Unlock()
+	c.teachAll()
+}
+
+func (c *cluster) dropPrevious() {
+	c.mu.Lock()
+	c.membership = &tierpb.StoreMembership{Epoch: c.membership.Epoch + 1, Current: c.membership.Current}
+	c.mu.Unlock()
+	c.teachAll()
+}
+
+func (c *cluster) teachAll() {
+	for _, m := range c.machines {
+		if m.store != nil {
+			c.teach(m.store)
+		}
+	}
+}
+
+func (c *cluster) teach(store *Store) {
+	c.mu.Lock()
+	control := &tierpb.ControlState{Version: c.membership.GetEpoch(), Stores: c.membership}
+	c.mu.Unlock()
+	store.Learn(control)
+}
+
+func (c *cluster) known() *tierpb.StoreMembership {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.membership
+}
+
+// pass makes a store hand on what it holds.
+func (c *cluster) pass(m *machine) error {
+	work := &pass{store: m.store, caller: c, tolerance: 1, membership: c.known(), faults: m.faults}
+	m.store.options.After = atOnce
+	defer func() { m.store.options.After = never }()
+	return work.run(context.Background())
+}
+
+func (c *cluster) options() replica.Options {
+	return replica.Options{
+		Caller: c, Membership: c.known, Tolerance: 1, Zone: "a", Now: c.clock.time, After: atOnce,
+	}
+}
+
+func (c *cluster) turns() *turns.Client {
+	options := c.options()
+	options.CacheBytes = 1
+	return turns.NewClient(options)
+}
+
+func (c *cluster) budgets() *budget.Client { return budget.NewClient(c.options()) }
+
+// Call carries a message to a store, as bytes.
+func (c *cluster) Call(ctx context.Context, address string, method rpc.Method, request, reply rpc.Message) error {
+	c.mu.Lock()
+	m := c.machines[address]
+	var store *Store
+	if m != nil && !c.cut[address] {
+		store = m.store
+	}
+	c.mu.Unlock()
+	if store == nil {
+		return rpc.ErrUnreachable
+	}
+	answer, err := dispatch(ctx, store, method, encode(request))
+	if err != nil {
+		return rpc.ErrRefused
+	}
+	return reply.UnmarshalVT(encode(answer))
+}
+
+func encode(message rpc.Message) []byte {
+	data := make([]byte, message.SizeVT())
+	if _, err := message.MarshalToSizedBufferVT(data); err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func decode[M any, P interface {
+	*M
+	rpc.Message
+}](data []byte) P {
+	message := P(new(M))
+	if err := message.UnmarshalVT(data); err != nil {
+		panic(err)
+	}
+	return message
+}
+
+func dispatch(ctx context.Context, store *Store, method rpc.Method, data []byte) (rpc.Message, error) {
+	switch method {
+	case rpc.MethodPutTurns:
+		return store.PutTurns(ctx, decode[tierpb.PutTurnsRequest](data))
+	case rpc.MethodGetChain:
+		return store.GetChain(ctx, decode[tierpb.GetChainRequest](data))
+	case rpc.MethodReserveBudget:
+		return store.ReserveBudget(ctx, decode[tierpb.ReserveBudgetRequest](data))
+	case rpc.MethodReadBudget:
+		return store.ReadBudget(ctx, decode[tierpb.ReadBudgetRequest](data))
+	case rpc.MethodMoveRecords:
+		return store.MoveRecords(ctx, decode[tierpb.MoveRecordsRequest](data))
+	case rpc.MethodOfferRecords:
+		return store.OfferRecords(ctx, decode[tierpb.OfferRecordsRequest](data))
+	}
+	return nil, rpc.ErrRefused
+}
+
+func (c *cluster) record(id, previous string) *tierpb.TurnRecord {
+	return &tierpb.TurnRecord{
+		Id: id, Previous: previous, Input: []byte("in of " + id), Output: []byte("{\"out\":\"" + id + "\"}\n"),
+		EndedUnixMs: c.clock.time().UnixMilli(), RetentionMs: 60_000,
+	}
+}
--- /dev/null
+++ b/internal/tier/turnstore/join.go
@@ -0,0 +1,75 @@
+package turnstore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/replica"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// Times of joining.
+const (
+	joinEvery     = 500 * time.Millisecond // while not a member, or while records move
+	tellEvery     = 2 * time.Second        // otherwise
+	joinTimeout   = 400 * time.Millisecond
+	noticeAtStart = 50 * time.Millisecond // before the first call, for the listeners of the others
+)
+
+// joiner tells the coordinators of the store until it is a member, and how far its passes are.
+type joiner struct {
+	store     *Store
+	mover     *Mover
+	caller    rpc.Caller
+	node      *tierpb.Node
+	addresses func() []string // of the coordinators
+}
+
+func (j *joiner) run(ctx context.Context) {
+	wait := noticeAtStart
+	for {
+		_, changed := j.store.Membership()
+		select {
+		case <-j.store.options.After(wait):
+		case <-j.mover.Done():
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		j.tell(ctx)
+		wait = j.interval()
+	}
+}
+
+// interval is the time until the next call.
+func (j *joiner) interval() time.Duration {
+	membership, _ := j.store.Membership()
+	if len(membership.GetPrevious()) > 0 || !replica.Contains(membership.GetCurrent(), j.store.Identity()) {
+		return joinEvery
+	}
+	return tellEvery
+}
+
+// tell calls all coordinators at the same time.
+func (j *joiner) tell(ctx context.Context) {
+	membership, _ := j.store.Membership()
+	request := &tierpb.JoinRequest{
+		Node:        j.node,
+		StoreEpoch:  membership.GetEpoch(),
+		CopiedEpoch: j.mover.Copied(),
+		Records:     uint64(j.store.Records()),
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, address := range j.addresses() {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			_ = j.caller.Call(ctx, address, rpc.MethodJoin, request, &tierpb.JoinReply{})
+		}()
+	}
+	calls.Wait()
+}
--- /dev/null
+++ b/internal/tier/turnstore/journal.go
@@ -0,0 +1,256 @@
+package turnstore
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/storage"
+)
+
+// Names of files. A segment takes batches one behind the other; a merged file replaces all segments up to its
+// own number and the merged files before it.
+const (
+	segmentPrefix = "segment-"
+	mergedPrefix  = "merged-"
+	asideSuffix   = ".part"
+)
+
+// Bounds of the journal.
+const (
+	mostPendingBytes = 8 << 20                // not yet handed to the disk
+	stalledAfter     = 400 * time.Millisecond // a sync that takes longer makes new writes be refused at once
+)
+
+var (
+	errDisk    = eris.New("the disk does not take writes")
+	errStalled = eris.New("the disk is slow")
+)
+
+// batch is what one sync makes durable.
+type batch struct {
+	frames []byte
+	done   chan struct{}
+	err    error // set before done is closed
+}
+
+// journal writes batches to segments: all that came while the last sync ran goes into the next batch. After a
+// failed write nothing is taken until a merged file has saved all that the process holds.
+type journal struct {
+	disk   storage.Disk
+	folder string
+	faults *fault.Points
+	now    func() time.Time
+
+	mu       sync.Mutex
+	wake     *sync.Cond
+	pending  *batch
+	segment  uint64    // number of the segment that batches go to
+	bytes    int64     // in segments and the merged file
+	busyFrom time.Time // start of the write under way, zero when there is none
+	failed   bool
+	failures int
+	closed   bool
+	finished chan struct{}
+	broken   chan struct{} // told of each failed write
+
+	file       storage.File // used by the writer only
+	fileNumber uint64
+}
+
+func newJournal(disk storage.Disk, folder string, segment uint64, now func() time.Time, faults *fault.Points) *journal {
+	j := &journal{
+		disk: disk, folder: folder, segment: segment, now: now, faults: faults,
+		finished: make(chan struct{}),
+		broken:   make(chan struct{}, 1),
+	}
+	j.wake = sync.NewCond(&j.mu)
+	return j
+}
+
+// append adds frames to the next batch.
+func (j *journal) append(frames []byte) (*batch, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if err := j.refusal(); err != nil {
+		return nil, err
+	}
+	if j.pending == nil {
+		j.pending = &batch{done: make(chan struct{})}
+		j.wake.Signal()
+	}
+	if len(j.pending.frames)+len(frames) > mostPendingBytes {
+		return nil, errStalled
+	}
+	j.pending.frames = append(j.pending.frames, frames...)
+	return j.pending, nil
+}
+
+// usable says why the disk takes nothing now, nil when it does.
+func (j *journal) usable() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.refusal()
+}
+
+func (j *journal) refusal() error {
+	switch {
+	case j.failed || j.closed:
+		return errDisk
+	case !j.busyFrom.IsZero() && j.now().Sub(j.busyFrom) > stalledAfter:
+		return errStalled
+	}
+	return nil
+}
+
+// run writes batches until close.
+func (j *journal) run() {
+	defer close(j.finished)
+	for {
+		next, number := j.next()
+		if next == nil {
+			j.closeFile()
+			return
+		}
+		err := j.write(next, number)
+		j.mu.Lock()
+		j.busyFrom = time.Time{}
+		if err != nil {
+			j.failed = true
+			j.failures++
+		} else {
+			j.bytes += int64(len(next.frames))
+		}
+		j.mu.Unlock()
+		next.err = err
+		close(next.done)
+		if err != nil {
+			j.tellBroken()
+		}
+	}
+}
+
+// next waits for a batch and takes it; nil when the journal is closed and all is written.
+func (j *journal) next() (*batch, uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for j.pending == nil && !j.closed {
+		j.wake.Wait()
+	}
+	taken := j.pending
+	j.pending = nil
+	if taken != nil {
+		j.busyFrom = j.now()
+	}
+	return taken, j.segment
+}
+
+// write appends a batch to a segment and syncs it.
+func (j *journal) write(taken *batch, number uint64) error {
+	if j.isFailed() {
+		return errDisk
+	}
+	if err := j.open(number); err != nil {
+		return eris.Wrap(err, "open a segment")
+	}
+	if _, err := j.file.Write(taken.frames); err != nil {
+		return eris.Wrap(err, "write a segment")
+	}
+	if err := j.faults.At(pointBatchWritten); err != nil {
+		return err
+	}
+	if err := j.file.Sync(); err != nil {
+		return eris.Wrap(err, "sync a segment")
+	}
+	return j.faults.At(pointBatchSynced)
+}
+
+func (j *journal) tellBroken() {
+	select {
+	case j.broken <- struct{}{}:
+	default:
+	}
+}
+
+func (j *journal) isFailed() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.failed
+}
+
+// open makes the file of a segment unless it is open.
+func (j *journal) open(number uint64) error {
+	if j.file != nil && j.fileNumber == number {
+		return nil
+	}
+	j.closeFile()
+	file, err := j.disk.Create(filepath.Join(j.folder, segmentName(number)))
+	if err != nil {
+		return err
+	}
+	j.file, j.fileNumber = file, number
+	_, err = file.Write([]byte(fileMagic))
+	return err
+}
+
+func (j *journal) closeFile() {
+	if j.file != nil {
+		_ = j.file.Close()
+		j.file = nil
+	}
+}
+
+// rotate makes later batches go to a new segment and returns the number of the one before, and how many writes
+// have failed. What is in memory when it is called is all that segments up to that number hold or will hold.
+func (j *journal) rotate() (number uint64, failures int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	before := j.segment
+	j.segment++
+	return before, j.failures
+}
+
+// merged is called when a merged file is durable. If no write has failed since it was begun, all is saved.
+func (j *journal) merged(mergedBytes int64, failures int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.failures == failures {
+		j.failed = false
+	}
+	j.bytes = mergedBytes
+}
+
+func (j *journal) size() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.bytes
+}
+
+// close writes what is pending and ends the writer.
+func (j *journal) close() {
+	j.mu.Lock()
+	j.closed = true
+	j.wake.Broadcast()
+	j.mu.Unlock()
+	<-j.finished
+}
+
+func segmentName(number uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, number) }
+
+func mergedName(number uint64) string { return fmt.Sprintf("%s%016x", mergedPrefix, number) }
+
+// numberOf returns the number in a file's name, if it has the prefix.
+func numberOf(name, prefix string) (uint64, bool) {
+	digits, ours := strings.CutPrefix(name, prefix)
+	if !ours {
+		return 0, false
+	}
+	number, err := strconv.ParseUint(digits, 16, 64)
+	return number, err == nil
+}
--- /dev/null
+++ b/internal/tier/turnstore/write.go
@@ -0,0 +1,106 @@
+package turnstore
+
+import (
+	"context"
+
+	"pulleygw.example/pulleygw/internal/tier/budget"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// writes is what one call asks to be made durable.
+type writes struct {
+	records    []*tierpb.TurnRecord
+	budgets    []*tierpb.ProgramBudget
+	extensions []*tierpb.Extension
+}
+
+// take makes all of it durable if the header allows; the verdict says whether it did.
+func (s *Store) take(ctx context.Context, header *tierpb.StoreHeader, asked writes) (*tierpb.StoreVerdict, error) {
+	verdict, waiting, err := s.fold(header, asked)
+	if err != nil || verdict.Status != tierpb.StoreStatus_STORE_OK {
+		return verdict, err
+	}
+	if err := s.await(ctx, waiting); err != nil {
+		return full(), nil
+	}
+	return verdict, nil
+}
+
+func full() *tierpb.StoreVerdict {
+	return &tierpb.StoreVerdict{Status: tierpb.StoreStatus_STORE_FULL}
+}
+
+// fold takes writes into the view and the next batch, under one lock with the check of the epoch: what a call of an
+// older epoch brings is in the view before the pass over it begins, or is refused.
+func (s *Store) fold(header *tierpb.StoreHeader, asked writes) (*tierpb.StoreVerdict, []*batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	verdict, err := s.verdict(header)
+	if err != nil || verdict.Status != tierpb.StoreStatus_STORE_OK {
+		return verdict, nil, err
+	}
+	if s.journal.usable() != nil || s.isFull() {
+		return full(), nil, nil
+	}
+	frames, waiting, err := s.news(asked)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(frames) == 0 {
+		return verdict, waiting, nil
+	}
+	next, err := s.journal.append(frames)
+	if err != nil {
+		return full(), nil, nil
+	}
+	s.apply(asked, next)
+	return verdict, addBatch(waiting, next), nil
+}
+
+// news encodes what the view does not have, and lists the batches that the rest waits for.
+func (s *Store) news(asked writes) (frames []byte, waiting []*batch, err error) {
+	for _, turn := range asked.records {
+		if held := s.view.records[turn.Id]; held != nil {
+			waiting = addBatch(waiting, held.batch)
+			continue
+		}
+		if frames, err = appendFrame(frames, kindRecord, turn); err != nil {
+			return nil, nil, err
+		}
+	}
+	for _, claims := range asked.budgets {
+		if held := s.view.programs[claims.Program]; held != nil && budget.Covers(held.budget, claims.Entries) {
+			waiting = addBatch(waiting, held.batch)
+			continue
+		}
+		if frames, err = appendFrame(frames, kindBudget, claims); err != nil {
+			return nil, nil, err
+		}
+	}
+	for _, extension := range asked.extensions {
+		if held := s.view.records[extension.Id]; held != nil && held.until >= extension.UntilUnixMs {
+			continue
+		}
+		if frames, err = appendFrame(frames, kindExtension, extension); err != nil {
+			return nil, nil, err
+		}
+	}
+	return frames, waiting, nil
+}
+
+// apply folds writes into the view.
+func (s *Store) apply(asked writes, in *batch) {
+	for _, turn := range asked.records {
+		if s.view.records[turn.Id] == nil {
+			s.view.addRecord(turn, in)
+		}
+	}
+	for _, claims := range asked.budgets {
+		if held, changed := s.view.addClaims(claims); changed {
+			held.batch = in
+		}
+	}
+	for _, extension := range asked.extensions {
+		s.view.extend(extension.Id, extension.UntilUnixMs)
+	}
+}
