--- a/internal/tier/coordinator/api.go
+++ b/internal/tier/coordinator/api.go
@@ -128,6 +128,10 @@
 
 func (c *coordinator) deleteInstance(w http.ResponseWriter, r *http.Request) {
 	gone := &tierpb.Instance{Id: chi.URLParam(r, "id")}
+	if len(gone.Id) > registry.MaximumIDBytes {
+		result.Write(w, result.InField(result.InvalidInstance, "instanceId", "is too long"))
+		return
+	}
 	if known := c.state.Instance(gone.Id); known != nil {
 		gone = known.CloneVT()
 	}
@@ -143,7 +147,7 @@
 		c.log.Info("store", "id", told.Id, "backend", told.Backend, "address", told.Address, "state", told.State)
 	}
 	if told.State < tierpb.InstanceState_INSTANCE_DRAINING {
-		writeJSON(w, struct{}{})
+		c.acknowledgeReady(w)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), patience)
@@ -155,6 +159,15 @@
 	writeJSON(w, struct{}{})
 }
 
+// acknowledgeReady sends a store to another coordinator where this one cannot pass its heartbeats on.
+func (c *coordinator) acknowledgeReady(w http.ResponseWriter) {
+	if c.cutOff() {
+		result.Write(w, result.New(result.NoQuorum, ""))
+		return
+	}
+	writeJSON(w, struct{}{})
+}
+
 // readBody reads a body whole.
 func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, *result.Error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/peers"
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/registry"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
@@ -22,6 +23,9 @@
 // registerFolder is where the acceptor keeps its files, below dataDir.
 const registerFolder = "register"
 
+// startPatience is how long a coordinator that has started may take to find the others.
+const startPatience = 2 * time.Second
+
 // controlRegister is what the coordinator needs of the register.
 type controlRegister interface {
 	Change(context.Context, register.ChangeFunc) (*tierpb.ControlState, error)
@@ -39,6 +43,7 @@
 	register  controlRegister
 	accepted  func() *tierpb.ControlState // newest value of the own acceptor, chosen or not
 	lease     interface{ Held() bool }
+	sampler   *peers.Sampler
 	silence   *registry.Silence
 	announced *announcements
 	now       func() time.Time
@@ -78,8 +83,10 @@
 }
 
 func newCoordinator(live *settings.Live, log hclog.Logger, self *tierpb.Node, caller rpc.Caller) *coordinator {
+	seeds := func() []string { return live.Current().SeedCoordinators() }
 	return &coordinator{
 		live: live, log: log, self: self, caller: caller, state: watch.NewState(),
+		sampler: peers.NewSampler(self, caller, seeds), accepted: func() *tierpb.ControlState { return nil },
 		directory: newDirectory(time.Now), silence: registry.NewSilence(heartbeatPeriod(live.Current())),
 		announced: newAnnouncements(), now: time.Now,
 	}
@@ -92,14 +99,20 @@
 
 const defaultHeartbeat = time.Second
 
-// voters returns the voter sets that are known to be in force.
+// voters returns the voter sets of the newest value known, chosen or not; a coordinator that has just started on an
+// empty disk knows none.
 func (c *coordinator) voters() []*tierpb.VoterSet {
-	return initialVoters(c.state.Control(), c.live.Current().SeedCoordinators())
+	known, accepted := c.state.Control(), c.accepted()
+	if known == nil || accepted.GetEpoch() > known.Epoch {
+		return accepted.GetVoters()
+	}
+	return known.Voters
 }
 
 // targets are the other coordinators.
 func (c *coordinator) targets() []watch.Target {
-	return watch.CoordinatorTargets(c.self, c.state, c.directory.coordinators(), c.live.Current().SeedCoordinators())
+	known := append(c.sampler.Nodes(tierpb.Role_ROLE_COORDINATOR), c.directory.coordinators()...)
+	return watch.CoordinatorTargets(c.self, c.state, known, c.live.Current().SeedCoordinators())
 }
 
 // inTouch says whether this process and the coordinators that answer it are a majority of the voters.
@@ -109,6 +122,12 @@
 	})
 }
 
+// cutOff says that this process has been unable to find a majority of the voters; what it is told does not reach the
+// others, nor what they are told this process.
+func (c *coordinator) cutOff() bool {
+	return !c.inTouch() && c.now().Sub(c.directory.started) > startPatience
+}
+
 // majority says whether has is true for most of each set.
 func majority(sets []*tierpb.VoterSet, has func(*tierpb.Node) bool) bool {
 	for _, set := range sets {
--- a/internal/tier/coordinator/house.go
+++ b/internal/tier/coordinator/house.go
@@ -15,10 +15,11 @@
 
 // Times of what is done now and then.
 const (
-	houseInterval = 250 * time.Millisecond
-	joinInterval  = 500 * time.Millisecond
-	joinCall      = 700 * time.Millisecond
-	readPatience  = 2 * time.Second
+	houseInterval   = 250 * time.Millisecond
+	silenceInterval = 750 * time.Millisecond
+	joinInterval    = 500 * time.Millisecond
+	joinCall        = 700 * time.Millisecond
+	readPatience    = 2 * time.Second
 )
 
 // keepHouse looks after what no call asks for.
@@ -26,6 +27,7 @@
 	ticker := time.NewTicker(houseInterval)
 	defer ticker.Stop()
 	var listed []*tierpb.Node
+	var looked time.Time
 	unknownFor := 0
 	for ctx.Err() == nil {
 		select {
@@ -34,7 +36,10 @@
 			return
 		}
 		listed = c.listCoordinators(listed)
-		c.markSilent()
+		if c.now().Sub(looked) >= silenceInterval {
+			looked = c.now()
+			c.markSilent()
+		}
 		if !c.holdsUnknown() {
 			unknownFor = 0
 		} else if unknownFor++; unknownFor > 1 {
--- a/internal/tier/coordinator/orders.go
+++ b/internal/tier/coordinator/orders.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"fmt"
 
-	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/result"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -140,11 +139,3 @@
 	}
 	return kept
 }
-
-// initialVoters is the value's voters, or those of the first start where no value is known.
-func initialVoters(known *tierpb.ControlState, seeds []string) []*tierpb.VoterSet {
-	if len(known.GetVoters()) > 0 {
-		return known.Voters
-	}
-	return register.InitialState(seeds).Voters
-}
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -26,6 +26,8 @@
 	defaultGrace    = 8 * time.Second
 )
 
+var errCutOff = eris.New("cut off from most voters")
+
 // serve runs all parts of the role until ctx ends.
 func (c *coordinator) serve(ctx context.Context, acceptor *register.Acceptor) error {
 	inner, err := net.Listen("tcp4", c.self.Address)
@@ -46,7 +48,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	parts := &sync.WaitGroup{}
-	for _, part := range []func(context.Context){c.follow, c.keepJoining, c.keepHouse, c.keepPlaced, holder.Run} {
+	for _, part := range []func(context.Context){c.follow, c.keepJoining, c.keepHouse, c.keepPlaced, c.sampler.Run, holder.Run} {
 		parts.Add(1)
 		go func() {
 			defer parts.Done()
@@ -105,13 +107,30 @@
 	rpc.Handle(server, rpc.MethodAnnounce, c.takeAnnounce)
 	rpc.Handle(server, rpc.MethodJoin, c.takeJoin)
 	rpc.Handle(server, rpc.MethodPing, c.takePing)
+	c.sampler.Serve(server)
 }
 
 func (c *coordinator) watch(ctx context.Context, request *tierpb.WatchRequest) (*tierpb.WatchReply, error) {
 	c.directory.heard(request.Follower)
+	if request.GetFollower().GetRole() != tierpb.Role_ROLE_COORDINATOR && c.cutOff() {
+		return c.watchCutOff(ctx, request)
+	}
 	return c.state.Watch(ctx, request)
 }
 
+// watchCutOff tells a follower what it lacks, and else sends it elsewhere: others may have newer state.
+func (c *coordinator) watchCutOff(ctx context.Context, request *tierpb.WatchRequest) (*tierpb.WatchReply, error) {
+	request.WaitMs = 0
+	reply, err := c.state.Watch(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Control == nil && len(reply.Instances) == 0 && len(reply.Coordinators) == 0 {
+		return nil, errCutOff
+	}
+	return reply, nil
+}
+
 func (c *coordinator) takePing(context.Context, *tierpb.PingRequest) (*tierpb.PingReply, error) {
 	return &tierpb.PingReply{Node: c.self}, nil
 }
--- a/internal/tier/registry/heartbeat.go
+++ b/internal/tier/registry/heartbeat.go
@@ -14,6 +14,7 @@
 // Bounds of a heartbeat.
 const (
 	MaximumBodyBytes    = 64 << 10
+	MaximumIDBytes      = 1 << 10
 	maximumNameBytes    = 1 << 10
 	maximumModels       = 1 << 10
 	maximumWholeNumber  = 1 << 53 // largest that JSON carries without loss
@@ -83,8 +84,8 @@
 }
 
 func (h *heartbeat) check(id string) error {
-	if id == "" || len(id) > maximumNameBytes {
-		return &Fault{Field: "instanceId", Problem: fmt.Sprintf("has %d bytes, want 1 to %d", len(id), maximumNameBytes)}
+	if id == "" || len(id) > MaximumIDBytes {
+		return &Fault{Field: "instanceId", Problem: fmt.Sprintf("has %d bytes, want 1 to %d", len(id), MaximumIDBytes)}
 	}
 	if h.Backend == "" || len(h.Backend) > maximumNameBytes {
 		return &Fault{Field: "backend", Problem: fmt.Sprintf("has %d bytes, want 1 to %d", len(h.Backend), maximumNameBytes)}
--- a/internal/tier/watch/targets.go
+++ b/internal/tier/watch/targets.go
@@ -26,7 +26,10 @@
 
 func addNodes(zones map[string]string, nodes []*tierpb.Node) {
 	for _, node := range nodes {
-		if node.Role == tierpb.Role_ROLE_COORDINATOR && node.Address != "" {
+		if node.Role != tierpb.Role_ROLE_COORDINATOR || node.Address == "" {
+			continue
+		}
+		if _, known := zones[node.Address]; !known || node.Zone != "" { // the first voters are told without a zone
 			zones[node.Address] = node.Zone
 		}
 	}
