Turn stores follow members only; they call the coordinators twice a second

A turn store got the list of instances and the configuration, of which it has no use. The coordinators take a store that has not called for 1.5 s for dead, so one that calls every 2 s would have been replaced. go test -race ./internal/tier/watch ./internal/tier/turnstore: passed.

--- a/internal/tier/turnstore/join.go
+++ b/internal/tier/turnstore/join.go
@@ -5,15 +5,13 @@
 	"sync"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/tier/replica"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
 // Times of joining.
 const (
-	joinEvery     = 500 * time.Millisecond // while not a member, or while records move
-	tellEvery     = 2 * time.Second        // otherwise
+	joinEvery     = 500 * time.Millisecond // also as a member: the coordinators take silence for death
 	joinTimeout   = 400 * time.Millisecond
 	noticeAtStart = 50 * time.Millisecond // before the first call, for the listeners of the others
 )
@@ -39,19 +37,10 @@
 			return
 		}
 		j.tell(ctx)
-		wait = j.interval()
+		wait = joinEvery
 	}
 }
 
-// interval is the time until the next call.
-func (j *joiner) interval() time.Duration {
-	membership, _ := j.store.Membership()
-	if len(membership.GetPrevious()) > 0 || !replica.Contains(membership.GetCurrent(), j.store.Identity()) {
-		return joinEvery
-	}
-	return tellEvery
-}
-
 // tell calls all coordinators at the same time.
 func (j *joiner) tell(ctx context.Context) {
 	membership, _ := j.store.Membership()
--- a/internal/tier/watch/serve.go
+++ b/internal/tier/watch/serve.go
@@ -68,6 +68,9 @@
 	if request.Feed != s.feed {
 		return len(s.instances) > 0 || len(s.coordinators) > 0
 	}
+	if !wantsInstances(request.Follower) {
+		return s.listedAt > cursor && s.published > cursor
+	}
 	if s.newestListed() > cursor && s.published > cursor {
 		return true
 	}
@@ -96,6 +99,9 @@
 	if s.listedAt > cursor {
 		reply.Coordinators = s.coordinators
 	}
+	if !wantsInstances(request.Follower) {
+		return reply
+	}
 	reply.Instances = s.collect(&s.changes, cursor, nil)
 	if request.Heartbeats {
 		reply.Instances = s.collect(&s.heartbeats, cursor, reply.Instances)
@@ -103,13 +109,23 @@
 	return reply
 }
 
+// wantsInstances says whether a follower has a use for the list of instances: turn stores have none.
+func wantsInstances(follower *tierpb.Node) bool {
+	return follower.GetRole() != tierpb.Role_ROLE_TURN_STORE
+}
+
 // controlFor leaves out what only coordinators need: the orders taken are most of a control state with few routes.
+// Turn stores need no configuration either.
 func controlFor(follower *tierpb.Node, control *tierpb.ControlState) *tierpb.ControlState {
-	if follower.GetRole() == tierpb.Role_ROLE_COORDINATOR || len(control.Taken) == 0 {
+	if follower.GetRole() == tierpb.Role_ROLE_COORDINATOR {
 		return control
 	}
-	return &tierpb.ControlState{
+	told := &tierpb.ControlState{
 		Version: control.Version, Epoch: control.Epoch, Voters: control.Voters, Stores: control.Stores,
 		Configuration: control.Configuration, Retirements: control.Retirements,
 	}
+	if follower.GetRole() == tierpb.Role_ROLE_TURN_STORE {
+		told.Configuration = nil
+	}
+	return told
 }
--- a/internal/tier/watch/state_test.go
+++ b/internal/tier/watch/state_test.go
@@ -235,3 +235,25 @@
 	assert.Equal(t, len(news), 1)
 	assert.Equal(t, news[0].Id, "b")
 }
+
+func TestTurnStoresAreToldOfMembersOnly(t *testing.T) {
+	s, clock := testState()
+	s.SetControl(&tierpb.ControlState{
+		Version: 1, Configuration: &tierpb.Configuration{Generation: 4}, Stores: &tierpb.StoreMembership{Epoch: 2},
+	})
+	s.Upsert(instance("a", 1, ready))
+	store := &tierpb.Node{Role: tierpb.Role_ROLE_TURN_STORE}
+	first := ask(t, s, &tierpb.WatchRequest{Follower: store})
+	assert.Equal(t, len(first.Instances), 0)
+	assert.Equal(t, first.Control.Stores.Epoch, uint64(2))
+	assert.Assert(t, first.Control.Configuration == nil)
+	clock.advance(time.Second)
+	s.Upsert(instance("b", 1, ready))
+	clock.advance(time.Second)
+	request := &tierpb.WatchRequest{Follower: store, Feed: first.Feed, Cursor: first.Cursor, ControlVersion: 1}
+	reply, _, _ := s.poll(request)
+	assert.Assert(t, reply == nil)
+	request.Follower = nil
+	reply, _, _ = s.poll(request)
+	assert.Equal(t, len(reply.Instances), 1)
+}
