rpc: no caller waits past its context for a dial or a write; dead and idle links end

A dial has its own goroutine and callers wait for it or their context; a failed one holds off the next for 100 ms. Bulk transfers have a connection of their own; unused ones close after 30 s; at most 256 calls in hand per connection.

--- a/internal/tier/agent/agent.go
+++ b/internal/tier/agent/agent.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -72,7 +71,7 @@
 // is not reached at the loopback address.
 func (a *Agent) listen(ctx context.Context) error {
 	for _, address := range []string{a.self.Address, Address(a.live.Current())} {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+		listener, err := rpc.Listen(ctx, address)
 		if err != nil {
 			return eris.Wrapf(err, "inner listener %s", address)
 		}
--- a/internal/tier/rpc/client.go
+++ b/internal/tier/rpc/client.go
@@ -1,147 +1,207 @@
 package rpc
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// Times of connections between the tier's processes.
-const (
-	dialTimeout  = time.Second
-	writeTimeout = time.Second             // a frame that the peer has not taken by then ends the connection
-	userTimeout  = 1500 * time.Millisecond // unacknowledged bytes end a connection after this
-)
+// sweepEvery is how often a Client looks for connections that are not used.
+const sweepEvery = idleTime / 3
 
-// Client calls peers by address. It keeps one connection to each and is safe for concurrent use.
+// Client calls peers by address. It keeps one connection to each, and one more for bulk transfers, and is safe for
+// concurrent use.
 type Client struct {
-	dial  dialFunc
-	mu    sync.Mutex
-	peers map[string]*peer
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+	now      func() time.Time
+	counters counters
+
+	mu      sync.Mutex
+	closed  bool
+	peers   map[lane]*peer
+	sweepAt time.Time
+}
+
+// lane is one connection's use: large transfers do not hold up small calls.
+type lane struct {
+	address string
+	bulk    bool
 }
 
-// dialFunc opens a connection to an address; tests put one of their own in its place.
-type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+// Caller is what packages that call peers need of a Client; tests put a simulated network in its place.
+type Caller interface {
+	Call(ctx context.Context, address string, method Method, request, reply Message) error
+}
 
 // NewClient makes a client without connections.
 func NewClient() *Client { return newClient(dialTCP) }
 
-func newClient(dial dialFunc) *Client {
-	return &Client{dial: dial, peers: make(map[string]*peer)}
+func newClient(dial func(context.Context, string) (net.Conn, error)) *Client {
+	return &Client{dial: dial, now: time.Now, peers: make(map[lane]*peer)}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
-}
-
-// Caller is what packages that call peers need of a Client; tests put a simulated network in its place.
-type Caller interface {
-	Call(ctx context.Context, address string, method Method, request, reply Message) error
+	connection, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	setOptions(connection)
+	return connection, nil
 }
 
 // Call sends a request and waits for its reply, at most as long as ctx allows. After ErrTimeout or a broken
 // connection the peer may have acted on the request.
 func (c *Client) Call(ctx context.Context, address string, method Method, request, reply Message) error {
-	connection, err := c.peer(address).connection(ctx)
+	c.counters.calls.Add(1)
+	err := c.call(ctx, lane{address: address, bulk: method == MethodMoveRecords}, method, request, reply)
+	if err != nil {
+		c.counters.failures.Add(1)
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, to lane, method Method, request, reply Message) error {
+	p := c.peer(to)
+	if p == nil {
+		return ErrUnreachable
+	}
+	connection, err := p.connection(ctx)
 	if err != nil {
 		return err
 	}
 	return connection.call(ctx, method, request, reply)
 }
 
-// Close ends all connections.
+// Counters returns what the client has carried so far.
+func (c *Client) Counters() Counters { return c.counters.read() }
+
+// Close ends all connections; later calls fail.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for _, p := range c.peers {
 		p.close()
 	}
 }
 
-func (c *Client) peer(address string) *peer {
+// peer finds or makes the peer of a lane, nil once the client is closed. It also closes, now and then, connections
+// that nobody uses.
+func (c *Client) peer(to lane) *peer {
+	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.peers[address]
+	if c.closed {
+		return nil
+	}
+	if now.After(c.sweepAt) {
+		c.sweepAt = now.Add(sweepEvery)
+		c.sweep(now)
+	}
+	p := c.peers[to]
 	if p == nil {
-		p = &peer{address: address, dial: c.dial}
-		c.peers[address] = p
+		p = &peer{client: c, address: to.address}
+		c.peers[to] = p
 	}
+	p.usedAt = now
 	return p
 }
 
-// peer holds the connection to one address. One dial at a time is under way for all its callers, each of which waits
-// no longer than its own context.
+func (c *Client) sweep(now time.Time) {
+	for to, p := range c.peers {
+		if now.Sub(p.usedAt) > idleTime && !p.busy() {
+			p.close()
+			delete(c.peers, to)
+		}
+	}
+}
+
+// peer holds the connection to one address. One goroutine dials; callers wait for it no longer than their contexts
+// allow.
 type peer struct {
+	client  *Client
 	address string
-	dial    dialFunc
+	usedAt  time.Time // guarded by the client's mutex
+
 	mu      sync.Mutex
-	current *clientConnection
-	dialing *dialing
 	closed  bool
+	current *clientConnection
+	dialing *dial
+	retryAt time.Time
 }
 
-// dialing is a dial under way; its result may be read once done is closed.
-type dialing struct {
+// dial is one attempt to connect; connection is set before done is closed, and nil where it failed.
+type dial struct {
 	done       chan struct{}
 	connection *clientConnection
-	err        error
 }
 
 func (p *peer) connection(ctx context.Context) (*clientConnection, error) {
-	connection, pending := p.connectionOrDial()
-	if connection != nil {
-		return connection, nil
+	connection, attempt, err := p.begin()
+	if connection != nil || err != nil {
+		return connection, err
 	}
 	select {
-	case <-pending.done:
-		return pending.connection, pending.err
+	case <-attempt.done:
 	case <-ctx.Done():
 		return nil, ErrTimeout
 	}
+	if attempt.connection == nil {
+		return nil, ErrUnreachable
+	}
+	return attempt.connection, nil
 }
 
-// connectionOrDial returns the connection where there is one, else the dial under way.
-func (p *peer) connectionOrDial() (*clientConnection, *dialing) {
+// begin returns the connection, or else the attempt to wait for.
+func (p *peer) begin() (*clientConnection, *dial, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.current != nil && !p.current.isBroken() {
-		return p.current, nil
-	}
-	if p.dialing == nil {
-		p.dialing = &dialing{done: make(chan struct{})}
-		go p.open(p.dialing)
-	}
-	return nil, p.dialing
-}
-
-// open dials and ends the dialing that it is given.
-func (p *peer) open(pending *dialing) {
+	switch {
+	case p.closed:
+		return nil, nil, ErrUnreachable
+	case p.current != nil && !p.current.isBroken():
+		return p.current, nil, nil
+	case p.dialing != nil:
+		return nil, p.dialing, nil
+	case p.client.now().Before(p.retryAt):
+		return nil, nil, ErrUnreachable
+	}
+	p.current = nil
+	p.dialing = &dial{done: make(chan struct{})}
+	go p.connect(p.dialing)
+	return nil, p.dialing, nil
+}
+
+func (p *peer) connect(attempt *dial) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	dialed, err := p.dial(ctx, p.address)
+	p.client.counters.dials.Add(1)
+	connection, err := p.client.dial(ctx, p.address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	defer close(pending.done)
+	defer close(attempt.done)
 	p.dialing = nil
 	if err != nil {
-		pending.err = ErrUnreachable
+		p.retryAt = p.client.now().Add(dialBackoff)
 		return
 	}
 	if p.closed {
-		_ = dialed.Close()
-		pending.err = ErrUnreachable
+		_ = connection.Close()
 		return
 	}
-	setOptions(dialed)
-	p.current = &clientConnection{connection: dialed, waiting: make(map[uint32]chan frame)}
-	pending.connection = p.current
+	p.current = newClientConnection(connection, p.client)
+	attempt.connection = p.current
 	go p.current.read()
 }
 
+// busy says that calls wait for replies or for a connection.
+func (p *peer) busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialing != nil || p.current != nil && p.current.busy()
+}
+
 func (p *peer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,124 +210,3 @@
 		p.current.fail()
 	}
 }
-
-type clientConnection struct {
-	connection net.Conn
-	writing    sync.Mutex
-	mu         sync.Mutex
-	broken     bool
-	next       uint32
-	waiting    map[uint32]chan frame
-	heardAt    time.Time
-}
-
-func (c *clientConnection) isBroken() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.broken
-}
-
-func (c *clientConnection) call(ctx context.Context, method Method, request, reply Message) error {
-	answer := make(chan frame, 1)
-	began := time.Now()
-	c.mu.Lock()
-	if c.broken {
-		c.mu.Unlock()
-		return ErrUnreachable
-	}
-	c.next++
-	number := c.next
-	c.waiting[number] = answer
-	c.mu.Unlock()
-	buffer, err := encode(byte(method), number, request)
-	if err != nil {
-		c.forget(number)
-		return err
-	}
-	c.writing.Lock()
-	_ = c.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err = c.connection.Write(buffer)
-	c.writing.Unlock()
-	if err != nil {
-		c.fail()
-		return ErrUnreachable
-	}
-	select {
-	case got, ok := <-answer:
-		switch {
-		case !ok:
-			return ErrUnreachable
-		case got.kind == kindFailure:
-			return ErrRefused
-		}
-		return reply.UnmarshalVT(got.payload)
-	case <-ctx.Done():
-		c.forget(number)
-		c.dropIfSilent(began)
-		return ErrTimeout
-	}
-}
-
-// dropIfSilent ends a connection on which nothing was heard since a call began that found no answer.
-func (c *clientConnection) dropIfSilent(since time.Time) {
-	c.mu.Lock()
-	silent := c.heardAt.Before(since) && time.Since(since) > dialTimeout/2
-	c.mu.Unlock()
-	if silent {
-		c.fail()
-	}
-}
-
-func (c *clientConnection) forget(number uint32) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.waiting, number)
-}
-
-func (c *clientConnection) read() {
-	reader := bufio.NewReaderSize(c.connection, 16<<10)
-	var header [headerBytes]byte
-	for {
-		got, err := readFrame(reader, &header)
-		if err != nil {
-			c.fail()
-			return
-		}
-		c.mu.Lock()
-		answer := c.waiting[got.call]
-		delete(c.waiting, got.call)
-		c.heardAt = time.Now()
-		c.mu.Unlock()
-		if answer != nil {
-			answer <- got
-		}
-	}
-}
-
-// fail ends the connection and all calls that wait on it.
-func (c *clientConnection) fail() {
-	_ = c.connection.Close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.broken = true
-	for number, answer := range c.waiting {
-		delete(c.waiting, number)
-		close(answer)
-	}
-}
-
-// setOptions makes a silent cut end the connection.
-func setOptions(connection net.Conn) {
-	tcp, ok := connection.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	_ = tcp.SetNoDelay(true)
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(descriptor uintptr) {
-		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-}
