--- /dev/null
+++ b/internal/tier/standin/tier.go
@@ -0,0 +1,219 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/settings"
+)
+
+// Classes of machines.
+const (
+	classEdge     = "edge"
+	classCore     = "core"
+	classAppStore = "app_server"
+)
+
+// Ports on every machine.
+const (
+	frontPort      = 7400
+	readinessPort  = 7401
+	controlPort    = 7402
+	firstInnerPort = 7380
+	lastInnerPort  = 7395
+	storePort      = 7410
+)
+
+// Last part of the first address of each class.
+const (
+	firstEdge  = 1
+	firstCore  = 41
+	firstStore = 81
+	firstToy   = 121
+)
+
+const seedCount = 3
+
+// Layout says what a tier on loopback consists of.
+type Layout struct {
+	Folder       string // settings files and disks
+	Subnet       string // first three parts of the machines' addresses, such as 127.7.0
+	Zones        []string
+	Edges        int
+	Coordinators int
+	TurnStores   int
+	Tolerated    int // machines that may be lost at once
+	Launch       Launcher
+	Log          io.Writer
+}
+
+// Tier is a whole serving tier on loopback addresses.
+type Tier struct {
+	Edges        []*Machine
+	Coordinators []*Machine
+	TurnStores   []*Machine
+
+	layout Layout
+	stores int
+}
+
+// NewTier writes down all machines; none is started.
+func NewTier(layout Layout) (*Tier, error) {
+	tier := &Tier{layout: layout}
+	for i := range layout.Coordinators {
+		if err := tier.add(&tier.Coordinators, classCore, firstCore+i, RoleCoordinator); err != nil {
+			return nil, err
+		}
+	}
+	for i := range layout.TurnStores {
+		if err := tier.add(&tier.TurnStores, classAppStore, firstStore+i, RoleTurnStore); err != nil {
+			return nil, err
+		}
+	}
+	for i := range layout.Edges {
+		if err := tier.add(&tier.Edges, classEdge, firstEdge+i, RoleAgent, RoleProxy); err != nil {
+			return nil, err
+		}
+	}
+	return tier, nil
+}
+
+func (t *Tier) add(to *[]*Machine, class string, last int, roles ...string) error {
+	told := t.settings(class, last, len(*to))
+	machine, err := newMachine(t.layout.Folder, told, t.layout.Launch, t.layout.Log, roles...)
+	if err != nil {
+		return err
+	}
+	*to = append(*to, machine)
+	return nil
+}
+
+// AddTurnStore adds an empty machine to a running tier.
+func (t *Tier) AddTurnStore() (*Machine, error) {
+	if err := t.add(&t.TurnStores, classAppStore, firstStore+len(t.TurnStores), RoleTurnStore); err != nil {
+		return nil, err
+	}
+	added := t.TurnStores[len(t.TurnStores)-1]
+	added.Settings.Bootstrap = false
+	return added, added.Start()
+}
+
+func (t *Tier) settings(class string, last, index int) settings.Settings {
+	ip := fmt.Sprintf("%s.%d", t.layout.Subnet, last)
+	zone := t.layout.Zones[index%len(t.layout.Zones)]
+	told := settings.Settings{
+		NodeName: fmt.Sprintf("%s-%s-%d", class, zone, index+1), MachineClass: class, Serves: []string{class},
+		IP: ip, Zone: zone, Region: "loopback", EphemeralPorts: []int{firstInnerPort, lastInnerPort},
+		Seeds: t.seeds(), Bootstrap: true, CountsForQuorum: class != classEdge, HeartbeatMs: 400,
+		Contracts: []string{"base", "drain", "config", "cost", "recover", "agent", "stream", "engine"},
+		Zones:     make(map[string]string),
+		Limits:    settings.Limits{CPUShare: 1, Cores: 1, MemoryMb: 280, MaxFds: 4096, LinkMbps: 1000, DiskMb: 300},
+		Bounds:    exampleBounds,
+	}
+	told.FaultTolerance.Machines = t.layout.Tolerated
+	for _, name := range t.layout.Zones {
+		told.Zones[name] = "loopback"
+	}
+	switch class {
+	case classEdge:
+		told.Listen.Front, told.Listen.Readiness = endpoint(ip, frontPort), endpoint(ip, readinessPort)
+		told.Limits.DiskMb = 0
+	case classCore:
+		told.Listen.Control = endpoint(ip, controlPort)
+		told.Serves = []string{"control_plane"}
+	}
+	return told
+}
+
+var exampleBounds = settings.Bounds{
+	SeedLagS: 3, ReuseAfterS: 2, ContactMs: 3000, AckMs: 4000, CatchUpS: 4, DrainMs: 2000, GraceS: 8, LossSlackMs: 200,
+	ConfigMs: 2000, RollbackSlackMs: 250, OuterMs: 5000, RecoverS: 12, PassMs: 120, AgainS: 0, FinishS: 10, SettleMs: 1000,
+}
+
+func (t *Tier) seeds() []string {
+	controls := t.Controls()
+	return controls[:min(seedCount, len(controls))]
+}
+
+// Controls lists the control addresses of all coordinators.
+func (t *Tier) Controls() []string {
+	addresses := make([]string, t.layout.Coordinators)
+	for i := range addresses {
+		addresses[i] = endpoint(fmt.Sprintf("%s.%d", t.layout.Subnet, firstCore+i), controlPort)
+	}
+	return addresses
+}
+
+// Fronts lists the front addresses of all edges.
+func (t *Tier) Fronts() []string {
+	addresses := make([]string, len(t.Edges))
+	for i, edge := range t.Edges {
+		addresses[i] = edge.Settings.Listen.Front
+	}
+	return addresses
+}
+
+// AddStore starts a store of a service at the next free address; it has registered when the call returns.
+func (t *Tier) AddStore(ctx context.Context, service string, slots int) (*Store, error) {
+	t.stores++
+	zone := t.layout.Zones[t.stores%len(t.layout.Zones)]
+	store, err := StartStore(StoreOptions{
+		ID: fmt.Sprintf("i-%s-%d", service, t.stores), Backend: service, Zone: zone, Slots: slots,
+		Address: endpoint(fmt.Sprintf("%s.%d", t.layout.Subnet, firstToy+t.stores), storePort),
+		Engine:  service == EngineService, Registry: t.Controls,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := store.Register(ctx); err != nil {
+		store.Kill()
+		return nil, eris.Wrapf(err, "registration of %s", store.ID())
+	}
+	return store, nil
+}
+
+// Machines lists all machines.
+func (t *Tier) Machines() []*Machine {
+	all := make([]*Machine, 0, len(t.Coordinators)+len(t.TurnStores)+len(t.Edges))
+	all = append(all, t.Coordinators...)
+	all = append(all, t.TurnStores...)
+	return append(all, t.Edges...)
+}
+
+// Start starts every machine.
+func (t *Tier) Start() error {
+	for _, machine := range t.Machines() {
+		if err := machine.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Kill ends every process at once.
+func (t *Tier) Kill() {
+	for _, machine := range t.Machines() {
+		machine.Kill()
+	}
+}
+
+// Ready says whether an edge takes clients.
+func (t *Tier) Ready(ctx context.Context, edge *Machine) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+edge.Settings.Listen.Readiness+"/v1/readyz", nil)
+	if err != nil {
+		return err
+	}
+	answer, err := (&http.Client{Timeout: callTimeout}).Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return eris.Errorf("%s is not ready: %s", edge.Settings.NodeName, answer.Status)
+	}
+	return nil
+}
