--- a/internal/gatherer/net/frames/crossings_test.go
+++ b/internal/gatherer/net/frames/crossings_test.go
@@ -13,8 +13,8 @@
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
-	"pulleygw.example/pulleygw/internal/gatherer/net/peek"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/shared/peek"
 )
 
 // linked parks a connection that leads to a listener, and gives its other side. The test does what its reader and its
--- a/internal/gatherer/net/frames/transport.go
+++ b/internal/gatherer/net/frames/transport.go
@@ -15,7 +15,7 @@
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
-	"pulleygw.example/pulleygw/internal/gatherer/net/peek"
+	"pulleygw.example/pulleygw/internal/shared/peek"
 )
 
 // Config is what a transport needs to know.
--- a/internal/gatherer/net/http1/client.go
+++ b/internal/gatherer/net/http1/client.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/net/peek"
+	"pulleygw.example/pulleygw/internal/shared/peek"
 )
 
 // Client is one connection for one request at a time. It is not safe for concurrent use.
--- a/internal/gatherer/net/peek/peek_test.go
+++ b/internal/shared/peek/peek_test.go
@@ -5,8 +5,7 @@
 	"net"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/gatherer/net/peek"
-	"pulleygw.example/pulleygw/internal/gatherer/standin"
+	"pulleygw.example/pulleygw/internal/shared/peek"
 )
 
 // What has come is seen and left in place, for a reader that waits at the same time too; an end, a reset and a close of
@@ -22,7 +21,7 @@
 		"a reset":     {func(_, there *net.TCPConn) { there.SetLinger(0); there.Close() }, false, true},
 		"closed here": {func(here, _ *net.TCPConn) { here.Close() }, false, true},
 	} {
-		here, there := standin.Pair(t, standin.Listen(t))
+		here, there := pair(t)
 		x.do(here, there)
 		waiting, ended := peek.Look(here)
 		for x.waiting != waiting || x.ended != ended { // loopback hands it over at once, or nearly so
@@ -42,3 +41,23 @@
 		t.Error("something is known of no connection")
 	}
 }
+
+// pair makes both ends of a connection.
+func pair(t *testing.T) (here, there *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialled, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dialled.Close(); accepted.Close() })
+	return dialled.(*net.TCPConn), accepted.(*net.TCPConn)
+}
--- a/internal/tier/upstream/pool.go
+++ b/internal/tier/upstream/pool.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"pulleygw.example/pulleygw/internal/net/peek"
+	"pulleygw.example/pulleygw/internal/shared/peek"
 )
 
 // Times of connections.
