--- a/internal/gatherer/mem/fleet/fleet.go
+++ b/internal/gatherer/mem/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/spread"
 	"pulleygw.example/pulleygw/internal/shared/curve"
+	"pulleygw.example/pulleygw/internal/shared/tailguard"
 )
 
 // State is what one mixer knows, and what it has been told. It is not safe for concurrent use.
@@ -73,12 +74,11 @@
 
 // Tuning is what package policy decides of how tables and records are kept.
 type Tuning struct {
-	Before         func(a, b *Part) bool // the order in which held parts leave
-	Tail           float64               // percentile of the tails that are read off records
-	StartTail      float64               // of the least aim: the top of the start curve
-	UsualSpan      time.Duration         // what servers carry is counted so long
-	SurveyGap      time.Duration         // between looks at every server
-	CapMin, CapMax float64               // bounds of a server's cap
+	Tail           float64       // percentile of the tails that are read off records
+	StartTail      float64       // of the least aim: the top of the start curve
+	UsualSpan      time.Duration // what servers carry is counted so long
+	SurveyGap      time.Duration // between looks at every server
+	CapMin, CapMax float64       // bounds of a server's cap
 }
 
 // New makes empty tables.
@@ -126,13 +126,11 @@
 // Part is one shard's share of a query.
 type Part struct {
 	mix.PartArrived
-	Q        *Query
-	Server   *Server // whose queue it is in, or chosen for
-	Deadline time.Duration
-	Index    int // place in the queue, -1 when not held
-	Seq      uint64
+	Q      *Query
+	Server *Server // whose queue it is in, or chosen for
+	tailguard.Place
+	Index    int     // place in the queue, -1 when not held
 	Late     bool    // counted as a miss
-	Headless bool    // no positive budget when stamped
 	Spare    bool    // not asked for unless others are late or lost
 	Replaced bool    // a spare was sent in its place
 	Strength float64 // of its shard's replicas
@@ -185,11 +183,10 @@
 	Curve           []float64 // blend of record and pool, anew where not fresh
 	Patience        float64   // seconds a part may be out before the server is skipped
 	Fresh           bool
-	Round           uint64                // of the choice that the next two belong to
-	Cover           int                   // parts of that choice that it holds
-	Able            bool                  // whether it may be sent anything
-	Reserve         bool                  // not of this mixer's subset
-	before          func(a, b *Part) bool // the order of Held
+	Round           uint64 // of the choice that the next two belong to
+	Cover           int    // parts of that choice that it holds
+	Able            bool   // whether it may be sent anything
+	Reserve         bool   // not of this mixer's subset
 }
 
 // LatNow is a server's smoothed answer time, fading to the median.
@@ -200,11 +197,47 @@
 	return median + curve.Faded(s.Lat-median, now-s.LatAt, half)
 }
 
-// queue is a server's held parts as a heap, in the order that Tuning gives.
+// Erred takes in an error that took so many seconds.
+func (s *Server) Erred(took, tookWeight, shareWeight float64) {
+	s.ErrorTook = cmp.Or(s.ErrorTook, took)
+	s.ErrorTook += tookWeight * (took - s.ErrorTook)
+	s.Errors += shareWeight * (1 - s.Errors)
+}
+
+// Heard takes in an outcome from the zone: one that was not quick, or one that proves the way.
+func (z *Zone) Heard(slow, proves bool) {
+	switch {
+	case slow:
+		z.Slow++
+	case proves:
+		z.Slow = 0
+	}
+}
+
+// Gather makes the candidates of a choice: the replicas of the parts' shards that are able to take one, each with how many
+// of the parts it could take in a call.
+func (m *State) Gather(parts []*Part, able func(*Server) bool) {
+	m.Round, m.Candidates = m.Round+1, m.Candidates[:0]
+	for _, p := range parts {
+		for _, s := range m.Replicas[p.Shard%m.Set.Cells] {
+			if s.Round != m.Round {
+				s.Round, s.Cover, s.Able = m.Round, 0, able(s)
+				if s.Able {
+					m.Candidates = append(m.Candidates, s)
+				}
+			}
+			if !OutAt(p, s) {
+				s.Cover = min(s.Cover+1, max(m.Set.Batch, 1))
+			}
+		}
+	}
+}
+
+// queue is a server's held parts as a heap, in the order of release.
 type queue struct{ *Server }
 
 func (q queue) Len() int           { return len(q.Held) }
-func (q queue) Less(i, j int) bool { return q.before(q.Held[i], q.Held[j]) }
+func (q queue) Less(i, j int) bool { return q.Held[i].Place.Before(q.Held[j].Place) }
 func (q queue) Swap(i, j int) {
 	q.Held[i], q.Held[j] = q.Held[j], q.Held[i]
 	q.Held[i].Index, q.Held[j].Index = i, j
@@ -269,7 +302,7 @@
 		}
 		s := m.Servers[i.ID]
 		if s == nil {
-			s = &Server{Record: curve.NewRecord(), before: m.Tuning.Before}
+			s = &Server{Record: curve.NewRecord()}
 			m.Servers[i.ID] = s
 			m.Order = append(m.Order, s)
 			s.Started = -1
@@ -496,6 +529,22 @@
 	return m.Pool.Quantile(m.Product, tail)
 }
 
+// ListingsTail multiplies the CDFs of the servers that will list what is ranked, and inverts the product. A phased
+// query's listings go to servers that have answered already, as far as these are known.
+func (m *State) ListingsTail(q *Query, tail float64) float64 {
+	left := max(q.Fetch, 1)
+	m.Product = m.Product[:0]
+	for i := 0; i < len(q.Current) && left > 0; i++ {
+		if p := q.Current[i]; q.Phased && p.Done && p.Server != nil {
+			m.Product, left = curve.Multiply(m.Product, m.CDF(p.Server)), left-1
+		}
+	}
+	for ; left > 0; left-- {
+		m.Product = curve.Multiply(m.Product, m.PoolCDF)
+	}
+	return m.Pool.Quantile(m.Product, tail)
+}
+
 // End takes a query off the books; outcomes still to come are heard for the servers' sake.
 func (m *State) End(q *Query) {
 	if q == nil { // gone already
