--- /dev/null
+++ b/internal/tier/register/random_test.go
@@ -0,0 +1,431 @@
+package register
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/simulation"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+var (
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of the random schedules")
+	seedCount = flag.Int("seeds", 200, "number of random schedules")
+)
+
+// Length of a random schedule in the time of its bubble, and what it takes to come to rest afterwards.
+const (
+	troubleTime = 20 * time.Second
+	restTime    = 60 * time.Second
+)
+
+// operation is what a client asked and was told.
+type operation struct {
+	read     bool
+	from, to uint64
+}
+
+type outcome struct {
+	generation uint64
+	conflict   bool
+	unknown    bool
+	untaken    bool
+}
+
+// registerModel is a compare-and-swap register of generations. A change whose end is not known may have been made
+// at any time until the end of the history; one that was given up before anything left has not been made.
+var registerModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		current, asked, told := state.(uint64), input.(operation), output.(outcome)
+		switch {
+		case told.untaken:
+			return true, current
+		case asked.read:
+			return told.unknown || told.generation == current, current
+		case told.unknown:
+			if current == asked.from {
+				return true, asked.to
+			}
+			return true, current
+		case told.conflict:
+			return current != asked.from, current
+		}
+		return current == asked.from, asked.to
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+}
+
+// schedule is one random run.
+type schedule struct {
+	*cluster
+	mu      sync.Mutex
+	history []porcupine.Operation
+	next    uint64 // generation to be put next
+	newest  uint64 // generation that was seen last
+	wiped   identities
+	calm    bool
+}
+
+// TestRandomSchedulesAreLinearizable plays changes, reads and changes of voters among kills, losses of power and
+// disks, cuts, freezes and full disks, and checks every history.
+func TestRandomSchedulesAreLinearizable(t *testing.T) {
+	count := *seedCount
+	if testing.Short() {
+		count = min(count, 40)
+	}
+	var sum tally
+	for i := range count {
+		seed := *firstSeed + uint64(i)
+		synctest.Test(t, func(t *testing.T) { playSchedule(t, seed, &sum) })
+		if t.Failed() {
+			t.Fatalf("seed %d failed", seed)
+		}
+	}
+	t.Logf("%d schedules: %+v", count, sum)
+}
+
+// tally counts what the schedules held, so that one in which nothing happens is seen.
+type tally struct {
+	Done, Conflicts, Unknown, Unavailable, Reads int
+	Kills, Powerless, Wipes, Replaced, Stops     int
+	Versions, Epochs                             uint64
+}
+
+func playSchedule(t *testing.T, seed uint64, sum *tally) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	count := 3 + random.IntN(4)
+	traits := simulation.Traits{
+		Shortest: 500 * time.Microsecond, Longest: 10 * time.Millisecond,
+		Lost: random.Float64() * 0.1, Late: random.Float64() * 0.1, Latest: 3 * time.Second, Doubled: random.Float64() * 0.1,
+	}
+	s := &schedule{cluster: newCluster(t, seed, 3, count, traits), wiped: identities{}}
+	s.random = random
+	if random.IntN(2) == 0 {
+		s.stopAnywhere(sum, random.Float64()*0.01)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), troubleTime)
+	defer cancel()
+	var clients sync.WaitGroup
+	for i := range 2 + random.IntN(4) {
+		clients.Go(func() { s.client(ctx, i, rand.New(rand.NewPCG(seed, 100+uint64(i))), sum) })
+	}
+	clients.Go(func() { s.manage(ctx, rand.New(rand.NewPCG(seed, 200)), sum) })
+	s.trouble(ctx, sum)
+	clients.Wait()
+	s.rest(sum)
+	result := porcupine.CheckOperationsTimeout(registerModel, s.history, 30*time.Second)
+	assert.Assert(t, result != porcupine.Illegal, "seed %d: history is not linearizable", seed)
+}
+
+// stopAnywhere ends processes at the fault points that they pass, by chance.
+func (s *schedule) stopAnywhere(sum *tally, share float64) {
+	for i, m := range s.members {
+		random := rand.New(rand.NewPCG(uint64(i), math.Float64bits(share)))
+		var mu sync.Mutex
+		m.stopWhen(func(fault.Point) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			if random.Float64() >= share {
+				return false
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			sum.Stops++
+			return !s.calm
+		})
+	}
+}
+
+// client puts and reads until ctx ends, at any member.
+func (s *schedule) client(ctx context.Context, number int, random *rand.Rand, sum *tally) {
+	for ctx.Err() == nil {
+		<-time.After(time.Duration(random.IntN(300)) * time.Millisecond)
+		m := s.members[random.IntN(len(s.members))]
+		if m.machine.Running() {
+			s.act(number, m, random, sum)
+		}
+	}
+}
+
+func (s *schedule) act(number int, m *member, random *rand.Rand, sum *tally) {
+	limit := time.Duration(200+random.IntN(3000)) * time.Millisecond
+	asked := operation{read: random.IntN(3) == 0}
+	if !asked.read {
+		asked.from, asked.to = s.draw(random)
+	}
+	called := time.Now()
+	var told outcome
+	var err error
+	if asked.read {
+		var state *tierpb.ControlState
+		state, err = m.read(limit)
+		told.generation = state.GetConfiguration().GetGeneration()
+	} else {
+		told.generation, err = m.put(limit, asked.from, asked.to)
+	}
+	s.record(number, asked, told, err, called, sum)
+}
+
+// draw returns the generations of a change, mostly on top of the newest.
+func (s *schedule) draw(random *rand.Rand) (from, to uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	from = s.newest
+	if random.IntN(8) == 0 {
+		from = random.Uint64N(s.next)
+	}
+	return from, s.next
+}
+
+func (s *schedule) record(number int, asked operation, told outcome, err error, called time.Time, sum *tally) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended := time.Now().UnixNano()
+	switch {
+	case err == nil && asked.read:
+		sum.Reads++
+		s.newest = told.generation
+	case err == nil:
+		sum.Done++
+		s.newest = asked.to
+	case errors.Is(err, errConflict):
+		told.conflict = true
+		sum.Conflicts++
+	case errors.Is(err, ErrUncertain):
+		told.unknown = true
+		ended = math.MaxInt64
+		sum.Unknown++
+	case errors.Is(err, ErrUnavailable):
+		told.untaken = true
+		sum.Unavailable++
+	default:
+		assert.NilError(s.t, err)
+	}
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: number, Input: asked, Call: called.UnixNano(), Output: told, Return: ended,
+	})
+}
+
+// manage replaces voters, as holders of the placement lease do, sometimes two at once.
+func (s *schedule) manage(ctx context.Context, random *rand.Rand, sum *tally) {
+	for ctx.Err() == nil {
+		<-time.After(time.Duration(random.IntN(1500)) * time.Millisecond)
+		m := s.members[random.IntN(len(s.members))]
+		state := m.newestKnown()
+		if !m.machine.Running() || len(state.GetVoters()) == 0 {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, 3*time.Second)
+		done := func() {
+			defer cancel()
+			if _, err := ReplaceVoters(limited, m.changer(), s.nextVoters(state, random)); err == nil {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				sum.Replaced++
+			}
+		}
+		if random.IntN(4) == 0 {
+			go done()
+		} else {
+			done()
+		}
+	}
+}
+
+// nextVoters puts one node in the place of a voter, of a wiped one where there is one; at times it adds or drops one.
+func (s *schedule) nextVoters(state *tierpb.ControlState, random *rand.Rand) []*tierpb.Node {
+	set := state.Voters[len(state.Voters)-1].Nodes
+	nodes := append([]*tierpb.Node{}, set...)
+	present := identities{}
+	for _, node := range nodes {
+		present.add(node.Identity)
+	}
+	var fresh []*tierpb.Node
+	for _, m := range s.members {
+		if node := m.node(); m.machine.Running() && !present.has(node.Identity) {
+			fresh = append(fresh, node)
+		}
+	}
+	if len(fresh) == 0 {
+		return nodes
+	}
+	joiner := fresh[random.IntN(len(fresh))]
+	if len(nodes) < 5 && random.IntN(4) == 0 {
+		return append(nodes, joiner)
+	}
+	out := random.IntN(len(nodes))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, node := range nodes {
+		if s.wiped.has(node.Identity) {
+			out = i
+		}
+	}
+	if len(nodes) > 3 && random.IntN(2) == 0 {
+		return append(nodes[:out:out], nodes[out+1:]...)
+	}
+	nodes[out] = joiner
+	return nodes
+}
+
+// trouble does one thing after the other until ctx ends.
+func (s *schedule) trouble(ctx context.Context, sum *tally) {
+	for ctx.Err() == nil {
+		<-time.After(time.Duration(s.random.IntN(800)) * time.Millisecond)
+		m := s.members[s.random.IntN(len(s.members))]
+		other := s.members[s.random.IntN(len(s.members))]
+		switch s.random.IntN(22) {
+		case 0:
+			sum.Kills++
+			m.machine.Kill()
+		case 1:
+			sum.Powerless++
+			m.machine.PowerLoss()
+		case 2:
+			s.wipe(m, sum)
+		case 3:
+			s.allAtOnce(sum)
+		case 4:
+			s.network.Cut(m.machine.Address(), other.machine.Address(), true)
+		case 5:
+			s.cutOff(m)
+		case 6:
+			s.network.Heal()
+		case 7:
+			m.machine.Freeze()
+		case 8:
+			m.machine.Disk.SetTrouble(simulation.Trouble{Full: s.random.IntN(2) == 0, Failing: s.random.IntN(2) == 0})
+		case 9:
+			m.machine.Disk.SetTrouble(simulation.Trouble{Delay: time.Duration(s.random.IntN(400)) * time.Millisecond})
+		case 10:
+			m.machine.Disk.SetTrouble(simulation.Trouble{})
+		case 11:
+			if state := other.newestKnown(); state != nil {
+				m.learn(state)
+			}
+		default:
+			s.thawAndStart(false)
+		}
+	}
+}
+
+// allAtOnce kills all processes, or takes all power, at the same moment; one disk may go with it.
+func (s *schedule) allAtOnce(sum *tally) {
+	powerless := s.random.IntN(2) == 0
+	for _, m := range s.members {
+		if powerless {
+			m.machine.PowerLoss()
+		} else {
+			m.machine.Kill()
+		}
+	}
+	if s.random.IntN(2) == 0 {
+		s.wipe(s.members[s.random.IntN(len(s.members))], sum)
+	}
+	s.thawAndStart(true)
+}
+
+// cutOff cuts one member from all others, both ways.
+func (s *schedule) cutOff(m *member) {
+	for _, other := range s.members {
+		s.network.Cut(m.machine.Address(), other.machine.Address(), true)
+		s.network.Cut(other.machine.Address(), m.machine.Address(), true)
+	}
+}
+
+// thawAndStart lets some members, or all, run again.
+func (s *schedule) thawAndStart(all bool) {
+	for _, m := range s.members {
+		if !all && s.random.IntN(2) == 0 {
+			continue
+		}
+		m.machine.Thaw()
+		if !m.machine.Running() {
+			m.start(false)
+		}
+	}
+}
+
+// wipe empties a disk where every set of voters that anybody has accepted keeps a majority of identities.
+func (s *schedule) wipe(m *member, sum *tally) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gone := m.current().Identity()
+	lost := func(identity uint64) bool { return identity == gone || s.wiped.has(identity) }
+	for _, other := range s.members {
+		for _, state := range []*tierpb.ControlState{other.current().Value(), other.newestKnown()} {
+			if state != nil && !Quorum(state.Voters, func(identity uint64) bool { return !lost(identity) }) {
+				return
+			}
+		}
+	}
+	sum.Wipes++
+	s.wiped.add(gone)
+	m.machine.Wipe()
+}
+
+// rest ends all trouble; the register must then be readable and changeable everywhere.
+func (s *schedule) rest(sum *tally) {
+	s.mu.Lock()
+	s.calm = true
+	s.mu.Unlock()
+	s.network.Heal()
+	s.network.Set(calm)
+	for _, m := range s.members {
+		m.machine.Disk.SetTrouble(simulation.Trouble{})
+		m.machine.Thaw()
+		for !m.machine.Running() || m.current() == nil {
+			m.start(false)
+		}
+	}
+	<-time.After(5 * time.Second) // what was under way comes to its end
+	s.share()
+	first := s.members[0].mustRead()
+	for i, m := range s.members {
+		called := time.Now()
+		state := m.mustRead()
+		s.record(1000+i, operation{read: true}, outcome{generation: state.Configuration.GetGeneration()}, nil, called, sum)
+		assert.Equal(s.t, state.Version, first.Version)
+	}
+	sum.Versions += first.Version
+	sum.Epochs += first.Epoch
+	s.next++
+	called := time.Now()
+	generation := first.Configuration.GetGeneration()
+	s.members[len(s.members)-1].mustPut(generation, s.next)
+	s.record(2000, operation{from: generation, to: s.next}, outcome{generation: s.next}, nil, called, sum)
+	if len(first.Voters) == 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), restTime)
+		defer cancel()
+		_, err := FinishVoters(ctx, s.members[0].changer())
+		assert.NilError(s.t, err)
+	}
+}
+
+// share brings the newest chosen value, or where nobody knows one an accepted value, to all, as watches would.
+func (s *schedule) share() {
+	for _, m := range s.members {
+		for _, other := range s.members {
+			if state := other.newestKnown(); state != nil {
+				m.learn(state)
+			}
+			if state := other.current().Value(); m.newestKnown() == nil && state != nil {
+				m.learn(state)
+			}
+		}
+	}
+}
--- a/internal/tier/rpc/server.go
+++ b/internal/tier/rpc/server.go
@@ -179,12 +179,18 @@
 }
 
 func (c *serverConnection) handle(ctx context.Context, request frame) (Message, error) {
-	handler := c.server.handlers[request.kind]
+	return c.server.Answer(ctx, Method(request.kind), request.payload)
+}
+
+// Answer runs the handler of a method on an encoded request, which it takes over; calls in a simulated network come
+// this way too.
+func (s *Server) Answer(ctx context.Context, method Method, payload []byte) (Message, error) {
+	handler := s.handlers[method]
 	if handler == nil {
-		release(request.payload)
+		release(payload)
 		return nil, ErrRefused
 	}
-	return handler(ctx, request.payload)
+	return handler(ctx, payload)
 }
 
 // reply writes a reply; the writer bounds each write, and a client that does not read loses its connection.
