--- a/internal/tier/register/cluster_test.go
+++ b/internal/tier/register/cluster_test.go
@@ -79,6 +79,7 @@
 		return false
 	}
 	acceptor.Serve(life.Server)
+	life.Listen()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.known = nil
@@ -180,10 +181,33 @@
 	return m.changer().Read(ctx)
 }
 
+// describe logs what every member holds.
+func (c *cluster) describe() {
+	sets := func(state *tierpb.ControlState) (text string) {
+		for _, set := range state.GetVoters() {
+			text += "["
+			for _, node := range set.Nodes {
+				text += fmt.Sprintf("%s/%x ", node.Address, node.Identity)
+			}
+			text += "]"
+		}
+		return fmt.Sprintf("version %d epoch %d %s", state.GetVersion(), state.GetEpoch(), text)
+	}
+	for _, m := range c.members {
+		state := m.current().state.Load()
+		c.t.Logf("%s/%x promised %v accepted %v %s", m.machine.Address(), m.current().Identity(), state.promised,
+			state.accepted, sets(state.value))
+		c.t.Logf("    knows %s; proposer newest %s", sets(m.newestKnown()), sets(m.changer().newest))
+	}
+}
+
 // mustRead reads at one member, which must succeed.
 func (m *member) mustRead() *tierpb.ControlState {
 	m.cluster.t.Helper()
 	state, err := m.read(20 * time.Second)
+	if err != nil {
+		m.cluster.describe()
+	}
 	assert.NilError(m.cluster.t, err, "read at %s", m.machine.Address())
 	return state
 }
--- a/internal/tier/register/voters.go
+++ b/internal/tier/register/voters.go
@@ -7,16 +7,28 @@
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
-// ReplaceVoters makes a set of nodes the voters: first joint with the present ones, then alone. A change that
-// somebody else has left halfway is finished first. Whoever meets joint voters may call FinishVoters.
+// ChooseFunc computes the next voters from the state in force, of which the last voter set counts. Nil, or the same
+// voters, leaves them.
+type ChooseFunc func(current *tierpb.ControlState) []*tierpb.Node
+
+// ReplaceVoters makes a set of nodes the voters; see ChangeVoters.
 func ReplaceVoters(ctx context.Context, proposer *Proposer, nodes []*tierpb.Node) (*tierpb.ControlState, error) {
-	wanted := &tierpb.VoterSet{Nodes: nodes}
+	return ChangeVoters(ctx, proposer, func(*tierpb.ControlState) []*tierpb.Node { return nodes })
+}
+
+// ChangeVoters makes the nodes that are chosen the voters: first joint with the present ones, then alone. The new
+// voters keep a majority of the old ones, so that a choice made on old knowledge cannot bring dead ones back. A change
+// that somebody else has left halfway is finished first. Whoever meets joint voters may call FinishVoters.
+func ChangeVoters(ctx context.Context, proposer *Proposer, choose ChooseFunc) (*tierpb.ControlState, error) {
 	if _, err := FinishVoters(ctx, proposer); err != nil {
 		return nil, err
 	}
 	joint, err := proposer.Change(ctx, func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
-		last := current.Voters[len(current.Voters)-1]
-		if len(current.Voters) > 1 || sameMembers(last, wanted) {
+		if len(current.Voters) > 1 {
+			return current, nil
+		}
+		wanted := &tierpb.VoterSet{Nodes: choose(current)}
+		if len(wanted.Nodes) == 0 || sameMembers(current.Voters[0], wanted) {
 			return current, nil
 		}
 		current.Voters = append(current.Voters, wanted)
@@ -56,12 +68,12 @@
 	return next, nil
 }
 
-// safeStep says whether voters may follow others in one change: one set may be joined by another, and of two the
-// first may go.
+// safeStep says whether voters may follow others in one change: one set may be joined by another that keeps a
+// majority of it, and of two the first may go.
 func safeStep(from, to []*tierpb.VoterSet) bool {
 	switch {
 	case len(from) == 1 && len(to) == 2:
-		return sameMembers(from[0], to[0]) && len(to[1].GetNodes()) > 0
+		return sameMembers(from[0], to[0]) && keepsMajority(from[0], to[1])
 	case len(from) == 2 && len(to) == 1:
 		return sameMembers(from[1], to[0])
 	}
@@ -90,3 +102,11 @@
 	next.Version, next.Epoch = current.GetVersion(), current.GetEpoch()
 	return next.EqualVT(current)
 }
+
+func keepsMajority(from, to *tierpb.VoterSet) bool {
+	kept := identities{}
+	for _, node := range to.GetNodes() {
+		kept.add(node.GetIdentity())
+	}
+	return Quorum([]*tierpb.VoterSet{from}, kept.has)
+}
--- a/internal/tier/simulation/machine.go
+++ b/internal/tier/simulation/machine.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 )
@@ -25,6 +26,7 @@
 	Server  *rpc.Server
 	ended   chan struct{}
 	once    sync.Once
+	serving atomic.Bool
 }
 
 // NewMachine adds a machine with an empty disk to a network.
@@ -122,6 +124,9 @@
 // Ended is closed when the life ends.
 func (l *Life) Ended() <-chan struct{} { return l.ended }
 
+// Listen lets calls come in; the handlers of Server are set by then.
+func (l *Life) Listen() { l.serving.Store(true) }
+
 // Stop ends this life, as a kill does, if it has not ended.
 func (l *Life) Stop() {
 	if l.machine.current() == l {
