--- a/internal/tier/budget/client.go
+++ b/internal/tier/budget/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,6 +35,7 @@
 type Client struct {
 	replicas *replica.Client
 	places   chan struct{} // one for each settlement under way
+	settling sync.WaitGroup
 }
 
 // NewClient makes a client.
@@ -142,13 +144,13 @@
 	default:
 		return // the claim stays at its most
 	}
-	go func() {
+	c.settling.Go(func() {
 		defer func() { <-c.places }()
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		claim := &tierpb.BudgetEntry{Request: request, Tokens: used, Stage: StageSettled}
 		_ = c.write(ctx, &tierpb.ProgramBudget{Program: program}, claim)
-	}()
+	})
 }
 
 // Withdraw takes back the claim of a turn that reached no store. It returns at once.
@@ -160,3 +162,6 @@
 	}
 	return context.WithTimeout(ctx, defaultTimeout)
 }
+
+// Wait waits for the settlements that are under way.
+func (c *Client) Wait() { c.settling.Wait() }
--- a/internal/tier/turnstore/cluster_test.go
+++ b/internal/tier/turnstore/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,7 +40,16 @@
 	zone    string
 	disk    *memoryDisk
 	store   *Store
-	faults  *fault.Points
+	left    atomic.Int64 // fault points to pass before the process stops; none when negative
+}
+
+// stopAfter makes the process stop at a later fault point.
+func (m *machine) stopAfter(points int) { m.left.Store(int64(points)) }
+
+func (m *machine) goOn() { m.left.Store(-1) }
+
+func (m *machine) points() *fault.Points {
+	return &fault.Points{Stop: func(fault.Point) bool { return m.left.Load() >= 0 && m.left.Add(-1) < 0 }}
 }
 
 // testClock has timers that fire at once where they are short pauses, and never where they are hedges or time-outs.
@@ -97,6 +107,7 @@
 // add puts an empty machine at an address and starts its store.
 func (c *cluster) add(address, zone string) *machine {
 	m := &machine{address: address, zone: zone, disk: newMemoryDisk()}
+	m.goOn()
 	c.mu.Lock()
 	c.machines[address] = m
 	c.mu.Unlock()
@@ -107,7 +118,7 @@
 func (c *cluster) start(m *machine) {
 	store, err := Open(Options{
 		Disk: m.disk, Folder: "data", Now: c.clock.time, After: never, Identity: c.identity,
-		Log: hclog.NewNullLogger(), Faults: m.faults,
+		Log: hclog.NewNullLogger(), Faults: m.points(),
 	})
 	assert.NilError(c.t, err)
 	c.mu.Lock()
@@ -145,6 +156,14 @@
 	m.disk.losePower(c.random)
 }
 
+// remove takes a machine away for good.
+func (c *cluster) remove(m *machine) {
+	c.kill(m)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.machines, m.address)
+}
+
 func (c *cluster) nodes() []*tierpb.Node {
 	var nodes []*tierpb.Node
 	for _, m := range c.machines {
@@ -195,9 +214,9 @@
 
 // pass makes a store hand on what it holds.
 func (c *cluster) pass(m *machine) error {
-	work := &pass{store: m.store, caller: c, tolerance: 1, membership: c.known(), faults: m.faults}
-	m.store.options.After = atOnce
-	defer func() { m.store.options.After = never }()
+	work := &pass{
+		store: m.store, caller: c, tolerance: 1, membership: c.known(), faults: m.points(), after: atOnce,
+	}
 	return work.run(context.Background())
 }
 
--- a/internal/tier/turnstore/mover.go
+++ b/internal/tier/turnstore/mover.go
@@ -73,7 +73,7 @@
 	}
 	work := &pass{
 		store: m.Store, caller: m.Caller, tolerance: m.Tolerance,
-		membership: membership, faults: m.Store.options.Faults,
+		membership: membership, faults: m.Store.options.Faults, after: m.Store.options.After,
 	}
 	for {
 		err := work.run(ctx)
--- a/internal/tier/turnstore/pass.go
+++ b/internal/tier/turnstore/pass.go
@@ -34,6 +34,7 @@
 	tolerance  int
 	membership *tierpb.StoreMembership
 	faults     *fault.Points
+	after      func(time.Duration) <-chan time.Time
 }
 
 // key is a record or a program that is to be handed on.
@@ -73,7 +74,7 @@
 
 func (p *pass) pause(ctx context.Context, wait time.Duration) error {
 	select {
-	case <-p.store.options.After(wait):
+	case <-p.after(wait):
 		return ctx.Err()
 	case <-ctx.Done():
 		return ctx.Err()
