Coordinator: tests of the API, membership and the list in a simulated cluster

Three to five coordinators run whole in one process under a simulated clock: the ways of a bad configuration, resends and lost acks, races of two operators, cuts, kills, wipes, drains, silence, retirement.

--- /dev/null
+++ b/internal/tier/coordinator/cluster_test.go
@@ -0,0 +1,320 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/lease"
+	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/settings"
+	"pulleygw.example/pulleygw/internal/tier/storage"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+	"pulleygw.example/pulleygw/internal/tier/watch"
+)
+
+const testHeartbeatMs = 1000
+
+// cluster is a set of coordinators in one process, under the clock of a synctest bubble. Calls take a millisecond;
+// those to a machine that is down fail at once, those over a cut link get no answer.
+type cluster struct {
+	t         *testing.T
+	seeds     []string
+	tolerance int
+	mu        sync.Mutex
+	machines  map[string]*machine // by name
+	cut       map[[2]string]bool  // by names, from and to
+	calls     map[rpc.Method]int  // answered
+}
+
+// machine is a core machine: its disk and the process on it, if one runs.
+type machine struct {
+	cluster *cluster
+	name    string
+	address string
+	folder  string
+	running *process
+}
+
+type process struct {
+	*coordinator
+	handler  http.Handler
+	acceptor *register.Acceptor
+	grantor  *lease.Grantor
+	stop     context.CancelFunc
+	done     *sync.WaitGroup
+}
+
+// inCluster runs a test with coordinators core-1 to core-count, of which the first three are the seeds.
+func inCluster(t *testing.T, count, tolerance int, test func(*cluster)) {
+	folders := make([]string, count+3)
+	for i := range folders {
+		folders[i] = t.TempDir()
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{
+			t: t, tolerance: tolerance, machines: make(map[string]*machine), cut: make(map[[2]string]bool),
+			calls: make(map[rpc.Method]int),
+		}
+		for i, folder := range folders {
+			name := fmt.Sprintf("core-%d", i+1)
+			c.machines[name] = &machine{cluster: c, name: name, address: fmt.Sprintf("10.0.%d.1:7000", i+1), folder: folder}
+			if i < 3 {
+				c.seeds = append(c.seeds, fmt.Sprintf("10.0.%d.1:9000", i+1))
+			}
+		}
+		for i := range count {
+			c.start(fmt.Sprintf("core-%d", i+1), true)
+		}
+		defer c.stopAll()
+		c.pass(2 * time.Second)
+		test(c)
+	})
+}
+
+// pass lets simulated time go by.
+func (c *cluster) pass(duration time.Duration) {
+	c.t.Helper()
+	<-time.After(duration)
+	synctest.Wait()
+}
+
+func (c *cluster) settingsOf(m *machine, bootstrap bool) *settings.Settings {
+	host, _, _ := strings.Cut(m.address, ":")
+	return &settings.Settings{
+		NodeName: m.name, IP: host, Zone: "z-" + m.name, EphemeralPorts: []int{7000, 7010}, Seeds: c.seeds,
+		Bootstrap: bootstrap, HeartbeatMs: testHeartbeatMs, Listen: settings.Listen{Control: host + ":9000"},
+		FaultTolerance: settings.FaultTolerance{Machines: c.tolerance},
+	}
+}
+
+// start starts the process of a machine.
+func (c *cluster) start(name string, bootstrap bool) {
+	c.t.Helper()
+	m := c.machines[name]
+	own := c.settingsOf(m, bootstrap)
+	acceptor, err := register.OpenAcceptor(register.AcceptorOptions{
+		Disk: storage.OS{}, Folder: m.folder, Address: m.address, Bootstrap: bootstrap, Seeds: own.SeedCoordinators(),
+	})
+	assert.NilError(c.t, err)
+	self := &tierpb.Node{
+		Name: m.name, Address: m.address, Zone: own.Zone, Role: tierpb.Role_ROLE_COORDINATOR,
+		Identity: acceptor.Identity(), Control: own.Listen.Control,
+	}
+	coordinator := newCoordinator(settings.Fixed(own), hclog.NewNullLogger(), self, &caller{from: m})
+	coordinator.useRegister(acceptor)
+	p := &process{coordinator: coordinator, handler: coordinator.routes(), acceptor: acceptor, done: &sync.WaitGroup{}}
+	p.grantor = coordinator.newGrantor(acceptor)
+	holder := coordinator.newHolder(p.grantor)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	parts := []func(context.Context){coordinator.follow, coordinator.keepJoining, coordinator.keepHouse, coordinator.keepPlaced, holder.Run}
+	for _, part := range parts {
+		p.done.Go(func() { part(ctx) })
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m.running = p
+}
+
+// kill ends a process; its disk stays.
+func (c *cluster) kill(name string) {
+	c.mu.Lock()
+	p := c.machines[name].running
+	c.machines[name].running = nil
+	c.mu.Unlock()
+	if p != nil {
+		p.stop()
+	}
+}
+
+// wipe gives a machine an empty disk.
+func (c *cluster) wipe(name string) { c.machines[name].folder = c.t.TempDir() }
+
+func (c *cluster) stopAll() {
+	for name, m := range c.machines {
+		if p := m.running; p != nil {
+			c.kill(name)
+			p.done.Wait()
+		}
+	}
+	c.pass(announceEffort + time.Second) // announcements under way end by themselves
+}
+
+// isolate cuts a machine off from all others, or heals it.
+func (c *cluster) isolate(name string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for other := range c.machines {
+		c.cut[[2]string{name, other}] = cut && other != name
+		c.cut[[2]string{other, name}] = cut && other != name
+	}
+}
+
+// setCut cuts one direction, or heals it.
+func (c *cluster) setCut(from, to string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[[2]string{from, to}] = cut
+}
+
+func (c *cluster) at(name string) *process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machines[name].running
+}
+
+func (c *cluster) isCut(from, to string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[[2]string{from, to}]
+}
+
+// caller makes the calls of one machine.
+type caller struct{ from *machine }
+
+const callDelay = time.Millisecond
+
+func (c *caller) Call(ctx context.Context, address string, method rpc.Method, request, reply rpc.Message) error {
+	cluster := c.from.cluster
+	<-time.After(callDelay)
+	to := cluster.machineAt(address)
+	if to == nil || cluster.isCut(c.from.name, to.name) {
+		<-ctx.Done()
+		return rpc.ErrTimeout
+	}
+	p := cluster.at(to.name)
+	if p == nil {
+		return rpc.ErrUnreachable
+	}
+	answer, err := p.dispatch(ctx, method, encoded(request))
+	if ctx.Err() != nil || cluster.isCut(to.name, c.from.name) {
+		<-ctx.Done()
+		return rpc.ErrTimeout
+	}
+	if cluster.at(to.name) != p {
+		return rpc.ErrUnreachable
+	}
+	if err != nil {
+		return rpc.ErrRefused
+	}
+	cluster.mu.Lock()
+	cluster.calls[method]++
+	cluster.mu.Unlock()
+	return reply.UnmarshalVT(encoded(answer))
+}
+
+func (c *cluster) machineAt(address string) *machine {
+	for _, m := range c.machines {
+		if m.address == address {
+			return m
+		}
+	}
+	return nil
+}
+
+func encoded(message rpc.Message) []byte {
+	payload := make([]byte, message.SizeVT())
+	if _, err := message.MarshalToSizedBufferVT(payload); err != nil {
+		panic(err)
+	}
+	return payload
+}
+
+// dispatch hands a call to the part of the process that answers it.
+func (p *process) dispatch(ctx context.Context, method rpc.Method, payload []byte) (rpc.Message, error) {
+	switch method {
+	case rpc.MethodPrepare:
+		return p.acceptor.Prepare(decoded(&tierpb.PrepareRequest{}, payload)), nil
+	case rpc.MethodAccept:
+		return p.acceptor.Accept(decoded(&tierpb.AcceptRequest{}, payload)), nil
+	case rpc.MethodLease:
+		return p.grantor.Answer(decoded(&tierpb.LeaseRequest{}, payload)), nil
+	case rpc.MethodWatch:
+		return p.watch(ctx, decoded(&tierpb.WatchRequest{}, payload))
+	case rpc.MethodAnnounce:
+		return p.takeAnnounce(ctx, decoded(&tierpb.AnnounceRequest{}, payload))
+	case rpc.MethodJoin:
+		return p.takeJoin(ctx, decoded(&tierpb.JoinRequest{}, payload))
+	}
+	return nil, rpc.ErrRefused
+}
+
+func decoded[T rpc.Message](message T, payload []byte) T {
+	if err := message.UnmarshalVT(payload); err != nil {
+		panic(err)
+	}
+	return message
+}
+
+// send makes a call of the control API and returns the status and the body.
+func (p *process) send(method, path, ifMatch, body string) (int, string) {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if ifMatch != "" {
+		request.Header.Set("If-Match", ifMatch)
+	}
+	recorder := httptest.NewRecorder()
+	p.handler.ServeHTTP(recorder, request)
+	return recorder.Code, recorder.Body.String()
+}
+
+// configured sends a configuration.
+func (p *process) configured(ifMatch int, body string) int {
+	status, _ := p.send(http.MethodPut, "/v1/config", fmt.Sprint(ifMatch), body)
+	return status
+}
+
+// configurationOf is a small configuration; variants of one generation differ.
+func configurationOf(generation int, variant string) string {
+	return fmt.Sprintf(`{"generation":%d,"routes":[{"name":"r-%s","hostname":"h.example","pathPrefix":"/%s/","kind":"idempotent",`+
+		`"timeoutMs":1000,"backend":"s"}],"services":[{"name":"s"}],"limits":{}}`, generation, variant, variant)
+}
+
+// generations are the generations that machines know to be chosen, 0 for none.
+func (c *cluster) generations(names ...string) []uint64 {
+	var known []uint64
+	for _, name := range names {
+		known = append(known, c.at(name).state.Control().GetConfiguration().GetGeneration())
+	}
+	return known
+}
+
+// voterNames are the voters as a machine knows them, by address.
+func (c *cluster) voterNames(name string) []string {
+	var names []string
+	for _, set := range c.at(name).state.Control().GetVoters() {
+		for _, node := range set.Nodes {
+			names = append(names, c.machineAt(node.Address).name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// joinStore makes a turn store's call to join reach all coordinators that run.
+func (c *cluster) joinStore(request *tierpb.JoinRequest) {
+	for name := range c.machines {
+		if p := c.at(name); p != nil {
+			_, err := p.takeJoin(context.Background(), request.CloneVT())
+			assert.NilError(c.t, err)
+		}
+	}
+}
+
+// poll asks a coordinator as a follower of a role that knows nothing yet.
+func (p *process) poll(request *tierpb.WatchRequest) (*tierpb.WatchReply, error) {
+	return p.watch(context.Background(), request)
+}
+
+var _ watch.Source = (*watch.State)(nil)
--- /dev/null
+++ b/internal/tier/coordinator/configuration_test.go
@@ -0,0 +1,167 @@
+package coordinator
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+func TestConfigurationIsTakenAndReadBack(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		status, _ := c.at("core-2").send(http.MethodGet, "/v1/config", "", "")
+		assert.Equal(t, status, http.StatusNotFound)
+		body := configurationOf(4, "a")
+		assert.Equal(t, c.at("core-1").configured(0, body), http.StatusOK)
+		c.pass(50 * time.Millisecond)
+		assert.DeepEqual(t, c.generations("core-1", "core-2", "core-3"), []uint64{4, 4, 4})
+		for name := range map[string]bool{"core-1": true, "core-2": true, "core-3": true} {
+			status, read := c.at(name).send(http.MethodGet, "/v1/config", "", "")
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, read, body)
+		}
+	})
+}
+
+func TestBadConfigurationsAreRefused(t *testing.T) {
+	good := configurationOf(9, "b")
+	cases := map[string]struct {
+		ifMatch string
+		body    string
+		status  int
+	}{
+		"cut_short":       {"4", good[:len(good)-30], 400},
+		"unknown_service": {"4", strings.Replace(good, `"backend":"s"`, `"backend":"t"`, 1), 400},
+		"same_place": {"4", strings.Replace(good, `"routes":[`,
+			`"routes":[{"name":"x","hostname":"h.example","pathPrefix":"/b/","timeoutMs":5,"backend":"s"},`, 1), 400},
+		"no_weight":    {"4", strings.Replace(good, `"backend":"s"`, `"weightedSplit":[{"backend":"s","weight":0}]`, 1), 400},
+		"no_timeout":   {"4", strings.Replace(good, `"timeoutMs":1000`, `"timeoutMs":0`, 1), 400},
+		"old_version":  {"4", configurationOf(3, "b"), 400},
+		"same_version": {"4", configurationOf(4, "b"), 400},
+		"stale_match":  {"2", good, 412},
+		"match ahead":  {"9", good, 412},
+		"shared_key":   {"4", strings.Replace(good, `{"generation":9`, `{"generation":9,"generation":9`, 1), 400},
+		"no match":     {"", good, 400},
+		"odd match":    {"four", good, 400},
+		"empty":        {"4", "", 400},
+	}
+	inCluster(t, 3, 1, func(c *cluster) {
+		taken := configurationOf(4, "a")
+		assert.Equal(t, c.at("core-1").configured(0, taken), http.StatusOK)
+		for name, test := range cases {
+			status, answer := c.at("core-2").send(http.MethodPut, "/v1/config", test.ifMatch, test.body)
+			assert.Equal(t, status, test.status, "%s: %s", name, answer)
+			_, read := c.at("core-3").send(http.MethodGet, "/v1/config", "", "")
+			assert.Equal(t, read, taken, name)
+		}
+	})
+}
+
+func TestOrderThatWasTakenIsAcknowledgedAgain(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		for generation := 1; generation <= 4; generation++ {
+			assert.Equal(t, c.at("core-1").configured(generation-1, configurationOf(generation, "a")), http.StatusOK)
+		}
+		for _, name := range []string{"core-1", "core-2", "core-3"} {
+			assert.Equal(t, c.at(name).configured(3, configurationOf(4, "a")), http.StatusOK, "newest")
+			assert.Equal(t, c.at(name).configured(1, configurationOf(2, "a")), http.StatusOK, "behind later ones")
+			assert.Equal(t, c.at(name).configured(1, configurationOf(2, "b")), http.StatusPreconditionFailed, "other body")
+			assert.Equal(t, c.at(name).configured(0, configurationOf(2, "a")), http.StatusPreconditionFailed, "other base")
+		}
+		c.pass(50 * time.Millisecond)
+		assert.DeepEqual(t, c.generations("core-2"), []uint64{4})
+	})
+}
+
+func TestOneOfTwoOperatorsWins(t *testing.T) {
+	for round := range 20 {
+		inCluster(t, 3, 1, func(c *cluster) {
+			assert.Equal(t, c.at("core-1").configured(0, configurationOf(1, "a")), http.StatusOK)
+			statuses := make(chan int, 2)
+			orders := []string{configurationOf(2, "x"), configurationOf(2, "y")}
+			for i, name := range []string{"core-1", "core-2"} {
+				go func() {
+					<-time.After(time.Duration(round*(i*2-1)+20) * 200 * time.Microsecond)
+					statuses <- c.at(name).configured(1, orders[i])
+				}()
+			}
+			first, second := <-statuses, <-statuses
+			assert.Equal(t, min(first, second), http.StatusOK)
+			assert.Equal(t, max(first, second), http.StatusPreconditionFailed)
+		})
+	}
+}
+
+func TestCoordinatorThatIsCutOffGivesNoClearAnswer(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").configured(0, configurationOf(1, "a")), http.StatusOK)
+		c.isolate("core-1", true)
+		for _, order := range []struct{ ifMatch, generation int }{{1, 2}, {0, 1}, {0, 7}, {1, 1}} {
+			began := time.Now()
+			status := c.at("core-1").configured(order.ifMatch, configurationOf(order.generation, "a"))
+			assert.Equal(t, status, http.StatusServiceUnavailable, "%v", order)
+			assert.Assert(t, time.Since(began) < time.Second)
+		}
+		status, _ := c.at("core-1").send(http.MethodGet, "/v1/config", "", "")
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Equal(t, c.at("core-2").configured(1, configurationOf(5, "b")), http.StatusOK)
+		c.isolate("core-1", false)
+		c.pass(3 * time.Second)
+		assert.DeepEqual(t, c.generations("core-1"), []uint64{5})
+		assert.Equal(t, c.at("core-1").configured(1, configurationOf(2, "a")), http.StatusPreconditionFailed)
+	})
+}
+
+func TestOthersLearnWhatACoordinatorAcknowledgedAndDied(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		c.setCut("core-3", "core-1", true) // core-3 neither follows core-1 nor counts for it
+		c.pass(2 * time.Second)
+		assert.Equal(t, c.at("core-1").configured(0, configurationOf(6, "a")), http.StatusOK)
+		c.kill("core-1")
+		c.kill("core-2")
+		c.start("core-2", false) // has the value on disk, and does not know that it is chosen
+		c.pass(1500 * time.Millisecond)
+		assert.DeepEqual(t, c.generations("core-2", "core-3"), []uint64{6, 6})
+	})
+}
+
+func TestAllKilledAtOnceKeepWhatWasAcknowledged(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		names := []string{"core-1", "core-2", "core-3"}
+		assert.Equal(t, c.at("core-1").configured(0, configurationOf(6, "a")), http.StatusOK)
+		for _, name := range names {
+			c.kill(name)
+		}
+		c.wipe("core-1")
+		for _, name := range names {
+			c.start(name, false)
+		}
+		c.pass(5 * time.Second)
+		assert.DeepEqual(t, c.generations(names...), []uint64{6, 6, 6})
+		assert.DeepEqual(t, c.voterNames("core-2"), names)
+		c.kill("core-2") // the wiped machine votes again
+		assert.Equal(t, c.at("core-1").configured(6, configurationOf(7, "a")), http.StatusOK)
+	})
+}
+
+func TestOrderTooOldToBeKnownGetsNoClearAnswer(t *testing.T) {
+	state := &tierpb.ControlState{Configuration: &tierpb.Configuration{}}
+	for generation := uint64(1); generation <= takenOrdersKept+10; generation++ {
+		sent := newOrder(generation-1, generation, []byte(fmt.Sprint(generation)))
+		next, err := sent.change(state)
+		assert.NilError(t, err)
+		state = next
+	}
+	assert.Equal(t, len(state.Taken), takenOrdersKept)
+	_, err := newOrder(3, 4, []byte("4")).change(state)
+	assert.Equal(t, resultOf(err).Code.Status(), http.StatusServiceUnavailable)
+	_, err = newOrder(20, 21, []byte("other")).change(state)
+	assert.Equal(t, resultOf(err).Code.Status(), http.StatusPreconditionFailed)
+	_, err = newOrder(20, 21, []byte("21")).change(state)
+	assert.NilError(t, err)
+}
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -69,15 +69,7 @@
 		Identity: acceptor.Identity(), Control: current.Listen.Control,
 	}
 	c := newCoordinator(live, log, self, caller)
-	c.accepted = acceptor.Value
-	proposer := register.NewProposer(register.Options{
-		Caller: caller, Local: acceptor, Known: c.state.Control,
-		Chosen: func(chosen *tierpb.ControlState) { c.state.SetControl(chosen) },
-	})
-	c.register = proposer
-	c.replaceVoters = func(ctx context.Context, nodes []*tierpb.Node) (*tierpb.ControlState, error) {
-		return register.ReplaceVoters(ctx, proposer, nodes)
-	}
+	c.useRegister(acceptor)
 	log.Info("starting", "identity", self.Identity, "fresh", acceptor.Fresh(), "bootstrap", current.Bootstrap)
 	return c.serve(ctx, acceptor)
 }
@@ -92,6 +84,19 @@
 	}
 }
 
+// useRegister makes the proposer that changes the register; whatever it finds to be chosen is brought out.
+func (c *coordinator) useRegister(acceptor *register.Acceptor) {
+	c.accepted = acceptor.Value
+	proposer := register.NewProposer(register.Options{
+		Caller: c.caller, Local: acceptor, Known: c.state.Control,
+		Chosen: func(chosen *tierpb.ControlState) { c.state.SetControl(chosen) },
+	})
+	c.register = proposer
+	c.replaceVoters = func(ctx context.Context, nodes []*tierpb.Node) (*tierpb.ControlState, error) {
+		return register.ReplaceVoters(ctx, proposer, nodes)
+	}
+}
+
 // heartbeatPeriod is how often stores call.
 func heartbeatPeriod(current *settings.Settings) time.Duration {
 	return settings.Milliseconds(float64(current.HeartbeatMs), defaultHeartbeat)
--- /dev/null
+++ b/internal/tier/coordinator/instances_test.go
@@ -0,0 +1,149 @@
+package coordinator
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+const (
+	ready    = tierpb.InstanceState_INSTANCE_READY
+	silent   = tierpb.InstanceState_INSTANCE_SILENT
+	draining = tierpb.InstanceState_INSTANCE_DRAINING
+	gone     = tierpb.InstanceState_INSTANCE_GONE
+)
+
+func heartbeat(state string, sequence int) string {
+	return fmt.Sprintf(`{"backend":"s","address":"10.9.0.1:80","zone":"z","slots":4,"state":%q,"sequence":%d}`, state, sequence)
+}
+
+func (p *process) beat(state string, sequence int) int {
+	status, _ := p.send(http.MethodPut, "/v1/instances/i-1", "", heartbeat(state, sequence))
+	return status
+}
+
+func (c *cluster) states(names ...string) []tierpb.InstanceState {
+	var states []tierpb.InstanceState
+	for _, name := range names {
+		states = append(states, c.at(name).state.Instance("i-1").GetState())
+	}
+	return states
+}
+
+func TestStoreIsKnownToAllSoon(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").beat("ready", 1), http.StatusOK)
+		c.pass(100 * time.Millisecond)
+		for _, name := range []string{"core-2", "core-3"} {
+			assert.Assert(t, c.at(name).state.Instance("i-1") != nil, name)
+		}
+	})
+}
+
+func TestDrainingIsAcknowledgedWhenAMajorityHasIt(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").beat("ready", 1), http.StatusOK)
+		c.kill("core-2")
+		assert.Equal(t, c.at("core-1").beat("draining", 2), http.StatusOK)
+		c.kill("core-1")
+		assert.DeepEqual(t, c.states("core-3"), []tierpb.InstanceState{draining})
+		c.start("core-2", false)
+		c.pass(2 * time.Second)
+		assert.DeepEqual(t, c.states("core-2"), []tierpb.InstanceState{draining})
+	})
+}
+
+func TestDrainingWithoutAMajorityIsNotAcknowledged(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		c.isolate("core-1", true)
+		began := time.Now()
+		assert.Equal(t, c.at("core-1").beat("draining", 2), http.StatusServiceUnavailable)
+		status, _ := c.at("core-1").send(http.MethodDelete, "/v1/instances/i-1", "", "")
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(began) < 2*time.Second)
+		c.isolate("core-1", false)
+		assert.Equal(t, c.at("core-1").beat("draining", 3), http.StatusOK)
+	})
+}
+
+func TestDrainingAndGoneStay(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		all := []string{"core-1", "core-2", "core-3"}
+		assert.Equal(t, c.at("core-1").beat("ready", 3), http.StatusOK)
+		assert.Equal(t, c.at("core-2").beat("draining", 2), http.StatusOK)
+		assert.DeepEqual(t, c.states(all...), []tierpb.InstanceState{draining, draining, draining})
+		status, _ := c.at("core-3").send(http.MethodDelete, "/v1/instances/i-1", "", "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, c.at("core-1").beat("ready", 9), http.StatusOK)
+		c.pass(time.Second)
+		assert.DeepEqual(t, c.states(all...), []tierpb.InstanceState{gone, gone, gone})
+	})
+}
+
+func TestStoreThatSaysNothingIsMarkedSilent(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		for sequence := 1; sequence <= 8; sequence++ {
+			assert.Equal(t, c.at("core-1").beat("ready", sequence), http.StatusOK)
+			c.pass(testHeartbeatMs * time.Millisecond)
+		}
+		assert.DeepEqual(t, c.states("core-1", "core-2", "core-3"), []tierpb.InstanceState{ready, ready, ready})
+		c.pass(4 * testHeartbeatMs * time.Millisecond)
+		assert.DeepEqual(t, c.states("core-1", "core-2", "core-3"), []tierpb.InstanceState{silent, silent, silent})
+		assert.Equal(t, c.at("core-2").beat("ready", 9), http.StatusOK)
+		c.pass(500 * time.Millisecond)
+		assert.DeepEqual(t, c.states("core-1", "core-2", "core-3"), []tierpb.InstanceState{ready, ready, ready})
+	})
+}
+
+func TestHeartbeatsThatOneCoordinatorGetsCountForAll(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		for sequence := 1; sequence <= 20; sequence++ {
+			assert.Equal(t, c.at("core-3").beat("ready", sequence), http.StatusOK)
+			c.pass(testHeartbeatMs * time.Millisecond)
+		}
+		assert.DeepEqual(t, c.states("core-1", "core-2", "core-3"), []tierpb.InstanceState{ready, ready, ready})
+	})
+}
+
+func TestCutOffCoordinatorSendsOthersElsewhere(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").beat("ready", 1), http.StatusOK)
+		c.isolate("core-1", true)
+		c.pass(2 * time.Second)
+		assert.Equal(t, c.at("core-1").beat("ready", 2), http.StatusServiceUnavailable)
+		agent := &tierpb.Node{Name: "edge", Role: tierpb.Role_ROLE_AGENT}
+		news, err := c.at("core-1").poll(&tierpb.WatchRequest{Follower: agent, WaitMs: 700})
+		assert.NilError(t, err)
+		assert.Equal(t, len(news.Instances), 1)
+		_, err = c.at("core-1").poll(&tierpb.WatchRequest{Follower: agent, WaitMs: 700, Feed: news.Feed, Cursor: news.Cursor})
+		assert.ErrorIs(t, err, errCutOff)
+		c.isolate("core-1", false)
+		c.pass(2 * time.Second)
+		assert.Equal(t, c.at("core-1").beat("ready", 3), http.StatusOK)
+	})
+}
+
+func TestListIsRebuiltAfterARestart(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").beat("draining", 1), http.StatusOK)
+		c.kill("core-1")
+		c.start("core-1", false)
+		c.pass(2 * time.Second)
+		assert.DeepEqual(t, c.states("core-1"), []tierpb.InstanceState{draining})
+	})
+}
+
+func TestBadHeartbeatIsRefused(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		status, answer := c.at("core-1").send(http.MethodPut, "/v1/instances/i-1", "", `{"backend":"s"}`)
+		assert.Equal(t, status, http.StatusBadRequest, answer)
+		assert.Assert(t, c.at("core-1").state.Instance("i-1") == nil)
+		status, _ = c.at("core-1").send(http.MethodPut, "/v1/instances/i-1", "", string(make([]byte, 100<<10)))
+		assert.Equal(t, status, http.StatusRequestEntityTooLarge)
+	})
+}
--- /dev/null
+++ b/internal/tier/coordinator/membership_test.go
@@ -0,0 +1,150 @@
+package coordinator
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+func storeNode(number int) *tierpb.Node {
+	return &tierpb.Node{
+		Name: fmt.Sprintf("store-%d", number), Address: fmt.Sprintf("10.5.0.%d:7001", number),
+		Role: tierpb.Role_ROLE_TURN_STORE, Identity: uint64(1000 + number),
+	}
+}
+
+// storesRun lets time go by while turn stores call twice a second and report the newest epoch as copied.
+func (c *cluster) storesRun(duration time.Duration, coordinator string, nodes ...*tierpb.Node) {
+	for passed := time.Duration(0); passed < duration; passed += 500 * time.Millisecond {
+		epoch := c.at(coordinator).state.Control().GetStores().GetEpoch()
+		for _, node := range nodes {
+			c.joinStore(&tierpb.JoinRequest{Node: node, StoreEpoch: epoch, CopiedEpoch: epoch})
+		}
+		c.pass(500 * time.Millisecond)
+	}
+}
+
+func (c *cluster) members(coordinator string) (current, previous []string) {
+	stores := c.at(coordinator).state.Control().GetStores()
+	for _, node := range stores.GetCurrent() {
+		current = append(current, node.Name)
+	}
+	for _, node := range stores.GetPrevious() {
+		previous = append(previous, node.Name)
+	}
+	return current, previous
+}
+
+func TestTurnStoresBecomeMembersInOneChange(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		c.storesRun(3*time.Second, "core-1", storeNode(1), storeNode(2), storeNode(3), storeNode(4))
+		current, previous := c.members("core-2")
+		assert.DeepEqual(t, current, []string{"store-1", "store-2", "store-3", "store-4"})
+		assert.Equal(t, len(previous), 0)
+		assert.Equal(t, c.at("core-2").state.Control().Stores.Epoch, uint64(1))
+	})
+}
+
+func TestRetirement(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		stores := []*tierpb.Node{storeNode(1), storeNode(2), storeNode(3), storeNode(4)}
+		c.storesRun(3*time.Second, "core-1", stores...)
+		post := func(coordinator, node string) (int, string) {
+			return c.at(coordinator).send(http.MethodPost, "/v1/retire/"+node, "", `{"deadlineS":10}`)
+		}
+		status, _ := post("core-1", "nobody")
+		assert.Equal(t, status, http.StatusNotFound)
+		status, _ = c.at("core-1").send(http.MethodGet, "/v1/retire/store-2", "", "")
+		assert.Equal(t, status, http.StatusNotFound)
+		status, answer := post("core-1", "store-2")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, answer, `{"state":"running"}`)
+		status, _ = post("core-3", "store-2")
+		assert.Equal(t, status, http.StatusOK, "the order sent again")
+		status, _ = post("core-2", "store-3")
+		assert.Equal(t, status, http.StatusConflict, "too few would be left")
+		_, answer = c.at("core-2").send(http.MethodGet, "/v1/retire/store-2", "", "")
+		assert.Equal(t, answer, `{"state":"running"}`)
+		c.storesRun(3*time.Second, "core-1", stores...)
+		_, answer = c.at("core-2").send(http.MethodGet, "/v1/retire/store-2", "", "")
+		assert.Equal(t, answer, `{"state":"completed"}`)
+		status, answer = post("core-3", "store-2")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, answer, `{"state":"completed"}`)
+		current, previous := c.members("core-3")
+		assert.DeepEqual(t, current, []string{"store-1", "store-3", "store-4"})
+		assert.Equal(t, len(previous), 0)
+	})
+}
+
+func TestRetirementWithoutQuorumGetsNoClearAnswer(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		c.isolate("core-1", true)
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			status, _ := c.at("core-1").send(method, "/v1/retire/store-1", "", "")
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func TestWipedCoordinatorVotesAgain(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").configured(0, configurationOf(3, "a")), http.StatusOK)
+		c.kill("core-3")
+		c.wipe("core-3")
+		c.start("core-3", false)
+		c.pass(4 * time.Second)
+		c.kill("core-1")
+		assert.Equal(t, c.at("core-2").configured(3, configurationOf(4, "a")), http.StatusOK)
+		c.pass(50 * time.Millisecond)
+		assert.DeepEqual(t, c.generations("core-3"), []uint64{4})
+	})
+}
+
+func TestCoordinatorIsReplacedAtAnotherAddress(t *testing.T) {
+	for _, lost := range []string{"core-1", "core-2", "core-3"} {
+		inCluster(t, 3, 1, func(c *cluster) {
+			assert.Equal(t, c.at("core-1").configured(0, configurationOf(3, "a")), http.StatusOK)
+			c.pass(100 * time.Millisecond)
+			c.kill(lost)
+			c.pass(time.Second)
+			c.start("core-4", false)
+			c.pass(4 * time.Second)
+			names := c.voterNames("core-4")
+			assert.Equal(t, len(names), 3)
+			for _, name := range names {
+				assert.Assert(t, name != lost, "%v without %s", names, lost)
+			}
+			assert.DeepEqual(t, c.generations("core-4"), []uint64{3})
+		})
+	}
+}
+
+func TestMoreCoordinatorsThanSeedsVoteWhereMoreMayBeLost(t *testing.T) {
+	inCluster(t, 5, 2, func(c *cluster) {
+		c.pass(2 * time.Second)
+		assert.DeepEqual(t, c.voterNames("core-5"), []string{"core-1", "core-2", "core-3", "core-4", "core-5"})
+		c.kill("core-1")
+		c.kill("core-2")
+		assert.Equal(t, c.at("core-5").configured(0, configurationOf(3, "a")), http.StatusOK)
+	})
+}
+
+func TestStandbyVotesInTheDeadOnesPlace(t *testing.T) {
+	inCluster(t, 4, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-4").configured(0, configurationOf(2, "a")), http.StatusOK)
+		assert.DeepEqual(t, c.voterNames("core-4"), []string{"core-1", "core-2", "core-3"})
+		c.isolate("core-2", true)
+		c.pass(4 * time.Second)
+		assert.DeepEqual(t, c.voterNames("core-4"), []string{"core-1", "core-3", "core-4"})
+		assert.Equal(t, c.at("core-2").configured(2, configurationOf(3, "a")), http.StatusServiceUnavailable)
+		c.isolate("core-2", false)
+		c.pass(3 * time.Second)
+		assert.DeepEqual(t, c.voterNames("core-2"), []string{"core-1", "core-3", "core-4"})
+	})
+}
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -37,7 +37,9 @@
 	server := rpc.NewServer()
 	defer server.Close()
 	acceptor.Serve(server)
-	holder := c.candidate(acceptor, server)
+	grantor := c.newGrantor(acceptor)
+	grantor.Serve(server)
+	holder := c.newHolder(grantor)
 	c.handleCalls(server)
 	control, err := net.Listen("tcp4", c.self.Control)
 	if err != nil {
@@ -62,16 +64,19 @@
 	return err
 }
 
-// candidate grants leases on behalf of the acceptor's voter, and tries to hold the one for placement.
-func (c *coordinator) candidate(acceptor *register.Acceptor, server *rpc.Server) *lease.Holder {
+// newGrantor grants leases on behalf of the acceptor's voter. It holds back where it may have granted some before.
+func (c *coordinator) newGrantor(acceptor *register.Acceptor) *lease.Grantor {
 	holdBack := lease.LongestTerm
 	if acceptor.Fresh() && c.live.Current().Bootstrap {
 		holdBack = 0
 	}
-	grantor := lease.NewGrantor(c.self.Identity, holdBack)
-	grantor.Serve(server)
+	return lease.NewGrantor(c.self.Identity, holdBack)
+}
+
+// newHolder tries to hold the lease for placement.
+func (c *coordinator) newHolder(local *lease.Grantor) *lease.Holder {
 	holder := lease.NewHolder(lease.HolderOptions{
-		Role: placementRole, Self: c.self.Identity, Caller: c.caller, Local: grantor, Voters: c.voters,
+		Role: placementRole, Self: c.self.Identity, Caller: c.caller, Local: local, Voters: c.voters,
 		Changed: func(held bool) { c.log.Info("lease", "role", placementRole, "held", held) },
 	})
 	c.lease = holder
--- /dev/null
+++ b/internal/tier/placement/voters_test.go
@@ -0,0 +1,72 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+func coordinator(number int) *tierpb.Node {
+	node := store(number)
+	node.Role = tierpb.Role_ROLE_COORDINATOR
+	return node
+}
+
+// votersScene has voters 1 to count, and standbys that call.
+func votersScene(count, tolerance int, standbys ...int) (*tierpb.ControlState, *View, map[string]time.Duration) {
+	s := newScene()
+	s.view.Tolerance = tolerance
+	silence := make(map[string]time.Duration)
+	s.view.VoterSilence = func(address string) time.Duration { return silence[address] }
+	set := &tierpb.VoterSet{}
+	for number := 1; number <= count; number++ {
+		set.Nodes = append(set.Nodes, coordinator(number))
+	}
+	for _, number := range standbys {
+		s.callAs(coordinator(number), 0)
+	}
+	return &tierpb.ControlState{Voters: []*tierpb.VoterSet{set}}, s.view, silence
+}
+
+func TestStandbysWaitWhileAllVotersAnswer(t *testing.T) {
+	state, view, _ := votersScene(3, 1, 4, 5)
+	assert.Assert(t, Voters(state, view) == nil)
+}
+
+func TestVotersGrowToWhatTheToleranceNeeds(t *testing.T) {
+	state, view, _ := votersScene(3, 2, 4, 5, 6)
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{1, 2, 3, 4, 5})
+}
+
+func TestStandbyTakesTheLongestSilentOnesPlace(t *testing.T) {
+	state, view, silence := votersScene(3, 1, 4)
+	silence["10.0.0.1"], silence["10.0.0.3"] = 2*time.Second, 5*time.Second
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{1, 2, 4})
+	silence["10.0.0.1"], silence["10.0.0.3"] = 0, time.Second
+	assert.Assert(t, Voters(state, view) == nil, "silent for a moment only")
+}
+
+func TestStandbyThatFellSilentIsNoReplacement(t *testing.T) {
+	state, view, silence := votersScene(3, 1, 4)
+	silence["10.0.0.1"] = 5 * time.Second
+	view.Now = view.Now.Add(2 * time.Second)
+	assert.Assert(t, Voters(state, view) == nil)
+}
+
+func TestWipedVoterTakesItsOwnPlace(t *testing.T) {
+	state, view, _ := votersScene(3, 1)
+	wiped := coordinator(2)
+	wiped.Identity, wiped.Name = 20, "" // the first voters are known by address only
+	view.Joins = append(view.Joins, Join{Request: &tierpb.JoinRequest{Node: wiped}, First: start, Heard: start})
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{1, 20, 3})
+}
+
+func TestHalfDoneChangeIsFinishedFirst(t *testing.T) {
+	state, view, _ := votersScene(3, 1, 4)
+	joint := &tierpb.VoterSet{Nodes: []*tierpb.Node{coordinator(1), coordinator(2), coordinator(5)}}
+	state.Voters = append(state.Voters, joint)
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{1, 2, 5})
+}
