--- a/internal/tier/coordinator/cluster_test.go
+++ b/internal/tier/coordinator/cluster_test.go
@@ -112,7 +112,7 @@
 		Name: m.name, Address: m.address, Zone: own.Zone, Role: tierpb.Role_ROLE_COORDINATOR,
 		Identity: acceptor.Identity(), Control: own.Listen.Control,
 	}
-	coordinator := newCoordinator(settings.Fixed(own), hclog.NewNullLogger(), self, &caller{from: m})
+	coordinator := newCoordinator(settings.Fixed(own), testLog(c.t, m.name), self, &caller{from: m})
 	coordinator.useRegister(acceptor)
 	p := &process{coordinator: coordinator, handler: coordinator.routes(), acceptor: acceptor, done: &sync.WaitGroup{}}
 	p.grantor = coordinator.newGrantor(acceptor)
@@ -318,3 +318,15 @@
 }
 
 var _ watch.Source = (*watch.State)(nil)
+
+// testLog writes a machine's log into the output of a test that fails, with the simulated time.
+func testLog(t *testing.T, name string) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: name, Output: testWriter{t}, TimeFormat: "05.000"})
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(line []byte) (int, error) {
+	w.t.Log(strings.TrimRight(string(line), "\n"))
+	return len(line), nil
+}
