Voters: a standby has to answer; sources named later are followed

Cause: a Follower of all sources started slots for those named at its start only, so the holder of the placement lease took coordinators that came later for dead and swapped them in turn (core-4, core-5 every 256 ms in a simulated cluster of five). Change: slots are started after each poll; a standby that does not answer the holder is no replacement.

--- a/internal/tier/coordinator/membership_test.go
+++ b/internal/tier/coordinator/membership_test.go
@@ -148,3 +148,13 @@
 		assert.DeepEqual(t, c.voterNames("core-2"), []string{"core-1", "core-3", "core-4"})
 	})
 }
+
+func TestCoordinatorThatComesLaterIsFollowedByAll(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		c.start("core-4", false)
+		c.pass(2 * time.Second)
+		for _, name := range []string{"core-1", "core-2", "core-3"} {
+			assert.Assert(t, c.at(name).directory.isAnswering(c.machines["core-4"].address), name)
+		}
+	})
+}
--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -33,7 +33,7 @@
 	Since     time.Time // when this process began to listen
 	Tolerance int       // machines that may be lost at once
 	Joins     []Join
-	// VoterSilence is how long the coordinator at an address has not answered, 0 for one that answers.
+	// VoterSilence is how long the coordinator at an address, voter or not, has not answered; 0 for one that answers.
 	VoterSilence func(address string) time.Duration
 }
 
--- a/internal/tier/placement/voters.go
+++ b/internal/tier/placement/voters.go
@@ -38,12 +38,15 @@
 	return next
 }
 
-// standbys are the coordinators that run and do not vote.
+// standbys are the coordinators that call, answer and do not vote.
 func standbys(voters []*tierpb.Node, view *View) []*tierpb.Node {
 	var nodes []*tierpb.Node
 	for _, join := range view.Joins {
 		node := join.Request.Node
-		if node.Role == tierpb.Role_ROLE_COORDINATOR && view.fresh(join) && find(voters, node.Identity) < 0 {
+		if node.Role != tierpb.Role_ROLE_COORDINATOR || !view.fresh(join) || find(voters, node.Identity) >= 0 {
+			continue
+		}
+		if view.VoterSilence(node.Address) == 0 {
 			nodes = append(nodes, node)
 		}
 	}
--- a/internal/tier/placement/voters_test.go
+++ b/internal/tier/placement/voters_test.go
@@ -56,6 +56,12 @@
 	assert.Assert(t, Voters(state, view) == nil)
 }
 
+func TestStandbyThatDoesNotAnswerIsNoReplacement(t *testing.T) {
+	state, view, silence := votersScene(3, 2, 4)
+	silence["10.0.0.1"], silence["10.0.0.4"] = 5*time.Second, time.Millisecond
+	assert.Assert(t, Voters(state, view) == nil, "its calls arrive, those to it do not")
+}
+
 func TestWipedVoterTakesItsOwnPlace(t *testing.T) {
 	state, view, _ := votersScene(3, 1)
 	wiped := coordinator(2)
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -220,12 +220,12 @@
 		if !answered {
 			answered = true
 			f.succeeded(address)
-			f.startSlots(ctx)
 		}
 		if f.shouldLeave(address, &until) {
 			f.release(address)
 			return true
 		}
+		f.startSlots(ctx) // sources that were named since
 	}
 }
 
