--- a/internal/tier/agent/agent.go
+++ b/internal/tier/agent/agent.go
@@ -19,9 +19,6 @@
 // coordinatorsFollowed is how many coordinators an agent follows at a time: one that is silent or lags delays nothing.
 const coordinatorsFollowed = 2
 
-// loopback is where the proxy of the same machine reaches the agent.
-const loopback = "127.0.0.1"
-
 // Agent is one running agent.
 type Agent struct {
 	live    *settings.Live
@@ -33,9 +30,6 @@
 	sampler *peers.Sampler
 }
 
-// Address is where the agent of this machine serves the machine's own proxy.
-func Address(own *settings.Settings) string { return own.InnerAddress(loopback, settings.AgentPort) }
-
 // Run runs the role until the context ends.
 func Run(ctx context.Context, live *settings.Live, log hclog.Logger) error {
 	a := newAgent(live, log)
@@ -70,7 +64,11 @@
 // listen opens the inner listener for other machines and the one for the proxy: a socket bound to the machine's address
 // is not reached at the loopback address.
 func (a *Agent) listen(ctx context.Context) error {
-	for _, address := range []string{a.self.Address, Address(a.live.Current())} {
+	addresses := []string{a.self.Address}
+	if local := a.live.Current().AgentAddress(); local != a.self.Address {
+		addresses = append(addresses, local)
+	}
+	for _, address := range addresses {
 		listener, err := rpc.Listen(ctx, address)
 		if err != nil {
 			return eris.Wrapf(err, "inner listener %s", address)
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -102,9 +102,9 @@
 	p.turns, p.budgets = turns.NewClient(options), budget.NewClient(options)
 }
 
-// followerOptions has the proxy follow the agent on its own machine. The agent listens on the machine's address.
+// followerOptions has the proxy follow the agent on its own machine.
 func followerOptions(caller rpc.Caller, state *watch.State, current *settings.Settings) watch.Options {
-	agent := watch.Target{Address: current.InnerAddress("127.0.0.1", settings.AgentPort), Zone: current.Zone}
+	agent := watch.Target{Address: current.AgentAddress(), Zone: current.Zone}
 	return watch.Options{
 		Caller:  caller,
 		State:   state,
--- a/internal/tier/settings/settings.go
+++ b/internal/tier/settings/settings.go
@@ -170,6 +170,18 @@
 	return fmt.Sprintf("%s:%d", ip, s.EphemeralPorts[0]+offset)
 }
 
+// loopback is where the processes of one machine reach each other.
+const loopback = "127.0.0.1"
+
+// AgentAddress is where the machine's own processes reach its agent: at loopback, or, where the machine's own address is
+// a loopback address already and others may share this host, at that one.
+func (s *Settings) AgentAddress() string {
+	if own, err := netip.ParseAddr(s.IP); err == nil && own.IsLoopback() {
+		return s.InnerAddress(s.IP, AgentPort)
+	}
+	return s.InnerAddress(loopback, AgentPort)
+}
+
 // SeedCoordinators are the inner addresses of the coordinators that the seeds name.
 func (s *Settings) SeedCoordinators() []string {
 	var addresses []string
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -74,7 +74,7 @@
 
 // Run follows until the context ends and all polls have returned.
 func (f *Follower) Run(ctx context.Context) {
-	f.startSlots(ctx)
+	f.startSlots(ctx, f.options.Targets())
 	<-ctx.Done()
 	f.done.Wait()
 }
@@ -93,8 +93,7 @@
 }
 
 // startSlots sees to it that as many slots run as there are sources to follow, and at least one.
-func (f *Follower) startSlots(ctx context.Context) {
-	targets := f.options.Targets()
+func (f *Follower) startSlots(ctx context.Context, targets []Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for f.running < f.wanted(targets) && ctx.Err() == nil {
@@ -124,7 +123,7 @@
 		if address != "" && f.follow(ctx, address) {
 			retry = retryFirst
 		}
-		f.startSlots(ctx)
+		f.startSlots(ctx, f.options.Targets())
 		if !pause(ctx, jittered(retry)) {
 			return
 		}
@@ -221,7 +220,9 @@
 			answered = true
 			f.succeeded(address)
 		}
-		if f.shouldLeave(address, &until) {
+		targets := f.options.Targets()
+		f.startSlots(ctx, targets)
+		if f.shouldLeave(address, targets, &until) {
 			f.release(address)
 			return true
 		}
@@ -230,8 +231,7 @@
 }
 
 // shouldLeave says that the source is named no more or, looked at only now and then, that a better one is free.
-func (f *Follower) shouldLeave(address string, until *time.Time) bool {
-	targets := f.options.Targets()
+func (f *Follower) shouldLeave(address string, targets []Target, until *time.Time) bool {
 	if !names(targets, address) {
 		return true
 	}
