--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -226,7 +226,6 @@
 			f.release(address)
 			return true
 		}
-		f.startSlots(ctx) // sources that were named since
 	}
 }
 
