Admission: what a store told fades to the usual, so that programs keep to their store

Change: what others have at a store fades to what stores usually tell; a program's home is left by the store's pressure, where prompts still to be read count four times; affinity goes before the own zone.

--- a/internal/tier/admission/choose.go
+++ b/internal/tier/admission/choose.go
@@ -76,8 +76,8 @@
 	waited := float64(s.service.turn-s.turn) + 1
 	r := rank{wait: waited * max(s.trust(now), leastTurns)}
 	r.near = s.Zone == c.zone && load < nearShare*float64(s.slots())
-	if w.Affinity != 0 && s.service.engine && load < even {
-		r.affinity = mix(w.Affinity ^ s.hash)
+	if w.Affinity != 0 && s.service.engine && s.pressure(now) < even {
+		r.affinity, r.near = mix(w.Affinity^s.hash), true
 	}
 	return r
 }
@@ -89,7 +89,7 @@
 	}
 	sum := 0.0
 	for _, s := range v.stores {
-		sum += s.load(now)
+		sum += s.pressure(now)
 	}
 	return affinitySlack*sum/float64(len(v.stores)) + affinityFree
 }
--- a/internal/tier/admission/core.go
+++ b/internal/tier/admission/core.go
@@ -220,7 +220,7 @@
 		v.occupancy += latencyWeight * (age - v.occupancy)
 	case Full:
 		s.leftTo = now + min(max(curve.Duration(g.class.typical), fullLeast), fullMost)
-		s.others, s.othersAt = max(s.others, float64(s.slots()-s.out+1)), now
+		s.running, s.loadAt, s.loadTold = max(s.running, float64(s.slots()-s.out+1)), now, true
 	case ConnectFailed, NotExecuted:
 		s.leftTo = now + refusedDial
 		s.note(now, false, 1)
--- a/internal/tier/admission/service.go
+++ b/internal/tier/admission/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/shared/curve"
+	"pulleygw.example/pulleygw/internal/shared/tailguard"
 )
 
 // service is a pool of stores and what is decided for all of them together.
@@ -18,6 +19,10 @@
 	turn    uint64
 	held    int // requests in all queues
 
+	running float64 // smoothed requests of other callers at a store, as stores tell ...
+	waiting float64 // ... and those that wait there
+	toldAt  time.Duration
+
 	out       int     // requests of ours that are at its stores
 	occupancy float64 // smoothed seconds that a request holds its place
 	decided   curve.Sliding
@@ -93,6 +98,12 @@
 	return s
 }
 
+// usual is how many requests of other callers run and wait at a store, as far as stores told of late.
+func (v *service) usual(now time.Duration) (running, waiting float64) {
+	left := tailguard.Faded(1, now-v.toldAt, usualHalf)
+	return left * v.running, left * v.waiting
+}
+
 // places sums the places of the stores that may be sent to, and how many are taken.
 func (v *service) places(now time.Duration) (taken, all float64) {
 	for _, s := range v.stores {
--- a/internal/tier/admission/store.go
+++ b/internal/tier/admission/store.go
@@ -28,8 +28,10 @@
 	cap       float64
 	capFellAt time.Duration
 
-	others   float64 // requests of other callers there, as it told last
-	othersAt time.Duration
+	running  float64 // requests of other callers that it works on, as it told last ...
+	waiting  float64 // ... and those that wait there
+	loadAt   time.Duration
+	loadTold bool
 	leftTo   time.Duration // it turned a request away, or could not be reached: until when it is left alone
 }
 
@@ -44,12 +46,30 @@
 	return slotsGuess
 }
 
-// load is how many requests the store has now, by what it told and what we sent.
+// load is how many requests the store has now, by what it told and what we sent. What it told of others' requests fades to
+// what stores of the service usually tell.
 func (s *store) load(now time.Duration) float64 {
-	if s.others == 0 {
-		return float64(s.out)
+	running, waiting := s.others(now)
+	return float64(s.out) + running + waiting
+}
+
+// others is how many requests of other callers run and wait at the store.
+func (s *store) others(now time.Duration) (running, waiting float64) {
+	running, waiting = s.service.usual(now)
+	if s.loadTold {
+		left := tailguard.Faded(1, now-s.loadAt, loadHalf)
+		running += left * (s.running - running)
+		waiting += left * (s.waiting - waiting)
 	}
-	return float64(s.out) + tailguard.Faded(s.others, now-s.othersAt, loadHalf)
+	return running, waiting
+}
+
+// pressure is how much work waits at the store, in requests: one that has its first answer still to come holds up others
+// more than one that only goes on.
+func (s *store) pressure(now time.Duration) float64 {
+	running, waiting := s.others(now)
+	unheard := float64(len(s.unheard))
+	return running + float64(s.out) - unheard + waitingWeight*(waiting+unheard)
 }
 
 // open says whether the store may be sent anything now.
@@ -72,7 +92,7 @@
 	if float64(s.out) >= max(s.cap*warmth, 1) {
 		return false
 	}
-	return s.out == 0 && s.others == 0 || s.load(now) < max(float64(s.slots())*warmth, 1)
+	return s.load(now) < max(float64(s.slots())*warmth, 1)
 }
 
 // late is the design's skip: the oldest request that nothing has come of is past the 99th percentile of the record.
@@ -127,7 +147,14 @@
 	if slots > 0 {
 		s.Slots = slots
 	}
-	s.others, s.othersAt = float64(max(running+waiting-s.out, 0)), now
+	unheard := len(s.unheard)
+	s.running = float64(max(running-(s.out-unheard), 0))
+	s.waiting = float64(max(waiting-unheard, 0))
+	s.loadAt, s.loadTold = now, true
+	v := s.service
+	v.toldAt = now
+	v.running += loadWeight * (s.running - v.running)
+	v.waiting += loadWeight * (s.waiting - v.waiting)
 }
 
 // forget drops a grant from those that nothing has come of.
--- a/internal/tier/admission/tuning.go
+++ b/internal/tier/admission/tuning.go
@@ -27,14 +27,17 @@
 	coldShare     = 0.25             // of its capacity that a store has when it starts, at the least
 	coldRamp      = 4 * time.Second  // where only the end of the cold time is known, it is held to have begun so long before
 
-	loadHalf    = 300 * time.Millisecond // what a store told of others' requests is forgotten so
-	fullLeast   = 50 * time.Millisecond  // one that turned a request away is left alone so long
-	fullMost    = 400 * time.Millisecond
-	refusedDial = time.Second // one that could not be reached is left alone so long, while others are there
-
-	affinitySlack = 1.25 // times the even share: a store that is over it passes the turn on
-	affinityFree  = 2    // requests more than the even share that never count
-	nearShare     = 0.4  // of a store's places: while fewer are taken, the own zone goes first
+	loadHalf      = 300 * time.Millisecond // what a store told of others' requests fades to the usual so
+	usualHalf     = time.Second            // and that is forgotten so
+	loadWeight    = 0.05                   // smoothing of what stores tell: twenty answers tell the usual
+	waitingWeight = 4.0                    // a prompt that is still to be read holds up others so many times as long
+	fullLeast     = 50 * time.Millisecond  // one that turned a request away is left alone so long
+	fullMost      = 400 * time.Millisecond
+	refusedDial   = time.Second // one that could not be reached is left alone so long, while others are there
+
+	affinitySlack = 1.5 // times the even share: a store that is over it passes the turn on
+	affinityFree  = 6   // requests more than the even share that never count
+	nearShare     = 0.4 // of a store's places: while fewer are taken, the own zone goes first
 
 	missWindow = 5 * time.Second // span of the miss share
 	busyShare  = 0.5             // of the places taken: below it nothing is refused
