--- a/internal/tier/lease/grantor.go
+++ b/internal/tier/lease/grantor.go
@@ -24,8 +24,9 @@
 }
 
 type grant struct {
-	holder  uint64
-	expires time.Time
+	holder   uint64
+	sequence uint64
+	expires  time.Time
 }
 
 // NewGrantor makes the grantor of a voter with this identity; holdBack is LongestTerm except at the first start of the
@@ -45,19 +46,23 @@
 	held, found := g.grants[request.GetRole()]
 	if found && !now.Before(held.expires) {
 		delete(g.grants, request.GetRole())
-		found = false
+		held, found = grant{}, false
 	}
 	switch {
 	case found && held.holder != request.GetHolder():
 		return &tierpb.LeaseReply{Holder: held.holder, RemainingMs: milliseconds(held.expires.Sub(now))}
 	case request.GetRelease():
-		delete(g.grants, request.GetRole())
+		if request.GetSequence() > held.sequence { // not one that was on its way since before the grant
+			delete(g.grants, request.GetRole())
+		}
 		return &tierpb.LeaseReply{}
 	case now.Before(g.opens):
 		return &tierpb.LeaseReply{RemainingMs: milliseconds(g.opens.Sub(now))}
 	}
 	term := min(time.Duration(request.GetTtlMs())*time.Millisecond, LongestTerm)
-	g.grants[request.GetRole()] = grant{holder: request.GetHolder(), expires: now.Add(term)}
+	g.grants[request.GetRole()] = grant{
+		holder: request.GetHolder(), sequence: max(held.sequence, request.GetSequence()), expires: now.Add(term),
+	}
 	return &tierpb.LeaseReply{Granted: true, Holder: request.GetHolder(), RemainingMs: milliseconds(term)}
 }
 
--- a/internal/tier/lease/holder.go
+++ b/internal/tier/lease/holder.go
@@ -24,10 +24,12 @@
 
 // Holder tries to hold the lease of a role for as long as Run runs.
 type Holder struct {
-	options HolderOptions
-	mu      sync.Mutex
-	until   time.Time // the lease is held before this time
-	held    bool      // as last reported by Changed
+	options  HolderOptions
+	sequence uint64 // of the last round; Run alone uses it
+
+	mu    sync.Mutex
+	until time.Time // the lease is held before this time
+	held  bool      // as last reported by Changed
 }
 
 // NewHolder makes a holder that holds nothing yet.
@@ -35,7 +37,7 @@
 	if options.Term <= 0 || options.Term > LongestTerm {
 		options.Term = LongestTerm
 	}
-	return &Holder{options: options}
+	return &Holder{options: options, sequence: uint64(time.Now().UnixNano())}
 }
 
 // Held says whether the lease is held. It turns false a margin before the lease expires at the first grantor.
@@ -119,11 +121,13 @@
 func (h *Holder) askAll(ctx context.Context, release bool) roundResult {
 	ctx, cancel := context.WithTimeout(ctx, h.options.Term/4)
 	defer cancel()
+	h.sequence++
+	sequence := h.sequence
 	voters := h.options.Voters()
 	nodes := register.Voters(&tierpb.ControlState{Voters: voters})
 	answers := make(chan answer, len(nodes))
 	for _, node := range nodes {
-		go func() { answers <- answer{from: node.GetIdentity(), reply: h.call(ctx, node, release)} }()
+		go func() { answers <- answer{from: node.GetIdentity(), reply: h.call(ctx, node, sequence, release)} }()
 	}
 	granted := make(map[uint64]bool)
 	result := roundResult{}
@@ -144,13 +148,14 @@
 	return result
 }
 
-func (h *Holder) call(ctx context.Context, node *tierpb.Node, release bool) *tierpb.LeaseReply {
+func (h *Holder) call(ctx context.Context, node *tierpb.Node, sequence uint64, release bool) *tierpb.LeaseReply {
 	request := &tierpb.LeaseRequest{
 		Role:     h.options.Role,
 		Holder:   h.options.Self,
 		TtlMs:    uint32(h.options.Term / time.Millisecond),
 		Release:  release,
 		Identity: node.GetIdentity(),
+		Sequence: sequence,
 	}
 	if local := h.options.Local; local != nil && local.identity == node.GetIdentity() {
 		return local.Answer(request)
--- /dev/null
+++ b/internal/tier/lease/lease_test.go
@@ -0,0 +1,220 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/simulation"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+const role = "placement"
+
+// house is a set of voters that are all candidates, in a synctest bubble.
+type house struct {
+	network  *simulation.Network
+	machines []*simulation.Machine
+	grantors []*Grantor
+	holders  []*Holder
+	voters   []*tierpb.VoterSet
+	runs     sync.WaitGroup
+	cancels  []context.CancelFunc
+}
+
+func newHouse(t *testing.T, seed uint64, count int) *house {
+	traits := simulation.Traits{Shortest: time.Millisecond, Longest: 5 * time.Millisecond, Lost: 0.02}
+	h := &house{network: simulation.NewNetwork(rand.New(rand.NewPCG(seed, 0)), traits)}
+	set := &tierpb.VoterSet{}
+	for i := range count {
+		address := fmt.Sprintf("10.0.0.%d:1", i+1)
+		set.Nodes = append(set.Nodes, &tierpb.Node{Address: address, Identity: uint64(i + 1)})
+		h.machines = append(h.machines, h.network.NewMachine(address, rand.New(rand.NewPCG(seed, uint64(i+1)))))
+	}
+	h.voters = []*tierpb.VoterSet{set}
+	h.grantors = make([]*Grantor, count)
+	h.holders = make([]*Holder, count)
+	h.cancels = make([]context.CancelFunc, count)
+	for i := range count {
+		h.start(i, 0)
+	}
+	t.Cleanup(h.end)
+	return h
+}
+
+func (h *house) start(i int, holdBack time.Duration) {
+	life := h.machines[i].Start()
+	h.grantors[i] = NewGrantor(uint64(i+1), holdBack)
+	h.grantors[i].Serve(life.Server)
+	life.Listen()
+	h.holders[i] = NewHolder(HolderOptions{
+		Role: role, Self: uint64(100 + i), Caller: life.Caller(), Local: h.grantors[i],
+		Voters: func() []*tierpb.VoterSet { return h.voters },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancels[i] = cancel
+	holder := h.holders[i]
+	h.runs.Go(func() { holder.Run(ctx) })
+}
+
+// stop ends a process with nothing said.
+func (h *house) stop(i int) {
+	h.machines[i].Kill()
+	h.cancels[i]()
+}
+
+func (h *house) end() {
+	for i, machine := range h.machines {
+		machine.Thaw()
+		h.cancels[i]()
+	}
+	h.runs.Wait()
+	<-time.After(time.Minute)
+}
+
+func (h *house) holding() (numbers []int) {
+	for i, holder := range h.holders {
+		if holder.Held() {
+			numbers = append(numbers, i)
+		}
+	}
+	return numbers
+}
+
+// watch looks at the holders at every step of the time and fails if there are two.
+func (h *house) watch(t *testing.T, length time.Duration) (seen []int) {
+	t.Helper()
+	for passed := time.Duration(0); passed < length; passed += 10 * time.Millisecond {
+		<-time.After(10 * time.Millisecond)
+		seen = h.holding()
+		assert.Assert(t, len(seen) <= 1, "%v hold the lease", seen)
+	}
+	return seen
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHouse(t, 1, 3)
+		assert.Equal(t, len(h.watch(t, 5*time.Second)), 1)
+		assert.Equal(t, len(h.watch(t, 20*time.Second)), 1, "it is renewed")
+	})
+}
+
+func TestCutOffHolderStopsBeforeAnotherBegins(t *testing.T) {
+	for _, frozen := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHouse(t, 2, 3)
+			first := h.watch(t, 5*time.Second)[0]
+			for i := range 3 {
+				h.network.Cut(h.machines[first].Address(), h.machines[i].Address(), i != first)
+				h.network.Cut(h.machines[i].Address(), h.machines[first].Address(), i != first)
+			}
+			if frozen {
+				h.machines[first].Freeze()
+			}
+			second := h.watch(t, 2*LongestTerm+time.Second)
+			assert.Assert(t, len(second) == 1 && second[0] != first)
+			h.network.Heal()
+			h.machines[first].Thaw()
+			assert.Equal(t, h.watch(t, 5*time.Second)[0], second[0])
+		})
+	}
+}
+
+func TestLeaseIsGivenBackAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHouse(t, 3, 3)
+		first := h.watch(t, 5*time.Second)[0]
+		h.cancels[first]()
+		second := h.watch(t, LongestTerm)
+		assert.Assert(t, len(second) == 1 && second[0] != first)
+	})
+}
+
+// TestRestartedGrantorsHoldBack: all but the holder restart and have forgotten what they granted.
+func TestRestartedGrantorsHoldBack(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHouse(t, seed, 3)
+			first := h.watch(t, 5*time.Second)[0]
+			for i := range 3 {
+				h.network.Cut(h.machines[first].Address(), h.machines[i].Address(), i != first)
+				if i != first {
+					h.stop(i)
+					h.start(i, LongestTerm)
+				}
+			}
+			second := h.watch(t, 3*LongestTerm)
+			assert.Assert(t, len(second) == 1 && second[0] != first)
+		})
+	}
+}
+
+func TestGrantorAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		grantor := NewGrantor(7, 0)
+		sequence := uint64(0)
+		ask := func(holder uint64, release bool) *tierpb.LeaseReply {
+			sequence++
+			return grantor.Answer(&tierpb.LeaseRequest{
+				Role: role, Holder: holder, TtlMs: 1000, Identity: 7, Release: release, Sequence: sequence,
+			})
+		}
+		assert.Assert(t, ask(1, false).Granted)
+		refused := ask(2, false)
+		assert.Assert(t, !refused.Granted && refused.Holder == 1 && refused.RemainingMs == 1000)
+		assert.Assert(t, !ask(2, true).Granted)
+		assert.Assert(t, !ask(2, false).Granted, "only the holder gives a lease back")
+		late := &tierpb.LeaseRequest{Role: role, Holder: 1, Identity: 7, Release: true}
+		assert.Assert(t, !grantor.Answer(late).Granted)
+		assert.Assert(t, !ask(2, false).Granted, "a release from before the grant counts for nothing")
+		assert.Assert(t, !ask(1, true).Granted)
+		assert.Assert(t, ask(2, false).Granted)
+		<-time.After(time.Second)
+		assert.Assert(t, ask(1, false).Granted, "an expired lease is free")
+		other := &tierpb.LeaseRequest{Role: "other", Holder: 2, TtlMs: 1000, Identity: 7}
+		assert.Assert(t, grantor.Answer(other).Granted, "roles are apart")
+		other.Identity = 8
+		assert.Assert(t, !grantor.Answer(other).Granted, "another grantor is meant")
+		long := grantor.Answer(&tierpb.LeaseRequest{Role: "long", Holder: 2, TtlMs: 1 << 30, Identity: 7})
+		assert.Equal(t, long.RemainingMs, uint32(LongestTerm/time.Millisecond))
+	})
+}
+
+// TestRandomTroubleNeverMakesTwoHolders plays cuts, freezes and restarts.
+func TestRandomTroubleNeverMakesTwoHolders(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 9))
+			h := newHouse(t, seed, 3+2*random.IntN(2))
+			for range 40 {
+				i, j := random.IntN(len(h.machines)), random.IntN(len(h.machines))
+				switch random.IntN(7) {
+				case 0:
+					h.stop(i)
+					h.start(i, LongestTerm)
+				case 1:
+					h.machines[i].Freeze()
+				case 2:
+					h.machines[i].Thaw()
+				case 3, 4:
+					h.network.Cut(h.machines[i].Address(), h.machines[j].Address(), true)
+				case 5:
+					h.network.Heal()
+				}
+				h.watch(t, time.Duration(random.IntN(700))*time.Millisecond)
+			}
+			h.network.Heal()
+			for _, machine := range h.machines {
+				machine.Thaw()
+			}
+			assert.Equal(t, len(h.watch(t, 4*LongestTerm)), 1)
+		})
+	}
+}
--- a/internal/tier/register/cluster_test.go
+++ b/internal/tier/register/cluster_test.go
@@ -222,3 +222,17 @@
 
 // calm are links without trouble.
 var calm = simulation.Traits{Shortest: time.Millisecond, Longest: 2 * time.Millisecond}
+
+// share brings the newest chosen value, or where nobody knows one an accepted value, to all, as watches would.
+func (c *cluster) share() {
+	for _, m := range c.members {
+		for _, other := range c.members {
+			if state := other.newestKnown(); state != nil {
+				m.learn(state)
+			}
+			if state := other.current().Value(); m.newestKnown() == nil && state != nil {
+				m.learn(state)
+			}
+		}
+	}
+}
--- a/internal/tier/register/voters.go
+++ b/internal/tier/register/voters.go
@@ -27,7 +27,7 @@
 		if len(current.Voters) > 1 {
 			return current, nil
 		}
-		wanted := &tierpb.VoterSet{Nodes: choose(current)}
+		wanted := &tierpb.VoterSet{Nodes: choose(current.CloneVT())}
 		if len(wanted.Nodes) == 0 || sameMembers(current.Voters[0], wanted) {
 			return current, nil
 		}
--- /dev/null
+++ b/internal/tier/storage/versions_test.go
@@ -0,0 +1,151 @@
+package storage_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/simulation"
+	"pulleygw.example/pulleygw/internal/tier/storage"
+)
+
+const (
+	folder = "data"
+	name   = "state"
+)
+
+func machine(seed uint64) *simulation.Machine {
+	random := rand.New(rand.NewPCG(seed, 0))
+	return simulation.NewNetwork(random, simulation.Traits{}).NewMachine("10.0.0.1:1", random)
+}
+
+func open(t *testing.T, disk storage.Disk, points *fault.Points) *storage.Series {
+	t.Helper()
+	assert.NilError(t, disk.MakeFolder(folder))
+	series, err := storage.Open(disk, folder, name, points)
+	assert.NilError(t, err)
+	return series
+}
+
+// TestSaveIsAllOrNothingAtEveryPoint loses power at each point of a save, many times each: what was saved before is
+// there, or what was being saved, and nothing else.
+func TestSaveIsAllOrNothingAtEveryPoint(t *testing.T) {
+	for point := fault.VersionCreated; point <= fault.VersionRemoved; point++ {
+		for seed := range uint64(60) {
+			m := machine(seed)
+			stop := false
+			points := &fault.Points{Stop: func(passed fault.Point) bool { return stop && passed == point }}
+			series := open(t, m.Start().Mount(), points)
+			assert.NilError(t, series.Save([]byte("one")))
+			assert.NilError(t, series.Save([]byte("two")))
+			stop = true
+			assert.ErrorIs(t, series.Save([]byte("three")), fault.ErrStopped)
+			m.PowerLoss()
+			disk := m.Start().Mount()
+			reopened := open(t, disk, nil)
+			payload, found := reopened.Newest()
+			assert.Assert(t, found && !reopened.Damaged())
+			durable := point >= fault.VersionFolderSynced
+			assert.Assert(t, string(payload) == "three" || !durable && string(payload) == "two", "point %d: %q", point, payload)
+			assert.NilError(t, reopened.Save([]byte("four")))
+			payload, _ = open(t, disk, nil).Newest()
+			assert.Equal(t, string(payload), "four")
+			names, err := disk.List(folder)
+			assert.NilError(t, err)
+			assert.Equal(t, len(names), 1, "%v", names)
+		}
+	}
+}
+
+func TestSaveAfterFailureIsTheNewest(t *testing.T) {
+	troubles := []simulation.Trouble{{Full: true}, {Failing: true}}
+	for _, trouble := range troubles {
+		m := machine(1)
+		series := open(t, m.Start().Mount(), nil)
+		assert.NilError(t, series.Save([]byte("one")))
+		m.Disk.SetTrouble(trouble)
+		for range 5 {
+			assert.Assert(t, series.Save([]byte("lost")) != nil)
+		}
+		m.Disk.SetTrouble(simulation.Trouble{})
+		assert.NilError(t, series.Save([]byte("two")))
+		m.PowerLoss()
+		disk := m.Start().Mount()
+		payload, _ := open(t, disk, nil).Newest()
+		assert.Equal(t, string(payload), "two")
+		names, err := disk.List(folder)
+		assert.NilError(t, err)
+		assert.Equal(t, len(names), 1, "%v", names)
+	}
+}
+
+func TestFullDiskKeepsNoPartOfAFile(t *testing.T) {
+	m := machine(1)
+	disk := m.Start().Mount()
+	series := open(t, disk, nil)
+	m.Disk.SetTrouble(simulation.Trouble{Full: true})
+	assert.ErrorIs(t, series.Save([]byte("one")), simulation.ErrFull)
+	names, err := disk.List(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(names), 0)
+}
+
+func TestDamagedVersionIsNoticed(t *testing.T) {
+	m := machine(1)
+	disk := m.Start().Mount()
+	assert.NilError(t, open(t, disk, nil).Save([]byte("one")))
+	m.Disk.Damage(name)
+	series := open(t, disk, nil)
+	_, found := series.Newest()
+	assert.Assert(t, !found && series.Damaged())
+	assert.NilError(t, series.Clear())
+	assert.Assert(t, !series.Damaged())
+	assert.NilError(t, series.Save([]byte("two")))
+	payload, _ := open(t, disk, nil).Newest()
+	assert.Equal(t, string(payload), "two")
+}
+
+func TestSeriesOfOneFolderAreApart(t *testing.T) {
+	disk := machine(1).Start().Mount()
+	for i := range 3 {
+		series, err := storage.Open(disk, folder, fmt.Sprintf("series%d", i), nil)
+		assert.NilError(t, err)
+		assert.NilError(t, series.Save([]byte{byte(i)}))
+	}
+	for i := range 3 {
+		series, err := storage.Open(disk, folder, fmt.Sprintf("series%d", i), nil)
+		assert.NilError(t, err)
+		payload, _ := series.Newest()
+		assert.DeepEqual(t, payload, []byte{byte(i)})
+	}
+}
+
+func TestDiskOfTheMachine(t *testing.T) {
+	parent := filepath.Join(t.TempDir(), "a", "b")
+	disk := storage.OS{}
+	assert.NilError(t, disk.MakeFolder(parent))
+	series, err := storage.Open(disk, parent, name, nil)
+	assert.NilError(t, err)
+	for i := range 3 {
+		assert.NilError(t, series.Save([]byte(fmt.Sprint(i))))
+	}
+	left := filepath.Join(parent, name+"-0000000000000009.part")
+	assert.NilError(t, os.WriteFile(left, []byte("half"), 0o600))
+	other := filepath.Join(parent, "somebody-elses")
+	assert.NilError(t, os.WriteFile(other, nil, 0o600))
+	series, err = storage.Open(disk, parent, name, nil)
+	assert.NilError(t, err)
+	payload, found := series.Newest()
+	assert.Assert(t, found)
+	assert.Equal(t, string(payload), "2")
+	names, err := disk.List(parent)
+	assert.NilError(t, err)
+	assert.Equal(t, len(names), 2)
+	assert.Assert(t, strings.HasPrefix(names[1], name) && names[0] == "somebody-elses")
+}
