Placement: an odd number of voters, and most of the old ones in each change

A set of four voters bears the loss of one, as three do, but needs three to answer: with two of five tolerated, a joiner wiped while it was taken in could have left no majority. Two voters of three replaced in one change is a step that the register refuses; now one goes after the other. Tests of the table of voters.

--- a/internal/tier/placement/voters.go
+++ b/internal/tier/placement/voters.go
@@ -17,25 +17,38 @@
 	if len(sets) > 1 {
 		return voters
 	}
-	next := slices.Clone(voters)
-	changed := false
-	for _, standby := range standbys(voters, view) {
-		if place := predecessor(next, standby); place >= 0 {
-			next[place], changed = standby, true
-			continue
-		}
-		if place := longestSilent(next, view); place >= 0 {
-			next[place], changed = standby, true
-			continue
-		}
-		if len(next) < view.least() {
-			next, changed = append(next, standby), true
+	next, replaced := replaceVoters(voters, view)
+	grown := slices.Clone(next)
+	for _, standby := range standbys(next, view) {
+		if len(grown) < view.least() && predecessor(grown, standby) < 0 {
+			grown = append(grown, standby)
 		}
 	}
-	if !changed {
+	if len(grown)%2 == 0 && len(grown) > len(next) {
+		grown = grown[:len(grown)-1]
+	}
+	if !replaced && len(grown) == len(voters) {
 		return nil
 	}
-	return next
+	return grown
+}
+
+// replaceVoters puts standbys in the places of voters that were wiped or are silent. A majority of the old voters
+// stays, as the register demands.
+func replaceVoters(voters []*tierpb.Node, view *View) (next []*tierpb.Node, replaced bool) {
+	next = slices.Clone(voters)
+	left := (len(voters) - 1) / 2
+	for _, standby := range standbys(voters, view) {
+		place := predecessor(next, standby)
+		if place < 0 {
+			place = longestSilent(next, view)
+		}
+		if place >= 0 && left > 0 {
+			next[place], replaced = standby, true
+			left--
+		}
+	}
+	return next, replaced
 }
 
 // standbys are the coordinators that call, answer and do not vote.
--- a/internal/tier/placement/voters_test.go
+++ b/internal/tier/placement/voters_test.go
@@ -76,3 +76,22 @@
 	state.Voters = append(state.Voters, joint)
 	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{1, 2, 5})
 }
+
+func TestVotersStayAnOddNumber(t *testing.T) {
+	state, view, _ := votersScene(3, 2, 4)
+	assert.Assert(t, Voters(state, view) == nil, "four bear no more losses than three")
+	state, view, _ = votersScene(1, 1, 2, 3)
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{1, 2, 3})
+}
+
+func TestMostVotersStayInOneChange(t *testing.T) {
+	state, view, silence := votersScene(3, 1, 4, 5)
+	silence["10.0.0.1"], silence["10.0.0.3"] = 5*time.Second, 5*time.Second
+	assert.Equal(t, len(Voters(state, view)), 3)
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{4, 2, 3})
+	state, view, silence = votersScene(5, 2, 6, 7, 8)
+	for _, address := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
+		silence[address] = 5 * time.Second
+	}
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{6, 7, 3, 4, 5})
+}
