Budgets in one round: claims meet at the program's first members

Reserving took a synced write and then a read. Of claims that all go to the same f+1 members, the one that comes last to one of them finds all the others in its answers, so the read is needed only where members fail or change; such claims are marked, and whoever finds a marked one reads too.

--- a/internal/tier/budget/client.go
+++ b/internal/tier/budget/client.go
@@ -23,8 +23,9 @@
 const (
 	defaultTimeout = 1500 * time.Millisecond // of a Reserve whose context has no deadline
 	settleTimeout  = 10 * time.Second        // after this a claim is left as it is
-	recheckLeast   = 20 * time.Millisecond   // before an excess that others may withdraw is looked at again
-	recheckSpread  = 80 * time.Millisecond
+	contestLeast   = 15 * time.Millisecond   // before an excess that others may withdraw is looked at again
+	contestSpread  = 30 * time.Millisecond
+	contestRounds  = 4
 	mostUnsettled  = 1024 // settlements under way at once
 )
 
@@ -55,57 +56,71 @@
 	return err
 }
 
+// reserve claims in one round where it can. In a first round the claim goes to the first members of the program's
+// replica set, which are the same for all: of any claims that go there, the one that comes last to one of these
+// members finds all the others. A claim that gets past them, because members fail or change, is marked and written
+// again, and read in a round that begins when that write has ended: of any such claims, the one whose write ended
+// last finds all the others. A claim that finds a marked one does so too.
 func (c *Client) reserve(ctx context.Context, program string, budget uint64, request string, most uint64) error {
 	claim := &tierpb.BudgetEntry{Request: request, Tokens: most, Stage: StageReserved}
 	known := &tierpb.ProgramBudget{Program: program}
-	if err := c.write(ctx, known, claim); err != nil {
+	first, err := c.write(ctx, known, claim)
+	if err != nil {
 		return err
 	}
-	if Sum(known) <= budget {
-		// Claims are summed only from reads that began when the write was done: of any set of claims, the one
-		// whose write ended last reads all the others.
-		known = &tierpb.ProgramBudget{Program: program}
-		if err := c.read(ctx, known, claim); err != nil {
+	if !first || anyInTwoRounds(known) {
+		claim = &tierpb.BudgetEntry{Request: request, Tokens: most, Stage: StageReserved, TwoRounds: true}
+		if _, err := c.write(ctx, known, claim); err != nil {
 			return err
 		}
-		if Sum(known) <= budget {
-			return nil
+		if err := c.read(ctx, known); err != nil {
+			return err
 		}
 	}
-	if add(SettledSum(known), most) > budget {
-		return ErrSpent
-	}
-	return c.recheck(ctx, program, budget, claim)
+	return c.contest(ctx, known, claim, budget)
 }
 
-// recheck looks once more when only claims that are not settled stand in the way: of several that came together
-// all but one may have been withdrawn meanwhile.
-func (c *Client) recheck(ctx context.Context, program string, budget uint64, claim *tierpb.BudgetEntry) error {
-	select {
-	case <-c.replicas.After(recheckLeast + rand.N(recheckSpread)):
-	case <-ctx.Done():
-		return ErrUncertain
-	}
-	known := &tierpb.ProgramBudget{Program: program}
-	if err := c.read(ctx, known, claim); err != nil {
-		return err
+// contest decides on what is known of a program. Claims that came together and have no room together are settled
+// by priority: the one that has it looks again while the others are withdrawn.
+func (c *Client) contest(
+	ctx context.Context, known *tierpb.ProgramBudget, claim *tierpb.BudgetEntry, budget uint64,
+) error {
+	for range contestRounds {
+		switch {
+		case Sum(known) <= budget:
+			return nil
+		case !hasPriority(known, claim, budget):
+			return ErrSpent
+		}
+		select {
+		case <-c.replicas.After(contestLeast + rand.N(contestSpread)):
+		case <-ctx.Done():
+			return ErrUncertain
+		}
+		if err := c.read(ctx, known); err != nil {
+			return err
+		}
 	}
-	if Sum(known) > budget {
-		return ErrSpent
+	if Sum(known) <= budget {
+		return nil
 	}
-	return nil
+	return ErrSpent
 }
 
-// write has a claim synced by a quorum and merges what the stores know of the program.
-func (c *Client) write(ctx context.Context, known *tierpb.ProgramBudget, claim *tierpb.BudgetEntry) error {
+// write has a claim synced by a quorum and merges what the stores know of the program. It says whether the quorum
+// was that of the first members.
+func (c *Client) write(
+	ctx context.Context, known *tierpb.ProgramBudget, claim *tierpb.BudgetEntry,
+) (first bool, err error) {
 	written := &tierpb.ProgramBudget{
 		Program:       known.Program,
 		Entries:       []*tierpb.BudgetEntry{claim},
 		TouchedUnixMs: c.replicas.Now().UnixMilli(),
 	}
-	return replica.Collect(ctx, c.replicas, replica.Operation[*tierpb.BudgetReply]{
+	outcome, err := replica.Collect(ctx, c.replicas, replica.Operation[*tierpb.BudgetReply]{
 		Key:    known.Program,
 		Quorum: replica.WriteQuorum,
+		Ranked: true,
 		Call: func(ctx context.Context, address string, header *tierpb.StoreHeader) (*tierpb.BudgetReply, error) {
 			request := &tierpb.ReserveBudgetRequest{Header: header, Budget: written}
 			reply := &tierpb.BudgetReply{}
@@ -116,12 +131,12 @@
 			return false
 		},
 	})
+	return outcome.First, err
 }
 
-// read merges what a quorum of stores knows of the program, and the claim itself.
-func (c *Client) read(ctx context.Context, known *tierpb.ProgramBudget, claim *tierpb.BudgetEntry) error {
-	Merge(known, []*tierpb.BudgetEntry{claim})
-	return replica.Collect(ctx, c.replicas, replica.Operation[*tierpb.BudgetReply]{
+// read merges what a quorum of stores knows of the program.
+func (c *Client) read(ctx context.Context, known *tierpb.ProgramBudget) error {
+	_, err := replica.Collect(ctx, c.replicas, replica.Operation[*tierpb.BudgetReply]{
 		Key:    known.Program,
 		Quorum: replica.ReadQuorum,
 		Fresh:  true,
@@ -135,6 +150,7 @@
 			return false
 		},
 	})
+	return err
 }
 
 // Settle counts a turn that ended whole at what it generated. It returns at once.
@@ -149,7 +165,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		claim := &tierpb.BudgetEntry{Request: request, Tokens: used, Stage: StageSettled}
-		_ = c.write(ctx, &tierpb.ProgramBudget{Program: program}, claim)
+		_, _ = c.write(ctx, &tierpb.ProgramBudget{Program: program}, claim)
 	})
 }
 
--- a/internal/tier/budget/merge.go
+++ b/internal/tier/budget/merge.go
@@ -15,29 +15,36 @@
 )
 
 // Merge adds entries to those of a program, which are sorted by request, and says whether anything changed.
-// The result is the same in whatever order and however often entries are merged.
+// The result is the same in whatever order and however often entries are merged. Entries are never altered.
 func Merge(into *tierpb.ProgramBudget, from []*tierpb.BudgetEntry) bool {
 	changed := false
 	for _, entry := range from {
 		at, found := find(into, entry.Request)
-		switch {
-		case !found:
+		if !found {
 			into.Entries = slices.Insert(into.Entries, at, entry)
 			changed = true
-		case supersedes(entry, into.Entries[at]):
-			into.Entries[at] = entry
+			continue
+		}
+		if joined := join(into.Entries[at], entry); joined != into.Entries[at] {
+			into.Entries[at] = joined
 			changed = true
 		}
 	}
 	return changed
 }
 
-// supersedes says whether a claim replaces another one of the same turn.
-func supersedes(entry, known *tierpb.BudgetEntry) bool {
-	if entry.Stage != known.Stage {
-		return entry.Stage > known.Stage
+// join is the least entry that holds what both tell of a turn; it is known itself where entry tells nothing new.
+func join(known, entry *tierpb.BudgetEntry) *tierpb.BudgetEntry {
+	newest := known
+	if entry.Stage > known.Stage || entry.Stage == known.Stage && entry.Tokens > known.Tokens {
+		newest = entry
+	}
+	if twoRounds := known.TwoRounds || entry.TwoRounds; twoRounds != newest.TwoRounds {
+		newest = &tierpb.BudgetEntry{
+			Request: newest.Request, Tokens: newest.Tokens, Stage: newest.Stage, TwoRounds: twoRounds,
+		}
 	}
-	return entry.Tokens > known.Tokens
+	return newest
 }
 
 // Sum is what all claims of a program count together.
@@ -49,15 +56,22 @@
 	return total
 }
 
-// SettledSum is what the settled claims count together.
-func SettledSum(budget *tierpb.ProgramBudget) uint64 {
-	total := uint64(0)
-	for _, entry := range budget.GetEntries() {
-		if entry.Stage >= StageSettled {
+// hasPriority says whether a claim has room besides those that are settled and those that are not but come before
+// it by the order of their requests. Of claims that come at the same time and have no room together, those with
+// priority wait for the others to be withdrawn.
+func hasPriority(known *tierpb.ProgramBudget, claim *tierpb.BudgetEntry, budget uint64) bool {
+	total := claim.Tokens
+	for _, entry := range known.Entries {
+		if entry.Stage >= StageSettled || entry.Request < claim.Request {
 			total = add(total, entry.Tokens)
 		}
 	}
-	return total
+	return total <= budget
+}
+
+// anyInTwoRounds says whether a claim of the program was written past its first members.
+func anyInTwoRounds(known *tierpb.ProgramBudget) bool {
+	return slices.ContainsFunc(known.Entries, (*tierpb.BudgetEntry).GetTwoRounds)
 }
 
 // add adds without wrapping round.
@@ -72,7 +86,7 @@
 func Covers(known *tierpb.ProgramBudget, entries []*tierpb.BudgetEntry) bool {
 	for _, entry := range entries {
 		at, found := find(known, entry.Request)
-		if !found || supersedes(entry, known.Entries[at]) {
+		if !found || join(known.Entries[at], entry) != known.Entries[at] {
 			return false
 		}
 	}
--- a/internal/tier/replica/client.go
+++ b/internal/tier/replica/client.go
@@ -19,6 +19,7 @@
 	hedgeAfter     = 40 * time.Millisecond  // then the other members are called too
 	pauseBetween   = 60 * time.Millisecond  // before members that failed are called again
 	avoidedFor     = 2 * time.Second        // a member that failed is called last for this long
+	slowFor        = 500 * time.Millisecond // likewise one that did not answer before others were called
 	callTimeout    = 700 * time.Millisecond // of one call to one member
 	latencyWeight  = 8                      // of the running mean of answer times
 	farZonePenalty = 20 * time.Millisecond  // a member of another zone counts as slower by this
@@ -126,8 +127,21 @@
 	c.condition(identity).avoidUntil = c.options.Now().Add(avoidedFor)
 }
 
-// prefer sorts members: those that failed lately last, else the near and quick ones first.
-func (c *Client) prefer(members []*tierpb.Node) []*tierpb.Node {
+// slow notes that members which were called have not answered in time for others to be called.
+func (c *Client) slow(called, answered map[uint64]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.options.Now().Add(slowFor)
+	for identity := range called {
+		known := c.condition(identity)
+		if !answered[identity] && known.avoidUntil.Before(until) {
+			known.avoidUntil = until
+		}
+	}
+}
+
+// prefer sorts members: those that failed lately last, else by rank, or the near and quick ones first.
+func (c *Client) prefer(members []*tierpb.Node, ranked bool) []*tierpb.Node {
 	type weighed struct {
 		node *tierpb.Node
 		cost time.Duration
@@ -138,7 +152,10 @@
 	for i, member := range members {
 		known := c.condition(member.Identity)
 		costs[i] = weighed{member, known.mean}
-		if member.Zone != c.options.Zone {
+		switch {
+		case ranked:
+			costs[i].cost = time.Duration(i)
+		case member.Zone != c.options.Zone:
 			costs[i].cost += farZonePenalty
 		}
 		if now.Before(known.avoidUntil) {
--- a/internal/tier/replica/collect.go
+++ b/internal/tier/replica/collect.go
@@ -22,14 +22,23 @@
 	Call   func(ctx context.Context, address string, header *tierpb.StoreHeader) (R, error)
 	// Visit is called with each answer that counts, from one goroutine; true ends the operation with success.
 	Visit func(R) bool
+	// Ranked prefers members by their rank for the key, the same for all callers, instead of the near and quick ones.
+	Ranked bool
 	// Fresh forgets the answers of an older membership: a read is whole only within one membership, while a
 	// write that a member has synced stays there.
 	Fresh bool
 }
 
+// Outcome tells how a quorum came about.
+type Outcome struct {
+	// First says that there was one replica set all the while and that the quorum is the first of its members by
+	// rank, so that it is the same for all callers.
+	First bool
+}
+
 // Collect runs an operation until a quorum of the replica set has answered, of both sets while members change.
 // It returns ErrUncertain when ctx ends before.
-func Collect[R Reply](ctx context.Context, client *Client, operation Operation[R]) error {
+func Collect[R Reply](ctx context.Context, client *Client, operation Operation[R]) (Outcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	run := &collection[R]{
@@ -38,7 +47,8 @@
 		answers:   make(chan answer[R], answersAhead),
 		voted:     make(map[uint64]bool),
 	}
-	return run.loop(ctx)
+	err := run.loop(ctx)
+	return Outcome{First: err == nil && run.isFirst()}, err
 }
 
 const answersAhead = 16
@@ -62,6 +72,7 @@
 	voted      map[uint64]bool
 	called     map[uint64]bool // called in this round
 	pending    int
+	moved      bool // the membership was another one before
 }
 
 func (r *collection[R]) loop(ctx context.Context) error {
@@ -83,8 +94,11 @@
 // place takes the newest membership and forgets what counted only under an older one.
 func (r *collection[R]) place() {
 	newest := r.client.membership()
-	if r.membership != nil && newest.GetEpoch() != r.membership.GetEpoch() && r.operation.Fresh {
-		clear(r.voted)
+	if r.membership != nil && newest.GetEpoch() != r.membership.GetEpoch() {
+		r.moved = true
+		if r.operation.Fresh {
+			clear(r.voted)
+		}
 	}
 	r.membership = newest
 	r.sets = Sets(newest, r.operation.Key, r.client.options.Tolerance)
@@ -96,7 +110,7 @@
 			}
 		}
 	}
-	r.order = r.client.prefer(r.order)
+	r.order = r.client.prefer(r.order, r.operation.Ranked)
 	r.called = make(map[uint64]bool, len(r.order))
 }
 
@@ -112,6 +126,20 @@
 	return sets
 }
 
+// isFirst says whether the quorum is the first of the members of a single replica set.
+func (r *collection[R]) isFirst() bool {
+	if r.moved || len(r.sets) != 1 {
+		return false
+	}
+	set := r.sets[0]
+	for _, member := range set[:r.operation.Quorum(r.client.options.Tolerance, len(set))] {
+		if !r.voted[member.Identity] {
+			return false
+		}
+	}
+	return true
+}
+
 // complete says whether each set has its quorum.
 func (r *collection[R]) complete() bool {
 	return len(r.sets) > 0 && r.lacking(r.voted) == nil
@@ -166,6 +194,7 @@
 				return true, nil
 			}
 		case <-hedge:
+			r.client.slow(r.called, r.voted)
 			r.callAll(ctx)
 		case <-ctx.Done():
 			return false, ErrUncertain
--- /dev/null
+++ b/internal/tier/replica/set_test.go
@@ -0,0 +1,87 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+func members(count, zones int) []*tierpb.Node {
+	nodes := make([]*tierpb.Node, count)
+	for i := range nodes {
+		nodes[i] = &tierpb.Node{Identity: uint64(1000 + i*77), Zone: fmt.Sprintf("zone%d", i%zones)}
+	}
+	return nodes
+}
+
+func TestSetSpreadsOverZones(t *testing.T) {
+	nodes := members(9, 3)
+	for i := range 200 {
+		set := Set(nodes, fmt.Sprintf("key%d", i), 3)
+		zones := map[string]bool{}
+		for _, node := range set {
+			zones[node.Zone] = true
+		}
+		assert.Equal(t, len(zones), 3)
+	}
+}
+
+func TestSetTakesSecondMembersOfZonesWhereThereAreFewZones(t *testing.T) {
+	nodes := members(9, 2)
+	for i := range 200 {
+		set := Set(nodes, fmt.Sprintf("key%d", i), 5)
+		count := map[string]int{}
+		for _, node := range set {
+			count[node.Zone]++
+		}
+		assert.Equal(t, len(set), 5)
+		assert.Assert(t, count["zone0"] >= 2 && count["zone1"] >= 2, "%v", count)
+	}
+}
+
+func TestSetIsTheSameInWhateverOrderMembersAreNamed(t *testing.T) {
+	nodes := members(7, 3)
+	shuffled := members(7, 3)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 100 {
+		random.Shuffle(len(shuffled), func(a, b int) { shuffled[a], shuffled[b] = shuffled[b], shuffled[a] })
+		key := fmt.Sprintf("key%d", i)
+		one, other := Set(nodes, key, 3), Set(shuffled, key, 3)
+		for place := range one {
+			assert.Equal(t, one[place].Identity, other[place].Identity)
+		}
+	}
+}
+
+func TestSetOfFewMembersIsAll(t *testing.T) {
+	assert.Equal(t, len(Set(members(2, 1), "key", 3)), 2)
+	assert.Equal(t, len(Set(nil, "key", 3)), 0)
+}
+
+func TestKeysSpreadOverMembers(t *testing.T) {
+	nodes := members(6, 3)
+	count := map[uint64]int{}
+	for i := range 6000 {
+		for _, node := range Set(nodes, fmt.Sprintf("%016x", i), 3) {
+			count[node.Identity]++
+		}
+	}
+	for identity, keys := range count {
+		assert.Assert(t, keys > 2500 && keys < 3500, "%d has %d of 18000 places", identity, keys)
+	}
+}
+
+func TestQuorumsMeet(t *testing.T) {
+	for tolerance := range 4 {
+		for size := 1; size <= Size(tolerance); size++ {
+			write, read := WriteQuorum(tolerance, size), ReadQuorum(tolerance, size)
+			assert.Assert(t, write+read > size && write <= size && read <= size)
+		}
+		assert.Equal(t, WriteQuorum(tolerance, Size(tolerance)), tolerance+1)
+		assert.Equal(t, ReadQuorum(tolerance, Size(tolerance)), tolerance+1)
+	}
+}
--- a/internal/tier/turns/client.go
+++ b/internal/tier/turns/client.go
@@ -48,7 +48,7 @@
 func (c *Client) Save(ctx context.Context, record *tierpb.TurnRecord) error {
 	ctx, cancel := bounded(ctx)
 	defer cancel()
-	err := replica.Collect(ctx, c.replicas, replica.Operation[*tierpb.PutTurnsReply]{
+	_, err := replica.Collect(ctx, c.replicas, replica.Operation[*tierpb.PutTurnsReply]{
 		Key:    record.Id,
 		Quorum: replica.WriteQuorum,
 		Call: func(ctx context.Context, address string, header *tierpb.StoreHeader) (*tierpb.PutTurnsReply, error) {
@@ -94,7 +94,7 @@
 // read asks for a turn and those before it that one store has, newest first; none when a quorum lacks it.
 func (c *Client) read(ctx context.Context, id string) ([]*tierpb.TurnRecord, error) {
 	var found []*tierpb.TurnRecord
-	err := replica.Collect(ctx, c.replicas, replica.Operation[*tierpb.GetChainReply]{
+	_, err := replica.Collect(ctx, c.replicas, replica.Operation[*tierpb.GetChainReply]{
 		Key:    id,
 		Quorum: replica.ReadQuorum,
 		Fresh:  true,
