Register: a value that the proposer holds is not sent back to it

A prepare names the ballot whose value the caller has; a ballot has one value, so acceptors leave it out.

--- a/internal/tier/register/acceptor.go
+++ b/internal/tier/register/acceptor.go
@@ -154,7 +154,7 @@
 	}
 	if request.GetBallot().GetCounter() == 0 {
 		state := a.state.Load()
-		return &tierpb.PrepareReply{Promised: true, Accepted: state.accepted, Value: state.value}
+		return state.tell(request.GetKnown())
 	}
 	if !a.take() {
 		return &tierpb.PrepareReply{}
@@ -167,7 +167,16 @@
 	if err := a.promise(state, request.Ballot); err != nil {
 		return &tierpb.PrepareReply{}
 	}
-	return &tierpb.PrepareReply{Promised: true, Accepted: state.accepted, Value: state.value}
+	return state.tell(request.GetKnown())
+}
+
+// tell is the answer that goes with a promise. A value is left out where the caller has it: a ballot has one value.
+func (s *acceptorState) tell(known *tierpb.Ballot) *tierpb.PrepareReply {
+	reply := &tierpb.PrepareReply{Promised: true, Accepted: s.accepted, Value: s.value}
+	if known.GetCounter() > 0 && sameBallot(known, s.accepted) {
+		reply.Value = nil
+	}
+	return reply
 }
 
 // promise saves a promise, unless it is on disk already.
--- a/internal/tier/register/peek.go
+++ b/internal/tier/register/peek.go
@@ -17,6 +17,7 @@
 	defer func() { p.turn <- struct{}{} }()
 	round := newRound(p, &tierpb.Ballot{}, p.options.Timeout)
 	found := round.prepare(ctx, p.startingPoint())
+	p.saw(found)
 	if !found.chosen {
 		return nil
 	}
--- a/internal/tier/register/proposer.go
+++ b/internal/tier/register/proposer.go
@@ -54,6 +54,7 @@
 	counter uint64               // highest counter seen in any ballot
 	newest  *tierpb.ControlState // highest epoch and version seen, chosen or not
 	chosen  *tierpb.ControlState // newest value that this proposer knows to be chosen
+	cached  cachedValue          // as last met
 }
 
 // NewProposer makes a proposer.
@@ -127,7 +128,7 @@
 	round := newRound(p, &tierpb.Ballot{Counter: p.counter, Proposer: p.number}, timeout)
 	prepared := round.prepare(ctx, p.startingPoint())
 	p.counter = max(p.counter, prepared.highest)
-	p.sawAny(prepared.value)
+	p.saw(prepared)
 	if !prepared.quorum {
 		return attemptResult{refused: prepared.refused}
 	}
@@ -172,6 +173,7 @@
 	if accepted.err != nil || !accepted.quorum {
 		return attemptResult{sent: accepted.sent, refused: accepted.refused, err: accepted.err}
 	}
+	p.cached = cachedValue{ballot: round.ballot, value: next}
 	p.sawChosen(next)
 	if err := p.options.Faults.At(fault.AcceptDone); err != nil {
 		return attemptResult{sent: true, err: err}
@@ -204,6 +206,14 @@
 	return p.newest
 }
 
+// saw takes over what a prepare phase has found.
+func (p *Proposer) saw(prepared preparation) {
+	p.sawAny(prepared.value)
+	if prepared.value != nil {
+		p.cached = cachedValue{ballot: prepared.ballot, value: prepared.value}
+	}
+}
+
 func (p *Proposer) sawAny(state *tierpb.ControlState) {
 	if len(state.GetVoters()) == 0 {
 		return
--- a/internal/tier/register/round.go
+++ b/internal/tier/register/round.go
@@ -14,10 +14,17 @@
 	proposer *Proposer
 	ballot   *tierpb.Ballot
 	timeout  time.Duration
+	cached   cachedValue
+}
+
+// cachedValue is a value with the ballot at which it was accepted, so that acceptors need not send it again.
+type cachedValue struct {
+	ballot *tierpb.Ballot
+	value  *tierpb.ControlState
 }
 
 func newRound(proposer *Proposer, ballot *tierpb.Ballot, timeout time.Duration) *round {
-	return &round{proposer: proposer, ballot: ballot, timeout: timeout}
+	return &round{proposer: proposer, ballot: ballot, timeout: timeout, cached: proposer.cached}
 }
 
 // preparation is the end of a prepare phase.
@@ -25,6 +32,7 @@
 	quorum  bool
 	chosen  bool                 // a quorum holds the value by one and the same ballot
 	value   *tierpb.ControlState // accepted at the highest ballot among the promises
+	ballot  *tierpb.Ballot       // that ballot
 	refused bool
 	highest uint64 // counter
 }
@@ -77,7 +85,7 @@
 		count.asked.add(node.GetIdentity())
 		count.open.add(node.GetIdentity())
 		go func() {
-			reply := r.proposer.callPrepare(ctx, node, r.ballot)
+			reply := r.callPrepare(ctx, node)
 			select {
 			case answers <- promise{from: node.GetIdentity(), reply: reply}:
 			case <-ctx.Done():
@@ -132,7 +140,7 @@
 	if c.best == nil {
 		return result
 	}
-	result.value = c.best.Value
+	result.value, result.ballot = c.best.Value, c.best.Accepted
 	result.quorum = Quorum(result.value.Voters, c.hasPromised)
 	result.chosen = Quorum(result.value.Voters, func(identity uint64) bool {
 		accepted, found := c.promised[identity]
@@ -204,15 +212,19 @@
 	}
 }
 
-func (p *Proposer) callPrepare(ctx context.Context, node *tierpb.Node, ballot *tierpb.Ballot) *tierpb.PrepareReply {
-	request := &tierpb.PrepareRequest{Identity: node.GetIdentity(), Ballot: ballot}
-	if local := p.options.Local; local != nil && local.Identity() == node.GetIdentity() {
-		return local.Prepare(request)
-	}
+// callPrepare sends one prepare; nil where the call failed.
+func (r *round) callPrepare(ctx context.Context, node *tierpb.Node) *tierpb.PrepareReply {
+	request := &tierpb.PrepareRequest{Identity: node.GetIdentity(), Ballot: r.ballot, Known: r.cached.ballot}
 	reply := &tierpb.PrepareReply{}
-	if err := p.options.Caller.Call(ctx, node.GetAddress(), rpc.MethodPrepare, request, reply); err != nil {
+	options := r.proposer.options
+	if local := options.Local; local != nil && local.Identity() == node.GetIdentity() {
+		reply = local.Prepare(request)
+	} else if err := options.Caller.Call(ctx, node.GetAddress(), rpc.MethodPrepare, request, reply); err != nil {
 		return nil
 	}
+	if reply.Promised && r.cached.ballot.GetCounter() > 0 && sameBallot(reply.Accepted, r.cached.ballot) {
+		reply.Value = r.cached.value
+	}
 	return reply
 }
 
--- a/internal/tier/simulation/network.go
+++ b/internal/tier/simulation/network.go
@@ -19,6 +19,7 @@
 	machines map[string]*Machine // by address
 	cuts     map[link]bool
 	traits   Traits
+	sent     int // bytes of requests and answers
 }
 
 // Traits of the links.
@@ -63,6 +64,19 @@
 	clear(n.cuts)
 }
 
+// Sent returns the bytes of all requests and answers so far.
+func (n *Network) Sent() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent
+}
+
+func (n *Network) count(payload []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent += len(payload)
+}
+
 // passage draws what becomes of one message.
 type passage struct {
 	delay   time.Duration
@@ -147,6 +161,7 @@
 	if !c.life.running() {
 		return
 	}
+	c.network.count(payload)
 	<-time.After(drawn.delay)
 	if drawn.lost || c.network.isCut(from, address) {
 		return
@@ -176,6 +191,7 @@
 	if err == nil {
 		got.payload, got.err = encode(answer)
 	}
+	c.network.count(got.payload)
 	answers <- got
 }
 
