--- a/internal/tier/replica/client.go
+++ b/internal/tier/replica/client.go
@@ -74,8 +74,8 @@
 // Caller is what the client calls stores with.
 func (c *Client) Caller() rpc.Caller { return c.options.Caller }
 
-// membership is the newest that the process or a store has told.
-func (c *Client) membership() *tierpb.StoreMembership {
+// Membership is the newest that the process or a store has told, nil where none is known.
+func (c *Client) Membership() *tierpb.StoreMembership {
 	known := c.options.Membership()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/tier/replica/collect.go
+++ b/internal/tier/replica/collect.go
@@ -93,7 +93,7 @@
 
 // place takes the newest membership and forgets what counted only under an older one.
 func (r *collection[R]) place() {
-	newest := r.client.membership()
+	newest := r.client.Membership()
 	if r.membership != nil && newest.GetEpoch() != r.membership.GetEpoch() {
 		r.moved = true
 		if r.operation.Fresh {
@@ -289,7 +289,7 @@
 
 // pause waits before the next round, unless a newer membership is known already.
 func (r *collection[R]) pause(ctx context.Context) error {
-	if r.client.membership().GetEpoch() != r.membership.GetEpoch() {
+	if r.client.Membership().GetEpoch() != r.membership.GetEpoch() {
 		return nil
 	}
 	select {
--- a/internal/tier/turns/client.go
+++ b/internal/tier/turns/client.go
@@ -31,8 +31,9 @@
 
 // Client saves and reads turn records. It is safe for concurrent use.
 type Client struct {
-	replicas *replica.Client
-	cache    *cache
+	replicas  *replica.Client
+	cache     *cache
+	extending chan struct{} // one for each extension under way
 }
 
 // NewClient makes a client.
@@ -41,7 +42,11 @@
 		options.CacheBytes = defaultCacheBytes
 	}
 	replicas := replica.NewClient(options)
-	return &Client{replicas: replicas, cache: newCache(options.CacheBytes)}
+	return &Client{
+		replicas:  replicas,
+		cache:     newCache(options.CacheBytes),
+		extending: make(chan struct{}, mostExtensions),
+	}
 }
 
 // Save returns nil when the record is synced on enough stores that no loss within tolerance loses it.
@@ -57,10 +62,12 @@
 			return reply, c.replicas.Caller().Call(ctx, address, rpc.MethodPutTurns, request, reply)
 		},
 	})
-	if err == nil {
-		c.cache.put(record)
+	if err != nil {
+		return err
 	}
-	return err
+	c.cache.put(record)
+	c.extend(record)
+	return nil
 }
 
 // Chain returns the turn and all before it, oldest first. ErrNotFound says that there is no such turn;
--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -181,6 +181,9 @@
 		return false
 	}
 	s.view.expire(s.options.Now())
+	if s.view.bytes >= s.mostBytes() {
+		s.view.expire(s.options.Now().Add(recordSlack)) // what is past its retention goes before anything is refused
+	}
 	return s.view.bytes >= s.mostBytes()
 }
 
--- a/internal/tier/turnstore/write.go
+++ b/internal/tier/turnstore/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"pulleygw.example/pulleygw/internal/tier/budget"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -78,7 +79,8 @@
 		}
 	}
 	for _, extension := range asked.extensions {
-		if held := s.view.records[extension.Id]; held != nil && held.until >= extension.UntilUnixMs {
+		held := s.view.records[extension.Id]
+		if held == nil && !brings(asked.records, extension.Id) || held != nil && held.until >= extension.UntilUnixMs {
 			continue
 		}
 		if frames, err = appendFrame(frames, kindExtension, extension); err != nil {
@@ -104,3 +106,8 @@
 		s.view.extend(extension.Id, extension.UntilUnixMs)
 	}
 }
+
+// brings says whether a record is among those that a call brings.
+func brings(records []*tierpb.TurnRecord, id string) bool {
+	return slices.ContainsFunc(records, func(turn *tierpb.TurnRecord) bool { return turn.Id == id })
+}
