Coordinators tell each other heartbeats by id and sequence, and none twice

Each heartbeat went whole to every coordinator, and back to the one it came from. Now it is an id and a sequence, and a follower names the sources it hears: what came from them is left out. When one of them fails, the others tell the last 2 s again. Polls of agents, proxies and turn stores carry the role alone.

--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -18,6 +18,7 @@
 	retryMost      = 500 * time.Millisecond
 	avoidFirst     = 2 * time.Second // for which a source that failed comes last
 	avoidMost      = 15 * time.Second
+	rewindTime     = 2 * time.Second
 	reconsiderMost = 8 * time.Second // after which a slot looks whether a better source is back
 )
 
@@ -55,6 +56,9 @@
 type source struct {
 	feed       uint64
 	cursor     uint64
+	middle     uint64 // cursor at middleAt
+	older      uint64 // cursor at least rewindTime before middleAt
+	middleAt   time.Time
 	followed   bool
 	answers    bool
 	failures   int
@@ -66,6 +70,9 @@
 	if options.Wait == 0 {
 		options.Wait = DefaultWait
 	}
+	if options.Self.GetRole() != tierpb.Role_ROLE_COORDINATOR {
+		options.Self = &tierpb.Node{Role: options.Self.GetRole()} // sources need no more of others, and polls are many
+	}
 	return &Follower{options: options, sources: make(map[string]*source)}
 }
 
@@ -83,6 +90,10 @@
 func (f *Follower) Answering() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.answering()
+}
+
+func (f *Follower) answering() []string {
 	var addresses []string
 	for address, s := range f.sources {
 		if s.answers {
@@ -270,11 +281,11 @@
 	if err := f.options.Caller.Call(ctx, address, rpc.MethodWatch, request, reply); err != nil {
 		return err
 	}
-	f.options.State.Merge(reply)
+	f.options.State.mergeFrom(reply, address)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.sources[address]; s != nil {
-		s.feed, s.cursor = reply.Feed, reply.Cursor
+		s.advance(reply, time.Now())
 	}
 	return nil
 }
@@ -289,6 +300,9 @@
 	if s := f.sources[address]; s != nil {
 		request.Feed, request.Cursor = s.feed, s.cursor
 	}
+	if f.options.Heartbeats {
+		request.Hears = f.answering()
+	}
 	return request
 }
 
@@ -311,12 +325,33 @@
 	s.failures++
 	avoid := min(avoidFirst<<min(s.failures-1, 4), avoidMost)
 	s.avoidUntil = time.Now().Add(jittered(avoid))
+	if was && f.options.Heartbeats {
+		f.rewind()
+	}
 	f.mu.Unlock()
 	if was && ctx.Err() == nil {
 		f.report(address, false)
 	}
 }
 
+// rewind has the other sources tell again what came lately: they left out what the source that failed seemed to tell.
+func (f *Follower) rewind() {
+	for _, s := range f.sources {
+		s.cursor = min(s.cursor, s.older)
+	}
+}
+
+// advance notes the place in a source's feed, and where it was a while ago.
+func (s *source) advance(reply *tierpb.WatchReply, now time.Time) {
+	if s.feed != reply.Feed {
+		s.feed, s.older, s.middle = reply.Feed, 0, 0
+	}
+	s.cursor = reply.Cursor
+	if now.Sub(s.middleAt) >= rewindTime {
+		s.older, s.middle, s.middleAt = s.middle, s.cursor, now
+	}
+}
+
 // release ends following a source that did not fail.
 func (f *Follower) release(address string) {
 	f.mu.Lock()
--- a/internal/tier/watch/serve.go
+++ b/internal/tier/watch/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/rpc"
@@ -74,7 +75,7 @@
 	if s.newestListed() > cursor && s.published > cursor {
 		return true
 	}
-	return request.Heartbeats && s.heartbeats.last() > cursor && s.publishedHeartbeat > cursor
+	return request.Heartbeats && s.publishedHeartbeat > cursor && len(s.heartbeatsFor(request, cursor)) > 0
 }
 
 // newestListed is the cursor of the newest change that is not the control state's, whose version the follower tells.
@@ -104,11 +105,30 @@
 	}
 	reply.Instances = s.collect(&s.changes, cursor, nil)
 	if request.Heartbeats {
-		reply.Instances = s.collect(&s.heartbeats, cursor, reply.Instances)
+		reply.Heartbeats = s.heartbeatsFor(request, cursor)
 	}
 	return reply
 }
 
+// heartbeatsFor lists the heartbeats that a follower is not told of otherwise: not those of instances that it gets
+// whole, nor what it told itself, nor what comes from sources that it hears.
+func (s *State) heartbeatsFor(request *tierpb.WatchRequest, cursor uint64) []*tierpb.Heartbeat {
+	var told []*tierpb.Heartbeat
+	s.heartbeats.since(cursor, func(id string) {
+		e := s.instances[id]
+		if s.changes.newest[id] > cursor || e.source != "" && hears(request, e.source) {
+			return
+		}
+		told = append(told, &tierpb.Heartbeat{Id: id, Sequence: e.instance.Sequence, State: e.instance.State})
+	})
+	return told
+}
+
+// hears says that a follower is or hears the process at an address.
+func hears(request *tierpb.WatchRequest, address string) bool {
+	return request.GetFollower().GetAddress() == address || slices.Contains(request.Hears, address)
+}
+
 // wantsInstances says whether a follower has a use for the list of instances: turn stores have none.
 func wantsInstances(follower *tierpb.Node) bool {
 	return follower.GetRole() != tierpb.Role_ROLE_TURN_STORE
--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -48,6 +48,7 @@
 type entry struct {
 	instance *tierpb.Instance
 	at       time.Time // when it was told
+	source   string    // address of the source that told it, empty where the store did itself
 }
 
 type goneMark struct {
@@ -74,12 +75,20 @@
 }
 
 // Merge takes in a reply of any source and says whether anything but heartbeats was new.
-func (s *State) Merge(reply *tierpb.WatchReply) bool {
+func (s *State) Merge(reply *tierpb.WatchReply) bool { return s.mergeFrom(reply, "") }
+
+// mergeFrom takes in a reply of the source at an address.
+func (s *State) mergeFrom(reply *tierpb.WatchReply, source string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.takeControl(reply.Control)
 	for _, instance := range reply.Instances {
-		if s.take(instance) == Material {
+		if s.take(instance, source) == Material {
+			changed = true
+		}
+	}
+	for _, heartbeat := range reply.Heartbeats {
+		if s.takeHeartbeat(heartbeat, source) == Material {
 			changed = true
 		}
 	}
@@ -93,7 +102,7 @@
 func (s *State) Upsert(instance *tierpb.Instance) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.take(instance)
+	return s.take(instance, "")
 }
 
 // SetControl takes in a chosen control state and says whether it was newer.
@@ -187,7 +196,7 @@
 	return true
 }
 
-func (s *State) take(told *tierpb.Instance) Change {
+func (s *State) take(told *tierpb.Instance, source string) Change {
 	s.dropGone()
 	known := s.instances[told.Id].instance
 	merged, change := join(known, told)
@@ -198,11 +207,13 @@
 		s.counts[known.State]--
 	}
 	s.counts[merged.State]++
-	s.instances[told.Id] = entry{instance: merged, at: s.now()}
+	s.instances[told.Id] = entry{instance: merged, at: s.now(), source: source}
 	s.cursor++
 	if change == Heartbeat {
 		s.heartbeats.append(s.cursor, told.Id)
-		s.tell(&s.beat)
+		if source == "" { // others hear of the rest from where this State did
+			s.tell(&s.beat)
+		}
 		return change
 	}
 	s.changes.append(s.cursor, told.Id)
@@ -213,6 +224,17 @@
 	return change
 }
 
+// takeHeartbeat merges a heartbeat of an instance; it says nothing where the instance is not known.
+func (s *State) takeHeartbeat(heartbeat *tierpb.Heartbeat, source string) Change {
+	known := s.instances[heartbeat.Id]
+	if known.instance == nil || heartbeat.Sequence <= known.instance.Sequence {
+		return Unchanged
+	}
+	told := aged(known.instance, s.now().Sub(known.at)).CloneVT()
+	told.Sequence, told.State = heartbeat.Sequence, heartbeat.State
+	return s.take(told, source)
+}
+
 // dropGone forgets instances that have been gone for long; until then the mark keeps older news from bringing one back.
 func (s *State) dropGone() {
 	for len(s.gone) > 0 && s.now().Sub(s.gone[0].at) >= goneKept {
