Placement: votes spread over zones and handed over; a move waits for no stalled disk

faultTolerance.zones and .regions count like machines, and votes leave a zone or region whose loss would leave no majority. A voter that is told to stop gives its vote to a standby. A move waits at most 6 s for reports that it can do without.

--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -47,6 +47,7 @@
 	silence   *registry.Silence
 	announced *announcements
 	now       func() time.Time
+	move      seenMove
 
 	replaceVoters func(context.Context, []*tierpb.Node) (*tierpb.ControlState, error)
 }
--- a/internal/tier/coordinator/membership_test.go
+++ b/internal/tier/coordinator/membership_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -158,3 +159,23 @@
 		}
 	})
 }
+
+func TestVoterThatStopsHandsItsVoteOver(t *testing.T) {
+	inCluster(t, 4, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-4").configured(0, configurationOf(2, "a")), http.StatusOK)
+		c.pass(50 * time.Millisecond)
+		c.at("core-2").handOver(context.Background())
+		c.kill("core-2")
+		c.pass(time.Second)
+		assert.DeepEqual(t, c.voterNames("core-1"), []string{"core-1", "core-3", "core-4"})
+	})
+}
+
+func TestVoterThatStopsKeepsItsVoteWhereNobodyStandsBy(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").configured(0, configurationOf(2, "a")), http.StatusOK)
+		c.pass(50 * time.Millisecond)
+		c.at("core-2").handOver(context.Background())
+		assert.DeepEqual(t, c.voterNames("core-1"), []string{"core-1", "core-2", "core-3"})
+	})
+}
--- a/internal/tier/coordinator/place.go
+++ b/internal/tier/coordinator/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/placement"
+	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -12,6 +13,9 @@
 	placementRole  = "placement" // name of the lease
 	placePatience  = 2 * time.Second
 	placeRetryWait = 400 * time.Millisecond
+
+	handOverPatience = time.Second
+	handOverSilence  = time.Hour // for which a process that stops counts as silent
 )
 
 // keepPlaced changes voters and turn stores where that is called for, while this process holds the lease.
@@ -71,6 +75,7 @@
 
 func (c *coordinator) placeStores(ctx context.Context, known *tierpb.ControlState) error {
 	view := c.view()
+	view.MoveSeen = c.moveSeen()
 	if _, reason := placement.Stores(known.CloneVT(), view); reason == "" {
 		return nil
 	}
@@ -95,8 +100,10 @@
 
 // view is what this process knows first hand.
 func (c *coordinator) view() *placement.View {
+	zones := c.zones()
+	current := c.live.Current()
 	return &placement.View{
-		Now: c.now(), Since: c.directory.started, Tolerance: c.live.Current().FaultTolerance.Machines,
+		Now: c.now(), Since: c.directory.started, Tolerance: current.FaultTolerance.Members(),
 		Joins: c.directory.recentJoins(),
 		VoterSilence: func(address string) time.Duration {
 			if address == c.self.Address {
@@ -104,5 +111,53 @@
 			}
 			return c.directory.silentFor(address)
 		},
+		Domain: func(node *tierpb.Node) string { return current.Domain(zones[node.Address]) },
+	}
+}
+
+// zones are the zones of the coordinators by address; the first voters are named without.
+func (c *coordinator) zones() map[string]string {
+	zones := map[string]string{c.self.Address: c.self.Zone}
+	for _, node := range c.directory.coordinators() {
+		zones[node.Address] = node.Zone
+	}
+	return zones
+}
+
+// moveSeen is when the newest membership of the turn stores was first looked at. Only placement calls it.
+func (c *coordinator) moveSeen() time.Time {
+	if epoch := c.state.Control().GetStores().GetEpoch(); epoch != c.move.epoch {
+		c.move = seenMove{epoch: epoch, at: c.now()}
+	}
+	return c.move.at
+}
+
+// seenMove is a membership of the turn stores and when it was heard of.
+type seenMove struct {
+	epoch uint64
+	at    time.Time
+}
+
+// handOver gives the vote of a process that stops to a standby, where one is there: the machine may never come back.
+func (c *coordinator) handOver(ctx context.Context) {
+	known := c.state.Control()
+	if !register.IsVoter(known, c.self.Identity) || len(known.GetVoters()) != 1 {
+		return
 	}
+	view := c.view()
+	answers := view.VoterSilence
+	view.VoterSilence = func(address string) time.Duration {
+		if address == c.self.Address {
+			return handOverSilence
+		}
+		return answers(address)
+	}
+	next := placement.Voters(known, view)
+	if next == nil || register.IsVoter(&tierpb.ControlState{Voters: []*tierpb.VoterSet{{Nodes: next}}}, c.self.Identity) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverPatience)
+	defer cancel()
+	_, err := c.replaceVoters(ctx, next)
+	c.log.Info("vote handed over", "to", sortedNames(next), "error", err)
 }
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -58,6 +58,7 @@
 		}()
 	}
 	err = c.serveControl(ctx, control)
+	c.handOver(background)
 	stop()
 	parts.Wait()
 	c.log.Info("stopped")
--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -17,7 +17,8 @@
 	batchWait      = time.Second             // after the first of those that wait
 	voterDead      = 1200 * time.Millisecond // a voter silent for so long is replaced, where a standby is there
 	storeDead      = 1500 * time.Millisecond // the same of a turn store
-	storeAbandoned = 10 * time.Second        // a turn store silent for so long is taken out without a replacement
+	storeAbandoned = 2500 * time.Millisecond // a turn store silent for so long is taken out without a replacement
+	reportPatience = 6 * time.Second         // a move waits this long for reports beyond those it needs
 )
 
 // Join is a node's last call to join.
@@ -35,6 +36,28 @@
 	Joins     []Join
 	// VoterSilence is how long the coordinator at an address, voter or not, has not answered; 0 for one that answers.
 	VoterSilence func(address string) time.Duration
+	// Domain is the zone or region of a node that may be lost as a whole, empty for none; it may be nil.
+	Domain func(node *tierpb.Node) string
+	// MoveSeen is when this process heard of the newest membership of the turn stores.
+	MoveSeen time.Time
+}
+
+func (v *View) domain(node *tierpb.Node) string {
+	if v.Domain == nil {
+		return ""
+	}
+	return v.Domain(node)
+}
+
+// countIn is how many nodes are in a domain.
+func (v *View) countIn(domain string, nodes []*tierpb.Node) int {
+	count := 0
+	for _, node := range nodes {
+		if v.domain(node) == domain {
+			count++
+		}
+	}
+	return count
 }
 
 // least is the number of members that bears the loss of tolerance of them.
--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -151,7 +151,7 @@
 		switch {
 		case known && join.Request.CopiedEpoch >= stores.Epoch:
 			reported++
-		case known && view.fresh(join):
+		case known && view.fresh(join) && view.Now.Sub(view.MoveSeen) < reportPatience:
 			awaited = true
 		}
 	}
--- a/internal/tier/placement/voters.go
+++ b/internal/tier/placement/voters.go
@@ -28,11 +28,32 @@
 		grown = grown[:len(grown)-1]
 	}
 	if !replaced && len(grown) == len(voters) {
-		return nil
+		return spreadVoters(voters, view)
 	}
 	return grown
 }
 
+// spreadVoters moves one vote out of a domain without which the rest would be no majority; nil where that cannot be
+// done or is not called for.
+func spreadVoters(voters []*tierpb.Node, view *View) []*tierpb.Node {
+	bearable := (len(voters) - 1) / 2
+	for place, voter := range voters {
+		crowded := view.domain(voter)
+		if crowded == "" || view.countIn(crowded, voters) <= bearable {
+			continue
+		}
+		for _, standby := range standbys(voters, view) {
+			into := view.domain(standby)
+			if into != "" && view.countIn(into, voters) < bearable {
+				next := slices.Clone(voters)
+				next[place] = standby
+				return next
+			}
+		}
+	}
+	return nil
+}
+
 // replaceVoters puts standbys in the places of voters that were wiped or are silent. A majority of the old voters
 // stays, as the register demands.
 func replaceVoters(voters []*tierpb.Node, view *View) (next []*tierpb.Node, replaced bool) {
@@ -51,7 +72,7 @@
 	return next, replaced
 }
 
-// standbys are the coordinators that call, answer and do not vote.
+// standbys are the coordinators that call, answer and do not vote, those of the domains with the fewest voters first.
 func standbys(voters []*tierpb.Node, view *View) []*tierpb.Node {
 	var nodes []*tierpb.Node
 	for _, join := range view.Joins {
@@ -63,6 +84,9 @@
 			nodes = append(nodes, node)
 		}
 	}
+	slices.SortStableFunc(nodes, func(a, b *tierpb.Node) int {
+		return view.countIn(view.domain(a), voters) - view.countIn(view.domain(b), voters)
+	})
 	return nodes
 }
 
--- a/internal/tier/placement/voters_test.go
+++ b/internal/tier/placement/voters_test.go
@@ -95,3 +95,16 @@
 	}
 	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{6, 7, 3, 4, 5})
 }
+
+func TestVotersAreSpreadOverWhatMayBeLostAsAWhole(t *testing.T) {
+	state, view, silence := votersScene(3, 1, 4, 5)
+	domains := map[uint64]string{1: "a", 2: "a", 3: "b", 4: "a", 5: "c"}
+	assert.Assert(t, Voters(state, view) == nil, "only machines are lost at once")
+	view.Domain = func(node *tierpb.Node) string { return domains[node.Identity] }
+	next := Voters(state, view)
+	assert.DeepEqual(t, identities(next), []uint64{5, 2, 3})
+	state.Voters[0].Nodes = next
+	assert.Assert(t, Voters(state, view) == nil)
+	silence["10.0.0.3"] = 5 * time.Second
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{5, 2, 4})
+}
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -95,7 +95,7 @@
 	options := replica.Options{
 		Caller:     caller,
 		Membership: func() *tierpb.StoreMembership { return p.views.get().membership },
-		Tolerance:  current.FaultTolerance.Machines,
+		Tolerance:  current.FaultTolerance.Members(),
 		Zone:       current.Zone,
 		CacheBytes: current.Limits.MemoryMb * bytesPerMb / turnCacheDivisor,
 	}
--- a/internal/tier/settings/settings.go
+++ b/internal/tier/settings/settings.go
@@ -73,6 +73,9 @@
 	Regions  int `toml:"regions"`
 }
 
+// Members is how many members of a set that is spread over zones and regions may be lost at once.
+func (f FaultTolerance) Members() int { return max(f.Machines, f.Zones, f.Regions) }
+
 // Bounds are the times that the rules speak of.
 type Bounds struct {
 	SeedLagS        float64 `toml:"seedLagS"`
@@ -141,8 +144,8 @@
 			return eris.Errorf("seeds[%d] %q is not ip:port", i, seed)
 		}
 	}
-	if s.FaultTolerance.Machines < 0 {
-		return eris.Errorf("faultTolerance.machines is %d, want 0 or more", s.FaultTolerance.Machines)
+	if s.FaultTolerance.Machines < 0 || s.FaultTolerance.Zones < 0 || s.FaultTolerance.Regions < 0 {
+		return eris.Errorf("faultTolerance %+v: want 0 or more", s.FaultTolerance)
 	}
 	if s.HeartbeatMs < 0 {
 		return eris.Errorf("heartbeatMs is %d, want 0 or more", s.HeartbeatMs)
@@ -182,6 +185,18 @@
 	return s.InnerAddress(loopback, AgentPort)
 }
 
+// Domain is the part of the deployment that may be lost as a whole and that a zone belongs to: the zone itself, its
+// region where regions may be lost, or nothing where only machines may.
+func (s *Settings) Domain(zone string) string {
+	switch {
+	case s.FaultTolerance.Regions > 0:
+		return s.Zones[zone]
+	case s.FaultTolerance.Zones > 0:
+		return zone
+	}
+	return ""
+}
+
 // SeedCoordinators are the inner addresses of the coordinators that the seeds name.
 func (s *Settings) SeedCoordinators() []string {
 	var addresses []string
--- a/internal/tier/turnstore/run.go
+++ b/internal/tier/turnstore/run.go
@@ -92,7 +92,7 @@
 
 // work runs the parts of the role until ctx ends.
 func (r *role) work(ctx context.Context, server *rpc.Server, listener net.Listener) {
-	mover := NewMover(r.store, r.client, r.settings.Current().FaultTolerance.Machines)
+	mover := NewMover(r.store, r.client, r.settings.Current().FaultTolerance.Members())
 	join := &joiner{store: r.store, mover: mover, caller: r.client, node: r.node, addresses: r.coordinators}
 	var parts sync.WaitGroup
 	for _, part := range []func(context.Context){mover.Run, join.run, r.store.Upkeep, r.follow, r.learn, r.poll} {
