Proxy: a dark or silent store is left where the request may be repeated

Cause: a store without power, behind a cut or hanging held requests until their deadline. Unacknowledged bytes now end a connection after 0.8 s and silence is probed after 1 s, which a busy store's kernel still answers. Requests that may be sent again, with an attempt left, leave a silent store after six aims, at most 45% of the time left.

--- a/internal/tier/proxy/exchange.go
+++ b/internal/tier/proxy/exchange.go
@@ -70,6 +70,7 @@
 func (x *exchange) attempt(ctx context.Context, granted *admission.Grant) verdict {
 	store := storeOf(granted)
 	x.avoid = append(x.avoid, store.Instance)
+	x.sending.Patience = x.patienceWithStore()
 	answer, err := x.proxy.pools.Send(ctx, store, x.connectionLimit(), &x.sending)
 	if err != nil {
 		return x.sendFailed(ctx, granted, err)
@@ -93,6 +94,21 @@
 	return x.relayPlain(ctx, granted, answer)
 }
 
+// patienceWithStore is how long a store may be silent before another one is tried: only a request that may be sent
+// again is worth that, and only while there is time for another store. Zero where the deadline alone counts.
+func (x *exchange) patienceWithStore() time.Duration {
+	const (
+		aims      = 6    // times the aim, or the pause between events that is still in time
+		leastLeft = 0.45 // of the time that is left
+	)
+	if !x.repeatable() || x.ran+1 >= x.route.MaxAttempts {
+		return 0
+	}
+	usual := max(x.route.TargetLatency, x.route.GapAim)
+	left := time.Until(x.deadline)
+	return max(time.Millisecond, min(aims*usual, time.Duration(leastLeft*float64(left))))
+}
+
 // connectionLimit is how many connections this proxy may open to one store of the service: all callers share its limit.
 func (x *exchange) connectionLimit() int {
 	const share, fewest = 3, 4
--- a/internal/tier/proxy/plain_test.go
+++ b/internal/tier/proxy/plain_test.go
@@ -256,3 +256,26 @@
 	assert.Equal(t, store.requests()[0].body, "abcde")
 	assert.Equal(t, store.requests()[0].request.ContentLength, int64(5))
 }
+
+// A silent store does not use up the time of a request that may be sent again.
+func TestSilentStoreIsLeftWhereTheRequestMayBeRepeated(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	answer := inTurn(func(net.Conn, received) bool { <-release; return false }, whole(200, "ok"))
+	store, other := newStandIn(t, "a", answer), newStandIn(t, "b", answer)
+	b := newBench(t, time.Second, []*standIn{store, other}, nil)
+	assert.Equal(t, b.send("GET", "/i/x", "id", "").body, "ok")
+	assert.Equal(t, len(store.requests()), 1)
+	assert.Equal(t, len(other.requests()), 1)
+}
+
+// LOST: silence is no reason to end the answer of a request that may not be repeated, or has no attempts left.
+func TestPatienceOnlyWithAnotherStoreToTry(t *testing.T) {
+	b := newBench(t, longTimeout, nil, nil)
+	for path, patient := range map[string]bool{"/i/x": true, "/r/x": true, "/n/x": false, "/s/x": false, "/t/x": false} {
+		x := &exchange{proxy: b.proxy, route: b.proxy.views.get().configuration.Route("h.example", path), deadline: time.Now().Add(longTimeout)}
+		assert.Equal(t, x.patienceWithStore() > 0, patient, path)
+		x.ran = 1
+		assert.Equal(t, x.patienceWithStore(), time.Duration(0), path)
+	}
+}
--- a/internal/tier/proxy/stream_test.go
+++ b/internal/tier/proxy/stream_test.go
@@ -235,3 +235,20 @@
 	}
 	assert.Equal(t, len(leaving.requests()), 0)
 }
+
+// ORDER: a store that falls silent midway is left, and another goes on.
+func TestStreamThatFallsSilentGoesOnElsewhere(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	silent := func(connection net.Conn, got received) bool {
+		events(false, numbered(1, 2)...)(connection, got)
+		<-release
+		return false
+	}
+	answer := inTurn(silent, events(true, numbered(3, 4)...))
+	store, other := newStandIn(t, "a", answer), newStandIn(t, "b", answer)
+	b := newBench(t, time.Second, nil, []*standIn{store, other})
+	got := b.send("POST", "/r/x", "id", "in")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, text(1, 4))
+}
--- a/internal/tier/upstream/answer.go
+++ b/internal/tier/upstream/answer.go
@@ -15,6 +15,8 @@
 	connection *connection
 	body       io.ReadCloser
 	closing    bool
+	patience   time.Duration
+	deadline   time.Time
 	whole      bool
 	done       bool
 	stop       func() bool
@@ -22,6 +24,9 @@
 
 // Read reads the body. io.EOF comes only when all of the body has come; a body that is cut gives a *SendError.
 func (a *Answer) Read(into []byte) (int, error) {
+	if a.connection.expect(a.patience, a.deadline) != nil {
+		return 0, sent(ErrBroken)
+	}
 	n, err := a.body.Read(into)
 	switch {
 	case err == io.EOF:
--- a/internal/tier/upstream/connection.go
+++ b/internal/tier/upstream/connection.go
@@ -71,7 +71,26 @@
 	if written, err := c.write(request); err != nil {
 		return nil, &SendError{Reason: reasonOf(err), Sent: written > 0}
 	}
-	return c.readHead(request)
+	if c.expect(request.Patience, request.Deadline) != nil {
+		return nil, sent(ErrBroken)
+	}
+	answer, failure := c.readHead(request)
+	if failure != nil && failure.Reason == ErrTimeout && c.pools.now().Before(request.Deadline) {
+		failure.Reason = ErrSilent
+	}
+	return answer, failure
+}
+
+// expect bounds the next read by the patience, where there is one that ends before the deadline.
+func (c *connection) expect(patience time.Duration, deadline time.Time) error {
+	if patience == 0 {
+		return nil
+	}
+	until := c.pools.now().Add(patience)
+	if until.After(deadline) {
+		until = deadline
+	}
+	return c.socket.SetReadDeadline(until)
 }
 
 // write sends head and body, in one write where the body is small. It returns how many bytes went out.
@@ -127,6 +146,7 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		connection: c, body: response.Body, closing: response.Close,
+		patience: request.Patience, deadline: request.Deadline,
 	}, nil
 }
 
--- a/internal/tier/upstream/pool.go
+++ b/internal/tier/upstream/pool.go
@@ -14,8 +14,11 @@
 
 // Times of connections.
 const (
-	dialTimeout      = 500 * time.Millisecond
-	userTimeout      = 5 * time.Second // unacknowledged bytes end a connection after this
+	dialTimeout      = 400 * time.Millisecond
+	userTimeout      = 800 * time.Millisecond // unacknowledged bytes end a connection after this: a busy store still acknowledges
+	probeIdle        = time.Second            // a connection that is silent for so long is probed, so that a store in the dark is found
+	probeInterval    = time.Second
+	probeCount       = 1
 	defaultIdle      = 4 * time.Second // where a store does not say how long it keeps an idle connection
 	longestIdle      = 60 * time.Second
 	keepAliveMargin  = 300 * time.Millisecond
@@ -180,7 +183,10 @@
 }
 
 func dialStore(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAlive: -1, Control: setUserTimeout}
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+		Control:         setUserTimeout,
+	}
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
--- a/internal/tier/upstream/upstream.go
+++ b/internal/tier/upstream/upstream.go
@@ -20,12 +20,13 @@
 	Method   string
 	URI      string // request target, byte for byte
 	Host     string
-	Header   http.Header // as the client sent it; not changed
-	ID       string      // X-Request-Id, which the answer must carry back
-	Body     [][]byte    // in order; the length sent is that of all
-	HasBody  bool        // write a Content-Length although the body is empty
-	Resume   string      // replaces Last-Event-Id where not empty
-	Deadline time.Time   // the store is told what is left of it, and nothing is awaited past it
+	Header   http.Header   // as the client sent it; not changed
+	ID       string        // X-Request-Id, which the answer must carry back
+	Body     [][]byte      // in order; the length sent is that of all
+	HasBody  bool          // write a Content-Length although the body is empty
+	Resume   string        // replaces Last-Event-Id where not empty
+	Deadline time.Time     // the store is told what is left of it, and nothing is awaited past it
+	Patience time.Duration // longest silence of the store; 0 where only the deadline counts
 }
 
 // Errors of sends, as causes of a SendError.
@@ -34,6 +35,7 @@
 	ErrConnections = eris.New("too many connections to the store")
 	ErrBroken      = eris.New("connection broke off")
 	ErrTimeout     = eris.New("no answer before the deadline")
+	ErrSilent      = eris.New("store was silent for too long")
 	ErrStray       = eris.New("answer belongs to another request")
 	ErrUnframed    = eris.New("answer has no known end")
 	ErrClosed      = eris.New("connections are closed")
