--- a/internal/tier/endtoend/faults_test.go
+++ b/internal/tier/endtoend/faults_test.go
@@ -1,6 +1,7 @@
 package endtoend
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -93,7 +94,7 @@
 	whole := standin.ExampleConfiguration(4).Body()
 	bodies := map[string][]byte{
 		"unknown service": unknown.Body(), "two routes at one place": same.Body(), "no time-out": noTimeout.Body(),
-		"cut short": whole[:len(whole)/2], "not above the current one": standin.ExampleConfiguration(1).Body()[:10],
+		"cut short": whole[:len(whole)/2], "not above the current one": withFetchRemoved(1).Body(),
 	}
 	for name, body := range bodies {
 		answer, err := w.operator.PutConfiguration(w.ctx, 1, body)
@@ -176,12 +177,7 @@
 	answered := make(chan error, 1)
 	call := standin.Call{Method: "POST", Path: standin.OrderPrefix + "o", Body: []byte("held")}
 	go func() { answered <- w.client.Try(w.ctx, edge.Settings.Listen.Front, call).CheckPlain(call) }()
-	w.until("the order runs", func() error {
-		if w.plain[0].Running()+w.plain[1].Running() == 0 {
-			return eris.New("not yet")
-		}
-		return nil
-	})
+	w.untilRunning(w.plain, call.Body)
 	stopped := make(chan error, 1)
 	go func() { stopped <- edge.Terminate() }()
 	w.until("the edge is not ready", func() error {
@@ -196,3 +192,104 @@
 	assert.NilError(t, <-stopped)
 	w.checkOnce()
 }
+
+// untilRunning waits until one of the stores works on a request with this body and returns it.
+func (w *world) untilRunning(stores []*standin.Store, body []byte) *standin.Store {
+	w.t.Helper()
+	var busy *standin.Store
+	w.until("a store works on the request", func() error {
+		for _, store := range stores {
+			for _, run := range store.Runs() {
+				if bytes.Equal(run.Body, body) {
+					busy = store
+					return nil
+				}
+			}
+		}
+		return eris.New("none does")
+	})
+	return busy
+}
+
+func TestAStreamThatMayBeResumedGoesOnAtAnotherStore(t *testing.T) {
+	w := newWorld(t)
+	releases := []func(){w.engines[0].Hold(), w.engines[1].Hold()}
+	call := draft("to be resumed", 12)
+	answered := make(chan error, 1)
+	go func() { answered <- w.client.Try(w.ctx, w.Fronts()[0], call).CheckEvents(call, call.Body) }()
+	w.untilRunning(w.engines, call.Body).Kill()
+	for _, release := range releases {
+		release()
+	}
+	assert.NilError(t, <-answered)
+}
+
+func TestATurnWhoseStoreDiesDoesNotLookWhole(t *testing.T) {
+	w := newWorld(t)
+	releases := []func(){w.engines[0].Hold(), w.engines[1].Hold()}
+	call := talk("to break off", 12)
+	call.Program, call.Session, call.Budget = "p", "s", 100
+	answered := make(chan standin.Reply, 1)
+	go func() { answered <- w.client.Try(w.ctx, w.Fronts()[0], call) }()
+	w.untilRunning(w.engines, call.Body).Kill()
+	for _, release := range releases {
+		release()
+	}
+	broken := <-answered
+	assert.Assert(t, broken.Err != nil || broken.Status == 502 || broken.Status == 504, "%d %q", broken.Status, broken.Body)
+	next := talk("after it", 6)
+	next.Previous = broken.RequestID
+	reply := w.client.Try(w.ctx, w.Fronts()[1], next)
+	assert.Equal(t, reply.Status, 404, "%s %v", reply.Body, reply.Err)
+}
+
+func TestARetiredTurnStoreIsEmptiedBeforeItLeaves(t *testing.T) {
+	w := newWorld(t)
+	kept, err := w.program("before", 3)
+	assert.NilError(t, err)
+	answer, err := w.operator.Retire(w.ctx, w.TurnStores[0].Settings.NodeName, patience)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, 409, "three are needed: %s", answer.Body)
+	answer, err = w.operator.Retire(w.ctx, "app_server-nowhere-1", patience)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, 404, "%s", answer.Body)
+	_, err = w.AddTurnStore()
+	assert.NilError(t, err)
+	leaving := w.TurnStores[0]
+	w.until("the order to retire is taken", func() error {
+		answer, err := w.operator.Retire(w.ctx, leaving.Settings.NodeName, patience)
+		if err == nil && answer.Status != 200 {
+			err = eris.Errorf("status %d: %s", answer.Status, answer.Body)
+		}
+		return err
+	})
+	w.until("the machine is empty", func() error {
+		state, err := w.operator.Retirement(w.ctx, leaving.Settings.NodeName)
+		if err == nil && state != "completed" {
+			err = eris.New(state)
+		}
+		return err
+	})
+	leaving.Kill()
+	assert.NilError(t, leaving.Wipe())
+	w.TurnStores[1].Kill() // and one more may be lost
+	assert.NilError(t, w.TurnStores[1].Wipe())
+	_, err = w.take(kept, talk("after\n", 6))
+	assert.NilError(t, err)
+}
+
+func TestEveryEdgeRestartsAndKnowsItAllAgain(t *testing.T) {
+	w := newWorld(t)
+	changed := withFetchRemoved(3).Body()
+	w.configure(1, changed)
+	kept, err := w.program("before", 2)
+	assert.NilError(t, err)
+	for _, edge := range w.Edges {
+		assert.NilError(t, edge.Terminate())
+		assert.NilError(t, edge.Start())
+		w.until("the edge is ready again", func() error { return w.Ready(w.ctx, edge) })
+	}
+	w.untilRouteIs(404)
+	_, err = w.take(kept, talk("after\n", 6))
+	assert.NilError(t, err)
+}
