Admission: calls avoid stores that lost answers, programs one that failed them

Change: admission is told whether a request may run twice; trials are for those; other calls keep away from a store that lost an answer of late (half forgotten in 20 s); a program's next turns shun the store that failed it for 10 s.

--- a/internal/tier/admission/admission_test.go
+++ b/internal/tier/admission/admission_test.go
@@ -93,7 +93,7 @@
 	b.sent++
 	now := b.clock.Now()
 	return Request{Service: "s", Route: "r", ID: fmt.Sprint(b.sent), Arrival: now, Aim: testAim,
-		Deadline: now.Add(10 * testAim)}
+		Deadline: now.Add(10 * testAim), Safe: true}
 }
 
 // now acquires what must be granted at once.
@@ -374,3 +374,38 @@
 	g.Finish(OK)
 	assert.Equal(t, b.core.services["s"].out, 0)
 }
+
+func TestWhatCannotBeRepeatedKeepsAwayFromAStoreThatFailed(t *testing.T) {
+	b := newBench(t, stores(3, 8)...)
+	g := b.now(b.request())
+	g.Finish(Broken)
+	for range 6 {
+		r := b.request()
+		r.Safe = false
+		assert.Assert(t, b.now(r).Store().Instance != g.Store().Instance)
+	}
+	seen := false
+	for range 6 {
+		seen = seen || b.now(b.request()).Store().Instance == g.Store().Instance
+	}
+	assert.Assert(t, seen, "no request tried it")
+}
+
+func TestProgramKeepsAwayFromTheStoreThatFailedIt(t *testing.T) {
+	b := newBench(t, stores(4, 32)...)
+	b.SetStores("s", true, 32, stores(4, 32))
+	r := b.request()
+	r.Affinity = 77
+	home := b.now(r)
+	home.Finish(OK)
+	broken := b.now(r)
+	assert.Equal(t, broken.Store().Instance, home.Store().Instance)
+	broken.Finish(Broken)
+	next := b.now(r)
+	assert.Assert(t, next.Store().Instance != home.Store().Instance)
+	next.Finish(OK)
+	b.clock.pass(2 * shunSpan)
+	later := b.request()
+	later.Affinity = 77
+	assert.Equal(t, b.now(later).Store().Instance, home.Store().Instance)
+}
--- a/internal/tier/admission/choose.go
+++ b/internal/tier/admission/choose.go
@@ -23,7 +23,7 @@
 		return tried
 	case now < s.leftTo:
 		return shut
-	case s.late(now) || !s.sound(now) && (s.out > 0 || w.Attempt > 0):
+	case s == w.shunned || s.late(now) || s.doubtful(w, now):
 		return suspect
 	case !s.room(now):
 		return noRoom
@@ -31,6 +31,16 @@
 	return inTurn
 }
 
+// doubtful says whether the store is too doubtful for a request. One that fails is tried by safe requests, one at a time;
+// a call that could not be made again keeps away from what lost an answer of late.
+func (s *store) doubtful(w *waiter, now time.Duration) bool {
+	if !w.Safe && !w.Streaming && s.losingNow(now) > careful {
+		return true
+	}
+	trial := w.Safe && w.Attempt == 0 && s.out == 0
+	return !trial && !s.sound(now)
+}
+
 // choose takes the store whose turn it is: of the best tier, the one that the request has an affinity to, else the one
 // that has waited the longest, in the proxy's own zone while its stores have places to spare.
 func (c *core) choose(v *service, w *waiter, now time.Duration) (best *store, bestTier int) {
@@ -76,7 +86,7 @@
 	waited := float64(s.service.turn-s.turn) + 1
 	r := rank{wait: waited * max(s.trust(now), leastTurns)}
 	r.near = s.Zone == c.zone && load < nearShare*float64(s.slots())
-	if w.Affinity != 0 && s.service.engine && s.pressure(now) < even {
+	if w.Affinity != 0 && s.service.engine && s.sound(now) && s.pressure(now) < even {
 		r.affinity, r.near = mix(w.Affinity^s.hash), true
 	}
 	return r
--- a/internal/tier/admission/core.go
+++ b/internal/tier/admission/core.go
@@ -28,6 +28,7 @@
 	c.seq++
 	w.place.Seq, w.index, w.since = c.seq, -1, now
 	w.class = v.class(w.Aim, w.Streaming)
+	w.shunned = v.shunnedBy(w.Affinity, now)
 	v.count(w.Priority)
 	s, tier := c.choose(v, w, now)
 	if s == nil {
@@ -49,7 +50,7 @@
 func (c *core) grant(s *store, w *waiter, now time.Duration) {
 	v := s.service
 	c.settle(w, now)
-	g := &Grant{store: s, class: w.class, told: s.Store, sentAt: now, quiet: s.load(now) < quietShare*float64(s.slots())}
+	g := &Grant{store: s, class: w.class, affinity: w.Affinity, told: s.Store, sentAt: now, quiet: s.load(now) < quietShare*float64(s.slots())}
 	s.out++
 	v.out++
 	s.unheard = append(s.unheard, g)
@@ -214,6 +215,7 @@
 	case OK:
 		c.answered(g, now)
 		s.note(now, true, 1)
+		s.lost(now, false)
 		if v.occupancy == 0 {
 			v.occupancy = age
 		}
@@ -224,11 +226,18 @@
 	case ConnectFailed, NotExecuted:
 		s.leftTo = now + refusedDial
 		s.note(now, false, 1)
-	case Error, Broken:
+	case Error:
 		s.note(now, false, 1)
+		v.shun(g.affinity, s, now)
+	case Broken:
+		s.note(now, false, 1)
+		s.lost(now, true)
+		v.shun(g.affinity, s, now)
 	case Cancelled:
-		if !g.heard && age > s.patience(g.class, now) {
-			s.note(now, false, cancelWeight)
+		if patience := s.patience(g.class, now); !g.heard && age > patience {
+			s.note(now, false, min(cancelWeight*age/patience, 1))
+			s.lost(now, age > hungTimes*patience)
+			v.shun(g.affinity, s, now)
 		}
 	}
 	s.forget(g)
--- a/internal/tier/admission/dispatcher.go
+++ b/internal/tier/admission/dispatcher.go
@@ -46,14 +46,15 @@
 
 // Grant is leave to send a request to a store. Finish must be called once.
 type Grant struct {
-	d      *Dispatcher
-	store  *store
-	class  *class
-	told   Store // the store as it was when the grant was given
-	sentAt time.Duration
-	quiet  bool // the store was unloaded
-	heard  bool // the first of the answer has come
-	ended  bool
+	d        *Dispatcher
+	store    *store
+	class    *class
+	affinity uint64
+	told     Store // the store as it was when the grant was given
+	sentAt   time.Duration
+	quiet    bool // the store was unloaded
+	heard    bool // the first of the answer has come
+	ended    bool
 }
 
 // SetStores tells all stores of a service. Engine says that they generate tokens, and slots how many requests each works on
--- a/internal/tier/admission/queue.go
+++ b/internal/tier/admission/queue.go
@@ -12,6 +12,7 @@
 	Request
 	class   *class
 	store   *store // whose queue it is in
+	shunned *store // it failed what this one goes on from
 	place   tailguard.Place
 	index   int // in the queue, -1 when it is in none
 	since   time.Duration
--- a/internal/tier/admission/service.go
+++ b/internal/tier/admission/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/shared/curve"
@@ -19,6 +20,8 @@
 	turn    uint64
 	held    int // requests in all queues
 
+	shunned map[uint64]shun // by affinity
+
 	running float64 // smoothed requests of other callers at a store, as stores tell ...
 	waiting float64 // ... and those that wait there
 	toldAt  time.Duration
@@ -33,7 +36,7 @@
 }
 
 func newService(name string) *service {
-	return &service{name: name, known: map[string]*store{}}
+	return &service{name: name, known: map[string]*store{}, shunned: map[uint64]shun{}}
 }
 
 // class finds what is usual for an aim and a kind of answer.
@@ -98,6 +101,33 @@
 	return s
 }
 
+// shun is a store that failed a request.
+type shun struct {
+	store *store
+	until time.Duration
+}
+
+// shun remembers that a store failed a request: its program's next one would likely meet the same.
+func (v *service) shun(affinity uint64, s *store, now time.Duration) {
+	if affinity == 0 {
+		return
+	}
+	if len(v.shunned) >= shunMost {
+		maps.DeleteFunc(v.shunned, func(_ uint64, o shun) bool { return o.until <= now })
+	}
+	if len(v.shunned) < shunMost {
+		v.shunned[affinity] = shun{store: s, until: now + shunSpan}
+	}
+}
+
+// shunnedBy is the store that failed what a request goes on from, or nil.
+func (v *service) shunnedBy(affinity uint64, now time.Duration) *store {
+	if o, is := v.shunned[affinity]; is && affinity != 0 && now < o.until {
+		return o.store
+	}
+	return nil
+}
+
 // usual is how many requests of other callers run and wait at a store, as far as stores told of late.
 func (v *service) usual(now time.Duration) (running, waiting float64) {
 	left := tailguard.Faded(1, now-v.toldAt, usualHalf)
--- a/internal/tier/admission/store.go
+++ b/internal/tier/admission/store.go
@@ -25,6 +25,8 @@
 	slowAt    time.Duration
 	failing   float64 // smoothed share of failures
 	failedAt  time.Duration
+	losing    float64 // the same of answers that were lost, which is forgotten more slowly
+	lostAt    time.Duration
 	cap       float64
 	capFellAt time.Duration
 
@@ -104,11 +106,25 @@
 	return (now - oldest.sentAt).Seconds() > s.patience(oldest.class, now)
 }
 
+// failingNow is the smoothed share of failures, as far as it isn't forgotten.
+func (s *store) failingNow(now time.Duration) float64 {
+	return tailguard.Faded(s.failing, now-s.failedAt, failingHalf)
+}
+
+// losingNow is the smoothed share of answers that were lost, as far as it isn't forgotten.
+func (s *store) losingNow(now time.Duration) float64 {
+	return tailguard.Faded(s.losing, now-s.lostAt, losingHalf)
+}
+
+// lost takes in whether an answer was lost.
+func (s *store) lost(now time.Duration, lost bool) {
+	s.losing, s.lostAt = lossRule.Next(s.losingNow(now), !lost, 1), now
+}
+
 // trust is 1 on the ordinary path, and less while the store fails, is slower than the others, or is cold.
 func (s *store) trust(now time.Duration) float64 {
-	failing := tailguard.Faded(s.failing, now-s.failedAt, failingHalf)
 	slow := 1 + tailguard.Faded(max(s.slowness, 1)-1, now-s.slowAt, latencyHalf)
-	t := tailguard.Trust(failing, slow/slowSlack, s.warmth(now))
+	t := tailguard.Trust(s.failingNow(now), slow/slowSlack, s.warmth(now))
 	if s.State == Silent {
 		t *= trusted
 	}
@@ -120,8 +136,7 @@
 
 // note takes in a success or a failure.
 func (s *store) note(now time.Duration, ok bool, weight float64) {
-	s.failing = tailguard.Faded(s.failing, now-s.failedAt, failingHalf)
-	s.failing, s.failedAt = failureRule.Next(s.failing, ok, weight), now
+	s.failing, s.failedAt = failureRule.Next(s.failingNow(now), ok, weight), now
 }
 
 // heard takes in an answer time; quiet says that it was sent while the store was unloaded.
--- a/internal/tier/admission/tuning.go
+++ b/internal/tier/admission/tuning.go
@@ -22,6 +22,11 @@
 	latencyHalf   = 10 * time.Second // a slow store's name is forgotten so, for want of news
 	slowSlack     = 1.6              // times the usual: below this speed differences are ordinary
 	failingHalf   = 5 * time.Second  // trust comes back by itself so, to be tested by a trickle
+	careful       = 0.1              // above this share of lost answers no call is sent that could not be made again
+	losingHalf    = 20 * time.Second // a call that is lost ends its program, and many stores are well
+	hungTimes     = 3.0              // times the tail: what is given up so late was lost
+	shunSpan      = 10 * time.Second // what goes on from a request that a store failed keeps away from it so long
+	shunMost      = 2048             // requests that are remembered so
 	leastTurns    = 0.015            // the trickle: share of its turns that the worst store keeps
 	trusted       = 0.3              // below this share of turns a store is suspect
 	coldShare     = 0.25             // of its capacity that a store has when it starts, at the least
@@ -56,5 +61,6 @@
 var (
 	capRule     = tailguard.CapRule{Min: 2, Max: 256, Near: 1.3, Far: 2, Fall: 0.8}
 	refusalRule = tailguard.RefusalRule{Share: 0.017, Least: 4, Gain: 3, Fall: 0.15}
+	lossRule    = tailguard.FailureRule{Up: 0.3, Down: 0.02}
 	failureRule = tailguard.FailureRule{Up: 0.3, Down: 0.12}
 )
--- a/internal/tier/admission/types.go
+++ b/internal/tier/admission/types.go
@@ -45,6 +45,7 @@
 	First     bool          // nothing was done yet for the program that it belongs to
 	Attempt   int           // stores that this try was sent to before
 	Streaming bool
+	Safe      bool          // running it twice does no harm: it is sent again where a store fails
 	Tokens    int           // of the prompt
 	Left      time.Duration // until its program should be over; 0 where it belongs to none
 }
