--- a/internal/tier/register/proposer.go
+++ b/internal/tier/register/proposer.go
@@ -24,8 +24,7 @@
 
 // Times of a proposer.
 const (
-	defaultTimeout = 500 * time.Millisecond  // of one phase, at the first attempt
-	longestTimeout = 1500 * time.Millisecond // of one phase, after several attempts
+	defaultTimeout = 500 * time.Millisecond // of one call
 	firstBackoff   = 15 * time.Millisecond
 	longestBackoff = 250 * time.Millisecond
 )
@@ -40,7 +39,7 @@
 	Caller  rpc.Caller
 	Local   *Acceptor                           // called without the network; may be nil
 	Known   func() *tierpb.ControlState         // newest chosen state known in this process; may be nil or return nil
-	Timeout time.Duration                       // of one phase; 0 for the default
+	Timeout time.Duration                       // of one call; 0 for the default
 	Chosen  func(*tierpb.ControlState)          // told of each value found to be chosen; may be nil
 	Faults  *fault.Points                       // tests only
 	Random  func(n time.Duration) time.Duration // from 0 to n; nil for a random one
@@ -85,9 +84,8 @@
 	}
 	defer func() { p.turn <- struct{}{} }()
 	failure := ErrUnavailable
-	timeout := p.options.Timeout
 	for attempt := 0; ; attempt++ {
-		result := p.attempt(ctx, change, timeout)
+		result := p.attempt(ctx, change)
 		if result.done {
 			return result.value, result.err
 		}
@@ -97,9 +95,6 @@
 		if eris.Is(result.err, fault.ErrStopped) || !p.pause(ctx, attempt) {
 			return nil, failure
 		}
-		if !result.refused {
-			timeout = min(timeout*3/2, longestTimeout)
-		}
 	}
 }
 
@@ -113,24 +108,23 @@
 
 // attemptResult is the end of one attempt.
 type attemptResult struct {
-	done    bool // value and err are the result of the change
-	value   *tierpb.ControlState
-	err     error
-	sent    bool // a changed value has left
-	refused bool // somebody has a higher ballot
+	done  bool // value and err are the result of the change
+	value *tierpb.ControlState
+	err   error
+	sent  bool // a changed value has left
 }
 
-func (p *Proposer) attempt(ctx context.Context, change ChangeFunc, timeout time.Duration) attemptResult {
+func (p *Proposer) attempt(ctx context.Context, change ChangeFunc) attemptResult {
 	if err := p.options.Faults.At(fault.PrepareSending); err != nil {
 		return attemptResult{err: err}
 	}
 	p.counter++
-	round := newRound(p, &tierpb.Ballot{Counter: p.counter, Proposer: p.number}, timeout)
+	round := newRound(p, &tierpb.Ballot{Counter: p.counter, Proposer: p.number}, p.options.Timeout)
 	prepared := round.prepare(ctx, p.startingPoint())
 	p.counter = max(p.counter, prepared.highest)
 	p.saw(prepared)
 	if !prepared.quorum {
-		return attemptResult{refused: prepared.refused}
+		return attemptResult{}
 	}
 	if err := p.options.Faults.At(fault.PrepareDone); err != nil {
 		return attemptResult{err: err}
@@ -149,7 +143,7 @@
 	}
 	if needsChosen(current, next) && !p.knowsEpoch(current.GetEpoch()) {
 		result := p.writeThrough(ctx, round, prepared, nil)
-		return attemptResult{refused: result.refused || result.done, err: result.err}
+		return attemptResult{err: result.err}
 	}
 	return p.accept(ctx, round, current, next)
 }
@@ -171,7 +165,7 @@
 	accepted := round.accept(ctx, current, next)
 	p.counter = max(p.counter, accepted.highest)
 	if accepted.err != nil || !accepted.quorum {
-		return attemptResult{sent: accepted.sent, refused: accepted.refused, err: accepted.err}
+		return attemptResult{sent: accepted.sent, err: accepted.err}
 	}
 	p.cached = cachedValue{ballot: round.ballot, value: next}
 	p.sawChosen(next)
--- a/internal/tier/register/round.go
+++ b/internal/tier/register/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/fault"
@@ -9,11 +10,15 @@
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
+// callsOfAPhase is how often a call is made that finds no answer in time. The ballot stays the same, so a slow disk does
+// the work once, and the repeated call gets the answer when it is done.
+const callsOfAPhase = 3
+
 // round is one ballot of a proposer: a prepare phase and an accept phase.
 type round struct {
 	proposer *Proposer
 	ballot   *tierpb.Ballot
-	timeout  time.Duration
+	timeout  time.Duration // of one call
 	cached   cachedValue
 }
 
@@ -33,8 +38,7 @@
 	chosen  bool                 // a quorum holds the value by one and the same ballot
 	value   *tierpb.ControlState // accepted at the highest ballot among the promises
 	ballot  *tierpb.Ballot       // that ballot
-	refused bool
-	highest uint64 // counter
+	highest uint64               // counter met in refusals
 }
 
 type promise struct {
@@ -48,14 +52,13 @@
 	open     identities // asked and not answered
 	promised map[uint64]*tierpb.Ballot
 	best     *tierpb.PrepareReply // with a value, at the highest ballot
-	refused  bool
-	highest  uint64
+	highest  uint64               // counter met in refusals
 }
 
 // prepare asks the voters of a state, and those that the answers name, for promises until these are a quorum by the
 // value with the highest ballot among them. It does not wait for the slow.
 func (r *round) prepare(ctx context.Context, start *tierpb.ControlState) preparation {
-	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	ctx, cancel := context.WithTimeout(ctx, callsOfAPhase*r.timeout)
 	defer cancel()
 	answers := make(chan promise)
 	count := &ballotCount{asked: identities{}, open: identities{}, promised: map[uint64]*tierpb.Ballot{}}
@@ -102,7 +105,6 @@
 		return false
 	}
 	if !reply.Promised {
-		c.refused = c.refused || reply.Highest != nil
 		c.highest = max(c.highest, reply.GetHighest().GetCounter())
 		return false
 	}
@@ -136,7 +138,7 @@
 }
 
 func (c *ballotCount) result() preparation {
-	result := preparation{refused: c.refused, highest: c.highest}
+	result := preparation{highest: c.highest}
 	if c.best == nil {
 		return result
 	}
@@ -152,9 +154,8 @@
 // acceptance is the end of an accept phase.
 type acceptance struct {
 	quorum  bool
-	sent    bool // at least one accept has left
-	refused bool
-	highest uint64
+	sent    bool   // at least one accept has left
+	highest uint64 // counter met in refusals
 	err     error
 }
 
@@ -166,7 +167,7 @@
 // accept sends a value to the voters of the value that it is based on and to its own, and waits for a quorum of
 // both. Accepts that are under way then go on by themselves.
 func (r *round) accept(ctx context.Context, current, next *tierpb.ControlState) acceptance {
-	phase, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.timeout)
+	phase, cancel := context.WithTimeout(context.WithoutCancel(ctx), callsOfAPhase*r.timeout)
 	result := acceptance{}
 	voters := append(append([]*tierpb.VoterSet{}, current.GetVoters()...), next.GetVoters()...)
 	targets := Voters(&tierpb.ControlState{Voters: voters})
@@ -179,7 +180,7 @@
 		result.sent = true
 		open.add(node.GetIdentity())
 		go func() {
-			answers <- vote{from: node.GetIdentity(), reply: r.proposer.callAccept(phase, node, r.ballot, next)}
+			answers <- vote{from: node.GetIdentity(), reply: r.callAccept(phase, node, next)}
 		}()
 	}
 	possible := func(identity uint64) bool { return accepted.has(identity) || open.has(identity) }
@@ -189,9 +190,8 @@
 			delete(open, answer.from)
 			if answer.reply.GetAccepted() {
 				accepted.add(answer.from)
-			} else if answer.reply.GetHighest() != nil {
-				result.refused = true
-				result.highest = max(result.highest, answer.reply.Highest.GetCounter())
+			} else {
+				result.highest = max(result.highest, answer.reply.GetHighest().GetCounter())
 			}
 		case <-phase.Done():
 			open = identities{}
@@ -216,10 +216,9 @@
 func (r *round) callPrepare(ctx context.Context, node *tierpb.Node) *tierpb.PrepareReply {
 	request := &tierpb.PrepareRequest{Identity: node.GetIdentity(), Ballot: r.ballot, Known: r.cached.ballot}
 	reply := &tierpb.PrepareReply{}
-	options := r.proposer.options
-	if local := options.Local; local != nil && local.Identity() == node.GetIdentity() {
+	if local := r.proposer.options.Local; local != nil && local.Identity() == node.GetIdentity() {
 		reply = local.Prepare(request)
-	} else if err := options.Caller.Call(ctx, node.GetAddress(), rpc.MethodPrepare, request, reply); err != nil {
+	} else if err := r.call(ctx, node, rpc.MethodPrepare, request, reply); err != nil {
 		return nil
 	}
 	if reply.Promised && r.cached.ballot.GetCounter() > 0 && sameBallot(reply.Accepted, r.cached.ballot) {
@@ -228,14 +227,27 @@
 	return reply
 }
 
-func (p *Proposer) callAccept(ctx context.Context, node *tierpb.Node, ballot *tierpb.Ballot, value *tierpb.ControlState) *tierpb.AcceptReply {
-	request := &tierpb.AcceptRequest{Identity: node.GetIdentity(), Ballot: ballot, Value: value}
-	if local := p.options.Local; local != nil && local.Identity() == node.GetIdentity() {
+// callAccept sends one accept; nil where the call failed.
+func (r *round) callAccept(ctx context.Context, node *tierpb.Node, value *tierpb.ControlState) *tierpb.AcceptReply {
+	request := &tierpb.AcceptRequest{Identity: node.GetIdentity(), Ballot: r.ballot, Value: value}
+	if local := r.proposer.options.Local; local != nil && local.Identity() == node.GetIdentity() {
 		return local.Accept(request)
 	}
 	reply := &tierpb.AcceptReply{}
-	if err := p.options.Caller.Call(ctx, node.GetAddress(), rpc.MethodAccept, request, reply); err != nil {
+	if err := r.call(ctx, node, rpc.MethodAccept, request, reply); err != nil {
 		return nil
 	}
 	return reply
 }
+
+// call repeats a call that finds no answer in time; a silent connection has been given up by then.
+func (r *round) call(ctx context.Context, node *tierpb.Node, method rpc.Method, request, reply rpc.Message) error {
+	for {
+		limited, cancel := context.WithTimeout(ctx, r.timeout)
+		err := r.proposer.options.Caller.Call(limited, node.GetAddress(), method, request, reply)
+		cancel()
+		if !errors.Is(err, rpc.ErrTimeout) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
--- a/internal/tier/register/trouble_test.go
+++ b/internal/tier/register/trouble_test.go
@@ -302,3 +302,26 @@
 		}
 	}
 }
+
+// TestSlowDisksOfAllVotersAreWaitedFor: each phase takes longer than a call waits, and a new ballot each time would
+// only add to the work of the disks.
+func TestSlowDisksOfAllVotersAreWaitedFor(t *testing.T) {
+	inBubble(t, 3, 3, func(t *testing.T, c *cluster) {
+		for _, m := range c.members {
+			m.machine.Disk.SetTrouble(simulation.Trouble{Delay: 450 * time.Millisecond})
+		}
+		_, err := c.members[0].put(4*time.Second, 0, 1)
+		assert.NilError(t, err)
+	})
+}
+
+func TestLostMessageIsSentAgain(t *testing.T) {
+	inBubble(t, 3, 4, func(t *testing.T, c *cluster) {
+		traits := calm
+		traits.Lost = 0.4
+		c.network.Set(traits)
+		for generation := range uint64(20) {
+			c.members[3].mustPut(generation, generation+1)
+		}
+	})
+}
