Proxy: requests just after the start wait for the first configuration and stores

Cause: after all processes were killed, the clients' first tries met proxies that knew no configuration or no store yet and were refused, which uses up their few tries. Also, a request whose time is up gets 504 also where the socket's timer rings before the context's, and stores are found by id.

--- a/internal/tier/proxy/exchange.go
+++ b/internal/tier/proxy/exchange.go
@@ -37,7 +37,11 @@
 	}
 	defer x.endTurn()
 	for {
+		changed := x.proxy.news.next()
 		granted, refused := x.proxy.admit.Acquire(ctx, x.ask())
+		if refused != nil && refused.Reason == admission.NoStore && x.awaitStores(ctx, changed) {
+			continue
+		}
 		if refused != nil {
 			x.conclude(ctx, refused)
 			return
@@ -57,7 +61,7 @@
 
 // mayTryAgain says whether the request may be sent once more.
 func (x *exchange) mayTryAgain(ctx context.Context) bool {
-	if ctx.Err() != nil || x.turned > mostTurnedAway {
+	if x.isOver(ctx) || x.turned > mostTurnedAway {
 		return false
 	}
 	if x.ran == 0 {
@@ -66,6 +70,11 @@
 	return x.repeatable() && x.ran < max(1, x.route.MaxAttempts)
 }
 
+// isOver says whether the client has left or the request's time is up.
+func (x *exchange) isOver(ctx context.Context) bool {
+	return ctx.Err() != nil || !time.Now().Before(x.deadline)
+}
+
 // attempt sends the request to one store.
 func (x *exchange) attempt(ctx context.Context, granted *admission.Grant) verdict {
 	store := storeOf(granted)
@@ -196,7 +205,7 @@
 		panic(http.ErrAbortHandler) // broken off, or nobody is there any more
 	case x.ran == 0:
 		x.proxy.respondLater(x.w, x.id, comeAgain(refused))
-	case ctx.Err() != nil:
+	case x.isOver(ctx):
 		x.proxy.respond(x.w, x.id, http.StatusGatewayTimeout)
 	default:
 		x.proxy.respond(x.w, x.id, http.StatusBadGateway)
--- a/internal/tier/proxy/front_test.go
+++ b/internal/tier/proxy/front_test.go
@@ -90,3 +90,26 @@
 	assert.Equal(t, b.send("POST", "/n/x", "id2", "in").status, 200)
 	assert.Equal(t, b.sendOn(before, "POST", "/n/x", "id3", "in").status, 200)
 }
+
+// RECOVER: what comes just after the start waits for the first configuration and the first stores.
+func TestRequestWaitsForTheFirstConfigurationAndStores(t *testing.T) {
+	store := newStandIn(t, "a", whole(200, "ok"))
+	b := newBench(t, longTimeout, nil, nil)
+	known := b.proxy.views.get()
+	b.proxy.views.current.Store(&view{})
+	got := make(chan answer)
+	go func() { got <- b.send("POST", "/n/x", "id", "in") }()
+	b.proxy.views.current.Store(known)
+	b.proxy.news.tell()
+	b.proxy.state.Upsert(store.instance("plain"))
+	b.proxy.refresh()
+	assert.Equal(t, (<-got).body, "ok")
+}
+
+func TestRequestIsRefusedWhereNoStoreCameForLong(t *testing.T) {
+	b := newBench(t, longTimeout, nil, nil)
+	b.proxy.started = time.Now().Add(-startSpan)
+	got := b.send("POST", "/n/x", "id", "in")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
--- a/internal/tier/proxy/handler.go
+++ b/internal/tier/proxy/handler.go
@@ -65,6 +65,9 @@
 }
 
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request, x *exchange) {
+	if x.view.configuration == nil {
+		x.view = p.awaitConfiguration(r.Context(), patience(r.Header, startUnnamed))
+	}
 	if x.view.configuration == nil {
 		p.respondLater(w, x.id, retryUnconfigured)
 		return
--- a/internal/tier/proxy/listing.go
+++ b/internal/tier/proxy/listing.go
@@ -12,8 +12,9 @@
 
 // listing is the list of stores by service, as far as it was taken from the state. It has one user at a time.
 type listing struct {
-	version  uint64
-	services map[string]map[string]*tierpb.Instance
+	version   uint64
+	services  map[string]map[string]*tierpb.Instance
+	instances map[string]*tierpb.Instance
 }
 
 // take brings the listing up to date and returns the services whose stores changed.
@@ -26,6 +27,7 @@
 		stores := l.services[instance.Backend]
 		if instance.State == tierpb.InstanceState_INSTANCE_GONE {
 			delete(stores, instance.Id)
+			delete(l.instances, instance.Id)
 			continue
 		}
 		if stores == nil {
@@ -33,6 +35,7 @@
 			l.services[instance.Backend] = stores
 		}
 		stores[instance.Id] = instance
+		l.instances[instance.Id] = instance
 	}
 	return touched
 }
@@ -71,10 +74,6 @@
 
 // holds says whether connections to a store are worth keeping.
 func (l *listing) holds(store upstream.Store) bool {
-	for _, stores := range l.services {
-		if instance := stores[store.Instance]; instance != nil {
-			return instance.State < tierpb.InstanceState_INSTANCE_DRAINING
-		}
-	}
-	return false
+	instance := l.instances[store.Instance]
+	return instance != nil && instance.State < tierpb.InstanceState_INSTANCE_DRAINING
 }
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -43,16 +43,20 @@
 	budgets  budgetKeeper
 	draining atomic.Bool
 	listed   atomic.Bool // at least one store was ever known
+	news     news
+	started  time.Time
 }
 
 // New makes a proxy that follows a state. What keeps turns and budgets is set by the caller.
 func New(log hclog.Logger, zone string, state *watch.State) *Proxy {
 	p := &Proxy{
 		log: log, state: state, pools: upstream.NewPools(),
-		admit: admission.New(admission.Options{Zone: zone}),
+		admit: admission.New(admission.Options{Zone: zone}), started: time.Now(),
 	}
+	p.news.channel = make(chan struct{})
 	p.views.log = log
 	p.listing.services = make(map[string]map[string]*tierpb.Instance)
+	p.listing.instances = make(map[string]*tierpb.Instance)
 	return p
 }
 
@@ -151,6 +155,7 @@
 	}
 	if len(touched) > 0 {
 		p.pools.Retain(p.listing.holds)
+		p.news.tell()
 	}
 }
 
