--- a/internal/tier/register/identity.go
+++ b/internal/tier/register/identity.go
@@ -8,7 +8,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"pulleygw.example/pulleygw/internal/tier/storage"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -53,21 +52,3 @@
 	}
 	return binary.BigEndian.Uint64(payload), nil
 }
-
-// OpenIdentity reads the identity of a node that keeps state on this disk, or draws one and saves it where the
-// folder has none. It is for turn stores; an acceptor has its own.
-func OpenIdentity(disk storage.Disk, folder string) (identity uint64, drawn bool, err error) {
-	if err := disk.MakeFolder(folder); err != nil {
-		return 0, false, eris.Wrap(err, "identity")
-	}
-	series, err := storage.Open(disk, folder, identitySeries, nil)
-	if err != nil {
-		return 0, false, err
-	}
-	if payload, found := series.Newest(); found && !series.Damaged() {
-		identity, err := decodeIdentity(payload)
-		return identity, false, err
-	}
-	identity = DrawIdentity()
-	return identity, true, series.Save(encodeIdentity(identity))
-}
--- a/internal/tier/register/round.go
+++ b/internal/tier/register/round.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/tier/fault"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -151,67 +150,6 @@
 	return result
 }
 
-// acceptance is the end of an accept phase.
-type acceptance struct {
-	quorum  bool
-	sent    bool   // at least one accept has left
-	highest uint64 // counter met in refusals
-	err     error
-}
-
-type vote struct {
-	from  uint64
-	reply *tierpb.AcceptReply // nil where the call failed
-}
-
-// accept sends a value to the voters of the value that it is based on and to its own, and waits for a quorum of
-// both. Accepts that are under way then go on by themselves.
-func (r *round) accept(ctx context.Context, current, next *tierpb.ControlState) acceptance {
-	phase, cancel := context.WithTimeout(context.WithoutCancel(ctx), callsOfAPhase*r.timeout)
-	result := acceptance{}
-	voters := append(append([]*tierpb.VoterSet{}, current.GetVoters()...), next.GetVoters()...)
-	targets := Voters(&tierpb.ControlState{Voters: voters})
-	answers := make(chan vote, len(targets))
-	open, accepted := identities{}, identities{}
-	for _, node := range targets {
-		if result.err = r.proposer.options.Faults.At(fault.AcceptSending); result.err != nil {
-			break
-		}
-		result.sent = true
-		open.add(node.GetIdentity())
-		go func() {
-			answers <- vote{from: node.GetIdentity(), reply: r.callAccept(phase, node, next)}
-		}()
-	}
-	possible := func(identity uint64) bool { return accepted.has(identity) || open.has(identity) }
-	for result.err == nil && !Quorum(voters, accepted.has) && Quorum(voters, possible) {
-		select {
-		case answer := <-answers:
-			delete(open, answer.from)
-			if answer.reply.GetAccepted() {
-				accepted.add(answer.from)
-			} else {
-				result.highest = max(result.highest, answer.reply.GetHighest().GetCounter())
-			}
-		case <-phase.Done():
-			open = identities{}
-		case <-ctx.Done():
-			open = identities{}
-		}
-	}
-	result.quorum = Quorum(voters, accepted.has)
-	go drain(answers, len(open), cancel)
-	return result
-}
-
-// drain lets the calls that are under way come to their end before their context is let go.
-func drain(answers <-chan vote, count int, cancel context.CancelFunc) {
-	defer cancel()
-	for range count {
-		<-answers
-	}
-}
-
 // callPrepare sends one prepare; nil where the call failed.
 func (r *round) callPrepare(ctx context.Context, node *tierpb.Node) *tierpb.PrepareReply {
 	request := &tierpb.PrepareRequest{Identity: node.GetIdentity(), Ballot: r.ballot, Known: r.cached.ballot}
