Watch: a second source tells in brief; a new feed tells only what a summary lacks

A follower got every change and control state from two sources, and the whole list from each that had restarted. The source that is not its primary now sends marks (id, sequence, state) and the control state's version; what the primary does not bring within 100 ms is asked for whole. State changes travel as marks.

--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -19,7 +19,8 @@
 	avoidFirst     = 2 * time.Second // for which a source that failed comes last
 	avoidMost      = 15 * time.Second
 	rewindTime     = 2 * time.Second
-	reconsiderMost = 8 * time.Second // after which a slot looks whether a better source is back
+	catchUpWait    = 100 * time.Millisecond // for which the primary may lag behind another source
+	reconsiderMost = 8 * time.Second        // after which a slot looks whether a better source is back
 )
 
 // Target is a source that may be followed.
@@ -48,17 +49,14 @@
 
 	mu      sync.Mutex
 	sources map[string]*source
+	primary string // source that tells all; the others are asked for marks only, empty for none
 	running int
 	done    sync.WaitGroup
 }
 
 // source is what a Follower knows of a target.
 type source struct {
-	feed       uint64
-	cursor     uint64
-	middle     uint64 // cursor at middleAt
-	older      uint64 // cursor at least rewindTime before middleAt
-	middleAt   time.Time
+	place      place
 	followed   bool
 	answers    bool
 	failures   int
@@ -268,44 +266,6 @@
 	return false
 }
 
-// poll asks a source once. The first poll of a source is not to be held, so that one which cannot answer is known soon.
-func (f *Follower) poll(ctx context.Context, address string, first bool) error {
-	wait := f.options.Wait
-	if first {
-		wait = 0
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+replySlack)
-	defer cancel()
-	request := f.request(address, wait)
-	reply := &tierpb.WatchReply{}
-	if err := f.options.Caller.Call(ctx, address, rpc.MethodWatch, request, reply); err != nil {
-		return err
-	}
-	f.options.State.mergeFrom(reply, address)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s := f.sources[address]; s != nil {
-		s.advance(reply, time.Now())
-	}
-	return nil
-}
-
-func (f *Follower) request(address string, wait time.Duration) *tierpb.WatchRequest {
-	request := &tierpb.WatchRequest{
-		ControlVersion: f.options.State.Control().GetVersion(), WaitMs: uint32(wait / time.Millisecond),
-		Follower: f.options.Self, Heartbeats: f.options.Heartbeats,
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s := f.sources[address]; s != nil {
-		request.Feed, request.Cursor = s.feed, s.cursor
-	}
-	if f.options.Heartbeats {
-		request.Hears = f.answering()
-	}
-	return request
-}
-
 func (f *Follower) succeeded(address string) {
 	f.mu.Lock()
 	s := f.sources[address]
@@ -328,36 +288,20 @@
 	if was && f.options.Heartbeats {
 		f.rewind()
 	}
+	f.dismiss(address)
 	f.mu.Unlock()
 	if was && ctx.Err() == nil {
 		f.report(address, false)
 	}
 }
 
-// rewind has the other sources tell again what came lately: they left out what the source that failed seemed to tell.
-func (f *Follower) rewind() {
-	for _, s := range f.sources {
-		s.cursor = min(s.cursor, s.older)
-	}
-}
-
-// advance notes the place in a source's feed, and where it was a while ago.
-func (s *source) advance(reply *tierpb.WatchReply, now time.Time) {
-	if s.feed != reply.Feed {
-		s.feed, s.older, s.middle = reply.Feed, 0, 0
-	}
-	s.cursor = reply.Cursor
-	if now.Sub(s.middleAt) >= rewindTime {
-		s.older, s.middle, s.middleAt = s.middle, s.cursor, now
-	}
-}
-
 // release ends following a source that did not fail.
 func (f *Follower) release(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.sources[address]
 	s.followed, s.answers = false, false
+	f.dismiss(address)
 }
 
 func (f *Follower) report(address string, answers bool) {
--- a/internal/tier/watch/join.go
+++ b/internal/tier/watch/join.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"slices"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -52,10 +53,7 @@
 	switch {
 	case known == merged:
 		return Unchanged
-	case known.State != merged.State || known.Address != merged.Address || known.Backend != merged.Backend ||
-		known.Zone != merged.Zone || known.Generation != merged.Generation || known.Slots != merged.Slots:
-		return Material
-	case !sameStrings(known.Models, merged.Models):
+	case known.State != merged.State || !sameDescription(known, merged):
 		return Material
 	case known.Sequence == merged.Sequence && known.ColdRemainingMs == merged.ColdRemainingMs:
 		return Unchanged
@@ -63,16 +61,10 @@
 	return Heartbeat
 }
 
-func sameStrings(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
+// sameDescription says that two describe an instance alike, whatever its state.
+func sameDescription(a, b *tierpb.Instance) bool {
+	return a.Address == b.Address && a.Backend == b.Backend && a.Zone == b.Zone && a.Generation == b.Generation &&
+		a.Slots == b.Slots && slices.Equal(a.Models, b.Models)
 }
 
 // aged returns the instance with the rest of its cold time as it stands when this much time has passed.
--- a/internal/tier/watch/journal.go
+++ b/internal/tier/watch/journal.go
@@ -38,15 +38,16 @@
 
 func (j *journal) forget(id string) { delete(j.newest, id) }
 
-// since calls visit with each id that changed after the cursor, oldest change first, each id once.
-func (j *journal) since(cursor uint64, visit func(id string)) {
+// since calls visit with each id that changed after the cursor and the cursor of its newest change, oldest first, each
+// id once, until visit returns false.
+func (j *journal) since(cursor uint64, visit func(id string, at uint64) bool) {
 	first := len(j.events)
 	for first > 0 && j.events[first-1].cursor > cursor {
 		first--
 	}
 	for _, e := range j.events[first:] {
-		if j.newest[e.id] == e.cursor {
-			visit(e.id)
+		if j.newest[e.id] == e.cursor && !visit(e.id, e.cursor) {
+			return
 		}
 	}
 }
--- /dev/null
+++ b/internal/tier/watch/poll.go
@@ -0,0 +1,143 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// place is how far a source's feed has been taken in.
+type place struct {
+	feed     uint64
+	cursor   uint64
+	begins   bool   // not all that the source knows has been told yet
+	whole    bool   // the last brief reply told of something that did not come from the primary
+	middle   uint64 // cursor at middleAt
+	older    uint64 // cursor at least rewindTime before middleAt
+	middleAt time.Time
+}
+
+// advance notes a reply that was taken in.
+func (p *place) advance(reply *tierpb.WatchReply, now time.Time) {
+	if p.feed != reply.Feed {
+		*p = place{feed: reply.Feed}
+	}
+	p.cursor, p.begins, p.whole = reply.Cursor, reply.More, false
+	if now.Sub(p.middleAt) >= rewindTime {
+		p.older, p.middle, p.middleAt = p.middle, p.cursor, now
+	}
+}
+
+// poll asks a source once. The first poll of a source is not to be held, so that one which cannot answer is known soon.
+func (f *Follower) poll(ctx context.Context, address string, first bool) error {
+	wait := f.options.Wait
+	if first {
+		wait = 0
+	}
+	request := f.request(address, wait)
+	reply := &tierpb.WatchReply{}
+	if err := f.call(ctx, address, wait+replySlack, request, reply); err != nil {
+		return err
+	}
+	f.options.State.mergeFrom(reply, address)
+	taken := !request.Brief || f.catchUp(ctx, reply)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sources[address]
+	switch {
+	case s == nil:
+	case taken:
+		s.place.advance(reply, time.Now())
+	default:
+		s.place.whole = true
+	}
+	return nil
+}
+
+func (f *Follower) call(ctx context.Context, address string, within time.Duration, request, reply rpc.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return f.options.Caller.Call(ctx, address, rpc.MethodWatch, request, reply)
+}
+
+func (f *Follower) request(address string, wait time.Duration) *tierpb.WatchRequest {
+	request := &tierpb.WatchRequest{
+		ControlVersion: f.options.State.Control().GetVersion(), WaitMs: uint32(wait / time.Millisecond),
+		Follower: f.options.Self, Heartbeats: f.options.Heartbeats,
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := place{}
+	if s := f.sources[address]; s != nil {
+		at = s.place
+	}
+	request.Feed, request.Cursor = at.feed, at.cursor
+	if at.cursor == 0 || at.begins {
+		request.Summary = f.options.State.digests()
+	}
+	if f.options.Heartbeats {
+		request.Hears = f.answering()
+	}
+	request.Brief = !f.isPrimary(address) && !at.whole
+	return request
+}
+
+// isPrimary says whether a source is to tell all. The first one asked is, until it fails; a Follower of all sources has
+// no other.
+func (f *Follower) isPrimary(address string) bool {
+	if f.options.Count == 0 {
+		return true
+	}
+	if f.primary == "" {
+		f.primary = address
+	}
+	return f.primary == address
+}
+
+// dismiss lets another source become the primary.
+func (f *Follower) dismiss(address string) {
+	if f.primary == address {
+		f.primary = ""
+	}
+}
+
+func (f *Follower) hasPrimary() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.primary != ""
+}
+
+// catchUp says whether all that a brief reply tells of is known; where it is not, the primary is given a moment.
+func (f *Follower) catchUp(ctx context.Context, reply *tierpb.WatchReply) bool {
+	var timeout <-chan time.Time
+	for {
+		changed := f.options.State.Changed()
+		if !f.options.State.lacks(reply) {
+			return true
+		}
+		if !f.hasPrimary() {
+			return false
+		}
+		if timeout == nil {
+			timer := time.NewTimer(catchUpWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// rewind has the sources tell again what came lately: they left out what the source that failed seemed to tell.
+func (f *Follower) rewind() {
+	for _, s := range f.sources {
+		s.place.cursor = min(s.place.cursor, s.place.older)
+	}
+}
--- a/internal/tier/watch/serve.go
+++ b/internal/tier/watch/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/rpc"
@@ -75,7 +74,7 @@
 	if s.newestListed() > cursor && s.published > cursor {
 		return true
 	}
-	return request.Heartbeats && s.publishedHeartbeat > cursor && len(s.heartbeatsFor(request, cursor)) > 0
+	return request.Heartbeats && s.publishedHeartbeat > cursor && s.hasHeartbeatFor(request, cursor)
 }
 
 // newestListed is the cursor of the newest change that is not the control state's, whose version the follower tells.
@@ -87,65 +86,3 @@
 	defer s.mu.Unlock()
 	return s.reply(request)
 }
-
-func (s *State) reply(request *tierpb.WatchRequest) *tierpb.WatchReply {
-	reply := &tierpb.WatchReply{Feed: s.feed, Cursor: s.cursor}
-	cursor := request.Cursor
-	if request.Feed != s.feed {
-		cursor = 0
-	}
-	if s.control != nil && s.control.Version > request.ControlVersion {
-		reply.Control = controlFor(request.Follower, s.control)
-	}
-	if s.listedAt > cursor {
-		reply.Coordinators = s.coordinators
-	}
-	if !wantsInstances(request.Follower) {
-		return reply
-	}
-	reply.Instances = s.collect(&s.changes, cursor, nil)
-	if request.Heartbeats {
-		reply.Heartbeats = s.heartbeatsFor(request, cursor)
-	}
-	return reply
-}
-
-// heartbeatsFor lists the heartbeats that a follower is not told of otherwise: not those of instances that it gets
-// whole, nor what it told itself, nor what comes from sources that it hears.
-func (s *State) heartbeatsFor(request *tierpb.WatchRequest, cursor uint64) []*tierpb.Heartbeat {
-	var told []*tierpb.Heartbeat
-	s.heartbeats.since(cursor, func(id string) {
-		e := s.instances[id]
-		if s.changes.newest[id] > cursor || e.source != "" && hears(request, e.source) {
-			return
-		}
-		told = append(told, &tierpb.Heartbeat{Id: id, Sequence: e.instance.Sequence, State: e.instance.State})
-	})
-	return told
-}
-
-// hears says that a follower is or hears the process at an address.
-func hears(request *tierpb.WatchRequest, address string) bool {
-	return request.GetFollower().GetAddress() == address || slices.Contains(request.Hears, address)
-}
-
-// wantsInstances says whether a follower has a use for the list of instances: turn stores have none.
-func wantsInstances(follower *tierpb.Node) bool {
-	return follower.GetRole() != tierpb.Role_ROLE_TURN_STORE
-}
-
-// controlFor leaves out what only coordinators need: the orders taken are most of a control state with few routes.
-// Turn stores need no configuration either.
-func controlFor(follower *tierpb.Node, control *tierpb.ControlState) *tierpb.ControlState {
-	if follower.GetRole() == tierpb.Role_ROLE_COORDINATOR {
-		return control
-	}
-	told := &tierpb.ControlState{
-		Version: control.Version, Epoch: control.Epoch, Voters: control.Voters, Stores: control.Stores,
-		Configuration: control.Configuration, Retirements: control.Retirements,
-	}
-	if follower.GetRole() == tierpb.Role_ROLE_TURN_STORE {
-		told.Configuration = nil
-	}
-	return told
-}
--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -35,6 +35,7 @@
 	heartbeats   journal
 	gone         []goneMark // oldest first
 	counts       map[tierpb.InstanceState]int
+	summary      summary
 	coordinators []*tierpb.Node
 	listedAt     uint64 // cursor at which coordinators changed
 	heard        []*tierpb.Node
@@ -46,9 +47,10 @@
 }
 
 type entry struct {
-	instance *tierpb.Instance
-	at       time.Time // when it was told
-	source   string    // address of the source that told it, empty where the store did itself
+	instance    *tierpb.Instance
+	at          time.Time // when it was told
+	source      string    // address of the source that told it, empty where the store did itself
+	describedAt uint64    // cursor at which anything but its state and sequence changed
 }
 
 type goneMark struct {
@@ -87,8 +89,8 @@
 			changed = true
 		}
 	}
-	for _, heartbeat := range reply.Heartbeats {
-		if s.takeHeartbeat(heartbeat, source) == Material {
+	for _, mark := range reply.Marks {
+		if s.takeMark(mark, source) == Material {
 			changed = true
 		}
 	}
@@ -167,7 +169,14 @@
 func (s *State) Since(version uint64) ([]*tierpb.Instance, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.collect(&s.changes, version, nil), s.cursor
+	now := s.now()
+	var changed []*tierpb.Instance
+	s.changes.since(version, func(id string, _ uint64) bool {
+		e := s.instances[id]
+		changed = append(changed, aged(e.instance, now.Sub(e.at)))
+		return true
+	})
+	return changed, s.cursor
 }
 
 // Version rises with each change.
@@ -198,43 +207,93 @@
 
 func (s *State) take(told *tierpb.Instance, source string) Change {
 	s.dropGone()
-	known := s.instances[told.Id].instance
-	merged, change := join(known, told)
+	known := s.instances[told.Id]
+	merged, change := join(known.instance, told)
 	if change == Unchanged {
 		return change
 	}
-	if known != nil {
-		s.counts[known.State]--
-	}
-	s.counts[merged.State]++
-	s.instances[told.Id] = entry{instance: merged, at: s.now(), source: source}
 	s.cursor++
-	if change == Heartbeat {
-		s.heartbeats.append(s.cursor, told.Id)
-		if source == "" { // others hear of the rest from where this State did
-			s.tell(&s.beat)
-		}
+	s.keep(known, entry{instance: merged, at: s.now(), source: source, describedAt: known.describedAt})
+	if change == Material {
+		s.changes.append(s.cursor, told.Id)
+		s.tell(&s.changed)
 		return change
 	}
-	s.changes.append(s.cursor, told.Id)
-	s.tell(&s.changed)
-	if merged.State == tierpb.InstanceState_INSTANCE_GONE && (known == nil || known.State != merged.State) {
-		s.gone = append(s.gone, goneMark{id: told.Id, at: s.now()})
+	s.heartbeats.append(s.cursor, told.Id)
+	if source == "" { // others hear of the rest from where this State did
+		s.tell(&s.beat)
 	}
 	return change
 }
 
-// takeHeartbeat merges a heartbeat of an instance; it says nothing where the instance is not known.
-func (s *State) takeHeartbeat(heartbeat *tierpb.Heartbeat, source string) Change {
-	known := s.instances[heartbeat.Id]
-	if known.instance == nil || heartbeat.Sequence <= known.instance.Sequence {
+// keep puts an entry in the place of the one known.
+func (s *State) keep(known, next entry) {
+	if known.instance == nil || !sameDescription(known.instance, next.instance) {
+		next.describedAt = s.cursor
+	}
+	s.summary.remove(known.instance)
+	s.summary.add(next.instance)
+	if known.instance != nil {
+		s.counts[known.instance.State]--
+	}
+	s.counts[next.instance.State]++
+	wasGone := known.instance.GetState() == tierpb.InstanceState_INSTANCE_GONE
+	if next.instance.State == tierpb.InstanceState_INSTANCE_GONE && !wasGone {
+		s.gone = append(s.gone, goneMark{id: next.instance.Id, at: next.at})
+	}
+	s.instances[next.instance.Id] = next
+}
+
+// takeMark merges what a mark tells of an instance. Of one that is not known only its end is noted.
+func (s *State) takeMark(mark *tierpb.InstanceMark, source string) Change {
+	known := s.instances[mark.Id]
+	if known.instance == nil {
+		if mark.State != tierpb.InstanceState_INSTANCE_GONE {
+			return Unchanged
+		}
+		return s.take(&tierpb.Instance{Id: mark.Id, Sequence: mark.Sequence, State: mark.State}, source)
+	}
+	if mark.Sequence <= known.instance.Sequence && mark.State <= known.instance.State {
 		return Unchanged
 	}
 	told := aged(known.instance, s.now().Sub(known.at)).CloneVT()
-	told.Sequence, told.State = heartbeat.Sequence, heartbeat.State
+	switch {
+	case mark.Description == 0 || mark.Description == descriptionDigest(told):
+		told.Sequence, told.State = mark.Sequence, mark.State
+	case Terminal(mark.State): // but the sequence stays, so that the description that goes with it is taken when it comes
+		told.State = mark.State
+	default:
+		return Unchanged
+	}
 	return s.take(told, source)
 }
 
+// lacks says that a brief reply tells of something that is not known here.
+func (s *State) lacks(reply *tierpb.WatchReply) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reply.ControlVersion > s.control.GetVersion() {
+		return true
+	}
+	for _, mark := range reply.Marks {
+		known := s.instances[mark.Id].instance
+		if known == nil || mark.Description != 0 && mark.Description != descriptionDigest(known) {
+			return true
+		}
+	}
+	return false
+}
+
+// digests returns a summary of the instances for a request, nil where there are none.
+func (s *State) digests() []uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.instances) == 0 {
+		return nil
+	}
+	return append([]uint32(nil), s.summary[:]...)
+}
+
 // dropGone forgets instances that have been gone for long; until then the mark keeps older news from bringing one back.
 func (s *State) dropGone() {
 	for len(s.gone) > 0 && s.now().Sub(s.gone[0].at) >= goneKept {
@@ -247,16 +306,6 @@
 	}
 }
 
-// collect appends the instances of a journal that changed after the cursor.
-func (s *State) collect(from *journal, cursor uint64, to []*tierpb.Instance) []*tierpb.Instance {
-	now := s.now()
-	from.since(cursor, func(id string) {
-		e := s.instances[id]
-		to = append(to, aged(e.instance, now.Sub(e.at)))
-	})
-	return to
-}
-
 // tell wakes those that wait on a signal, now or when its gap is over.
 func (s *State) tell(on *signal) {
 	if on.pending {
