Register: a ballot that is behind is raised at once, also beside a silent voter

Change: the counter starts from the own acceptor's promise, and refusals that leave no quorum end the phase. Also: replica sets spread over regions where these may be lost; a coordinator that is cut off answers 503 within 300 ms.

--- a/internal/tier/coordinator/api.go
+++ b/internal/tier/coordinator/api.go
@@ -23,6 +23,7 @@
 // Bounds of calls. Callers move on after a second of silence, later where the body is large.
 const (
 	patience           = 880 * time.Millisecond
+	patienceCutOff     = 300 * time.Millisecond
 	patiencePerMebi    = time.Second
 	longestPatience    = 3 * time.Second
 	maximumConfigBytes = 32 << 20
@@ -72,7 +73,7 @@
 		result.Write(w, refused)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), patienceFor(len(body)))
+	ctx, cancel := context.WithTimeout(r.Context(), c.patienceFor(len(body)))
 	defer cancel()
 	if _, err := c.register.Change(ctx, sent.change); err != nil {
 		c.log.Info("configuration not taken", "generation", sent.generation, "if-match", sent.ifMatch, "reason", err)
@@ -96,7 +97,7 @@
 }
 
 func (c *coordinator) getConfiguration(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	ctx, cancel := context.WithTimeout(r.Context(), c.patienceFor(0))
 	defer cancel()
 	current, err := c.register.Read(ctx)
 	if err != nil {
@@ -150,7 +151,7 @@
 		c.acknowledgeReady(w)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	ctx, cancel := context.WithTimeout(r.Context(), c.patienceFor(0))
 	defer cancel()
 	if !c.announce(ctx, c.state.Instance(told.Id)) {
 		result.Write(w, result.New(result.NoQuorum, ""))
@@ -180,7 +181,11 @@
 	return body, nil
 }
 
-func patienceFor(bytes int) time.Duration {
+// patienceFor is how long a call with a body of this size may take. One that is cut off sends callers on sooner.
+func (c *coordinator) patienceFor(bytes int) time.Duration {
+	if c.cutOff() {
+		return patienceCutOff
+	}
 	return min(patience+time.Duration(bytes)*patiencePerMebi/bytesPerMebi, longestPatience)
 }
 
--- a/internal/tier/coordinator/configuration_test.go
+++ b/internal/tier/coordinator/configuration_test.go
@@ -117,6 +117,20 @@
 	})
 }
 
+func TestChangeDoesNotWaitForASilentVoterBehindHigherBallots(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		for generation := range 5 {
+			assert.Equal(t, c.at("core-1").configured(generation, configurationOf(generation+1, "a")), http.StatusOK)
+		}
+		c.isolate("core-1", true)
+		began := time.Now()
+		for generation, name := range []string{"core-2", "core-3", "core-2"} {
+			assert.Equal(t, c.at(name).configured(5+generation, configurationOf(6+generation, "b")), http.StatusOK)
+		}
+		assert.Assert(t, time.Since(began) < 300*time.Millisecond, "simulated time: %v", time.Since(began))
+	})
+}
+
 func TestOthersLearnWhatACoordinatorAcknowledgedAndDied(t *testing.T) {
 	inCluster(t, 3, 1, func(c *cluster) {
 		c.setCut("core-3", "core-1", true) // core-3 neither follows core-1 nor counts for it
--- a/internal/tier/coordinator/retire.go
+++ b/internal/tier/coordinator/retire.go
@@ -40,7 +40,7 @@
 	sent := &retirement{
 		node: name, tolerance: c.live.Current().FaultTolerance.Members(), waiting: c.directory.waitingStore(name),
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	ctx, cancel := context.WithTimeout(r.Context(), c.patienceFor(0))
 	defer cancel()
 	chosen, err := c.register.Change(ctx, sent.change)
 	if err != nil {
@@ -59,7 +59,7 @@
 		writeRetirement(w, known)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	ctx, cancel := context.WithTimeout(r.Context(), c.patienceFor(0))
 	defer cancel()
 	current, err := c.register.Read(ctx)
 	if err != nil {
--- a/internal/tier/register/proposer.go
+++ b/internal/tier/register/proposer.go
@@ -118,6 +118,9 @@
 	if err := p.options.Faults.At(fault.PrepareSending); err != nil {
 		return attemptResult{err: err}
 	}
+	if p.options.Local != nil {
+		p.counter = max(p.counter, p.options.Local.Promised().GetCounter())
+	}
 	p.counter++
 	round := newRound(p, &tierpb.Ballot{Counter: p.counter, Proposer: p.number}, p.options.Timeout)
 	prepared := round.prepare(ctx, p.startingPoint())
--- a/internal/tier/register/round.go
+++ b/internal/tier/register/round.go
@@ -47,7 +47,9 @@
 
 // ballotCount follows the answers to prepares.
 type ballotCount struct {
+	start    []*tierpb.VoterSet // of the state whose voters were asked first
 	asked    identities
+	refused  identities // have promised a higher ballot, or cannot save one
 	open     identities // asked and not answered
 	promised map[uint64]*tierpb.Ballot
 	best     *tierpb.PrepareReply // with a value, at the highest ballot
@@ -60,7 +62,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callsOfAPhase*r.timeout)
 	defer cancel()
 	answers := make(chan promise)
-	count := &ballotCount{asked: identities{}, open: identities{}, promised: map[uint64]*tierpb.Ballot{}}
+	count := &ballotCount{
+		start: start.GetVoters(), asked: identities{}, open: identities{}, refused: identities{},
+		promised: map[uint64]*tierpb.Ballot{},
+	}
 	r.ask(ctx, count, start, answers)
 	for len(count.open) > 0 {
 		select {
@@ -104,6 +109,7 @@
 		return false
 	}
 	if !reply.Promised {
+		c.refused.add(answer.from)
 		c.highest = max(c.highest, reply.GetHighest().GetCounter())
 		return false
 	}
@@ -123,10 +129,11 @@
 	return found
 }
 
-// decided says whether there is a quorum, or cannot be one.
+// decided says whether there is a quorum, or cannot be one. While no value is known, voters that refused the ballot
+// may make it hopeless; those of another identity may not, for a slower one can know who took their places.
 func (c *ballotCount) decided() bool {
 	if c.best == nil {
-		return false
+		return len(c.refused) > 0 && !Quorum(c.start, func(identity uint64) bool { return !c.refused.has(identity) })
 	}
 	if Quorum(c.best.Value.Voters, c.hasPromised) {
 		return true
--- a/internal/tier/replica/set.go
+++ b/internal/tier/replica/set.go
@@ -41,8 +41,8 @@
 	return mixed ^ mixed>>31
 }
 
-// Set chooses the replica set of a key: by rendezvous hash, where no zone gets a second member while another
-// zone has none. All processes with the same members get the same set in the same order.
+// Set chooses the replica set of a key: by rendezvous hash, where no zone (or region, where regions may be lost)
+// gets a second member while another has none. All processes with the same members get the same set in the same order.
 func Set(members []*tierpb.Node, key string, size int) []*tierpb.Node {
 	ranked := rank(members, Hash(key))
 	if len(ranked) <= size {
@@ -76,7 +76,7 @@
 			if len(chosen) == size {
 				break
 			}
-			if !taken[i] && !hasZone(chosen[first:], member.Zone) {
+			if !taken[i] && !hasDomain(chosen[first:], domain(member)) {
 				taken[i] = true
 				chosen = append(chosen, member)
 			}
@@ -85,8 +85,16 @@
 	return chosen
 }
 
-func hasZone(nodes []*tierpb.Node, zone string) bool {
-	return slices.ContainsFunc(nodes, func(node *tierpb.Node) bool { return node.Zone == zone })
+// domain is what may be lost as a whole together with a member.
+func domain(member *tierpb.Node) string {
+	if member.Domain != "" {
+		return member.Domain
+	}
+	return member.Zone
+}
+
+func hasDomain(nodes []*tierpb.Node, wanted string) bool {
+	return slices.ContainsFunc(nodes, func(node *tierpb.Node) bool { return domain(node) == wanted })
 }
 
 // Contains says whether a set has the member with this identity.
--- a/internal/tier/replica/set_test.go
+++ b/internal/tier/replica/set_test.go
@@ -85,3 +85,19 @@
 		assert.Equal(t, ReadQuorum(tolerance, Size(tolerance)), tolerance+1)
 	}
 }
+
+func TestSetSpreadsOverRegionsWhereTheseMayBeLost(t *testing.T) {
+	var nodes []*tierpb.Node
+	for i := range 9 {
+		nodes = append(nodes, &tierpb.Node{
+			Identity: uint64(1000 + i*77), Zone: fmt.Sprintf("zone%d", i), Domain: fmt.Sprintf("region%d", i%3),
+		})
+	}
+	for key := range 200 {
+		regions := map[string]bool{}
+		for _, node := range Set(nodes, fmt.Sprint(key), 3) {
+			regions[node.Domain] = true
+		}
+		assert.Equal(t, len(regions), 3)
+	}
+}
--- a/internal/tier/turnstore/run.go
+++ b/internal/tier/turnstore/run.go
@@ -83,6 +83,7 @@
 		Name:     current.NodeName,
 		Address:  current.InnerAddress(current.IP, settings.TurnStorePort),
 		Zone:     current.Zone,
+		Domain:   current.Domain(current.Zone),
 		Role:     tierpb.Role_ROLE_TURN_STORE,
 		Identity: store.Identity(),
 	}
