--- a/internal/tier/register/acceptor.go
+++ b/internal/tier/register/acceptor.go
@@ -119,7 +119,7 @@
 		}
 	}
 	state := &acceptorState{promised: &tierpb.Ballot{}, accepted: &tierpb.Ballot{}}
-	a.identity = DrawIdentity()
+	a.identity = DrawIdentity(options.Address)
 	if options.Bootstrap && !lost {
 		a.identity = InitialIdentity(options.Address)
 		state.value = InitialState(options.Seeds)
--- a/internal/tier/register/acceptor_test.go
+++ b/internal/tier/register/acceptor_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -66,6 +67,15 @@
 	assert.Assert(t, wiped.Value() == nil)
 }
 
+func TestNumbersDifferWhereOneOfTheirSourcesFails(t *testing.T) {
+	at, random := time.Unix(1000, 0), []byte("random")
+	number := mix("one", at, random)
+	assert.Assert(t, number != mix("other", at, random))
+	assert.Assert(t, number != mix("one", at.Add(1), random))
+	assert.Assert(t, number != mix("one", at, []byte("another")))
+	assert.Assert(t, DrawIdentity("one") != InitialIdentity("one"))
+}
+
 func TestSeedsAgreeInAnyOrder(t *testing.T) {
 	turned := []string{testSeeds[2], testSeeds[0], testSeeds[1], testSeeds[0]}
 	assert.Assert(t, InitialState(turned).EqualVT(InitialState(testSeeds)))
--- a/internal/tier/register/identity.go
+++ b/internal/tier/register/identity.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -20,11 +21,22 @@
 	return binary.BigEndian.Uint64(digest[:])&^drawnIdentity | 1
 }
 
-// DrawIdentity draws an identity for a node whose disk was found empty.
-func DrawIdentity() uint64 {
-	var drawn [8]byte
-	_, _ = rand.Read(drawn[:]) // never fails
-	return binary.BigEndian.Uint64(drawn[:]) | drawnIdentity
+// DrawIdentity draws an identity for the node with this inner address whose disk was found empty.
+func DrawIdentity(address string) uint64 { return draw(address) | drawnIdentity }
+
+// draw returns a number that no other process draws, nor another life of this one.
+func draw(owner string) uint64 {
+	var random [16]byte
+	_, _ = rand.Read(random[:]) // never fails
+	return mix(owner, time.Now(), random[:])
+}
+
+// mix makes a number of whose it is, the time and randomness, so that one of these may fail: machines that start from
+// one image, a clock that was set back.
+func mix(owner string, at time.Time, random []byte) uint64 {
+	text := binary.BigEndian.AppendUint64([]byte(owner), uint64(at.UnixNano()))
+	digest := sha256.Sum256(append(text, random...))
+	return binary.BigEndian.Uint64(digest[:])
 }
 
 // InitialState is the value that the register has at the first start, known to all without talk: version 0, and
--- a/internal/tier/register/proposer.go
+++ b/internal/tier/register/proposer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,7 +65,11 @@
 	if options.Random == nil {
 		options.Random = func(n time.Duration) time.Duration { return rand.N(n + 1) }
 	}
-	proposer := &Proposer{options: options, turn: make(chan struct{}, 1), number: rand.Uint64() | 1}
+	owner := ""
+	if options.Local != nil {
+		owner = strconv.FormatUint(options.Local.Identity(), 16)
+	}
+	proposer := &Proposer{options: options, turn: make(chan struct{}, 1), number: draw(owner)}
 	if options.Local != nil {
 		proposer.counter = options.Local.Promised().GetCounter()
 	}
