--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -108,7 +108,7 @@
 
 // abandon takes out a member that has been silent for long, where enough others run.
 func abandon(present []*tierpb.Node, view *View) ([]*tierpb.Node, string) {
-	place := silentStore(present, view, storeAbandoned)
+	place := silentStore(present, view, view.abandonAfter())
 	if place < 0 {
 		return nil, ""
 	}
