Placement: a retirement moves the vote off its machine before it is completed

A voter on a machine that is being emptied counts as silent, and the order is completed only when no vote is left there. Nothing changes where the roles are on machines of their own.

--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -16,6 +16,9 @@
 	if reason := finishMove(current, view); reason != "" {
 		return current, reason
 	}
+	if completeRetirements(current, view) {
+		return current, "retirement completed"
+	}
 	next, reason := members(current, view)
 	if reason == "" {
 		return current, ""
@@ -159,11 +162,7 @@
 		return ""
 	}
 	stores.Previous = nil
-	for _, retirement := range current.Retirements {
-		if find(stores.Current, retirement.Identity) < 0 {
-			retirement.Completed = true
-		}
-	}
+	completeRetirements(current, view)
 	return "records moved"
 }
 
