What a process reads at its start is synced before it is acted on

A process that is killed between a write and its sync leaves bytes that the next one reads as if they were durable; a loss of power then takes them back. Found by the random schedules of the turn stores, which now run saves while machines fail, disks take time, clients and stores know older memberships: a record acknowledged as held already was gone.

--- a/internal/tier/command/role.go
+++ b/internal/tier/command/role.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 	"time"
 
@@ -47,16 +46,14 @@
 	}
 	process.Fit(live.Current().Limits)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	reloading := &reloader{live: live, log: log}
-	var watching sync.WaitGroup
-	watching.Go(func() { reloading.run(ctx, hangups, ticker.C) })
-	defer watching.Wait()
-	defer stop()
+	go reloading.run(ctx, hangups, ticker.C)
 
 	log.Info("started", "node", live.Current().NodeName, "ip", live.Current().IP, "zone", live.Current().Zone)
 	if err := r.role.Run(ctx, live, log); err != nil {
--- a/internal/tier/simulation/disk.go
+++ b/internal/tier/simulation/disk.go
@@ -255,6 +255,20 @@
 	})
 }
 
+func (m *mount) SyncFile(name string) error {
+	var file *inode
+	err := m.use(func(disk *Disk) error {
+		if file = disk.current[name]; file == nil {
+			return errMissing
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return (&openFile{mount: m, name: name, file: file}).Sync()
+}
+
 func (m *mount) SyncFolder(string) error {
 	m.wait()
 	return m.use(func(disk *Disk) error {
--- a/internal/tier/storage/disk.go
+++ b/internal/tier/storage/disk.go
@@ -22,6 +22,8 @@
 	Rename(from, to string) error
 	// Remove removes a file.
 	Remove(path string) error
+	// SyncFile makes what a file holds durable, also what another process has written.
+	SyncFile(path string) error
 	// SyncFolder makes the names in a folder durable.
 	SyncFolder(folder string) error
 }
@@ -72,6 +74,16 @@
 // Remove implements Disk.
 func (OS) Remove(path string) error { return os.Remove(path) }
 
+// SyncFile implements Disk.
+func (OS) SyncFile(path string) error {
+	opened, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer opened.Close()
+	return opened.Sync()
+}
+
 // SyncFolder implements Disk.
 func (OS) SyncFolder(folder string) error {
 	opened, err := os.Open(folder)
--- a/internal/tier/storage/versions.go
+++ b/internal/tier/storage/versions.go
@@ -83,6 +83,10 @@
 			s.damaged = true
 			continue
 		}
+		// A process that was killed may have renamed the file without syncing the folder.
+		if err := s.disk.SyncFolder(s.folder); err != nil {
+			return eris.Wrapf(err, "sync %s", s.folder)
+		}
 		s.payload, s.found = payload, true
 		s.removeAllBut(version)
 		return nil
--- a/internal/tier/storage/versions_test.go
+++ b/internal/tier/storage/versions_test.go
@@ -149,3 +149,25 @@
 	assert.Equal(t, len(names), 2)
 	assert.Assert(t, strings.HasPrefix(names[1], name) && names[0] == "somebody-elses")
 }
+
+// TestVersionReadAfterAKillOutlastsPowerLoss kills the process at each point of a save; what the next process reads
+// it may act on, so it has to be there also after a loss of power.
+func TestVersionReadAfterAKillOutlastsPowerLoss(t *testing.T) {
+	for point := fault.VersionCreated; point <= fault.VersionRemoved; point++ {
+		for seed := range uint64(60) {
+			m := machine(seed)
+			stop := false
+			points := &fault.Points{Stop: func(passed fault.Point) bool { return stop && passed == point }}
+			series := open(t, m.Start().Mount(), points)
+			assert.NilError(t, series.Save([]byte("one")))
+			stop = true
+			assert.ErrorIs(t, series.Save([]byte("two")), fault.ErrStopped)
+			read, found := open(t, m.Start().Mount(), nil).Newest()
+			assert.Assert(t, found)
+			m.PowerLoss()
+			kept, found := open(t, m.Start().Mount(), nil).Newest()
+			assert.Assert(t, found, "point %d", point)
+			assert.Equal(t, string(kept), string(read), "point %d", point)
+		}
+	}
+}
--- a/internal/tier/turnstore/cluster_test.go
+++ b/internal/tier/turnstore/cluster_test.go
@@ -29,6 +29,8 @@
 	mu         sync.Mutex
 	machines   map[string]*machine // by address
 	membership *tierpb.StoreMembership
+	older      []*tierpb.StoreMembership // those before it
+	lagging    bool                      // stores learn of a change by chance or when they make a pass
 	nextID     uint64
 	cut        map[string]bool      // addresses that nobody reaches; calls fail
 	latency    func() time.Duration // of one way; nil for none. Only under synctest, where it takes no real time
@@ -105,6 +107,7 @@
 // add puts an empty machine at an address and starts its store.
 func (c *cluster) add(address, zone string) *machine {
 	m := &machine{address: address, zone: zone, disk: newMemoryDisk()}
+	m.disk.syncing = c.latency
 	m.goOn()
 	c.mu.Lock()
 	c.machines[address] = m
@@ -147,6 +150,7 @@
 func (c *cluster) wipe(m *machine) {
 	c.kill(m)
 	m.disk = newMemoryDisk()
+	m.disk.syncing = c.latency
 }
 
 func (c *cluster) losePower(m *machine) {
@@ -174,19 +178,24 @@
 
 // setMembers makes all running stores the members; the members before become the previous ones.
 func (c *cluster) setMembers(previous []*tierpb.Node) {
-	c.mu.Lock()
-	c.membership = &tierpb.StoreMembership{
-		Epoch: c.membership.GetEpoch() + 1, Current: c.nodes(), Previous: previous,
-	}
-	c.mu.Unlock()
-	c.teachAll()
+	c.change(c.nodes(), previous)
 }
 
-func (c *cluster) dropPrevious() {
+func (c *cluster) dropPrevious() { c.change(c.known().Current, nil) }
+
+// change begins the next epoch.
+func (c *cluster) change(current, previous []*tierpb.Node) {
 	c.mu.Lock()
-	c.membership = &tierpb.StoreMembership{Epoch: c.membership.Epoch + 1, Current: c.membership.Current}
+	c.older = append(c.older, c.membership)
+	c.membership = &tierpb.StoreMembership{
+		Epoch: c.membership.GetEpoch() + 1, Current: current, Previous: previous,
+	}
 	c.mu.Unlock()
-	c.teachAll()
+	for _, m := range c.machines {
+		if m.store != nil && (!c.lagging || c.random.IntN(2) == 0) {
+			c.teach(m.store)
+		}
+	}
 }
 
 func (c *cluster) teachAll() {
@@ -197,6 +206,16 @@
 	}
 }
 
+// outdated is a membership that a client may still know: one of the last few.
+func (c *cluster) outdated(by int) *tierpb.StoreMembership {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if by == 0 || by >= len(c.older) { // the first is none
+		return c.membership
+	}
+	return c.older[len(c.older)-by]
+}
+
 func (c *cluster) teach(store *Store) {
 	c.mu.Lock()
 	control := &tierpb.ControlState{Version: c.membership.GetEpoch(), Stores: c.membership}
@@ -212,6 +231,7 @@
 
 // pass makes a store hand on what it holds.
 func (c *cluster) pass(m *machine) error {
+	c.teachAll() // a pass goes on until the others know of the change too
 	work := &pass{
 		store: m.store, caller: c, tolerance: 1, membership: c.known(), faults: m.points(), after: atOnce,
 	}
@@ -235,11 +255,16 @@
 	c.mu.Lock()
 	m := c.machines[address]
 	var store *Store
-	if m != nil && !c.cut[address] {
+	if m != nil {
 		store = m.store
 	}
+	isCut := c.cut[address]
 	c.mu.Unlock()
-	if store == nil {
+	switch {
+	case isCut && c.latency != nil:
+		<-ctx.Done()
+		return rpc.ErrTimeout
+	case isCut || store == nil:
 		return rpc.ErrUnreachable
 	}
 	data := encode(request)
--- a/internal/tier/turnstore/disk_test.go
+++ b/internal/tier/turnstore/disk_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -27,7 +28,8 @@
 	renamed map[string]string // new name to old, while the folder is not synced
 	removed map[string]*memoryFile
 	failing bool
-	life    int // handles of an earlier life do nothing
+	syncing func() time.Duration // time of a sync; nil for none. Only under synctest
+	life    int                  // handles of an earlier life do nothing
 }
 
 func newMemoryDisk() *memoryDisk {
@@ -107,6 +109,20 @@
 	return nil
 }
 
+func (d *memoryDisk) SyncFile(path string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.trouble(); err != nil {
+		return err
+	}
+	file := d.files[path]
+	if file == nil {
+		return fs.ErrNotExist
+	}
+	file.synced = len(file.data)
+	return nil
+}
+
 func (d *memoryDisk) SyncFolder(string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -191,6 +207,9 @@
 }
 
 func (h *handle) Sync() error {
+	if h.disk.syncing != nil {
+		time.Sleep(h.disk.syncing())
+	}
 	h.disk.mu.Lock()
 	defer h.disk.mu.Unlock()
 	if err := h.ready(); err != nil {
--- a/internal/tier/turnstore/merged.go
+++ b/internal/tier/turnstore/merged.go
@@ -50,8 +50,12 @@
 	return found, nil
 }
 
-// recoverFile takes in a file. Merging is free of order, so files that a merged one has replaced do no harm.
+// recoverFile takes in a file. Merging is free of order, so files that a merged one has replaced do no harm. What a
+// process that was killed had written and not synced is synced first: from here on it counts as durable.
 func recoverFile(disk storage.Disk, path string, into contents) (size int64, whole bool, err error) {
+	if err := disk.SyncFile(path); err != nil {
+		return 0, false, eris.Wrapf(err, "sync %s", path)
+	}
 	data, err := disk.Read(path)
 	if err != nil {
 		return 0, false, eris.Wrapf(err, "read %s", path)
--- a/internal/tier/turnstore/schedule_test.go
+++ b/internal/tier/turnstore/schedule_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -25,11 +26,30 @@
 	*cluster
 	lost     *machine          // the one that is lost now
 	copied   map[uint64]uint64 // by identity: epoch of the last pass
-	saved    []string
+	saving   sync.WaitGroup
+	saved    savedTurns
 	programs map[string]*spending
 	next     int
 }
 
+// savedTurns lists the turns whose saving was acknowledged.
+type savedTurns struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+func (s *savedTurns) add(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ids = append(s.ids, id)
+}
+
+func (s *savedTurns) list() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.ids)
+}
+
 // spending is what a test knows of a program.
 type spending struct {
 	mu     sync.Mutex
@@ -39,58 +59,40 @@
 }
 
 const (
-	mostOfTurn = 10
-	patience   = 40 // pauses after which a client gives up
+	mostOfTurn       = 10
+	schedules        = 20
+	eventsInSchedule = 150
 )
 
 func newSchedule(t *testing.T, seed uint64) *schedule {
-	return &schedule{
+	s := &schedule{
 		cluster:  newCluster(t, seed, "a", "b", "c", "a"),
 		copied:   make(map[uint64]uint64),
 		programs: make(map[string]*spending),
 	}
+	s.lagging = true
+	s.clock.now = time.Now()
+	s.latency = randomLatency(seed, 6*time.Millisecond)
+	for _, m := range s.machines {
+		m.disk.syncing = s.latency
+	}
+	return s
 }
 
-// impatient makes options whose timers fire at once or, for hedges, by chance; the context ends after some pauses.
-func (s *schedule) impatient(seed uint64) (context.Context, replica.Options) {
-	ctx, cancel := context.WithCancel(context.Background())
+// patient is how long a client tries, in the simulated time of a synctest bubble.
+const patient = 2 * time.Second
+
+// client makes the options of a client in some zone, which may know an older membership.
+func (s *schedule) client(seed uint64) (context.Context, context.CancelFunc, replica.Options) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	ctx, cancel := context.WithTimeout(context.Background(), patient)
 	options := s.options()
 	options.CacheBytes = 1
-	options.Zone = string(rune('a' + seed%3))
-	random := rand.New(rand.NewPCG(seed, 2))
-	var mu sync.Mutex
-	pauses := 0
-	options.After = func(time.Duration) <-chan time.Time {
-		mu.Lock()
-		defer mu.Unlock()
-		if pauses++; pauses == patience {
-			cancel()
-		}
-		if random.IntN(2) == 0 {
-			return atOnce(0)
-		}
-		return lateOn(ctx)
-	}
-	return ctx, options
-}
-
-// lateOn fires once other goroutines had a chance to run.
-func lateOn(ctx context.Context) <-chan time.Time {
-	fired := make(chan time.Time, 1)
-	go func() {
-		for range 20 {
-			if ctx.Err() != nil {
-				return
-			}
-			// Only the order of events is left to the scheduler; no time is measured.
-			select {
-			case <-ctx.Done():
-			default:
-			}
-		}
-		fired <- time.Time{}
-	}()
-	return fired
+	options.Zone = string(rune('a' + random.IntN(3)))
+	options.Now, options.After = time.Now, time.After
+	outdated := s.outdated(random.IntN(3))
+	options.Membership = func() *tierpb.StoreMembership { return outdated }
+	return ctx, cancel, options
 }
 
 func (s *schedule) step(event int) {
@@ -118,17 +120,25 @@
 	}
 }
 
+// save begins to save some turns; other events come meanwhile.
 func (s *schedule) save() {
-	id := fmt.Sprintf("turn-%d", s.next)
-	s.next++
-	previous := ""
-	if len(s.saved) > 0 && s.random.IntN(3) > 0 {
-		previous = s.saved[s.random.IntN(len(s.saved))]
-	}
-	ctx, options := s.impatient(s.random.Uint64())
-	if turns.NewClient(options).Save(ctx, s.record(id, previous)) == nil {
-		s.saved = append(s.saved, id)
+	for range 1 + s.random.IntN(3) {
+		id := fmt.Sprintf("turn-%d", s.next)
+		s.next++
+		previous := ""
+		if saved := s.saved.list(); len(saved) > 0 && s.random.IntN(3) > 0 {
+			previous = saved[s.random.IntN(len(saved))]
+		}
+		record, seed := s.record(id, previous), s.random.Uint64()
+		s.saving.Go(func() {
+			ctx, cancel, options := s.client(seed)
+			defer cancel()
+			if turns.NewClient(options).Save(ctx, record) == nil {
+				s.saved.add(id)
+			}
+		})
 	}
+	time.Sleep(s.latency())
 }
 
 // spend has some turns of one program claim at the same time, and settles some of those that passed.
@@ -154,7 +164,8 @@
 }
 
 func (s *schedule) claim(name string, known *spending, request string, seed uint64) {
-	ctx, options := s.impatient(seed)
+	ctx, cancel, options := s.client(seed)
+	defer cancel()
 	client := budget.NewClient(options)
 	if client.Reserve(ctx, name, known.budget, request, mostOfTurn) != nil {
 		client.Wait()
@@ -263,11 +274,8 @@
 	}
 	victim := s.some()
 	before := s.known().Current
-	s.mu.Lock()
-	current := slices.DeleteFunc(slices.Clone(before), func(node *tierpb.Node) bool { return node.Address == victim.address })
-	s.membership = &tierpb.StoreMembership{Epoch: s.membership.Epoch + 1, Current: current, Previous: before}
-	s.mu.Unlock()
-	s.teachAll()
+	isVictim := func(node *tierpb.Node) bool { return node.Address == victim.address }
+	s.change(slices.DeleteFunc(slices.Clone(before), isVictim), before)
 }
 
 // passSomewhere has a store of the previous members make its pass, and ends the change when enough have.
@@ -308,7 +316,7 @@
 	m.stopAfter(s.random.IntN(4))
 	err := s.pass(m)
 	m.goOn()
-	if err != nil {
+	if err != nil || m.store.journal.isFailed() {
 		s.kill(m)
 		s.start(m)
 	}
@@ -333,7 +341,7 @@
 	m.stopAfter(s.random.IntN(4))
 	err := m.store.Merge(context.Background())
 	m.goOn()
-	if errors.Is(err, fault.ErrStopped) {
+	if errors.Is(err, fault.ErrStopped) || m.store.journal.isFailed() {
 		s.losePower(m)
 		s.start(m)
 	}
@@ -341,10 +349,13 @@
 
 // check reads everything that was acknowledged.
 func (s *schedule) check() {
-	for _, id := range s.saved {
-		ctx, options := s.impatient(s.random.Uint64())
+	s.saving.Wait()
+	s.teachAll()
+	for _, id := range s.saved.list() {
+		ctx, cancel, options := s.client(s.random.Uint64())
 		chain, err := turns.NewClient(options).Chain(ctx, id)
-		assert.NilError(s.t, err, "%s, members %v", id, s.known())
+		cancel()
+		assert.NilError(s.t, err, "%s\n%s", id, s.describe(id))
 		for i, record := range chain {
 			assert.Equal(s.t, string(record.Input), "in of "+record.Id)
 			if i > 0 {
@@ -355,14 +366,34 @@
 }
 
 func TestRandomSchedulesLoseNoTurnAndOverspendNoBudget(t *testing.T) {
-	for seed := range uint64(15) {
-		s := newSchedule(t, seed)
-		for range 150 {
-			s.step(s.random.IntN(100))
-		}
-		s.check()
+	for seed := range uint64(schedules) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(t, seed)
+			defer s.close()
+			defer s.saving.Wait()
+			for range eventsInSchedule {
+				s.step(s.random.IntN(100))
+			}
+			s.check()
+		})
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
 	}
 }
+
+// describe lists the machines and which of them hold a turn.
+func (s *schedule) describe(id string) string {
+	text := fmt.Sprintf("epoch %d, previous %d", s.known().Epoch, len(s.known().Previous))
+	for address, m := range s.machines {
+		if m.store == nil {
+			text += fmt.Sprintf("\n%s is down", address)
+			continue
+		}
+		m.store.mu.Lock()
+		text += fmt.Sprintf("\n%s identity %d epoch %d cut %v lost %v holds %v disk %v", address, m.store.identity,
+			m.store.membership.GetEpoch(), s.cut[address], m == s.lost, m.store.view.records[id] != nil, m.store.journal.usable())
+		m.store.mu.Unlock()
+	}
+	return text
+}
