--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -55,6 +55,9 @@
 // Run serves the role until ctx ends and all is shut down in order.
 func Run(ctx context.Context, live *settings.Live, log hclog.Logger) error {
 	current := live.Current()
+	if err := checkSettings(current); err != nil {
+		return err
+	}
 	address := current.InnerAddress(current.IP, settings.CoordinatorPort)
 	acceptor, err := register.OpenAcceptor(register.AcceptorOptions{
 		Disk: storage.OS{}, Folder: filepath.Join(current.DataDir, registerFolder), Address: address,
@@ -75,6 +78,17 @@
 	return c.serve(ctx, acceptor)
 }
 
+// checkSettings finds what other roles can do without.
+func checkSettings(current *settings.Settings) error {
+	if current.Listen.Control == "" {
+		return eris.New("coordinator: listen.control is missing")
+	}
+	if current.DataDir == "" {
+		return eris.New("coordinator: dataDir is missing")
+	}
+	return nil
+}
+
 func newCoordinator(live *settings.Live, log hclog.Logger, self *tierpb.Node, caller rpc.Caller) *coordinator {
 	seeds := func() []string { return live.Current().SeedCoordinators() }
 	return &coordinator{
--- /dev/null
+++ b/internal/tier/coordinator/coordinator_test.go
@@ -0,0 +1,79 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/settings"
+)
+
+func freePort(t *testing.T) int {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func TestSettingsThatACoordinatorNeeds(t *testing.T) {
+	err := Run(context.Background(), settings.Fixed(&settings.Settings{DataDir: t.TempDir()}), hclog.NewNullLogger())
+	assert.ErrorContains(t, err, "listen.control")
+	own := &settings.Settings{Listen: settings.Listen{Control: "127.0.0.1:1"}}
+	err = Run(context.Background(), settings.Fixed(own), hclog.NewNullLogger())
+	assert.ErrorContains(t, err, "dataDir")
+}
+
+// TestRunServesAndStops runs the role whole, alone on loopback, and takes a configuration over its socket.
+func TestRunServesAndStops(t *testing.T) {
+	control := net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t)))
+	inner := freePort(t)
+	own := &settings.Settings{
+		NodeName: "core", IP: "127.0.0.1", EphemeralPorts: []int{inner, inner + 10}, Bootstrap: true, DataDir: t.TempDir(),
+		Seeds: []string{control}, Listen: settings.Listen{Control: control}, HeartbeatMs: testHeartbeatMs,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	started := make(chan struct{})
+	ended := make(chan error, 1)
+	log := hclog.New(&hclog.LoggerOptions{Output: &closeOnWrite{closed: started}})
+	go func() { ended <- Run(ctx, settings.Fixed(own), log) }()
+	<-started
+	status := 0
+	for status != http.StatusOK {
+		status = putOver(t, control, configurationOf(1, "a"))
+	}
+	cancel()
+	assert.NilError(t, <-ended)
+	_, err := net.Dial("tcp4", control)
+	assert.Assert(t, err != nil, "the listener is closed")
+}
+
+// putOver sends a configuration over a socket; 0 while nothing listens yet.
+func putOver(t *testing.T, control, body string) int {
+	request, err := http.NewRequest(http.MethodPut, "http://"+control+"/v1/config", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("If-Match", "0")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode
+}
+
+// closeOnWrite closes a channel at the first line of a log.
+type closeOnWrite struct {
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *closeOnWrite) Write(line []byte) (int, error) {
+	c.once.Do(func() { close(c.closed) })
+	return len(line), nil
+}
