--- a/internal/tier/admission/admission_test.go
+++ b/internal/tier/admission/admission_test.go
@@ -409,3 +409,54 @@
 	later.Affinity = 77
 	assert.Equal(t, b.now(later).Store().Instance, home.Store().Instance)
 }
+
+func TestProgramsThatBeginAreRefusedBeforeThoseThatGoOn(t *testing.T) {
+	v := newService("s")
+	for range 200 {
+		v.count(priorities) // begins, most urgent
+		for range 5 {
+			v.count(1)
+		}
+	}
+	assert.Assert(t, v.refusedShare(priorities, 0.4) > 0.3)
+	assert.Equal(t, v.refusedShare(1, 0.4), 0.0)
+}
+
+func TestProgramBeginsOnce(t *testing.T) {
+	b := newBench(t, stores(2, 8)...)
+	r := b.request()
+	r.Affinity, r.First = 5, true
+	v := b.core.services["s"]
+	assert.Assert(t, v.begins(&r))
+	b.now(r)
+	assert.Assert(t, !v.begins(&r))
+}
+
+func TestRecentForgets(t *testing.T) {
+	var r recent
+	r.add(1, 0)
+	r.add(2, recentSpan)
+	assert.Assert(t, r.has(1))
+	r.add(3, 2*recentSpan)
+	assert.Assert(t, !r.has(1) && r.has(2) && r.has(3))
+}
+
+// Under a load that slows all stores alike none is a suspect, and none is skipped for being late.
+func TestLoadThatAllHaveMakesNoSuspects(t *testing.T) {
+	b := newBench(t, stores(3, 32)...)
+	for range 60 {
+		b.serve(b.request(), 10*time.Millisecond)
+	}
+	for range 120 {
+		b.serve(b.request(), 80*time.Millisecond)
+	}
+	out := b.now(b.request())
+	b.clock.pass(40 * time.Millisecond)
+	v, now := b.core.services["s"], b.since(b.clock.Now())
+	for _, s := range v.stores {
+		assert.Assert(t, s.sound(now), "trust %v", s.trust(now))
+		assert.Assert(t, !s.late(now))
+	}
+	b.clock.pass(80 * time.Millisecond)
+	assert.Assert(t, v.known[out.Store().Instance].late(b.since(b.clock.Now())))
+}
--- a/internal/tier/admission/core.go
+++ b/internal/tier/admission/core.go
@@ -29,7 +29,8 @@
 	w.place.Seq, w.index, w.since = c.seq, -1, now
 	w.class = v.class(w.Aim, w.Streaming)
 	w.shunned = v.shunnedBy(w.Affinity, now)
-	v.count(w.Priority)
+	w.begins = v.begins(&w.Request)
+	v.count(w.level())
 	s, tier := c.choose(v, w, now)
 	if s == nil {
 		w.refusal = &Refusal{Reason: NoStore, RetryAfter: noStoreRetry}
@@ -51,6 +52,9 @@
 	v := s.service
 	c.settle(w, now)
 	g := &Grant{store: s, class: w.class, affinity: w.Affinity, told: s.Store, sentAt: now, quiet: s.load(now) < quietShare*float64(s.slots())}
+	if w.Affinity != 0 {
+		v.begun.add(w.Affinity, now)
+	}
 	s.out++
 	v.out++
 	s.unheard = append(s.unheard, g)
--- a/internal/tier/admission/queue.go
+++ b/internal/tier/admission/queue.go
@@ -11,6 +11,7 @@
 type waiter struct {
 	Request
 	class   *class
+	begins  bool   // the first of its program
 	store   *store // whose queue it is in
 	shunned *store // it failed what this one goes on from
 	place   tailguard.Place
--- a/internal/tier/admission/records.go
+++ b/internal/tier/admission/records.go
@@ -12,6 +12,8 @@
 	aim       time.Duration
 	streaming bool
 	pool      *curve.Histogram // all stores' unloaded answer times
+	recent    *curve.Histogram // all stores' answer times of the last seconds
+	late      float64          // their tail: what takes longer is late also under the load that there is
 	curve     []float64
 	fresh     bool
 	typical   float64 // median of the pool, seconds
@@ -33,7 +35,8 @@
 }
 
 func newClass(aim time.Duration, streaming bool) *class {
-	return &class{aim: aim, streaming: streaming, pool: newTimes()}
+	return &class{aim: aim, streaming: streaming, pool: newTimes(),
+		recent: curve.NewHistogram(curve.RecordLow, curve.RecordHigh, curve.RecordRatio, recentHalf)}
 }
 
 // refresh brings what is read off the pool up to date. Before any answer it is a start curve from the aim.
@@ -49,6 +52,10 @@
 	}
 	c.curve = curve.Blend(c.curve, pool, pool, 0, now)
 	c.typical, c.tail = pool.Quantile(c.curve, 0.5), pool.Quantile(c.curve, tail)
+	c.late = 0
+	if c.recent.Size(now) >= curve.RecordPrior {
+		c.late = c.recent.Quantile(curve.Blend(nil, c.recent, c.recent, 0, now), tail)
+	}
 	risen := c.base * (1 + baseRise*(now-c.baseAt).Seconds())
 	if c.base == 0 || c.pool.Size(now) < curve.RecordPrior {
 		risen = c.typical
@@ -82,9 +89,9 @@
 }
 
 // patience is how many seconds a request may be out before its store is skipped: a slow store's own record does not
-// excuse it.
+// excuse it, and a load that all have does.
 func (s *store) patience(c *class, now time.Duration) float64 {
-	return min(s.tailOf(c, now), c.tail)
+	return max(min(s.tailOf(c, now), c.tail), c.late)
 }
 
 // remember adds an unloaded answer time to the records.
--- a/internal/tier/admission/refuse.go
+++ b/internal/tier/admission/refuse.go
@@ -6,15 +6,28 @@
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
-// count takes in the priority of a request that came in.
-func (v *service) count(priority int) {
+// level is a request's place in the order of refusal, the least urgent last: requests by priority, then by priority the first
+// turns of programs, as a program that has begun is worth something only when all of its turns are served.
+func (w *waiter) level() int {
+	l := min(max(w.Priority, 0), priorities-1)
+	if w.begins {
+		l += priorities
+	}
+	return l
+}
+
+// count takes in the level of a request that came in.
+func (v *service) count(level int) {
 	for i := range v.shares {
 		v.shares[i] -= levelWeight * v.shares[i]
 	}
-	v.shares[level(priority)] += levelWeight
+	v.shares[level] += levelWeight
 }
 
-func level(priority int) int { return min(max(priority, 0), levels-1) }
+// begins says whether a request is the first of its program, as far as this proxy can know.
+func (v *service) begins(r *Request) bool {
+	return r.First && r.Affinity != 0 && !v.begun.has(r.Affinity)
+}
 
 // refuses decides on a request before it is sent or held.
 func (c *core) refuses(v *service, w *waiter, now time.Duration, tier int) bool {
@@ -27,7 +40,7 @@
 		return true
 	}
 	share := v.missShare(now)
-	if share == 0 || !v.busy(now) || c.random.Float64() >= v.refusedShare(w.Priority, share) {
+	if share == 0 || !v.busy(now) || c.random.Float64() >= v.refusedShare(w.level(), share) {
 		return false
 	}
 	c.refuse(v, w, Overload)
@@ -50,21 +63,32 @@
 	return taken >= busyShare*all
 }
 
-// refusedShare is the share of a priority's requests that is refused, where a share of all is to be: the least urgent go
-// first, most of theirs before any of the next.
-func (v *service) refusedShare(priority int, share float64) float64 {
-	total := 0.0
-	for _, s := range v.shares {
+// refusedShare is the share of a level's requests that is refused, where a share of all is to be. The last levels go first,
+// most of theirs before any of the next; a program that does not begin also saves the turns it would have had.
+func (v *service) refusedShare(level int, share float64) float64 {
+	total, beginning := 0.0, 0.0
+	for i, s := range v.shares {
 		total += s
+		if i >= priorities {
+			beginning += s
+		}
 	}
 	left := share * total
-	for i := levels - 1; i > level(priority); i-- {
-		left -= levelMost * v.shares[i]
+	for i := levels - 1; i > level; i-- {
+		left -= levelMost * v.shares[i] * v.saves(i, total, beginning)
 	}
 	if left <= 0 {
 		return 0
 	}
-	return min(left/v.shares[level(priority)], max(levelMost, share))
+	return min(left/(v.shares[level]*v.saves(level, total, beginning)), max(levelMost, share))
+}
+
+// saves is how many requests one that is refused saves.
+func (v *service) saves(level int, total, beginning float64) float64 {
+	if level < priorities || beginning == 0 {
+		return 1
+	}
+	return total / beginning
 }
 
 // refuse ends a request with the time after which another try is of use.
--- a/internal/tier/admission/service.go
+++ b/internal/tier/admission/service.go
@@ -21,11 +21,13 @@
 	held    int // requests in all queues
 
 	shunned map[uint64]shun // by affinity
+	begun   recent          // programs that were served
 
 	running float64 // smoothed requests of other callers at a store, as stores tell ...
 	waiting float64 // ... and those that wait there
 	toldAt  time.Duration
 
+	slowness  float64 // smoothed answer time of all stores as a multiple of the usual
 	out       int     // requests of ours that are at its stores
 	occupancy float64 // smoothed seconds that a request holds its place
 	decided   curve.Sliding
--- a/internal/tier/admission/store.go
+++ b/internal/tier/admission/store.go
@@ -123,7 +123,7 @@
 
 // trust is 1 on the ordinary path, and less while the store fails, is slower than the others, or is cold.
 func (s *store) trust(now time.Duration) float64 {
-	slow := 1 + tailguard.Faded(max(s.slowness, 1)-1, now-s.slowAt, latencyHalf)
+	slow := 1 + tailguard.Faded(max(s.slowness/max(s.service.slowness, 1), 1)-1, now-s.slowAt, latencyHalf)
 	t := tailguard.Trust(s.failingNow(now), slow/slowSlack, s.warmth(now))
 	if s.State == Silent {
 		t *= trusted
@@ -151,10 +151,15 @@
 		weight = latencyBack
 	}
 	s.slowness, s.slowAt = s.slowness+weight*(ratio-s.slowness), now
+	s.service.slowness += slownessWeight * (ratio - s.service.slowness)
+	c.recent.Add(now, seconds)
+	c.fresh = false
 	if quiet {
 		s.remember(c, now, seconds)
 	}
-	s.cap, s.capFellAt = capRule.Next(s.cap, s.capFellAt, now, s.slowness*c.base, c.base)
+	rule := capRule
+	rule.Min = max(rule.Min, float64(s.slots())*capSlots)
+	s.cap, s.capFellAt = rule.Next(s.cap, s.capFellAt, now, s.slowness*c.base, c.base)
 }
 
 // told takes in the load that the store put into an answer; this request is still counted in it.
--- a/internal/tier/command/role.go
+++ b/internal/tier/command/role.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -46,14 +47,16 @@
 	}
 	process.Fit(live.Current().Limits)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	reloading := &reloader{live: live, log: log}
-	go reloading.run(ctx, hangups, ticker.C)
+	var watching sync.WaitGroup
+	watching.Go(func() { reloading.run(ctx, hangups, ticker.C) })
+	defer watching.Wait()
+	defer stop()
 
 	log.Info("started", "node", live.Current().NodeName, "ip", live.Current().IP, "zone", live.Current().Zone)
 	if err := r.role.Run(ctx, live, log); err != nil {
--- a/internal/tier/coordinator/membership_test.go
+++ b/internal/tier/coordinator/membership_test.go
@@ -83,6 +83,19 @@
 	})
 }
 
+// A store that has joined before there are members is one of those that records will need.
+func TestRetirementBeforeThereAreMembersIsRefused(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		for _, joined := range [][]*tierpb.Node{{storeNode(1)}, {storeNode(1), storeNode(2)}} {
+			c.storesRun(500*time.Millisecond, "core-1", joined...)
+			current, _ := c.members("core-1")
+			assert.Equal(t, len(current), 0)
+			status, answer := c.at("core-1").send(http.MethodPost, "/v1/retire/store-1", "", `{"deadlineS":10}`)
+			assert.Equal(t, status, http.StatusConflict, answer)
+		}
+	})
+}
+
 func TestRetirementWithoutQuorumGetsNoClearAnswer(t *testing.T) {
 	inCluster(t, 3, 1, func(c *cluster) {
 		c.isolate("core-1", true)
--- a/internal/tier/coordinator/orders.go
+++ b/internal/tier/coordinator/orders.go
@@ -81,16 +81,20 @@
 func (r *retirement) change(current *tierpb.ControlState) (*tierpb.ControlState, error) {
 	stores := current.GetStores()
 	member := nodeNamed(stores.GetCurrent(), r.node)
+	least := 2*r.tolerance + 1
 	switch {
 	case member == nil && findRetirement(current, r.node) != nil:
 		return current, nil
+	case member == nil && r.waiting != nil && len(stores.GetCurrent()) < least: // members wait for it
+		return nil, result.New(result.TooFewMachines,
+			fmt.Sprintf("%d turn stores are members without it, want %d", len(stores.GetCurrent()), least))
 	case member == nil && r.waiting != nil:
 		addRetirement(current, &tierpb.Retirement{Node: r.node, Identity: r.waiting.Identity, Completed: true})
 		return current, nil
 	case member == nil:
 		return nil, result.New(result.UnknownMachine, fmt.Sprintf("no turn store is named %q", r.node))
 	}
-	if least := 2*r.tolerance + 1; len(stores.Current)-1 < least {
+	if len(stores.Current)-1 < least {
 		return nil, result.New(result.TooFewMachines,
 			fmt.Sprintf("%d turn stores would be left, want %d", len(stores.Current)-1, least))
 	}
--- a/internal/tier/coordinator/place.go
+++ b/internal/tier/coordinator/place.go
@@ -6,6 +6,7 @@
 
 	"pulleygw.example/pulleygw/internal/tier/placement"
 	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/settings"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -104,7 +105,8 @@
 	current := c.live.Current()
 	return &placement.View{
 		Now: c.now(), Since: c.directory.started, Tolerance: current.FaultTolerance.Members(),
-		Joins: c.directory.recentJoins(),
+		CatchUp: settings.Seconds(current.Bounds.CatchUpS, 0),
+		Joins:   c.directory.recentJoins(),
 		VoterSilence: func(address string) time.Duration {
 			if address == c.self.Address {
 				return 0
--- /dev/null
+++ b/internal/tier/placement/leaving.go
@@ -0,0 +1,81 @@
+package placement
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// leavingSilence is how long a voter counts as silent whose machine is being emptied.
+const leavingSilence = 24 * time.Hour
+
+// withoutLeaving is the view in which coordinators on machines that are being emptied count as silent, so that their
+// votes go to others: when a retirement is completed the machine is taken away, with all that runs on it.
+func withoutLeaving(current *tierpb.ControlState, view *View) *View {
+	var hosts []netip.Addr
+	for _, retirement := range current.GetRetirements() {
+		if host := hostOfStore(retirement.Identity, view); host.IsValid() {
+			hosts = append(hosts, host)
+		}
+	}
+	if len(hosts) == 0 {
+		return view
+	}
+	changed := *view
+	changed.VoterSilence = func(address string) time.Duration {
+		if slices.Contains(hosts, hostOf(address)) {
+			return leavingSilence
+		}
+		return view.VoterSilence(address)
+	}
+	return &changed
+}
+
+// completeRetirements marks those whose records have moved and whose machine has no vote.
+func completeRetirements(current *tierpb.ControlState, view *View) bool {
+	completed := false
+	for _, retirement := range current.Retirements {
+		if retirement.Completed || holdsRecords(current.Stores, retirement.Identity) {
+			continue
+		}
+		if votesOn(hostOfStore(retirement.Identity, view), current.Voters) {
+			continue
+		}
+		retirement.Completed, completed = true, true
+	}
+	return completed
+}
+
+func holdsRecords(stores *tierpb.StoreMembership, identity uint64) bool {
+	return find(stores.GetCurrent(), identity) >= 0 || find(stores.GetPrevious(), identity) >= 0
+}
+
+func votesOn(host netip.Addr, sets []*tierpb.VoterSet) bool {
+	for _, set := range sets {
+		for _, voter := range set.Nodes {
+			if host.IsValid() && hostOf(voter.Address) == host {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hostOfStore is the machine of a turn store that calls; the zero address where it does not.
+func hostOfStore(identity uint64, view *View) netip.Addr {
+	join, known := joinOf(identity, view)
+	if !known {
+		return netip.Addr{}
+	}
+	return hostOf(join.Request.Node.Address)
+}
+
+func hostOf(address string) netip.Addr {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return parsed.Addr()
+}
--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -17,7 +17,7 @@
 	batchWait      = time.Second             // after the first of those that wait
 	voterDead      = 1200 * time.Millisecond // a voter silent for so long is replaced, where a standby is there
 	storeDead      = 1500 * time.Millisecond // the same of a turn store
-	storeAbandoned = 2500 * time.Millisecond // a turn store silent for so long is taken out without a replacement
+	storeAbandoned = 2500 * time.Millisecond // a turn store silent for so long, at most, is taken out without a replacement
 	reportPatience = 6 * time.Second         // a move waits this long for reports beyond those it needs
 )
 
@@ -31,8 +31,9 @@
 // View is what the holder of the lease knows first hand.
 type View struct {
 	Now       time.Time
-	Since     time.Time // when this process began to listen
-	Tolerance int       // machines that may be lost at once
+	Since     time.Time     // when this process began to listen
+	Tolerance int           // members that may be lost at once
+	CatchUp   time.Duration // bound on a new machine's start; 0 where none is set
 	Joins     []Join
 	// VoterSilence is how long the coordinator at an address, voter or not, has not answered; 0 for one that answers.
 	VoterSilence func(address string) time.Duration
@@ -60,6 +61,14 @@
 	return count
 }
 
+// abandonAfter is how long a turn store may be silent: it is out well before its successor's catch-up time is over.
+func (v *View) abandonAfter() time.Duration {
+	if v.CatchUp <= 0 {
+		return storeAbandoned
+	}
+	return max(storeDead, min(storeAbandoned, v.CatchUp*3/5))
+}
+
 // least is the number of members that bears the loss of tolerance of them.
 func (v *View) least() int { return 2*v.Tolerance + 1 }
 
--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -16,6 +16,9 @@
 	if reason := finishMove(current, view); reason != "" {
 		return current, reason
 	}
+	if completeRetirements(current, view) {
+		return current, "retirement completed"
+	}
 	next, reason := members(current, view)
 	if reason == "" {
 		return current, ""
@@ -108,7 +111,7 @@
 
 // abandon takes out a member that has been silent for long, where enough others run.
 func abandon(present []*tierpb.Node, view *View) ([]*tierpb.Node, string) {
-	place := silentStore(present, view, storeAbandoned)
+	place := silentStore(present, view, view.abandonAfter())
 	if place < 0 {
 		return nil, ""
 	}
@@ -159,11 +162,7 @@
 		return ""
 	}
 	stores.Previous = nil
-	for _, retirement := range current.Retirements {
-		if find(stores.Current, retirement.Identity) < 0 {
-			retirement.Completed = true
-		}
-	}
+	completeRetirements(current, view)
 	return "records moved"
 }
 
--- a/internal/tier/placement/stores_test.go
+++ b/internal/tier/placement/stores_test.go
@@ -164,6 +164,11 @@
 	assert.Equal(t, s.step(), "turn store abandoned")
 	s.expect(t, []uint64{1, 2, 3}, []uint64{1, 2, 3, 4})
 
+	s = newScene(1, 2, 3, 4)
+	s.view.CatchUp = 3 * time.Second
+	s.lapse(2*time.Second, 1, 2, 3)
+	assert.Equal(t, s.step(), "turn store abandoned", "sooner where successors have to catch up sooner")
+
 	s = newScene(1, 2, 3)
 	s.lapse(time.Hour, 1, 2)
 	assert.Equal(t, s.step(), "", "too few would stay")
--- a/internal/tier/placement/voters.go
+++ b/internal/tier/placement/voters.go
@@ -17,6 +17,7 @@
 	if len(sets) > 1 {
 		return voters
 	}
+	view = withoutLeaving(current, view)
 	next, replaced := replaceVoters(voters, view)
 	grown := slices.Clone(next)
 	for _, standby := range standbys(next, view) {
--- a/internal/tier/register/trouble_test.go
+++ b/internal/tier/register/trouble_test.go
@@ -325,3 +325,36 @@
 		}
 	})
 }
+
+func TestFewSeedsGrowInOneChange(t *testing.T) {
+	for seeds := 1; seeds <= 3; seeds++ {
+		inBubble(t, seeds, 5, func(t *testing.T, c *cluster) {
+			c.members[4].mustPut(0, 1)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			state, err := ChangeVoters(ctx, c.members[seeds-1].changer(), func(current *tierpb.ControlState) []*tierpb.Node {
+				nodes := current.Voters[0].Nodes
+				for _, m := range c.members[seeds:] {
+					nodes = append(nodes, m.node())
+				}
+				return nodes
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, len(Voters(state)), 5)
+			<-time.After(2 * time.Second)
+			c.members[0].machine.Wipe()
+			c.members[1].machine.PowerLoss()
+			c.members[3].mustPut(1, 2)
+		})
+	}
+}
+
+func TestOneVoterAloneKeepsItsValue(t *testing.T) {
+	inBubble(t, 1, 1, func(t *testing.T, c *cluster) {
+		c.members[0].mustPut(0, 1)
+		c.members[0].machine.PowerLoss()
+		c.revive()
+		assert.Equal(t, c.members[0].mustRead().Configuration.Generation, uint64(1))
+		c.members[0].mustPut(1, 2)
+	})
+}
--- /dev/null
+++ b/internal/tier/watch/delta_test.go
@@ -0,0 +1,125 @@
+package watch
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// configurationBody looks like an operator's configuration with so many routes.
+func configurationBody(generation, routes int) []byte {
+	var body bytes.Buffer
+	fmt.Fprintf(&body, `{"generation":%d,"routes":[`, generation)
+	for i := range routes {
+		fmt.Fprintf(&body, `{"name":"r-%d","hostname":"host%d.example","pathPrefix":"/p%d/","kind":"streaming","timeoutMs":%d,`+
+			`"targetLatencyMs":250,"priority":0,"backend":"service-%d","maxAttempts":2,"retained":true},`, i, i%7, i*i, 5000, i%3)
+	}
+	body.WriteString(`{}],"services":[]}`)
+	return body.Bytes()
+}
+
+func TestDeltaMakesTheBody(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	for round := range 300 {
+		older := configurationBody(round, random.IntN(60))
+		newer := bytes.Clone(older)
+		for range random.IntN(6) {
+			at := random.IntN(len(newer))
+			until := min(len(newer), at+random.IntN(200))
+			added := []byte(fmt.Sprint("changed", random.IntN(1000)))
+			newer = append(append(bytes.Clone(newer[:at]), added...), newer[until:]...)
+		}
+		if round%10 == 0 {
+			newer = nil
+		}
+		if round%10 == 1 {
+			older = nil
+		}
+		made, err := apply(makeDelta(1, older, newer), older)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(made, newer))
+	}
+}
+
+func TestDeltaOfAFewRoutesIsSmall(t *testing.T) {
+	older, newer := configurationBody(7, 350), configurationBody(8, 350)
+	newer = bytes.Replace(newer, []byte(`"timeoutMs":5000`), []byte(`"timeoutMs":900`), 1)
+	newer = bytes.Replace(newer, []byte(`"r-200"`), []byte(`"r-new"`), 1)
+	delta := makeDelta(1, older, newer)
+	assert.Assert(t, delta.SizeVT() < 200, "%d of %d bytes", delta.SizeVT(), len(newer))
+}
+
+func TestDeltaThatDoesNotFitIsRefused(t *testing.T) {
+	older, newer := configurationBody(7, 50), configurationBody(8, 51)
+	delta := makeDelta(1, older, newer)
+	_, err := apply(delta, older[:100])
+	assert.ErrorIs(t, err, errDelta)
+	other := bytes.Replace(older, []byte("host3"), []byte("hostX"), 1)
+	_, err = apply(delta, other)
+	assert.ErrorIs(t, err, errDelta)
+}
+
+func control(version uint64, body []byte) *tierpb.ControlState {
+	return &tierpb.ControlState{
+		Version: version, Configuration: &tierpb.Configuration{Generation: version, Body: body},
+		Stores: &tierpb.StoreMembership{Epoch: version},
+	}
+}
+
+func TestFollowersOfAnyKnownVersionGetADelta(t *testing.T) {
+	s, clock := testState()
+	for version := range uint64(bodiesKept + 3) {
+		clock.advance(time.Second)
+		s.SetControl(control(version+1, configurationBody(int(version+1), 40)))
+	}
+	newest := s.Control()
+	for version := uint64(0); version < newest.Version; version++ {
+		follower, _ := testState()
+		if version > 0 {
+			follower.SetControl(control(version, configurationBody(int(version), 40)))
+		}
+		reply := ask(t, s, &tierpb.WatchRequest{ControlVersion: version})
+		assert.Equal(t, reply.Body != nil, version >= newest.Version-bodiesKept)
+		follower.Merge(reply)
+		assert.Assert(t, follower.Control().EqualVT(newest), "from %d", version)
+	}
+	assert.Assert(t, ask(t, s, &tierpb.WatchRequest{ControlVersion: 5, WholeBody: true}).Body == nil)
+}
+
+func TestDeltaForAnotherBaseIsNotTaken(t *testing.T) {
+	s, clock := testState()
+	s.SetControl(control(1, configurationBody(1, 40)))
+	clock.advance(time.Second)
+	s.SetControl(control(2, configurationBody(2, 40)))
+	reply := ask(t, s, &tierpb.WatchRequest{ControlVersion: 1})
+	assert.Assert(t, reply.Body != nil)
+	follower, _ := testState()
+	assert.Assert(t, !follower.Merge(reply))
+	assert.Assert(t, follower.Control() == nil)
+}
+
+// TestSourcesWhoseBodiesDifferAreAskedForTheWhole has a follower with a body that no delta fits.
+func TestSourcesWhoseBodiesDifferAreAskedForTheWhole(t *testing.T) {
+	n := newNetwork("a")
+	following(t, n, 1, fixed("a"), func(_ *Follower, state *State) {
+		state.SetControl(control(1, configurationBody(99, 41)))
+		n.sources["a"].SetControl(control(1, configurationBody(1, 40)))
+		time.Sleep(time.Second)
+		n.sources["a"].SetControl(control(2, configurationBody(2, 40)))
+		time.Sleep(time.Second)
+		assert.Assert(t, state.Control().EqualVT(n.sources["a"].Control()))
+	})
+}
+
+func BenchmarkDelta(b *testing.B) {
+	older, newer := configurationBody(7, 350), configurationBody(8, 350)
+	for b.Loop() {
+		makeDelta(1, older, newer)
+	}
+}
--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -13,7 +13,7 @@
 	feed     uint64
 	cursor   uint64
 	begins   bool   // not all that the source knows has been told yet
-	whole    bool   // the last brief reply told of something that did not come from the primary
+	whole    bool   // the last reply could not be taken in: it is to come whole
 	middle   uint64 // cursor at middleAt
 	older    uint64 // cursor at least rewindTime before middleAt
 	middleAt time.Time
@@ -42,7 +42,10 @@
 		return err
 	}
 	f.options.State.mergeFrom(reply, address)
-	taken := !request.Brief || f.catchUp(ctx, reply)
+	taken := f.options.State.Control().GetVersion() >= reply.Control.GetVersion()
+	if request.Brief {
+		taken = f.catchUp(ctx, reply)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.sources[address]
@@ -81,6 +84,7 @@
 		request.Hears = f.answering()
 	}
 	request.Brief = !f.isPrimary(address) && !at.whole
+	request.WholeBody = at.whole
 	return request
 }
 
--- a/internal/tier/watch/reply.go
+++ b/internal/tier/watch/reply.go
@@ -38,6 +38,17 @@
 		reply.ControlVersion = s.control.Version
 	default:
 		reply.Control = controlFor(request.Follower, s.control)
+		s.tellDelta(request, reply)
+	}
+}
+
+// tellDelta replaces the configuration's body by what leads to it from the one that the follower has.
+func (s *State) tellDelta(request *tierpb.WatchRequest, reply *tierpb.WatchReply) {
+	if request.WholeBody || len(reply.Control.Configuration.GetBody()) == 0 {
+		return
+	}
+	if delta := s.bodies.delta(request.ControlVersion); delta != nil {
+		reply.Control, reply.Body = withoutBody(reply.Control), delta
 	}
 }
 
--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -30,6 +30,7 @@
 	cursor       uint64 // of the newest event
 	control      *tierpb.ControlState
 	controlAt    uint64 // cursor of the newest control state
+	bodies       bodies
 	instances    map[string]entry
 	changes      journal
 	heartbeats   journal
@@ -83,7 +84,7 @@
 func (s *State) mergeFrom(reply *tierpb.WatchReply, source string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := s.takeControl(reply.Control)
+	changed := s.takeControl(s.wholeControl(reply))
 	for _, instance := range reply.Instances {
 		if s.take(instance, source) == Material {
 			changed = true
@@ -199,12 +200,40 @@
 		return false
 	}
 	s.control = control
+	s.bodies.add(control.Version, control.Configuration.GetBody())
 	s.cursor++
 	s.controlAt = s.cursor
 	s.tell(&s.changed)
 	return true
 }
 
+// wholeControl is the control state of a reply, with the configuration's body made from a delta where there is one; nil
+// where that does not fit.
+func (s *State) wholeControl(reply *tierpb.WatchReply) *tierpb.ControlState {
+	if reply.Body == nil || reply.Control == nil {
+		return reply.Control
+	}
+	if s.control.GetVersion() != reply.Body.Base {
+		return nil
+	}
+	body, err := apply(reply.Body, s.control.GetConfiguration().GetBody())
+	if err != nil {
+		return nil
+	}
+	whole := withoutBody(reply.Control)
+	whole.Configuration.Body = body
+	return whole
+}
+
+// withoutBody is a copy of a control state that shares all but the configuration's body.
+func withoutBody(control *tierpb.ControlState) *tierpb.ControlState {
+	return &tierpb.ControlState{
+		Version: control.Version, Epoch: control.Epoch, Voters: control.Voters, Stores: control.Stores,
+		Configuration: &tierpb.Configuration{Generation: control.Configuration.GetGeneration()},
+		Taken:         control.Taken, Retirements: control.Retirements,
+	}
+}
+
 func (s *State) take(told *tierpb.Instance, source string) Change {
 	s.dropGone()
 	known := s.instances[told.Id]
