--- a/internal/tier/coordinator/instances_test.go
+++ b/internal/tier/coordinator/instances_test.go
@@ -71,14 +71,33 @@
 	})
 }
 
+// spreadWithin is the simulated time within which a change of state reaches the coordinators beyond the majority that
+// its acknowledgement waits for; calls take a millisecond.
+const spreadWithin = 50 * time.Millisecond
+
+func countOf(wanted tierpb.InstanceState, states []tierpb.InstanceState) int {
+	count := 0
+	for _, state := range states {
+		if state == wanted {
+			count++
+		}
+	}
+	return count
+}
+
 func TestDrainingAndGoneStay(t *testing.T) {
 	inCluster(t, 3, 1, func(c *cluster) {
 		all := []string{"core-1", "core-2", "core-3"}
 		assert.Equal(t, c.at("core-1").beat("ready", 3), http.StatusOK)
 		assert.Equal(t, c.at("core-2").beat("draining", 2), http.StatusOK)
+		assert.Assert(t, countOf(draining, c.states(all...)) >= 2, "acknowledged before a majority had it")
+		c.pass(spreadWithin)
 		assert.DeepEqual(t, c.states(all...), []tierpb.InstanceState{draining, draining, draining})
 		status, _ := c.at("core-3").send(http.MethodDelete, "/v1/instances/i-1", "", "")
 		assert.Equal(t, status, http.StatusOK)
+		assert.Assert(t, countOf(gone, c.states(all...)) >= 2, "acknowledged before a majority had it")
+		c.pass(spreadWithin)
+		assert.DeepEqual(t, c.states(all...), []tierpb.InstanceState{gone, gone, gone})
 		assert.Equal(t, c.at("core-1").beat("ready", 9), http.StatusOK)
 		c.pass(time.Second)
 		assert.DeepEqual(t, c.states(all...), []tierpb.InstanceState{gone, gone, gone})
