--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -36,7 +36,7 @@
 	if first {
 		wait = 0
 	}
-	request := f.request(address, wait)
+	request := f.request(address, wait, first)
 	reply := &tierpb.WatchReply{}
 	if err := f.call(ctx, address, wait+replySlack, request, reply); err != nil {
 		return err
@@ -65,7 +65,9 @@
 	return f.options.Caller.Call(ctx, address, rpc.MethodWatch, request, reply)
 }
 
-func (f *Follower) request(address string, wait time.Duration) *tierpb.WatchRequest {
+// request asks for what is new since the place in the source's feed. The first one of a source also sums up what is known, as
+// others have told of most of what happened since it was last asked.
+func (f *Follower) request(address string, wait time.Duration, first bool) *tierpb.WatchRequest {
 	request := &tierpb.WatchRequest{
 		ControlVersion: f.options.State.Control().GetVersion(), WaitMs: uint32(wait / time.Millisecond),
 		Follower: f.options.Self, Heartbeats: f.options.Heartbeats,
@@ -77,7 +79,7 @@
 		at = s.place
 	}
 	request.Feed, request.Cursor = at.feed, at.cursor
-	if at.cursor == 0 || at.begins {
+	if first || at.cursor == 0 || at.begins {
 		request.Summary = f.options.State.digests()
 	}
 	if f.options.Heartbeats {
