Coordinator: plain names for the maintenance loop

keepHouse, houseInterval and house.go become runMaintenance, maintenanceInterval and maintenance.go, in the fleet's hollow coordinator too. No change of what they do.

--- a/internal/tier/coordinator/cluster_test.go
+++ b/internal/tier/coordinator/cluster_test.go
@@ -119,7 +119,7 @@
 	holder := coordinator.newHolder(p.grantor)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
-	parts := []func(context.Context){coordinator.follow, coordinator.keepJoining, coordinator.keepHouse, coordinator.keepPlaced, holder.Run}
+	parts := []func(context.Context){coordinator.follow, coordinator.keepJoining, coordinator.runMaintenance, coordinator.keepPlaced, holder.Run}
 	for _, part := range parts {
 		p.done.Go(func() { part(ctx) })
 	}
--- a/internal/tier/coordinator/house.go
+++ b/internal/tier/coordinator/maintenance.go
@@ -13,18 +13,19 @@
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
-// Times of what is done now and then.
+// Times of maintenance.
 const (
-	houseInterval   = 250 * time.Millisecond
-	silenceInterval = 750 * time.Millisecond
-	joinInterval    = 500 * time.Millisecond
-	joinCall        = 700 * time.Millisecond
-	readPatience    = 2 * time.Second
+	maintenanceInterval = 250 * time.Millisecond
+	silenceInterval     = 750 * time.Millisecond
+	joinInterval        = 500 * time.Millisecond
+	joinCall            = 700 * time.Millisecond
+	readPatience        = 2 * time.Second
 )
 
-// keepHouse looks after what no call asks for.
-func (c *coordinator) keepHouse(ctx context.Context) {
-	ticker := time.NewTicker(houseInterval)
+// runMaintenance does at intervals what no call asks for: it lists coordinators, marks silent stores and learns chosen
+// values.
+func (c *coordinator) runMaintenance(ctx context.Context) {
+	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
 	var listed []*tierpb.Node
 	var looked time.Time
@@ -80,7 +81,7 @@
 
 // learnChosen finds out which value is chosen. The others may be about to do the same.
 func (c *coordinator) learnChosen(ctx context.Context) {
-	if !pause(ctx, rand.N(houseInterval)) || !c.holdsUnknown() {
+	if !pause(ctx, rand.N(maintenanceInterval)) || !c.holdsUnknown() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, readPatience)
--- a/internal/tier/coordinator/place.go
+++ b/internal/tier/coordinator/place.go
@@ -21,9 +21,9 @@
 
 // keepPlaced changes voters and turn stores where that is called for, while this process holds the lease.
 func (c *coordinator) keepPlaced(ctx context.Context) {
-	wait := houseInterval
+	wait := maintenanceInterval
 	for pause(ctx, wait) {
-		wait = houseInterval
+		wait = maintenanceInterval
 		if !c.lease.Held() {
 			continue
 		}
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -50,7 +50,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	parts := &sync.WaitGroup{}
-	for _, part := range []func(context.Context){c.follow, c.keepJoining, c.keepHouse, c.keepPlaced, c.sampler.Run, holder.Run} {
+	for _, part := range []func(context.Context){c.follow, c.keepJoining, c.runMaintenance, c.keepPlaced, c.sampler.Run, holder.Run} {
 		parts.Add(1)
 		go func() {
 			defer parts.Done()
--- a/internal/tier/fleet/coordinator_test.go
+++ b/internal/tier/fleet/coordinator_test.go
@@ -151,8 +151,8 @@
 	return &tierpb.AnnounceReply{}, nil
 }
 
-// keepHouse marks silent stores and lists the coordinators that answer.
-func (c *coordinator) keepHouse() {
+// runMaintenance marks silent stores and lists the coordinators that answer.
+func (c *coordinator) runMaintenance() {
 	if !c.alive() {
 		return
 	}
--- a/internal/tier/fleet/fleet_test.go
+++ b/internal/tier/fleet/fleet_test.go
@@ -20,17 +20,17 @@
 
 // The size and the times of the fleet.
 const (
-	agentCount       = 100
-	storeCount       = 300
-	coordinatorCount = 5
-	zoneCount        = 3
-	routeCount       = 100
-	heartbeat        = time.Second
-	stepTime         = 50 * time.Millisecond
-	houseTime        = 750 * time.Millisecond
-	settleTime       = 2 * time.Second // all stores have sent heartbeats, and every agent has its sources
-	callTime         = 400 * time.Millisecond
-	endTime          = 6 * time.Second // after which no call is under way any more
+	agentCount        = 100
+	storeCount        = 300
+	coordinatorCount  = 5
+	zoneCount         = 3
+	routeCount        = 100
+	heartbeat         = time.Second
+	stepTime          = 50 * time.Millisecond
+	maintenancePeriod = 750 * time.Millisecond
+	settleTime        = 2 * time.Second // all stores have sent heartbeats, and every agent has its sources
+	callTime          = 400 * time.Millisecond
+	endTime           = 6 * time.Second // after which no call is under way any more
 )
 
 // fleet is all processes of the control plane, and what the checks remember.
@@ -159,9 +159,9 @@
 			f.beat(s)
 		}
 	}
-	if f.tick%int(houseTime/stepTime) == 0 {
+	if f.tick%int(maintenancePeriod/stepTime) == 0 {
 		for _, c := range f.coordinators {
-			c.keepHouse()
+			c.runMaintenance()
 		}
 	}
 	for _, a := range f.agents {
