Coordinator counts the votes in touch by identity, as the register does

Contact with a majority, and the majority that has a drain, were counted by address, the own address always in: a wiped machine at a voter's address, or a coordinator that had itself lost its disk, made a majority without a quorum of the register behind it. /v1/readyz said 200 and heartbeats and drains were acknowledged in both cases (TestWipedMachineAtAVotersAddressIsNoVote, TestWipedCoordinatorDoesNotCountItself failed before).

--- a/internal/tier/coordinator/announce.go
+++ b/internal/tier/coordinator/announce.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -56,20 +57,20 @@
 		return true
 	}
 	targets := c.targets()
-	told := make(chan string, len(targets))
+	told := make(chan uint64, len(targets))
 	for _, target := range targets {
 		go func() {
-			if c.announceTo(context.WithoutCancel(ctx), target.Address, instance) {
-				told <- target.Address
+			if identity, answered := c.announceTo(context.WithoutCancel(ctx), target.Address, instance); answered {
+				told <- identity
 			}
 		}()
 	}
-	sets := c.voters()
-	has := map[string]bool{c.self.Address: true}
-	for !majority(sets, func(voter *tierpb.Node) bool { return has[voter.Address] }) {
+	voters := c.voters()
+	has := map[uint64]bool{c.self.Identity: true}
+	for !register.Quorum(voters, func(identity uint64) bool { return has[identity] }) {
 		select {
-		case address := <-told:
-			has[address] = true
+		case identity := <-told:
+			has[identity] = true
 		case <-ctx.Done():
 			return false
 		}
@@ -78,20 +79,21 @@
 	return true
 }
 
-// announceTo calls one coordinator until it has answered or the effort is spent.
-func (c *coordinator) announceTo(ctx context.Context, address string, instance *tierpb.Instance) bool {
+// announceTo calls one coordinator until it has answered, and returns its identity, or until the effort is spent.
+func (c *coordinator) announceTo(ctx context.Context, address string, instance *tierpb.Instance) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, announceEffort)
 	defer cancel()
 	request := &tierpb.AnnounceRequest{Instances: []*tierpb.Instance{instance}, From: c.self}
 	for {
 		call, done := context.WithTimeout(ctx, announceCall)
-		err := c.caller.Call(call, address, rpc.MethodAnnounce, request, &tierpb.AnnounceReply{})
+		reply := &tierpb.AnnounceReply{}
+		err := c.caller.Call(call, address, rpc.MethodAnnounce, request, reply)
 		done()
 		if err == nil {
-			return true
+			return reply.Identity, true
 		}
 		if !pause(ctx, announcePause) {
-			return false
+			return 0, false
 		}
 	}
 }
@@ -102,7 +104,7 @@
 	for _, instance := range request.Instances {
 		c.state.Upsert(instance)
 	}
-	return &tierpb.AnnounceReply{}, nil
+	return &tierpb.AnnounceReply{Identity: c.self.Identity}, nil
 }
 
 // pause says whether the time passed before ctx ended.
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -23,9 +23,6 @@
 // registerFolder is where the acceptor keeps its files, below dataDir.
 const registerFolder = "register"
 
-// startPatience is how long a coordinator that has started may take to find the others.
-const startPatience = 2 * time.Second
-
 // controlRegister is what the coordinator needs of the register.
 type controlRegister interface {
 	Change(context.Context, register.ChangeFunc) (*tierpb.ControlState, error)
@@ -134,32 +131,3 @@
 	known := append(c.sampler.Nodes(tierpb.Role_ROLE_COORDINATOR), c.directory.coordinators()...)
 	return watch.CoordinatorTargets(c.self, c.state, known, c.live.Current().SeedCoordinators())
 }
-
-// inTouch says whether this process and the coordinators that answer it are a majority of the voters.
-func (c *coordinator) inTouch() bool {
-	return majority(c.voters(), func(voter *tierpb.Node) bool {
-		return voter.Address == c.self.Address || c.directory.isAnswering(voter.Address)
-	})
-}
-
-// cutOff says that this process has been unable to find a majority of the voters; what it is told does not reach the
-// others, nor what they are told this process.
-func (c *coordinator) cutOff() bool {
-	return !c.inTouch() && c.now().Sub(c.directory.started) > startPatience
-}
-
-// majority says whether has is true for most of each set.
-func majority(sets []*tierpb.VoterSet, has func(*tierpb.Node) bool) bool {
-	for _, set := range sets {
-		count := 0
-		for _, voter := range set.Nodes {
-			if has(voter) {
-				count++
-			}
-		}
-		if count <= len(set.Nodes)/2 {
-			return false
-		}
-	}
-	return len(sets) > 0
-}
--- a/internal/tier/coordinator/directory.go
+++ b/internal/tier/coordinator/directory.go
@@ -33,9 +33,11 @@
 	heardAt time.Time
 }
 
+// answer is what polls of an address have shown.
 type answer struct {
-	answers bool
-	since   time.Time
+	answers  bool
+	since    time.Time
+	identity uint64 // who answered the last poll
 }
 
 func newDirectory(now func() time.Time) *directory {
@@ -73,7 +75,30 @@
 func (d *directory) answering(address string, answers bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.answers[address] = answer{answers: answers, since: d.now()}
+	last := d.answers[address]
+	last.answers, last.since = answers, d.now()
+	d.answers[address] = last
+}
+
+// answered notes who answered a poll of an address.
+func (d *directory) answered(address string, identity uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := d.answers[address]
+	last.identity = identity
+	d.answers[address] = last
+}
+
+// answersAs says whether a coordinator answers polls under an identity.
+func (d *directory) answersAs(identity uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, last := range d.answers {
+		if last.answers && last.identity == identity {
+			return true
+		}
+	}
+	return false
 }
 
 // isAnswering says whether the last poll of a coordinator was answered.
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -118,12 +118,25 @@
 
 func (c *coordinator) watch(ctx context.Context, request *tierpb.WatchRequest) (*tierpb.WatchReply, error) {
 	c.directory.heard(request.Follower)
-	if request.GetFollower().GetRole() != tierpb.Role_ROLE_COORDINATOR && c.cutOff() {
+	if request.GetFollower().GetRole() == tierpb.Role_ROLE_COORDINATOR {
+		return c.watchAsCoordinator(ctx, request)
+	}
+	if c.cutOff() {
 		return c.watchCutOff(ctx, request)
 	}
 	return c.state.Watch(ctx, request)
 }
 
+// watchAsCoordinator tells another coordinator what it lacks, and who tells it.
+func (c *coordinator) watchAsCoordinator(ctx context.Context, request *tierpb.WatchRequest) (*tierpb.WatchReply, error) {
+	reply, err := c.state.Watch(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	reply.Answerer = &tierpb.Answerer{Identity: c.self.Identity}
+	return reply, nil
+}
+
 // watchCutOff tells a follower what it lacks, and else sends it elsewhere: others may have newer state.
 func (c *coordinator) watchCutOff(ctx context.Context, request *tierpb.WatchRequest) (*tierpb.WatchReply, error) {
 	request.WaitMs = 0
@@ -153,6 +166,9 @@
 func (c *coordinator) follow(ctx context.Context) {
 	watch.Follow(ctx, watch.Options{
 		Caller: c.caller, State: c.state, Targets: c.targets, Self: c.self, Heartbeats: true,
+		Answered: func(address string, reply *tierpb.WatchReply) {
+			c.directory.answered(address, reply.GetAnswerer().GetIdentity())
+		},
 		Changed: func(address string, answers bool) {
 			c.directory.answering(address, answers)
 			c.log.Info("coordinator", "address", address, "answers", answers)
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -38,6 +38,8 @@
 	Wait       time.Duration   // for which a poll may be held; DefaultWait where it is 0
 	Self       *tierpb.Node
 	Heartbeats bool
+	// Answered is called with each reply, before Changed; it may be nil.
+	Answered func(address string, reply *tierpb.WatchReply)
 	// Changed is called when a source begins or stops to answer; it may be nil.
 	Changed func(address string, answers bool)
 }
--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -41,6 +41,9 @@
 	if err := f.call(ctx, address, wait+replySlack, request, reply); err != nil {
 		return err
 	}
+	if f.options.Answered != nil {
+		f.options.Answered(address, reply)
+	}
 	f.options.State.mergeFrom(reply, address)
 	taken := f.options.State.Control().GetVersion() >= reply.Control.GetVersion()
 	if request.Brief {
