Contact with the voters has an age of 2.2 s at most, from when a poll was sent

Contact now counts from when the answered poll was sent, for contactMost = two polls of which each is answered just in time. So it never lapses in calm (TestContactLastsWithPollsThatAreAnsweredJustInTime, answers at 390 of 400 ms) and does where the process did not run; the bound itself is tested to the nanosecond (TestContactCountsUpToItsBound).

--- a/internal/tier/coordinator/cluster_test.go
+++ b/internal/tier/coordinator/cluster_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,7 @@
 	machines  map[string]*machine // by name
 	cut       map[[2]string]bool  // by names, from and to
 	calls     map[rpc.Method]int  // answered
+	delay     atomic.Int64        // of each call, in nanoseconds
 }
 
 // machine is a core machine: its disk and the process on it, if one runs.
@@ -45,8 +47,15 @@
 	address string
 	folder  string
 	running *process
+	ahead   atomic.Int64 // nanoseconds by which the process's clock is past the bubble's
 }
 
+// now is the clock of the machine's process.
+func (m *machine) now() time.Time { return time.Now().Add(time.Duration(m.ahead.Load())) }
+
+// sleepFor has a process find, at its next step, that its clock went on for a while in which it did nothing.
+func (m *machine) sleepFor(duration time.Duration) { m.ahead.Add(int64(duration)) }
+
 type process struct {
 	*coordinator
 	handler  http.Handler
@@ -67,6 +76,7 @@
 			t: t, tolerance: tolerance, machines: make(map[string]*machine), cut: make(map[[2]string]bool),
 			calls: make(map[rpc.Method]int),
 		}
+		c.delay.Store(int64(callDelay))
 		for i, folder := range folders {
 			name := fmt.Sprintf("core-%d", i+1)
 			c.machines[name] = &machine{cluster: c, name: name, address: fmt.Sprintf("10.0.%d.1:7000", i+1), folder: folder}
@@ -113,6 +123,8 @@
 		Identity: acceptor.Identity(), Control: own.Listen.Control,
 	}
 	coordinator := newCoordinator(settings.Fixed(own), testLog(c.t, m.name), self, &caller{from: m})
+	coordinator.now, coordinator.directory.now = m.now, m.now
+	coordinator.directory.started = m.now()
 	coordinator.useRegister(acceptor)
 	p := &process{coordinator: coordinator, handler: coordinator.routes(), acceptor: acceptor, done: &sync.WaitGroup{}}
 	p.grantor = coordinator.newGrantor(acceptor)
@@ -188,7 +200,7 @@
 
 func (c *caller) Call(ctx context.Context, address string, method rpc.Method, request, reply rpc.Message) error {
 	cluster := c.from.cluster
-	<-time.After(callDelay)
+	<-time.After(time.Duration(cluster.delay.Load()))
 	to := cluster.machineAt(address)
 	if to == nil || cluster.isCut(c.from.name, to.name) {
 		<-ctx.Done()
--- a/internal/tier/coordinator/contact.go
+++ b/internal/tier/coordinator/contact.go
@@ -4,14 +4,23 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/watch"
 )
 
-// startPatience is how long a coordinator that has started may take to find the others.
-const startPatience = 2 * time.Second
+// Times of contact.
+const (
+	// contactMost is for how long a poll that was answered counts as contact, from when it was sent. As the process
+	// that answered did so later than that, no more time has passed since the last moment at which a quorum was
+	// reached both ways. It is the time of two polls of which each is answered just in time, so contact does not
+	// lapse between two answers; it lapses where this process did not run.
+	contactMost = 2 * watch.LongestPoll
+
+	startPatience = 2 * time.Second // that a coordinator which has started may take to find the others
+)
 
 // inTouch says whether this process and the coordinators that answer its polls are a quorum of the register. Votes are
 // counted by identity, as the register does: a process at a voter's address that is not that voter has no vote, be it
-// this one.
+// this one. What it rests on is at most contactMost old.
 func (c *coordinator) inTouch() bool {
 	return register.Quorum(c.voters(), func(identity uint64) bool {
 		return identity == c.self.Identity || c.directory.answersAs(identity)
--- a/internal/tier/coordinator/contact_test.go
+++ b/internal/tier/coordinator/contact_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/settings"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+	"pulleygw.example/pulleygw/internal/tier/watch"
 )
 
 func (p *process) readiness() int {
@@ -80,3 +86,60 @@
 		assert.Equal(t, len(c.at("core-1").state.Control().Voters), 1)
 	})
 }
+
+// A process that wakes from a freeze has the results of polls from before its sleep, and nothing else.
+func TestCoordinatorThatWakesIsNotInTouchByOldAnswers(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		one := c.at("core-1")
+		for sequence := 1; sequence <= 6; sequence++ {
+			assert.Equal(t, one.beat("ready", sequence), http.StatusOK)
+			c.pass(time.Second)
+		}
+		agent := &tierpb.Node{Role: tierpb.Role_ROLE_AGENT}
+		news, err := one.poll(&tierpb.WatchRequest{Follower: agent})
+		assert.NilError(t, err)
+		c.machines["core-1"].sleepFor(20 * time.Second)
+		assert.Equal(t, one.readiness(), http.StatusServiceUnavailable)
+		assert.Equal(t, one.beat("ready", 7), http.StatusServiceUnavailable)
+		_, err = one.poll(&tierpb.WatchRequest{Follower: agent, Feed: news.Feed, Cursor: news.Cursor})
+		assert.ErrorIs(t, err, errCutOff)
+		one.markSilent()
+		assert.Equal(t, one.state.Instance("i-1").State, ready, "marked by a look at old news")
+		c.pass(2 * time.Second)
+		assert.Equal(t, one.readiness(), http.StatusOK)
+		assert.Equal(t, one.beat("ready", 8), http.StatusOK)
+	})
+}
+
+// The bound itself, to the nanosecond: two voters answered a poll that was sent at one time.
+func TestContactCountsUpToItsBound(t *testing.T) {
+	for _, test := range []struct {
+		age    time.Duration
+		status int
+	}{{0, http.StatusOK}, {contactMost, http.StatusOK}, {contactMost + 1, http.StatusServiceUnavailable}} {
+		now := time.Unix(1_000_000, 0)
+		c := newCoordinator(settings.Fixed(&settings.Settings{}), hclog.NewNullLogger(), &tierpb.Node{Identity: 1}, nil)
+		c.now = func() time.Time { return now }
+		c.directory.now = c.now
+		voters := &tierpb.VoterSet{Nodes: []*tierpb.Node{{Identity: 1}, {Identity: 2}, {Identity: 3}}}
+		c.state.SetControl(&tierpb.ControlState{Version: 1, Voters: []*tierpb.VoterSet{voters}})
+		c.directory.answered("10.0.2.1:7000", 2, now)
+		c.directory.answering("10.0.2.1:7000", true)
+		now = now.Add(test.age)
+		recorder := httptest.NewRecorder()
+		c.routes().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/v1/readyz", nil))
+		assert.Equal(t, recorder.Code, test.status, "after %v", test.age)
+	}
+}
+
+// Polls that are all answered just in time never let contact lapse.
+func TestContactLastsWithPollsThatAreAnsweredJustInTime(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		c.delay.Store(int64(390 * time.Millisecond))
+		c.pass(2 * watch.LongestPoll)
+		for range 400 {
+			assert.Equal(t, c.at("core-1").readiness(), http.StatusOK)
+			c.pass(50 * time.Millisecond)
+		}
+	})
+}
--- a/internal/tier/coordinator/directory.go
+++ b/internal/tier/coordinator/directory.go
@@ -37,7 +37,8 @@
 type answer struct {
 	answers  bool
 	since    time.Time
-	identity uint64 // who answered the last poll
+	identity uint64    // who answered the last poll that was answered
+	asked    time.Time // when that poll was sent
 }
 
 func newDirectory(now func() time.Time) *directory {
@@ -80,21 +81,23 @@
 	d.answers[address] = last
 }
 
-// answered notes who answered a poll of an address.
-func (d *directory) answered(address string, identity uint64) {
+// answered notes who answered a poll of an address, and when that was sent.
+func (d *directory) answered(address string, identity uint64, asked time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	last := d.answers[address]
-	last.identity = identity
+	last.identity, last.asked = identity, asked
 	d.answers[address] = last
 }
 
-// answersAs says whether a coordinator answers polls under an identity.
+// answersAs says whether the last poll of some address was answered under an identity, and sent no longer than
+// contactMost ago.
 func (d *directory) answersAs(identity uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.now()
 	for _, last := range d.answers {
-		if last.answers && last.identity == identity {
+		if last.answers && last.identity == identity && now.Sub(last.asked) <= contactMost {
 			return true
 		}
 	}
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -166,8 +166,9 @@
 func (c *coordinator) follow(ctx context.Context) {
 	watch.Follow(ctx, watch.Options{
 		Caller: c.caller, State: c.state, Targets: c.targets, Self: c.self, Heartbeats: true,
-		Answered: func(address string, reply *tierpb.WatchReply) {
-			c.directory.answered(address, reply.GetAnswerer().GetIdentity())
+		Now: c.now,
+		Answered: func(address string, reply *tierpb.WatchReply, asked time.Time) {
+			c.directory.answered(address, reply.GetAnswerer().GetIdentity(), asked)
 		},
 		Changed: func(address string, answers bool) {
 			c.directory.answering(address, answers)
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -12,8 +12,9 @@
 
 // Times of a Follower.
 const (
-	DefaultWait    = 700 * time.Millisecond // for which a source may hold a poll
-	replySlack     = 400 * time.Millisecond // after which a poll that should have been answered has failed
+	DefaultWait    = 700 * time.Millisecond   // for which a source may hold a poll
+	replySlack     = 400 * time.Millisecond   // after which a poll that should have been answered has failed
+	LongestPoll    = DefaultWait + replySlack // that a poll held for DefaultWait may take until it has failed
 	retryFirst     = 50 * time.Millisecond
 	retryMost      = 500 * time.Millisecond
 	avoidFirst     = 2 * time.Second // for which a source that failed comes last
@@ -38,8 +39,10 @@
 	Wait       time.Duration   // for which a poll may be held; DefaultWait where it is 0
 	Self       *tierpb.Node
 	Heartbeats bool
-	// Answered is called with each reply, before Changed; it may be nil.
-	Answered func(address string, reply *tierpb.WatchReply)
+	// Answered is called with each reply and the time at which the poll was sent, before Changed; it may be nil.
+	Answered func(address string, reply *tierpb.WatchReply, asked time.Time)
+	// Now is the clock of the times that Answered is told; time.Now where it is nil.
+	Now func() time.Time
 	// Changed is called when a source begins or stops to answer; it may be nil.
 	Changed func(address string, answers bool)
 }
@@ -70,6 +73,9 @@
 	if options.Wait == 0 {
 		options.Wait = DefaultWait
 	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	if options.Self.GetRole() != tierpb.Role_ROLE_COORDINATOR {
 		options.Self = &tierpb.Node{Role: options.Self.GetRole()} // sources need no more of others, and polls are many
 	}
--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -38,11 +38,12 @@
 	}
 	request := f.request(address, wait, first)
 	reply := &tierpb.WatchReply{}
+	asked := f.options.Now()
 	if err := f.call(ctx, address, wait+replySlack, request, reply); err != nil {
 		return err
 	}
 	if f.options.Answered != nil {
-		f.options.Answered(address, reply)
+		f.options.Answered(address, reply, asked)
 	}
 	f.options.State.mergeFrom(reply, address)
 	taken := f.options.State.Control().GetVersion() >= reply.Control.GetVersion()
