A move that ends under its epoch makes reads and claims begin anew

Cause: the end of a move keeps the epoch, and a read or claim that was under way kept the answers that current members had given before they had what the previous ones held. With the previous members failing the caller until the move ended, a saved turn was 'no such turn' and a claim passed on a budget that was spent. Change: replica.Collect tells memberships apart by epoch and by whether records move; a change of either makes fresh reads begin anew and sends a claim into its second round.

--- a/internal/tier/replica/collect.go
+++ b/internal/tier/replica/collect.go
@@ -54,11 +54,11 @@
 const answersAhead = 16
 
 type answer[R Reply] struct {
-	node  *tierpb.Node
-	epoch uint64
-	reply R
-	err   error
-	took  time.Duration
+	node   *tierpb.Node
+	placed int // the collection's when the call was made
+	reply  R
+	err    error
+	took   time.Duration
 }
 
 // collection is one run of an operation. It is used by one goroutine; calls report through answers.
@@ -66,13 +66,13 @@
 	client     *Client
 	operation  Operation[R]
 	membership *tierpb.StoreMembership
+	placed     int // how many memberships came before this one
 	sets       [][]*tierpb.Node
 	order      []*tierpb.Node // all members of the sets, preferred ones first
 	answers    chan answer[R]
 	voted      map[uint64]bool
 	called     map[uint64]bool // called in this round
 	pending    int
-	moved      bool // the membership was another one before
 }
 
 func (r *collection[R]) loop(ctx context.Context) error {
@@ -94,8 +94,8 @@
 // place takes the newest membership and forgets what counted only under an older one.
 func (r *collection[R]) place() {
 	newest := r.client.Membership()
-	if r.membership != nil && newest.GetEpoch() != r.membership.GetEpoch() {
-		r.moved = true
+	if r.membership != nil && differ(newest, r.membership) {
+		r.placed++
 		if r.operation.Fresh {
 			clear(r.voted)
 		}
@@ -114,6 +114,12 @@
 	r.called = make(map[uint64]bool, len(r.order))
 }
 
+// differ says whether two memberships have other replica sets. The end of a move keeps the epoch: current members that
+// answered before it may have lacked what the previous ones held.
+func differ(a, b *tierpb.StoreMembership) bool {
+	return a.GetEpoch() != b.GetEpoch() || len(a.GetPrevious()) != len(b.GetPrevious())
+}
+
 // Sets are the replica sets of a key: of the current members, and of the previous ones while records move.
 func Sets(membership *tierpb.StoreMembership, key string, tolerance int) [][]*tierpb.Node {
 	if len(membership.GetCurrent()) == 0 {
@@ -128,7 +134,7 @@
 
 // isFirst says whether the quorum is the first of the members of a single replica set.
 func (r *collection[R]) isFirst() bool {
-	if r.moved || len(r.sets) != 1 {
+	if r.placed > 0 || len(r.sets) != 1 {
 		return false
 	}
 	set := r.sets[0]
@@ -174,7 +180,7 @@
 		select {
 		case got := <-r.answers:
 			r.pending--
-			if got.epoch != r.membership.GetEpoch() && r.operation.Fresh {
+			if got.placed != r.placed && r.operation.Fresh {
 				continue
 			}
 			counts, stale := r.judge(got)
@@ -249,7 +255,7 @@
 func (r *collection[R]) start(ctx context.Context, member *tierpb.Node) {
 	r.called[member.Identity] = true
 	r.pending++
-	epoch := r.membership.GetEpoch()
+	epoch, placed := r.membership.GetEpoch(), r.placed
 	answers := r.answers
 	go func() {
 		callContext, cancel := context.WithTimeout(ctx, callTimeout)
@@ -257,7 +263,7 @@
 		began := r.client.options.Now()
 		header := &tierpb.StoreHeader{Identity: member.Identity, Epoch: epoch}
 		reply, err := r.operation.Call(callContext, member.Address, header)
-		got := answer[R]{node: member, epoch: epoch, reply: reply, err: err}
+		got := answer[R]{node: member, placed: placed, reply: reply, err: err}
 		got.took = r.client.options.Now().Sub(began)
 		select {
 		case answers <- got:
@@ -289,7 +295,7 @@
 
 // pause waits before the next round, unless a newer membership is known already.
 func (r *collection[R]) pause(ctx context.Context) error {
-	if r.client.Membership().GetEpoch() != r.membership.GetEpoch() {
+	if differ(r.client.Membership(), r.membership) {
 		return nil
 	}
 	select {
--- a/internal/tier/turnstore/cluster_test.go
+++ b/internal/tier/turnstore/cluster_test.go
@@ -181,6 +181,17 @@
 	c.change(c.nodes(), previous)
 }
 
+// finishMove drops the previous members under the same epoch, as the holder of the lease does.
+func (c *cluster) finishMove() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.older = append(c.older, c.membership)
+	c.membership = &tierpb.StoreMembership{Epoch: c.membership.Epoch, Current: c.membership.Current}
+}
+
+// freshAddress is one at which no member of newCluster is.
+func (c *cluster) freshAddress(number int) string { return fmt.Sprintf("10.0.1.%d:1", number) }
+
 func (c *cluster) dropPrevious() { c.change(c.known().Current, nil) }
 
 // change begins the next epoch.
--- a/internal/tier/turnstore/schedule_test.go
+++ b/internal/tier/turnstore/schedule_test.go
@@ -245,13 +245,13 @@
 		return
 	}
 	s.remove(s.lost)
-	s.lost = s.add(s.freshAddress(), s.lost.zone)
+	s.lost = s.add(s.nextAddress(), s.lost.zone)
 	s.setMembers(s.known().Current)
 }
 
-func (s *schedule) freshAddress() string {
+func (s *schedule) nextAddress() string {
 	s.next++
-	return fmt.Sprintf("10.0.1.%d:1", s.next)
+	return s.freshAddress(s.next)
 }
 
 // grow adds a machine, also while members change: what was current is then replaced, what was previous stays.
@@ -259,7 +259,7 @@
 	if len(s.machines) >= 6 || s.lost != nil {
 		return
 	}
-	s.add(s.freshAddress(), "d")
+	s.add(s.nextAddress(), "d")
 	previous := s.known().Previous
 	if len(previous) == 0 {
 		previous = s.known().Current
