A move of records ends before another change, and within a new store's catch-up

Cause: a second change of turn stores keeps the oldest set as the previous one and makes all reports void. A move that had enough reports and only waited for one more was thrown back by a wiped store's return; each new store began the copying anew; the wait for reports beyond those needed was 6 s where a machine counts as lost for 4.1 s. With one more loss in the previous set its majority was gone: writes to its keys and the move itself waited for ever. Change: a move that has enough reports ends before another change begins.

--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -24,6 +24,9 @@
 		return current, ""
 	}
 	stores := current.Stores
+	if move := progressOf(stores, view); move.isEnough() {
+		return current, endMove(current, view, move)
+	}
 	if len(stores.Previous) == 0 {
 		stores.Previous = stores.Current
 	}
@@ -43,7 +46,13 @@
 		return nil, ""
 	}
 	if len(waiting) > 0 && settled(waiting, view, batchQuiet, batchWait) {
-		return takeIn(present, waiting, view), "turn stores joined"
+		next, room := takeIn(present, waiting, view)
+		if !isMoving(current.Stores, view) {
+			next = append(next, room...)
+		}
+		if !slices.Equal(next, present) {
+			return next, "turn stores joined"
+		}
 	}
 	return abandon(present, view)
 }
@@ -87,10 +96,10 @@
 	return view.Now.Sub(last) >= quiet || view.Now.Sub(first) >= longest
 }
 
-// takeIn puts those that wait in the place of a member with their name or address, or of one that is silent; there
-// is room for the others besides.
-func takeIn(present []*tierpb.Node, waiting []Join, view *View) []*tierpb.Node {
-	next := slices.Clone(present)
+// takeIn puts those that wait in the place of a member with their name or address, or of one that is silent. The
+// others, for which there is room besides, are returned apart.
+func takeIn(present []*tierpb.Node, waiting []Join, view *View) (next, room []*tierpb.Node) {
+	next = slices.Clone(present)
 	var others []*tierpb.Node
 	for _, join := range waiting {
 		if place := predecessor(next, join.Request.Node); place >= 0 {
@@ -103,10 +112,10 @@
 		if place := silentStore(next, view, storeDead); place >= 0 {
 			next[place] = joiner
 		} else {
-			next = append(next, joiner)
+			room = append(room, joiner)
 		}
 	}
-	return next
+	return next, room
 }
 
 // abandon takes out a member that has been silent for long, where enough others run.
@@ -140,37 +149,3 @@
 	}
 	return nodes
 }
-
-// finishMove drops the previous members when all but a tolerable number of them have handed on what they held. It
-// waits a while for the others that run.
-func finishMove(current *tierpb.ControlState, view *View) string {
-	stores := current.Stores
-	if len(stores.Previous) == 0 {
-		return ""
-	}
-	reported, awaited := 0, false
-	for _, member := range stores.Previous {
-		join, known := joinOf(member.Identity, view)
-		switch {
-		case known && join.Request.CopiedEpoch >= stores.Epoch:
-			reported++
-		case known && view.fresh(join) && view.Now.Sub(view.MoveSeen) < reportPatience:
-			awaited = true
-		}
-	}
-	if reported < len(stores.Previous)-view.Tolerance || reported == 0 || awaited {
-		return ""
-	}
-	stores.Previous = nil
-	completeRetirements(current, view)
-	return "records moved"
-}
-
-func joinOf(identity uint64, view *View) (Join, bool) {
-	for _, join := range view.Joins {
-		if join.Request.Node.Identity == identity {
-			return join, true
-		}
-	}
-	return Join{}, false
-}
