A retirement is completed by the placement alone, never by the order

Cause: the order for a store that asked to join and was no member was 'completed' at once, also where the store had been abandoned a moment before and was one of the previous members: with a copy that nobody else had. A store that was abandoned and did not call was 'unknown'. A machine that was emptied and came again was answered 'completed' by the old order, and then taken in. A store that comes again is an order of its own.

--- a/internal/tier/coordinator/retirement.go
+++ b/internal/tier/coordinator/retirement.go
@@ -18,26 +18,15 @@
 }
 
 // change takes the machine out of the members; its records move while the members before keep being asked. An order
-// given again changes nothing.
+// given again changes nothing. Whether the machine is empty is for the placement to say, never for the order.
 func (r *retirement) change(current *tierpb.ControlState) (*tierpb.ControlState, error) {
-	stores := current.GetStores()
-	member := nodeNamed(stores.GetCurrent(), r.node)
-	least := 2*r.tolerance + 1
-	switch {
-	case member == nil && findRetirement(current, r.node) != nil:
-		return current, nil
-	case member == nil && r.waiting != nil && len(stores.GetCurrent()) < least: // members wait for it
-		return nil, result.New(result.TooFewMachines,
-			fmt.Sprintf("%d turn stores are members without it, want %d", len(stores.GetCurrent()), least))
-	case member == nil && r.waiting != nil:
-		addRetirement(current, &tierpb.Retirement{Node: r.node, Identity: r.waiting.Identity, Completed: true})
-		return current, nil
-	case member == nil:
-		return nil, result.New(result.UnknownMachine, fmt.Sprintf("no turn store is named %q", r.node))
+	member := nodeNamed(current.GetStores().GetCurrent(), r.node)
+	if member == nil {
+		return r.changeOutside(current)
 	}
-	if len(stores.Current)-1 < least {
-		return nil, result.New(result.TooFewMachines,
-			fmt.Sprintf("%d turn stores would be left, want %d", len(stores.Current)-1, least))
+	stores := current.Stores
+	if left := len(stores.Current) - 1; left < r.least() {
+		return nil, r.tooFew(left)
 	}
 	if len(stores.Previous) == 0 {
 		stores.Previous = stores.Current
@@ -48,6 +37,34 @@
 	return current, nil
 }
 
+// changeOutside notes the order for a machine whose store is no member now: it waits to become one, or it was one
+// until lately and may hold what still moves.
+func (r *retirement) changeOutside(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+	stores := current.GetStores()
+	node := r.waiting
+	if node == nil {
+		node = nodeNamed(stores.GetPrevious(), r.node)
+	}
+	last := findRetirement(current, r.node)
+	switch {
+	case last != nil && (node == nil || !last.Completed || last.Identity == node.Identity):
+		return current, nil
+	case node == nil:
+		return nil, result.New(result.UnknownMachine, fmt.Sprintf("no turn store is named %q", r.node))
+	case len(stores.GetCurrent()) < r.least(): // members wait for it
+		return nil, r.tooFew(len(stores.GetCurrent()))
+	}
+	addRetirement(current, &tierpb.Retirement{Node: r.node, Identity: node.Identity})
+	return current, nil
+}
+
+// least is the number of turn stores that bears the loss of as many as are tolerated.
+func (r *retirement) least() int { return 2*r.tolerance + 1 }
+
+func (r *retirement) tooFew(left int) error {
+	return result.New(result.TooFewMachines, fmt.Sprintf("%d turn stores are members without it, want %d", left, r.least()))
+}
+
 func addRetirement(current *tierpb.ControlState, added *tierpb.Retirement) {
 	current.Retirements = append(current.Retirements, added)
 	if excess := len(current.Retirements) - retirementsKept; excess > 0 {
--- /dev/null
+++ b/internal/tier/coordinator/retirement_test.go
@@ -0,0 +1,82 @@
+package coordinator
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/result"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+func storeNodes(numbers ...int) []*tierpb.Node {
+	var nodes []*tierpb.Node
+	for _, number := range numbers {
+		nodes = append(nodes, storeNode(number))
+	}
+	return nodes
+}
+
+func expectRetirement(t *testing.T, state *tierpb.ControlState, identity uint64, completed bool) {
+	t.Helper()
+	newest := state.Retirements[len(state.Retirements)-1]
+	assert.Equal(t, newest.Identity, identity)
+	assert.Equal(t, newest.Completed, completed)
+}
+
+// A store that was abandoned and asks to join again is no member, and may hold the only copy of what moves.
+func TestRetirementOfAPreviousMemberIsNotCompletedAtOnce(t *testing.T) {
+	stores := &tierpb.StoreMembership{Epoch: 2, Current: storeNodes(1, 2, 3), Previous: storeNodes(1, 2, 3, 4)}
+	for _, waiting := range []*tierpb.Node{nil, storeNode(4)} {
+		state := &tierpb.ControlState{Stores: stores.CloneVT()}
+		order := &retirement{node: "store-4", tolerance: 1, waiting: waiting}
+		state, err := order.change(state)
+		assert.NilError(t, err)
+		expectRetirement(t, state, storeNode(4).Identity, false)
+		state, err = order.change(state)
+		assert.NilError(t, err)
+		assert.Equal(t, len(state.Retirements), 1, "the order sent again")
+	}
+}
+
+// A machine that was emptied and comes again is not empty for long.
+func TestRetirementOfAMachineThatCameAgainIsAnOrderOfItsOwn(t *testing.T) {
+	came := storeNode(4)
+	came.Identity = 40
+	state := &tierpb.ControlState{
+		Stores:      &tierpb.StoreMembership{Epoch: 3, Current: storeNodes(1, 2, 3)},
+		Retirements: []*tierpb.Retirement{{Node: "store-4", Identity: storeNode(4).Identity, Completed: true}},
+	}
+	state, err := (&retirement{node: "store-4", tolerance: 1, waiting: came}).change(state)
+	assert.NilError(t, err)
+	expectRetirement(t, state, came.Identity, false)
+	assert.Equal(t, len(state.Retirements), 2)
+}
+
+func TestRetirementOfTheSameMachineStaysCompleted(t *testing.T) {
+	state := &tierpb.ControlState{
+		Stores:      &tierpb.StoreMembership{Epoch: 3, Current: storeNodes(1, 2, 3)},
+		Retirements: []*tierpb.Retirement{{Node: "store-4", Identity: storeNode(4).Identity, Completed: true}},
+	}
+	for _, waiting := range []*tierpb.Node{nil, storeNode(4)} {
+		next, err := (&retirement{node: "store-4", tolerance: 1, waiting: waiting}).change(state)
+		assert.NilError(t, err)
+		assert.Equal(t, len(next.Retirements), 1)
+		expectRetirement(t, next, storeNode(4).Identity, true)
+	}
+}
+
+func TestRetirementKeepsEnoughMembersWhileRecordsMove(t *testing.T) {
+	state := &tierpb.ControlState{Stores: &tierpb.StoreMembership{
+		Epoch: 2, Current: storeNodes(1, 2, 3), Previous: storeNodes(1, 2, 3, 4),
+	}}
+	_, err := (&retirement{node: "store-3", tolerance: 1}).change(state)
+	var refused *result.Error
+	assert.Assert(t, errors.As(err, &refused))
+	state.Stores.Current = storeNodes(1, 2, 3, 5)
+	state, err = (&retirement{node: "store-3", tolerance: 1}).change(state)
+	assert.NilError(t, err)
+	assert.Equal(t, len(state.Stores.Previous), 4, "the set that was whole last")
+	assert.Equal(t, len(state.Stores.Current), 3)
+}
