Lease: held by the voters of the value that is changed, and numbered by tenure

Cause: a holder with the grants of {1,2} of the voters {1,2,3} counted as one until they expired, also after voter 1 was replaced. Another candidate then had a majority of the new voters by those that had granted nothing: two held the lease at once (TestVotersChangeWhileTheLeaseIsHeld, without the check: '[1 2] hold the lease'). A freeze longer than the lease was not noticed at all where nobody else had it in between.

Change: a holder keeps the end of each grant. HeldBy asks whether a majority of given voter sets grants the lease now, so two holders are never both held by the sets of one value. Tenure numbers the acquisitions; a renewal goes on with one only where the lease was held by the present voters without a break. Forfeit ends a tenure. Grants that come after the first quorum are noted, so that a change of voters seldom ends a tenure. A renewal costs no further call.

--- a/internal/tier/lease/holder.go
+++ b/internal/tier/lease/holder.go
@@ -24,12 +24,15 @@
 
 // Holder tries to hold the lease of a role for as long as Run runs.
 type Holder struct {
-	options  HolderOptions
-	sequence uint64 // of the last round; Run alone uses it
+	options HolderOptions
 
-	mu    sync.Mutex
-	until time.Time // the lease is held before this time
-	held  bool      // as last reported by Changed
+	mu       sync.Mutex
+	sequence uint64               // of the last round
+	returned uint64               // grants of rounds up to this one count no longer
+	grants   map[uint64]time.Time // ends of the grants by the grantor's identity
+	until    time.Time            // end of the tenure as of the last round with a quorum
+	tenure   uint64               // number of the present or last acquisition
+	held     bool                 // as last reported by Changed
 }
 
 // NewHolder makes a holder that holds nothing yet.
@@ -37,14 +40,44 @@
 	if options.Term <= 0 || options.Term > LongestTerm {
 		options.Term = LongestTerm
 	}
-	return &Holder{options: options, sequence: uint64(time.Now().UnixNano())}
+	return &Holder{options: options, sequence: uint64(time.Now().UnixNano()), grants: make(map[uint64]time.Time)}
 }
 
-// Held says whether the lease is held. It turns false a margin before the lease expires at the first grantor.
-func (h *Holder) Held() bool {
+// Held says whether a majority of the voters that are known grants the lease. It turns false a margin before their
+// grants expire.
+func (h *Holder) Held() bool { return h.HeldBy(h.options.Voters()) }
+
+// HeldBy says whether a majority of each of these voter sets grants the lease now. Of two holders at most one is held
+// by the same sets at a time, whatever sets each of them knows.
+func (h *Holder) HeldBy(voters []*tierpb.VoterSet) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heldBy(voters, time.Now())
+}
+
+func (h *Holder) heldBy(voters []*tierpb.VoterSet, now time.Time) bool {
+	return now.Before(h.until) && register.Quorum(voters, func(identity uint64) bool { return now.Before(h.grants[identity]) })
+}
+
+// Tenure numbers the acquisitions: as long as it stays the same, the lease was not lost in between.
+func (h *Holder) Tenure() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tenure
+}
+
+// Forfeit ends the tenure at its holder; the next round may acquire the lease anew.
+func (h *Holder) Forfeit() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Now().Before(h.until)
+	h.drop()
+}
+
+// drop forgets all grants, also those that are on their way.
+func (h *Holder) drop() {
+	h.until = time.Time{}
+	h.returned = h.sequence
+	clear(h.grants)
 }
 
 // Run acquires and renews the lease until ctx ends, then gives it back.
@@ -65,27 +98,48 @@
 // round asks all voters once and says how long to wait before the next time.
 func (h *Holder) round(ctx context.Context) time.Duration {
 	term := h.options.Term
-	began := time.Now()
-	result := h.askAll(ctx, false)
-	if result.quorum {
-		h.set(began.Add(term - term/8))
+	voters := h.options.Voters()
+	result := h.askAll(ctx, voters, false)
+	if result.quorum && h.acquired(result) {
 		return term / 3
 	}
 	if h.Held() {
 		return term / 8
 	}
-	h.set(time.Time{})
+	h.lost()
 	if result.granted > 0 {
 		h.release(ctx)
 	}
 	return max(result.remaining, term/4) + rand.N(term/4)
 }
 
-// set takes over a new end of the lease and reports a change.
-func (h *Holder) set(until time.Time) {
+// acquired takes over the end of a round with a quorum. Where the lease was not held without a break until now, another
+// may have had it, and a new tenure begins.
+func (h *Holder) acquired(result roundResult) bool {
+	h.mu.Lock()
+	now := time.Now()
+	if result.sequence <= h.returned || !now.Before(result.until) {
+		h.mu.Unlock()
+		return false
+	}
+	if !now.Before(h.until) {
+		h.tenure++
+	}
+	h.until = result.until
+	h.mu.Unlock()
+	h.report(true)
+	return true
+}
+
+// lost forgets all grants and reports it.
+func (h *Holder) lost() {
+	h.Forfeit()
+	h.report(false)
+}
+
+// report tells of a change.
+func (h *Holder) report(held bool) {
 	h.mu.Lock()
-	h.until = until
-	held := time.Now().Before(until)
 	changed := held != h.held
 	h.held = held
 	h.mu.Unlock()
@@ -97,16 +151,23 @@
 // stop ends the lease at its holder first, then at the grantors.
 func (h *Holder) stop() {
 	held := h.Held()
-	h.set(time.Time{})
+	h.lost()
 	if held {
 		h.release(context.Background())
 	}
 }
 
-func (h *Holder) release(ctx context.Context) { h.askAll(ctx, true) }
+func (h *Holder) release(ctx context.Context) { h.askAll(ctx, h.options.Voters(), true) }
+
+// begunRound is a round of calls to all voters.
+type begunRound struct {
+	sequence uint64
+	until    time.Time // end of its grants
+}
 
-// roundResult is what a round of calls has brought.
+// roundResult is what a round has brought.
 type roundResult struct {
+	begunRound
 	quorum    bool
 	granted   int
 	remaining time.Duration // of the longest lease of another holder
@@ -117,20 +178,27 @@
 	reply *tierpb.LeaseReply
 }
 
-// askAll calls all voters at once and returns at the first quorum, or when all have answered or the time is over.
-func (h *Holder) askAll(ctx context.Context, release bool) roundResult {
+// askAll calls all voters at once and returns at the first quorum, or when all have answered or the time is over. Grants
+// that come later are noted all the same.
+func (h *Holder) askAll(ctx context.Context, voters []*tierpb.VoterSet, release bool) roundResult {
 	ctx, cancel := context.WithTimeout(ctx, h.options.Term/4)
-	defer cancel()
-	h.sequence++
-	sequence := h.sequence
-	voters := h.options.Voters()
+	begun := h.begin(voters)
+	result := roundResult{begunRound: begun}
 	nodes := register.Voters(&tierpb.ControlState{Voters: voters})
 	answers := make(chan answer, len(nodes))
+	calls := &sync.WaitGroup{}
 	for _, node := range nodes {
-		go func() { answers <- answer{from: node.GetIdentity(), reply: h.call(ctx, node, sequence, release)} }()
+		calls.Go(func() {
+			reply := h.call(ctx, node, begun.sequence, release)
+			h.note(node.GetIdentity(), reply, begun)
+			answers <- answer{from: node.GetIdentity(), reply: reply}
+		})
 	}
+	go func() {
+		calls.Wait()
+		cancel()
+	}()
 	granted := make(map[uint64]bool)
-	result := roundResult{}
 	for range nodes {
 		got := <-answers
 		switch {
@@ -148,6 +216,37 @@
 	return result
 }
 
+// begin numbers a round. Its grants end a margin before the grantors end them, counted from before they are asked. A
+// tenure that the present voters do not grant is over: one that they grant may be another's.
+func (h *Holder) begin(voters []*tierpb.VoterSet) begunRound {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	if !h.heldBy(voters, now) {
+		h.until = time.Time{}
+	}
+	for grantor, until := range h.grants {
+		if !now.Before(until) {
+			delete(h.grants, grantor)
+		}
+	}
+	h.sequence++
+	term := h.options.Term
+	return begunRound{sequence: h.sequence, until: now.Add(term - term/8)}
+}
+
+// note keeps a grant unless the lease was given up since the round began.
+func (h *Holder) note(grantor uint64, reply *tierpb.LeaseReply, round begunRound) {
+	if !reply.GetGranted() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if round.sequence > h.returned && round.until.After(h.grants[grantor]) {
+		h.grants[grantor] = round.until
+	}
+}
+
 func (h *Holder) call(ctx context.Context, node *tierpb.Node, sequence uint64, release bool) *tierpb.LeaseReply {
 	request := &tierpb.LeaseRequest{
 		Role:     h.options.Role,
--- a/internal/tier/lease/lease_test.go
+++ b/internal/tier/lease/lease_test.go
@@ -19,11 +19,13 @@
 
 // house is a set of voters that are all candidates, in a synctest bubble.
 type house struct {
+	mu       sync.Mutex
 	network  *simulation.Network
 	machines []*simulation.Machine
 	grantors []*Grantor
 	holders  []*Holder
 	voters   []*tierpb.VoterSet
+	stale    map[int][]*tierpb.VoterSet // what single candidates know instead
 	runs     sync.WaitGroup
 	cancels  []context.CancelFunc
 }
@@ -55,7 +57,7 @@
 	life.Listen()
 	h.holders[i] = NewHolder(HolderOptions{
 		Role: role, Self: uint64(100 + i), Caller: life.Caller(), Local: h.grantors[i],
-		Voters: func() []*tierpb.VoterSet { return h.voters },
+		Voters: func() []*tierpb.VoterSet { return h.votersKnownTo(i) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancels[i] = cancel
@@ -63,6 +65,30 @@
 	h.runs.Go(func() { holder.Run(ctx) })
 }
 
+func (h *house) votersKnownTo(i int) []*tierpb.VoterSet {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if known, found := h.stale[i]; found {
+		return known
+	}
+	return h.voters
+}
+
+// setVoters makes machines the voters; the candidates named do not hear of it.
+func (h *house) setVoters(machines []int, unheard ...int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stale = make(map[int][]*tierpb.VoterSet)
+	for _, i := range unheard {
+		h.stale[i] = h.voters
+	}
+	set := &tierpb.VoterSet{}
+	for _, i := range machines {
+		set.Nodes = append(set.Nodes, &tierpb.Node{Address: h.machines[i].Address(), Identity: uint64(i + 1)})
+	}
+	h.voters = []*tierpb.VoterSet{set}
+}
+
 // stop ends a process with nothing said.
 func (h *house) stop(i int) {
 	h.machines[i].Kill()
@@ -80,7 +106,7 @@
 
 func (h *house) holding() (numbers []int) {
 	for i, holder := range h.holders {
-		if holder.Held() {
+		if holder.HeldBy(h.votersKnownTo(-1)) {
 			numbers = append(numbers, i)
 		}
 	}
@@ -218,3 +244,97 @@
 		})
 	}
 }
+
+// TestVotersChangeWhileTheLeaseIsHeld: the holder has the grants of two of three voters; then one of them is replaced, and
+// another candidate finds a majority of the new voters that granted nothing.
+func TestVotersChangeWhileTheLeaseIsHeld(t *testing.T) {
+	for _, unheard := range []bool{false, true} {
+		for seed := range uint64(20) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHouse(t, seed, 4)
+				h.setVoters([]int{0, 1, 2})
+				first := h.watch(t, 6*time.Second)[0]
+				if first == 3 {
+					return // the holder is no voter: the scene is another
+				}
+				replaced, kept := first, (first+1)%3
+				for _, other := range []int{(first + 2) % 3, 3} {
+					h.network.Cut(h.machines[first].Address(), h.machines[other].Address(), true)
+				}
+				assert.DeepEqual(t, h.watch(t, 3*time.Second), []int{first})
+				h.setVoters([]int{kept, (first + 2) % 3, 3}, others(unheard, replaced)...)
+				h.watch(t, 2*LongestTerm)
+				h.network.Heal()
+				h.setVoters([]int{kept, (first + 2) % 3, 3})
+				assert.Equal(t, len(h.watch(t, 4*LongestTerm)), 1)
+			})
+		}
+	}
+}
+
+// others lists a number where it counts.
+func others(counts bool, number int) []int {
+	if !counts {
+		return nil
+	}
+	return []int{number}
+}
+
+// TestTenureEndsWithEachLoss: a holder that lost the lease and has it again is told apart from one that kept it.
+func TestTenureEndsWithEachLoss(t *testing.T) {
+	for _, frozen := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHouse(t, 4, 3)
+			first := h.watch(t, 5*time.Second)[0]
+			holder := h.holders[first]
+			tenure := holder.Tenure()
+			h.watch(t, 10*time.Second)
+			assert.Equal(t, holder.Tenure(), tenure, "it was renewed only")
+			for i := range 3 {
+				if i == first {
+					continue
+				}
+				h.stop(i) // nobody takes the lease over
+				h.start(i, LongestTerm)
+				h.cancels[i]()
+			}
+			if frozen {
+				h.machines[first].Freeze()
+			} else {
+				h.machines[(first+1)%3].Freeze()
+				h.machines[(first+2)%3].Freeze()
+			}
+			h.watch(t, 2*LongestTerm)
+			assert.Assert(t, !holder.Held())
+			for _, machine := range h.machines {
+				machine.Thaw()
+			}
+			assert.DeepEqual(t, h.watch(t, 2*LongestTerm), []int{first})
+			assert.Assert(t, holder.Tenure() > tenure)
+		})
+	}
+}
+
+func TestForfeitedLeaseIsAcquiredAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHouse(t, 5, 3)
+		first := h.watch(t, 5*time.Second)[0]
+		holder := h.holders[first]
+		tenure := holder.Tenure()
+		holder.Forfeit()
+		assert.Assert(t, !holder.Held())
+		<-time.After(20 * time.Millisecond)
+		assert.Assert(t, !holder.Held(), "a grant that was under way counts no more")
+		assert.DeepEqual(t, h.watch(t, LongestTerm), []int{first})
+		assert.Assert(t, holder.Tenure() > tenure)
+	})
+}
+
+// TestWipedGrantorAtTheSameAddressGrantsNothing: it is another node, which the voters do not name.
+func TestWipedGrantorAtTheSameAddressGrantsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wiped := NewGrantor(20, 0)
+		request := &tierpb.LeaseRequest{Role: role, Holder: 2, TtlMs: 1000, Identity: 2, Sequence: 1}
+		assert.Assert(t, !wiped.Answer(request).Granted)
+	})
+}
