Placement of voters: the wiped first, no silence of the listener's own, no taking turns

Four suspicions, each by a test that failed before: - A process that did not run for 20 s took the last turn store to call again for silent for 20 s and abandoned it. Silence now begins no earlier than the time since which this process has listened (View.Since). - Of a wiped and of a silent voter the silent one was replaced where its standby sorted first, though only one place may change. The wiped ones, lost for certain, come first. - A disk wiped twice within 1.3 s has two identities that called lately; the one in between was taken, or taken back. A join is fresh only while no later identity has called from its address (this holds for turn stores as well). - A planned replacement of the same name and the old voter, both running, took each other's place in turns. A voter that answers from another address is no predecessor. HandOver, not called yet, gives away the vote of one that stops and no other.

--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -31,7 +31,7 @@
 // View is what the holder of the lease knows first hand.
 type View struct {
 	Now       time.Time
-	Since     time.Time     // when this process began to listen
+	Since     time.Time     // since when this process has listened without a gap; nobody counts as silent for longer
 	Tolerance int           // members that may be lost at once
 	CatchUp   time.Duration // bound on a new machine's start; 0 where none is set
 	Joins     []Join
@@ -72,16 +72,29 @@
 // least is the number of members that bears the loss of tolerance of them.
 func (v *View) least() int { return 2*v.Tolerance + 1 }
 
-func (v *View) fresh(join Join) bool { return v.Now.Sub(join.Heard) <= FreshJoin }
+// fresh says that a node called lately and that no later one has called from its address: that one found the disk empty.
+func (v *View) fresh(join Join) bool {
+	return v.Now.Sub(join.Heard) <= FreshJoin && !v.superseded(join)
+}
+
+func (v *View) superseded(join Join) bool {
+	for _, other := range v.Joins {
+		if other.Request.Node.Address == join.Request.Node.Address && other.First.After(join.First) {
+			return true
+		}
+	}
+	return false
+}
 
 // storeSilence is how long a turn store has not called.
 func (v *View) storeSilence(identity uint64) time.Duration {
+	listened := v.Now.Sub(v.Since)
 	for _, join := range v.Joins {
 		if join.Request.Node.Identity == identity {
-			return v.Now.Sub(join.Heard)
+			return min(v.Now.Sub(join.Heard), listened)
 		}
 	}
-	return v.Now.Sub(v.Since)
+	return listened
 }
 
 func find(nodes []*tierpb.Node, identity uint64) int {
--- a/internal/tier/placement/voters.go
+++ b/internal/tier/placement/voters.go
@@ -21,7 +21,7 @@
 	next, replaced := replaceVoters(voters, view)
 	grown := slices.Clone(next)
 	for _, standby := range standbys(next, view) {
-		if len(grown) < view.least() && predecessor(grown, standby) < 0 {
+		if len(grown) < view.least() && find(grown, standby.Identity) < 0 && predecessor(grown, standby) < 0 {
 			grown = append(grown, standby)
 		}
 	}
@@ -55,24 +55,57 @@
 	return nil
 }
 
-// replaceVoters puts standbys in the places of voters that were wiped or are silent. A majority of the old voters
-// stays, as the register demands.
+// replaceVoters puts standbys in the places of voters that were wiped, which are lost for certain, then of those that are
+// silent. A majority of the old voters stays, as the register demands.
 func replaceVoters(voters []*tierpb.Node, view *View) (next []*tierpb.Node, replaced bool) {
 	next = slices.Clone(voters)
 	left := (len(voters) - 1) / 2
-	for _, standby := range standbys(voters, view) {
-		place := predecessor(next, standby)
-		if place < 0 {
-			place = longestSilent(next, view)
-		}
-		if place >= 0 && left > 0 {
-			next[place], replaced = standby, true
-			left--
+	waiting := standbys(voters, view)
+	for _, placeOf := range []func(*tierpb.Node) int{
+		func(standby *tierpb.Node) int { return predecessorOf(next, standby, view) },
+		func(*tierpb.Node) int { return longestSilent(next, view) },
+	} {
+		for _, standby := range waiting {
+			if left == 0 || find(next, standby.Identity) >= 0 {
+				continue
+			}
+			if place := placeOf(standby); place >= 0 {
+				next[place], replaced = standby, true
+				left--
+			}
 		}
 	}
 	return next, replaced
 }
 
+// predecessorOf is the voter that a standby stands in for, -1 where there is none. One of the same name that answers
+// from another address is no predecessor: both run.
+func predecessorOf(voters []*tierpb.Node, standby *tierpb.Node, view *View) int {
+	place := predecessor(voters, standby)
+	if place >= 0 && voters[place].Address != standby.Address && view.VoterSilence(voters[place].Address) == 0 {
+		return -1
+	}
+	return place
+}
+
+// HandOver returns the voters with a standby in the place of one that stops, nil where it has no vote or nobody stands
+// by. It takes no other vote away.
+func HandOver(current *tierpb.ControlState, view *View, leaver uint64) []*tierpb.Node {
+	sets := current.GetVoters()
+	if len(sets) != 1 {
+		return nil
+	}
+	voters := sets[0].GetNodes()
+	place := find(voters, leaver)
+	waiting := standbys(voters, withoutLeaving(current, view))
+	if place < 0 || len(waiting) == 0 {
+		return nil
+	}
+	next := slices.Clone(voters)
+	next[place] = waiting[0]
+	return next
+}
+
 // standbys are the coordinators that call, answer and do not vote, those of the domains with the fewest voters first.
 func standbys(voters []*tierpb.Node, view *View) []*tierpb.Node {
 	var nodes []*tierpb.Node
--- a/internal/tier/placement/voters_test.go
+++ b/internal/tier/placement/voters_test.go
@@ -108,3 +108,54 @@
 	silence["10.0.0.3"] = 5 * time.Second
 	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{5, 2, 4})
 }
+
+// A wiped voter is lost for certain, a silent one may come back: the one place that may change is the wiped one's.
+func TestWipedVoterIsReplacedBeforeASilentOne(t *testing.T) {
+	state, view, silence := votersScene(3, 1, 4)
+	wiped := coordinator(3)
+	wiped.Identity = 30
+	view.Joins = append(view.Joins, Join{Request: &tierpb.JoinRequest{Node: wiped}, First: start, Heard: start})
+	silence["10.0.0.1"] = 5 * time.Second
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{1, 2, 30})
+}
+
+// A disk is wiped twice in a moment: the identity in between called lately and runs no more.
+func TestVoterWipedTwiceIsReplacedByTheLastOne(t *testing.T) {
+	for _, order := range [][]uint64{{20, 21}, {21, 20}} {
+		state, view, _ := votersScene(3, 1)
+		for _, identity := range order {
+			wiped := coordinator(2)
+			wiped.Identity = identity
+			first := start.Add(time.Duration(identity) * time.Millisecond).Add(-time.Second)
+			view.Joins = append(view.Joins, Join{Request: &tierpb.JoinRequest{Node: wiped}, First: first, Heard: first})
+		}
+		next := Voters(state, view)
+		assert.DeepEqual(t, identities(next), []uint64{1, 21, 3})
+		state.Voters[0].Nodes = next
+		assert.Assert(t, Voters(state, view) == nil, "the one in between is not taken back")
+	}
+}
+
+// A planned replacement of the same name comes up while the old machine runs: they do not take turns as voters.
+func TestReplacementOfTheSameNameWaitsForTheOldOneToStop(t *testing.T) {
+	state, view, silence := votersScene(3, 1, 4)
+	for _, join := range view.Joins {
+		join.Request.Node.Name = coordinator(2).Name
+	}
+	assert.Assert(t, Voters(state, view) == nil, "both run")
+	assert.DeepEqual(t, identities(HandOver(state, view, 2)), []uint64{1, 4, 3})
+	silence["10.0.0.2"] = time.Millisecond
+	assert.DeepEqual(t, identities(Voters(state, view)), []uint64{1, 4, 3})
+}
+
+func TestHandOverGivesAwayOneVoteOnly(t *testing.T) {
+	state, view, silence := votersScene(5, 2, 6, 7)
+	silence["10.0.0.1"] = 5 * time.Second
+	assert.DeepEqual(t, identities(HandOver(state, view, 3)), []uint64{1, 2, 6, 4, 5})
+	assert.Assert(t, HandOver(state, view, 6) == nil, "no voter")
+	state, view, _ = votersScene(3, 1)
+	assert.Assert(t, HandOver(state, view, 3) == nil, "nobody stands by")
+	state, view, _ = votersScene(3, 1, 4)
+	state.Voters = append(state.Voters, state.Voters[0])
+	assert.Assert(t, HandOver(state, view, 3) == nil, "a change under way is finished first")
+}
