Placement: the last call of each life counts, not the first, in what is superseded

By first calls, a coordinator that wakes and reads the call of an earlier life late would take a wiped store for superseded for the minute that joins are remembered. By the last call of each it is the newest that calls on. TestCallOfAnEarlierLifeThatIsReadLateHidesNobody failed before.

--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -72,14 +72,15 @@
 // least is the number of members that bears the loss of tolerance of them.
 func (v *View) least() int { return 2*v.Tolerance + 1 }
 
-// fresh says that a node called lately and that no later one has called from its address: that one found the disk empty.
+// fresh says that a node called lately and that no other one has called from its address since: that one found the disk
+// empty. What counts is the last call of each, for the first call of an earlier life may be read late.
 func (v *View) fresh(join Join) bool {
 	return v.Now.Sub(join.Heard) <= FreshJoin && !v.superseded(join)
 }
 
 func (v *View) superseded(join Join) bool {
 	for _, other := range v.Joins {
-		if other.Request.Node.Address == join.Request.Node.Address && other.First.After(join.First) {
+		if other.Request.Node.Address == join.Request.Node.Address && other.Heard.After(join.Heard) {
 			return true
 		}
 	}
--- a/internal/tier/placement/view_test.go
+++ b/internal/tier/placement/view_test.go
@@ -18,3 +18,17 @@
 	_, reason = Stores(s.state, s.view)
 	assert.Equal(t, reason, "turn store abandoned")
 }
+
+// A coordinator that wakes reads what waited on two connections in any order: the call of an earlier life may seem to
+// begin after the later life's, which goes on calling.
+func TestCallOfAnEarlierLifeThatIsReadLateHidesNobody(t *testing.T) {
+	s := newScene(1, 2)
+	s.lapse(time.Second, 1, 2)
+	s.call(3, 0)
+	wiped := store(3)
+	wiped.Identity = 30
+	s.callAs(wiped, time.Millisecond) // first heard before the call of its earlier life
+	s.lapse(batchQuiet, 1, 2, 30)
+	assert.Equal(t, s.step(), "turn stores joined")
+	s.expect(t, []uint64{1, 2, 30}, []uint64{1, 2})
+}
