rpc: nothing follows a frame that was cut; a reply of another method ends its connection

Cause: a write that failed after part of a frame gave its turn on before its caller closed the connection. A call or reply that waited for the turn could write its own frame behind the part, and the peer took it for the rest of the cut one: a reply's payload with another reply's bytes in it. A reply's method was not looked at either.

Change: the writer closes the connection and remembers the cut while it still holds the turn. A reply of another method than the call's ends the connection and all calls on it.

--- a/internal/tier/rpc/connection.go
+++ b/internal/tier/rpc/connection.go
@@ -60,6 +60,11 @@
 		if !ok {
 			return ErrUnreachable
 		}
+		if got.kind != byte(method)|kindReply && got.kind != kindFailure {
+			release(got.payload)
+			c.fail() // the peer counts calls in another way: none of its replies can be trusted
+			return ErrUnreachable
+		}
 		return decode(got, reply)
 	case <-ctx.Done():
 		c.forget(number)
--- a/internal/tier/rpc/writer.go
+++ b/internal/tier/rpc/writer.go
@@ -13,6 +13,7 @@
 type frameWriter struct {
 	connection net.Conn
 	turn       chan struct{} // holds one token while a frame is being written
+	broken     bool          // a frame was cut: nothing may follow it; the owner of the turn alone uses it
 }
 
 func newFrameWriter(connection net.Conn) *frameWriter {
@@ -30,17 +31,23 @@
 			return err
 		}
 	}
-	if ctx.Err() != nil {
+	switch {
+	case w.broken:
+		w.end(encoded)
+		return ErrUnreachable
+	case ctx.Err() != nil:
 		w.end(encoded)
 		return ErrTimeout
 	}
 	deadline, limited := writeDeadline(ctx)
 	written, err := w.attempt(deadline, encoded)
+	expired := errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
-	case !errors.Is(err, os.ErrDeadlineExceeded):
+	case err == nil:
 		w.end(encoded)
-		return err
-	case !limited: // the peer read too little for all of writeTimeout
+		return nil
+	case !expired || !limited: // or the peer read too little for all of writeTimeout
+		w.spoil()
 		w.end(encoded)
 		return ErrUnreachable
 	case written == 0:
@@ -51,6 +58,13 @@
 	return ErrTimeout
 }
 
+// spoil ends the connection while the turn is still held: the peer would take the next frame for the rest of one that
+// was cut.
+func (w *frameWriter) spoil() {
+	w.broken = true
+	_ = w.connection.Close()
+}
+
 func (w *frameWriter) await(ctx context.Context) error {
 	select {
 	case w.turn <- struct{}{}:
@@ -82,7 +96,7 @@
 	_, err := w.connection.Write(encoded[written:])
 	_ = w.connection.SetWriteDeadline(time.Time{})
 	if err != nil {
-		_ = w.connection.Close()
+		w.spoil()
 	}
 	w.end(encoded)
 }
