Proxy: a body is waited for no longer than the request's own time

A client that stalls in the middle of its body was waited for twice the header timeout (6 s with the usual limits), past the route's timeoutMs and past the client's own patience. The read deadline is now the earlier of the two. X-Deadline-Ms is also read with a fraction or blanks around it; before, such a value counted as none and the store was told the whole timeout.

--- a/internal/tier/proxy/body.go
+++ b/internal/tier/proxy/body.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// readBody reads the whole body of a request within the limits; nil where it has none.
-func readBody(w http.ResponseWriter, r *http.Request, limits configuration.Limits) (*bytes.Buffer, error) {
+// readBody reads the whole body of a request within the limits and until a time; nil where it has none.
+func readBody(w http.ResponseWriter, r *http.Request, limits configuration.Limits, until time.Time) (*bytes.Buffer, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -39,7 +39,7 @@
 		return nil, errBodyTooLarge
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTime(limits)))
+	_ = control.SetReadDeadline(until)
 	buffer := bodyBuffers.Get().(*bytes.Buffer)
 	buffer.Reset()
 	_, err := buffer.ReadFrom(io.LimitReader(r.Body, limits.MaxBodyBytes+1))
@@ -56,10 +56,14 @@
 	return buffer, nil
 }
 
-// bodyTime is how long a client may take for its body.
-func bodyTime(limits configuration.Limits) time.Duration {
+// bodyUntil is until when a client may send its body: a request is answered when its own time is up, whole or not.
+func (v *view) bodyUntil(r *http.Request, limits configuration.Limits, arrival time.Time) time.Time {
 	const times = 2 // the limit is for the head; a body may take longer
-	return times * limits.HeaderTimeout
+	allowed := times * limits.HeaderTimeout
+	if route := v.route(r); route != nil {
+		allowed = min(allowed, patience(r.Header, route.Timeout))
+	}
+	return arrival.Add(allowed)
 }
 
 // bodyFailure is the status for a body that could not be read. Nothing of the request was sent to any store.
--- a/internal/tier/proxy/handler.go
+++ b/internal/tier/proxy/handler.go
@@ -54,7 +54,7 @@
 		p.respond(w, id, http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
-	body, err := readBody(w, r, limits)
+	body, err := readBody(w, r, limits, current.bodyUntil(r, limits, arrival))
 	if err != nil {
 		w.Header()["Connection"] = []string{"close"}
 		p.respond(w, id, bodyFailure(err))
@@ -76,7 +76,7 @@
 		p.respond(w, x.id, http.StatusBadRequest)
 		return
 	}
-	x.route = x.view.configuration.Route(r.Host, requestPath(r))
+	x.route = x.view.route(r)
 	if x.route == nil {
 		p.respond(w, x.id, http.StatusNotFound)
 		return
@@ -104,11 +104,11 @@
 
 // patience is how long the request may take: the client's patience or the route's timeout, whichever is shorter.
 func patience(header http.Header, timeout time.Duration) time.Duration {
-	milliseconds, err := strconv.ParseInt(header.Get(upstream.HeaderDeadline), 10, 32)
-	if err != nil || milliseconds <= 0 {
+	milliseconds, err := strconv.ParseFloat(strings.TrimSpace(header.Get(upstream.HeaderDeadline)), 64)
+	if err != nil || !(milliseconds > 0) || milliseconds >= float64(timeout)/float64(time.Millisecond) {
 		return timeout
 	}
-	return min(timeout, time.Duration(milliseconds)*time.Millisecond)
+	return time.Duration(milliseconds * float64(time.Millisecond))
 }
 
 // backend draws the service by weight. All requests of a program on one route draw the same.
--- a/internal/tier/proxy/view.go
+++ b/internal/tier/proxy/view.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net/http"
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
@@ -50,6 +51,14 @@
 	return true
 }
 
+// route finds the route of a request; nil where there is none, or no configuration yet.
+func (v *view) route(r *http.Request) *configuration.Route {
+	if v.configuration == nil {
+		return nil
+	}
+	return v.configuration.Route(r.Host, requestPath(r))
+}
+
 func (v *view) generation() uint64 {
 	if v.configuration == nil {
 		return 0
