Proxy: shutdown answers what is left and ends connections with their answers

A connection whose answer had begun before SIGTERM (no Connection: close in its head) could take one more request in the up to 100 ms before the next look at resting connections, as late as a stream's end; and what was unanswered 0.5 s before the end of the grace was cut. Now a connection ends as soon as it rests once the listener is closed, what is left at that time is answered (503 where nothing was sent, else 504), and settlements of budgets that are under way are waited for, 0.2 s at most: a claim left unsettled counts at its most for good and makes a later 402 wrong.

New: a client that leaves while its turn waits for its chain or claim is let go and no store gets anything (held before, too).

--- /dev/null
+++ b/internal/tier/proxy/ending_test.go
@@ -0,0 +1,133 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+	"pulleygw.example/pulleygw/internal/tier/turns"
+)
+
+// post sends a request without a body on a connection of its own.
+func (b *bench) post(path, id string, fields ...string) net.Conn {
+	connection, err := net.Dial("tcp4", b.addr)
+	assert.NilError(b.t, err)
+	b.t.Cleanup(func() { connection.Close() })
+	assert.NilError(b.t, connection.SetDeadline(time.Now().Add(patienceOfTests)))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n", path, id)
+	for _, field := range fields {
+		head += field + "\r\n"
+	}
+	_, err = io.WriteString(connection, head+"\r\n")
+	assert.NilError(b.t, err)
+	return connection
+}
+
+// LOST: a connection whose answer began before the shutdown, and so does not say that it will be closed, takes no
+// further request once the listener is closed: it would come too late to be answered within the grace.
+func TestConnectionEndsWithItsAnswerOnceNoneAreAccepted(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	store := newStandIn(t, "a", func(connection net.Conn, got received) bool {
+		io.WriteString(connection, head(got, 200, "Transfer-Encoding: chunked")+"\r\n")
+		one := numbered(1, 1)[0]
+		fmt.Fprintf(connection, "%x\r\n%s\r\n", len(one), one)
+		close(begun)
+		<-release
+		io.WriteString(connection, "0\r\n\r\n")
+		return true
+	})
+	b := newBench(t, longTimeout, nil, []*standIn{store})
+	connection := b.post("/s/x", "id")
+	<-begun
+	reader := bufio.NewReader(connection)
+	_, err := reader.Peek(1)
+	assert.NilError(t, err)
+	b.proxy.draining.Store(true)
+	b.front.stopAccepting()
+	close(release)
+	got := readAnswer(reader, "POST")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, text(1, 1))
+	assert.Assert(t, !got.raw.Close)
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// LOST: at the end of the grace what is unanswered gets an answer, a promise only where nothing was sent.
+func TestUnansweredRequestsAreAnsweredAtTheEndOfTheGrace(t *testing.T) {
+	t.Run("at a store", func(t *testing.T) {
+		arrived, release := make(chan struct{}), make(chan struct{})
+		defer close(release)
+		store := newStandIn(t, "a", func(net.Conn, received) bool { close(arrived); <-release; return false })
+		b := newBench(t, longTimeout, []*standIn{store}, nil)
+		connection := b.post("/n/x", "id")
+		<-arrived
+		b.proxy.draining.Store(true)
+		b.front.giveUp(errEnding)
+		got := readAnswer(bufio.NewReader(connection), "POST")
+		assert.Equal(t, got.status, 504)
+		assert.Assert(t, got.raw.Close)
+	})
+	t.Run("waiting for its chain", func(t *testing.T) {
+		store := newStandIn(t, "a", events(true))
+		b := newBench(t, longTimeout, nil, []*standIn{store})
+		waiting := make(chan struct{})
+		b.keeper.onChain = func(ctx context.Context) { close(waiting); <-ctx.Done() }
+		b.keeper.chainErr = turns.ErrUncertain
+		connection := b.post("/t/x", "id", "Previous: p")
+		<-waiting
+		b.front.giveUp(errEnding)
+		got := readAnswer(bufio.NewReader(connection), "POST")
+		assert.Equal(t, got.status, 503)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+		assert.Equal(t, len(store.requests()), 0)
+	})
+}
+
+// Credit: claims that are being settled when the process is told to stop are settled before it ends.
+func TestSettlementsEndBeforeTheProcess(t *testing.T) {
+	b := newBench(t, longTimeout, nil, nil)
+	settled := false
+	b.keeper.onWait = func() { settled = true }
+	b.proxy.awaitSettlements(patienceOfTests)
+	assert.Assert(t, settled)
+
+	never := make(chan struct{})
+	defer close(never)
+	b.keeper.onWait = func() { <-never }
+	b.proxy.awaitSettlements(time.Millisecond) // comes back all the same
+}
+
+// GONE: a client that leaves while its turn waits for its chain or its claim is let go, and no store gets anything.
+func TestClientThatLeavesWhileItsTurnIsPreparedIsLetGo(t *testing.T) {
+	for name, arrange := range map[string]func(*keeper, func(context.Context)){
+		"chain": func(k *keeper, wait func(context.Context)) { k.onChain = wait },
+		"claim": func(k *keeper, wait func(context.Context)) { k.onReserve = wait },
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newStandIn(t, "a", events(true))
+			b := newBench(t, longTimeout, nil, []*standIn{store})
+			b.keeper.records["p"] = &tierpb.TurnRecord{Id: "p"}
+			waiting, released := make(chan struct{}), make(chan struct{})
+			arrange(b.keeper, func(ctx context.Context) {
+				close(waiting)
+				<-ctx.Done()
+				close(released)
+			})
+			connection := b.post("/t/x", "id", "Previous: p", "Program: q", "Budget: 100", "X-Token-Usage: 1,9")
+			<-waiting
+			connection.Close()
+			<-released
+			b.front.close()
+			b.front.awaitClosed(time.Now().Add(patienceOfTests))
+			assert.Equal(t, len(store.requests()), 0)
+		})
+	}
+}
--- a/internal/tier/proxy/exchange.go
+++ b/internal/tier/proxy/exchange.go
@@ -203,7 +203,7 @@
 // conclude answers a request that no store will answer.
 func (x *exchange) conclude(ctx context.Context, refused *admission.Refusal) {
 	switch {
-	case x.stream.headSent, x.r.Context().Err() != nil:
+	case x.stream.headSent, x.clientLeft():
 		x.breakOff() // or nobody is there any more
 	case x.ran == 0:
 		x.proxy.respondLater(x.w, x.id, comeAgain(refused))
@@ -214,6 +214,12 @@
 	}
 }
 
+// clientLeft says whether the client closed its connection.
+func (x *exchange) clientLeft() bool {
+	ctx := x.r.Context()
+	return ctx.Err() != nil && !isEnding(ctx)
+}
+
 // comeAgain is when the client is told to come again.
 func comeAgain(refused *admission.Refusal) time.Duration {
 	if refused == nil {
--- a/internal/tier/proxy/front.go
+++ b/internal/tier/proxy/front.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log"
@@ -18,7 +19,9 @@
 	probeTimeout  = 2 * time.Second
 	lingerMost    = 2500 * time.Millisecond // the platform asks each second and goes by two misses
 	lingerDivisor = 3                       // of the grace
-	graceMargin   = 500 * time.Millisecond
+	graceMargin   = 500 * time.Millisecond  // of the grace, when what is still unanswered is given up
+	answerMargin  = 200 * time.Millisecond  // within which answers to that go out
+	settleMargin  = 200 * time.Millisecond  // and then what programs spent is settled
 	drainTick     = 100 * time.Millisecond
 	headerSlack   = time.Second
 	idleSlack     = 5 * time.Second
@@ -29,8 +32,9 @@
 var silent = log.New(io.Discard, "", 0)
 
 var (
-	expired    = time.Unix(1, 0)
+	expired    = time.Unix(1, 0) // a deadline that has passed
 	errRestart = errors.New("limits changed")
+	errEnding  = errors.New("the process is about to end")
 )
 
 // front accepts clients' connections and serves them. A change of limits concerns connections accepted after it.
@@ -38,13 +42,17 @@
 	proxy    *Proxy
 	listener *net.TCPListener
 	closed   atomic.Bool
+	requests context.Context // that all requests' contexts descend from
+	giveUp   context.CancelCauseFunc
 	mu       sync.Mutex
 	servers  []*http.Server
 	open     map[net.Conn]*clientConnection
 }
 
 func newFront(proxy *Proxy, listener *net.TCPListener) *front {
-	return &front{proxy: proxy, listener: listener, open: make(map[net.Conn]*clientConnection)}
+	f := &front{proxy: proxy, listener: listener, open: make(map[net.Conn]*clientConnection)}
+	f.requests, f.giveUp = context.WithCancelCause(context.Background())
+	return f
 }
 
 // serve accepts until the listener is closed.
@@ -69,6 +77,7 @@
 		ErrorLog:                     silent,
 		ConnState:                    f.stateChanged,
 		ConnContext:                  withConnection,
+		BaseContext:                  func(net.Listener) context.Context { return f.requests },
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -85,20 +94,34 @@
 	f.proxy.log.Info("draining")
 	end := time.Now().Add(grace - graceMargin)
 	time.Sleep(min(lingerMost, grace/lingerDivisor))
+	f.stopAccepting()
+	f.awaitClosed(end)
+	f.giveUp(errEnding)
+	f.awaitClosed(end.Add(answerMargin))
+	f.close()
+}
+
+// stopAccepting closes the listener; from then on a connection ends as soon as it rests.
+func (f *front) stopAccepting() {
 	f.closed.Store(true)
 	_ = f.listener.Close()
+}
+
+// awaitClosed waits until no connection is open, or until a time.
+func (f *front) awaitClosed(until time.Time) {
 	ticker := time.NewTicker(drainTick)
 	defer ticker.Stop()
-	for f.expireResting() > 0 && time.Now().Before(end) {
+	for f.expireResting() > 0 && time.Now().Before(until) {
 		<-ticker.C
 	}
-	f.close()
 }
 
+// isEnding says whether a request's context ended because the process does, while its client still waits.
+func isEnding(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEnding) }
+
 // close ends the listener and all connections.
 func (f *front) close() {
-	f.closed.Store(true)
-	_ = f.listener.Close()
+	f.stopAccepting()
 	f.mu.Lock()
 	servers := f.servers
 	f.mu.Unlock()
@@ -121,6 +144,9 @@
 	switch state {
 	case http.StateIdle:
 		connection.(*clientConnection).rest()
+		if f.closed.Load() {
+			connection.(*clientConnection).expire()
+		}
 	case http.StateClosed, http.StateHijacked:
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -152,46 +178,3 @@
 
 // Addr is the socket's address.
 func (g *generation) Addr() net.Addr { return g.front.listener.Addr() }
-
-// clientConnection knows whether any byte of a request was read since the last answer, so that a connection is ended
-// only where none was.
-type clientConnection struct {
-	net.Conn
-	mu      sync.Mutex
-	resting bool
-}
-
-// Read reads from the client.
-func (c *clientConnection) Read(into []byte) (int, error) {
-	n, err := c.Conn.Read(into)
-	if n > 0 {
-		c.mu.Lock()
-		c.resting = false
-		c.mu.Unlock()
-	}
-	return n, err
-}
-
-// CloseWrite ends the proxy's side only, so that the client still reads what was written.
-func (c *clientConnection) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return c.Conn.Close()
-}
-
-func (c *clientConnection) rest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.resting = true
-}
-
-// expire has the server close the connection where it rests. A read that has just taken bytes lifts the deadline again:
-// net/http sets it anew after them.
-func (c *clientConnection) expire() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.resting {
-		_ = c.Conn.SetReadDeadline(expired)
-	}
-}
--- a/internal/tier/proxy/harness_test.go
+++ b/internal/tier/proxy/harness_test.go
@@ -185,6 +185,10 @@
 	chainErr error
 	saveErr  error
 	onSave   func()
+	onChain  func(context.Context)
+	onWait   func()
+
+	onReserve func(context.Context)
 
 	reserveErr error
 	reserved   map[string]uint64
@@ -199,7 +203,10 @@
 	}
 }
 
-func (k *keeper) Chain(_ context.Context, id string) ([]*tierpb.TurnRecord, error) {
+func (k *keeper) Chain(ctx context.Context, id string) ([]*tierpb.TurnRecord, error) {
+	if k.onChain != nil {
+		k.onChain(ctx)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.chainErr != nil {
@@ -230,7 +237,10 @@
 	return nil
 }
 
-func (k *keeper) Reserve(_ context.Context, _ string, _ uint64, request string, most uint64) error {
+func (k *keeper) Reserve(ctx context.Context, _ string, _ uint64, request string, most uint64) error {
+	if k.onReserve != nil {
+		k.onReserve(ctx)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.reserveErr == nil {
@@ -239,6 +249,12 @@
 	return k.reserveErr
 }
 
+func (k *keeper) Wait() {
+	if k.onWait != nil {
+		k.onWait()
+	}
+}
+
 func (k *keeper) Settle(_, request string, used uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -90,10 +90,24 @@
 
 	<-ctx.Done()
 	clients.drain(settings.Seconds(live.Current().Bounds.GraceS, defaultGrace))
+	p.awaitSettlements(settleMargin)
 	_ = probes.Close()
 	return nil
 }
 
+// awaitSettlements waits for claims that are being settled: one that is left unsettled counts at its most for good.
+func (p *Proxy) awaitSettlements(most time.Duration) {
+	settled := make(chan struct{})
+	go func() {
+		p.budgets.Wait()
+		close(settled)
+	}()
+	select {
+	case <-settled:
+	case <-time.After(most):
+	}
+}
+
 // useStores makes the clients of the turn stores.
 func (p *Proxy) useStores(caller rpc.Caller, current *settings.Settings) {
 	options := replica.Options{
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -29,6 +29,7 @@
 	Reserve(ctx context.Context, program string, budget uint64, request string, most uint64) error
 	Settle(program, request string, used uint64)
 	Withdraw(program, request string)
+	Wait() // for what Settle and Withdraw have begun
 }
 
 // turn is what the system keeps of the request where it is a turn of a program.
@@ -136,7 +137,7 @@
 
 func (x *exchange) answerTurnFailure(err error) {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.clientLeft():
 		panic(http.ErrAbortHandler)
 	case errors.Is(err, turns.ErrNotFound):
 		x.proxy.respond(x.w, x.id, http.StatusNotFound)
