Proxy: a stream is resumed only with the same version of the weights

Inside one answer the system resumed a stream at any store; the head that the client had told Versions of the first store, and events of other weights could follow without a word. A resume now carries Expect-Version with the version of the last event (of the head, or of a later event's versions line); a store with another version answers 421, the next one is tried, and where none is left the answer breaks off, so that the client decides. A 421 to a request that expects a version is no longer held against the store (before, it was shut for a second and counted as failing).

--- a/internal/tier/proxy/events.go
+++ b/internal/tier/proxy/events.go
@@ -9,6 +9,8 @@
 	hasID bool
 	data  []byte // lines joined by line feeds; aliases raw where it is one line
 	isSet bool   // it has data
+
+	version []byte // of the weights from here on, where it changes
 }
 
 // nextEvent cuts the first whole event off the bytes; false where it has not come whole.
@@ -51,6 +53,8 @@
 			e.id, e.hasID = value, true
 		case "data":
 			e.addData(value)
+		case "versions":
+			e.version = value
 		}
 	}
 }
--- a/internal/tier/proxy/exchange.go
+++ b/internal/tier/proxy/exchange.go
@@ -16,6 +16,7 @@
 	headerNotExecuted = "X-Not-Executed"
 	headerSignature   = "X-Response-Signature"
 	headerServerLoad  = "X-Server-Load"
+	headerVersions    = "Versions"
 )
 
 // mostTurnedAway is how many stores may decline a request before it is refused.
@@ -162,15 +163,23 @@
 		drain(answer)
 	}
 	answer.Finish()
-	if answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusTooManyRequests {
+	switch {
+	case answer.Status == http.StatusServiceUnavailable, answer.Status == http.StatusTooManyRequests:
 		granted.Finish(admission.Full)
-	} else {
+	case x.expectsVersion():
+		granted.Finish(admission.Cancelled) // the store is well: its weights may be others
+	default:
 		granted.Finish(admission.NotExecuted)
 	}
 	x.turned++
 	return again
 }
 
+// expectsVersion says whether a store turns the request away where its weights have another version.
+func (x *exchange) expectsVersion() bool {
+	return x.sending.Version != "" || x.r.Header[upstream.HeaderExpectVersion] != nil
+}
+
 // notExecuted says whether the store promises that it did not run the request.
 func notExecuted(answer *upstream.Answer) bool {
 	return answer.Status == http.StatusMisdirectedRequest || answer.Header[headerNotExecuted] != nil
--- a/internal/tier/proxy/stream.go
+++ b/internal/tier/proxy/stream.go
@@ -32,6 +32,7 @@
 	lastID   string // of the last event passed on
 	step     int64  // between ids, where two are known
 	resumed  bool   // the next event is the first of another store
+	version  string // of the weights that made the last event, where the stores tell it
 }
 
 // isStream says whether an answer is to be passed on event by event.
@@ -55,6 +56,7 @@
 
 // relayStream passes the events of an answer on as they come.
 func (x *exchange) relayStream(ctx context.Context, granted *admission.Grant, answer *upstream.Answer) verdict {
+	x.noteVersion(answer)
 	err := x.passEvents(granted, answer)
 	if err == nil {
 		err = x.completeTurn(ctx)
@@ -74,6 +76,9 @@
 		return brokeOff
 	}
 	x.sending.Resume = x.stream.lastID
+	if x.stream.headSent {
+		x.sending.Version = x.stream.version
+	}
 	return again
 }
 
@@ -152,6 +157,9 @@
 			return err
 		}
 	}
+	if len(next.version) > 0 {
+		x.stream.version = string(next.version)
+	}
 	if !next.isSet {
 		return nil
 	}
@@ -192,6 +200,14 @@
 	x.w.WriteHeader(answer.Status)
 }
 
+// noteVersion notes the version that an answer begins with. A stream goes on with it, or with that of a later event: the
+// events of one answer come from the same weights, or say where these change.
+func (x *exchange) noteVersion(answer *upstream.Answer) {
+	if x.stream.events == 0 {
+		x.stream.version = answer.Header.Get(headerVersions)
+	}
+}
+
 func (x *exchange) pass(answer *upstream.Answer, events []byte) {
 	x.sendHead(answer)
 	_, _ = x.w.Write(events)
--- a/internal/tier/upstream/head.go
+++ b/internal/tier/upstream/head.go
@@ -15,6 +15,7 @@
 	HeaderDeadline       = "X-Deadline-Ms"
 	HeaderExpectInstance = "X-Expect-Instance"
 	HeaderLastEventID    = "Last-Event-Id"
+	HeaderExpectVersion  = "Expect-Version"
 )
 
 // hopByHop are the headers that concern one connection only, and Host and Content-Length, which are written apart.
@@ -45,6 +46,8 @@
 		return true
 	case HeaderLastEventID:
 		return request.Resume != ""
+	case HeaderExpectVersion:
+		return request.Version != ""
 	}
 	return false
 }
@@ -62,6 +65,9 @@
 	if request.Resume != "" {
 		writeField(into, HeaderLastEventID, request.Resume)
 	}
+	if request.Version != "" {
+		writeField(into, HeaderExpectVersion, request.Version)
+	}
 	if length := bodyLength(request.Body); length > 0 || request.HasBody {
 		writeField(into, "Content-Length", strconv.Itoa(length))
 	}
--- a/internal/tier/upstream/upstream.go
+++ b/internal/tier/upstream/upstream.go
@@ -25,6 +25,7 @@
 	Body     [][]byte      // in order; the length sent is that of all
 	HasBody  bool          // write a Content-Length although the body is empty
 	Resume   string        // replaces Last-Event-Id where not empty
+	Version  string        // replaces Expect-Version where not empty
 	Deadline time.Time     // the store is told what is left of it, and nothing is awaited past it
 	Patience time.Duration // longest silence of the store; 0 where only the deadline counts
 }
