Admission: a stream whose answer has begun is not refused for load

A resumable stream that lost its store in the middle was admitted as any new request: under load it could be refused, and the answer was then broken off though another store could have taken it up. Request.Begun exempts it from the refusals by load; it still ends where no store can finish it in time.

TestRequestWhoseAnswerHasBegunIsNotRefusedForLoad fails without it.

--- a/internal/tier/admission/refuse.go
+++ b/internal/tier/admission/refuse.go
@@ -35,6 +35,9 @@
 		c.refuse(v, w, Hopeless)
 		return true
 	}
+	if w.Begun {
+		return false
+	}
 	if tier == noRoom && v.wait(v.held+1) > (w.endAt-now)/waitPart {
 		c.refuse(v, w, Overload)
 		return true
--- a/internal/tier/admission/types.go
+++ b/internal/tier/admission/types.go
@@ -44,6 +44,7 @@
 	Avoid     []string      // instances that this try was sent to before
 	First     bool          // nothing was done yet for the program that it belongs to
 	Attempt   int           // stores that this try was sent to before
+	Begun     bool          // part of its answer has gone to the client: load is no reason to break that off
 	Streaming bool
 	Safe      bool          // running it twice does no harm: it is sent again where a store fails
 	Tokens    int           // of the prompt
--- a/internal/tier/proxy/admit.go
+++ b/internal/tier/proxy/admit.go
@@ -18,6 +18,7 @@
 		Service: x.service.Name, Route: x.route.Name, ID: x.id, Arrival: x.arrival, Aim: x.route.TargetLatency,
 		Deadline: x.deadline, Priority: x.route.Priority, Avoid: x.avoid, Attempt: x.ran,
 		Streaming: x.route.Kind == configuration.Streaming, Tokens: int(prompt), Safe: x.repeatable(),
+		Begun: x.stream.headSent,
 	}
 	if x.route.SessionAffinity {
 		asked.Affinity = x.affinity()
