Proxy: raised header limits hold on connections that are open

Its own limit is now 64 KiB at least; the proxy judges each head by the configuration in force. A route whose service is missing (no checked configuration has one) gets 503 in place of 404.

TestRaisedLimitHoldsOnOpenConnections fails before; TestConfigurationChangeLeavesRequestsInHand held before.

--- a/internal/tier/proxy/front.go
+++ b/internal/tier/proxy/front.go
@@ -25,7 +25,8 @@
 	drainTick     = 100 * time.Millisecond
 	headerSlack   = time.Second
 	idleSlack     = 5 * time.Second
-	headerRoom    = 4 << 10 // the proxy itself judges heads near the limit
+	headerRoom    = 4 << 10  // the proxy itself judges heads near the limit
+	headerLeast   = 64 << 10 // of net/http's limit, as the configuration's may be raised while a connection is open
 )
 
 // silent takes what net/http would log of single connections.
@@ -70,7 +71,7 @@
 	limits := f.proxy.limits(f.proxy.views.get())
 	server := &http.Server{
 		Handler:                      f.proxy,
-		MaxHeaderBytes:               limits.MaxHeaderBytes + headerRoom,
+		MaxHeaderBytes:               max(limits.MaxHeaderBytes, headerLeast) + headerRoom,
 		ReadHeaderTimeout:            limits.HeaderTimeout + headerSlack,
 		IdleTimeout:                  limits.IdleTimeout + idleSlack,
 		DisableGeneralOptionsHandler: true,
--- a/internal/tier/proxy/front_test.go
+++ b/internal/tier/proxy/front_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,6 +92,49 @@
 	assert.Equal(t, b.sendOn(before, "POST", "/n/x", "id3", "in").status, 200)
 }
 
+// DENIED: a limit that is raised holds on connections that were open before, too.
+func TestRaisedLimitHoldsOnOpenConnections(t *testing.T) {
+	store := newStandIn(t, "a", whole(200, "x"))
+	b := newBench(t, longTimeout, []*standIn{store}, nil)
+	connection, err := net.Dial("tcp4", b.addr)
+	assert.NilError(t, err)
+	defer connection.Close()
+	long := fmt.Sprintf("X-Long: %015000d", 1)
+	assert.Equal(t, b.sendOn(connection, "GET", "/n/x", "id1", "", long).status, 431)
+	raised := strings.Replace(fmt.Sprintf(testConfiguration, 2, longTimeout.Milliseconds()), `"maxHeaderBytes":4096`, `"maxHeaderBytes":32768`, 1)
+	b.configure(2, raised)
+	b.front.relimit()
+	assert.Equal(t, b.sendOn(connection, "GET", "/n/x", "id2", "", long).status, 200)
+	assert.Equal(t, b.send("GET", "/n/x", "id3", "", long).status, 200)
+}
+
+// LOST: a request in hand is served to its end by the configuration it came under, whatever of its route, its service,
+// the timeouts or the limits a later one changes or drops.
+func TestConfigurationChangeLeavesRequestsInHand(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	store := newStandIn(t, "a", func(connection net.Conn, got received) bool {
+		arrived <- struct{}{}
+		<-release
+		return whole(200, "x")(connection, got)
+	})
+	b := newBench(t, longTimeout, []*standIn{store}, nil)
+	var connections []net.Conn
+	for _, path := range []string{"/n/x", "/i/x"} {
+		connections = append(connections, b.post(path, "id"+path))
+		<-arrived
+	}
+	b.configure(2, `{"generation":2,"routes":[{"name":"n","hostname":"h.example","pathPrefix":"/n/","kind":"non_idempotent",
+"timeoutMs":1,"backend":"other"}],"services":[{"name":"other"}],"limits":{"maxBodyBytes":1,"idleTimeoutMs":1}}`)
+	b.front.relimit()
+	close(release)
+	for _, connection := range connections {
+		got := readAnswer(bufio.NewReader(connection), "POST")
+		assert.Equal(t, got.status, 200)
+		assert.Equal(t, got.body, "x")
+	}
+	assert.Equal(t, b.send("POST", "/i/x", "id3", "").status, 404)
+}
+
 // RECOVER: what comes just after the start waits for the first configuration and the first stores.
 func TestRequestWaitsForTheFirstConfigurationAndStores(t *testing.T) {
 	store := newStandIn(t, "a", whole(200, "ok"))
--- a/internal/tier/proxy/handler.go
+++ b/internal/tier/proxy/handler.go
@@ -82,8 +82,8 @@
 		return
 	}
 	x.service = x.view.configuration.Service(x.backend())
-	if x.service == nil {
-		p.respond(w, x.id, http.StatusNotFound)
+	if x.service == nil { // no configuration that was checked is like this
+		p.respondLater(w, x.id, retryUncertain)
 		return
 	}
 	x.deadline = x.arrival.Add(patience(r.Header, x.route.Timeout))
