--- a/internal/tier/proxy/deadline_test.go
+++ b/internal/tier/proxy/deadline_test.go
@@ -2,15 +2,23 @@
 
 import (
 	"bytes"
+	"cmp"
+	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/budget"
+	"pulleygw.example/pulleygw/internal/tier/turns"
 )
 
 const shortTimeout = 200 * time.Millisecond
@@ -80,3 +88,103 @@
 		assert.Equal(t, patience(http.Header{"X-Deadline-Ms": {told}}, time.Second), expected, "%q", told)
 	}
 }
+
+// mute answers nothing until the test ends; after some events where it is a stream.
+func mute(t *testing.T, before ...string) script {
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	return func(connection net.Conn, got received) bool {
+		if len(before) > 0 {
+			io.WriteString(connection, head(got, 200, "Transfer-Encoding: chunked")+"\r\n")
+		}
+		for _, one := range before {
+			fmt.Fprintf(connection, "%x\r\n%s\r\n", len(one), one)
+		}
+		<-release
+		return false
+	}
+}
+
+// CONFIG: whatever a request waits for, it ends with an answer or is broken off when its time is up. Nothing is sent for
+// it afterwards.
+func TestEveryRequestEndsAtItsTime(t *testing.T) {
+	untilTheEnd := func(ctx context.Context) { <-ctx.Done() }
+	for name, test := range map[string]struct {
+		path    string
+		fields  []string
+		script  func(*testing.T) script
+		arrange func(*keeper)
+		status  int // 0 where the answer has begun, and breaks off
+	}{
+		"idempotent":       {path: "/i/x", status: 504},
+		"not idempotent":   {path: "/n/x", status: 504},
+		"before an event":  {path: "/s/x", status: 504},
+		"after an event":   {path: "/s/x", script: func(t *testing.T) script { return mute(t, numbered(1, 2)...) }},
+		"resumable stream": {path: "/r/x", script: func(t *testing.T) script { return mute(t, numbered(1, 2)...) }},
+		"chain": {
+			path: "/t/x", fields: []string{"Previous: p"}, status: 503,
+			arrange: func(k *keeper) { k.onChain, k.chainErr = untilTheEnd, turns.ErrUncertain },
+		},
+		"claim": {
+			path: "/t/x", fields: []string{"Program: q", "Budget: 9", "X-Token-Usage: 1,9"}, status: 503,
+			arrange: func(k *keeper) { k.onReserve, k.reserveErr = untilTheEnd, budget.ErrUncertain },
+		},
+		"save": {
+			path: "/t/x", script: func(*testing.T) script { return events(true, numbered(1, 2)...) },
+			arrange: func(k *keeper) { k.onSave, k.saveErr = untilTheEnd, turns.ErrUncertain },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			silent := mute(t)
+			if test.script != nil {
+				silent = test.script(t)
+			}
+			plain, model := newStandIn(t, "a", silent), newStandIn(t, "b", silent)
+			b := newBench(t, shortTimeout, []*standIn{plain}, []*standIn{model})
+			if test.arrange != nil {
+				test.arrange(b.keeper)
+			}
+			fields := append([]string{"X-Deadline-Ms: 60000"}, test.fields...)
+			got := b.send("POST", test.path, "id", "in", fields...)
+			assert.Equal(t, got.status, cmp.Or(test.status, 200))
+			if test.status == 0 {
+				assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+			}
+			for _, sent := range append(plain.requests(), model.requests()...) {
+				told, err := strconv.Atoi(sent.header.Get("X-Deadline-Ms"))
+				assert.NilError(t, err)
+				assert.Assert(t, time.Duration(told)*time.Millisecond <= shortTimeout, "%d ms", told)
+			}
+		})
+	}
+}
+
+// BUDGET: a request that is sent once more, or a stream that is resumed, carries what is left and not what it had.
+func TestSecondSendCarriesWhatIsLeft(t *testing.T) {
+	for path, second := range map[string]script{"/i/x": whole(200, "ok"), "/r/x": events(true, numbered(2, 3)...)} {
+		t.Run(path, func(t *testing.T) {
+			first := mute(t)
+			if path == "/r/x" {
+				first = mute(t, numbered(1, 1)...)
+			}
+			answer := inTurn(first, second)
+			stores := []*standIn{newStandIn(t, "a", answer), newStandIn(t, "b", answer)}
+			b := newBench(t, time.Second, stores, nil)
+			if path == "/r/x" {
+				b = newBench(t, time.Second, nil, stores)
+			}
+			assert.NilError(t, b.send("POST", path, "id", "in").err)
+			sends := append(stores[0].requests(), stores[1].requests()...)
+			assert.Equal(t, len(sends), 2)
+			left := []int{}
+			for _, sent := range sends {
+				told, err := strconv.Atoi(sent.header.Get("X-Deadline-Ms"))
+				assert.NilError(t, err)
+				left = append(left, told)
+			}
+			// The first store was left only after more than a third of the time.
+			assert.Assert(t, max(left[0], left[1])-min(left[0], left[1]) >= 300, "%v", left)
+			assert.Assert(t, max(left[0], left[1]) <= 1000, "%v", left)
+		})
+	}
+}
--- a/internal/tier/proxy/harness_test.go
+++ b/internal/tier/proxy/harness_test.go
@@ -184,7 +184,7 @@
 	records  map[string]*tierpb.TurnRecord
 	chainErr error
 	saveErr  error
-	onSave   func()
+	onSave   func(context.Context)
 	onChain  func(context.Context)
 	onWait   func()
 
@@ -224,12 +224,12 @@
 	return chain, nil
 }
 
-func (k *keeper) Save(_ context.Context, record *tierpb.TurnRecord) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+func (k *keeper) Save(ctx context.Context, record *tierpb.TurnRecord) error {
 	if k.onSave != nil {
-		k.onSave()
+		k.onSave(ctx)
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if k.saveErr != nil {
 		return k.saveErr
 	}
