Orders are known behind any number of later ones: runs beside the register

Cause: the register remembered the last 1,024 orders. One that built on an older version got 503 whether it had been taken or not, and its operator sent it again for ever.

Change: at most one order was ever taken on top of a generation, so the list of orders that were taken decides each other one for good. Package orders keeps the newest 256 to 512 in the control state and closes older ones into runs of 256, which never change and which the control state names by digest (field 10). Each coordinator saves a run 256 orders before the register drops it, and gets from others what it lacks (MethodOrderRuns). With the run an order is acknowledged again or refused; without it, or before the oldest of 65,536, it still gets 503 (5015 order_looked_up, 5004 forgotten_order). withoutBody copies the new field, and a test goes through all fields of the control state.

--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/orders"
 	"pulleygw.example/pulleygw/internal/tier/peers"
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/registry"
@@ -23,6 +24,9 @@
 // registerFolder is where the acceptor keeps its files, below dataDir.
 const registerFolder = "register"
 
+// ordersFolder is where the history of orders is kept, below dataDir.
+const ordersFolder = "orders"
+
 // controlRegister is what the coordinator needs of the register.
 type controlRegister interface {
 	Change(context.Context, register.ChangeFunc) (*tierpb.ControlState, error)
@@ -38,6 +42,7 @@
 	state     *watch.State
 	directory *directory
 	register  controlRegister
+	history   *orders.History
 	accepted  func() *tierpb.ControlState // newest value of the own acceptor, chosen or not
 	lease     interface{ Held() bool }
 	sampler   *peers.Sampler
@@ -63,6 +68,10 @@
 	if err != nil {
 		return eris.Wrap(err, "coordinator")
 	}
+	history, err := orders.OpenHistory(storage.OS{}, filepath.Join(current.DataDir, ordersFolder))
+	if err != nil {
+		return eris.Wrap(err, "coordinator")
+	}
 	caller := rpc.NewClient()
 	defer caller.Close()
 	self := &tierpb.Node{
@@ -70,6 +79,7 @@
 		Identity: acceptor.Identity(), Control: current.Listen.Control,
 	}
 	c := newCoordinator(live, log, self, caller)
+	c.history = history
 	c.useRegister(acceptor)
 	log.Info("starting", "identity", self.Identity, "fresh", acceptor.Fresh(), "bootstrap", current.Bootstrap)
 	return c.serve(ctx, acceptor)
@@ -101,7 +111,10 @@
 	c.accepted = acceptor.Value
 	proposer := register.NewProposer(register.Options{
 		Caller: c.caller, Local: acceptor, Known: c.state.Control,
-		Chosen: func(chosen *tierpb.ControlState) { c.state.SetControl(chosen) },
+		Chosen: func(chosen *tierpb.ControlState) {
+			c.state.SetControl(chosen)
+			c.history.Note(chosen)
+		},
 	})
 	c.register = proposer
 	c.replaceVoters = func(ctx context.Context, nodes []*tierpb.Node) (*tierpb.ControlState, error) {
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -50,7 +50,9 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	parts := &sync.WaitGroup{}
-	for _, part := range []func(context.Context){c.follow, c.keepJoining, c.runMaintenance, c.keepPlaced, c.sampler.Run, holder.Run} {
+	for _, part := range []func(context.Context){
+		c.follow, c.keepJoining, c.runMaintenance, c.keepOrders, c.keepPlaced, c.sampler.Run, holder.Run,
+	} {
 		parts.Add(1)
 		go func() {
 			defer parts.Done()
@@ -113,6 +115,7 @@
 	rpc.Handle(server, rpc.MethodAnnounce, c.takeAnnounce)
 	rpc.Handle(server, rpc.MethodJoin, c.takeJoin)
 	rpc.Handle(server, rpc.MethodPing, c.takePing)
+	rpc.Handle(server, rpc.MethodOrderRuns, c.takeOrderRuns)
 	c.sampler.Serve(server)
 }
 
--- /dev/null
+++ b/internal/tier/orders/history.go
@@ -0,0 +1,166 @@
+package orders
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/storage"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// series is the name of the history's files in its folder.
+const series = "orders"
+
+// History keeps the runs that control states name, on disk and in memory. What it lacks after a loss of its disk comes
+// from other coordinators; until then orders of those runs get no clear answer. It is safe for concurrent use.
+type History struct {
+	saving sync.Mutex // held while the disk is written
+	files  *storage.Series
+	saved  []string // digests of the runs on disk; guarded by saving
+
+	mu    sync.Mutex
+	runs  map[string]*tierpb.OrderRun // by digest
+	noted uint64                      // one more than the If-Match at which the run noted last begins
+}
+
+// OpenHistory reads the runs in a folder. A file that is not whole counts as none.
+func OpenHistory(disk storage.Disk, folder string) (*History, error) {
+	if err := disk.MakeFolder(folder); err != nil {
+		return nil, eris.Wrap(err, "history of orders")
+	}
+	files, err := storage.Open(disk, folder, series, nil)
+	if err != nil {
+		return nil, err
+	}
+	history := &History{files: files, runs: make(map[string]*tierpb.OrderRun)}
+	payload, found := files.Newest()
+	stored := &tierpb.OrderRuns{}
+	if !found || stored.UnmarshalVT(payload) != nil {
+		return history, nil
+	}
+	for _, run := range stored.Runs {
+		history.put(run)
+	}
+	_, history.saved = history.all()
+	return history, nil
+}
+
+// put takes a run in and says whether it was not known.
+func (h *History) put(run *tierpb.OrderRun) bool {
+	if !isWhole(run) {
+		return false
+	}
+	digest := string(nameFor(run))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.runs[digest] != nil {
+		return false
+	}
+	h.runs[digest] = run
+	return true
+}
+
+// Note takes in the run that a chosen control state is about to name. It is cheap where there is nothing new.
+func (h *History) Note(state *tierpb.ControlState) {
+	if len(state.GetTaken()) < RunLength || h.isNoted(state.Taken[0].IfMatch) {
+		return
+	}
+	h.put(Upcoming(state))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noted = state.Taken[0].IfMatch + 1
+}
+
+func (h *History) isNoted(first uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.noted == first+1
+}
+
+// Run implements Runs.
+func (h *History) Run(digest []byte) *tierpb.OrderRun {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runs[string(digest)]
+}
+
+// Lacking returns the digests of runs that a control state names and that are not here, oldest first.
+func (h *History) Lacking(state *tierpb.ControlState) [][]byte {
+	var lacking [][]byte
+	for _, name := range state.GetOlderOrders() {
+		if h.Run(name.Digest) == nil {
+			lacking = append(lacking, name.Digest)
+		}
+	}
+	return lacking
+}
+
+// Keep takes in runs that a control state names and the one that it is about to name, drops those from before all that it
+// remembers, and saves what is left where that has changed.
+func (h *History) Keep(state *tierpb.ControlState, found []*tierpb.OrderRun) error {
+	h.saving.Lock()
+	defer h.saving.Unlock()
+	h.Note(state)
+	named := make(map[string]bool)
+	for _, name := range state.GetOlderOrders() {
+		named[string(name.Digest)] = true
+	}
+	for _, run := range found {
+		if named[string(nameFor(run))] {
+			h.put(run)
+		}
+	}
+	h.dropBefore(oldest(state))
+	stored, digests := h.all()
+	if slices.Equal(digests, h.saved) {
+		return nil
+	}
+	payload, err := stored.MarshalVT()
+	if err != nil {
+		return eris.Wrap(err, "history of orders")
+	}
+	if err := h.files.Save(payload); err != nil {
+		return err
+	}
+	h.saved = digests
+	return nil
+}
+
+// oldest is the If-Match of the oldest order that a control state remembers.
+func oldest(state *tierpb.ControlState) uint64 {
+	if names := state.GetOlderOrders(); len(names) > 0 {
+		return names[0].First
+	}
+	if newest := state.GetTaken(); len(newest) > 0 {
+		return newest[0].IfMatch
+	}
+	return 0
+}
+
+func (h *History) dropBefore(first uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for digest, run := range h.runs {
+		if run.First < first {
+			delete(h.runs, digest)
+		}
+	}
+}
+
+// all returns the runs and their digests, oldest first.
+func (h *History) all() (*tierpb.OrderRuns, []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	digests := slices.SortedFunc(maps.Keys(h.runs), func(a, b string) int {
+		return cmp.Or(cmp.Compare(h.runs[a].First, h.runs[b].First), cmp.Compare(a, b))
+	})
+	stored := &tierpb.OrderRuns{}
+	for _, digest := range digests {
+		stored.Runs = append(stored.Runs, h.runs[digest])
+	}
+	return stored, digests
+}
--- a/internal/tier/result/result.go
+++ b/internal/tier/result/result.go
@@ -53,6 +53,7 @@
 	StorageFailed    Code = 5007
 	InternalMistake  Code = 5008
 	ConflictingTries Code = 5009
+	OrderLookedUp    Code = 5015
 )
 
 // Description tells what a code means.
--- a/internal/tier/result/table.go
+++ b/internal/tier/result/table.go
@@ -55,6 +55,8 @@
 		"Send the same order again; report it."},
 	{ConflictingTries, "conflicting_tries", http.StatusServiceUnavailable,
 		"Other changes went first each time.", sendAgain},
+	{OrderLookedUp, "order_looked_up", http.StatusServiceUnavailable,
+		"The order builds on an old version, and this coordinator is still fetching what was taken then.", sendAgain},
 }
 
 // Table lists all codes in rising order. It is not to be changed.
--- a/internal/tier/rpc/rpc.go
+++ b/internal/tier/rpc/rpc.go
@@ -24,6 +24,7 @@
 	MethodReadBudget
 	MethodMoveRecords
 	MethodOfferRecords
+	MethodOrderRuns
 )
 
 // Message is a generated protobuf message with the fast encoding.
--- a/internal/tier/watch/delta_test.go
+++ b/internal/tier/watch/delta_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/reflect/protoreflect"
 	"gotest.tools/v3/assert"
 
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -123,3 +124,27 @@
 		makeDelta(1, older, newer)
 	}
 }
+
+// TestDeltaLeavesOutTheBodyAlone goes through all fields, so that one which is added later is not left out by mistake.
+func TestDeltaLeavesOutTheBodyAlone(t *testing.T) {
+	control := &tierpb.ControlState{
+		Voters:        []*tierpb.VoterSet{{Nodes: []*tierpb.Node{{Identity: 1}}}},
+		Stores:        &tierpb.StoreMembership{Epoch: 4},
+		Configuration: &tierpb.Configuration{Generation: 5, Body: []byte("body")},
+		Taken:         []*tierpb.TakenOrder{{Generation: 5}},
+		Retirements:   []*tierpb.Retirement{{Node: "a"}},
+		OlderOrders:   []*tierpb.OrderRunName{{First: 1}},
+	}
+	fields := control.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		if field.Kind() == protoreflect.Uint64Kind && !field.IsList() {
+			control.ProtoReflect().Set(field, protoreflect.ValueOfUint64(uint64(100+i)))
+		}
+		assert.Assert(t, control.ProtoReflect().Has(field), "this test gives %s no value", field.Name())
+	}
+	told := withoutBody(control)
+	assert.Assert(t, told.Configuration.Body == nil)
+	told.Configuration.Body = control.Configuration.Body
+	assert.Assert(t, told.EqualVT(control), "got %v, want %v", told, control)
+}
--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -230,7 +230,7 @@
 	return &tierpb.ControlState{
 		Version: control.Version, Epoch: control.Epoch, Voters: control.Voters, Stores: control.Stores,
 		Configuration: &tierpb.Configuration{Generation: control.Configuration.GetGeneration()},
-		Taken:         control.Taken, Retirements: control.Retirements,
+		Taken:         control.Taken, OlderOrders: control.OlderOrders, Retirements: control.Retirements,
 	}
 }
 
