--- a/internal/tier/coordinator/orders_test.go
+++ b/internal/tier/coordinator/orders_test.go
@@ -1,11 +1,15 @@
 package coordinator
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
 // take has a coordinator take orders from one generation up to another, one on top of the other.
@@ -60,3 +64,106 @@
 		c.judge("core-1", old...)
 	})
 }
+
+// untilClear sends an order to one coordinator after another until it gets a clear answer, as operators do.
+func (c *cluster) untilClear(names []string, ifMatch int, body string) int {
+	for try := range 200 {
+		if p := c.at(names[try%len(names)]); p != nil {
+			if status := p.configured(ifMatch, body); status != http.StatusServiceUnavailable {
+				return status
+			}
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+	return http.StatusServiceUnavailable
+}
+
+// TestTwoOperatorsUnderOneNumberWhileVotersChange: with different bodies one of them wins, with equal ones both are told
+// so, and each answer holds at every coordinator, also at the one that votes no more and at the one that votes now.
+func TestTwoOperatorsUnderOneNumberWhileVotersChange(t *testing.T) {
+	for delay := range 12 {
+		for _, variant := range []string{"x", "y"} {
+			inCluster(t, 4, 1, func(c *cluster) {
+				c.take("core-1", 0, 1)
+				bodies := []string{configurationOf(5, "x"), configurationOf(5, variant)}
+				statuses := make([]chan int, 2)
+				for i, names := range [][]string{{"core-2", "core-1"}, {"core-3", "core-4"}} {
+					statuses[i] = make(chan int, 1)
+					go func() {
+						<-time.After(time.Duration(delay+3*i) * 700 * time.Microsecond)
+						statuses[i] <- c.untilClear(names, 1, bodies[i])
+					}()
+				}
+				assert.NilError(c.t, c.replaceVoter("core-1", "core-3", "core-4"))
+				first, second := <-statuses[0], <-statuses[1]
+				assert.Assert(c.t, first == http.StatusOK || second == http.StatusOK)
+				assert.Equal(c.t, first == second, variant == "x", "%d and %d", first, second)
+				for name := range map[string]bool{"core-1": true, "core-2": true, "core-3": true, "core-4": true} {
+					assert.Equal(c.t, c.untilClear([]string{name}, 1, bodies[0]), first, name)
+					assert.Equal(c.t, c.untilClear([]string{name}, 1, bodies[1]), second, name)
+				}
+			})
+		}
+	}
+}
+
+// replaceVoter has a coordinator put a standby in the place of a voter.
+func (c *cluster) replaceVoter(at, old, standby string) error {
+	p := c.at(at)
+	var nodes []*tierpb.Node
+	for _, node := range register.Voters(p.state.Control()) {
+		if c.machineAt(node.Address).name != old {
+			nodes = append(nodes, node)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := p.replaceVoters(ctx, append(nodes, c.at(standby).self))
+	return err
+}
+
+// TestOrderIsSentAgainWhileVotersAreJoint: the change of voters is left halfway and its joint set lacks a voter.
+func TestOrderIsSentAgainWhileVotersAreJoint(t *testing.T) {
+	inCluster(t, 4, 1, func(c *cluster) {
+		c.take("core-1", 0, 3)
+		p := c.at("core-1")
+		_, err := p.register.Change(context.Background(), func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+			nodes := append([]*tierpb.Node{c.at("core-4").self}, current.Voters[0].Nodes[:2]...)
+			current.Voters = append(current.Voters, &tierpb.VoterSet{Nodes: nodes})
+			return current, nil
+		})
+		assert.NilError(c.t, err)
+		c.kill("core-3")
+		c.judge("core-1", 1, 2, 3)
+		c.take("core-4", 3, 4)
+		c.judge("core-2", 1, 4)
+		c.pass(5 * time.Second)
+		assert.Equal(c.t, len(c.at("core-2").state.Control().Voters), 1, "whoever holds the lease has finished the change")
+		c.judge("core-4", 1, 2, 3, 4)
+	})
+}
+
+// TestOrderIsSentAgainToOneThatHasJustStarted: within its first moments, on its disk and on an empty one, it either knows
+// the order or gives no clear answer.
+func TestOrderIsSentAgainToOneThatHasJustStarted(t *testing.T) {
+	for _, wiped := range []bool{false, true} {
+		for delay := range 10 {
+			inCluster(t, 3, 1, func(c *cluster) {
+				c.take("core-1", 0, 3)
+				c.kill("core-2")
+				if wiped {
+					c.wipe("core-2")
+				}
+				c.take("core-1", 3, 5)
+				c.start("core-2", false)
+				<-time.After(time.Duration(delay) * 300 * time.Microsecond)
+				for _, generation := range []int{1, 3, 5} {
+					status := c.at("core-2").configured(generation-1, configurationOf(generation, "a"))
+					assert.Assert(c.t, status == http.StatusOK || status == http.StatusServiceUnavailable, "%d", status)
+				}
+				assert.Equal(c.t, c.untilClear([]string{"core-2"}, 4, configurationOf(5, "a")), http.StatusOK)
+				assert.Equal(c.t, c.untilClear([]string{"core-2"}, 4, configurationOf(5, "b")), http.StatusPreconditionFailed)
+			})
+		}
+	}
+}
