Coordinator: a body that comes too slowly gets 408, not a refusal

Cause: a body whose rest did not come within the 15 s of the listener was answered 400. Operators end at 400, and the same order may have been taken through another coordinator before: a taken order would be refused over a slow link.

Change: a read deadline while the body is read is 1006 body_too_slow, 408, upon which callers go on to another coordinator. A body that its sender ended too soon stays 400.

--- a/internal/tier/coordinator/api.go
+++ b/internal/tier/coordinator/api.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -175,6 +176,9 @@
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		return nil, result.New(result.BodyTooLarge, "")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) { // no refusal: the order may have been taken elsewhere
+		return nil, result.New(result.BodyTooSlow, "")
+	}
 	if err != nil {
 		return nil, result.New(result.UnreadableBody, "the body ends after "+strconv.Itoa(len(body))+" bytes")
 	}
--- a/internal/tier/coordinator/orders_test.go
+++ b/internal/tier/coordinator/orders_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -167,3 +173,17 @@
 		}
 	}
 }
+
+// TestSlowBodyIsNoRefusal: an order that was taken and is sent again over a slow link may not end with a 400.
+func TestSlowBodyIsNoRefusal(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		c.take("core-1", 0, 1)
+		body := strings.NewReader(configurationOf(1, "a")[:40])
+		slow := io.MultiReader(body, iotest.ErrReader(&net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}))
+		request := httptest.NewRequest(http.MethodPut, "/v1/config", slow)
+		request.Header.Set("If-Match", "0")
+		recorder := httptest.NewRecorder()
+		c.at("core-2").handler.ServeHTTP(recorder, request)
+		assert.Equal(c.t, recorder.Code, http.StatusRequestTimeout)
+	})
+}
--- a/internal/tier/result/result.go
+++ b/internal/tier/result/result.go
@@ -18,6 +18,7 @@
 	UnreadableBody  Code = 1003
 	BodyTooLarge    Code = 1004
 	MalformedHeader Code = 1005
+	BodyTooSlow     Code = 1006
 )
 
 // Configurations.
--- a/internal/tier/result/table.go
+++ b/internal/tier/result/table.go
@@ -15,6 +15,7 @@
 		"Send it again with its full length."},
 	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, "The body is over the limit.", sendMended},
 	{MalformedHeader, "malformed_header", http.StatusBadRequest, "A header cannot be used, such as If-Match.", sendMended},
+	{BodyTooSlow, "body_too_slow", http.StatusRequestTimeout, "The rest of the body did not come in time.", sendAgain},
 
 	{InvalidConfiguration, "invalid_configuration", http.StatusBadRequest,
 		"The configuration is invalid; field names the first fault.", sendMended},
