Followers begin with no state of a cut-off coordinator, and leave it at once

A coordinator without contact gave an agent that knew nothing its configuration and list, whatever was acknowledged elsewhere: an agent started under a cut had the old configuration in force until its next source answered (TestFreshAgentTakesNothingOldFromACutOffCoordinator failed). Polls that it held went on for up to 0.7 s after contact was lost, and one with news at each poll was left only by the second source. Its list of coordinators, by then itself alone, replaced the one that its followers had.

watch.ReadinessGate serves the state of a coordinator: it ends held polls when contact is lost, tells what is newer and says that it is not ready, so that the follower goes on, and refuses those that know nothing. Loss and return of contact are logged, one line each.

--- a/internal/tier/coordinator/contact.go
+++ b/internal/tier/coordinator/contact.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
 	"pulleygw.example/pulleygw/internal/tier/watch"
 )
 
@@ -22,13 +23,45 @@
 // counted by identity, as the register does: a process at a voter's address that is not that voter has no vote, be it
 // this one. What it rests on is at most contactMost old.
 func (c *coordinator) inTouch() bool {
-	return register.Quorum(c.voters(), func(identity uint64) bool {
-		return identity == c.self.Identity || c.directory.answersAs(identity)
-	})
+	return register.Quorum(c.voters(), c.hasContact)
+}
+
+// hasContact says whether a node is this process or answers it.
+func (c *coordinator) hasContact(identity uint64) bool {
+	return identity == c.self.Identity || c.directory.answersAs(identity)
 }
 
 // cutOff says that this process has been unable to find a majority of the voters; what it is told does not reach the
 // others, nor what they are told this process.
-func (c *coordinator) cutOff() bool {
-	return !c.inTouch() && c.now().Sub(c.directory.started) > startPatience
+func (c *coordinator) cutOff() bool { return !c.inTouch() && !c.starting() }
+
+// starting says that this process may not have had the time to find the others yet.
+func (c *coordinator) starting() bool { return c.now().Sub(c.directory.started) <= startPatience }
+
+// newReadiness serves the state to agents and turn stores while contact lasts, and logs when it is lost and found.
+func (c *coordinator) newReadiness() *watch.ReadinessGate {
+	return watch.NewReadinessGate(watch.ReadinessOptions{
+		State: c.state, Ready: c.inTouch, Starting: c.starting, Changed: c.logContact,
+		Now: func() time.Time { return c.now() },
+	})
+}
+
+func (c *coordinator) logContact(inTouch bool, lasted time.Duration) {
+	if inTouch {
+		c.log.Info("contact with a majority of the voters found", "after", lasted.Round(time.Millisecond))
+		return
+	}
+	c.log.Warn("contact with a majority of the voters lost", "lasted", lasted.Round(time.Millisecond),
+		"missing", sortedNames(c.missingVoters()))
+}
+
+// missingVoters are the voters that do not answer this process.
+func (c *coordinator) missingVoters() []*tierpb.Node {
+	var missing []*tierpb.Node
+	for _, voter := range register.Voters(&tierpb.ControlState{Voters: c.voters()}) {
+		if !c.hasContact(voter.GetIdentity()) {
+			missing = append(missing, voter)
+		}
+	}
+	return missing
 }
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -40,6 +40,7 @@
 	self      *tierpb.Node
 	caller    rpc.Caller
 	state     *watch.State
+	readiness *watch.ReadinessGate
 	directory *directory
 	register  controlRegister
 	history   *orders.History
@@ -98,12 +99,14 @@
 
 func newCoordinator(live *settings.Live, log hclog.Logger, self *tierpb.Node, caller rpc.Caller) *coordinator {
 	seeds := func() []string { return live.Current().SeedCoordinators() }
-	return &coordinator{
+	c := &coordinator{
 		live: live, log: log, self: self, caller: caller, state: watch.NewState(),
 		sampler: peers.NewSampler(self, caller, seeds), accepted: func() *tierpb.ControlState { return nil },
 		directory: newDirectory(time.Now), silence: registry.NewSilence(heartbeatPeriod(live.Current())),
 		announced: newAnnouncements(), now: time.Now,
 	}
+	c.readiness = c.newReadiness()
+	return c
 }
 
 // useRegister makes the proposer that changes the register; whatever it finds to be chosen is brought out.
--- /dev/null
+++ b/internal/tier/coordinator/followers_test.go
@@ -0,0 +1,164 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+	"pulleygw.example/pulleygw/internal/tier/watch"
+)
+
+// edge is a machine with an agent that follows two coordinators.
+type edge struct {
+	state *watch.State
+	stop  func()
+}
+
+// startEdge starts an agent that prefers the coordinators in the order of their names.
+func (c *cluster) startEdge(name string, coordinators ...string) *edge {
+	var targets []watch.Target
+	for _, coordinator := range coordinators {
+		targets = append(targets, watch.Target{Address: c.machines[coordinator].address})
+	}
+	state := watch.NewState()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := &sync.WaitGroup{}
+	done.Go(func() {
+		watch.Follow(ctx, watch.Options{
+			Caller: &caller{from: &machine{cluster: c, name: name}}, State: state, Count: 2,
+			Targets: func() []watch.Target { return targets }, Self: &tierpb.Node{Name: name, Role: tierpb.Role_ROLE_AGENT},
+		})
+	})
+	return &edge{state: state, stop: func() { cancel(); done.Wait() }}
+}
+
+func (e *edge) generation() uint64 { return e.state.Control().GetConfiguration().GetGeneration() }
+
+// until returns the time until an edge has a generation, and the generations that it had before.
+func (c *cluster) until(e *edge, generation uint64, bound time.Duration) (took time.Duration, before map[uint64]bool) {
+	c.t.Helper()
+	began := time.Now()
+	before = make(map[uint64]bool)
+	for e.generation() < generation {
+		before[e.generation()] = true
+		assert.Assert(c.t, time.Since(began) <= bound, "generation %d of %d after %v", e.generation(), generation, bound)
+		c.pass(5 * time.Millisecond)
+	}
+	return time.Since(began), before
+}
+
+// setMinority cuts two of five coordinators off from the other three, or heals the cut; agents reach all.
+func (c *cluster) setMinority(cut bool) {
+	for _, minority := range []string{"core-1", "core-2"} {
+		for _, majority := range []string{"core-3", "core-4", "core-5"} {
+			c.setCut(minority, majority, cut)
+			c.setCut(majority, minority, cut)
+		}
+	}
+}
+
+// inFive runs a test with five coordinators that all vote.
+func inFive(t *testing.T, test func(*cluster)) {
+	inCluster(t, 5, 2, func(c *cluster) {
+		c.pass(2 * time.Second)
+		assert.DeepEqual(t, c.voterNames("core-1"), five)
+		test(c)
+	})
+}
+
+var five = []string{"core-1", "core-2", "core-3", "core-4", "core-5"}
+
+const zoneDelay = 20 * time.Millisecond // between zones
+
+// newsUnderCut is how long after a cut has begun an agent that can reach the majority may have what was acknowledged
+// there: until the cut-off coordinators' polls fail, and a little more. It is well below configMs, 2 s.
+const newsUnderCut = watch.LongestPoll + 200*time.Millisecond
+
+// TestFollowersLeaveCutOffCoordinators has both sources of an agent cut off, at several moments of their polls, without
+// news of their own and with news at any moment.
+func TestFollowersLeaveCutOffCoordinators(t *testing.T) {
+	for _, gap := range []time.Duration{0, zoneDelay / 2} {
+		t.Run(fmt.Sprintf("news every %v", gap), func(t *testing.T) {
+			inFive(t, func(c *cluster) {
+				c.delay.Store(int64(zoneDelay))
+				longest := time.Duration(0)
+				for generation := 1; generation < 30; generation += 2 {
+					assert.Equal(t, c.at("core-1").configured(generation-1, configurationOf(generation, "a")), http.StatusOK)
+					edge := c.startEdge("edge-1", five...)
+					c.pass(2*time.Second + time.Duration(generation)*25*time.Millisecond)
+					c.setMinority(true)
+					stop := c.registerStores(gap, "core-1", "core-2")
+					assert.Equal(t, c.at("core-3").configured(generation, configurationOf(generation+1, "a")), http.StatusOK)
+					took, _ := c.until(edge, uint64(generation+1), newsUnderCut)
+					longest = max(longest, took)
+					stop()
+					edge.stop()
+					c.setMinority(false)
+					c.pass(3 * time.Second)
+				}
+				t.Logf("the configuration came %v after the cut at most", longest)
+			})
+		})
+	}
+}
+
+// registerStores has new stores register at coordinators, one in each gap, until it is stopped.
+func (c *cluster) registerStores(gap time.Duration, names ...string) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &sync.WaitGroup{}
+	for _, name := range names {
+		if gap == 0 {
+			break
+		}
+		running.Go(func() {
+			for number := 0; pause(ctx, gap); {
+				number++
+				told := &tierpb.Instance{Id: fmt.Sprintf("i-%d-%s", number, name), Backend: "s", Address: "10.9.0.9:80", Sequence: 1}
+				c.at(name).state.Upsert(told)
+			}
+		})
+	}
+	return func() { cancel(); running.Wait() }
+}
+
+// TestFreshAgentTakesNothingOldFromACutOffCoordinator starts agents that know nothing under a cut, whose first choices
+// are both cut off.
+func TestFreshAgentTakesNothingOldFromACutOffCoordinator(t *testing.T) {
+	inFive(t, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").configured(0, configurationOf(1, "a")), http.StatusOK)
+		c.pass(100 * time.Millisecond)
+		c.setMinority(true)
+		assert.Equal(t, c.at("core-3").configured(1, configurationOf(2, "a")), http.StatusOK)
+		c.pass(newsUnderCut)
+		for number := range 20 {
+			edge := c.startEdge(fmt.Sprintf("edge-%d", number), five...)
+			_, before := c.until(edge, 2, time.Second)
+			edge.stop()
+			assert.Assert(t, !before[1], "an old configuration was in force for a moment")
+		}
+	})
+}
+
+// TestAgentThatReachesNobodyElseTakesWhatACutOffCoordinatorHas keeps an edge machine on the cut-off side in service.
+func TestAgentThatReachesNobodyElseTakesWhatACutOffCoordinatorHas(t *testing.T) {
+	inFive(t, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").configured(0, configurationOf(1, "a")), http.StatusOK)
+		assert.Equal(t, c.at("core-1").beat("ready", 1), http.StatusOK)
+		c.pass(100 * time.Millisecond)
+		c.setMinority(true)
+		c.pass(newsUnderCut)
+		for _, majority := range five[2:] {
+			c.setCut("edge-1", majority, true)
+		}
+		edge := c.startEdge("edge-1", five...)
+		defer edge.stop()
+		c.until(edge, 1, 4*time.Second)
+		assert.Equal(t, edge.state.Instance("i-1").GetState(), ready)
+	})
+}
--- a/internal/tier/coordinator/maintenance.go
+++ b/internal/tier/coordinator/maintenance.go
@@ -22,7 +22,7 @@
 	readPatience        = 2 * time.Second
 )
 
-// runMaintenance does at intervals what no call asks for: it lists coordinators, marks silent stores and learns chosen
+// runMaintenance does at intervals what no call asks for: it looks after contact, lists coordinators, marks silent stores and learns chosen
 // values.
 func (c *coordinator) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
@@ -36,6 +36,7 @@
 		case <-ctx.Done():
 			return
 		}
+		c.readiness.Check()
 		listed = c.listCoordinators(listed)
 		if c.now().Sub(looked) >= silenceInterval {
 			looked = c.now()
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -26,8 +26,6 @@
 	defaultGrace    = 8 * time.Second
 )
 
-var errCutOff = eris.New("cut off from most voters")
-
 // serve runs all parts of the role until ctx ends.
 func (c *coordinator) serve(ctx context.Context, acceptor *register.Acceptor) error {
 	inner, err := net.Listen("tcp4", c.self.Address)
@@ -124,10 +122,7 @@
 	if request.GetFollower().GetRole() == tierpb.Role_ROLE_COORDINATOR {
 		return c.watchAsCoordinator(ctx, request)
 	}
-	if c.cutOff() {
-		return c.watchCutOff(ctx, request)
-	}
-	return c.state.Watch(ctx, request)
+	return c.readiness.Watch(ctx, request)
 }
 
 // watchAsCoordinator tells another coordinator what it lacks, and who tells it.
@@ -140,19 +135,6 @@
 	return reply, nil
 }
 
-// watchCutOff tells a follower what it lacks, and else sends it elsewhere: others may have newer state.
-func (c *coordinator) watchCutOff(ctx context.Context, request *tierpb.WatchRequest) (*tierpb.WatchReply, error) {
-	request.WaitMs = 0
-	reply, err := c.state.Watch(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	if reply.Control == nil && len(reply.Instances) == 0 && len(reply.Coordinators) == 0 {
-		return nil, errCutOff
-	}
-	return reply, nil
-}
-
 func (c *coordinator) takePing(context.Context, *tierpb.PingRequest) (*tierpb.PingReply, error) {
 	return &tierpb.PingReply{Node: c.self}, nil
 }
@@ -176,6 +158,7 @@
 		Changed: func(address string, answers bool) {
 			c.directory.answering(address, answers)
 			c.log.Info("coordinator", "address", address, "answers", answers)
+			c.readiness.Check()
 		},
 	})
 }
--- a/internal/tier/fleet/fleet_test.go
+++ b/internal/tier/fleet/fleet_test.go
@@ -29,6 +29,7 @@
 	stepTime          = 50 * time.Millisecond
 	maintenancePeriod = 750 * time.Millisecond
 	settleTime        = 2 * time.Second // all stores have sent heartbeats, and every agent has its sources
+	startTime         = 2 * time.Second // that a coordinator may take to find the others
 	callTime          = 400 * time.Millisecond
 	endTime           = 6 * time.Second // after which no call is under way any more
 )
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -20,8 +20,9 @@
 	avoidFirst     = 2 * time.Second // for which a source that failed comes last
 	avoidMost      = 15 * time.Second
 	rewindTime     = 2 * time.Second
-	catchUpWait    = 100 * time.Millisecond // for which the primary may lag behind another source
-	reconsiderMost = 8 * time.Second        // after which a slot looks whether a better source is back
+	catchUpWait    = 100 * time.Millisecond  // for which the primary may lag behind another source
+	staleAfter     = 1500 * time.Millisecond // without a source that is ready, after which a first state may be old
+	reconsiderMost = 8 * time.Second         // after which a slot looks whether a better source is back
 )
 
 // Target is a source that may be followed.
@@ -56,6 +57,7 @@
 	sources map[string]*source
 	primary string // source that tells all; the others are asked for marks only, empty for none
 	running int
+	readyAt time.Time // of the last answer of a source that is ready, at first of the start
 	done    sync.WaitGroup
 }
 
@@ -79,7 +81,7 @@
 	if options.Self.GetRole() != tierpb.Role_ROLE_COORDINATOR {
 		options.Self = &tierpb.Node{Role: options.Self.GetRole()} // sources need no more of others, and polls are many
 	}
-	return &Follower{options: options, sources: make(map[string]*source)}
+	return &Follower{options: options, sources: make(map[string]*source), readyAt: time.Now()}
 }
 
 // Follow keeps the State up to date until the context ends.
--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -37,6 +37,7 @@
 		wait = 0
 	}
 	request := f.request(address, wait, first)
+	request.Stale = f.mayBeStale()
 	reply := &tierpb.WatchReply{}
 	asked := f.options.Now()
 	if err := f.call(ctx, address, wait+replySlack, request, reply); err != nil {
@@ -46,6 +47,10 @@
 		f.options.Answered(address, reply, asked)
 	}
 	f.options.State.mergeFrom(reply, address)
+	if reply.GetAnswerer().GetNotReady() {
+		return ErrNotReady
+	}
+	f.heardReady()
 	taken := f.options.State.Control().GetVersion() >= reply.Control.GetVersion()
 	if request.Brief {
 		taken = f.catchUp(ctx, reply)
@@ -145,6 +150,24 @@
 	}
 }
 
+// heardReady notes that a source which is ready has answered.
+func (f *Follower) heardReady() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readyAt = time.Now()
+}
+
+// mayBeStale says that nothing is known and no source that is ready has answered for long: what others have is better
+// than nothing.
+func (f *Follower) mayBeStale() bool {
+	if f.options.State.Control() != nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.readyAt) > staleAfter
+}
+
 // rewind has the sources tell again what came lately: they left out what the source that failed seemed to tell.
 func (f *Follower) rewind() {
 	for _, s := range f.sources {
--- /dev/null
+++ b/internal/tier/watch/readiness_test.go
@@ -0,0 +1,156 @@
+package watch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// gated is a State behind a gate, with what decides on it.
+type gated struct {
+	*ReadinessGate
+	state           *State
+	ready, starting atomic.Bool
+	changes         int
+}
+
+func newGated() *gated {
+	g := &gated{state: NewState()}
+	g.ReadinessGate = NewReadinessGate(ReadinessOptions{
+		State: g.state, Ready: g.ready.Load, Starting: g.starting.Load,
+		Changed: func(bool, time.Duration) { g.changes++ },
+	})
+	return g
+}
+
+func (g *gated) setReady(ready bool) {
+	g.ready.Store(ready)
+	g.Check()
+}
+
+var anAgent = &tierpb.Node{Role: tierpb.Role_ROLE_AGENT}
+
+func TestHeldPollEndsWhenTheSourceIsReadyNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGated()
+		g.state.SetControl(&tierpb.ControlState{Version: 1})
+		g.setReady(true)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := g.Watch(t.Context(), &tierpb.WatchRequest{Follower: anAgent, ControlVersion: 1, WaitMs: 5000})
+			ended <- err
+		}()
+		time.Sleep(time.Second)
+		began := time.Now()
+		g.setReady(false)
+		assert.ErrorIs(t, <-ended, ErrNotReady)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, g.changes, 2)
+		g.Check()
+		assert.Equal(t, g.changes, 2, "told again without a change")
+	})
+}
+
+func TestSourceThatIsNotReadyTellsNewsOnlyToThoseThatKnowSomething(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGated()
+		g.state.SetControl(&tierpb.ControlState{Version: 4})
+		g.state.SetCoordinators([]*tierpb.Node{{Address: "10.0.0.1:1"}})
+		_, err := g.Watch(t.Context(), &tierpb.WatchRequest{Follower: anAgent})
+		assert.ErrorIs(t, err, ErrNotReady, "knows nothing")
+		_, err = g.Watch(t.Context(), &tierpb.WatchRequest{Follower: anAgent, ControlVersion: 4})
+		assert.ErrorIs(t, err, ErrNotReady, "lacks nothing")
+		for _, request := range []*tierpb.WatchRequest{{ControlVersion: 3, Brief: true}, {Stale: true}} {
+			request.Follower = anAgent
+			reply, err := g.Watch(t.Context(), request)
+			assert.NilError(t, err)
+			assert.Equal(t, reply.Control.Version, uint64(4))
+			assert.Assert(t, reply.Answerer.NotReady)
+			assert.Equal(t, len(reply.Coordinators), 0)
+		}
+	})
+}
+
+func TestSourceThatStartsIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGated()
+		g.starting.Store(true)
+		g.state.SetControl(&tierpb.ControlState{Version: 4})
+		request := &tierpb.WatchRequest{Follower: anAgent, WaitMs: 700}
+		reply, err := g.Watch(t.Context(), request.CloneVT())
+		assert.NilError(t, err)
+		assert.Assert(t, reply.Control == nil, "told before it is ready")
+		time.AfterFunc(300*time.Millisecond, func() { g.setReady(true) })
+		began := time.Now()
+		reply, err = g.Watch(t.Context(), request.CloneVT())
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Control.Version, uint64(4))
+		assert.Equal(t, time.Since(began), 300*time.Millisecond)
+	})
+}
+
+// gatedNetwork calls sources behind gates.
+type gatedNetwork map[string]*gated
+
+func (n gatedNetwork) Call(ctx context.Context, address string, _ rpc.Method, request, reply rpc.Message) error {
+	time.Sleep(oneWay)
+	answer, err := n[address].Watch(ctx, request.(*tierpb.WatchRequest).CloneVT())
+	if err != nil {
+		return rpc.ErrRefused
+	}
+	encoded, _ := answer.MarshalVT()
+	return reply.(*tierpb.WatchReply).UnmarshalVT(encoded)
+}
+
+// A follower that knows nothing waits a while for a source that is ready before it takes what there is.
+func TestFirstStateMayBeOldOnlyAfterAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := gatedNetwork{"a": newGated(), "b": newGated()}
+		for _, source := range n {
+			source.state.SetControl(&tierpb.ControlState{Version: 4})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		state := NewState()
+		began := time.Now()
+		go Follow(ctx, Options{Caller: n, State: state, Targets: fixed("a", "b"), Count: 2, Self: anAgent})
+		changed := state.Changed()
+		<-changed
+		assert.Assert(t, time.Since(began) > staleAfter)
+		assert.Assert(t, time.Since(began) < staleAfter+2*retryMost)
+		assert.Equal(t, state.Control().Version, uint64(4))
+	})
+}
+
+// A source that is not ready is left, also one that has news with each poll.
+func TestBusySourceThatIsNotReadyIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := gatedNetwork{"a": newGated(), "b": newGated()}
+		for _, source := range n {
+			source.state.SetControl(&tierpb.ControlState{Version: 4})
+			source.setReady(true)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		state := NewState()
+		follower := NewFollower(Options{Caller: n, State: state, Targets: fixed("a", "b"), Count: 1, Self: anAgent})
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, follower.Answering(), []string{"a"})
+		n["a"].setReady(false)
+		for version := uint64(5); version < 105; version++ {
+			n["a"].state.SetControl(&tierpb.ControlState{Version: version})
+			time.Sleep(oneWay)
+		}
+		assert.DeepEqual(t, follower.Answering(), []string{"b"})
+	})
+}
