A model that explores: register and lease under a scheduler that owns every event

internal/tier/modelcheck runs the real acceptor, proposer, change of voters and lease in a synctest bubble. Every message, sync, start and operation is an event that is let go one at a time; each point of a run has a default and deviations (hold, delay, drop, repeat, crash, wipe, cut, freeze, time). A search takes all runs with up to so many deviations and leaves states met before, by hash; walks draw deviations from a random subset of the kinds. Checked after each step: one value a version and a ballot, acknowledged changes stay, no two on top of one version, one holder of the lease; at the end reads, a change, and the history by porcupine. A failing schedule is shrunk, shown as a timeline and replays.

The lease's holder takes its random wait from an option, as the proposer does.

--- a/internal/tier/lease/holder.go
+++ b/internal/tier/lease/holder.go
@@ -16,10 +16,11 @@
 	Role    string
 	Self    uint64 // identity
 	Caller  rpc.Caller
-	Local   *Grantor                  // called without the network where its identity is a voter's; may be nil
-	Voters  func() []*tierpb.VoterSet // as the control state has them; nil or empty while it is not known
-	Term    time.Duration             // 0 for LongestTerm
-	Changed func(held bool)           // called by Run at each change; may be nil
+	Local   *Grantor                            // called without the network where its identity is a voter's; may be nil
+	Voters  func() []*tierpb.VoterSet           // as the control state has them; nil or empty while it is not known
+	Term    time.Duration                       // 0 for LongestTerm
+	Changed func(held bool)                     // called by Run at each change; may be nil
+	Random  func(n time.Duration) time.Duration // from 0 to n, which is not included; nil for a random one
 }
 
 // Holder tries to hold the lease of a role for as long as Run runs.
@@ -40,6 +41,9 @@
 	if options.Term <= 0 || options.Term > LongestTerm {
 		options.Term = LongestTerm
 	}
+	if options.Random == nil {
+		options.Random = rand.N[time.Duration]
+	}
 	return &Holder{options: options, sequence: uint64(time.Now().UnixNano()), grants: make(map[uint64]time.Time)}
 }
 
@@ -110,7 +114,7 @@
 	if result.granted > 0 {
 		h.release(ctx)
 	}
-	return max(result.remaining, term/4) + rand.N(term/4)
+	return max(result.remaining, term/4) + h.options.Random(term/4)
 }
 
 // acquired takes over the end of a round with a quorum. Where the lease was not held without a break until now, another
--- /dev/null
+++ b/internal/tier/modelcheck/caller.go
@@ -0,0 +1,109 @@
+package modelcheck
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+)
+
+// call is one call between processes.
+type call struct {
+	answers chan answer
+	done    atomic.Bool // its caller waits no more
+}
+
+type answer struct {
+	payload []byte
+	err     error
+}
+
+// caller makes the calls of one process; it implements rpc.Caller. Every message becomes an event.
+type caller struct{ process *process }
+
+// Call implements rpc.Caller. A request stays in flight when its caller has given up.
+func (c *caller) Call(ctx context.Context, address string, method rpc.Method, request, reply rpc.Message) error {
+	payload, err := encode(request)
+	if err != nil {
+		return err
+	}
+	w := c.process.world
+	if deadline, set := ctx.Deadline(); set && !time.Now().Before(deadline) {
+		<-ctx.Done() // at this very moment, so that two timers of one moment have one outcome
+		return rpc.ErrTimeout
+	}
+	made := &call{answers: make(chan answer, 2)}
+	defer made.done.Store(true)
+	if c.process.hasEnded() {
+		return rpc.ErrUnreachable
+	}
+	fact := w.factOf(request)
+	e := &event{
+		kind: requestEvent, from: c.process.node.number, to: w.numberOf(address), label: w.describe(request), fact: fact,
+		call: made,
+	}
+	e.release = func() { w.deliver(c.process, e, method, payload) }
+	w.post(e)
+	select {
+	case got := <-made.answers:
+		if got.err != nil {
+			return got.err
+		}
+		return reply.UnmarshalVT(got.payload)
+	case <-ctx.Done():
+		return rpc.ErrTimeout
+	case <-c.process.life.Ended():
+		return rpc.ErrUnreachable
+	}
+}
+
+// deliver hands a request to the process of its node; the reply becomes an event. Where no process runs the caller
+// is told so.
+func (w *world) deliver(from *process, e *event, method rpc.Method, payload []byte) {
+	target := w.nodes[e.to].process
+	if target == nil {
+		from.hears(fact{kind: factRefused, from: e.to})
+		e.call.answer(answer{err: rpc.ErrUnreachable})
+		return
+	}
+	handled := target.handles(e.fact)
+	go func() {
+		message, err := target.life.Server.Answer(context.Background(), method, slices.Clone(payload))
+		target.handled(handled)
+		if target.hasEnded() {
+			return
+		}
+		w.post(w.replyTo(from, e, message, err))
+	}()
+}
+
+// replyTo is the event of a reply on its way back.
+func (w *world) replyTo(from *process, e *event, message rpc.Message, err error) *event {
+	reply := &event{kind: replyEvent, from: e.to, to: e.from, call: e.call, label: "refusal"}
+	got := answer{err: rpc.ErrRefused}
+	if err == nil {
+		got.payload, got.err = encode(message)
+		reply.label, reply.fact = w.describe(message), w.factOf(message)
+	}
+	reply.release = func() {
+		from.hears(reply.fact)
+		e.call.answer(got)
+	}
+	return reply
+}
+
+// answer ends a call; further answers to it are dropped.
+func (c *call) answer(got answer) {
+	select {
+	case c.answers <- got:
+	default:
+	}
+}
+
+func encode(message rpc.Message) ([]byte, error) {
+	data := make([]byte, message.SizeVT())
+	_, err := message.MarshalToSizedBufferVT(data)
+	return data, err
+}
--- /dev/null
+++ b/internal/tier/modelcheck/check.go
@@ -0,0 +1,208 @@
+package modelcheck
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// ballot is a ballot as a key of maps.
+type ballot struct{ counter, proposer uint64 }
+
+func keyOf(b *tierpb.Ballot) ballot { return ballot{b.GetCounter(), b.GetProposer()} }
+
+// acceptances are the identities that have accepted the value of a ballot, at any time.
+type acceptances struct {
+	state  *tierpb.ControlState
+	digest uint64
+	by     map[uint64]bool
+}
+
+// checks holds what was seen of a run and the first invariant that was broken.
+type checks struct {
+	world *world
+
+	mu           sync.Mutex
+	failure      string
+	versions     map[uint64]uint64 // digest of the value chosen for each version
+	accepted     map[ballot]*acceptances
+	acknowledged map[uint64]acknowledgement // by generation
+	history      []porcupine.Operation
+	calls        map[int]int64 // clock at which an operation was called
+	clock        int64
+}
+
+// acknowledgement is a change that a client was told to be in force.
+type acknowledgement struct {
+	from    uint64
+	version uint64 // of the value in which it was found
+}
+
+func newChecks(w *world) *checks {
+	return &checks{
+		world: w, versions: make(map[uint64]uint64), accepted: make(map[ballot]*acceptances),
+		acknowledged: make(map[uint64]acknowledgement), calls: make(map[int]int64),
+	}
+}
+
+// fail notes the first broken invariant; mu is held.
+func (c *checks) fail(format string, arguments ...any) {
+	if c.failure == "" {
+		c.failure = fmt.Sprintf(format, arguments...)
+	}
+}
+
+func (c *checks) broken() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure
+}
+
+// chosen checks a value that somebody holds for chosen: a version has one value, and every change that was acknowledged
+// at that version or before is in it.
+func (c *checks) chosen(state *tierpb.ControlState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	digest := digestOf(state)
+	if before, found := c.versions[state.Version]; found && before != digest {
+		c.fail("two values were chosen for version %d", state.Version)
+	}
+	c.versions[state.Version] = digest
+	for generation, told := range c.acknowledged {
+		if state.Version >= told.version && !wasTaken(state, generation) {
+			c.fail("change %d->%d was acknowledged and is not in version %d", told.from, generation, state.Version)
+		}
+	}
+}
+
+func digestOf(state *tierpb.ControlState) uint64 {
+	payload, _ := state.MarshalVT()
+	hash := fnv.New64a()
+	_, _ = hash.Write(payload)
+	return hash.Sum64()
+}
+
+// afterStep looks at all processes and at the operations that have ended.
+func (c *checks) afterStep() {
+	holders := 0
+	for _, node := range c.world.nodes {
+		if p := node.process; p != nil {
+			c.look(p.acceptor)
+			if p.holder != nil && p.holder.Held() {
+				holders++
+			}
+		}
+	}
+	if holders > 1 {
+		c.mu.Lock()
+		c.fail("%d processes hold the lease", holders)
+		c.mu.Unlock()
+	}
+	for _, o := range c.world.operations {
+		c.returned(o)
+	}
+}
+
+// look counts what an acceptor has accepted. A ballot has one value, and the value of a ballot that a quorum of its
+// voters has accepted is chosen.
+func (c *checks) look(acceptor *register.Acceptor) {
+	reply := acceptor.Prepare(&tierpb.PrepareRequest{Identity: acceptor.Identity(), Ballot: &tierpb.Ballot{}})
+	if reply.Value == nil {
+		return
+	}
+	c.mu.Lock()
+	key := keyOf(reply.Accepted)
+	seen, found := c.accepted[key]
+	if !found {
+		seen = &acceptances{state: reply.Value, digest: digestOf(reply.Value), by: make(map[uint64]bool)}
+		c.accepted[key] = seen
+	}
+	if seen.state != reply.Value && seen.digest != digestOf(reply.Value) {
+		c.fail("two values have one ballot, %d", key.counter)
+	}
+	already := seen.by[acceptor.Identity()]
+	seen.by[acceptor.Identity()] = true
+	c.mu.Unlock()
+	if !already && register.Quorum(seen.state.Voters, func(identity uint64) bool { return seen.by[identity] }) {
+		c.chosen(seen.state)
+	}
+}
+
+// called notes that an operation begins.
+func (c *checks) called(o *operation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clock++
+	c.calls[o.number] = c.clock
+}
+
+// returned takes an operation that has ended into the history.
+func (c *checks) returned(o *operation) {
+	c.world.mu.Lock()
+	fresh := o.ended && !o.done
+	c.world.mu.Unlock()
+	if !fresh {
+		return
+	}
+	o.done = true
+	c.world.timeline.add(c.world, o.Node, "= "+o.result())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clock++
+	told := outcome{
+		generation: o.state.GetConfiguration().GetGeneration(), conflict: errors.Is(o.err, errConflict),
+		untaken: errors.Is(o.err, register.ErrUnavailable),
+	}
+	told.unknown = o.err != nil && !told.conflict && !told.untaken
+	ended := c.clock
+	if told.unknown {
+		ended = math.MaxInt64
+	}
+	if o.Kind != Replace {
+		c.history = append(c.history, porcupine.Operation{
+			ClientId: o.number, Input: o.Operation, Call: c.calls[o.number], Output: told, Return: ended,
+		})
+	}
+	c.judge(o)
+}
+
+// judge checks a put against those that were acknowledged; mu is held.
+func (c *checks) judge(o *operation) {
+	if o.Kind != Put {
+		return
+	}
+	told, before := c.acknowledged[o.To]
+	switch {
+	case o.err == nil && !before:
+		for generation, other := range c.acknowledged {
+			if other.from == o.From {
+				c.fail("changes %d->%d and %d->%d were both acknowledged", o.From, o.To, other.from, generation)
+			}
+		}
+		c.acknowledged[o.To] = acknowledgement{from: o.From, version: o.state.GetVersion()}
+	case errors.Is(o.err, errConflict) && before:
+		c.fail("change %d->%d was acknowledged, and refused when it was sent again", told.from, o.To)
+	}
+}
+
+// atEnd checks the whole history, and that all that is asked when trouble is over is answered.
+func (c *checks) atEnd() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.world.operations[len(c.world.scenario.Operations):] {
+		if o.err != nil && !errors.Is(o.err, errConflict) {
+			c.fail("%s at rest: %v", o, o.err)
+		}
+	}
+	if porcupine.CheckOperationsTimeout(registerModel, c.history, 10*time.Second) == porcupine.Illegal {
+		c.fail("the history is not linearizable")
+	}
+}
--- /dev/null
+++ b/internal/tier/modelcheck/operation.go
@@ -0,0 +1,178 @@
+package modelcheck
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// OperationKind says what a client asks for.
+type OperationKind int
+
+// The kinds of operations.
+const (
+	Put     OperationKind = iota // a configuration From -> To
+	Read                         // the current value
+	Replace                      // the voter of node Out gives its vote to node In
+)
+
+// Operation is a client's call at a node. The same Put may come twice: an order that is sent again.
+type Operation struct {
+	Kind     OperationKind
+	Node     int
+	From, To uint64 // generations of a Put
+	Out, In  int    // nodes of a Replace
+	After    int    // number of operations that must have ended before it begins
+}
+
+func (o Operation) String() string {
+	switch o.Kind {
+	case Put:
+		return fmt.Sprintf("put %d->%d", o.From, o.To)
+	case Replace:
+		return fmt.Sprintf("replace voter n%d by n%d", o.Out, o.In)
+	}
+	return "read"
+}
+
+// operationTime bounds an operation.
+const operationTime = 4 * time.Second
+
+// errConflict is a 412.
+var errConflict = eris.New("another generation is current")
+
+// operation is an Operation under way.
+type operation struct {
+	Operation
+	world   *world
+	number  int
+	offered bool
+	done    bool // of those that ended, the scheduler has seen this one
+	err     error
+	state   *tierpb.ControlState
+	ended   bool // guarded by the world's mu
+}
+
+// offered counts the operations that were handed to the scheduler.
+func (w *world) offered() (count int) {
+	for _, o := range w.operations {
+		if o.offered {
+			count++
+		}
+	}
+	return count
+}
+
+// offerOperations puts the beginnings of those operations into the queue that may begin.
+func (w *world) offerOperations() {
+	for _, o := range w.operations {
+		if o.offered || w.ended() < o.After {
+			continue
+		}
+		o.offered = true
+		w.queue = append(w.queue, &event{
+			kind: beginEvent, from: o.Node, to: o.Node, label: "begin " + o.String(),
+			fact: fact{kind: factBegin, from: o.Node, number: uint64(o.number)}, release: o.begin,
+		})
+	}
+}
+
+// begin runs the operation in the process of its node; without one it ends at once, with nothing done.
+func (o *operation) begin() {
+	o.world.checks.called(o)
+	p := o.world.nodes[o.Node].process
+	if p == nil {
+		o.end(nil, register.ErrUnavailable)
+		return
+	}
+	p.hears(fact{kind: factBegin, number: uint64(o.number)})
+	go func() {
+		ctx, cancel := context.WithTimeout(p.ctx, operationTime)
+		defer cancel()
+		state, err := o.run(ctx, p)
+		if p.hasEnded() {
+			state, err = nil, register.ErrUncertain // the caller hears no answer
+		}
+		p.hears(fact{kind: factEnd, number: uint64(o.number)})
+		o.end(state, err)
+	}()
+}
+
+func (o *operation) run(ctx context.Context, p *process) (*tierpb.ControlState, error) {
+	switch o.Kind {
+	case Put:
+		return p.proposer.Change(ctx, putFunc(o.From, o.To))
+	case Replace:
+		return register.ChangeVoters(ctx, p.proposer, func(current *tierpb.ControlState) []*tierpb.Node {
+			return o.world.replaced(current, o.Out, o.In)
+		})
+	}
+	return p.proposer.Read(ctx)
+}
+
+// replaced is the newest set of voters with one node's vote given to another.
+func (w *world) replaced(current *tierpb.ControlState, out, in int) []*tierpb.Node {
+	standby := w.nodes[in].process
+	if standby == nil {
+		return nil
+	}
+	nodes := current.Voters[len(current.Voters)-1].Nodes
+	for i, voter := range nodes {
+		if voter.Address == w.nodes[out].address {
+			nodes[i] = &tierpb.Node{
+				Address: w.nodes[in].address, Identity: standby.acceptor.Identity(), Role: tierpb.Role_ROLE_COORDINATOR,
+			}
+		}
+	}
+	return nodes
+}
+
+func (o *operation) end(state *tierpb.ControlState, err error) {
+	o.world.mu.Lock()
+	o.state, o.err, o.ended = state, err, true
+	o.world.finished++
+	o.world.mu.Unlock()
+}
+
+func (o *operation) result() string {
+	switch {
+	case o.err == nil:
+		return fmt.Sprintf("%s: done, %s", o, o.world.stateName(o.state))
+	case errors.Is(o.err, errConflict):
+		return fmt.Sprintf("%s: conflict", o)
+	case errors.Is(o.err, register.ErrUnavailable):
+		return fmt.Sprintf("%s: unavailable", o)
+	}
+	return fmt.Sprintf("%s: end unknown", o)
+}
+
+// putFunc takes an order as a coordinator does: one that was taken before changes nothing, one that builds on another
+// generation is refused.
+func putFunc(from, to uint64) register.ChangeFunc {
+	return func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+		if wasTaken(current, to) {
+			return current, nil
+		}
+		if current.GetConfiguration().GetGeneration() != from {
+			return nil, errConflict
+		}
+		current.Configuration = &tierpb.Configuration{Generation: to}
+		current.Taken = append(current.Taken, &tierpb.TakenOrder{IfMatch: from, Generation: to})
+		return current, nil
+	}
+}
+
+func wasTaken(state *tierpb.ControlState, generation uint64) bool {
+	for _, taken := range state.GetTaken() {
+		if taken.Generation == generation {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/tier/modelcheck/run.go
@@ -0,0 +1,152 @@
+package modelcheck
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+)
+
+// Result is the end of a run.
+type Result struct {
+	Failure  string   // the first broken invariant; empty where there is none
+	Schedule Schedule // the deviations that were taken
+	Points   int      // up to the last decision
+	Pruned   bool     // the run was left because it goes on from a state that was met before
+	Timeline *Timeline
+}
+
+// decider chooses at each point one of the actions, of which the first is the default; false leaves the run.
+type decider interface {
+	decide(w *world, actions []action) (number int, on bool)
+}
+
+// maxPoints bounds a run; trouble that has not ended by then ends.
+const maxPoints = 2000
+
+// run plays a scenario as a decider says.
+func run(t *testing.T, scenario *Scenario, by decider) (result Result) {
+	t.Helper()
+	defer drawFixed()()
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(scenario)
+		defer w.end()
+		result.Pruned = !w.play(by, &result)
+		if !result.Pruned {
+			w.rest()
+		}
+		result.Failure = w.checks.broken()
+		result.Timeline = w.timeline
+	})
+	return result
+}
+
+// play goes through the points of a run until nothing is left to do or an invariant is broken; false says that the
+// decider has left it.
+func (w *world) play(by decider, result *Result) bool {
+	for w.points < maxPoints && w.checks.broken() == "" {
+		actions := w.actions()
+		if len(actions) == 0 {
+			break
+		}
+		number, on := by.decide(w, actions)
+		if !on {
+			return false
+		}
+		if number > 0 {
+			result.Schedule = append(result.Schedule, Deviation{Point: w.points, Action: number})
+		}
+		w.do(actions[number])
+		w.points++
+		result.Points = w.points
+	}
+	return true
+}
+
+// rest ends all trouble; the register must then be readable and changeable, and the history must fit.
+func (w *world) rest() {
+	if w.checks.broken() != "" {
+		return
+	}
+	w.resting = true
+	w.calm()
+	w.drain()
+	w.share()
+	if w.scenario.Lease {
+		return
+	}
+	for _, plan := range w.scenario.rest() {
+		o := &operation{Operation: plan, world: w, number: len(w.operations)}
+		if o.Kind == Put {
+			o.From = w.operations[len(w.operations)-1].state.GetConfiguration().GetGeneration()
+		}
+		w.operations = append(w.operations, o)
+		w.offerOperations()
+		w.drain()
+	}
+	if w.checks.broken() == "" {
+		w.checks.atEnd()
+	}
+}
+
+// calm heals all cuts, thaws all processes and starts those that have ended.
+func (w *world) calm() {
+	for _, node := range w.nodes {
+		node.cut, node.deaf = false, false
+		node.frozen = w.began
+		if node.process == nil {
+			node.start(w, false)
+		}
+	}
+	w.held = slices.DeleteFunc(w.held, func(e *event) bool { return e.kind == startEvent || e.kind == healEvent })
+}
+
+// drain takes default actions until nothing is left to do.
+func (w *world) drain() {
+	for range maxPoints {
+		actions := w.actions()
+		if len(actions) == 0 || w.checks.broken() != "" {
+			return
+		}
+		w.do(actions[0])
+		w.points++
+	}
+}
+
+// share brings the newest chosen value, or where nobody knows one an accepted value, to all, as watches would.
+func (w *world) share() {
+	for _, one := range w.nodes {
+		for _, other := range w.nodes {
+			if one.process == nil || other.process == nil {
+				continue
+			}
+			if state := other.process.newestKnown(); state != nil {
+				one.process.learn(state)
+			}
+		}
+	}
+	for _, one := range w.nodes {
+		for _, other := range w.nodes {
+			if one.process != nil && other.process != nil && one.process.newestKnown() == nil {
+				one.process.guess(other.process.acceptor.Value())
+			}
+		}
+	}
+}
+
+// replayer takes the deviations of a schedule.
+type replayer struct{ schedule Schedule }
+
+func (r *replayer) decide(w *world, actions []action) (int, bool) {
+	for _, deviation := range r.schedule {
+		if deviation.Point == w.points && deviation.Action < len(actions) {
+			return deviation.Action, true
+		}
+	}
+	return 0, true
+}
+
+// Replay plays a schedule of a scenario.
+func Replay(t *testing.T, scenario *Scenario, schedule Schedule) Result {
+	t.Helper()
+	return run(t, scenario, &replayer{schedule: schedule})
+}
