Model check: seeded faults built by overlay, and a search that draws its order

The faults are changes of text that 'go test -overlay' compiles in place of the file, so the code under test has no branches for them. An ordinary test fails where a fault no longer fits the code. The search plays runs with as many deviations in a drawn order and can be continued; an operation waits for its node's process; a scenario has a proposer that comes back.

--- a/internal/tier/modelcheck/check.go
+++ b/internal/tier/modelcheck/check.go
@@ -95,7 +95,7 @@
 	holders := 0
 	for _, node := range c.world.nodes {
 		if p := node.process; p != nil {
-			c.look(p.acceptor)
+			c.look(p)
 			if p.holder != nil && p.holder.Held() {
 				holders++
 			}
@@ -111,31 +111,33 @@
 	}
 }
 
-// look counts what an acceptor has accepted. A ballot has one value, and the value of a ballot that a quorum of its
-// voters has accepted is chosen.
-func (c *checks) look(acceptor *register.Acceptor) {
-	reply := acceptor.Prepare(&tierpb.PrepareRequest{Identity: acceptor.Identity(), Ballot: &tierpb.Ballot{}})
-	if reply.Value == nil {
+// look counts what the acceptor of a process has accepted. A ballot has one value, and the value of a ballot that a
+// quorum of its voters has accepted is chosen.
+func (c *checks) look(p *process) {
+	reply := p.durable()
+	if reply.Value == nil || p.seen == reply.Value && sameBallot(p.seenAt, reply.Accepted) {
 		return
 	}
+	p.seen, p.seenAt = reply.Value, reply.Accepted
 	c.mu.Lock()
-	key := keyOf(reply.Accepted)
-	seen, found := c.accepted[key]
+	key, digest := keyOf(reply.Accepted), digestOf(reply.Value)
+	accepted, found := c.accepted[key]
 	if !found {
-		seen = &acceptances{state: reply.Value, digest: digestOf(reply.Value), by: make(map[uint64]bool)}
-		c.accepted[key] = seen
+		accepted = &acceptances{state: reply.Value, digest: digest, by: make(map[uint64]bool)}
+		c.accepted[key] = accepted
 	}
-	if seen.state != reply.Value && seen.digest != digestOf(reply.Value) {
+	if accepted.digest != digest {
 		c.fail("two values have one ballot, %d", key.counter)
 	}
-	already := seen.by[acceptor.Identity()]
-	seen.by[acceptor.Identity()] = true
+	accepted.by[p.acceptor.Identity()] = true
 	c.mu.Unlock()
-	if !already && register.Quorum(seen.state.Voters, func(identity uint64) bool { return seen.by[identity] }) {
-		c.chosen(seen.state)
+	if register.Quorum(accepted.state.Voters, func(identity uint64) bool { return accepted.by[identity] }) {
+		c.chosen(accepted.state)
 	}
 }
 
+func sameBallot(one, other *tierpb.Ballot) bool { return keyOf(one) == keyOf(other) }
+
 // called notes that an operation begins.
 func (c *checks) called(o *operation) {
 	c.mu.Lock()
--- a/internal/tier/modelcheck/explore_test.go
+++ b/internal/tier/modelcheck/explore_test.go
@@ -57,7 +57,7 @@
 				t.Log(progress)
 			}
 		}
-		judge(t, scenario, Search(t, scenario, Bounds{Deviations: *deviations, Time: share}, report))
+		judge(t, scenario, NewSearch(scenario, *deviations).Play(t, Bounds{Time: share}, report))
 	}
 }
 
--- /dev/null
+++ b/internal/tier/modelcheck/fault_test.go
@@ -0,0 +1,157 @@
+package modelcheck
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"runtime/debug"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	withFaults = flag.String("faults", "", "regular expression for the names of the seeded faults to look for")
+	huntTime   = flag.Duration("hunt-time", time.Minute, "for which a seeded fault is looked for, each way")
+	hunt       = flag.String("hunt", "", "search or walk: looks until something is found and prints a report")
+)
+
+// seededFault is a change of the code under test that brings back a bug as other systems had it. It is compiled in
+// place of the file it alters; the code itself knows nothing of it.
+type seededFault struct {
+	name    string
+	file    string // in internal/tier
+	old     string // occurs once
+	changed string
+}
+
+// TestSeededFaultsApply fails where the code has gone on and a fault no longer says what it did.
+func TestSeededFaultsApply(t *testing.T) {
+	for _, fault := range seededFaults {
+		text, err := os.ReadFile(filepath.Join("..", fault.file))
+		assert.NilError(t, err)
+		assert.Check(t, strings.Count(string(text), fault.old) == 1, "%s: its text is not once in %s", fault.name, fault.file)
+	}
+}
+
+// TestSeededFaultsAreFound builds the package anew for each of the named faults and looks for it both ways.
+func TestSeededFaultsAreFound(t *testing.T) {
+	if *withFaults == "" {
+		t.Skip("no -faults")
+	}
+	names := regexp.MustCompile(*withFaults)
+	for _, fault := range seededFaults {
+		if !names.MatchString(fault.name) {
+			continue
+		}
+		t.Run(fault.name, func(t *testing.T) {
+			binary := fault.build(t)
+			searched, walked := huntWith(t, binary, "search"), huntWith(t, binary, "walk")
+			t.Logf("| %s | %s | %s |", fault.name, searched, walked)
+			t.Logf("%s: %s", searched.Scenario, searched.Failure)
+			assert.Check(t, searched.Failure != "" || walked.Failure != "", "not found")
+		})
+	}
+}
+
+// build compiles this package's tests with the fault.
+func (f seededFault) build(t *testing.T) (binary string) {
+	t.Helper()
+	folder := t.TempDir()
+	original, err := filepath.Abs(filepath.Join("..", f.file))
+	assert.NilError(t, err)
+	text, err := os.ReadFile(original)
+	assert.NilError(t, err)
+	altered := filepath.Join(folder, "altered.go")
+	assert.NilError(t, os.WriteFile(altered, []byte(strings.Replace(string(text), f.old, f.changed, 1)), 0o600))
+	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{original: altered}})
+	assert.NilError(t, err)
+	list := filepath.Join(folder, "overlay.json")
+	assert.NilError(t, os.WriteFile(list, overlay, 0o600))
+	binary = filepath.Join(folder, "modelcheck.test")
+	output, err := exec.CommandContext(t.Context(), "go", "test", "-c", "-vet=off", "-overlay", list, "-o", binary, ".").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	return binary
+}
+
+// huntReport is what a hunt has found.
+type huntReport struct {
+	Scenario string
+	Failure  string // empty where nothing was found
+	Runs     int
+	Seconds  float64
+	Schedule string
+}
+
+func (r huntReport) String() string {
+	if r.Failure == "" {
+		return "not found"
+	}
+	text, _ := json.Marshal([]any{r.Runs, r.Seconds, r.Scenario, r.Schedule})
+	return string(text)
+}
+
+const reportMark = "hunt report "
+
+// huntWith runs a hunt of another build and reads its report.
+func huntWith(t *testing.T, binary, way string) (report huntReport) {
+	t.Helper()
+	output, err := exec.CommandContext(t.Context(), binary, "-test.run", "^TestHunt$", "-test.v", "-hunt", way, "-hunt-time",
+		huntTime.String()).CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	_, line, found := strings.Cut(string(output), reportMark)
+	assert.Assert(t, found, "%s", output)
+	line, _, _ = strings.Cut(line, "\n")
+	assert.NilError(t, json.Unmarshal([]byte(line), &report))
+	return report
+}
+
+// TestHunt goes through all scenarios in turn until something is found or the time is over, and prints a report.
+func TestHunt(t *testing.T) {
+	if *hunt == "" {
+		t.Skip("no -hunt")
+	}
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
+	report := huntReport{}
+	began := time.Now()
+	searches := make(map[string]*Search)
+	for round := 0; report.Failure == "" && time.Since(began) < *huntTime; round++ {
+		for _, scenario := range Scenarios() {
+			if searches[scenario.Name] == nil {
+				searches[scenario.Name] = NewSearch(scenario, huntDeviations)
+			}
+			progress, played := huntOnce(t, scenario, searches[scenario.Name], round)
+			report.Runs += played
+			if progress.Failure != "" {
+				report.Seconds = time.Since(began).Seconds()
+				result := Shrink(t, scenario, progress.Schedule)
+				report.Scenario, report.Failure, report.Schedule = scenario.Name, result.Failure, result.Schedule.String()
+				break
+			}
+		}
+	}
+	line, err := json.Marshal(report)
+	assert.NilError(t, err)
+	t.Logf("%s%s", reportMark, line)
+}
+
+const (
+	huntDeviations = 3
+	runsOfARound   = 100 // of each scenario
+)
+
+// huntOnce plays some more runs of a scenario and counts them.
+func huntOnce(t *testing.T, scenario *Scenario, search *Search, round int) (progress Progress, played int) {
+	if *hunt == "search" {
+		before := search.progress.Runs
+		progress = search.Play(t, Bounds{Runs: (round + 1) * runsOfARound}, nil)
+		return progress, progress.Runs - before
+	}
+	progress = Walk(t, scenario, uint64(1+round*runsOfARound), Bounds{Runs: runsOfARound}, nil)
+	return progress, progress.Runs
+}
--- a/internal/tier/modelcheck/fingerprint.go
+++ b/internal/tier/modelcheck/fingerprint.go
@@ -42,7 +42,7 @@
 		if n.process == nil {
 			continue
 		}
-		visit(n.process.durable())
+		visit(n.process.durableFact())
 		n.process.mu.Lock()
 		for _, heard := range n.process.heard {
 			visit(heard)
@@ -59,9 +59,13 @@
 	}
 }
 
-// durable is what the acceptor of a process has promised and accepted.
-func (p *process) durable() fact {
-	reply := p.acceptor.Prepare(&tierpb.PrepareRequest{Identity: p.acceptor.Identity(), Ballot: &tierpb.Ballot{}})
+// durable is what the acceptor of a process has accepted.
+func (p *process) durable() *tierpb.PrepareReply {
+	return p.acceptor.Prepare(&tierpb.PrepareRequest{Identity: p.acceptor.Identity(), Ballot: &tierpb.Ballot{}})
+}
+
+func (p *process) durableFact() fact {
+	reply := p.durable()
 	return fact{ballots: []*tierpb.Ballot{p.acceptor.Promised(), reply.Accepted}, state: reply.Value}
 }
 
@@ -115,7 +119,7 @@
 	if n.process == nil {
 		return
 	}
-	p.fact(n.process.durable())
+	p.fact(n.process.durableFact())
 	n.process.mu.Lock()
 	defer n.process.mu.Unlock()
 	p.number(uint64(len(n.process.heard)))
--- a/internal/tier/modelcheck/modelcheck_test.go
+++ b/internal/tier/modelcheck/modelcheck_test.go
@@ -34,7 +34,7 @@
 
 func TestShortSearch(t *testing.T) {
 	for _, scenario := range Scenarios() {
-		judge(t, scenario, Search(t, scenario, Bounds{Deviations: 1, Runs: shortSearch}, nil))
+		judge(t, scenario, NewSearch(scenario, 1).Play(t, Bounds{Runs: shortSearch}, nil))
 	}
 }
 
--- a/internal/tier/modelcheck/operation.go
+++ b/internal/tier/modelcheck/operation.go
@@ -76,21 +76,25 @@
 			continue
 		}
 		o.offered = true
-		w.queue = append(w.queue, &event{
-			kind: beginEvent, from: o.Node, to: o.Node, label: "begin " + o.String(),
-			fact: fact{kind: factBegin, from: o.Node, number: uint64(o.number)}, release: o.begin,
-		})
+		w.queue = append(w.queue, o.beginning())
+	}
+}
+
+func (o *operation) beginning() *event {
+	return &event{
+		kind: beginEvent, from: o.Node, to: o.Node, label: "begin " + o.String(),
+		fact: fact{kind: factBegin, from: o.Node, number: uint64(o.number)}, release: o.begin,
 	}
 }
 
-// begin runs the operation in the process of its node; without one it ends at once, with nothing done.
+// begin runs the operation in the process of its node. It waits for one.
 func (o *operation) begin() {
-	o.world.checks.called(o)
 	p := o.world.nodes[o.Node].process
 	if p == nil {
-		o.end(nil, register.ErrUnavailable)
+		o.world.held = append(o.world.held, o.beginning())
 		return
 	}
+	o.world.checks.called(o)
 	p.hears(fact{kind: factBegin, number: uint64(o.number)})
 	go func() {
 		ctx, cancel := context.WithTimeout(p.ctx, operationTime)
--- a/internal/tier/modelcheck/process.go
+++ b/internal/tier/modelcheck/process.go
@@ -40,6 +40,8 @@
 	proposer *register.Proposer
 	holder   *lease.Holder
 	serving  bool
+	seen     *tierpb.ControlState // accepted value that was checked last, and its ballot
+	seenAt   *tierpb.Ballot
 
 	mu    sync.Mutex
 	known *tierpb.ControlState
--- a/internal/tier/modelcheck/run.go
+++ b/internal/tier/modelcheck/run.go
@@ -137,10 +137,8 @@
 type replayer struct{ schedule Schedule }
 
 func (r *replayer) decide(w *world, actions []action) (int, bool) {
-	for _, deviation := range r.schedule {
-		if deviation.Point == w.points && deviation.Action < len(actions) {
-			return deviation.Action, true
-		}
+	if number := r.schedule.at(w.points); number < len(actions) {
+		return number, true
 	}
 	return 0, true
 }
--- a/internal/tier/modelcheck/scenario.go
+++ b/internal/tier/modelcheck/scenario.go
@@ -39,6 +39,16 @@
 			Operations: []Operation{
 				{Kind: Put, Node: 0, From: 0, To: 1},
 				{Kind: Put, Node: 1, From: 0, To: 2},
+				{Kind: Read, Node: 2, After: 1},
+			},
+		},
+		{
+			Name: "comeback", Nodes: 3, Voters: 3, Limits: limits,
+			Operations: []Operation{
+				{Kind: Put, Node: 0, From: 0, To: 1},
+				{Kind: Put, Node: 0, From: 0, To: 2, After: 1},
+				{Kind: Put, Node: 0, From: 1, To: 3, After: 1},
+				{Kind: Read, Node: 1, After: 2},
 			},
 		},
 		{
--- a/internal/tier/modelcheck/schedule.go
+++ b/internal/tier/modelcheck/schedule.go
@@ -50,10 +50,14 @@
 	return schedule, nil
 }
 
-// with is the schedule with one deviation more.
-func (s Schedule) with(deviation Deviation) Schedule {
-	longer := make(Schedule, 0, len(s)+1)
-	return append(append(longer, s...), deviation)
+// at is the action at a point, 0 for the default.
+func (s Schedule) at(point int) int {
+	for _, deviation := range s {
+		if deviation.Point == point {
+			return deviation.Action
+		}
+	}
+	return 0
 }
 
 // without is the schedule but for the deviation at an index.
--- a/internal/tier/modelcheck/search.go
+++ b/internal/tier/modelcheck/search.go
@@ -2,15 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
 
 // Bounds of an exploration. The first that is reached ends it; zero is none.
 type Bounds struct {
-	Deviations int           // most in one run; of a search only
-	Runs       int           // most runs
-	Time       time.Duration // of the machine's clock
+	Runs int           // most runs
+	Time time.Duration // of the machine's clock
 }
 
 // Progress is how far an exploration has come.
@@ -37,59 +37,86 @@
 	return text
 }
 
-// Search plays the runs of a scenario in the order of the number of their deviations until one breaks an invariant or a
-// bound is reached. It leaves runs that go on from a state that was met with as many deviations left.
-func Search(t *testing.T, scenario *Scenario, bounds Bounds, report func(Progress)) Progress {
+// Search plays the runs of a scenario in the order of the number of their deviations, those with as many in an order
+// that is drawn, the same each time. It leaves runs that go on from a state that was met with as many deviations left.
+type Search struct {
+	scenario *Scenario
+	bound    int
+	progress Progress
+	waiting  [][]*branch // by the number of deviations
+	states   map[uint64]uint8
+	random   *rand.Rand
+
+	present *branch // of the run under way
+	prefix  Schedule
+}
+
+// branch is a run that is known and not played: one deviation behind those of another.
+type branch struct {
+	from *branch
+	last Deviation
+}
+
+// NewSearch makes a search for runs with up to so many deviations.
+func NewSearch(scenario *Scenario, deviations int) *Search {
+	return &Search{
+		scenario: scenario, bound: deviations, progress: Progress{Scenario: scenario.Name, Waiting: 1},
+		waiting: append([][]*branch{{{}}}, make([][]*branch, deviations)...),
+		states:  make(map[uint64]uint8), random: rand.New(rand.NewPCG(0, 0)),
+	}
+}
+
+// Play goes on until a run breaks an invariant, the bounds are reached, which count all that was played so far, or no
+// run is left.
+func (s *Search) Play(t *testing.T, bounds Bounds, report func(Progress)) Progress {
 	t.Helper()
-	search := &search{states: make(map[uint64]uint8), bound: bounds.Deviations}
-	progress := Progress{Scenario: scenario.Name}
-	began := time.Now()
-	frontier := []Schedule{nil}
-	for len(frontier) > 0 && !bounds.reached(progress) {
-		search.prefix, search.found = frontier[0], nil
-		frontier = frontier[1:]
-		result := run(t, scenario, search)
-		frontier = append(frontier, search.found...)
-		progress.count(result, began)
-		progress.States, progress.Waiting, progress.Deviations = len(search.states), len(frontier), len(search.prefix)
+	began := time.Now().Add(-s.progress.Elapsed)
+	for !bounds.reached(s.progress) && s.next() {
+		result := run(t, s.scenario, s)
+		s.progress.count(result, began)
+		s.progress.States, s.progress.Deviations = len(s.states), len(s.prefix)
+		s.progress.Waiting--
 		if report != nil {
-			report(progress)
+			report(s.progress)
 		}
 		if result.Failure != "" {
-			return progress
+			break
 		}
 	}
-	progress.Complete = len(frontier) == 0
-	return progress
-}
-
-func (b Bounds) reached(p Progress) bool {
-	return b.Runs > 0 && p.Runs >= b.Runs || b.Time > 0 && p.Elapsed >= b.Time
+	s.progress.Complete = s.progress.Waiting == 0
+	return s.progress
 }
 
-func (p *Progress) count(result Result, began time.Time) {
-	p.Runs++
-	p.Points += result.Points
-	p.Elapsed = time.Since(began)
-	p.Failure, p.Schedule = result.Failure, result.Schedule
+// next draws one of the runs with the fewest deviations; false says that none is left.
+func (s *Search) next() bool {
+	for count, branches := range s.waiting {
+		if len(branches) == 0 {
+			continue
+		}
+		drawn, last := s.random.IntN(len(branches)), len(branches)-1
+		s.present = branches[drawn]
+		branches[drawn], branches[last] = branches[last], nil
+		s.waiting[count] = branches[:last]
+		s.prefix = s.present.schedule(count)
+		return true
+	}
+	return false
 }
 
-// search decides a run that follows a prefix and takes the default from there on.
-type search struct {
-	bound  int
-	prefix Schedule
-	found  []Schedule       // runs with one deviation more than the prefix
-	states map[uint64]uint8 // one more than the most deviations that were left in a state
+// schedule is all deviations of a branch, of which there are count.
+func (b *branch) schedule(count int) Schedule {
+	schedule := make(Schedule, count)
+	for i := count - 1; i >= 0; i-- {
+		schedule[i] = b.last
+		b = b.from
+	}
+	return schedule
 }
 
-func (s *search) decide(w *world, actions []action) (int, bool) {
+// decide implements decider: it follows the prefix, and takes the default from there on.
+func (s *Search) decide(w *world, actions []action) (int, bool) {
 	if last := len(s.prefix) - 1; last >= 0 && w.points <= s.prefix[last].Point {
-		for _, deviation := range s.prefix {
-			if deviation.Point == w.points {
-				return deviation.Action, true
-			}
-		}
-		return 0, true
+		return s.prefix.at(w.points), true
 	}
 	left := s.bound - len(s.prefix)
 	state := w.fingerprint()
@@ -98,9 +125,28 @@
 	}
 	s.states[state] = uint8(left) + 1
 	if left > 0 {
-		for number := 1; number < len(actions); number++ {
-			s.found = append(s.found, s.prefix.with(Deviation{Point: w.points, Action: number}))
-		}
+		s.branchOff(w.points, len(actions))
 	}
 	return 0, true
 }
+
+// branchOff notes the runs that leave the present one at a point.
+func (s *Search) branchOff(point, actions int) {
+	count := len(s.prefix) + 1
+	for number := 1; number < actions; number++ {
+		branch := &branch{from: s.present, last: Deviation{Point: point, Action: number}}
+		s.waiting[count] = append(s.waiting[count], branch)
+		s.progress.Waiting++
+	}
+}
+
+func (b Bounds) reached(p Progress) bool {
+	return b.Runs > 0 && p.Runs >= b.Runs || b.Time > 0 && p.Elapsed >= b.Time
+}
+
+func (p *Progress) count(result Result, began time.Time) {
+	p.Runs++
+	p.Points += result.Points
+	p.Elapsed = time.Since(began)
+	p.Failure, p.Schedule = result.Failure, result.Schedule
+}
--- /dev/null
+++ b/internal/tier/modelcheck/seeded_test.go
@@ -0,0 +1,105 @@
+package modelcheck
+
+// seededFaults are the faults that the model has to find.
+var seededFaults = []seededFault{
+	{
+		name: "promise not saved", file: "register/acceptor.go",
+		old:     "if err := a.promises.Save(payload); err != nil {",
+		changed: "if _ = payload; err != nil {",
+	},
+	{
+		name: "acceptance answered before it is saved", file: "register/acceptor.go",
+		old:     "if err := a.saveValue(request.Ballot, request.Value); err != nil {",
+		changed: "go func() { _ = a.saveValue(request.Ballot, request.Value) }()\n\tif err := error(nil); err != nil {",
+	},
+	{
+		name: "version counts without a sync of its folder", file: "storage/versions.go",
+		old:     "if err := s.faults.At(fault.VersionRenamed); err != nil {\n\t\treturn err\n\t}\n\tif err := s.disk.SyncFolder(s.folder); err != nil {",
+		changed: "if err := s.faults.At(fault.VersionRenamed); err != nil {",
+	},
+	{
+		name: "restart forgets that an acceptance is a promise", file: "register/acceptor.go",
+		old:     "\t\tstate.promised = state.accepted\n",
+		changed: "",
+	},
+	{
+		name: "prepare is answered for another identity", file: "register/acceptor.go",
+		old:     "func (a *Acceptor) Prepare(request *tierpb.PrepareRequest) *tierpb.PrepareReply {\n\tif request.GetIdentity() != a.identity {",
+		changed: "func (a *Acceptor) Prepare(request *tierpb.PrepareRequest) *tierpb.PrepareReply {\n\tif false {",
+	},
+	{
+		name: "wiped acceptor keeps its identity", file: "register/acceptor.go",
+		old:     "a.identity = DrawIdentity(options.Address)",
+		changed: "a.identity = InitialIdentity(options.Address)",
+	},
+	{
+		name: "accept does not look at the promise", file: "register/acceptor.go",
+		old:     "if higher(state.promised, request.Ballot) {\n\t\treturn &tierpb.AcceptReply{",
+		changed: "if false {\n\t\treturn &tierpb.AcceptReply{",
+	},
+	{
+		name: "promise does not look at the one before", file: "register/acceptor.go",
+		old:     "if higher(state.promised, request.Ballot) {\n\t\treturn &tierpb.PrepareReply{",
+		changed: "if false {\n\t\treturn &tierpb.PrepareReply{",
+	},
+	{
+		name: "any accepted value instead of the highest", file: "register/round.go",
+		old:     "if c.best != nil && !higher(reply.Accepted, c.best.Accepted) {",
+		changed: "if c.best != nil {",
+	},
+	{
+		name: "only the new voters count while they are joint", file: "register/quorum.go",
+		old:     "for _, set := range voters {\n\t\tcount := 0",
+		changed: "for _, set := range voters[len(voters)-1:] {\n\t\tcount := 0",
+	},
+	{
+		name: "old voters dropped before the joint ones are chosen", file: "register/voters.go",
+		old:     "return len(current.GetVoters()) == 2 && len(next.GetVoters()) == 1",
+		changed: "return false",
+	},
+	{
+		name: "conflict answered from a value that is not chosen", file: "register/proposer.go",
+		old:     "if prepared.chosen {\n\t\treturn attemptResult{done: true",
+		changed: "if true {\n\t\treturn attemptResult{done: true",
+	},
+	{
+		name: "read answered from one acceptor's value", file: "register/peek.go",
+		old:     "if !found.chosen {",
+		changed: "if found.value == nil {",
+	},
+	{
+		name: "majority of one less", file: "register/quorum.go",
+		old:     "if count <= len(set.GetNodes())/2 {",
+		changed: "if count < len(set.GetNodes())/2 {",
+	},
+	{
+		name: "order that is sent again is not known", file: "modelcheck/operation.go",
+		old:     "if wasTaken(current, to) {",
+		changed: "if false {",
+	},
+	{
+		name: "proposer number reused after a restart", file: "register/proposer.go",
+		old:     "number: draw(owner)}",
+		changed: "number: mix(owner, time.Time{}, nil)}",
+	},
+	{
+		name: "grantor that has started does not hold back", file: "lease/grantor.go",
+		old:     "opens: time.Now().Add(holdBack)",
+		changed: "opens: time.Now().Add(0 * holdBack)",
+	},
+	{
+		name: "holder goes on past the term", file: "lease/holder.go",
+		old:     "h.set(began.Add(term - term/8))",
+		changed: "h.set(began.Add(term + term/2))",
+	},
+	{
+		name: "term counts from the answers", file: "lease/holder.go",
+		old:     "h.set(began.Add(term - term/8))",
+		changed: "h.set(time.Now().Add(term))",
+	},
+	{
+		name: "late release ends a later grant", file: "lease/grantor.go",
+		old:     "if request.GetSequence() > held.sequence {",
+		changed: "if request.GetSequence() > 0 {",
+	},
+}
