A retirement is completed only while no records move, and keeps its machine out

Cause: a store taken in during a move is in no previous set, so the order to retire it was completed at once. Where it stood in for a lost one, that loss was not made good, and one more left the previous members without a majority. A leaver whose disk was lost waited under another identity; at the end of the order its name was free, and it became a member of a machine that was about to be taken away. Change: completeRetirements marks none while there are previous members; the identities that the machine called under besides are retired with it.

--- a/internal/tier/placement/leaving.go
+++ b/internal/tier/placement/leaving.go
@@ -33,23 +33,41 @@
 	return &changed
 }
 
-// completeRetirements marks those whose records have moved and whose machine has no vote.
+// completeRetirements marks those whose records have moved and whose machine has no vote. While any records move none is
+// marked: a machine that is taken away then may be the one whose loss the move makes good.
 func completeRetirements(current *tierpb.ControlState, view *View) bool {
+	if len(current.GetStores().GetPrevious()) > 0 {
+		return false
+	}
 	completed := false
 	for _, retirement := range current.Retirements {
-		if retirement.Completed || holdsRecords(current.Stores, retirement.Identity) {
+		if retirement.Completed || find(current.GetStores().GetCurrent(), retirement.Identity) >= 0 {
 			continue
 		}
 		if votesOn(hostOfStore(retirement.Identity, view), current.Voters) {
 			continue
 		}
 		retirement.Completed, completed = true, true
+		keepOut(current, retirement.Node, view)
 	}
 	return completed
 }
 
-func holdsRecords(stores *tierpb.StoreMembership, identity uint64) bool {
-	return find(stores.GetCurrent(), identity) >= 0 || find(stores.GetPrevious(), identity) >= 0
+// keepOut retires the other stores of a machine that has been emptied: one whose disk was lost on the way waits under
+// another identity, and the machine is about to be taken away.
+func keepOut(current *tierpb.ControlState, name string, view *View) {
+	for _, join := range view.Joins {
+		node := join.Request.Node
+		if node.Role != tierpb.Role_ROLE_TURN_STORE || node.Name != name || isRetired(current, node.Identity) {
+			continue
+		}
+		current.Retirements = append(current.Retirements,
+			&tierpb.Retirement{Node: name, Identity: node.Identity, Completed: true})
+	}
+}
+
+func isRetired(current *tierpb.ControlState, identity uint64) bool {
+	return slices.ContainsFunc(current.Retirements, func(known *tierpb.Retirement) bool { return known.Identity == identity })
 }
 
 func votesOn(host netip.Addr, sets []*tierpb.VoterSet) bool {
--- a/internal/tier/placement/moving_test.go
+++ b/internal/tier/placement/moving_test.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
 // wipe lets a store lose its disk and ask to join under another identity. What it had reported stays known.
 func (s *scene) wipe(number, identity int) {
 	for i := range s.view.Joins {
 		if s.view.Joins[i].Request.Node.Identity == uint64(number) {
+			s.view.Joins[i].First = s.view.Since
 			s.view.Joins[i].Heard = s.view.Now.Add(-2 * FreshJoin)
 		}
 	}
@@ -82,3 +85,36 @@
 	s.lapse(time.Minute, 1, 30, 4)
 	assert.Equal(t, s.step(), "", "the silent one may come back with what only it holds")
 }
+
+// A store that was taken in during a move holds nothing that others lack, but its machine may stand in for a lost one:
+// once the order is completed, nobody counts that loss any more.
+func TestRetirementIsNotCompletedWhileRecordsMove(t *testing.T) {
+	s := newScene(1, 2, 3, 4)
+	s.wipe(4, 40)
+	assert.Equal(t, s.step(), "turn stores joined")
+	s.state.Stores.Current = s.state.Stores.Current[:3]
+	s.state.Stores.Epoch++
+	s.state.Retirements = []*tierpb.Retirement{{Node: "store-4", Identity: 40}}
+	assert.Equal(t, s.step(), "")
+	s.copied(1, 2, 3)
+	assert.Equal(t, s.step(), "records moved")
+	assert.Assert(t, s.state.Retirements[0].Completed)
+}
+
+// The coordinators have heard of the store that was before a moment ago, and take it for running.
+// A machine whose disk is lost while it is being emptied waits under another identity, and is to be taken away.
+func TestLeaverThatWasWipedStaysOutWhenTheOrderIsCompleted(t *testing.T) {
+	s := newScene(1, 2, 3)
+	s.state.Stores.Epoch = 2
+	s.state.Stores.Previous = append(s.state.Stores.Current, store(4))
+	s.state.Retirements = []*tierpb.Retirement{{Node: "store-4", Identity: 4}}
+	s.call(4, 0)
+	s.wipe(4, 40)
+	assert.Equal(t, s.step(), "")
+	s.copied(1, 2, 3)
+	assert.Equal(t, s.step(), "records moved")
+	assert.Equal(t, s.step(), "")
+	s.expect(t, []uint64{1, 2, 3}, []uint64{})
+}
+
+// More silent stores than may be lost at once are a sign that the coordinator is cut off from them.
