A wiped store keeps its place from the one it was

Cause: joins count as running for 1.3 s. A store that was wiped and back sooner was taken in, then its old identity took the place again by its address, and so on: a schedule showed seven changes of members in 0.36 s, each of which began the copying anew. Change: a join at an address and role that calls under a newer identity neither waits to join nor is waited for. Figures: TestWipedStoreDoesNotLoseItsPlaceToTheOneItWas failed before.

--- a/internal/tier/placement/moving_test.go
+++ b/internal/tier/placement/moving_test.go
@@ -102,6 +102,22 @@
 }
 
 // The coordinators have heard of the store that was before a moment ago, and take it for running.
+func TestWipedStoreDoesNotLoseItsPlaceToTheOneItWas(t *testing.T) {
+	s := newScene(1, 2, 3)
+	s.lapse(time.Minute, 1, 2, 3)
+	node := store(3)
+	node.Identity = 30
+	s.callAs(node, 0)
+	s.lapse(batchQuiet, 1, 2, 30)
+	assert.Equal(t, s.step(), "turn stores joined")
+	s.expect(t, []uint64{1, 2, 30}, []uint64{1, 2, 3})
+	s.copied(1, 2)
+	assert.Equal(t, s.step(), "records moved", "nobody waits for a report of the one that was")
+	s.lapse(100*time.Millisecond, 1, 2, 30)
+	assert.Equal(t, s.step(), "")
+	s.expect(t, []uint64{1, 2, 30}, []uint64{})
+}
+
 // A machine whose disk is lost while it is being emptied waits under another identity, and is to be taken away.
 func TestLeaverThatWasWipedStaysOutWhenTheOrderIsCompleted(t *testing.T) {
 	s := newScene(1, 2, 3)
--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -87,6 +88,14 @@
 	return false
 }
 
+// isReplaced says that a node's machine calls under another identity since: its disk is lost.
+func (v *View) isReplaced(join Join) bool {
+	return slices.ContainsFunc(v.Joins, func(other Join) bool {
+		was, is := join.Request.Node, other.Request.Node
+		return was.Role == is.Role && was.Address == is.Address && was.Identity != is.Identity && other.First.After(join.First)
+	})
+}
+
 // storeSilence is how long a turn store has not called.
 func (v *View) storeSilence(identity uint64) time.Duration {
 	listened := v.Now.Sub(v.Since)
