Silent turn stores are taken out together, up to as many as may be lost

Cause: one member was taken out at a time, and none while another was silent. With two lost for good and both successors taken in beside them (tolerance 2), neither was ever taken out: their replica sets kept too few copies. Change: all that have been silent for long are taken out at once where enough stay. More silent ones than may be lost at once are left: the coordinator may be cut off from them.

--- a/internal/tier/placement/moving_test.go
+++ b/internal/tier/placement/moving_test.go
@@ -133,4 +133,17 @@
 	s.expect(t, []uint64{1, 2, 3}, []uint64{})
 }
 
+func TestSilentStoresAreAbandonedTogether(t *testing.T) {
+	s := newScene(1, 2, 3, 4, 5, 6, 7)
+	s.view.Tolerance = 2
+	s.lapse(time.Minute, 1, 2, 3, 4, 5)
+	assert.Equal(t, s.step(), "turn store abandoned")
+	s.expect(t, []uint64{1, 2, 3, 4, 5}, []uint64{1, 2, 3, 4, 5, 6, 7})
+}
+
 // More silent stores than may be lost at once are a sign that the coordinator is cut off from them.
+func TestStoresAreNotAbandonedWhereTooManyAreSilent(t *testing.T) {
+	s := newScene(1, 2, 3, 4, 5, 6)
+	s.lapse(time.Minute, 1, 2, 3, 4)
+	assert.Equal(t, s.step(), "")
+}
--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -118,19 +118,30 @@
 	return next, room
 }
 
-// abandon takes out a member that has been silent for long, where enough others run.
+// abandon takes out the members that have been silent for long, where enough stay. More silent ones than may be lost at
+// once are a sign that this process is cut off from them.
 func abandon(present []*tierpb.Node, view *View) ([]*tierpb.Node, string) {
-	place := silentStore(present, view, view.abandonAfter())
-	if place < 0 {
-		return nil, ""
+	next := slices.Clone(present)
+	silent := 0
+	for _, member := range present {
+		silence := view.storeSilence(member.Identity)
+		if silence > storeDead {
+			silent++
+		}
+		if silence > view.abandonAfter() {
+			next = without(next, member.Identity)
+		}
 	}
-	next := slices.Delete(slices.Clone(present), place, place+1)
-	if len(next) < view.least() || silentStore(next, view, storeDead) >= 0 {
+	if len(next) == len(present) || len(next) < view.least() || silent > view.Tolerance {
 		return nil, ""
 	}
 	return next, "turn store abandoned"
 }
 
+func without(nodes []*tierpb.Node, identity uint64) []*tierpb.Node {
+	return slices.DeleteFunc(nodes, func(node *tierpb.Node) bool { return node.Identity == identity })
+}
+
 // silentStore is the member that has been silent for the longest time and longer than the limit, -1 for none.
 func silentStore(nodes []*tierpb.Node, view *View, limit time.Duration) int {
 	place, longest := -1, limit
