A voter that was down has its value brought up to date, and says when it has caught up

Cause: a voter that comes back learns the newest value by watch, but its acceptor keeps the old one until the next change. Until then that value stands on fewer disks than it could. It was no safety hole: the acceptor's old value is handed out to nobody, and a quorum with it in it finds the newer one.

Change: maintenance has the register read once an own acceptor has lagged for half a second at one version; a read that meets voters with different values writes the newest to all.

A prepare phase in which only the lagging acceptor had promised put the old value into the proposer's cache, and voters sent theirs again; and the counter of a proposer that has just started is taken from what it reads, so that its first round is not refused.

--- /dev/null
+++ b/internal/tier/coordinator/catchup_test.go
@@ -0,0 +1,119 @@
+package coordinator
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// manyRoutes is a configuration of 350 routes, of which each generation changes one.
+func manyRoutes(generation int) string {
+	var body strings.Builder
+	fmt.Fprintf(&body, `{"generation":%d,"routes":[`, generation)
+	for route := range 350 {
+		timeout := 5000
+		if route == generation%350 {
+			timeout += generation
+		}
+		if route > 0 {
+			body.WriteByte(',')
+		}
+		fmt.Fprintf(&body, `{"name":"r-%d","hostname":"host%d.example","pathPrefix":"/prefix%d/","kind":"streaming","timeoutMs":%d,`+
+			`"targetLatencyMs":250,"priority":0,"backend":"service-%d","maxAttempts":2,"retained":true,"retentionS":60.0,`+
+			`"sessionAffinity":true,"resumable":false,"gap_aim_ms":400}`, route, route%7, route, timeout, route%3)
+	}
+	body.WriteString(`],"services":[{"name":"service-0"},{"name":"service-1"},{"name":"service-2"}],"limits":{}}`)
+	return body.String()
+}
+
+// change has coordinators take configurations of 350 routes in turn, from one generation up to another.
+func (c *cluster) change(names []string, from, to int) {
+	c.t.Helper()
+	for generation := from + 1; generation <= to; generation++ {
+		name := names[generation%len(names)]
+		assert.Equal(c.t, c.at(name).configured(generation-1, manyRoutes(generation)), http.StatusOK, "%d", generation)
+	}
+}
+
+// assertNothingOld checks that whatever a coordinator hands out is of this generation: to an operator who reads back, to
+// an agent that knows nothing, and to one that knows an older version.
+func (c *cluster) assertNothingOld(name string, generation int) {
+	c.t.Helper()
+	p := c.at(name)
+	status, read := p.send(http.MethodGet, "/v1/config", "", "")
+	assert.Assert(c.t, status == http.StatusServiceUnavailable || read == manyRoutes(generation), "%d", status)
+	agent := &tierpb.Node{Role: tierpb.Role_ROLE_AGENT}
+	reply, err := p.poll(&tierpb.WatchRequest{Follower: agent})
+	told := reply.GetControl().GetConfiguration().GetGeneration()
+	assert.Assert(c.t, err != nil || told == 0 || told == uint64(generation), "told of %d", told)
+}
+
+// TestMemberThatMissedHundredsOfChangesComesBack: 500 changes are made while one coordinator is down. It is killed again
+// at several moments of its catching up, then is the first to be asked.
+func TestMemberThatMissedHundredsOfChangesComesBack(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		others := []string{"core-1", "core-2"}
+		c.change(others, 0, 3)
+		c.kill("core-3")
+		c.change(others, 3, 503)
+		for _, moment := range []time.Duration{0, 1, 2, 3, 5, 20, 300, 1500} {
+			c.start("core-3", false)
+			for range 10 {
+				c.assertNothingOld("core-3", 503)
+				<-time.After(moment * time.Millisecond / 10)
+			}
+			c.kill("core-3")
+		}
+		c.start("core-3", false)
+		c.kill("core-1")
+		c.assertNothingOld("core-3", 503)
+		assert.Equal(c.t, c.untilClear([]string{"core-3"}, 502, manyRoutes(503)), http.StatusOK)
+		assert.Equal(c.t, c.untilClear([]string{"core-3"}, 3, manyRoutes(9)), http.StatusPreconditionFailed)
+		c.change([]string{"core-3", "core-2"}, 503, 505)
+		c.start("core-1", false)
+		c.pass(time.Second)
+		assert.DeepEqual(c.t, c.generations("core-1", "core-2", "core-3"), []uint64{505, 505, 505})
+	})
+}
+
+// TestAcceptorOfAMemberThatComesBackIsBroughtUpToDate: without a change that would write its value anew, too.
+func TestAcceptorOfAMemberThatComesBackIsBroughtUpToDate(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		c.change([]string{"core-1"}, 0, 1)
+		c.kill("core-3")
+		c.change([]string{"core-1"}, 1, 30)
+		size := c.at("core-1").state.Control().SizeVT()
+		c.pass(time.Second)
+		before := c.counted("core-3")
+		c.start("core-3", false)
+		c.pass(3 * time.Second)
+		assert.DeepEqual(c.t, c.generations("core-3"), []uint64{30})
+		assert.Equal(c.t, c.at("core-3").acceptor.Value().GetConfiguration().GetGeneration(), uint64(30))
+		used := c.counted("core-3")
+		accepts, received := used.accepts-before.accepts, used.received-before.received
+		c.t.Logf("a value of %d bytes: %d bytes came to the member, %d accepts went between machines", size, received, accepts)
+		assert.Equal(c.t, accepts, 2, "the value was written once, to the two others")
+		assert.Assert(c.t, received < 4*size+20_000, "from each of the others by a poll and by a read: %d", received)
+		c.pass(2 * time.Minute)
+		assert.Equal(c.t, c.counted("core-3").accepts, used.accepts, "nothing is written once it has caught up")
+	})
+}
+
+// traffic is what was sent.
+type traffic struct {
+	accepts  int // answered
+	received int // bytes that came to a machine
+}
+
+func (c *cluster) counted(name string) traffic {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return traffic{accepts: c.calls[rpc.MethodAccept], received: c.machines[name].received}
+}
--- a/internal/tier/coordinator/cluster_test.go
+++ b/internal/tier/coordinator/cluster_test.go
@@ -39,6 +39,7 @@
 	machines  map[string]*machine // by name
 	cut       map[[2]string]bool  // by names, from and to
 	calls     map[rpc.Method]int  // answered
+	rate      int                 // bytes a second of each machine's link and direction; 0 for no limit
 	delay     atomic.Int64        // of each call, in nanoseconds
 }
 
@@ -49,7 +50,11 @@
 	address  string
 	hardware *simulation.Machine
 	running  *process
-	ahead    atomic.Int64 // nanoseconds by which the process's clock is past the bubble's
+
+	received        int // bytes of requests and answers; guarded by the cluster's mutex, as are the next
+	busyIn, busyOut time.Time
+
+	ahead atomic.Int64 // nanoseconds by which the process's clock is past the bubble's
 }
 
 // now is the clock of the machine's process.
@@ -217,7 +222,9 @@
 	if p == nil {
 		return rpc.ErrUnreachable
 	}
-	answer, err := p.dispatch(ctx, method, encoded(request))
+	payload := encoded(request)
+	cluster.transfer(c.from, to, len(payload))
+	answer, err := p.dispatch(ctx, method, payload)
 	if ctx.Err() != nil || cluster.isCut(to.name, c.from.name) {
 		<-ctx.Done()
 		return rpc.ErrTimeout
@@ -228,10 +235,35 @@
 	if err != nil {
 		return rpc.ErrRefused
 	}
+	payload = encoded(answer)
+	cluster.transfer(to, c.from, len(payload))
+	if ctx.Err() != nil {
+		return rpc.ErrTimeout
+	}
 	cluster.mu.Lock()
 	cluster.calls[method]++
 	cluster.mu.Unlock()
-	return reply.UnmarshalVT(encoded(answer))
+	return reply.UnmarshalVT(payload)
+}
+
+// transfer takes the time that some bytes need on the links of two machines, one message after the other.
+func (c *cluster) transfer(from, to *machine, size int) {
+	c.mu.Lock()
+	to.received += size
+	if c.rate == 0 {
+		c.mu.Unlock()
+		return
+	}
+	start := time.Now()
+	for _, free := range []time.Time{from.busyOut, to.busyIn} {
+		if free.After(start) {
+			start = free
+		}
+	}
+	end := start.Add(time.Duration(size) * time.Second / time.Duration(c.rate))
+	from.busyOut, to.busyIn = end, end
+	c.mu.Unlock()
+	<-time.After(time.Until(end))
 }
 
 func (c *cluster) machineAt(address string) *machine {
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -44,6 +44,7 @@
 	directory *directory
 	register  controlRegister
 	history   *orders.History
+	progress  progress
 	accepted  func() *tierpb.ControlState // newest value of the own acceptor, chosen or not
 	lease     interface{ Held() bool }
 	sampler   *peers.Sampler
@@ -112,6 +113,7 @@
 // useRegister makes the proposer that changes the register; whatever it finds to be chosen is brought out.
 func (c *coordinator) useRegister(acceptor *register.Acceptor) {
 	c.accepted = acceptor.Value
+	c.progress.fallBehind(c.now(), acceptor.Value().GetVersion(), 0)
 	proposer := register.NewProposer(register.Options{
 		Caller: c.caller, Local: acceptor, Known: c.state.Control,
 		Chosen: func(chosen *tierpb.ControlState) {
--- a/internal/tier/coordinator/maintenance.go
+++ b/internal/tier/coordinator/maintenance.go
@@ -22,8 +22,8 @@
 	readPatience        = 2 * time.Second
 )
 
-// runMaintenance does at intervals what no call asks for: it looks after contact, lists coordinators, marks silent stores and learns chosen
-// values.
+// runMaintenance does at intervals what no call asks for: it looks after contact, lists coordinators, marks silent stores,
+// learns chosen values and brings the own acceptor up to date.
 func (c *coordinator) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
@@ -47,6 +47,7 @@
 		} else if unknownFor++; unknownFor > 1 {
 			c.learnChosen(ctx)
 		}
+		c.keepCurrent(ctx)
 	}
 }
 
--- a/internal/tier/register/proposer.go
+++ b/internal/tier/register/proposer.go
@@ -208,10 +208,12 @@
 	return p.newest
 }
 
-// saw takes over what a prepare phase has found.
+// saw takes over what a prepare phase has found. A phase in which only an acceptor that lags has promised finds less
+// than is known.
 func (p *Proposer) saw(prepared preparation) {
 	p.sawAny(prepared.value)
-	if prepared.value != nil {
+	p.counter = max(p.counter, prepared.ballot.GetCounter())
+	if prepared.value != nil && !higher(p.cached.ballot, prepared.ballot) {
 		p.cached = cachedValue{ballot: prepared.ballot, value: prepared.value}
 	}
 }
