--- /dev/null
+++ b/internal/tier/register/size_test.go
@@ -0,0 +1,74 @@
+package register
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/orders"
+	"pulleygw.example/pulleygw/internal/tier/storage"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// startUp is what an acceptor reads and writes when it starts.
+type startUp struct {
+	storage.Disk
+	lists, reads, bytes, written int
+}
+
+func (s *startUp) List(folder string) ([]string, error) {
+	s.lists++
+	return s.Disk.List(folder)
+}
+
+func (s *startUp) Read(path string) ([]byte, error) {
+	data, err := s.Disk.Read(path)
+	s.reads++
+	s.bytes += len(data)
+	return data, err
+}
+
+func (s *startUp) Create(path string) (storage.File, error) {
+	s.written++
+	return s.Disk.Create(path)
+}
+
+// TestDiskAndStartOfAnAcceptorDoNotGrow logs the files of an acceptor and what its start costs after hundreds and
+// thousands of changes of 350 routes, and bounds both.
+func TestDiskAndStartOfAnAcceptorDoNotGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1, 1, calm)
+		m := c.members[0]
+		value := &tierpb.ControlState{Voters: InitialState(c.seeds).Voters, Configuration: &tierpb.Configuration{}}
+		for change := uint64(1); change <= 5000; change++ {
+			orders.Add(value, orders.New(change-1, change, []byte{byte(change)}))
+			value.Version, value.Configuration = change, largeConfiguration(change)
+			ballot := &tierpb.Ballot{Counter: change, Proposer: 1}
+			identity := m.current().Identity()
+			assert.Assert(t, m.current().Prepare(&tierpb.PrepareRequest{Identity: identity, Ballot: ballot}).Promised)
+			accept := &tierpb.AcceptRequest{Identity: identity, Ballot: ballot, Value: value.CloneVT()}
+			assert.Assert(t, m.current().Accept(accept).Accepted)
+			if change == 500 || change == 5000 {
+				m.checkFolder(change, value.SizeVT())
+			}
+		}
+	})
+}
+
+func (m *member) checkFolder(changes uint64, size int) {
+	t := m.cluster.t
+	opened := &startUp{Disk: m.machine.Start().Mount()}
+	acceptor, err := OpenAcceptor(AcceptorOptions{Disk: opened, Folder: folder, Address: m.machine.Address()})
+	assert.NilError(t, err)
+	names, err := opened.Disk.List(folder)
+	assert.NilError(t, err)
+	t.Logf("%d changes, value of %d bytes: %d files, %d bytes; start: %d lists, %d reads of %d bytes, %d files written",
+		changes, size, len(names), m.machine.Disk.Bytes(), opened.lists, opened.reads, opened.bytes, opened.written)
+	assert.Equal(t, acceptor.Value().Version, changes)
+	assert.Equal(t, len(names), 3, "%v", names)
+	assert.Assert(t, m.machine.Disk.Bytes() < size+1000)
+	assert.Equal(t, opened.reads, 3)
+	assert.Equal(t, opened.written, 0)
+	assert.Assert(t, m.start(false))
+}
--- a/internal/tier/watch/delta_test.go
+++ b/internal/tier/watch/delta_test.go
@@ -148,3 +148,16 @@
 	told.Configuration.Body = control.Configuration.Body
 	assert.Assert(t, told.EqualVT(control), "got %v, want %v", told, control)
 }
+
+// TestBodiesKeptAreBounded: in number while they are small, in bytes while they are large, and the newest is always there.
+func TestBodiesKeptAreBounded(t *testing.T) {
+	for _, size := range []int{100, 100 << 10, 1 << 20, 5 << 20} {
+		kept := bodies{}
+		for version := range uint64(500) {
+			kept.add(version, make([]byte, size))
+		}
+		assert.Assert(t, len(kept.known) <= bodiesKept+1)
+		assert.Assert(t, len(kept.known) == 1 || len(kept.known)*size <= bodiesBytesMost)
+		assert.Equal(t, kept.known[len(kept.known)-1].version, uint64(499))
+	}
+}
