Coordinators all killed at once find out what is chosen as soon as most run

Change: from its start on a coordinator looks every 10 to 30 ms whether a majority answers it, and then reads the register where its acceptor holds what nobody has told it. A single one that restarts is told by the others' first answer and reads nothing.

--- a/internal/tier/coordinator/catchup.go
+++ b/internal/tier/coordinator/catchup.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 )
 
+// Times of a start.
+const (
+	firstLook = 20 * time.Millisecond // between two looks whether a majority answers
+	firstRead = 500 * time.Millisecond
+)
+
 // Times after which an acceptor that lacks what is chosen has it written again.
 const (
 	mendFirst = 500 * time.Millisecond
@@ -33,6 +40,23 @@
 	}
 }
 
+// learnFirst finds out at the start which value is chosen, as soon as a majority answers. Where all were killed at once,
+// those that answer cannot tell either, and agents wait.
+func (c *coordinator) learnFirst(ctx context.Context) {
+	for c.starting() && pause(ctx, firstLook/2+rand.N(firstLook)) {
+		if !c.inTouch() {
+			continue
+		}
+		c.readiness.Check()
+		if !c.holdsUnknown() {
+			return
+		}
+		limited, cancel := context.WithTimeout(ctx, firstRead)
+		_, _ = c.register.Read(limited) // maintenance tries again where this fails
+		cancel()
+	}
+}
+
 // keepCurrent sees to it that the own acceptor has what is chosen, and reports when this process has caught up.
 func (c *coordinator) keepCurrent(ctx context.Context) {
 	now := c.now()
--- a/internal/tier/coordinator/catchup_test.go
+++ b/internal/tier/coordinator/catchup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -137,6 +138,9 @@
 func TestMemberVotesWithCurrentStateWithinItsTime(t *testing.T) {
 	for _, rate := range []int{0, thinLink} {
 		for _, sync := range []time.Duration{usualSync, slowSync} {
+			if testing.Short() && (rate == 0 || sync == usualSync) {
+				continue
+			}
 			for _, trouble := range []string{"killed", "wiped", "replaced"} {
 				t.Run(fmt.Sprintf("%s, %d bytes/s, syncs of %s", trouble, rate, sync), func(t *testing.T) {
 					inCluster(t, 3, 1, func(c *cluster) { c.comesBack(trouble, rate, sync) })
@@ -181,3 +185,37 @@
 	return register.IsVoter(known, p.self.Identity) && accepted.GetVersion() >= known.Version &&
 		accepted.GetConfiguration().GetGeneration() == generation
 }
+
+// soonKnown bounds how long coordinators that were all killed at once may be without a configuration, from the moment at
+// which most of them run; one that has waited for the others by then may be in a pause between two polls.
+const (
+	soonKnown  = 150 * time.Millisecond
+	pollsPause = 750 * time.Millisecond
+)
+
+// TestAllKilledAtOnceKnowTheConfigurationSoon: nobody is left to tell which value is chosen, and agents wait for it.
+func TestAllKilledAtOnceKnowTheConfigurationSoon(t *testing.T) {
+	for apart, most := range map[time.Duration]time.Duration{
+		0: soonKnown, 10 * time.Millisecond: soonKnown, 700 * time.Millisecond: soonKnown + pollsPause,
+	} {
+		inCluster(t, 3, 1, func(c *cluster) {
+			names := []string{"core-1", "core-2", "core-3"}
+			c.change([]string{"core-1"}, 0, 3)
+			for _, name := range names {
+				c.kill(name)
+			}
+			c.pass(time.Second)
+			for _, name := range names[:2] {
+				<-time.After(apart)
+				c.start(name, false)
+			}
+			began := time.Now()
+			for !slices.Equal(c.generations("core-1", "core-2"), []uint64{3, 3}) {
+				assert.Assert(c.t, time.Since(began) < 5*time.Second)
+				<-time.After(time.Millisecond)
+			}
+			c.t.Logf("started %s apart: known everywhere after %s", apart, time.Since(began))
+			assert.Assert(c.t, time.Since(began) < most)
+		})
+	}
+}
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -49,7 +49,7 @@
 	defer stop()
 	parts := &sync.WaitGroup{}
 	for _, part := range []func(context.Context){
-		c.follow, c.keepJoining, c.runMaintenance, c.keepOrders, c.keepPlaced, c.sampler.Run, holder.Run,
+		c.follow, c.learnFirst, c.keepJoining, c.runMaintenance, c.keepOrders, c.keepPlaced, c.sampler.Run, holder.Run,
 	} {
 		parts.Add(1)
 		go func() {
