--- a/internal/tier/coordinator/catchup_test.go
+++ b/internal/tier/coordinator/catchup_test.go
@@ -219,3 +219,38 @@
 		})
 	}
 }
+
+// Callers of the control API go on to another coordinator after so long without an answer.
+const callerSilence = time.Second
+
+// TestNextOrderAfterTheLossOfACoordinator logs and bounds the time until the next order is acknowledged at another
+// coordinator, whoever is lost, the holder of the lease too, and also where it was in the middle of an order.
+func TestNextOrderAfterTheLossOfACoordinator(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for _, lost := range []string{"core-1", "core-2", "core-3"} {
+			for _, busy := range []bool{false, true} {
+				inCluster(t, 3, 1, func(c *cluster) {
+					c.change([]string{"core-1"}, 0, 2)
+					if busy {
+						go c.at(lost).configured(2, manyRoutes(3))
+						<-time.After(2500 * time.Microsecond)
+					}
+					if silent {
+						c.isolate(lost, true)
+					} else {
+						c.kill(lost)
+					}
+					asked := "core-1"
+					if lost == asked {
+						asked = "core-2"
+					}
+					began := time.Now()
+					status := c.untilClear([]string{asked}, 2, manyRoutes(3))
+					assert.Equal(c.t, status, http.StatusOK)
+					c.t.Logf("lost %s, silent %v, busy %v: acknowledged after %s", lost, silent, busy, time.Since(began))
+					assert.Assert(c.t, time.Since(began) < callerSilence/10)
+				})
+			}
+		}
+	}
+}
