Coordinator: older orders are fetched in one go, and logged once

Cause: runs that a wiped coordinator lacks came sixteen a second, and a disk that takes no files logged once a second.

--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -54,6 +54,8 @@
 	move      seenMove
 
 	replaceVoters func(context.Context, []*tierpb.Node) (*tierpb.ControlState, error)
+
+	runsLacking int // runs of older orders, as last logged; keepOrders alone uses it
 }
 
 // Run serves the role until ctx ends and all is shut down in order.
--- a/internal/tier/coordinator/history.go
+++ b/internal/tier/coordinator/history.go
@@ -26,24 +26,40 @@
 		if known == kept {
 			continue
 		}
-		lacking := c.history.Lacking(known)
-		found := c.fetchRuns(ctx, lacking)
-		if len(lacking) > 0 && len(found) == 0 {
-			wait = min(2*wait, ordersLongest)
+		if c.keepRuns(ctx, known) {
+			kept, wait = known, ordersInterval
 		} else {
-			wait = ordersInterval
+			wait = min(2*wait, ordersLongest)
 		}
+	}
+}
+
+// keepRuns fetches the runs that a control state names for as long as some are found, and says whether all are here and on
+// disk.
+func (c *coordinator) keepRuns(ctx context.Context, known *tierpb.ControlState) bool {
+	fetched := 0
+	for before := -1; ; {
+		found := c.fetchRuns(ctx, c.history.Lacking(known))
 		if err := c.history.Keep(known, found); err != nil {
 			c.log.Warn("older orders could not be saved", "error", err)
-			continue
-		}
-		if len(found) > 0 {
-			c.log.Info("older orders fetched", "runs", len(found), "lacking", len(c.history.Lacking(known)))
+			return false
 		}
-		if len(c.history.Lacking(known)) == 0 {
-			kept = known
+		lacking := len(c.history.Lacking(known))
+		fetched += len(found)
+		if len(found) == 0 || lacking == 0 || lacking == before {
+			c.logRuns(fetched, lacking)
+			return lacking == 0
 		}
+		before = lacking
+	}
+}
+
+// logRuns logs when runs were fetched, and when runs begin or cease to be lacking.
+func (c *coordinator) logRuns(fetched, lacking int) {
+	if fetched > 0 || lacking != c.runsLacking {
+		c.log.Info("older orders", "runs_fetched", fetched, "runs_lacking", lacking)
 	}
+	c.runsLacking = lacking
 }
 
 // fetchRuns asks the other coordinators, one after the other, for runs; it returns those that were found.
