GET /v1/retire reads the register; a drain is acknowledged again only in contact

A coordinator answered for a retirement out of its own state: one that was cut off repeated the completed of an older order for a machine of that name that had come again, at which the operator takes the machine away with its records, or said running for ever (TestCutOffCoordinatorDoesNotRepeatAnOlderRetirement, TestCutOffCoordinatorDoesNotKeepARetirementRunning failed). It reads the register now and gives 503 without a quorum; a completed order is no answer for a machine that holds records again, which gets 404.

A drain that a majority had once was acknowledged again without asking anybody, also when that majority had started anew behind a cut (TestDrainIsNotAcknowledgedAgainWithoutContact failed). The store goes on to another coordinator now.

--- a/internal/tier/coordinator/announce.go
+++ b/internal/tier/coordinator/announce.go
@@ -53,7 +53,7 @@
 // announce tells all coordinators of an instance and says whether a majority of each voter set has it before ctx ends.
 // Those that do not answer are called again for a while, whatever the result.
 func (c *coordinator) announce(ctx context.Context, instance *tierpb.Instance) bool {
-	if c.announced.isHeld(instance) {
+	if c.announced.isHeld(instance) && c.inTouch() { // without contact, those that had it may have started anew
 		return true
 	}
 	targets := c.targets()
--- /dev/null
+++ b/internal/tier/coordinator/cutoff_test.go
@@ -0,0 +1,87 @@
+package coordinator
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// retirement asks for the state of a retirement.
+func (p *process) retirement(node string) (int, string) {
+	return p.send(http.MethodGet, "/v1/retire/"+node, "", "")
+}
+
+// A coordinator that is cut off knows an order of before: for a machine of that name that came again it says nothing.
+func TestCutOffCoordinatorDoesNotRepeatAnOlderRetirement(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		stores := []*tierpb.Node{storeNode(1), storeNode(2), storeNode(3), storeNode(4)}
+		c.storesRun(3*time.Second, "core-1", stores...)
+		status, _ := c.at("core-1").send(http.MethodPost, "/v1/retire/store-2", "", `{"deadlineS":10}`)
+		assert.Equal(t, status, http.StatusOK)
+		c.storesRun(time.Second, "core-1", stores...)
+		_, answer := c.at("core-1").retirement("store-2")
+		assert.Equal(t, answer, `{"state":"completed"}`)
+		c.isolate("core-1", true)
+		status, answer = c.at("core-1").retirement("store-2")
+		assert.Equal(t, status, http.StatusServiceUnavailable, answer)
+
+		again := storeNode(2)
+		again.Identity = 2002
+		stores = []*tierpb.Node{storeNode(1), again, storeNode(3), storeNode(4)}
+		c.storesRun(6*time.Second, "core-3", stores...)
+		status, answer = c.at("core-3").retirement("store-2")
+		assert.Equal(t, status, http.StatusNotFound, "nobody asked to empty the machine that came: %s", answer)
+		status, answer = c.at("core-2").send(http.MethodPost, "/v1/retire/store-2", "", `{"deadlineS":10}`)
+		assert.Equal(t, status, http.StatusOK, answer)
+		assert.Equal(t, answer, `{"state":"running"}`)
+		status, answer = c.at("core-1").retirement("store-2")
+		assert.Equal(t, status, http.StatusServiceUnavailable, answer)
+		c.isolate("core-1", false)
+		c.pass(2 * time.Second)
+		_, answer = c.at("core-1").retirement("store-2")
+		assert.Equal(t, answer, `{"state":"running"}`, "its records have not moved")
+		c.storesRun(3*time.Second, "core-3", stores...)
+		_, answer = c.at("core-1").retirement("store-2")
+		assert.Equal(t, answer, `{"state":"completed"}`)
+	})
+}
+
+// A coordinator that is cut off does not say running for ever of what was completed long ago.
+func TestCutOffCoordinatorDoesNotKeepARetirementRunning(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		stores := []*tierpb.Node{storeNode(1), storeNode(2), storeNode(3), storeNode(4)}
+		c.storesRun(3*time.Second, "core-1", stores...)
+		status, _ := c.at("core-1").send(http.MethodPost, "/v1/retire/store-2", "", `{"deadlineS":10}`)
+		assert.Equal(t, status, http.StatusOK)
+		c.isolate("core-1", true)
+		c.storesRun(4*time.Second, "core-3", stores...)
+		_, answer := c.at("core-2").retirement("store-2")
+		assert.Equal(t, answer, `{"state":"completed"}`)
+		status, answer = c.at("core-1").retirement("store-2")
+		assert.Equal(t, status, http.StatusServiceUnavailable, answer)
+	})
+}
+
+// A drain that a majority had is acknowledged again only while there is contact: those that had it may have started anew.
+func TestDrainIsNotAcknowledgedAgainWithoutContact(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").beat("ready", 1), http.StatusOK)
+		assert.Equal(t, c.at("core-1").beat("draining", 2), http.StatusOK)
+		c.isolate("core-1", true)
+		for _, name := range []string{"core-2", "core-3"} {
+			c.kill(name)
+			c.start(name, false)
+		}
+		c.pass(2 * time.Second)
+		assert.DeepEqual(t, c.states("core-2"), []tierpb.InstanceState{ready}) // no state at all
+		assert.Equal(t, c.at("core-1").beat("draining", 3), http.StatusServiceUnavailable)
+		assert.Equal(t, c.at("core-2").beat("draining", 3), http.StatusOK, "the store goes on to the next")
+		c.isolate("core-1", false)
+		c.pass(2 * time.Second)
+		assert.Equal(t, c.at("core-1").beat("draining", 4), http.StatusOK)
+	})
+}
--- a/internal/tier/coordinator/retire.go
+++ b/internal/tier/coordinator/retire.go
@@ -52,13 +52,9 @@
 	writeRetirement(w, findRetirement(chosen, name))
 }
 
-// getRetirement tells what is known; a machine of which nothing is known is looked up in the register.
+// getRetirement reads the register: the operator takes a machine away on what this answers, with its disk.
 func (c *coordinator) getRetirement(w http.ResponseWriter, r *http.Request) {
 	name := chi.URLParam(r, "node")
-	if known := findRetirement(c.state.Control(), name); known != nil {
-		writeRetirement(w, known)
-		return
-	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.patienceFor(0))
 	defer cancel()
 	current, err := c.register.Read(ctx)
@@ -66,7 +62,18 @@
 		result.Write(w, resultOf(err))
 		return
 	}
-	writeRetirement(w, findRetirement(current, name))
+	writeRetirement(w, retirementInForce(current, name))
+}
+
+// retirementInForce returns the newest retirement of a machine, nil where there is none: an order that was completed
+// is not about a machine of that name which came again and holds records.
+func retirementInForce(current *tierpb.ControlState, name string) *tierpb.Retirement {
+	found := findRetirement(current, name)
+	stores := current.GetStores()
+	if found.GetCompleted() && (nodeNamed(stores.GetCurrent(), name) != nil || nodeNamed(stores.GetPrevious(), name) != nil) {
+		return nil
+	}
+	return found
 }
 
 func writeRetirement(w http.ResponseWriter, found *tierpb.Retirement) {
