--- a/internal/tier/coordinator/cluster_test.go
+++ b/internal/tier/coordinator/cluster_test.go
@@ -41,6 +41,7 @@
 	calls     map[rpc.Method]int  // answered
 	rate      int                 // bytes a second of each machine's link and direction; 0 for no limit
 	delay     atomic.Int64        // of each call, in nanoseconds
+	lines     []string            // of the logs
 }
 
 // machine is a core machine: its disk and the process on it, if one runs.
@@ -128,7 +129,7 @@
 		Name: m.name, Address: m.address, Zone: own.Zone, Role: tierpb.Role_ROLE_COORDINATOR,
 		Identity: acceptor.Identity(), Control: own.Listen.Control,
 	}
-	coordinator := newCoordinator(settings.Fixed(own), testLog(c.t, m.name), self, &caller{from: m})
+	coordinator := newCoordinator(settings.Fixed(own), c.log(m.name), self, &caller{from: m})
 	coordinator.now, coordinator.directory.now = m.now, m.now
 	coordinator.directory.started = m.now()
 	coordinator.history, err = orders.OpenHistory(disk, ordersFolder)
@@ -372,14 +373,30 @@
 
 var _ watch.Source = (*watch.State)(nil)
 
-// testLog writes a machine's log into the output of a test that fails, with the simulated time.
-func testLog(t *testing.T, name string) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{Name: name, Output: testWriter{t}, TimeFormat: "05.000"})
+// log writes a machine's log into the output of a test that fails, with the simulated time, and keeps it.
+func (c *cluster) log(name string) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: name, Output: testWriter{c}, TimeFormat: "05.000"})
 }
 
-type testWriter struct{ t *testing.T }
+// logged counts the lines of a machine's log that hold a text.
+func (c *cluster) logged(name, text string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, line := range c.lines {
+		if strings.Contains(line, " "+name+": ") && strings.Contains(line, text) {
+			count++
+		}
+	}
+	return count
+}
+
+type testWriter struct{ cluster *cluster }
 
 func (w testWriter) Write(line []byte) (int, error) {
-	w.t.Log(strings.TrimRight(string(line), "\n"))
+	w.cluster.t.Log(strings.TrimRight(string(line), "\n"))
+	w.cluster.mu.Lock()
+	defer w.cluster.mu.Unlock()
+	w.cluster.lines = append(w.cluster.lines, string(line))
 	return len(line), nil
 }
