An answer that tells of later voters is no contact by the old ones

Two coordinators that were cut off together while voters changed were a majority of the old voters for the one of them that knew no others, though its partner had accepted later ones: it was ready and acknowledged drains that the voters in force never heard of (TestVotersThatKnowLaterVotersAreNoContactByTheOldOnes failed).

As each change of voters needs a majority of those before it to accept, a majority that answers by the known ones shows that no later ones were chosen by then. An announcement counts by the newest voters at each step.

--- a/internal/tier/coordinator/announce.go
+++ b/internal/tier/coordinator/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,20 +58,24 @@
 		return true
 	}
 	targets := c.targets()
-	told := make(chan uint64, len(targets))
+	told := make(chan *tierpb.AnnounceReply, len(targets))
 	for _, target := range targets {
 		go func() {
-			if identity, answered := c.announceTo(context.WithoutCancel(ctx), target.Address, instance); answered {
-				told <- identity
+			if reply := c.announceTo(context.WithoutCancel(ctx), target.Address, instance); reply != nil {
+				told <- reply
 			}
 		}()
 	}
-	voters := c.voters()
-	has := map[uint64]bool{c.self.Identity: true}
-	for !register.Quorum(voters, func(identity uint64) bool { return has[identity] }) {
+	replies := []*tierpb.AnnounceReply{{Identity: c.self.Identity}}
+	for {
+		changed := c.state.Changed()
+		if c.isQuorum(replies) {
+			break
+		}
 		select {
-		case identity := <-told:
-			has[identity] = true
+		case reply := <-told:
+			replies = append(replies, reply)
+		case <-changed: // the voters may be others now
 		case <-ctx.Done():
 			return false
 		}
@@ -79,8 +84,19 @@
 	return true
 }
 
-// announceTo calls one coordinator until it has answered, and returns its identity, or until the effort is spent.
-func (c *coordinator) announceTo(ctx context.Context, address string, instance *tierpb.Instance) (uint64, bool) {
+// isQuorum says whether those that replied are a quorum of the newest voters. As with contact, one that knows of later
+// voters does not count.
+func (c *coordinator) isQuorum(replies []*tierpb.AnnounceReply) bool {
+	newest := c.newestVoters()
+	return register.Quorum(newest.GetVoters(), func(identity uint64) bool {
+		return slices.ContainsFunc(replies, func(reply *tierpb.AnnounceReply) bool {
+			return reply.Identity == identity && reply.Epoch <= newest.GetEpoch()
+		})
+	})
+}
+
+// announceTo calls one coordinator until it has answered, and returns nil where the effort is spent before.
+func (c *coordinator) announceTo(ctx context.Context, address string, instance *tierpb.Instance) *tierpb.AnnounceReply {
 	ctx, cancel := context.WithTimeout(ctx, announceEffort)
 	defer cancel()
 	request := &tierpb.AnnounceRequest{Instances: []*tierpb.Instance{instance}, From: c.self}
@@ -90,10 +106,10 @@
 		err := c.caller.Call(call, address, rpc.MethodAnnounce, request, reply)
 		done()
 		if err == nil {
-			return reply.Identity, true
+			return reply
 		}
 		if !pause(ctx, announcePause) {
-			return 0, false
+			return nil
 		}
 	}
 }
@@ -104,7 +120,7 @@
 	for _, instance := range request.Instances {
 		c.state.Upsert(instance)
 	}
-	return &tierpb.AnnounceReply{Identity: c.self.Identity}, nil
+	return &tierpb.AnnounceReply{Identity: c.self.Identity, Epoch: c.newestVoters().GetEpoch()}, nil
 }
 
 // pause says whether the time passed before ctx ended.
--- a/internal/tier/coordinator/contact.go
+++ b/internal/tier/coordinator/contact.go
@@ -21,7 +21,8 @@
 
 // inTouch says whether this process and the coordinators that answer its polls are a quorum of the register. Votes are
 // counted by identity, as the register does: a process at a voter's address that is not that voter has no vote, be it
-// this one. What it rests on is at most contactMost old.
+// this one. What it rests on is at most contactMost old. An answer of one that knows of later voters than this process
+// does not count: without a vote of a majority of the voters before them, no later voters can have been chosen by then.
 func (c *coordinator) inTouch() bool {
 	return register.Quorum(c.voters(), c.hasContact)
 }
@@ -31,6 +32,14 @@
 	return identity == c.self.Identity || c.directory.answersAs(identity)
 }
 
+// answered notes the answer to a poll, and when that was sent. One that tells of later voters renews no contact until
+// this process knows them too.
+func (c *coordinator) answered(address string, answerer *tierpb.Answerer, asked time.Time) {
+	if answerer.GetEpoch() <= c.newestVoters().GetEpoch() {
+		c.directory.answered(address, answerer.GetIdentity(), asked)
+	}
+}
+
 // cutOff says that this process has been unable to find a majority of the voters; what it is told does not reach the
 // others, nor what they are told this process.
 func (c *coordinator) cutOff() bool { return !c.inTouch() && !c.starting() }
--- a/internal/tier/coordinator/contact_test.go
+++ b/internal/tier/coordinator/contact_test.go
@@ -143,3 +143,32 @@
 		}
 	})
 }
+
+// A coordinator that was cut off while voters changed is a majority of the old ones together with a voter that has
+// accepted the change, and knows no more than that.
+func TestVotersThatKnowLaterVotersAreNoContactByTheOldOnes(t *testing.T) {
+	inCluster(t, 4, 1, func(c *cluster) {
+		assert.Equal(t, c.at("core-1").configured(0, configurationOf(1, "a")), http.StatusOK)
+		c.pass(100 * time.Millisecond)
+		for _, apart := range []string{"core-1", "core-2"} {
+			for _, other := range []string{"core-3", "core-4"} {
+				c.setCut(apart, other, true)
+				c.setCut(other, apart, true)
+			}
+		}
+		two := c.at("core-2")
+		changed := two.acceptor.Value().CloneVT()
+		changed.Version, changed.Epoch = changed.Version+2, changed.Epoch+2
+		changed.Voters = []*tierpb.VoterSet{{Nodes: []*tierpb.Node{two.self, c.at("core-3").self, c.at("core-4").self}}}
+		accepted := two.acceptor.Accept(&tierpb.AcceptRequest{
+			Identity: two.self.Identity, Ballot: &tierpb.Ballot{Counter: 1000, Proposer: 3}, Value: changed,
+		})
+		assert.Assert(t, accepted.Accepted)
+		began := time.Now()
+		assert.Equal(t, c.at("core-1").beat("draining", 1), http.StatusServiceUnavailable)
+		c.pass(contactMost - time.Since(began))
+		assert.Equal(t, c.at("core-1").readiness(), http.StatusServiceUnavailable)
+		assert.Equal(t, c.at("core-1").beat("draining", 2), http.StatusServiceUnavailable)
+		assert.Equal(t, two.readiness(), http.StatusServiceUnavailable)
+	})
+}
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -136,16 +136,19 @@
 
 const defaultHeartbeat = time.Second
 
-// voters returns the voter sets of the newest value known, chosen or not; a coordinator that has just started on an
-// empty disk knows none.
-func (c *coordinator) voters() []*tierpb.VoterSet {
+// newestVoters returns the value with the newest voters known, chosen or not; nil for a coordinator that has just
+// started on an empty disk.
+func (c *coordinator) newestVoters() *tierpb.ControlState {
 	known, accepted := c.state.Control(), c.accepted()
 	if known == nil || accepted.GetEpoch() > known.Epoch {
-		return accepted.GetVoters()
+		return accepted
 	}
-	return known.Voters
+	return known
 }
 
+// voters returns the newest voter sets known, chosen or not.
+func (c *coordinator) voters() []*tierpb.VoterSet { return c.newestVoters().GetVoters() }
+
 // targets are the other coordinators.
 func (c *coordinator) targets() []watch.Target {
 	known := append(c.sampler.Nodes(tierpb.Role_ROLE_COORDINATOR), c.directory.coordinators()...)
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply.Answerer = &tierpb.Answerer{Identity: c.self.Identity}
+	reply.Answerer = &tierpb.Answerer{Identity: c.self.Identity, Epoch: c.newestVoters().GetEpoch()}
 	return reply, nil
 }
 
@@ -153,7 +153,7 @@
 		Caller: c.caller, State: c.state, Targets: c.targets, Self: c.self, Heartbeats: true,
 		Now: c.now,
 		Answered: func(address string, reply *tierpb.WatchReply, asked time.Time) {
-			c.directory.answered(address, reply.GetAnswerer().GetIdentity(), asked)
+			c.answered(address, reply.GetAnswerer(), asked)
 		},
 		Changed: func(address string, answers bool) {
 			c.directory.answering(address, answers)
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -40,7 +40,8 @@
 	Wait       time.Duration   // for which a poll may be held; DefaultWait where it is 0
 	Self       *tierpb.Node
 	Heartbeats bool
-	// Answered is called with each reply and the time at which the poll was sent, before Changed; it may be nil.
+	// Answered is called with each reply that was taken in, and the time at which the poll was sent, before Changed;
+	// it may be nil.
 	Answered func(address string, reply *tierpb.WatchReply, asked time.Time)
 	// Now is the clock of the times that Answered is told; time.Now where it is nil.
 	Now func() time.Time
--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -43,10 +43,10 @@
 	if err := f.call(ctx, address, wait+replySlack, request, reply); err != nil {
 		return err
 	}
+	f.options.State.mergeFrom(reply, address)
 	if f.options.Answered != nil {
 		f.options.Answered(address, reply, asked)
 	}
-	f.options.State.mergeFrom(reply, address)
 	if reply.GetAnswerer().GetNotReady() {
 		return ErrNotReady
 	}
