Register: a prepare that meets a higher ballot does not wait for a silent voter

Cause: a proposer whose counter was behind, one voter that had promised a higher ballot and one that said nothing: the prepare waited for the silent one to the end of its call (1.51 s in the test, so an order got 503 after its 880 ms), for a quorum by this ballot was still possible.

--- a/internal/tier/register/round.go
+++ b/internal/tier/register/round.go
@@ -13,6 +13,10 @@
 // the work once, and the repeated call gets the answer when it is done.
 const callsOfAPhase = 3
 
+// refusedPatience is the part of a call's time that a prepare waits on for others once it has met a higher ballot: the
+// next ballot gets the promise that this one was refused.
+const refusedPatience = 10
+
 // round is one ballot of a proposer: a prepare phase and an accept phase.
 type round struct {
 	proposer *Proposer
@@ -67,15 +71,21 @@
 		promised: map[uint64]*tierpb.Ballot{},
 	}
 	r.ask(ctx, count, start, answers)
+	var outrun <-chan time.Time
 	for len(count.open) > 0 {
 		select {
 		case answer := <-answers:
 			if count.take(answer) {
 				r.ask(ctx, count, count.best.Value, answers)
 			}
+		case <-outrun:
+			return count.result()
 		case <-ctx.Done():
 			return count.result()
 		}
+		if outrun == nil && count.highest > 0 {
+			outrun = time.After(r.timeout / refusedPatience)
+		}
 		if count.decided() {
 			return count.result()
 		}
