Fencing: placement changes the control state only under the newest term

Cause: a holder of the lease that was frozen between its decision and the accepts sent them when it woke, computed from a view of before its sleep. The compare-and-swap does not refuse them where the next holder has changed nothing: in the new tests, with the former code, a voter that was back for 10 s lost its vote and a turn store that was back for 10 s was taken out. A promise by a majority when the lease is acquired does not forbid it either (tried first): the frozen process accepts its own value, and a later prepare meets and completes it.

Change: each holding of the lease raises the term (number, holder) in the control state once, by a change of its own, before it changes anything: whatever an earlier holder has under way has a lower ballot from then on. placement.Admit is the fence, one pure function: a change is computed on the newest value from a view of that moment, and refused with ErrFenced, ErrLeaseLost (not held by the voters of the value since the tenure began) or ErrOldView (over 1 s). A refused holder acquires the lease anew. The term is not raised within the first change of voters or stores, as first meant: until then the late accept could win.

MoveSeen follows the epoch of the value that is changed; a gap of over 1 s in which the process did not run ends what it counts as silence. A hand-over finishes a change of voters that is half done, waits for the end of its own, takes no vote but its own, and is computed on the newest value; it needs no term. ReplaceVoters takes a function, so that voters are chosen inside the change.

--- a/internal/tier/coordinator/cluster_test.go
+++ b/internal/tier/coordinator/cluster_test.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"pulleygw.example/pulleygw/internal/tier/fault"
 	"pulleygw.example/pulleygw/internal/tier/lease"
 	"pulleygw.example/pulleygw/internal/tier/orders"
 	"pulleygw.example/pulleygw/internal/tier/register"
@@ -29,6 +30,9 @@
 
 const testHeartbeatMs = 1000
 
+// machineCount is how many machines there are at least, running or not.
+const machineCount = 8
+
 // cluster is a set of coordinators in one process, under the clock of a synctest bubble. Calls take a millisecond;
 // those to a machine that is down fail at once, those over a cut link get no answer.
 type cluster struct {
@@ -42,6 +46,8 @@
 	rate      int                 // bytes a second of each machine's link and direction; 0 for no limit
 	delay     atomic.Int64        // of each call, in nanoseconds
 	lines     []string            // of the logs
+	leader    string              // the only candidate for the lease until free is closed; empty for all
+	free      chan struct{}
 }
 
 // machine is a core machine: its disk and the process on it, if one runs.
@@ -66,6 +72,7 @@
 
 type process struct {
 	*coordinator
+	points   *stops
 	handler  http.Handler
 	acceptor *register.Acceptor
 	grantor  *lease.Grantor
@@ -82,7 +89,7 @@
 		}
 		c.delay.Store(int64(callDelay))
 		network := simulation.NewNetwork(rand.New(rand.NewPCG(1, 1)), simulation.Traits{}) // for its machines' disks alone
-		for i := range count + 3 {
+		for i := range max(count+3, machineCount) {
 			name, address := fmt.Sprintf("core-%d", i+1), fmt.Sprintf("10.0.%d.1:7000", i+1)
 			hardware := network.NewMachine(address, rand.New(rand.NewPCG(2, uint64(i))))
 			c.machines[name] = &machine{cluster: c, name: name, address: address, hardware: hardware}
@@ -134,15 +141,17 @@
 	coordinator.directory.started = m.now()
 	coordinator.history, err = orders.OpenHistory(disk, ordersFolder)
 	assert.NilError(c.t, err)
+	points := &stops{}
+	coordinator.faults = &fault.Points{Stop: points.pass}
 	coordinator.useRegister(acceptor)
-	p := &process{coordinator: coordinator, handler: coordinator.routes(), acceptor: acceptor, done: &sync.WaitGroup{}}
+	p := &process{coordinator: coordinator, points: points, handler: coordinator.routes(), acceptor: acceptor, done: &sync.WaitGroup{}}
 	p.grantor = coordinator.newGrantor(acceptor)
 	holder := coordinator.newHolder(p.grantor)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	parts := []func(context.Context){
 		coordinator.follow, coordinator.learnFirst, coordinator.keepJoining, coordinator.runMaintenance, coordinator.keepOrders,
-		coordinator.keepPlaced, holder.Run,
+		coordinator.keepPlaced, c.candidacy(name, holder),
 	}
 	for _, part := range parts {
 		p.done.Go(func() { part(ctx) })
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/fault"
 	"pulleygw.example/pulleygw/internal/tier/orders"
 	"pulleygw.example/pulleygw/internal/tier/peers"
 	"pulleygw.example/pulleygw/internal/tier/register"
@@ -46,14 +48,19 @@
 	history   *orders.History
 	progress  progress
 	accepted  func() *tierpb.ControlState // newest value of the own acceptor, chosen or not
-	lease     interface{ Held() bool }
+	lease     placementLease
+	tenure    placementTenure // keepPlaced alone uses it
+	listening *listening
 	sampler   *peers.Sampler
 	silence   *registry.Silence
 	announced *announcements
 	now       func() time.Time
-	move      seenMove
+	moveMu    sync.Mutex
+	move      seenMove      // guarded by moveMu
+	faults    *fault.Points // tests only
 
-	replaceVoters func(context.Context, []*tierpb.Node) (*tierpb.ControlState, error)
+	replaceVoters func(context.Context, register.ChangeFunc) (*tierpb.ControlState, error)
+	finishVoters  func(context.Context) (*tierpb.ControlState, error)
 
 	runsLacking int // runs of older orders, as last logged; keepOrders alone uses it
 }
@@ -108,6 +115,7 @@
 		directory: newDirectory(time.Now), silence: registry.NewSilence(heartbeatPeriod(live.Current())),
 		announced: newAnnouncements(), now: time.Now,
 	}
+	c.listening = newListening(func() time.Time { return c.now() })
 	c.readiness = c.newReadiness()
 	return c
 }
@@ -117,15 +125,18 @@
 	c.accepted = acceptor.Value
 	c.progress.fallBehind(c.now(), acceptor.Value().GetVersion(), 0)
 	proposer := register.NewProposer(register.Options{
-		Caller: c.caller, Local: acceptor, Known: c.state.Control,
+		Caller: c.caller, Local: acceptor, Known: c.state.Control, Faults: c.faults,
 		Chosen: func(chosen *tierpb.ControlState) {
 			c.state.SetControl(chosen)
 			c.history.Note(chosen)
 		},
 	})
 	c.register = proposer
-	c.replaceVoters = func(ctx context.Context, nodes []*tierpb.Node) (*tierpb.ControlState, error) {
-		return register.ReplaceVoters(ctx, proposer, nodes)
+	c.replaceVoters = func(ctx context.Context, change register.ChangeFunc) (*tierpb.ControlState, error) {
+		return register.ReplaceVoters(ctx, proposer, change)
+	}
+	c.finishVoters = func(ctx context.Context) (*tierpb.ControlState, error) {
+		return register.FinishVoters(ctx, proposer)
 	}
 }
 
--- a/internal/tier/fault/fault.go
+++ b/internal/tier/fault/fault.go
@@ -28,6 +28,11 @@
 	LastPoint           = IdentityUnsaved
 )
 
+// The points of a change by placement, which passes those of the register's change as well.
+const (
+	PlacementDecided Point = LastPoint + 1 + iota // holder of the lease: a change is computed, nothing of it has left
+)
+
 // ErrStopped is returned by the code that was stopped at a point; its process counts as dead.
 var ErrStopped = eris.New("stopped at a fault point")
 
--- /dev/null
+++ b/internal/tier/placement/fence_test.go
@@ -0,0 +1,38 @@
+package placement
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+func TestFenceAdmitsOnlyTheNewestTerm(t *testing.T) {
+	term := Term{Number: 3, Holder: 7}
+	claim := Claim{Term: term, Held: true}
+	for current, refusal := range map[Term]error{
+		term:                   nil,
+		{Number: 4, Holder: 8}: ErrFenced,
+		{Number: 4, Holder: 7}: ErrFenced, // a later holding by the same process
+		{Number: 3, Holder: 8}: ErrFenced,
+		{Number: 2, Holder: 7}: ErrFenced,
+		{}:                     ErrFenced,
+	} {
+		assert.Equal(t, Admit(current, claim), refusal, "%v", current)
+	}
+	claim.ViewAge = OldestView
+	assert.NilError(t, Admit(term, claim))
+	claim.ViewAge++
+	assert.Equal(t, Admit(term, claim), ErrOldView)
+	assert.Equal(t, Admit(term, Claim{Term: term}), ErrLeaseLost)
+}
+
+func TestTermIsRaisedAndMarked(t *testing.T) {
+	state := &tierpb.ControlState{}
+	assert.Equal(t, TermOf(state), Term{})
+	assert.Equal(t, TermOf(nil), Term{})
+	TermOf(state).Next(8).Mark(state)
+	assert.Equal(t, TermOf(state), Term{Number: 1, Holder: 8})
+	assert.Equal(t, TermOf(state).Next(8), Term{Number: 2, Holder: 8}, "another holding by the same process")
+}
--- a/internal/tier/register/voters.go
+++ b/internal/tier/register/voters.go
@@ -11,28 +11,31 @@
 // voters, leaves them.
 type ChooseFunc func(current *tierpb.ControlState) []*tierpb.Node
 
-// ReplaceVoters makes a set of nodes the voters; see ChangeVoters.
-func ReplaceVoters(ctx context.Context, proposer *Proposer, nodes []*tierpb.Node) (*tierpb.ControlState, error) {
-	return ChangeVoters(ctx, proposer, func(*tierpb.ControlState) []*tierpb.Node { return nodes })
+// ChangeVoters makes the nodes that are chosen the voters; see ReplaceVoters.
+func ChangeVoters(ctx context.Context, proposer *Proposer, choose ChooseFunc) (*tierpb.ControlState, error) {
+	return ReplaceVoters(ctx, proposer, func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
+		nodes := choose(current.CloneVT())
+		if len(nodes) == 0 {
+			return nil, nil
+		}
+		current.Voters = []*tierpb.VoterSet{{Nodes: nodes}}
+		return current, nil
+	})
 }
 
-// ChangeVoters makes the nodes that are chosen the voters: first joint with the present ones, then alone. The new
-// voters keep a majority of the old ones, so that a choice made on old knowledge cannot bring dead ones back. A change
-// that somebody else has left halfway is finished first. Whoever meets joint voters may call FinishVoters.
-func ChangeVoters(ctx context.Context, proposer *Proposer, choose ChooseFunc) (*tierpb.ControlState, error) {
+// ReplaceVoters makes the voters those of the value that the function returns: first joint with the present ones, then
+// alone. The new voters keep a majority of the old ones, so that a choice made on old knowledge cannot bring dead ones
+// back. A change that somebody else has left halfway is finished first, so the function meets one set only; where it
+// leaves that set, or refuses, the value stays as it is. Whoever meets joint voters may call FinishVoters.
+func ReplaceVoters(ctx context.Context, proposer *Proposer, change ChangeFunc) (*tierpb.ControlState, error) {
 	if _, err := FinishVoters(ctx, proposer); err != nil {
 		return nil, err
 	}
 	joint, err := proposer.Change(ctx, func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
 		if len(current.Voters) > 1 {
-			return current, nil
-		}
-		wanted := &tierpb.VoterSet{Nodes: choose(current.CloneVT())}
-		if len(wanted.Nodes) == 0 || sameMembers(current.Voters[0], wanted) {
-			return current, nil
+			return nil, nil
 		}
-		current.Voters = append(current.Voters, wanted)
-		return current, nil
+		return joinVoters(current.Voters[0], current, change)
 	})
 	if err != nil || len(joint.GetVoters()) < 2 {
 		return joint, err
@@ -43,6 +46,16 @@
 	return FinishVoters(ctx, proposer)
 }
 
+// joinVoters applies a change and puts the voters that it chooses beside the present ones.
+func joinVoters(present *tierpb.VoterSet, current *tierpb.ControlState, change ChangeFunc) (*tierpb.ControlState, error) {
+	next, err := change(current)
+	if err != nil || len(next.GetVoters()) != 1 || sameMembers(present, next.Voters[0]) {
+		return nil, err
+	}
+	next.Voters = []*tierpb.VoterSet{present, next.Voters[0]}
+	return next, nil
+}
+
 // FinishVoters drops the old voters where voters are joint, once the joint value is chosen.
 func FinishVoters(ctx context.Context, proposer *Proposer) (*tierpb.ControlState, error) {
 	return proposer.Change(ctx, func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
