--- a/internal/tier/coordinator/handover.go
+++ b/internal/tier/coordinator/handover.go
@@ -19,7 +19,7 @@
 // computed on the newest value and takes no vote but the own.
 func (c *coordinator) handOver(ctx context.Context) {
 	known := c.state.Control()
-	if len(known.GetVoters()) < 2 && placement.HandOver(known, c.view(known), c.self.Identity) == nil {
+	if len(c.voters()) < 2 && placement.HandOver(known, c.view(known), c.self.Identity) == nil {
 		return
 	}
 	var next []*tierpb.Node
@@ -32,7 +32,7 @@
 		current.Voters = []*tierpb.VoterSet{{Nodes: next}}
 		return current, nil
 	})
-	if len(c.state.Control().GetVoters()) > 1 {
+	if len(c.voters()) > 1 {
 		patience, cancel := context.WithTimeout(ctx, finishPatience)
 		defer cancel()
 		_, err = c.finishVoters(patience)
