Placement: one rule for lives of one machine; deltas carry the holder's term

Two rules for an earlier life of a machine stood beside each other (fresh and isReplaced) and disagreed where its call is read late: 1 test of placement failed. The later last call counts, at equal ones the later first. withoutBody left out the term: TestDeltaLeavesOutTheBodyAlone, which goes through all fields, named the 2 that were missing.

--- a/internal/tier/placement/moves.go
+++ b/internal/tier/placement/moves.go
@@ -43,7 +43,7 @@
 			move.reported++
 		case isGone(member, stores.Current):
 			move.gone++
-		case known && view.fresh(join) && !view.isReplaced(join) && isMoving(stores, view):
+		case known && view.fresh(join) && isMoving(stores, view):
 			move.awaited = true
 		}
 	}
--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -80,19 +80,11 @@
 }
 
 func (v *View) superseded(join Join) bool {
-	for _, other := range v.Joins {
-		if other.Request.Node.Address == join.Request.Node.Address && other.Heard.After(join.Heard) {
-			return true
-		}
-	}
-	return false
-}
-
-// isReplaced says that a node's machine calls under another identity since: its disk is lost.
-func (v *View) isReplaced(join Join) bool {
 	return slices.ContainsFunc(v.Joins, func(other Join) bool {
-		was, is := join.Request.Node, other.Request.Node
-		return was.Role == is.Role && was.Address == is.Address && was.Identity != is.Identity && other.First.After(join.First)
+		if other.Request.Node.Address != join.Request.Node.Address {
+			return false
+		}
+		return other.Heard.After(join.Heard) || other.Heard.Equal(join.Heard) && other.First.After(join.First)
 	})
 }
 
--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -62,7 +62,7 @@
 	var waiting []Join
 	for _, join := range view.Joins {
 		node := join.Request.Node
-		if node.Role != tierpb.Role_ROLE_TURN_STORE || !view.fresh(join) || view.isReplaced(join) || retired(current, node) {
+		if node.Role != tierpb.Role_ROLE_TURN_STORE || !view.fresh(join) || retired(current, node) {
 			continue
 		}
 		if find(current.Stores.Current, node.Identity) < 0 {
--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -231,6 +231,7 @@
 		Version: control.Version, Epoch: control.Epoch, Voters: control.Voters, Stores: control.Stores,
 		Configuration: &tierpb.Configuration{Generation: control.Configuration.GetGeneration()},
 		Taken:         control.Taken, OlderOrders: control.OlderOrders, Retirements: control.Retirements,
+		PlacementTerm: control.PlacementTerm, PlacementHolder: control.PlacementHolder,
 	}
 }
 
