--- a/internal/tier/proxy/connection.go
+++ b/internal/tier/proxy/connection.go
@@ -12,7 +12,7 @@
 	net.Conn
 	mu      sync.Mutex
 	resting bool
-	ending  bool // it is to be closed as soon as it rests
+	since   time.Time // it rests
 }
 
 // Read reads from the client.
@@ -34,29 +34,18 @@
 	return c.Conn.Close()
 }
 
-func (c *clientConnection) rest() {
+func (c *clientConnection) rest(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.resting = true
+	c.resting, c.since = true, now
 }
 
-// SetReadDeadline sets when reads end. One that is to be closed stays expired while it rests, whatever net/http sets.
-func (c *clientConnection) SetReadDeadline(deadline time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ending && c.resting {
-		deadline = expired
-	}
-	return c.Conn.SetReadDeadline(deadline)
-}
-
-// expire has the server close the connection where it rests, now or later. A read that has just taken bytes lifts the
+// expire has the server close the connection where it has rested for a while. A read that has just taken bytes lifts the
 // deadline again: net/http sets it anew after them.
-func (c *clientConnection) expire() {
+func (c *clientConnection) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true
-	if c.resting {
+	if c.resting && now.Sub(c.since) >= restLeast {
 		_ = c.Conn.SetReadDeadline(expired)
 	}
 }
--- a/internal/tier/proxy/front.go
+++ b/internal/tier/proxy/front.go
@@ -23,6 +23,7 @@
 	answerMargin  = 200 * time.Millisecond  // within which answers to that go out
 	settleMargin  = 200 * time.Millisecond  // and then what programs spent is settled
 	drainTick     = 100 * time.Millisecond
+	restLeast     = 100 * time.Millisecond // a client may be about to send again; its answer will ask for the close
 	headerSlack   = time.Second
 	idleSlack     = 5 * time.Second
 	headerRoom    = 4 << 10  // the proxy itself judges heads near the limit
@@ -102,7 +103,7 @@
 	f.close()
 }
 
-// stopAccepting closes the listener; from then on a connection ends as soon as it rests.
+// stopAccepting closes the listener.
 func (f *front) stopAccepting() {
 	f.closed.Store(true)
 	_ = f.listener.Close()
@@ -112,7 +113,7 @@
 func (f *front) awaitClosed(until time.Time) {
 	ticker := time.NewTicker(drainTick)
 	defer ticker.Stop()
-	for f.expireResting() > 0 && time.Now().Before(until) {
+	for f.expireResting(time.Now()) > 0 && time.Now().Before(until) {
 		<-ticker.C
 	}
 }
@@ -131,12 +132,12 @@
 	}
 }
 
-// expireResting ends connections on which no request has begun and returns how many are open.
-func (f *front) expireResting() int {
+// expireResting ends connections on which no request has begun for a while and returns how many are open.
+func (f *front) expireResting(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, connection := range f.open {
-		connection.expire()
+		connection.expire(now)
 	}
 	return len(f.open)
 }
@@ -144,10 +145,7 @@
 func (f *front) stateChanged(connection net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateIdle:
-		connection.(*clientConnection).rest()
-		if f.closed.Load() {
-			connection.(*clientConnection).expire()
-		}
+		connection.(*clientConnection).rest(time.Now())
 	case http.StateClosed, http.StateHijacked:
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -167,7 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
-	connection := &clientConnection{Conn: accepted, resting: true}
+	connection := &clientConnection{Conn: accepted, resting: true, since: time.Now()}
 	g.front.mu.Lock()
 	defer g.front.mu.Unlock()
 	g.front.open[connection] = connection
