--- a/internal/gatherer/net/frames/transport.go
+++ b/internal/gatherer/net/frames/transport.go
@@ -1,13 +1,8 @@
 package frames
 
 import (
-	"bufio"
 	"context"
-	"errors"
-	"io"
 	"log/slog"
-	"net"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -15,7 +10,6 @@
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
-	"pulleygw.example/pulleygw/internal/shared/peek"
 )
 
 // Config is what a transport needs to know.
@@ -45,39 +39,6 @@
 	pool mem.Pool[*conn]
 }
 
-// entry is an attempt on a connection.
-type entry struct {
-	a       *gather.Attempt
-	written time.Time // zero while its frame is not written whole
-}
-
-// conn is one connection. Its writer owns the socket's writing side, its reader the other.
-type conn struct {
-	t    *Transport
-	s    *server
-	addr string   // where it leads
-	nc   net.Conn // nil until it is up
-
-	// Under the transport's lock.
-	queue    [][]*gather.Attempt // calls not yet begun to be written
-	give     []*gather.Attempt   // to be given up
-	probes   int                 // probes to be written
-	out      map[string]*entry   // begun to be written, by part
-	past     []string            // parts lately out
-	load     int                 // parts queued and out
-	served   bool                // a part has been answered
-	asked    []time.Time         // probes that are out
-	up, dead bool
-	ran      mix.Status // how parts end that were written whole when the connection ended
-	silent   bool       // an attempt was given up with nothing heard for long: not chosen any more
-	since    time.Time  // when it came up
-	heard    time.Time  // when something last came
-	idle     time.Time  // since when nothing is on it
-	wake     chan struct{}
-	ctx      context.Context // ends when it is off the books
-	end      context.CancelFunc
-}
-
 // New makes a transport; Start must come before any other call.
 func New(c Config) *Transport {
 	return &Transport{Config: c, servers: map[mix.ServerID]*server{}, where: map[*gather.Attempt]*conn{}}
@@ -86,29 +47,6 @@
 // Start names whom outcomes are reported to.
 func (t *Transport) Start(r gather.Reporter) { t.report = r }
 
-// Room, Load and Ready implement mem.Conn.
-func (c *conn) Room() int { return c.t.Streams - c.load }
-
-// Load implements mem.Conn.
-func (c *conn) Load() int { return c.load }
-
-// unfit says whether a connection is to take no further part: it is silent, or its server has moved or has started
-// since, and it leads to a process that is no more.
-func (c *conn) unfit() bool {
-	return c.silent || c.addr != c.s.Addr || c.up && c.since.Before(c.s.Born)
-}
-
-// Ready implements mem.Conn.
-func (c *conn) Ready() int {
-	switch {
-	case c.dead || c.unfit():
-		return 0
-	case !c.up:
-		return 1
-	}
-	return 2
-}
-
 // Servers takes in news of the list. What waits to be written to a server that may be sent nothing new is
 // dropped now: the time until such sends must have stopped runs.
 func (t *Transport) Servers(news []mem.Server) {
@@ -138,19 +76,6 @@
 	}
 }
 
-// dropQueue empties a connection's queue and returns what was in it.
-func (c *conn) dropQueue() (dropped []*gather.Attempt) {
-	for _, call := range c.queue {
-		dropped = append(dropped, call...)
-		c.load -= len(call)
-	}
-	c.queue = nil
-	for _, a := range dropped {
-		delete(c.t.where, a)
-	}
-	return dropped
-}
-
 // end reports the same outcome for attempts, from a goroutine of its own as the caller holds the lock or is
 // the core itself.
 func (t *Transport) end(attempts []*gather.Attempt, s mix.Status) {
@@ -210,13 +135,6 @@
 	return c
 }
 
-func (c *conn) kick() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Cancel implements gather.Transport.
 func (t *Transport) Cancel(a *gather.Attempt) {
 	t.mu.Lock()
@@ -251,16 +169,6 @@
 	c.kick()
 }
 
-// settle notes since when a connection is idle.
-func (c *conn) settle() {
-	if c.load == 0 {
-		c.idle = time.Now()
-		if c.unfit() {
-			c.kick() // to be closed
-		}
-	}
-}
-
 // Probe implements gather.Transport.
 func (t *Transport) Probe(id mix.ServerID) {
 	t.mu.Lock()
@@ -313,257 +221,5 @@
 	}
 }
 
-// remove takes a connection off the books, under the lock, and ends its goroutines.
-func (c *conn) remove() {
-	if c.dead {
-		return
-	}
-	c.dead = true
-	c.end() // a dial, too, as it holds a descriptor
-	c.s.pool.Remove(c)
-	c.t.conns--
-	if c.nc != nil {
-		c.nc.Close()
-	}
-	c.t.end(c.give, mix.Cancelled) // by the close
-	c.give = nil
-	if c.s.State == mix.Gone && c.s.pool.Len() == 0 && c.t.servers[c.s.ID] == c.s {
-		delete(c.t.servers, c.s.ID)
-	}
-}
-
-// fail ends a connection and all that is on it: what was written whole may have run, the rest never did.
-// Parts end as reset where the connection broke, and as faulty where the lot store wrote what cannot be
-// read, or did not end what it began: that store lives, and is not to be taken for one that died. A frame that is being written at this moment is left to its writer.
-func (c *conn) fail(err error) {
-	t, ran := c.t, mix.Reset
-	if errors.Is(err, errMalformed) || errors.Is(err, os.ErrDeadlineExceeded) {
-		ran = mix.Error
-	}
-	t.mu.Lock()
-	if !c.dead {
-		c.ran = ran
-	}
-	var reset []*gather.Attempt
-	var crossed [][]*gather.Attempt
-	if c.resting() {
-		crossed = c.queue
-	}
-	never := c.dropQueue()
-	for id, e := range c.out {
-		if !e.written.IsZero() {
-			reset = append(reset, e.a)
-			delete(c.out, id)
-			delete(t.where, e.a)
-		}
-	}
-	probes, was := c.probes+len(c.asked), c.dead
-	c.probes, c.asked = 0, nil
-	c.remove()
-	id := c.s.ID
-	for _, call := range crossed {
-		if len(call) > 0 { // not all cancelled
-			t.call(id, call)
-		}
-	}
-	if crossed != nil {
-		never = nil
-	}
-	t.mu.Unlock()
-	if !was || len(reset)+len(never) > 0 {
-		t.Log.Info("connection ended", "store", id, "out", len(reset), "never_sent", len(never), "moved", len(crossed), "reason", err)
-	}
-	for _, a := range reset {
-		t.report.Outcome(a, ran, "")
-	}
-	for _, a := range never {
-		t.report.Outcome(a, mix.ConnectFailed, "")
-	}
-	for range probes {
-		t.report.Probed(id, false)
-	}
-}
-
-// resting says whether nothing is out on a connection that has served: if it ends now, its lot store closed it as idle,
-// or right behind an answer, and what is queued on it has not gone and goes on another. One that has served nothing is
-// not taken for resting, or a lot store that closes each at once would be dialled for ever. The lock is held.
-func (c *conn) resting() bool { return c.served && len(c.out) == 0 && !c.dead }
-
-// crossed says whether a call is queued on a connection that rested and whose end has come, though its reader has not
-// seen it yet: what is written to it would end as a reset, and might have run for all that is known here.
-func (c *conn) crossed() bool {
-	c.t.mu.Lock()
-	resting := c.resting() && len(c.queue) > 0
-	c.t.mu.Unlock()
-	if !resting {
-		return false
-	}
-	_, ended := peek.Look(c.nc)
-	return ended
-}
-
-// run opens the connection and writes what is to be written.
-func (c *conn) run() {
-	nc, err := (&net.Dialer{Timeout: c.t.ConnectTimeout, KeepAlive: -1}).DialContext(c.ctx, "tcp", c.addr)
-	if err != nil {
-		c.fail(err)
-		return
-	}
-	c.t.mu.Lock()
-	if c.dead {
-		c.t.mu.Unlock()
-		nc.Close()
-		return
-	}
-	c.nc, c.up, c.since = nc, true, time.Now()
-	c.heard = c.since
-	c.t.mu.Unlock()
-	go c.read()
-	// Closed well before the lot store would, as what crosses that close ends as a reset.
-	check := time.NewTicker(c.t.ConnIdle / 6)
-	defer check.Stop()
-	for {
-		more, err := c.write()
-		if err != nil {
-			c.fail(err)
-			return
-		}
-		if more {
-			continue
-		}
-		select {
-		case <-c.wake:
-		case <-check.C:
-		case <-c.ctx.Done():
-			return
-		}
-	}
-}
-
-// write writes the next thing in line and says whether there was one. An idle connection is closed here.
-func (c *conn) write() (more bool, err error) {
-	if c.crossed() {
-		return false, io.EOF
-	}
-	t, now := c.t, time.Now()
-	t.mu.Lock()
-	switch {
-	case c.dead:
-		t.mu.Unlock()
-		return false, nil
-	case len(c.give) > 0 || c.probes > 0:
-		var b []byte
-		for _, a := range c.give {
-			b = appendFrame(b, letterGiveUp, partID(a))
-		}
-		given := c.give
-		for range c.probes {
-			b = appendFrame(b, letterProbe, "")
-			c.asked = append(c.asked, now)
-			time.AfterFunc(t.ConnectTimeout+time.Millisecond, c.kick) // to see whether it is overdue
-		}
-		c.give, c.probes = nil, 0
-		t.mu.Unlock()
-		c.nc.SetWriteDeadline(now.Add(t.WriteFor))
-		_, err := c.nc.Write(b)
-		if err != nil {
-			c.nc.Close() // that, too, gives them up
-		}
-		for _, a := range given {
-			t.report.Outcome(a, mix.Cancelled, "")
-		}
-		return true, err
-	case len(c.queue) > 0:
-		call := c.queue[0]
-		c.queue = c.queue[1:]
-		return true, c.writeCall(call, now)
-	}
-	if len(c.asked) > 0 && now.Sub(c.asked[0]) > t.ConnectTimeout {
-		c.asked = c.asked[1:]
-		c.silent = true
-		id := c.s.ID
-		t.mu.Unlock()
-		t.report.Probed(id, false)
-		return true, nil
-	}
-	if c.load == 0 && len(c.asked) == 0 && (c.unfit() || now.Sub(c.idle) > t.ConnIdle/2) {
-		c.remove()
-	}
-	t.mu.Unlock()
-	return false, nil
-}
-
 // silentFor is how long a connection may be silent with a part out on it.
 func (t *Transport) silentFor() time.Duration { return 4 * t.ConnectTimeout }
-
-// writeCall writes one call; the lock is held on entry and is not on return. It looks again at what time
-// and the list say: a keyed part past its window, a part past its time or a server that drains by now are
-// not written, and never ran.
-func (c *conn) writeCall(call []*gather.Attempt, now time.Time) error {
-	t := c.t
-	var lines []string
-	var late, attempts []*gather.Attempt
-	for _, a := range call {
-		if c.s.State != mix.Ready || a.Stale(now) {
-			late = append(late, a)
-			delete(t.where, a)
-			c.load--
-			continue
-		}
-		c.out[partID(a)] = &entry{a: a}
-		attempts = append(attempts, a)
-		lines = append(lines, partLine(a, a.Until.Sub(now).Milliseconds()))
-	}
-	c.settle()
-	t.mu.Unlock()
-	for _, a := range late {
-		t.report.Outcome(a, mix.Moot, "")
-	}
-	if len(attempts) == 0 {
-		return nil
-	}
-	c.nc.SetWriteDeadline(gather.WriteBy(now, t.WriteFor, attempts))
-	err := writeCall(c.nc, lines, attempts)
-	t.mu.Lock()
-	var ended []*gather.Attempt
-	for _, a := range attempts {
-		e := c.out[partID(a)]
-		if e == nil || e.a != a {
-			continue // answered or cancelled meanwhile
-		}
-		if err == nil && !c.dead {
-			e.written = time.Now()
-			continue
-		}
-		delete(c.out, partID(a))
-		delete(t.where, a)
-		ended = append(ended, a)
-	}
-	status := c.ran // written whole, and the connection ended before that was booked
-	t.mu.Unlock()
-	if err != nil {
-		status = mix.ConnectFailed
-	}
-	for _, a := range ended {
-		t.report.Outcome(a, status, "")
-	}
-	return err
-}
-
-// read takes in what the lot store tells until the connection ends.
-func (c *conn) read() {
-	r, take := bufio.NewReaderSize(c.nc, 4<<10), c.take
-	for {
-		if _, err := r.Peek(1); err != nil {
-			c.fail(err)
-			return
-		}
-		// Once a frame has begun, the rest of it must follow.
-		c.nc.SetReadDeadline(time.Now().Add(c.t.ConnectTimeout))
-		if err := readFrame(r, take); err != nil {
-			c.fail(err)
-			return
-		}
-		c.nc.SetReadDeadline(time.Time{})
-	}
-}
