--- /dev/null
+++ b/internal/gatherer/limits/budget.go
@@ -0,0 +1,59 @@
+package limits
+
+import "time"
+
+// slots counts amounts over a moving span in ten steps of it: no memory grows with what is counted.
+type slots struct {
+	n    [slotCount + 1]float64
+	head int
+	at   time.Duration // when the newest slot began
+}
+
+const slotCount = 10
+
+func (s *slots) turn(now, span time.Duration) {
+	step := max(span/slotCount, 1)
+	gone := (now - s.at) / step
+	if gone <= 0 {
+		return // also where a clock went back: what was counted stays
+	}
+	for range min(gone, slotCount+1) {
+		s.head = (s.head + 1) % len(s.n)
+		s.n[s.head] = 0
+	}
+	s.at += gone * step
+}
+
+func (s *slots) add(now, span time.Duration, x float64) {
+	s.turn(now, span)
+	s.n[s.head] += x
+}
+
+func (s *slots) sum(now, span time.Duration) (total float64) {
+	s.turn(now, span)
+	for _, x := range s.n {
+		total += x
+	}
+	return total
+}
+
+// budget is a retry budget.
+type budget struct{ first, further slots }
+
+func (b *budget) attempt(r Repeats, now time.Duration) {
+	if r.Span > 0 {
+		b.first.add(now, r.Span, 1)
+	}
+}
+
+// repeat says whether a further attempt fits, and counts it if so.
+func (b *budget) repeat(r Repeats, now time.Duration) bool {
+	if r.Span <= 0 {
+		return true
+	}
+	if b.further.sum(now, r.Span)+1 > r.Free+r.Share*b.first.sum(now, r.Span) {
+		return false
+	}
+	b.further.add(now, r.Span, 1)
+	return true
+}
