--- a/internal/layout_test.go
+++ b/internal/layout_test.go
@@ -15,8 +15,8 @@
 
 const module = "pulleygw.example/pulleygw/"
 
-// mayImport says which parts of the tree each part may import: both houses stand on the shared ground, and neither
-// reaches into the other.
+// mayImport says which parts of the tree each part may import: the gatherer and the serving tier use the shared packages,
+// and neither imports the other.
 var mayImport = map[string][]string{
 	"internal/shared":   {"internal/shared"},
 	"internal/gatherer": {"internal/gatherer", "internal/shared", "policy"},
@@ -27,8 +27,8 @@
 	"cmd/pulleytier":    {"internal/tier", "internal/shared"},
 }
 
-// TestNoImportRunsUpOrBetweenTheHouses reads every file's imports; those of tests count as well.
-func TestNoImportRunsUpOrBetweenTheHouses(t *testing.T) {
+// TestImportsFollowTheLayout reads every file's imports; those of tests count as well.
+func TestImportsFollowTheLayout(t *testing.T) {
 	for part, allowed := range mayImport {
 		files := 0
 		err := filepath.WalkDir(filepath.Join("..", part), func(name string, d fs.DirEntry, err error) error {
@@ -51,8 +51,8 @@
 	}
 }
 
-// TestEveryPartStandsInAHouse names a folder that is in none.
-func TestEveryPartStandsInAHouse(t *testing.T) {
+// TestEveryPackageBelongsToAProgram names a folder that is neither program's nor shared.
+func TestEveryPackageBelongsToAProgram(t *testing.T) {
 	folders, err := filepath.Glob("*/")
 	assert.NilError(t, err)
 	for _, folder := range folders {
