--- a/internal/gatherer/aggs/aggs_test.go
+++ b/internal/gatherer/aggs/aggs_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"pulleygw.example/pulleygw/internal/gatherer/aggs"
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/query"
 	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
 )
@@ -104,7 +104,7 @@
 
 // Merged out of any number of ranges, each aggregation is the one over all lots at once.
 func TestMergedIsWhole(t *testing.T) {
-	garble.Seed(t, 300)
+	proptest.Seed(t, 300)
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "ranges")
 		c := lots.New(uint64(rapid.IntRange(1, 5).Draw(t, "seed")), n, rapid.IntRange(0, 30).Draw(t, "lots"))
@@ -124,7 +124,7 @@
 
 // With ranges missing, a figure that says it is a bound is one.
 func TestBoundsHold(t *testing.T) {
-	garble.Seed(t, 200)
+	proptest.Seed(t, 200)
 	list, e := parse(`{"aggs":{"min":{"min":{"field":"price"}},"max":{"max":{"field":"price"}},"n":{"value_count":{"field":"price"}},` +
 		`"c":{"cardinality":{"field":"make"}},"t":{"terms":{"field":"make"}},"r":{"range":{"field":"year","ranges":[{"from":2000}]}},` +
 		`"f":{"filter":{"term":{"make":"Claas"}}},"h":{"histogram":{"field":"year","interval":5,"min_doc_count":1}},"s":{"sum":{"field":"price"}}}}`)
@@ -157,7 +157,7 @@
 
 // Where ranges cut their lists, each count is right within its stated error, and so is what no list shows.
 func TestTermsError(t *testing.T) {
-	garble.Seed(t, 200)
+	proptest.Seed(t, 200)
 	list, _ := parse(`{"aggs":{"t":{"terms":{"field":"year","size":2}}}}`) // 13 of up to 36 years from each range
 	exact, _ := parse(`{"aggs":{"t":{"terms":{"field":"year","size":100}}}}`)
 	more, _ := parse(`{"aggs":{"t":{"terms":{"field":"year","size":2,"shard_size":40}}}}`)
@@ -288,10 +288,10 @@
 		}
 		return nil
 	}
-	garble.Check(t, true, feed, example)
+	proptest.CheckParser(t, true, feed, example)
 	list, _ := parse(`{"a":` + example + `}`)
 	answer := gjson.Get(lots.New(1, 1, 5).NewCopy("t", 0).Search(0, gjson.Parse(`{"aggs":`+string(aggs.AppendAsk(nil, list))+`}`)), "aggregations").Raw
-	garble.Check(t, false, func(b []byte) error {
+	proptest.CheckParser(t, false, func(b []byte) error {
 		parts, why := aggs.Decode(list, gjson.ParseBytes(b))
 		if why != "" {
 			return fmt.Errorf("%s", why)
--- a/internal/gatherer/config/config_test.go
+++ b/internal/gatherer/config/config_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/limits"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 var classes = []limits.Class{
@@ -96,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	garble.Check(t, false, feed, string(text))
+	proptest.CheckParser(t, false, feed, string(text))
 }
 
 func FuzzConfig(f *testing.F) {
--- a/internal/gatherer/lifecycle/lifecycle_test.go
+++ b/internal/gatherer/lifecycle/lifecycle_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 func write(t *testing.T, text string) string {
@@ -66,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	garble.Check(t, true, func(b []byte) error { _, err := LoadConfig(write(t, string(b)), noEnv); return err }, strings.TrimSpace(string(good)))
+	proptest.CheckParser(t, true, func(b []byte) error { _, err := LoadConfig(write(t, string(b)), noEnv); return err }, strings.TrimSpace(string(good)))
 }
 
 func TestOptionalFiles(t *testing.T) {
--- a/internal/gatherer/limits/limits_test.go
+++ b/internal/gatherer/limits/limits_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 const (
@@ -81,7 +81,7 @@
 // Whatever comes, a gate has no more in hand than its limit, gives every request one decision, serves higher priorities
 // first and the rest as they came, and never more in any second than its rate and burst.
 func TestGate(t *testing.T) {
-	garble.Seed(t, 400)
+	proptest.Seed(t, 400)
 	rapid.Check(t, func(t *rapid.T) {
 		g := &Gate{Limits: Limits{Concurrency: Concurrency{Most: rapid.IntRange(1, 6).Draw(t, "most"), Queue: rapid.IntRange(0, 4).Draw(t, "queue"), Wait: 300 * ms}}}
 		if rapid.Bool().Draw(t, "follows") {
@@ -262,7 +262,7 @@
 
 // The trie finds what looking at every route finds.
 func TestFind(t *testing.T) {
-	garble.Seed(t, 1000)
+	proptest.Seed(t, 1000)
 	pieces := rapid.SampledFrom([]string{"", "*", "a", "ab", "ab*", "abc", "a*", "b*", "bids", "abcd*"})
 	nets := rapid.SampledFrom([]string{"10.0.0.0/8", "10.1.0.0/16", "10.1.2.0/24", "::1/128", "0.0.0.0/0"})
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/gatherer/merge/merge_test.go
+++ b/internal/gatherer/merge/merge_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 var byScore = []Key{{Field: Score, Desc: true}}
@@ -27,7 +27,7 @@
 
 // The page is the one that sorting everything gives, whichever order answers come in, with each lot once.
 func TestTopIsTheSortedPage(t *testing.T) {
-	garble.Seed(t, 500)
+	proptest.Seed(t, 500)
 	rapid.Check(t, func(t *rapid.T) {
 		keys := []Key{{Field: "a", Desc: rapid.Bool().Draw(t, "desc"), MissingFirst: rapid.Bool().Draw(t, "first")}, {Field: "b"}}
 		value := rapid.Custom(func(t *rapid.T) Value {
--- a/internal/gatherer/net/admin/admin_test.go
+++ b/internal/gatherer/net/admin/admin_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
@@ -24,7 +24,7 @@
 			t.Errorf("%q is taken for %+v", line, c)
 		}
 	}
-	garble.Check(t, true, func(b []byte) error {
+	proptest.CheckParser(t, true, func(b []byte) error {
 		line, err := readLine(strings.NewReader(string(b)))
 		if err == nil {
 			_, err = Parse(line)
--- a/internal/gatherer/net/discovery/discovery_test.go
+++ b/internal/gatherer/net/discovery/discovery_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
@@ -39,7 +39,7 @@
 	if seq, same, err := ParseList(indented.Bytes(), zones); err != nil || seq != 43 || !reflect.DeepEqual(same, l) {
 		t.Errorf("indented: %d %+v %v", seq, same, err)
 	}
-	garble.Check(t, true, func(b []byte) error { _, _, err := ParseList(b, zones); return err },
+	proptest.CheckParser(t, true, func(b []byte) error { _, _, err := ParseList(b, zones); return err },
 		delta, standin.List(1, standin.Host("s", "1:2", "a", 0, "ready")))
 }
 
--- a/internal/gatherer/net/frames/frames_test.go
+++ b/internal/gatherer/net/frames/frames_test.go
@@ -12,21 +12,21 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
 func TestGarbage(t *testing.T) {
-	garble.Check(t, true, func(b []byte) error {
+	proptest.CheckParser(t, true, func(b []byte) error {
 		return readFrame(bufio.NewReader(bytes.NewReader(b)), func(byte, []byte) error { return nil })
 	}, string(standin.Frame('E', "a.3 hit 7 -\n"+strings.Repeat("v", 9000))), string(standin.Frame('E', "a.3 hit 7 -\nvalue")), string(standin.Frame('C', "hit")))
-	garble.Check(t, false, func(b []byte) error { _, err := parseEnd(b); return err },
+	proptest.CheckParser(t, false, func(b []byte) error { _, err := parseEnd(b); return err },
 		"9b1f03aa5c7e2d41.3 hit 1840277719 inflight=7,util=0.61\nvalue", "a.1 overload 0 -\n", "a.1 hit 0 %% =, nan\nvalue", "a.1 hit 0 \n")
-	garble.Check(t, false, func(b []byte) error {
+	proptest.CheckParser(t, false, func(b []byte) error {
 		if len(b) == 0 {
 			return nil
 		}
@@ -102,7 +102,7 @@
 			t.Errorf("%q: score %v, value %q, error %v", text, got, e.value, err)
 		}
 	}
-	garble.Check(t, false, func(b []byte) error { _, err := parseEnd(b); return err }, "9b1f03aa5c7e2d41.3.load hit 1840277719 inflight=7\nvalue")
+	proptest.CheckParser(t, false, func(b []byte) error { _, err := parseEnd(b); return err }, "9b1f03aa5c7e2d41.3.load hit 1840277719 inflight=7\nvalue")
 }
 
 // reports collects what the transport tells.
--- a/internal/gatherer/net/handover/handover_test.go
+++ b/internal/gatherer/net/handover/handover_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 var state = State{Hosts: []byte(`{"seq":0,"whole":true,"hosts":[]}`), Banned: []string{"s-1"}, Attached: map[string]int64{"s-2": 1764600000000},
@@ -18,7 +18,7 @@
 func TestParse(t *testing.T) {
 	valid := []string{line(Message{Kind: Hello}), line(Message{Kind: CallMade, ID: 1, Verb: "DETACH", Name: "s-1", AtMs: 1}),
 		line(Message{Kind: CallHeard, ID: 1}), line(Message{Kind: StateIs, State: &state})}
-	garble.Check(t, true, func(b []byte) error { _, err := Parse(b); return err }, valid...)
+	proptest.CheckParser(t, true, func(b []byte) error { _, err := Parse(b); return err }, valid...)
 	for _, text := range []string{`{}`, `[]`, `{"kind":"call"}`, `{"kind":"state"}`, `{"kind":"call","verb":"DETACH","at_ms":-1}`,
 		strings.Replace(valid[3], `"failing":0.1`, `"failing":2`, 1), strings.Replace(valid[3], `1.5`, `-1.5`, 1),
 		strings.Replace(valid[3], `"per_second":12.5`, `"per_second":-1`, 1), strings.Replace(valid[3], `"per_second":12.5`, `"per_second":1e9`, 1)} {
--- a/internal/gatherer/net/http1/http1_test.go
+++ b/internal/gatherer/net/http1/http1_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 const (
@@ -28,8 +28,8 @@
 }
 
 func TestGarbage(t *testing.T) {
-	garble.Check(t, true, request, post, chunked, "GET /-/ready HTTP/1.1\r\n\r\n")
-	garble.Check(t, true, func(b []byte) error {
+	proptest.CheckParser(t, true, request, post, chunked, "GET /-/ready HTTP/1.1\r\n\r\n")
+	proptest.CheckParser(t, true, func(b []byte) error {
 		p, err := NewReader(bytes.NewReader(b)).Response()
 		if err == nil {
 			p.Release()
--- a/internal/gatherer/net/opensearch/opensearch_test.go
+++ b/internal/gatherer/net/opensearch/opensearch_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
 )
 
@@ -144,7 +144,7 @@
 
 func TestParseGarbage(t *testing.T) {
 	f, _ := front(gather.Result{Whole: true, Parts: []gather.PartResult{{OK: true}}})
-	garble.Check(t, true, func(b []byte) error {
+	proptest.CheckParser(t, true, func(b []byte) error {
 		p := call(f, "POST", "/lots/_search", string(b))
 		if p.Status != 200 && p.Status != 400 {
 			t.Fatalf("status %d", p.Status)
@@ -154,9 +154,9 @@
 		}
 		return nil
 	}, `{"query":{"match":{"lot":"tractor"}},"size":5}`)
-	garble.Check(t, false, func(b []byte) error { call(f, "POST", "/"+string(b), "{}"); return nil },
+	proptest.CheckParser(t, false, func(b []byte) error { call(f, "POST", "/"+string(b), "{}"); return nil },
 		"lots/_search?timeout=2s&preference=_shards:1,2", "bids/_create/1?routing=x")
-	garble.Check(t, true, func(b []byte) error {
+	proptest.CheckParser(t, true, func(b []byte) error {
 		_, err := parseItems(&http1.Response{Status: 200, Body: b}, 1, false)
 		return err
 	}, `{"took":1,"responses":[{"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]},"status":200}]}`)
--- a/internal/gatherer/net/opensearch/parsers_test.go
+++ b/internal/gatherer/net/opensearch/parsers_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
@@ -57,8 +57,8 @@
 
 // Cuts and garbage get an error and never more.
 func TestSearchParsers(t *testing.T) {
-	garble.Check(t, true, parseSearchBody, bodies...)
-	garble.Check(t, true, parseSearchItem, items...)
+	proptest.CheckParser(t, true, parseSearchBody, bodies...)
+	proptest.CheckParser(t, true, parseSearchItem, items...)
 }
 
 func FuzzSearchBody(f *testing.F) {
--- a/internal/gatherer/net/opensearch/random_test.go
+++ b/internal/gatherer/net/opensearch/random_test.go
@@ -11,8 +11,8 @@
 	"github.com/tidwall/gjson"
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
 	"pulleygw.example/pulleygw/internal/gatherer/standin/lots"
@@ -22,7 +22,7 @@
 // an answer says of itself is true: whole, it is the page of all lots; else it is the page of the ranges that it does not
 // name as missing, its share is right, and its count is what it says.
 func TestRandomSearches(t *testing.T) {
-	garble.Seed(t, 60)
+	proptest.Seed(t, 60)
 	rapid.Check(t, func(rt *rapid.T) {
 		phases := rapid.SampledFrom([]search.Phases{0, search.One, search.Two}).Draw(rt, "phases")
 		asks := rapid.SliceOfN(rapid.Custom(draw), 1, 6).Draw(rt, "searches")
@@ -131,7 +131,7 @@
 // pinned, and a few ranges written between the pages: no lot stands on two pages, none that came later stands on any, and
 // one that was there is on a page or of a range that a page named. Where nothing was named, all of them are there in order.
 func TestRandomWalks(t *testing.T) {
-	garble.Seed(t, 40)
+	proptest.Seed(t, 40)
 	rapid.Check(t, func(rt *rapid.T) {
 		refresh := rapid.SliceOfN(rapid.IntRange(1, 20), 18, 18).Draw(rt, "refresh in seconds")
 		keep := rapid.SliceOfN(rapid.IntRange(0, 5), 18, 18).Draw(rt, "views kept")
--- a/internal/gatherer/net/platform/platform_test.go
+++ b/internal/gatherer/net/platform/platform_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
 )
 
@@ -139,14 +139,14 @@
 
 func TestGarbage(t *testing.T) {
 	f, _ := front(gather.Result{})
-	garble.Check(t, true, func(b []byte) error {
+	proptest.CheckParser(t, true, func(b []byte) error {
 		_, _, err := f.parseBody(b)
 		if err != nil {
 			return err
 		}
 		return nil
 	}, good)
-	garble.Check(t, false, func(b []byte) error {
+	proptest.CheckParser(t, false, func(b []byte) error {
 		if d, ok := parseWait(string(b)); !ok {
 			return errors.New("refused")
 		} else if d < 0 || d > longest || strings.ContainsAny(string(b), "-+exInN_") {
--- a/internal/gatherer/pages/pages_test.go
+++ b/internal/gatherer/pages/pages_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 var now = time.Unix(1_790_000_000, 0)
@@ -39,7 +39,7 @@
 
 // A token gives back what was pinned, and is short enough for any client to carry.
 func TestTokens(t *testing.T) {
-	garble.Seed(t, 300)
+	proptest.Seed(t, 300)
 	k := keys(t, "a")
 	rapid.Check(t, func(t *rapid.T) {
 		p := &Pin{Index: rapid.StringN(0, 20, 60).Draw(t, "index"), Ends: now.Add(time.Hour), Ranges: rapid.IntRange(0, 300).Draw(t, "ranges")}
@@ -116,8 +116,8 @@
 // Cuts and garbage are refused, also behind a good signature.
 func TestGarbage(t *testing.T) {
 	k := keys(t, "k")
-	garble.Check(t, true, open, k.Seal(pin(24)))
-	garble.Check(t, false, func(b []byte) error { decode(b); return nil }, k.Seal(pin(24)))
+	proptest.CheckParser(t, true, open, k.Seal(pin(24)))
+	proptest.CheckParser(t, false, func(b []byte) error { decode(b); return nil }, k.Seal(pin(24)))
 }
 
 func FuzzToken(f *testing.F) {
--- a/internal/gatherer/garble/garble.go
+++ b/internal/gatherer/proptest/proptest.go
@@ -1,6 +1,6 @@
-// Package garble is the one test helper for parsers: random cuts of valid messages and random garbage,
-// from fixed seeds.
-package garble
+// Package proptest is the test helper for property tests: fixed seeds, and for parsers random cuts of valid messages and
+// random garbage.
+package proptest
 
 import (
 	"flag"
@@ -20,9 +20,9 @@
 	}
 }
 
-// Check feeds parse each valid message, cuts and mutations of them, and garbage. Valid ones must be taken;
+// CheckParser feeds parse each valid message, cuts and mutations of them, and garbage. Valid ones must be taken;
 // nothing may panic; and where every byte of a message is needed, no strict prefix may be taken.
-func Check(t *testing.T, allNeeded bool, parse func([]byte) error, valid ...string) {
+func CheckParser(t *testing.T, allNeeded bool, parse func([]byte) error, valid ...string) {
 	t.Helper()
 	Seed(t, 300)
 	for _, v := range valid {
--- a/internal/gatherer/query/query_test.go
+++ b/internal/gatherer/query/query_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 func parse(text string) (Query, *Error) {
@@ -153,8 +153,8 @@
 
 // Cuts and garbage get an error with a place, and what is taken is worded canonically.
 func TestGarbage(t *testing.T) {
-	garble.Check(t, true, feed, valid...)
-	garble.Check(t, false, feedShort, `make:deere AND year:[2015 TO *] -title:"for parts"^2 (cab OR gps~1) x:>=3`)
+	proptest.CheckParser(t, true, feed, valid...)
+	proptest.CheckParser(t, false, feedShort, `make:deere AND year:[2015 TO *] -title:"for parts"^2 (cab OR gps~1) x:>=3`)
 }
 
 func FuzzQuery(f *testing.F) {
--- a/internal/gatherer/record/record_test.go
+++ b/internal/gatherer/record/record_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 func entry(n int) Entry {
@@ -183,7 +183,7 @@
 	if _, err := new(Encoder).Append(&b, &seven); err != nil {
 		t.Fatal(err)
 	}
-	garble.Check(t, true, feed, b.String())
+	proptest.CheckParser(t, true, feed, b.String())
 }
 
 func FuzzDecode(f *testing.F) {
--- a/internal/gatherer/search/search_test.go
+++ b/internal/gatherer/search/search_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/merge"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 const (
@@ -123,7 +123,7 @@
 // Whatever bounds were learnt from earlier searches and whichever order answers come in, pruning loses no lot: the
 // page is the one of a full search, the count is exact or says that it is a bound, and nobody is asked twice.
 func TestPruningLosesNothing(t *testing.T) {
-	garble.Seed(t, 1000)
+	proptest.Seed(t, 1000)
 	rapid.Check(t, func(t *rapid.T) {
 		keys := []merge.Key{{Field: "price", Desc: rapid.Bool().Draw(t, "desc"), MissingFirst: rapid.Bool().Draw(t, "missing first")}}
 		values := rapid.Custom(func(t *rapid.T) merge.Value {
--- a/internal/gatherer/settings/settings_test.go
+++ b/internal/gatherer/settings/settings_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/garble"
 	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
 func TestSettings(t *testing.T) {
@@ -50,7 +50,7 @@
 // A daemon takes nothing that is not whole: each key that it reads must be there, and the error names it.
 func TestParseDaemon(t *testing.T) {
 	good := fmt.Sprintf(whole, bid)
-	garble.Check(t, true, func(b []byte) error { _, err := ParseDaemon(b); return err }, good)
+	proptest.CheckParser(t, true, func(b []byte) error { _, err := ParseDaemon(b); return err }, good)
 	for _, path := range required {
 		text, err := without(good, path)
 		if err != nil {
