--- a/internal/tier/modelcheck/fact.go
+++ b/internal/tier/modelcheck/fact.go
@@ -21,6 +21,7 @@
 	factAccepted
 	factLease
 	factGrant
+	factWatch
 )
 
 // fact is what a fingerprint takes from a message or from a step of a process.
--- a/internal/tier/modelcheck/shrink.go
+++ b/internal/tier/modelcheck/shrink.go
@@ -4,11 +4,11 @@
 
 // Shrink leaves out deviations of a failing schedule as long as the run breaks some invariant without them. The result
 // is that of the shortest schedule found.
-func Shrink(t *testing.T, scenario *Scenario, schedule Schedule) Result {
+func Shrink(t *testing.T, model Model, schedule Schedule) Result {
 	t.Helper()
-	best := Replay(t, scenario, schedule)
+	best := Replay(t, model, schedule)
 	for index := 0; index < len(best.Schedule); {
-		shorter := Replay(t, scenario, best.Schedule.without(index))
+		shorter := Replay(t, model, best.Schedule.without(index))
 		if shorter.Failure == "" || len(shorter.Schedule) >= len(best.Schedule) {
 			index++
 			continue
--- a/internal/tier/modelcheck/timeline.go
+++ b/internal/tier/modelcheck/timeline.go
@@ -21,8 +21,10 @@
 
 func newTimeline(nodes int) *Timeline { return &Timeline{nodes: nodes} }
 
-func (t *Timeline) add(w *world, node int, text string) {
-	t.rows = append(t.rows, row{point: w.points, at: w.now(), node: node, text: text})
+func (t *Timeline) add(w *world, node int, text string) { t.addAt(w.points, w.now(), node, text) }
+
+func (t *Timeline) addAt(point int, at time.Duration, node int, text string) {
+	t.rows = append(t.rows, row{point: point, at: at, node: node, text: text})
 }
 
 const columnWidth = 34
