Model check: the lease while voters change; faults follow the code

One holder at a time is checked for the voters of each epoch that was chosen, as the lease promises it. The faults' texts follow the lease by tenure and the ends of moves.

--- a/internal/tier/modelcheck/scenario.go
+++ b/internal/tier/modelcheck/scenario.go
@@ -78,5 +78,12 @@
 		{
 			Name: "lease", Nodes: 3, Voters: 3, Limits: limits, Lease: true, Candidates: 2, Length: 6 * time.Second,
 		},
+		{
+			Name: "lease-voters", Nodes: 5, Voters: 3, Limits: limits, Lease: true, Candidates: 2, Length: 6 * time.Second,
+			Operations: []Operation{
+				{Kind: Replace, Node: 0, Out: 2, In: 3},
+				{Kind: Replace, Node: 0, Out: 1, In: 4, After: 1},
+			},
+		},
 	}
 }
--- a/internal/tier/modelcheck/world.go
+++ b/internal/tier/modelcheck/world.go
@@ -9,25 +9,28 @@
 	"testing/synctest"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/simulation"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
 // world is a run under way, in a synctest bubble. Its scheduler owns all fields but those behind mu.
 type world struct {
-	scenario   *Scenario
-	seeds      []string
-	nodes      []*node
-	queue      []*event // let go in this order by default
-	held       []*event // let go by default when the queue is empty
-	operations []*operation
-	began      time.Time
-	points     int
-	resting    bool
-	used       [kinds]int // actions taken, by kind
-	checks     *checks
-	timeline   *Timeline
-	renamings  [][]int // see renamings
-	running    sync.WaitGroup
+	scenario    *Scenario
+	seeds       []string
+	firstVoters []*tierpb.VoterSet
+	nodes       []*node
+	queue       []*event // let go in this order by default
+	held        []*event // let go by default when the queue is empty
+	operations  []*operation
+	began       time.Time
+	points      int
+	resting     bool
+	used        [kinds]int // actions taken, by kind
+	checks      *checks
+	timeline    *Timeline
+	renamings   [][]int // see renamings
+	running     sync.WaitGroup
 
 	mu         sync.Mutex
 	arrived    []*event
@@ -57,6 +60,9 @@
 			number: number, address: address, fate: fate, machine: network.NewMachine(address, fate.random()),
 		})
 	}
+	first := register.InitialState(w.seeds)
+	w.firstVoters = first.Voters
+	w.checks.chosen(first)
 	for _, node := range w.nodes {
 		node.start(w, true)
 	}
