Model check: changes under the lease pass the fence

Two candidates act whenever they hold the lease: they raise the term once for each tenure, decide, which is an event of its own, and pass placement.Admit. A change made under a term that was not the newest fails the run.

--- a/internal/tier/modelcheck/event.go
+++ b/internal/tier/modelcheck/event.go
@@ -17,6 +17,7 @@
 	beginEvent                    // a client's operation begins
 	startEvent                    // a process starts on a node that has none
 	healEvent                     // a node that was cut off is reached again
+	decideEvent                   // a holder of the lease has decided
 	watchEvent                    // a process that has started hears of the newest chosen value
 )
 
--- a/internal/tier/modelcheck/fact.go
+++ b/internal/tier/modelcheck/fact.go
@@ -22,6 +22,7 @@
 	factLease
 	factGrant
 	factWatch
+	factDecide
 )
 
 // fact is what a fingerprint takes from a message or from a step of a process.
--- a/internal/tier/modelcheck/fingerprint.go
+++ b/internal/tier/modelcheck/fingerprint.go
@@ -144,7 +144,8 @@
 }
 
 func (p *printer) state(state *tierpb.ControlState) {
-	p.number(state.GetVersion(), state.GetEpoch(), uint64(len(state.GetTaken())))
+	p.number(state.GetVersion(), state.GetEpoch(), state.GetPlacementTerm(), uint64(len(state.GetRetirements())))
+	p.number(uint64(len(state.GetTaken())))
 	for _, taken := range state.GetTaken() {
 		p.number(taken.Generation)
 	}
--- a/internal/tier/modelcheck/operation.go
+++ b/internal/tier/modelcheck/operation.go
@@ -20,6 +20,7 @@
 	Put     OperationKind = iota // a configuration From -> To
 	Read                         // the current value
 	Replace                      // the voter of node Out gives its vote to node In
+	Act                          // a change under the lease, once the node holds it
 )
 
 // Operation is a client's call at a node. The same Put may come twice: an order that is sent again.
@@ -35,6 +36,8 @@
 	switch o.Kind {
 	case Put:
 		return fmt.Sprintf("put %d->%d", o.From, o.To)
+	case Act:
+		return "act under the lease"
 	case Replace:
 		return fmt.Sprintf("replace voter n%d by n%d", o.Out, o.In)
 	}
@@ -120,6 +123,9 @@
 			return o.world.replaced(current, o.Out, o.In)
 		})
 	}
+	if o.Kind == Act {
+		return p.act(ctx)
+	}
 	return p.proposer.Read(ctx)
 }
 
@@ -153,6 +159,8 @@
 		return fmt.Sprintf("%s: done, %s", o, o.world.stateName(o.state))
 	case errors.Is(o.err, errConflict):
 		return fmt.Sprintf("%s: conflict", o)
+	case isRefusedByFence(o.err):
+		return fmt.Sprintf("%s: refused, %v", o, o.err)
 	case errors.Is(o.err, register.ErrUnavailable):
 		return fmt.Sprintf("%s: unavailable", o)
 	}
--- a/internal/tier/modelcheck/process.go
+++ b/internal/tier/modelcheck/process.go
@@ -39,6 +39,8 @@
 	acceptor *register.Acceptor
 	proposer *register.Proposer
 	holder   *lease.Holder
+	acting   chan struct{} // holds one token; its owner acts under the lease
+	tenure   tenure        // used by that owner
 	serving  bool
 	seen     *tierpb.ControlState // accepted value that was checked last, and its ballot
 	seenAt   *tierpb.Ballot
@@ -53,7 +55,8 @@
 // start begins a life on what the node's disk holds. It is done in one step, and says whether it succeeded.
 func (n *node) start(w *world, bootstrap bool) bool {
 	life := n.machine.Start()
-	p := &process{world: w, node: n, life: life, open: make(map[int]fact)}
+	p := &process{world: w, node: n, life: life, open: make(map[int]fact), acting: make(chan struct{}, 1)}
+	p.acting <- struct{}{}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	var err error
 	p.acceptor, err = register.OpenAcceptor(register.AcceptorOptions{
--- a/internal/tier/modelcheck/scenario.go
+++ b/internal/tier/modelcheck/scenario.go
@@ -78,6 +78,16 @@
 		{
 			Name: "lease", Nodes: 3, Voters: 3, Limits: limits, Lease: true, Candidates: 2, Length: 6 * time.Second,
 		},
+		{
+			Name: "fence", Nodes: 3, Voters: 3, Limits: limits, Lease: true, Candidates: 2, Length: 7 * time.Second,
+			Operations: []Operation{
+				{Kind: Act, Node: 0},
+				{Kind: Act, Node: 1},
+				{Kind: Act, Node: 0, After: 1},
+				{Kind: Act, Node: 1, After: 1},
+				{Kind: Act, Node: 0, After: 2},
+			},
+		},
 		{
 			Name: "lease-voters", Nodes: 5, Voters: 3, Limits: limits, Lease: true, Candidates: 2, Length: 6 * time.Second,
 			Operations: []Operation{
--- a/internal/tier/modelcheck/seeded_test.go
+++ b/internal/tier/modelcheck/seeded_test.go
@@ -102,6 +102,11 @@
 		old:     "if request.GetSequence() > held.sequence {",
 		changed: "if request.GetSequence() > 0 {",
 	},
+	{
+		name: "fence left out", file: "placement/fence.go",
+		old:     "case current != claim.Term:",
+		changed: "case true:\n\t\treturn nil\n\tcase current != claim.Term:",
+	},
 	{
 		name: "previous turn stores dropped at the first report", file: "placement/moves.go",
 		old:     "return p.members-p.reported <= max(p.allowed, p.gone)",
