Voters that are no seeds find each other after a kill of all

Cause: a coordinator that has just started knew the seeds' addresses alone.

Change: until something is known to be chosen, the voters of the own acceptor's value are asked too.

--- a/internal/tier/coordinator/catchup_test.go
+++ b/internal/tier/coordinator/catchup_test.go
@@ -254,3 +254,31 @@
 		}
 	}
 }
+
+// TestVotersThatAreNoSeedsFindEachOther: every seed's machine is gone for good, and the voters were all killed at once.
+func TestVotersThatAreNoSeedsFindEachOther(t *testing.T) {
+	inCluster(t, 6, 1, func(c *cluster) {
+		c.change([]string{"core-1"}, 0, 3)
+		c.pass(time.Second)
+		for i := 1; i <= 3; i++ {
+			seed, voter := fmt.Sprintf("core-%d", i), fmt.Sprintf("core-%d", i+3)
+			assert.NilError(c.t, c.replaceVoter("core-6", seed, voter))
+			c.pass(100 * time.Millisecond)
+		}
+		names := []string{"core-4", "core-5", "core-6"}
+		assert.DeepEqual(c.t, c.voterNames("core-5"), names)
+		for i := 1; i <= 6; i++ {
+			c.kill(fmt.Sprintf("core-%d", i))
+		}
+		c.pass(time.Second)
+		for _, name := range names {
+			c.start(name, false)
+		}
+		began := time.Now()
+		for !slices.Equal(c.generations(names...), []uint64{3, 3, 3}) {
+			assert.Assert(c.t, time.Since(began) < soonKnown, "%v", c.generations(names...))
+			<-time.After(time.Millisecond)
+		}
+		c.t.Logf("known everywhere after %s", time.Since(began))
+	})
+}
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -160,8 +160,12 @@
 // voters returns the newest voter sets known, chosen or not.
 func (c *coordinator) voters() []*tierpb.VoterSet { return c.newestVoters().GetVoters() }
 
-// targets are the other coordinators.
+// targets are the other coordinators. Before anything is known to be chosen, the voters of the own acceptor's value are
+// among them: the seeds may be gone for good.
 func (c *coordinator) targets() []watch.Target {
 	known := append(c.sampler.Nodes(tierpb.Role_ROLE_COORDINATOR), c.directory.coordinators()...)
+	if c.state.Control() == nil {
+		known = append(known, register.Voters(c.accepted())...)
+	}
 	return watch.CoordinatorTargets(c.self, c.state, known, c.live.Current().SeedCoordinators())
 }
