--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/reflect/protoreflect"
+
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -225,14 +227,17 @@
 	return whole
 }
 
-// withoutBody is a copy of a control state that shares all but the configuration's body.
+// withoutBody is a copy of a control state that shares all but the configuration's body, fields of later releases too.
 func withoutBody(control *tierpb.ControlState) *tierpb.ControlState {
-	return &tierpb.ControlState{
-		Version: control.Version, Epoch: control.Epoch, Voters: control.Voters, Stores: control.Stores,
-		Configuration: &tierpb.Configuration{Generation: control.Configuration.GetGeneration()},
-		Taken:         control.Taken, OlderOrders: control.OlderOrders, Retirements: control.Retirements,
-		PlacementTerm: control.PlacementTerm, PlacementHolder: control.PlacementHolder,
-	}
+	told := &tierpb.ControlState{}
+	from, to := control.ProtoReflect(), told.ProtoReflect()
+	from.Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		to.Set(field, value)
+		return true
+	})
+	to.SetUnknown(from.GetUnknown())
+	told.Configuration = &tierpb.Configuration{Generation: control.Configuration.GetGeneration()}
+	return told
 }
 
 func (s *State) take(told *tierpb.Instance, source string) Change {
