Coordinator logs when full redundancy is restored, and after how long

Change: the holder of the placement lease notes when it first sees previous turn stores, and logs 'redundancy restored' with the seconds since then and the epoch when there are none any more; changes one upon another count from the first.

--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -59,6 +59,8 @@
 	move      seenMove      // guarded by moveMu
 	faults    *fault.Points // tests only
 
+	redundancy redundancy
+
 	replaceVoters func(context.Context, register.ChangeFunc) (*tierpb.ControlState, error)
 	finishVoters  func(context.Context) (*tierpb.ControlState, error)
 
--- a/internal/tier/coordinator/place.go
+++ b/internal/tier/coordinator/place.go
@@ -24,6 +24,7 @@
 	for pause(ctx, wait) {
 		wait = maintenanceInterval
 		if !c.lease.Held() {
+			c.redundancy = redundancy{} // another one measures
 			continue
 		}
 		if err := c.place(ctx); err != nil {
@@ -70,6 +71,7 @@
 
 // placeStores changes the members of the turn stores, in the same way.
 func (c *coordinator) placeStores(ctx context.Context, known *tierpb.ControlState) error {
+	c.noteRedundancy(known.GetStores())
 	if _, reason := placement.Stores(known.CloneVT(), c.view(known)); reason == "" {
 		return nil
 	}
@@ -86,8 +88,9 @@
 	if err != nil {
 		return err
 	}
+	stores := chosen.GetStores()
+	c.noteRedundancy(stores)
 	if reason != "" {
-		stores := chosen.GetStores()
 		c.log.Info("turn stores change", "reason", reason, "epoch", stores.GetEpoch(),
 			"current", sortedNames(stores.GetCurrent()), "previous", sortedNames(stores.GetPrevious()))
 	}
