A move hands on how long records are kept, also to members that have them

Cause: a pass offers records by id and sends those that members lack, with the time until which they are kept. A member that had the record and had missed the extension counted as a holder and dropped its copy early: of three members of the new replica set 0 or 1 kept a record that was to be kept for an hour. Change: after the records are handed on, extensions go to the members that had them before (one call a member, bytes for extended records only). One that does not take it is no holder. Not changed: an extension that is taken twice may be acknowledged while the first is not synced yet.

--- a/internal/tier/turnstore/extend_test.go
+++ b/internal/tier/turnstore/extend_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
 	"pulleygw.example/pulleygw/internal/tier/turns"
 )
 
@@ -40,3 +41,38 @@
 		assert.Equal(t, len(chain), 8)
 	})
 }
+
+// A member that has a record already may lack the time until which it is to be kept.
+func TestMoveHandsOnHowLongARecordIsKept(t *testing.T) {
+	c := newCluster(t, 1, "a", "b", "c")
+	extension := &tierpb.Extension{Id: "turn", UntilUnixMs: c.clock.time().Add(time.Hour).UnixMilli()}
+	previous := c.known().Current
+	current := []*tierpb.Node{}
+	for _, m := range c.machines {
+		assert.Equal(t, put(c, m, c.record("turn", "")), tierpb.StoreStatus_STORE_OK)
+		if m.zone == "c" {
+			current = append(current, &tierpb.Node{Address: m.address, Zone: m.zone, Identity: m.store.Identity()})
+			continue
+		}
+		header := &tierpb.StoreHeader{Identity: m.store.Identity(), Epoch: c.known().Epoch}
+		_, err := m.store.PutTurns(context.Background(),
+			&tierpb.PutTurnsRequest{Header: header, Extensions: []*tierpb.Extension{extension}})
+		assert.NilError(t, err)
+	}
+	for i, zone := range []string{"a", "b"} {
+		m := c.add(c.freshAddress(i), zone)
+		current = append(current, &tierpb.Node{Address: m.address, Zone: zone, Identity: m.store.Identity()})
+	}
+	c.change(current, previous)
+	for _, node := range previous {
+		assert.NilError(t, c.pass(c.machines[node.Address]))
+	}
+	c.clock.advance(30 * time.Minute)
+	copies := 0
+	for _, node := range current {
+		store := c.machines[node.Address].store
+		store.view.expire(c.clock.time())
+		copies += store.Records()
+	}
+	assert.Assert(t, copies >= 2, "%d copies", copies)
+}
--- a/internal/tier/turnstore/pass.go
+++ b/internal/tier/turnstore/pass.go
@@ -35,6 +35,9 @@
 	membership *tierpb.StoreMembership
 	faults     *fault.Points
 	after      func(time.Duration) <-chan time.Time
+
+	handed int // keys that were sent to members and synced there, each time counted
+	bytes  int // about, of these
 }
 
 // key is a record or a program that is to be handed on.
@@ -121,6 +124,9 @@
 	if err := p.hand(ctx, copies); err != nil {
 		return nil, err
 	}
+	if err := p.prolong(ctx, copies); err != nil {
+		return nil, err
+	}
 	var short []key
 	for _, known := range copies {
 		if known.lacks() > 0 {
@@ -139,6 +145,7 @@
 	quorum    int
 	holders   []uint64
 	unhelpful []uint64 // members that did not answer
+	toProlong []uint64 // holders that had the record before, and may not know how long it is kept
 }
 
 func (c *copies) lacks() int { return c.quorum - len(c.holders) }
@@ -223,6 +230,9 @@
 			known.unhelpful = append(known.unhelpful, member.Identity)
 		case !slices.Contains(lacking, uint32(i)):
 			known.holders = append(known.holders, member.Identity)
+			if known.extension() != nil {
+				known.toProlong = append(known.toProlong, member.Identity)
+			}
 		}
 	}
 }
@@ -241,7 +251,7 @@
 		}
 		err := p.each(byMember, func(member *tierpb.Node, sent []*copies) (func(), error) {
 			done, err := p.send(ctx, member, sent)
-			return func() { noteSent(member, sent, done) }, err
+			return func() { p.noteSent(member, sent, done) }, err
 		})
 		if err != nil {
 			return err
@@ -249,10 +259,12 @@
 	}
 }
 
-func noteSent(member *tierpb.Node, sent []*copies, done int) {
+func (p *pass) noteSent(member *tierpb.Node, sent []*copies, done int) {
 	for i, known := range sent {
 		if i < done {
 			known.holders = append(known.holders, member.Identity)
+			p.handed++
+			p.bytes += known.size()
 			continue
 		}
 		known.unhelpful = append(known.unhelpful, member.Identity)
@@ -289,8 +301,7 @@
 			continue
 		}
 		request.Records = append(request.Records, known.record.turn)
-		if known.record.until > keptUntil(known.record.turn) {
-			extension := &tierpb.Extension{Id: known.key.name, UntilUnixMs: known.record.until}
+		if extension := known.extension(); extension != nil {
 			request.Extensions = append(request.Extensions, extension)
 		}
 	}
