--- a/internal/tier/turnstore/mover.go
+++ b/internal/tier/turnstore/mover.go
@@ -75,9 +75,12 @@
 		store: m.Store, caller: m.Caller, tolerance: m.Tolerance,
 		membership: membership, faults: m.Store.options.Faults, after: m.Store.options.After,
 	}
+	began := m.Store.options.Now()
 	for {
 		err := work.run(ctx)
 		if err == nil {
+			m.Store.options.Log.Info("records copied", "epoch", membership.Epoch, "handed", work.handed, "bytes", work.bytes,
+				"seconds", m.Store.options.Now().Sub(began).Seconds())
 			return true
 		}
 		select {
