A claim that was withdrawn or settled does not pass again

Cause: entries merge by stage, so a claim made once more under its request counted as it was settled: at 0 where it was withdrawn. It passed, and the budget was overspent. Each try of a client has an id of its own; the tier now keeps this without relying on it. Change: Reserve answers as uncertain where the program has the request settled.

--- a/internal/tier/budget/client.go
+++ b/internal/tier/budget/client.go
@@ -81,10 +81,14 @@
 }
 
 // contest decides on what is known of a program. Claims that came together and have no room together are settled
-// by priority: the one that has it looks again while the others are withdrawn.
+// by priority: the one that has it looks again while the others are withdrawn. A claim that was withdrawn or settled
+// before counts for nothing and may not pass again.
 func (c *Client) contest(
 	ctx context.Context, known *tierpb.ProgramBudget, claim *tierpb.BudgetEntry, budget uint64,
 ) error {
+	if isSettled(known, claim.Request) {
+		return ErrUncertain
+	}
 	for range contestRounds {
 		switch {
 		case Sum(known) <= budget:
--- a/internal/tier/budget/merge.go
+++ b/internal/tier/budget/merge.go
@@ -74,6 +74,12 @@
 	return slices.ContainsFunc(known.Entries, (*tierpb.BudgetEntry).GetTwoRounds)
 }
 
+// isSettled says whether a request's claim was settled or withdrawn.
+func isSettled(known *tierpb.ProgramBudget, request string) bool {
+	at, found := find(known, request)
+	return found && known.Entries[at].Stage >= StageSettled
+}
+
 // add adds without wrapping round.
 func add(a, b uint64) uint64 {
 	if a+b < a {
--- a/internal/tier/turnstore/drop_test.go
+++ b/internal/tier/turnstore/drop_test.go
@@ -113,3 +113,21 @@
 	assert.ErrorIs(t, err, budget.ErrSpent)
 	assert.Assert(t, m.ended)
 }
+
+// A claim that was withdrawn counts nothing any more, so the same one may not be made again.
+func TestWithdrawnClaimIsNotMadeAgain(t *testing.T) {
+	c := newCluster(t, 1, "a", "b", "c")
+	client := budget.NewClient(c.options())
+	reserve := func(request string) error {
+		err := client.Reserve(context.Background(), "program", mostOfTurn, request, mostOfTurn)
+		client.Wait()
+		return err
+	}
+	assert.NilError(t, reserve("first"))
+	assert.ErrorIs(t, reserve("second"), budget.ErrSpent)
+	assert.ErrorIs(t, reserve("second"), budget.ErrUncertain)
+	client.Withdraw("program", "first")
+	client.Wait()
+	assert.NilError(t, reserve("third"))
+	assert.ErrorIs(t, reserve("second"), budget.ErrUncertain)
+}
