Test of stores that treat requests in any way that a small grammar makes, with an oracle

Each of some hundred sendings gets a way drawn from its id and the seed: read late, half or not at all, dropped, declined; bytes ahead, informational answers, another's id or none or two, cut within head or body, with a length, in chunks or until the connection ends, reset or not, late answers behind it. Clients keep connections, a third of their requests is HTTP/1.0. An answer is its own store's whole, or a failure that looks like one; nothing runs twice that may not.

--- /dev/null
+++ b/internal/tier/proxy/disorder_test.go
@@ -0,0 +1,230 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// eventsOf is how many events a stream has.
+func eventsOf(id string) int { return 1 + int(hashOf(id)%20) }
+
+// requestBody is the body of a request, which its id tells.
+func requestBody(id string) string {
+	return strings.Repeat(id+" ", []int{0, 1, 2000, 6000}[hashOf(id)%4])
+}
+
+// givenAnswer is what a store that ran a request has answered.
+type givenAnswer struct {
+	id     string
+	status int
+	body   string
+	whole  bool // all of it was sent, as far as the connection carried it
+}
+
+// ledger keeps what stores did.
+type ledger struct {
+	mu       sync.Mutex
+	arrivals map[string]int
+	runs     map[string]int
+	answers  map[string]givenAnswer // by stamp
+	faults   []string
+}
+
+func newLedger() *ledger {
+	return &ledger{arrivals: map[string]int{}, runs: map[string]int{}, answers: map[string]givenAnswer{}}
+}
+
+func (l *ledger) arrived(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals[id]++
+	return l.arrivals[id]
+}
+
+// ran notes that a request is run and returns the stamp of its answer.
+func (l *ledger) ran(id string, status int, body string, whole bool) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+	stamp := fmt.Sprintf("%s-%d", id, l.runs[id])
+	l.answers[stamp] = givenAnswer{id, status, body, whole}
+	return stamp
+}
+
+func (l *ledger) fault(format string, values ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, fmt.Sprintf(format, values...))
+}
+
+// noteUnread takes in why a store could not read a request: connections may end, but hold nothing else than requests.
+func (l *ledger) noteUnread(err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	l.fault("store read what is no request: %v", err)
+}
+
+// promises are the statuses that say that a request has not run and will not.
+var promises = map[int]bool{408: true, 421: true, 429: true, 503: true}
+
+// judge notes what is wrong with a client's answer and returns the kind of its outcome.
+func (l *ledger) judge(path, id string, got answer) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fault := func(format string, values ...any) {
+		l.faults = append(l.faults, id+path+": "+fmt.Sprintf(format, values...))
+	}
+	if got.status == 0 {
+		return "no head"
+	}
+	if got.header.Get("X-Request-Id") != id {
+		fault("answer of %q", got.header.Get("X-Request-Id"))
+	}
+	given, known := l.answers[got.header.Get("X-Response-Signature")]
+	switch {
+	case known && (given.id != id || given.status != got.status):
+		fault("%d of %s came as %d", given.status, given.id, got.status)
+	case known && !strings.HasPrefix(wantedBody(path, id, given), got.body):
+		fault("another body: %d, err %v, got %.200q, given %.200q", got.status, got.err, got.body, wantedBody(path, id, given))
+	case known && got.err == nil && got.body != wantedBody(path, id, given):
+		fault("%d %v %d of %d bytes look whole", got.status, got.header, len(got.body), len(wantedBody(path, id, given)))
+	case known && got.err == nil && path[1] != 'r' && !given.whole:
+		fault("an answer that broke off looks whole")
+	case !known && got.status < 500:
+		fault("%d without a store's stamp", got.status)
+	}
+	switch {
+	case got.err != nil:
+		return "broken off"
+	case known:
+		return "store's own"
+	case promises[got.status]:
+		return "promise"
+	}
+	return "failure"
+}
+
+// wantedBody is what an answer's body should be: a stream's is the same from any store.
+func wantedBody(path, id string, given givenAnswer) string {
+	if given.status == 200 && path[1] == 'r' {
+		return text(1, eventsOf(id))
+	}
+	return given.body
+}
+
+// disorderClient sends one request after the other, on one connection while that lasts.
+type disorderClient struct {
+	bench      *bench
+	ledger     *ledger
+	connection net.Conn
+	reader     *bufio.Reader
+}
+
+func (c *disorderClient) send(path, id string, protocol string) answer {
+	if c.connection == nil {
+		connection, err := net.Dial("tcp4", c.bench.addr)
+		if err != nil {
+			return answer{err: err}
+		}
+		c.connection, c.reader = connection, bufio.NewReader(connection)
+	}
+	_ = c.connection.SetDeadline(time.Now().Add(patienceOfTests))
+	body := requestBody(id)
+	_, _ = fmt.Fprintf(c.connection, "POST %s %s\r\nHost: h.example\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", path, protocol, id, len(body), body)
+	got := readAnswer(c.reader, "POST")
+	if got.err == nil && c.reader.Buffered() > 0 {
+		c.ledger.fault("%s%s: bytes behind an answer", id, path)
+	}
+	if got.err != nil || got.raw.Close {
+		c.connection.Close()
+		c.connection = nil
+	}
+	return got
+}
+
+// Stores treat requests in any way that a small grammar makes: they answer early, late, twice, in part, as others or not at
+// all, and end connections in an orderly way or not. Each client gets a store's own answer whole, or a failure that looks
+// like one; nothing runs twice that may not, nor after a promise; stores get nothing but whole requests and beginnings.
+func TestStoresInDisorder(t *testing.T) {
+	seeds := 8
+	if testing.Short() {
+		seeds = 3
+	}
+	outcomes := map[string]int{}
+	for seed := range uint64(seeds) {
+		playDisorder(t, seed, outcomes)
+	}
+	t.Logf("outcomes: %v", outcomes)
+	for _, kind := range []string{"broken off", "store's own", "promise", "failure"} {
+		assert.Check(t, outcomes[kind] > 0, kind)
+	}
+}
+
+func playDisorder(t *testing.T, seed uint64, outcomes map[string]int) {
+	const clients, requestsEach = 6, 25
+	book := newLedger()
+	b := newBench(t, longTimeout, nil, nil)
+	for i := range 6 {
+		backend := []string{"plain", "model"}[i%2]
+		b.proxy.state.Upsert(newDisorderStore(t, fmt.Sprintf("store-%d", i), seed, book).instance(backend))
+	}
+	b.proxy.refresh()
+	var mu sync.Mutex
+	var done sync.WaitGroup
+	for number := range clients {
+		done.Go(func() {
+			client := &disorderClient{bench: b, ledger: book}
+			for i := range requestsEach {
+				id := fmt.Sprintf("%d.%d.%d", seed, number, i)
+				path := []string{"/n/x", "/i/x", "/s/x", "/r/x", "/t/x"}[hashOf(id+"path")%5]
+				protocol := []string{"HTTP/1.1", "HTTP/1.1", "HTTP/1.0"}[hashOf(id+"protocol")%3]
+				got := client.send(path, id, protocol)
+				kind := book.judge(path, id, got)
+				if kind == "promise" && path != "/i/x" && path != "/r/x" {
+					assert.Check(t, book.runsOf(id) == 0, "%s%s has run and got %d", id, path, got.status)
+				}
+				mu.Lock()
+				outcomes[kind]++
+				mu.Unlock()
+			}
+			if client.connection != nil {
+				client.connection.Close()
+			}
+		})
+	}
+	done.Wait()
+	book.settle(t, seed)
+}
+
+func (l *ledger) runsOf(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// settle checks what holds at the end.
+func (l *ledger) settle(t *testing.T, seed uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, fault := range l.faults {
+		t.Errorf("seed %d: %s", seed, fault)
+	}
+	for id, runs := range l.runs {
+		most := 1
+		if path := hashOf(id+"path") % 5; path == 1 || path == 3 {
+			most = 2
+		}
+		assert.Check(t, runs <= most, "seed %d: %s ran %d times", seed, id, runs)
+	}
+}
--- a/internal/tier/upstream/failures_test.go
+++ b/internal/tier/upstream/failures_test.go
@@ -206,3 +206,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, found.lastID, "a")
 }
+
+// A connection whose answer was not read to its end is not kept, also where the rest has not come yet.
+func TestConnectionOfAnAnswerThatWasNotReadIsNotKept(t *testing.T) {
+	pools, store, accept := loopbackPools(t)
+	done := sendInBackground(context.Background(), pools, store, post("a", "in"))
+	side := accept()
+	side.readRequest()
+	side.write(ownHead + "Content-Length: 4\r\n\r\n")
+	sent := <-done
+	assert.NilError(t, sent.err)
+	sent.answer.Finish()
+	assert.Equal(t, pools.idleConnections(store), 0)
+}
