--- a/internal/tier/standin/store.go
+++ b/internal/tier/standin/store.go
@@ -117,6 +117,9 @@
 	return err
 }
 
+// Deregister tells the registry that the store is gone, and nothing before; it serves on.
+func (s *Store) Deregister(ctx context.Context) error { return s.registry.leave(ctx) }
+
 // Kill ends the store without a word; connections are closed at once.
 func (s *Store) Kill() {
 	s.mu.Lock()
