Answers to stores stay within 4 KiB; a store that changes its service leaves the other one

A heartbeat with a wrong address or state was quoted whole in its refusal, up to 64 KiB; 64 bytes of it are now. The proxy's list kept a store under the service of its first heartbeat beside the one it moved to.

--- a/internal/tier/proxy/listing.go
+++ b/internal/tier/proxy/listing.go
@@ -24,6 +24,10 @@
 	touched := make(map[string]struct{})
 	for _, instance := range changed {
 		touched[instance.Backend] = struct{}{}
+		if before := l.instances[instance.Id]; before != nil && before.Backend != instance.Backend {
+			touched[before.Backend] = struct{}{}
+			delete(l.services[before.Backend], instance.Id)
+		}
 		stores := l.services[instance.Backend]
 		if instance.State == tierpb.InstanceState_INSTANCE_GONE {
 			delete(stores, instance.Id)
--- a/internal/tier/registry/heartbeat.go
+++ b/internal/tier/registry/heartbeat.go
@@ -16,6 +16,7 @@
 	MaximumBodyBytes    = 64 << 10
 	MaximumIDBytes      = 1 << 10
 	maximumNameBytes    = 1 << 10
+	maximumQuotedBytes  = 64 // of a wrong value, in the answer
 	maximumModels       = 1 << 10
 	maximumWholeNumber  = 1 << 53 // largest that JSON carries without loss
 	stateDraining       = "draining"
@@ -91,10 +92,10 @@
 		return &Fault{Field: "backend", Problem: fmt.Sprintf("has %d bytes, want 1 to %d", len(h.Backend), maximumNameBytes)}
 	}
 	if _, err := netip.ParseAddrPort(h.Address); err != nil {
-		return &Fault{Field: "address", Problem: fmt.Sprintf("%q is not ip:port", h.Address)}
+		return &Fault{Field: "address", Problem: fmt.Sprintf("%.*q is not ip:port", maximumQuotedBytes, h.Address)}
 	}
 	if h.State != stateReady && h.State != stateDraining {
-		return &Fault{Field: "state", Problem: fmt.Sprintf("%q is neither %s nor %s", h.State, stateReady, stateDraining)}
+		return &Fault{Field: "state", Problem: fmt.Sprintf("%.*q is neither %s nor %s", maximumQuotedBytes, h.State, stateReady, stateDraining)}
 	}
 	if h.Sequence == nil {
 		return &Fault{Field: "sequence", Problem: "is missing"}
