Proxy: a client that doesn't read its answer is let go at its request's time

A write to a client with a closed window had no end: the request held its goroutine and its buffer past the route's timeout for as long as the client stayed. Writes now fail 0.25 s after the request's time; each request on a connection sets its own bound.

TestClientThatDoesNotReadIsLetGoAtItsTime fails without it (still open after 20 s).

--- a/internal/tier/proxy/deadline_test.go
+++ b/internal/tier/proxy/deadline_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -188,3 +189,35 @@
 		})
 	}
 }
+
+// CONFIG, GONE: a client that doesn't read its answer holds neither the request nor its store past the request's time, and
+// the next request on a connection has its own time.
+func TestClientThatDoesNotReadIsLetGoAtItsTime(t *testing.T) {
+	ended := make(chan struct{})
+	store := newStandIn(t, "a", func(connection net.Conn, got received) bool {
+		if got.uri != "/n/large" {
+			return whole(200, "x")(connection, got)
+		}
+		defer close(ended)
+		io.WriteString(connection, head(got, 200, "Transfer-Encoding: chunked")+"\r\n")
+		piece := make([]byte, 1<<20)
+		for {
+			if _, err := fmt.Fprintf(connection, "%x\r\n%s\r\n", len(piece), piece); err != nil {
+				return false
+			}
+		}
+	})
+	b := newBench(t, shortTimeout, []*standIn{store}, nil)
+	kept, err := net.Dial("tcp4", b.addr)
+	assert.NilError(t, err)
+	defer kept.Close()
+	assert.Equal(t, b.sendOn(kept, "POST", "/n/x", "before", "in").status, 200)
+	b.post("/n/large", "id")
+	<-ended
+	for until := time.Now().Add(patienceOfTests); b.front.countOpen() > 1 && time.Now().Before(until); {
+		runtime.Gosched()
+	}
+	assert.Equal(t, b.front.countOpen(), 1)
+	assert.Equal(t, b.sendOn(kept, "POST", "/n/x", "after", "in").status, 200)
+	assert.Equal(t, b.sendOn(kept, "POST", "/none/x", "no route", "in").status, 404)
+}
--- a/internal/tier/proxy/handler.go
+++ b/internal/tier/proxy/handler.go
@@ -50,6 +50,8 @@
 	current := p.views.get()
 	id := r.Header.Get(upstream.HeaderRequestID)
 	limits := p.limits(current)
+	x := &exchange{proxy: p, w: w, r: r, view: current, id: id, arrival: arrival, control: http.NewResponseController(w)}
+	x.boundWrites(current)
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
 		p.respond(w, id, http.StatusRequestHeaderFieldsTooLarge)
 		return
@@ -61,12 +63,24 @@
 		return
 	}
 	defer putBody(body)
-	p.serve(w, r, &exchange{proxy: p, w: w, r: r, view: current, id: id, arrival: arrival, body: body})
+	x.body = body
+	p.serve(w, r, x)
+}
+
+// boundWrites has writes to a client that doesn't read fail soon after its request's time is up.
+func (x *exchange) boundWrites(current *view) {
+	const slack = 250 * time.Millisecond
+	allowed := startUnnamed
+	if route := current.route(x.r); route != nil {
+		allowed = patience(x.r.Header, route.Timeout)
+	}
+	_ = x.control.SetWriteDeadline(x.arrival.Add(allowed + slack))
 }
 
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request, x *exchange) {
 	if x.view.configuration == nil {
 		x.view = p.awaitConfiguration(r.Context(), patience(r.Header, startUnnamed))
+		x.boundWrites(x.view)
 	}
 	if x.view.configuration == nil {
 		p.respondLater(w, x.id, retryUnconfigured)
@@ -158,7 +172,6 @@
 
 // prepare fills in what is the same for all sends of the request.
 func (x *exchange) prepare() {
-	x.control = http.NewResponseController(x.w)
 	x.sending = upstream.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: x.r.Header,
 		ID: x.id, Deadline: x.deadline,
--- a/internal/tier/proxy/harness_test.go
+++ b/internal/tier/proxy/harness_test.go
@@ -360,3 +360,10 @@
 	read, err := io.ReadAll(response.Body)
 	return answer{status: response.StatusCode, header: response.Header, body: string(read), err: err, raw: response}
 }
+
+// countOpen is how many clients' connections are open.
+func (f *front) countOpen() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open)
+}
