A turn store whose membership is damaged on disk is another node

Cause: a store reports an epoch as copied once its membership is on disk. One that found this file damaged at its next start went on with the epoch before, and took writes of that epoch behind its report. Change: such a disk has lost what was acknowledged; the store draws another identity, as for a damaged merged file. Figures: TestDamagedMembershipMakesAnotherNode failed before.

--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -67,10 +67,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.openIdentity(found.damaged); err != nil {
+	if err := s.openMembership(); err != nil {
 		return nil, err
 	}
-	if err := s.openMembership(); err != nil {
+	if err := s.openIdentity(found.damaged || s.members.Damaged()); err != nil {
 		return nil, err
 	}
 	s.view.expire(options.Now())
