--- a/internal/tier/turnstore/copies_test.go
+++ b/internal/tier/turnstore/copies_test.go
@@ -31,6 +31,7 @@
 	most     int
 	names    int
 	losses   int
+	programs []*spending
 	log      []string
 
 	copiers sync.WaitGroup
--- a/internal/tier/turnstore/losses_test.go
+++ b/internal/tier/turnstore/losses_test.go
@@ -33,12 +33,8 @@
 	t.Logf("seed %d, %d members of which %d may be lost", seed, of.members, of.tolerance)
 	w := newWorld(t, seed, of)
 	defer w.end()
-	programs := make([]*spending, 3)
-	for i := range programs {
-		programs[i] = &spending{budget: uint64(20 + w.random.IntN(80))}
-	}
 	for range worldEvents {
-		w.event(programs)
+		w.event()
 		if t.Failed() {
 			return
 		}
@@ -87,16 +83,19 @@
 }
 
 // event lets one thing happen, and some time go by.
-func (w *world) event(programs []*spending) {
+func (w *world) event() {
 	moved := len(w.control.Stores.Previous) > 0
 	switch number := w.random.IntN(100); {
 	case number < 30:
 		w.save()
 	case number < 45:
-		i := w.random.IntN(len(programs))
-		w.claim(fmt.Sprintf("program-%d", i), programs[i])
+		w.spend()
 	case number < 60:
 		w.read()
+		if moved { // answers from before and after the end of a move meet
+			w.read()
+			w.read()
+		}
 	case number < 68:
 		w.lose(w.random.IntN(5))
 	case number < 71 && len(w.machines) < w.most:
--- a/internal/tier/turnstore/traffic_test.go
+++ b/internal/tier/turnstore/traffic_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/budget"
@@ -26,6 +27,10 @@
 		lag = time.Duration(random.Int64N(int64(cutOffLag)))
 	}
 	options.Membership = func() *tierpb.StoreMembership { return w.heardOf(lag) }
+	if known := w.heardOf(0); random.IntN(3) == 0 && len(known.GetCurrent()) > 0 {
+		members := append(slices.Clone(known.Current), known.Previous...)
+		options.Caller = &partial{cluster: w.cluster, cut: members[random.IntN(len(members))].Address}
+	}
 	return ctx, cancel, options
 }
 
@@ -80,6 +85,18 @@
 	})
 }
 
+// spend has some turns of a program claim at the same time: of a new program, or of one that has claimed before.
+func (w *world) spend() {
+	at := w.random.IntN(1 + 2*len(w.programs))
+	if at >= len(w.programs) {
+		at = len(w.programs)
+		w.programs = append(w.programs, &spending{budget: uint64(mostOfTurn * (1 + w.random.IntN(3)))})
+	}
+	for range 1 + w.random.IntN(4) {
+		w.claim(fmt.Sprintf("program-%d", at), w.programs[at])
+	}
+}
+
 func (w *world) claim(program string, spent *spending) {
 	w.names++
 	request, seed := fmt.Sprintf("claim-%d", w.names), w.random.Uint64()
