Fence: only an overtaken holder gives up its lease; tests of an old view

A change that is refused for an old view is computed anew under the same lease, and one whose lease is lost has none to give up.

--- a/internal/tier/coordinator/fence_test.go
+++ b/internal/tier/coordinator/fence_test.go
@@ -205,6 +205,50 @@
 	})
 }
 
+// A holder that is held up between its look and the accepts, for less than its lease lasts, looks again.
+func TestChangeFromAnOldViewIsRefused(t *testing.T) {
+	inClusterLedBy(t, "core-1", 3, 1, func(c *cluster) {
+		p, once, ages := c.at("core-1"), &sync.Once{}, 0
+		tenure := p.lease.Tenure()
+		p.points.set(func(passed fault.Point) bool {
+			if passed == fault.PlacementDecided {
+				ages++
+				once.Do(func() { c.machines["core-1"].sleepFor(placement.OldestView + time.Millisecond) })
+			}
+			return false
+		})
+		c.storesRun(5*time.Second, "core-1", storeNode(1), storeNode(2), storeNode(3))
+		p.points.set(nil)
+		current, _ := c.members("core-2")
+		assert.DeepEqual(t, current, []string{"store-1", "store-2", "store-3"})
+		assert.Equal(t, ages, 2, "the first was refused")
+		assert.Equal(t, p.lease.Tenure(), tenure, "the lease was not lost")
+	})
+}
+
+// A holder is frozen while it raises the term; another raises it meanwhile.
+func TestHolderThatIsFrozenWhileItRaisesTheTermComesTooLate(t *testing.T) {
+	for _, point := range []fault.Point{fault.PrepareSending, fault.PrepareDone, fault.AcceptSending, fault.AcceptDone} {
+		inClusterLedBy(t, "core-1", 3, 1, func(c *cluster) {
+			before := c.term("core-2")
+			c.kill("core-1")
+			c.start("core-1", false)
+			frozen := c.freezeAt("core-1", point)
+			frozen.awaitSleep(10 * time.Second)
+			close(c.free)
+			c.pass(8 * time.Second)
+			holder := c.at(c.holder())
+			newest := c.term(holder.self.Name)
+			assert.Equal(t, newest.Holder, holder.self.Identity)
+			assert.Assert(t, newest.Number > before.Number)
+			frozen.thaw()
+			c.pass(3 * time.Second)
+			assert.Equal(t, c.term("core-2"), newest)
+			assert.Equal(t, c.term("core-1"), newest)
+		})
+	}
+}
+
 // In calm nothing is written: the term is raised once for a holding of the lease.
 func TestTermIsRaisedOnceForATenure(t *testing.T) {
 	inClusterLedBy(t, "core-1", 3, 1, func(c *cluster) {
--- a/internal/tier/coordinator/tenure.go
+++ b/internal/tier/coordinator/tenure.go
@@ -81,15 +81,26 @@
 	}
 }
 
-// notPlaced logs why a change was not made. A holder that was overtaken has to acquire the lease anew.
+// notPlaced logs why a change was not made. A holder that was overtaken has to acquire the lease anew; one whose lease is
+// lost has none to give up, and one whose view was old looks again.
 func (c *coordinator) notPlaced(reason error) {
-	for _, stale := range []error{placement.ErrFenced, placement.ErrLeaseLost, placement.ErrOldView} {
-		if errors.Is(reason, stale) {
-			term := placement.TermOf(c.state.Control())
-			c.log.Info("stale holder refused", "reason", reason, "term", term.Number, "holder", term.Holder)
-			c.lease.Forfeit()
-			return
+	if !isStale(reason) {
+		c.log.Info("placement failed", "reason", reason)
+		return
+	}
+	newest := placement.TermOf(c.state.Control())
+	c.log.Info("stale holder refused", "reason", reason, "own", c.tenure.term.Number, "term", newest.Number, "holder", newest.Holder)
+	if errors.Is(reason, placement.ErrFenced) {
+		c.lease.Forfeit()
+	}
+}
+
+// isStale says whether a change was refused by the fence.
+func isStale(reason error) bool {
+	for _, refusal := range []error{placement.ErrFenced, placement.ErrLeaseLost, placement.ErrOldView} {
+		if errors.Is(reason, refusal) {
+			return true
 		}
 	}
-	c.log.Info("placement failed", "reason", reason)
+	return false
 }
