--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
 	"pulleygw.example/pulleygw/internal/gatherer/wire"
 	"pulleygw.example/pulleygw/policy"
@@ -20,16 +20,16 @@
 // instance is one mixer and the wire's numbers for its queries.
 type instance struct {
 	mixer   *policy.Mixer
-	events  []mix.Event
-	numbers map[float32]mix.QueryID
-	byID    map[mix.QueryID]float32
+	events  []decision.Event
+	numbers map[float32]decision.QueryID
+	byID    map[decision.QueryID]float32
 }
 
 type host struct {
 	instances map[uint32]*instance
 	active    []uint32 // with events in this batch, in order of first mention
 	current   uint32
-	sheets    map[uint32][]mix.ServerInfo
+	sheets    map[uint32][]decision.ServerInfo
 	reply     wire.Reply
 }
 
@@ -42,7 +42,7 @@
 
 func serve(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
-	h := &host{instances: map[uint32]*instance{}, sheets: map[uint32][]mix.ServerInfo{}}
+	h := &host{instances: map[uint32]*instance{}, sheets: map[uint32][]decision.ServerInfo{}}
 	var buf []byte
 	for n := 0; ; n++ {
 		var f wire.Frame
@@ -79,9 +79,9 @@
 		h.current = e.Instance
 		return nil
 	case wire.Sheet:
-		list := make([]mix.ServerInfo, len(e.Entries))
+		list := make([]decision.ServerInfo, len(e.Entries))
 		for i, x := range e.Entries {
-			list[i] = mix.ServerInfo{ID: mix.ServerID(x.Server), Zone: int(x.Zone), Cell: int(x.Cell),
+			list[i] = decision.ServerInfo{ID: decision.ServerID(x.Server), Zone: int(x.Zone), Cell: int(x.Cell),
 				State: states[x.State], Nominal: float64(x.Nominal), Started: time.Duration(x.StartedUs) * time.Microsecond}
 		}
 		h.sheets[e.Table] = list
@@ -95,8 +95,8 @@
 		if err != nil {
 			return err
 		}
-		h.instances[h.current] = &instance{mixer: m, numbers: map[float32]mix.QueryID{},
-			byID: map[mix.QueryID]float32{}}
+		h.instances[h.current] = &instance{mixer: m, numbers: map[float32]decision.QueryID{},
+			byID: map[decision.QueryID]float32{}}
 		h.touch()
 		return nil
 	case wire.Exit:
@@ -109,34 +109,34 @@
 	}
 	switch e := e.(type) {
 	case wire.Targets:
-		l := mix.ServerList{Kind: kinds[e.Kind]}
-		if l.Kind != mix.ListFailed {
+		l := decision.ServerList{Kind: kinds[e.Kind]}
+		if l.Kind != decision.ListFailed {
 			l.Servers = h.sheets[e.Table]
 		}
 		x.events = append(x.events, l)
 	case wire.Query:
 		if e.Shard < 0 {
-			id := mix.QueryID(e.ID)
+			id := decision.QueryID(e.ID)
 			x.numbers[e.Number], x.byID[id] = id, e.Number
-			x.events = append(x.events, mix.QueryArrived{ID: id, Class: int(e.Class), Tenant: int(e.Tenant),
+			x.events = append(x.events, decision.QueryArrived{ID: id, Class: int(e.Class), Tenant: int(e.Tenant),
 				Key: e.Key, Left: time.Duration(e.LeftUs) * time.Microsecond, Parts: int(e.Share)})
 		} else if id, ok := x.numbers[e.Number]; ok {
-			x.events = append(x.events, mix.PartArrived{ID: mix.PartID(e.ID), Query: id,
+			x.events = append(x.events, decision.PartArrived{ID: decision.PartID(e.ID), Query: id,
 				Shard: int(e.Shard), Weight: float64(e.Share)})
 		}
 	case wire.Outcome:
 		status, ok := statuses[e.Status]
 		if !ok {
-			status = mix.Error
+			status = decision.Error
 		}
-		x.events = append(x.events, mix.Outcome{Part: mix.PartID(e.ID), Server: mix.ServerID(e.Server),
+		x.events = append(x.events, decision.Outcome{Part: decision.PartID(e.ID), Server: decision.ServerID(e.Server),
 			Attempt: int(e.Attempt), Status: status, Took: time.Duration(e.TookUs) * time.Microsecond})
 	case wire.Gone:
-		x.events = append(x.events, mix.ClientLeft{Query: mix.QueryID(e.ID)})
+		x.events = append(x.events, decision.ClientLeft{Query: decision.QueryID(e.ID)})
 	case wire.Probed:
-		x.events = append(x.events, mix.Probed{Server: mix.ServerID(e.Server), OK: e.Status == 0})
+		x.events = append(x.events, decision.Probed{Server: decision.ServerID(e.Server), OK: e.Status == 0})
 	case wire.Timer:
-		x.events = append(x.events, mix.Wake{})
+		x.events = append(x.events, decision.Wake{})
 	}
 	h.touch()
 	return nil
@@ -149,10 +149,10 @@
 }
 
 var (
-	states   = map[uint8]mix.ServerState{0: mix.Gone, 1: mix.Ready, 2: mix.Draining}
-	kinds    = map[uint8]mix.ListKind{0: mix.Delta, 2: mix.Whole, 3: mix.ListFailed, 4: mix.Cached}
-	statuses = map[uint16]mix.Status{0: mix.OK, 13: mix.Error, 8: mix.Full, 4: mix.TimedOut,
-		14: mix.ConnectFailed, 10: mix.Reset, 1: mix.Cancelled, 9: mix.Moot}
+	states   = map[uint8]decision.ServerState{0: decision.Gone, 1: decision.Ready, 2: decision.Draining}
+	kinds    = map[uint8]decision.ListKind{0: decision.Delta, 2: decision.Whole, 3: decision.ListFailed, 4: decision.Cached}
+	statuses = map[uint16]decision.Status{0: decision.OK, 13: decision.Error, 8: decision.Full, 4: decision.TimedOut,
+		14: decision.ConnectFailed, 10: decision.Reset, 1: decision.Cancelled, 9: decision.Moot}
 )
 
 // step lets one instance decide and writes what it wants done. A panic in the decisions is reported.
@@ -166,42 +166,42 @@
 	}()
 	for _, a := range x.mixer.Step(now, x.events) {
 		switch a := a.(type) {
-		case mix.Send:
+		case decision.Send:
 			h.reply.Send(uint64(a.Part), uint32(a.Limit.Microseconds()), uint32(a.Server))
-		case mix.Cancel:
+		case decision.Cancel:
 			h.reply.Cancel(uint64(a.Part), uint8(a.Attempt))
-		case mix.Answer:
+		case decision.Answer:
 			h.reply.Answer(uint64(a.Query), a.Whole)
 			if a.Final {
 				x.forget(a.Query)
 			}
-		case mix.Refuse:
+		case decision.Refuse:
 			h.reply.Refuse(uint64(a.Query), uint32(a.RetryAfter.Microseconds()))
 			x.forget(a.Query)
-		case mix.Fail:
+		case decision.Fail:
 			h.reply.Fail(uint64(a.Query))
 			x.forget(a.Query)
-		case mix.Probe:
+		case decision.Probe:
 			h.reply.Probe(uint32(a.Server))
-		case mix.CloseIdle:
+		case decision.CloseIdle:
 			h.reply.CloseIdle(uint32(a.Server))
-		case mix.WakeAt:
+		case decision.WakeAt:
 			h.reply.Timer(uint64(a.At.Microseconds()), 0)
-		case mix.Subscribe:
+		case decision.Subscribe:
 			h.reply.Watch(true)
-		case mix.Log:
+		case decision.Log:
 			h.reply.Log(a.Text)
 		}
 	}
 	for _, e := range x.events {
-		if g, ok := e.(mix.ClientLeft); ok {
+		if g, ok := e.(decision.ClientLeft); ok {
 			x.forget(g.Query)
 		}
 	}
 }
 
 // forget drops the wire's number of a query that has ended.
-func (x *instance) forget(q mix.QueryID) {
+func (x *instance) forget(q decision.QueryID) {
 	if n, ok := x.byID[q]; ok {
 		delete(x.byID, q)
 		delete(x.numbers, n)
--- a/internal/gatherer/mix/mix.go
+++ b/internal/gatherer/decision/decision.go
@@ -1,4 +1,6 @@
-package mix
+// Package decision is the interface of the decision module, package policy: settings, what a host tells of (events), what it
+// is to do (actions), and what is handed to a successor. It holds types and the check of settings; it decides nothing.
+package decision
 
 import (
 	"fmt"
--- a/internal/gatherer/gather/admit.go
+++ b/internal/gatherer/gather/admit.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
@@ -37,7 +37,7 @@
 func (c *Core) begin(q *query) {
 	r := q.Request
 	first, phased, fetch := c.startSearch(q)
-	c.events = append(c.events, mix.QueryArrived{ID: mix.QueryID(r.id), Class: r.Class, Key: subject(r),
+	c.events = append(c.events, decision.QueryArrived{ID: decision.QueryID(r.id), Class: r.Class, Key: subject(r),
 		Left: max(time.Until(r.Deadline), 0), Parts: len(r.Shards), Phased: phased, Fetch: fetch})
 	results := partResults(r)
 	for i, s := range r.Shards {
@@ -45,7 +45,7 @@
 		p := &part{id: c.lastID, q: q, res: &results[i], place: i, ask: q.askScores(i)}
 		q.parts = append(q.parts, p)
 		c.flight.AddPart(p.id, p)
-		c.events = append(c.events, mix.PartArrived{ID: mix.PartID(p.id), Query: mix.QueryID(r.id),
+		c.events = append(c.events, decision.PartArrived{ID: decision.PartID(p.id), Query: decision.QueryID(r.id),
 			Shard: s.Number, Weight: s.Weight, Later: phased && !slices.Contains(first.Ask, i)})
 	}
 	c.order(q, search.Orders{Skip: first.Skip})
--- a/internal/gatherer/gather/api.go
+++ b/internal/gatherer/gather/api.go
@@ -9,9 +9,9 @@
 import (
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/limits"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
@@ -94,9 +94,9 @@
 	OK       bool
 	Value    string
 	Attempts int
-	Last     mix.Status // of the last attempt that ended, where not OK
-	Waiting  bool       // not OK, and still to come when the request ended
-	Skipped  bool       // not asked, or called off, as it could not change the page
+	Last     decision.Status // of the last attempt that ended, where not OK
+	Waiting  bool            // not OK, and still to come when the request ended
+	Skipped  bool            // not asked, or called off, as it could not change the page
 }
 
 // Ask is what an attempt of a search asks for, beside its text.
@@ -121,7 +121,7 @@
 	Shard  int
 	Number int
 	Text   []byte
-	Server mix.ServerID
+	Server decision.ServerID
 	Ask    *Ask      // of a search
 	Load   *Load     // of a plain second step
 	Until  time.Time // when the core stops waiting for it
@@ -160,20 +160,20 @@
 	// Servers tells what the list now says of some servers.
 	Servers(news []mem.Server)
 	// Call sends the attempts to one server as one call.
-	Call(server mix.ServerID, attempts []*Attempt)
+	Call(server decision.ServerID, attempts []*Attempt)
 	// Cancel gives an attempt up. Of one that has not ended it reports that it is cancelled, and no more, once
 	// its server has been told or the connection was closed: from then on the part may be sent elsewhere.
 	Cancel(a *Attempt)
 	// Probe asks whether a server is there.
-	Probe(server mix.ServerID)
+	Probe(server decision.ServerID)
 	// CloseIdle closes the connections to a server on which nothing is out.
-	CloseIdle(server mix.ServerID)
+	CloseIdle(server decision.ServerID)
 }
 
 // Reporter takes what a transport has to tell; it may wait for the core.
 type Reporter interface {
 	// Outcome tells how an attempt ended, with its value where it is OK.
-	Outcome(a *Attempt, s mix.Status, value string)
+	Outcome(a *Attempt, s decision.Status, value string)
 	// Scored tells that an attempt ended well, with its value and the score by which a second step chooses shards.
 	Scored(a *Attempt, value string, score float64)
 	// Found tells what an attempt with an Ask brought; it has ended well. The answer has passed its Check.
@@ -182,11 +182,11 @@
 	// is at fault, and the lot store is sound.
 	Unanswerable(a *Attempt, why string)
 	// Probed tells how a probe ended.
-	Probed(server mix.ServerID, ok bool)
+	Probed(server decision.ServerID, ok bool)
 }
 
 // List is news of the server list.
 type List struct {
-	Kind    mix.ListKind
+	Kind    decision.ListKind
 	Servers []mem.Server // their IDs are not set yet
 }
--- a/internal/gatherer/gather/book.go
+++ b/internal/gatherer/gather/book.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
 // Book: every attempt ends exactly once, and what it brought is written down.
@@ -12,22 +12,22 @@
 const valuesMost = 56 << 10
 
 // book takes in the outcome that the transport tells of. A score is told of a value that has one.
-func (c *Core) book(a *Attempt, s mix.Status, value string, score *float64) {
+func (c *Core) book(a *Attempt, s decision.Status, value string, score *float64) {
 	if a.outcome {
 		return // timed out while this was on its way
 	}
-	if s == mix.Cancelled {
+	if s == decision.Cancelled {
 		a.settled = c.now() + settleFor
 		return
 	}
 	p := a.part
 	switch {
-	case s != mix.OK || p.res.OK || p.closed:
+	case s != decision.OK || p.res.OK || p.closed:
 	case c.scored(p) && score == nil: // its shard could not be ranked among the others; another replica's may be
 		c.log.Warn("answer without a score", "store", a.Server, "request", p.q.Name, "shard", p.res.Shard)
-		s = mix.Error
+		s = decision.Error
 	case p.q.bytes+len(value) > valuesMost:
-		s = mix.Error // an answer with it could not be given
+		s = decision.Error // an answer with it could not be given
 	default:
 		p.q.bytes += len(value)
 		p.res.OK, p.res.Value = true, value
@@ -39,17 +39,17 @@
 }
 
 // report ends an attempt and tells the Mixer in the next step.
-func (c *Core) report(a *Attempt, s mix.Status) {
+func (c *Core) report(a *Attempt, s decision.Status) {
 	p, took := a.part, max(c.now()-a.sent, time.Microsecond)
 	c.ended(a)
 	c.recordAttempt(a, s)
-	if s != mix.OK {
+	if s != decision.OK {
 		p.res.Last = s
 	}
-	if s == mix.Full || s == mix.ConnectFailed || s == mix.Moot {
+	if s == decision.Full || s == decision.ConnectFailed || s == decision.Moot {
 		c.neverRan(a)
 	}
-	c.events = append(c.events, mix.Outcome{Part: mix.PartID(p.id), Server: a.Server, Attempt: a.Number,
+	c.events = append(c.events, decision.Outcome{Part: decision.PartID(p.id), Server: a.Server, Attempt: a.Number,
 		Status: s, Took: took})
 }
 
--- a/internal/gatherer/gather/core.go
+++ b/internal/gatherer/gather/core.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/record"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
 	"pulleygw.example/pulleygw/policy"
@@ -37,7 +37,7 @@
 	servers   *mem.Servers
 	flight    *mem.InFlight[*query, *part]
 	out       map[*Attempt]struct{} // attempts that have not ended
-	events    []mix.Event           // for the next step
+	events    []decision.Event      // for the next step
 	calls     []call                // of the step at hand
 	lastID    uint64
 	wakeAt    time.Duration // the Mixer's, 0 for none
@@ -158,7 +158,7 @@
 	c.openDoors(now)
 	if c.wakeAt > 0 && now >= c.wakeAt {
 		c.wakeAt = 0
-		c.events = append(c.events, mix.Wake{})
+		c.events = append(c.events, decision.Wake{})
 	}
 	events := c.events
 	c.events = nil // what carrying out brings is for the next step
@@ -175,42 +175,42 @@
 	c.open.Store(int64(queries + parts))
 }
 
-func (c *Core) carryOut(a mix.Action) {
+func (c *Core) carryOut(a decision.Action) {
 	switch a := a.(type) {
-	case mix.Send:
+	case decision.Send:
 		c.route(a)
-	case mix.Cancel:
+	case decision.Cancel:
 		c.cancel(a)
-	case mix.Answer:
+	case decision.Answer:
 		c.relayAnswer(a)
-	case mix.Refuse:
+	case decision.Refuse:
 		c.relayRefusal(a)
-	case mix.Fail:
+	case decision.Fail:
 		c.relayFailure(a)
-	case mix.Probe:
+	case decision.Probe:
 		c.transport.Probe(a.Server)
-	case mix.CloseIdle:
+	case decision.CloseIdle:
 		c.transport.CloseIdle(a.Server)
-	case mix.WakeAt:
+	case decision.WakeAt:
 		c.wakeAt = a.At
-	case mix.Log:
+	case decision.Log:
 		c.log.Info("mixer", "state", a.Text)
 	}
 }
 
 // concerned is the query that an action is about; nil for none that is in hand.
-func (c *Core) concerned(a mix.Action) *query {
+func (c *Core) concerned(a decision.Action) *query {
 	id, part := uint64(0), uint64(0)
 	switch a := a.(type) {
-	case mix.Send:
+	case decision.Send:
 		part = uint64(a.Part)
-	case mix.Cancel:
+	case decision.Cancel:
 		part = uint64(a.Part)
-	case mix.Answer:
+	case decision.Answer:
 		id = uint64(a.Query)
-	case mix.Refuse:
+	case decision.Refuse:
 		id = uint64(a.Query)
-	case mix.Fail:
+	case decision.Fail:
 		id = uint64(a.Query)
 	}
 	if p, ok := c.flight.Part(part); ok {
@@ -237,7 +237,7 @@
 		}
 		c.forgetSearch(q)
 		q.plan = nil // what broke must not be asked what came of it
-		c.events = append(c.events, mix.ClientLeft{Query: mix.QueryID(q.id)})
+		c.events = append(c.events, decision.ClientLeft{Query: decision.QueryID(q.id)})
 		c.tellFinal(q, Result{Kind: Failed, Reason: ReasonPanic, Parts: partResults(q.Request)})
 	}()
 	f()
@@ -247,7 +247,7 @@
 func (c *Core) Load() float64 { return float64(c.open.Load()) / float64(c.openCap.Load()) }
 
 // decide runs one step of the Mixer. A panic there must not take down the daemon with all that it holds.
-func (c *Core) decide(now time.Duration, events []mix.Event) (actions []mix.Action, err error) {
+func (c *Core) decide(now time.Duration, events []decision.Event) (actions []decision.Action, err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("%v\n%s", p, debug.Stack())
@@ -269,5 +269,5 @@
 	c.seed++
 	c.mixer, _ = policy.New(c.set.Policy, c.seed) // New took the same settings before
 	c.events, c.calls, c.wakeAt = nil, nil, 0
-	c.events = append(c.events, mix.ServerList{Kind: mix.Cached, Servers: c.infos(c.servers.All())})
+	c.events = append(c.events, decision.ServerList{Kind: decision.Cached, Servers: c.infos(c.servers.All())})
 }
--- a/internal/gatherer/gather/crossings_test.go
+++ b/internal/gatherer/gather/crossings_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
 // A client that leaves takes its request out of every place where that waits: nothing of it is sent on any more, while what
@@ -17,8 +17,8 @@
 		ends   func(c *Core, a *Attempt)           //
 		answer func(c *Core, a *Attempt, v string) // others' answers
 	}{
-		"the module's held parts":  {nil, false, nil, func(c *Core, a *Attempt, v string) { c.Outcome(a, mix.OK, v) }},
-		"before a further attempt": {nil, true, func(c *Core, a *Attempt) { c.Outcome(a, mix.ConnectFailed, "") }, func(c *Core, a *Attempt, v string) { c.Outcome(a, mix.OK, v) }},
+		"the module's held parts":  {nil, false, nil, func(c *Core, a *Attempt, v string) { c.Outcome(a, decision.OK, v) }},
+		"before a further attempt": {nil, true, func(c *Core, a *Attempt) { c.Outcome(a, decision.ConnectFailed, "") }, func(c *Core, a *Attempt, v string) { c.Outcome(a, decision.OK, v) }},
 		"before its second step":   {two, true, func(c *Core, a *Attempt) { c.Scored(a, "v", 1) }, func(c *Core, a *Attempt, v string) { c.Scored(a, v, 1) }},
 	} {
 		c, tr := start(t, x.change)
--- a/internal/gatherer/gather/gather_test.go
+++ b/internal/gatherer/gather/gather_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
 	"pulleygw.example/pulleygw/policy"
 )
@@ -16,7 +16,7 @@
 type transport struct {
 	calls   chan []*Attempt
 	cancels chan *Attempt
-	states  chan mix.ServerState
+	states  chan decision.ServerState
 }
 
 func (t *transport) Servers(news []mem.Server) {
@@ -24,19 +24,19 @@
 		t.states <- s.State
 	}
 }
-func (t *transport) Call(_ mix.ServerID, a []*Attempt) { t.calls <- a }
-func (t *transport) Cancel(a *Attempt)                 { t.cancels <- a }
-func (t *transport) Probe(mix.ServerID)                {}
-func (t *transport) CloseIdle(mix.ServerID)            {}
+func (t *transport) Call(_ decision.ServerID, a []*Attempt) { t.calls <- a }
+func (t *transport) Cancel(a *Attempt)                      { t.cancels <- a }
+func (t *transport) Probe(decision.ServerID)                {}
+func (t *transport) CloseIdle(decision.ServerID)            {}
 
 // start runs a core with one cell of two servers.
 func start(t *testing.T, change func(*Core)) (*Core, *transport) {
 	set := settings.Settings{Classes: []string{"search", "bid"}, Zones: []string{"a"}, Shards: 100, OpenCap: 60, StreamsPerConn: 32}
-	set.Policy = mix.Settings{Siblings: 1, Tick: time.Millisecond, Cells: 1, Width: 1, Batch: 8, CallCost: time.Millisecond, MaxAttempts: 4,
-		Cancel: true, MaxRetryAfter: 500 * time.Millisecond, Classes: []mix.Class{
+	set.Policy = decision.Settings{Siblings: 1, Tick: time.Millisecond, Cells: 1, Width: 1, Batch: 8, CallCost: time.Millisecond, MaxAttempts: 4,
+		Cancel: true, MaxRetryAfter: 500 * time.Millisecond, Classes: []decision.Class{
 			{Aim: 10 * time.Second, Deadline: 20 * time.Second, Need: 1, Floor: 0.7},
-			{Aim: 10 * time.Second, Deadline: 20 * time.Second, Need: 1, Floor: 1, Effect: mix.Keyed, Window: 4 * time.Second}}}
-	tr := &transport{make(chan []*Attempt, 100), make(chan *Attempt, 100), make(chan mix.ServerState, 100)}
+			{Aim: 10 * time.Second, Deadline: 20 * time.Second, Need: 1, Floor: 1, Effect: decision.Keyed, Window: 4 * time.Second}}}
+	tr := &transport{make(chan []*Attempt, 100), make(chan *Attempt, 100), make(chan decision.ServerState, 100)}
 	c, err := New(set, 1, tr, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -46,8 +46,8 @@
 	}
 	go c.Run()
 	t.Cleanup(c.Stop)
-	c.List(List{Kind: mix.Cached, Servers: []mem.Server{
-		{Name: "s1", Addr: "x", State: mix.Ready}, {Name: "s2", Addr: "y", State: mix.Ready}}})
+	c.List(List{Kind: decision.Cached, Servers: []mem.Server{
+		{Name: "s1", Addr: "x", State: decision.Ready}, {Name: "s2", Addr: "y", State: decision.Ready}}})
 	return c, tr
 }
 
@@ -81,7 +81,7 @@
 	c.Submit(r)
 	for n := 0; n < 20; {
 		for _, a := range collect(t, tr, 1) {
-			c.Outcome(a, mix.OK, fmt.Sprint("v", a.Shard))
+			c.Outcome(a, decision.OK, fmt.Sprint("v", a.Shard))
 			n++
 		}
 	}
@@ -131,7 +131,7 @@
 	if got := <-tr.cancels; got != a[0] {
 		t.Errorf("cancelled %+v", got)
 	}
-	c.Outcome(a[0], mix.OK, "late") // crosses the cancel, and changes nothing
+	c.Outcome(a[0], decision.OK, "late") // crosses the cancel, and changes nothing
 	if len(r.Done) != 0 {
 		t.Error("a second final answer")
 	}
@@ -144,9 +144,9 @@
 	r := ask(1, 1, 20*time.Second)
 	c.Submit(r)
 	first := (<-tr.calls)[0]
-	c.Outcome(first, mix.Full, "")
+	c.Outcome(first, decision.Full, "")
 	second := (<-tr.calls)[0]
-	c.Outcome(second, mix.Error, "")
+	c.Outcome(second, decision.Error, "")
 	third := (<-tr.calls)[0]
 	if !first.NotAfter.IsZero() || !second.NotAfter.IsZero() {
 		t.Errorf("windows %v, %v before anything ran", first.NotAfter, second.NotAfter)
@@ -155,7 +155,7 @@
 	if third.NotAfter.IsZero() || third.NotAfter.After(time.Now().Add(4*time.Second)) || third.NotAfter.Before(sent.Add(3*time.Second)) {
 		t.Errorf("window ends %v", third.NotAfter)
 	}
-	c.Outcome(third, mix.OK, "v")
+	c.Outcome(third, decision.OK, "v")
 	if res := <-r.Done; !res.Whole || res.Parts[0].Attempts != 3 {
 		t.Errorf("%+v", res)
 	}
@@ -169,9 +169,9 @@
 		r.WholeOnly = whole
 		c.Submit(r)
 		for _, a := range collect(t, tr, 4) {
-			s := mix.OK
+			s := decision.OK
 			if a.Shard == 2 {
-				s = mix.Error
+				s = decision.Error
 			}
 			c.Outcome(a, s, "v")
 		}
@@ -179,7 +179,7 @@
 		if !whole && (res.Kind != Answered || res.Whole) || whole && (res.Kind != Failed || res.Reason != ReasonPartial) {
 			t.Errorf("whole only %v: %+v", whole, res)
 		}
-		if res.Parts[2].OK || res.Parts[2].Last != mix.Error || res.Parts[2].Waiting {
+		if res.Parts[2].OK || res.Parts[2].Last != decision.Error || res.Parts[2].Waiting {
 			t.Errorf("%+v", res.Parts[2])
 		}
 	}
@@ -188,8 +188,8 @@
 // The transport hears of a drain, and nothing goes to that server afterwards.
 func TestDrainingServer(t *testing.T) {
 	c, tr := start(t, nil)
-	c.List(List{Servers: []mem.Server{{Name: "s1", Addr: "x", State: mix.Draining}}})
-	for _, want := range []mix.ServerState{mix.Ready, mix.Ready, mix.Draining} {
+	c.List(List{Servers: []mem.Server{{Name: "s1", Addr: "x", State: decision.Draining}}})
+	for _, want := range []decision.ServerState{decision.Ready, decision.Ready, decision.Draining} {
 		if got := <-tr.states; got != want {
 			t.Errorf("state %v, want %v", got, want)
 		}
@@ -201,7 +201,7 @@
 		if a.Server != 2 {
 			t.Errorf("sent to server %d", a.Server)
 		}
-		c.Outcome(a, mix.OK, "v")
+		c.Outcome(a, decision.OK, "v")
 		<-r.Done
 	}
 }
@@ -218,7 +218,7 @@
 	}
 	r = ask(0, 1, 20*time.Second)
 	c.Submit(r)
-	c.Outcome((<-tr.calls)[0], mix.OK, "v")
+	c.Outcome((<-tr.calls)[0], decision.OK, "v")
 	if res := <-r.Done; !res.Whole {
 		t.Errorf("%+v", res)
 	}
@@ -230,7 +230,7 @@
 	r := ask(0, 1, 20*time.Second)
 	c.Submit(r)
 	for range 4 {
-		c.Outcome((<-tr.calls)[0], mix.OK, string(make([]byte, valuesMost+1)))
+		c.Outcome((<-tr.calls)[0], decision.OK, string(make([]byte, valuesMost+1)))
 	}
 	if res := <-r.Done; res.Kind == Answered || res.Parts[0].Value != "" {
 		t.Errorf("kind %v", res.Kind)
--- a/internal/gatherer/gather/recorder.go
+++ b/internal/gatherer/gather/recorder.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/limits"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/record"
 )
 
@@ -34,7 +34,7 @@
 			in.Attempts = c.set.Policy.MaxAttempts
 		}
 		in.Copies = c.set.Policy.SecondCopies
-		if k.Effect == mix.Keyed {
+		if k.Effect == decision.Keyed {
 			in.Window = k.Window.Microseconds()
 		}
 		if r.gate != nil {
@@ -62,11 +62,11 @@
 
 var kinds = map[Kind]string{Answered: "answered", Refused: "refused", Failed: "failed"}
 
-var statuses = map[mix.Status]string{mix.OK: "ok", mix.Error: "error", mix.Full: "full", mix.TimedOut: "timed out",
-	mix.ConnectFailed: "not connected", mix.Reset: "reset", mix.Cancelled: "cancelled", mix.Moot: "not sent"}
+var statuses = map[decision.Status]string{decision.OK: "ok", decision.Error: "error", decision.Full: "full", decision.TimedOut: "timed out",
+	decision.ConnectFailed: "not connected", decision.Reset: "reset", decision.Cancelled: "cancelled", decision.Moot: "not sent"}
 
 // recordAttempt tells of an attempt's end; one that never left has no time of leaving.
-func (c *Core) recordAttempt(a *Attempt, s mix.Status) {
+func (c *Core) recordAttempt(a *Attempt, s decision.Status) {
 	if c.recorder == nil {
 		return
 	}
@@ -81,6 +81,6 @@
 	if a.called {
 		e.Sent = c.micros(a.handed)
 	}
-	e.Ran = a.called && s != mix.Full && s != mix.ConnectFailed && s != mix.Moot
+	e.Ran = a.called && s != decision.Full && s != decision.ConnectFailed && s != decision.Moot
 	c.recorder(e)
 }
--- a/internal/gatherer/gather/relay.go
+++ b/internal/gatherer/gather/relay.go
@@ -4,32 +4,32 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
 // Relay: the Mixer's final word on a query goes to its front at once. Nothing is ever held back.
 
-func (c *Core) relayAnswer(a mix.Answer) {
+func (c *Core) relayAnswer(a decision.Answer) {
 	q, ok := c.flight.Query(uint64(a.Query))
 	switch {
 	case !ok:
 	case !a.Final && !(q.WholeOnly && !a.Whole):
 		c.fetch(q, a.Whole)
 	case q.WholeOnly && !(a.Whole && q.allIn()):
-		c.events = append(c.events, mix.ClientLeft{Query: a.Query}) // of the first step, all that is left to do
+		c.events = append(c.events, decision.ClientLeft{Query: a.Query}) // of the first step, all that is left to do
 		c.finish(q, Result{Kind: Failed, Reason: ReasonPartial})
 	default:
 		c.finish(q, Result{Kind: Answered, Whole: a.Whole && q.allIn()})
 	}
 }
 
-func (c *Core) relayRefusal(r mix.Refuse) {
+func (c *Core) relayRefusal(r decision.Refuse) {
 	if q, ok := c.flight.Query(uint64(r.Query)); ok {
 		c.finish(q, Result{Kind: Refused, RetryAfter: r.RetryAfter, Reason: ReasonGivenUp})
 	}
 }
 
-func (c *Core) relayFailure(f mix.Fail) {
+func (c *Core) relayFailure(f decision.Fail) {
 	if q, ok := c.flight.Query(uint64(f.Query)); ok {
 		reason := ReasonGivenUp
 		if c.now() >= c.at(q.Deadline)-3*c.set.Policy.Tick {
@@ -46,10 +46,10 @@
 	}
 	for _, q := range c.flight.Queries() {
 		kind := Failed
-		if c.set.Policy.Classes[q.Class].Effect == mix.Safe || !slices.ContainsFunc(q.parts, func(p *part) bool { return p.mayRun > 0 }) {
+		if c.set.Policy.Classes[q.Class].Effect == decision.Safe || !slices.ContainsFunc(q.parts, func(p *part) bool { return p.mayRun > 0 }) {
 			kind = Refused
 		}
-		c.events = append(c.events, mix.ClientLeft{Query: mix.QueryID(q.id)}) // the Mixer calls off what is out
+		c.events = append(c.events, decision.ClientLeft{Query: decision.QueryID(q.id)}) // the Mixer calls off what is out
 		c.finish(q, Result{Kind: kind, Reason: ReasonStopping})
 	}
 }
--- a/internal/gatherer/gather/search.go
+++ b/internal/gatherer/gather/search.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
@@ -90,13 +90,13 @@
 	if len(o.Ask)+len(o.Skip) == 0 {
 		return
 	}
-	e := mix.Planned{Query: mix.QueryID(q.id)}
+	e := decision.Planned{Query: decision.QueryID(q.id)}
 	for _, i := range o.Ask {
-		e.Ask = append(e.Ask, mix.PartID(q.parts[i].id))
+		e.Ask = append(e.Ask, decision.PartID(q.parts[i].id))
 	}
 	for _, i := range o.Skip {
 		q.parts[i].res.Skipped = true
-		e.Skip = append(e.Skip, mix.PartID(q.parts[i].id))
+		e.Skip = append(e.Skip, decision.PartID(q.parts[i].id))
 	}
 	c.events = append(c.events, e)
 }
@@ -108,23 +108,23 @@
 	case a.outcome:
 		return // timed out while this was on its way
 	case q.over || p.res.OK:
-		c.report(a, mix.OK)
+		c.report(a, decision.OK)
 		return
 	case a.Ask.IDs == nil && !q.plan.Fits(p.place, found):
-		c.report(a, mix.Moot) // another copy may; and nothing speaks against this one
+		c.report(a, decision.Moot) // another copy may; and nothing speaks against this one
 		return
 	case q.overAnswer(found.Bytes):
-		c.report(a, mix.Error) // as the route has it
+		c.report(a, decision.Error) // as the route has it
 		return
 	case c.most > 0 && (c.held+found.Bytes > c.most || float64(q.bytes+found.Bytes) > queryMost*float64(c.most)):
-		c.report(a, mix.Error) // there is no room for it
+		c.report(a, decision.Error) // there is no room for it
 		return
 	}
 	q.bytes += found.Bytes
 	c.held += found.Bytes
 	p.res.OK = a.Ask.IDs != nil || !q.plan.Closed()
 	sent := a.sent
-	c.report(a, mix.OK)
+	c.report(a, decision.OK)
 	if a.Ask.IDs != nil {
 		q.plan.Listed(p.place, found)
 		return
@@ -139,9 +139,9 @@
 		return
 	}
 	q := a.part.q
-	c.report(a, mix.Moot)
+	c.report(a, decision.Moot)
 	if !q.over && q.plan.Refused(uint32(a.Server)) {
-		c.events = append(c.events, mix.ClientLeft{Query: mix.QueryID(q.id)})
+		c.events = append(c.events, decision.ClientLeft{Query: decision.QueryID(q.id)})
 		c.finish(q, Result{Kind: Failed, Reason: ReasonQuestion, Detail: why})
 	}
 }
--- a/internal/gatherer/gather/second.go
+++ b/internal/gatherer/gather/second.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
@@ -21,8 +21,8 @@
 type secondPart struct {
 	place  int // of its shard in the request
 	weight float64
-	prefer mix.ServerID // 0 for none
-	used   int          // attempts of the first step that count as its own
+	prefer decision.ServerID // 0 for none
+	used   int               // attempts of the first step that count as its own
 	ask    *Ask
 	load   *Load
 }
@@ -54,7 +54,7 @@
 
 func (s byPlan) close(q *query, _ bool) (parts []secondPart) {
 	for _, f := range s.plan.Close() {
-		parts = append(parts, secondPart{place: f.Place, weight: f.Weight, prefer: mix.ServerID(f.Source),
+		parts = append(parts, secondPart{place: f.Place, weight: f.Weight, prefer: decision.ServerID(f.Source),
 			used: len(q.parts[f.Place].attempts), ask: &Ask{Query: q.Search, IDs: f.IDs}})
 	}
 	return parts
@@ -77,13 +77,13 @@
 		step = byPlan{q.plan}
 	}
 	parts := step.close(q, whole)
-	c.events = append(c.events, mix.Planned{Query: mix.QueryID(q.id), Fetch: len(parts)})
+	c.events = append(c.events, decision.Planned{Query: decision.QueryID(q.id), Fetch: len(parts)})
 	for _, x := range parts {
 		c.lastID++
 		p := &part{id: c.lastID, q: q, res: &PartResult{Shard: q.parts[x.place].res.Shard}, place: x.place, ask: x.ask, load: x.load}
 		q.second = append(q.second, p)
 		c.flight.AddPart(p.id, p)
-		c.events = append(c.events, mix.PartArrived{ID: mix.PartID(p.id), Query: mix.QueryID(q.id),
+		c.events = append(c.events, decision.PartArrived{ID: decision.PartID(p.id), Query: decision.QueryID(q.id),
 			Shard: p.res.Shard, Weight: x.weight, Prefer: x.prefer, Used: x.used})
 	}
 }
--- a/internal/gatherer/gather/second_test.go
+++ b/internal/gatherer/gather/second_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 	"pulleygw.example/pulleygw/policy"
 )
@@ -43,10 +43,10 @@
 		}
 		asked = append(asked, a.Shard)
 		if a.Shard == 3 { // any replica may answer it
-			c.Outcome(a, mix.Error, "")
+			c.Outcome(a, decision.Error, "")
 			continue
 		}
-		c.Outcome(a, mix.OK, fmt.Sprint("w", a.Shard))
+		c.Outcome(a, decision.OK, fmt.Sprint("w", a.Shard))
 	}
 	if slices.Sort(asked); !slices.Equal(asked, []int{0, 1, 3}) { // of equals the first
 		t.Errorf("asked shards %v", asked)
@@ -55,7 +55,7 @@
 	if again.Shard != 3 || again.Load == nil {
 		t.Errorf("again %+v", again)
 	}
-	c.Outcome(again, mix.OK, "w3")
+	c.Outcome(again, decision.OK, "w3")
 	res := <-r.Done
 	values := map[int]string{}
 	for _, p := range res.Values() {
@@ -71,10 +71,10 @@
 	c, tr := start(t, func(c *Core) { c.set.Policy.MaxAttempts = 2; two(c) })
 	r := ask(0, 2, 20*time.Second)
 	for _, a := range firstStep(t, c, tr, r, nil, 2) {
-		c.Outcome(a, mix.Full, "")
+		c.Outcome(a, decision.Full, "")
 	}
 	for _, a := range collect(t, tr, 2) {
-		c.Outcome(a, mix.OK, "w")
+		c.Outcome(a, decision.OK, "w")
 	}
 	if res := <-r.Done; !res.Whole || len(res.Second) != 2 || res.Second[0].Attempts != 2 || res.Parts[0].Attempts != 3 {
 		t.Errorf("%+v", res)
@@ -88,7 +88,7 @@
 	loads := firstStep(t, c, tr, r, nil, 3)
 	for n := 0; len(r.Done) == 0 && n < 20; n++ {
 		for _, a := range loads {
-			c.Outcome(a, mix.Error, "")
+			c.Outcome(a, decision.Error, "")
 		}
 		select {
 		case loads = <-tr.calls:
@@ -109,7 +109,7 @@
 	r := ask(0, 1, 20*time.Second)
 	c.Submit(r)
 	first := collect(t, tr, 1)[0]
-	c.Outcome(first, mix.OK, "v")
+	c.Outcome(first, decision.OK, "v")
 	second := collect(t, tr, 1)[0]
 	if second.Load != nil || second.Server == first.Server {
 		t.Errorf("again %+v", second)
@@ -119,13 +119,13 @@
 	if load.Load == nil {
 		t.Errorf("no second step: %+v", load)
 	}
-	c.Outcome(load, mix.OK, "w") // nothing is ranked by it
+	c.Outcome(load, decision.OK, "w") // nothing is ranked by it
 	if res := <-r.Done; !res.Whole || res.Values()[0].Value != "w" {
 		t.Errorf("%+v", res)
 	}
 	r = ask(1, 1, 20*time.Second)
 	c.Submit(r)
-	c.Outcome(collect(t, tr, 1)[0], mix.OK, "v")
+	c.Outcome(collect(t, tr, 1)[0], decision.OK, "v")
 	if res := <-r.Done; !res.Whole || res.Values()[0].Value != "v" {
 		t.Errorf("%+v", res)
 	}
@@ -146,7 +146,7 @@
 	if load.Load == nil || !slices.Equal(load.Load.From, []int{first.Shard}) || load.Shard != first.Shard {
 		t.Fatalf("%+v tells %+v", load, load.Load)
 	}
-	c.Outcome(load, mix.OK, "w")
+	c.Outcome(load, decision.OK, "w")
 	if res := <-r.Done; len(res.Values()) != 1 || res.Values()[0].Value != "w" || res.Parts[1-first.Shard].OK {
 		t.Errorf("%+v", res)
 	}
@@ -164,7 +164,7 @@
 	if res := <-r.Done; res.Kind != Failed || res.Reason != ReasonPanic || len(res.Parts) != 1 {
 		t.Errorf("%+v", res)
 	}
-	c.Outcome(held, mix.OK, "v")
+	c.Outcome(held, decision.OK, "v")
 	if res := <-other.Done; !res.Whole {
 		t.Errorf("%+v", res)
 	}
--- a/internal/gatherer/gather/takein.go
+++ b/internal/gatherer/gather/takein.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
 )
@@ -16,7 +16,7 @@
 	left    struct{ r *Request }
 	outcome struct {
 		a     *Attempt
-		s     mix.Status
+		s     decision.Status
 		value string
 		score *float64 // nil for none
 	}
@@ -29,7 +29,7 @@
 		why string
 	}
 	probed struct {
-		server mix.ServerID
+		server decision.ServerID
 		ok     bool
 	}
 	ban struct {
@@ -67,7 +67,7 @@
 	Servers []mem.Server // as listed
 	Banned  []string
 	Back    map[string]time.Time // servers put back, and when
-	Records map[string]mix.Record
+	Records map[string]decision.Record
 	// PerSecond is how many parts a second all servers together answered.
 	PerSecond float64
 }
@@ -87,9 +87,9 @@
 func (c *Core) Restore(s Snapshot) { c.tell(restored{s}) }
 
 func (c *Core) snapshot() Snapshot {
-	s := Snapshot{Servers: c.servers.Listed(), Records: map[string]mix.Record{}, PerSecond: c.mixer.PerSecond()}
+	s := Snapshot{Servers: c.servers.Listed(), Records: map[string]decision.Record{}, PerSecond: c.mixer.PerSecond()}
 	s.Banned, s.Back = c.servers.Bans()
-	names := map[mix.ServerID]string{}
+	names := map[decision.ServerID]string{}
 	for _, x := range s.Servers {
 		names[x.ID] = x.Name
 	}
@@ -103,15 +103,15 @@
 
 func (c *Core) restore(s Snapshot) {
 	c.servers.Inherit(s.Banned, s.Back)
-	c.list(List{Kind: mix.Cached, Servers: s.Servers})
-	var records []mix.Record
+	c.list(List{Kind: decision.Cached, Servers: s.Servers})
+	var records []decision.Record
 	for _, x := range c.servers.Listed() {
 		if r, ok := s.Records[x.Name]; ok {
 			r.Server = x.ID
 			records = append(records, r)
 		}
 	}
-	c.events = append(c.events, mix.Learned{Records: records, PerSecond: s.PerSecond})
+	c.events = append(c.events, decision.Learned{Records: records, PerSecond: s.PerSecond})
 }
 
 // Retune puts other settings in force for what is submitted from then on. They must be Over those before.
@@ -130,11 +130,13 @@
 func (c *Core) List(l List) { c.tell(l) }
 
 // Outcome implements Reporter.
-func (c *Core) Outcome(a *Attempt, s mix.Status, value string) { c.tell(outcome{a, s, value, nil}) }
+func (c *Core) Outcome(a *Attempt, s decision.Status, value string) {
+	c.tell(outcome{a, s, value, nil})
+}
 
 // Scored implements Reporter.
 func (c *Core) Scored(a *Attempt, value string, score float64) {
-	c.tell(outcome{a, mix.OK, value, &score})
+	c.tell(outcome{a, decision.OK, value, &score})
 }
 
 // Found implements Reporter.
@@ -144,7 +146,7 @@
 func (c *Core) Unanswerable(a *Attempt, why string) { c.tell(unanswerable{a, why}) }
 
 // Probed implements Reporter.
-func (c *Core) Probed(server mix.ServerID, ok bool) { c.tell(probed{server, ok}) }
+func (c *Core) Probed(server decision.ServerID, ok bool) { c.tell(probed{server, ok}) }
 
 func (c *Core) tell(m any) {
 	select {
@@ -168,7 +170,7 @@
 		}
 		if q, ok := c.flight.Query(m.r.id); ok && q.Request == m.r {
 			c.recordFinal(m.r, "left", "")
-			c.events = append(c.events, mix.ClientLeft{Query: mix.QueryID(m.r.id)})
+			c.events = append(c.events, decision.ClientLeft{Query: decision.QueryID(m.r.id)})
 			c.forget(q)
 		}
 	case outcome:
@@ -178,7 +180,7 @@
 	case unanswerable:
 		c.guard(m.a.part.q, func() { c.bookUnanswerable(m.a, m.why) })
 	case probed:
-		c.events = append(c.events, mix.Probed{Server: m.server, OK: m.ok})
+		c.events = append(c.events, decision.Probed{Server: m.server, OK: m.ok})
 	case List:
 		c.list(m)
 	case ban:
@@ -189,7 +191,7 @@
 		} else {
 			news, ok = c.servers.Unban(m.name, m.at)
 		}
-		c.news(mix.Delta, news)
+		c.news(decision.Delta, news)
 		m.done <- ok
 	case snapshot:
 		m.to <- c.snapshot()
@@ -199,7 +201,7 @@
 		c.set = m.set
 		c.flight.SetCap(m.set.OpenCap)
 		c.openCap.Store(int64(m.set.OpenCap))
-		c.events = append(c.events, mix.Retuned{Settings: m.set.Policy})
+		c.events = append(c.events, decision.Retuned{Settings: m.set.Policy})
 	case lastCall:
 		c.endBy = m.at
 		c.closeDoors()
@@ -209,14 +211,14 @@
 // list brings the list up to date. The transport hears of it first, so that nothing that waits to be
 // written goes to a server that drains or is gone.
 func (c *Core) list(l List) {
-	if l.Kind == mix.ListFailed {
-		c.events = append(c.events, mix.ServerList{Kind: l.Kind})
+	if l.Kind == decision.ListFailed {
+		c.events = append(c.events, decision.ServerList{Kind: l.Kind})
 		return
 	}
-	c.news(l.Kind, c.servers.Apply(l.Kind != mix.Delta, l.Servers, time.Now()))
+	c.news(l.Kind, c.servers.Apply(l.Kind != decision.Delta, l.Servers, time.Now()))
 }
 
-func (c *Core) news(kind mix.ListKind, news []mem.Server) {
+func (c *Core) news(kind decision.ListKind, news []mem.Server) {
 	c.transport.Servers(news)
 	for _, s := range news {
 		if c.index != nil { // what a process promised ends with it
@@ -224,16 +226,16 @@
 		}
 		c.log.Info("list", "store", s.ID, "name", s.Name, "addr", s.Addr, "cell", s.Cell, "state", stateNames[s.State])
 	}
-	c.events = append(c.events, mix.ServerList{Kind: kind, Servers: c.infos(news)})
+	c.events = append(c.events, decision.ServerList{Kind: kind, Servers: c.infos(news)})
 }
 
-var stateNames = map[mix.ServerState]string{mix.Ready: "ready", mix.Draining: "draining", mix.Gone: "gone"}
+var stateNames = map[decision.ServerState]string{decision.Ready: "ready", decision.Draining: "draining", decision.Gone: "gone"}
 
 // infos gives lines of the list the Mixer's form.
-func (c *Core) infos(list []mem.Server) []mix.ServerInfo {
-	infos := make([]mix.ServerInfo, 0, len(list))
+func (c *Core) infos(list []mem.Server) []decision.ServerInfo {
+	infos := make([]decision.ServerInfo, 0, len(list))
 	for _, s := range list {
-		i := mix.ServerInfo{ID: s.ID, Zone: s.Zone, Cell: s.Cell, State: s.State, Nominal: s.Weight}
+		i := decision.ServerInfo{ID: s.ID, Zone: s.Zone, Cell: s.Cell, State: s.State, Nominal: s.Weight}
 		if !s.Born.IsZero() {
 			i.Started = max(c.at(s.Born), 0)
 		}
--- a/internal/gatherer/lifecycle/daemon.go
+++ b/internal/gatherer/lifecycle/daemon.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/gatherer/config"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/agentcheck"
 	"pulleygw.example/pulleygw/internal/gatherer/net/discovery"
 	"pulleygw.example/pulleygw/internal/gatherer/net/frames"
@@ -79,7 +79,7 @@
 	class := func(n int) (index string, keyed bool) {
 		s := current.Load()
 		// A class that came with a reload stands under its own name.
-		return cmp.Or(indices[s.Classes[n]], s.Classes[n]), s.Policy.Classes[n].Effect != mix.Safe
+		return cmp.Or(indices[s.Classes[n]], s.Classes[n]), s.Policy.Classes[n].Effect != decision.Safe
 	}
 	return opensearch.NewStores(opensearch.StoresConfig{Class: class, Shards: set.Shards,
 		ConnectTimeout: set.ConnectTimeout, ConnIdle: set.ConnIdle, WriteFor: set.WriteFor(), MaxConns: conns,
@@ -165,7 +165,7 @@
 		d.Drain()
 		return nil, err
 	}
-	c.Known.Kind = mix.Cached
+	c.Known.Kind = decision.Cached
 	core.List(c.Known)
 	// A predecessor's list is younger than the one that the configuration has; the whole one is asked for then.
 	if d.takeOver() {
--- a/internal/gatherer/lifecycle/handover.go
+++ b/internal/gatherer/lifecycle/handover.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/admin"
 	"pulleygw.example/pulleygw/internal/gatherer/net/discovery"
 	"pulleygw.example/pulleygw/internal/gatherer/net/handover"
@@ -212,7 +212,7 @@
 	if len(list.Servers) == 0 {
 		return s, fmt.Errorf("its list is empty")
 	}
-	s = gather.Snapshot{Servers: list.Servers, Banned: state.Banned, Back: map[string]time.Time{}, Records: map[string]mix.Record{},
+	s = gather.Snapshot{Servers: list.Servers, Banned: state.Banned, Back: map[string]time.Time{}, Records: map[string]decision.Record{},
 		PerSecond: state.PerSecond}
 	for name, at := range state.Attached {
 		s.Back[name] = time.UnixMilli(at)
@@ -222,7 +222,7 @@
 		if r.ColdMs >= 0 {
 			cold = time.Duration(r.ColdMs) * time.Millisecond
 		}
-		s.Records[r.Name] = mix.Record{Answers: r.Answers, Latency: r.Latency, Failing: r.Failing, Cap: r.Cap, ColdFor: cold}
+		s.Records[r.Name] = decision.Record{Answers: r.Answers, Latency: r.Latency, Failing: r.Failing, Cap: r.Cap, ColdFor: cold}
 	}
 	return s, nil
 }
--- a/internal/gatherer/lifecycle/limits.go
+++ b/internal/gatherer/lifecycle/limits.go
@@ -7,9 +7,9 @@
 	"slices"
 
 	"pulleygw.example/pulleygw/internal/gatherer/config"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/limits"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
 	"pulleygw.example/pulleygw/internal/gatherer/store"
@@ -17,7 +17,7 @@
 
 // LimitClasses are the operator's classes as limits know them.
 func LimitClasses(set *settings.Settings) (list []limits.Class) {
-	effects := map[mix.Effect]limits.Effect{mix.Safe: limits.Safe, mix.Keyed: limits.Keyed, mix.Unsafe: limits.Unsafe}
+	effects := map[decision.Effect]limits.Effect{decision.Safe: limits.Safe, decision.Keyed: limits.Keyed, decision.Unsafe: limits.Unsafe}
 	for i, name := range set.Classes {
 		if set.Class(name) != i {
 			continue // kept for requests in hand only
@@ -50,7 +50,7 @@
 			}
 			l := r.Limits
 			var n int
-			set, n = set.Narrow(i, func(k *mix.Class) {
+			set, n = set.Narrow(i, func(k *decision.Class) {
 				if l.Wanted > 0 {
 					k.Aim = min(k.Aim, l.Wanted)
 				}
--- a/internal/gatherer/mem/fleet/candidates.go
+++ b/internal/gatherer/mem/fleet/candidates.go
@@ -1,7 +1,7 @@
 package fleet
 
 import (
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/spread"
 )
 
@@ -41,7 +41,7 @@
 	for _, list := range m.Replicas {
 		cell := make([]spread.Replica, len(list))
 		for i, s := range list {
-			cell[i] = spread.Replica{Rank: s.Lead, Usable: s.State == mix.Ready && warmth(s) >= 1}
+			cell[i] = spread.Replica{Rank: s.Lead, Usable: s.State == decision.Ready && warmth(s) >= 1}
 			s.Reserve = s.Reserve || cell[i].Usable
 		}
 		for i, keep := range spread.Keep(cell, size) {
--- a/internal/gatherer/mem/fleet/fleet.go
+++ b/internal/gatherer/mem/fleet/fleet.go
@@ -8,21 +8,21 @@
 	"math/rand/v2"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
 // State is what one mixer knows, and what it has been told. It is not safe for concurrent use.
 type State struct {
 	Tuning           Tuning
-	Set              mix.Settings
+	Set              decision.Settings
 	RNG              *rand.Rand
 	Now              time.Duration
-	Acts             []mix.Action
-	Queries          map[mix.QueryID]*Query
+	Acts             []decision.Action
+	Queries          map[decision.QueryID]*Query
 	Live             []*Query // in order of arrival, ended ones until the next sweep
-	Parts            map[mix.PartID]*Part
-	Servers          map[mix.ServerID]*Server
+	Parts            map[decision.PartID]*Part
+	Servers          map[decision.ServerID]*Server
 	Order            []*Server   // by ID
 	Replicas         [][]*Server // of the shards that begin at a cell, by ID
 	Candidates       []*Server   // of the choice at hand
@@ -75,26 +75,28 @@
 }
 
 // New makes empty tables.
-func New(set mix.Settings, rng *rand.Rand, t Tuning) State {
+func New(set decision.Settings, rng *rand.Rand, t Tuning) State {
 	return State{
-		Tuning: t, Set: set.Filled(), RNG: rng, Queries: map[mix.QueryID]*Query{}, Parts: map[mix.PartID]*Part{},
-		Servers: map[mix.ServerID]*Server{}, Pool: curve.NewRecord(), Suspects: map[uint64]time.Duration{},
+		Tuning: t, Set: set.Filled(), RNG: rng, Queries: map[decision.QueryID]*Query{}, Parts: map[decision.PartID]*Part{},
+		Servers: map[decision.ServerID]*Server{}, Pool: curve.NewRecord(), Suspects: map[uint64]time.Duration{},
 		Replicas: make([][]*Server, set.Cells), AskWait: askFirst, AskAt: -1, Surveyed: -1, Begun: math.MaxInt64,
 	}
 }
 
 // Do adds to what the host is to do.
-func (m *State) Do(a mix.Action) { m.Acts = append(m.Acts, a) }
+func (m *State) Do(a decision.Action) { m.Acts = append(m.Acts, a) }
 
 // Log adds a line for the on-call staff.
-func (m *State) Log(format string, args ...any) { m.Do(mix.Log{Text: fmt.Sprintf(format, args...)}) }
+func (m *State) Log(format string, args ...any) {
+	m.Do(decision.Log{Text: fmt.Sprintf(format, args...)})
+}
 
 // Told takes in what the host tells of itself.
-func (m *State) Told(e mix.Event) {
+func (m *State) Told(e decision.Event) {
 	switch e := e.(type) {
-	case mix.Retuned:
+	case decision.Retuned:
 		m.Set = e.Settings.Filled() // queries in hand point to the class that they came under
-	case mix.Learned:
+	case decision.Learned:
 		m.Learn(e)
 	}
 }
--- a/internal/gatherer/mem/fleet/list.go
+++ b/internal/gatherer/mem/fleet/list.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
@@ -16,14 +16,14 @@
 )
 
 // ListCame takes in what came of the list, and says whether it brings lines.
-func (m *State) ListCame(kind mix.ListKind) bool {
-	if kind == mix.ListFailed {
+func (m *State) ListCame(kind decision.ListKind) bool {
+	if kind == decision.ListFailed {
 		m.Subscribed, m.AskWait = false, min(2*m.AskWait, askMost)
 		m.AskAt = m.Now + curve.Duration(curve.Seconds(m.AskWait)*(0.5+m.RNG.Float64()/2))
 		m.Flip(&m.ListBad, true, "list failing=%v")
 		return false
 	}
-	if kind != mix.Cached {
+	if kind != decision.Cached {
 		m.Subscribed, m.AskWait = true, askFirst
 		m.Flip(&m.ListBad, false, "list failing=%v")
 	}
@@ -35,7 +35,7 @@
 	if !m.Asking() || m.Now < m.AskAt {
 		return
 	}
-	m.Do(mix.Subscribe{})
+	m.Do(decision.Subscribe{})
 	m.AskAt = m.Now + askMost
 	if w := m.Set.Rules.AskWithin / 2; w > 0 {
 		m.AskAt = min(m.AskAt, m.Now+w) // asked too seldom, we count as told what we were not
@@ -48,9 +48,9 @@
 }
 
 // Apply brings the list up to date; change is told of each line before it takes effect.
-func (m *State) Apply(e mix.ServerList, change func(*Server, mix.ServerInfo)) {
-	old := map[mix.ServerID]bool{}
-	if e.Kind != mix.Delta {
+func (m *State) Apply(e decision.ServerList, change func(*Server, decision.ServerInfo)) {
+	old := map[decision.ServerID]bool{}
+	if e.Kind != decision.Delta {
 		for _, s := range m.Order {
 			old[s.ID], s.Listed = s.Listed, false
 		}
@@ -72,11 +72,11 @@
 		s.Listed = s.Listed || old[i.ID]
 		change(s, i)
 		s.GoneAt = m.Now
-		s.ServerInfo, s.Listed = i, i.State != mix.Gone
+		s.ServerInfo, s.Listed = i, i.State != decision.Gone
 	}
 	m.Index()
 	for _, s := range m.Order {
-		if !s.Listed || s.State != mix.Ready { // nothing new at once: held parts go elsewhere
+		if !s.Listed || s.State != decision.Ready { // nothing new at once: held parts go elsewhere
 			for len(s.Held) > 0 {
 				p := s.Next()
 				p.Server = nil
@@ -98,7 +98,7 @@
 		for len(m.Zones) <= s.Zone {
 			m.Zones = append(m.Zones, Zone{Number: len(m.Zones)})
 		}
-		if z := &m.Zones[s.Zone]; s.Listed && s.State == mix.Ready {
+		if z := &m.Zones[s.Zone]; s.Listed && s.State == decision.Ready {
 			z.Servers = append(z.Servers, s)
 		}
 		s.Reserve = false
--- a/internal/gatherer/mem/fleet/query.go
+++ b/internal/gatherer/mem/fleet/query.go
@@ -6,14 +6,14 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/shared/tailguard"
 )
 
 // Query is a query in hand. Times are the host's clock, as everywhere here.
 type Query struct {
-	mix.QueryArrived
-	Terms      *mix.Class
+	decision.QueryArrived
+	Terms      *decision.Class
 	At, End    time.Duration // arrival, and when the client gives up
 	AimAt      time.Duration // arrival + aim, never past end
 	Current    []*Part       // of the current step
@@ -31,7 +31,7 @@
 
 // Part is one shard's share of a query.
 type Part struct {
-	mix.PartArrived
+	decision.PartArrived
 	Q      *Query
 	Server *Server // whose queue it is in, or chosen for
 	tailguard.Place
@@ -133,7 +133,7 @@
 	}
 	for _, a := range p.Attempts {
 		if a.Live && m.Set.Cancel {
-			m.Do(mix.Cancel{Part: p.ID, Attempt: a.Number})
+			m.Do(decision.Cancel{Part: p.ID, Attempt: a.Number})
 		}
 	}
 }
--- a/internal/gatherer/mem/fleet/records.go
+++ b/internal/gatherer/mem/fleet/records.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
@@ -31,9 +31,9 @@
 }
 
 // Records hands out what is known of the servers, as of the last step.
-func (m *State) Records() (all []mix.Record) {
+func (m *State) Records() (all []decision.Record) {
 	for _, s := range m.Order {
-		r := mix.Record{Server: s.ID, Answers: slices.Clone(s.Record.N), Latency: s.Lat, Failing: s.Bad, Cap: s.Cap, ColdFor: -1}
+		r := decision.Record{Server: s.ID, Answers: slices.Clone(s.Record.N), Latency: s.Lat, Failing: s.Bad, Cap: s.Cap, ColdFor: -1}
 		for i := range r.Answers {
 			r.Answers[i] /= s.Record.Weight(m.Now)
 		}
@@ -46,7 +46,7 @@
 }
 
 // Learn takes in what another mixer knew. What does not fit this one's records is passed over.
-func (m *State) Learn(e mix.Learned) {
+func (m *State) Learn(e decision.Learned) {
 	if len(m.Answered.At) == 0 && e.PerSecond > 0 { // as if it had heard them itself
 		for at := -m.Tuning.UsualSpan; at < 0; at += m.Tuning.SurveyGap {
 			m.Answered.Add(m.Now+at, e.PerSecond*curve.Seconds(m.Tuning.SurveyGap))
@@ -91,7 +91,7 @@
 	m.News = false
 	pool := m.Pool
 	if pool.Total == 0 { // before any answer: a start curve from the classes' aims
-		least := slices.MinFunc(m.Set.Classes, func(a, b mix.Class) int { return cmp.Compare(a.Aim, b.Aim) })
+		least := slices.MinFunc(m.Set.Classes, func(a, b decision.Class) int { return cmp.Compare(a.Aim, b.Aim) })
 		pool = curve.NewRecord()
 		pool.Fill(curve.Seconds(least.Aim) * m.Tuning.StartTail)
 	}
--- a/internal/gatherer/mem/fleet/server.go
+++ b/internal/gatherer/mem/fleet/server.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
@@ -25,7 +25,7 @@
 
 // Server is what is known of a server, listed or not.
 type Server struct {
-	mix.ServerInfo
+	decision.ServerInfo
 	Listed          bool
 	Out             []*Attempt // in send order
 	Held            []*Part
--- a/internal/gatherer/mem/mem_test.go
+++ b/internal/gatherer/mem/mem_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
 // A whole list says of each server that it lacks that it is gone; numbers are kept, and never used twice.
@@ -12,19 +12,19 @@
 	l, now := NewServers(), time.Now()
 	ready := func(names ...string) (list []Server) {
 		for _, n := range names {
-			list = append(list, Server{Name: n, State: mix.Ready})
+			list = append(list, Server{Name: n, State: decision.Ready})
 		}
 		return list
 	}
 	l.Apply(true, ready("a", "b"), now)
 	news := l.Apply(true, ready("b", "c"), now)
-	if len(news) != 3 || news[0].ID != 2 || news[1].ID != 3 || news[2].Name != "a" || news[2].ID != 1 || news[2].State != mix.Gone {
+	if len(news) != 3 || news[0].ID != 2 || news[1].ID != 3 || news[2].Name != "a" || news[2].ID != 1 || news[2].State != decision.Gone {
 		t.Errorf("%+v", news)
 	}
 	if news = l.Apply(false, ready("a"), now.Add(time.Minute)); len(news) != 1 || news[0].ID != 1 {
 		t.Errorf("back: %+v", news)
 	}
-	l.Apply(false, []Server{{Name: "a", State: mix.Gone}}, now)
+	l.Apply(false, []Server{{Name: "a", State: decision.Gone}}, now)
 	l.Apply(false, nil, now.Add(keepGone+time.Second))
 	if news = l.Apply(false, ready("a"), now); news[0].ID != 4 || len(l.All()) != 3 {
 		t.Errorf("%+v", news)
@@ -80,30 +80,30 @@
 // from then; a name no longer listed can be put back.
 func TestBan(t *testing.T) {
 	l, now := NewServers(), time.Now()
-	ready := []Server{{Name: "a", State: mix.Ready}}
+	ready := []Server{{Name: "a", State: decision.Ready}}
 	first := l.Apply(true, ready, now)[0].ID
 	if _, ok := l.Ban("x"); ok {
 		t.Error("banned an unknown name")
 	}
-	if news, ok := l.Ban("a"); !ok || len(news) != 1 || news[0].State != mix.Draining {
+	if news, ok := l.Ban("a"); !ok || len(news) != 1 || news[0].State != decision.Draining {
 		t.Errorf("%+v", news)
 	}
 	if news, ok := l.Ban("a"); !ok || len(news) != 0 || len(l.banned) != 1 {
 		t.Errorf("the second time: %+v", news)
 	}
-	if news := l.Apply(false, ready, now); news[0].State != mix.Draining || l.All()[0].State != mix.Draining {
+	if news := l.Apply(false, ready, now); news[0].State != decision.Draining || l.All()[0].State != decision.Draining {
 		t.Errorf("listed meanwhile: %+v", news)
 	}
 	news, ok := l.Unban("a", now)
-	if !ok || len(news) != 2 || news[0].ID != first || news[0].State != mix.Gone || news[1].ID == first ||
-		news[1].State != mix.Ready || !news[1].Born.Equal(now) {
+	if !ok || len(news) != 2 || news[0].ID != first || news[0].State != decision.Gone || news[1].ID == first ||
+		news[1].State != decision.Ready || !news[1].Born.Equal(now) {
 		t.Errorf("%+v", news)
 	}
 	if news, ok := l.Unban("a", now); !ok || len(news) != 0 {
 		t.Errorf("not banned: %+v", news)
 	}
 	later := now.Add(time.Second)
-	if news := l.Apply(false, []Server{{Name: "a", State: mix.Ready, Born: later}}, now); !news[0].Born.Equal(later) {
+	if news := l.Apply(false, []Server{{Name: "a", State: decision.Ready, Born: later}}, now); !news[0].Born.Equal(later) {
 		t.Errorf("started after that: %+v", news)
 	}
 	l.Ban("a")
--- a/internal/gatherer/mem/servers.go
+++ b/internal/gatherer/mem/servers.go
@@ -5,17 +5,17 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
 // Server is one lot store as the list last named it.
 type Server struct {
-	ID     mix.ServerID // given here, never used twice
+	ID     decision.ServerID // given here, never used twice
 	Name   string
 	Addr   string
 	Zone   int
 	Cell   int
-	State  mix.ServerState
+	State  decision.ServerState
 	Weight float64
 	Born   time.Time // when it last started; zero for long ago
 	goneAt time.Time
@@ -26,7 +26,7 @@
 // use: one goroutine owns it.
 type Servers struct {
 	byName   map[string]*Server
-	last     mix.ServerID
+	last     decision.ServerID
 	banned   map[string]struct{}
 	attached map[string]time.Time // when a ban was lifted: the server counts as cold from then
 }
@@ -55,17 +55,17 @@
 		}
 		e.ID = s.ID
 		*s = e
-		if s.State == mix.Gone {
+		if s.State == decision.Gone {
 			s.goneAt = now
 		}
 		news = append(news, l.shown(s))
 	}
 	for name, s := range l.byName {
-		if whole && !named[name] && s.State != mix.Gone {
-			s.State, s.goneAt = mix.Gone, now
+		if whole && !named[name] && s.State != decision.Gone {
+			s.State, s.goneAt = decision.Gone, now
 			news = append(news, l.shown(s))
 		}
-		if s.State == mix.Gone && now.Sub(s.goneAt) > keepGone {
+		if s.State == decision.Gone && now.Sub(s.goneAt) > keepGone {
 			delete(l.byName, name)
 		}
 	}
@@ -76,8 +76,8 @@
 // shown is a server as all others are to see it.
 func (l *Servers) shown(s *Server) Server {
 	x := *s
-	if _, is := l.banned[s.Name]; is && x.State == mix.Ready {
-		x.State = mix.Draining
+	if _, is := l.banned[s.Name]; is && x.State == decision.Ready {
+		x.State = decision.Draining
 	}
 	if at := l.attached[s.Name]; at.After(x.Born) {
 		x.Born = at
@@ -111,7 +111,7 @@
 		return nil, true
 	}
 	old := *s
-	old.State = mix.Gone
+	old.State = decision.Gone
 	l.last++
 	s.ID = l.last
 	return []Server{old, l.shown(s)}, true
@@ -142,7 +142,7 @@
 func (l *Servers) All() []Server {
 	var all []Server
 	for _, s := range l.byName {
-		if s.State != mix.Gone {
+		if s.State != decision.Gone {
 			all = append(all, l.shown(s))
 		}
 	}
--- a/internal/gatherer/net/discovery/crossings_test.go
+++ b/internal/gatherer/net/discovery/crossings_test.go
@@ -5,7 +5,7 @@
 	"net"
 	"testing"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
@@ -54,7 +54,7 @@
 			t.Errorf("behind an older version, asked %q", q.Query)
 		}
 		stop()
-		if n := len(told); n != 1 || (<-told).Servers[0].State != mix.Ready {
+		if n := len(told); n != 1 || (<-told).Servers[0].State != decision.Ready {
 			t.Errorf("told %d lists, want the newer one alone", n)
 		}
 	}
@@ -99,7 +99,7 @@
 		t.Errorf("asked %q", q.Query)
 	}
 	io.WriteString(nc, list(4, draining("s")))
-	if got := <-told; len(got.Servers) != 1 || got.Servers[0].State != mix.Draining {
+	if got := <-told; len(got.Servers) != 1 || got.Servers[0].State != decision.Draining {
 		t.Errorf("told %+v", got)
 	}
 }
--- a/internal/gatherer/net/discovery/discovery.go
+++ b/internal/gatherer/net/discovery/discovery.go
@@ -13,9 +13,9 @@
 
 	"github.com/tidwall/gjson"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 )
 
@@ -63,7 +63,7 @@
 		return 0, l, errors.New("the list lacks seq, whole or hosts")
 	}
 	if whole.Bool() {
-		l.Kind = mix.Whole
+		l.Kind = decision.Whole
 	}
 	hosts.ForEach(func(_, h gjson.Result) bool {
 		var s mem.Server
@@ -101,9 +101,9 @@
 	return append(b, "]}"...)
 }
 
-var stateNames = map[mix.ServerState]string{mix.Ready: "ready", mix.Draining: "draining", mix.Gone: "gone"}
+var stateNames = map[decision.ServerState]string{decision.Ready: "ready", decision.Draining: "draining", decision.Gone: "gone"}
 
-var states = map[string]mix.ServerState{"ready": mix.Ready, "draining": mix.Draining, "gone": mix.Gone}
+var states = map[string]decision.ServerState{"ready": decision.Ready, "draining": decision.Draining, "gone": decision.Gone}
 
 func parseHost(h gjson.Result, zones []string) (mem.Server, error) {
 	s := mem.Server{Name: h.Get("host").String(), Addr: h.Get("dial").String(), Cell: int(h.Get("block").Int()),
@@ -120,7 +120,7 @@
 		return s, errors.New("the list has a line without host")
 	case !ok:
 		return s, fmt.Errorf("the list has an unknown health for host %.80q", s.Name)
-	case state != mix.Gone && (s.Addr == "" || s.Zone < 0):
+	case state != decision.Gone && (s.Addr == "" || s.Zone < 0):
 		return s, fmt.Errorf("the list has no dial or an unknown site for host %.80q", s.Name)
 	}
 	if born := h.Get("born_ms").Int(); born > 0 {
@@ -220,13 +220,13 @@
 	if err != nil {
 		return 0, err
 	}
-	if seq == Fresh && l.Kind != mix.Whole {
+	if seq == Fresh && l.Kind != decision.Whole {
 		return 0, errors.New("the list is not whole")
 	}
 	if seq != Fresh && next < seq { // an answer that was long on its way, or an agent that has fallen behind
 		return 0, fmt.Errorf("the list went back from version %d to %d", seq, next)
 	}
-	if ctx.Err() == nil && (l.Kind == mix.Whole || len(l.Servers) > 0) {
+	if ctx.Err() == nil && (l.Kind == decision.Whole || len(l.Servers) > 0) {
 		w.Tell(l)
 	}
 	return next, nil
--- a/internal/gatherer/net/discovery/discovery_test.go
+++ b/internal/gatherer/net/discovery/discovery_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
@@ -26,10 +26,10 @@
 func TestParseList(t *testing.T) {
 	delta := `{"seq":43,"whole":false,"hosts":[{"host":"s-1","dial":"10.1.0.18:8000","site":"b","class":"m2","block":3,"health":"draining","share":1.5,"born_ms":1700000000000}]}`
 	seq, l, err := ParseList([]byte(delta), zones)
-	if err != nil || seq != 43 || l.Kind != mix.Delta || len(l.Servers) != 1 {
+	if err != nil || seq != 43 || l.Kind != decision.Delta || len(l.Servers) != 1 {
 		t.Fatalf("%d %+v %v", seq, l, err)
 	}
-	if s := l.Servers[0]; s.Zone != 1 || s.Cell != 3 || s.State != mix.Draining || s.Weight != 1.5 || s.Born.UnixMilli() != 1700000000000 {
+	if s := l.Servers[0]; s.Zone != 1 || s.Cell != 3 || s.State != decision.Draining || s.Weight != 1.5 || s.Born.UnixMilli() != 1700000000000 {
 		t.Errorf("%+v", s)
 	}
 	var indented bytes.Buffer
@@ -87,7 +87,7 @@
 			t.Errorf("asked %q, want %q", got, want)
 		}
 	}
-	if len(told) != 1 || (<-told).Kind != mix.Whole {
+	if len(told) != 1 || (<-told).Kind != decision.Whole {
 		t.Error("told otherwise than once, whole")
 	}
 }
@@ -105,7 +105,7 @@
 		return nil
 	}
 	const many = 300
-	if got := <-watch(t, h, many, false); len(got.Servers) != 1 || got.Servers[0].State != mix.Draining {
+	if got := <-watch(t, h, many, false); len(got.Servers) != 1 || got.Servers[0].State != decision.Draining {
 		t.Errorf("told %+v", got)
 	}
 	for _, asked := range []bool{false, true} {
--- a/internal/gatherer/net/frames/conn.go
+++ b/internal/gatherer/net/frames/conn.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/shared/peek"
 )
 
@@ -36,11 +36,11 @@
 	served   bool                // a part has been answered
 	asked    []time.Time         // probes that are out
 	up, dead bool
-	ran      mix.Status // how parts end that were written whole when the connection ended
-	silent   bool       // an attempt was given up with nothing heard for long: not chosen any more
-	since    time.Time  // when it came up
-	heard    time.Time  // when something last came
-	idle     time.Time  // since when nothing is on it
+	ran      decision.Status // how parts end that were written whole when the connection ended
+	silent   bool            // an attempt was given up with nothing heard for long: not chosen any more
+	since    time.Time       // when it came up
+	heard    time.Time       // when something last came
+	idle     time.Time       // since when nothing is on it
 	wake     chan struct{}
 	ctx      context.Context // ends when it is off the books
 	end      context.CancelFunc
@@ -111,9 +111,9 @@
 	if c.nc != nil {
 		c.nc.Close()
 	}
-	c.t.end(c.give, mix.Cancelled) // by the close
+	c.t.end(c.give, decision.Cancelled) // by the close
 	c.give = nil
-	if c.s.State == mix.Gone && c.s.pool.Len() == 0 && c.t.servers[c.s.ID] == c.s {
+	if c.s.State == decision.Gone && c.s.pool.Len() == 0 && c.t.servers[c.s.ID] == c.s {
 		delete(c.t.servers, c.s.ID)
 	}
 }
@@ -122,9 +122,9 @@
 // Parts end as reset where the connection broke, and as faulty where the lot store wrote what cannot be
 // read, or did not end what it began: that store lives, and is not to be taken for one that died. A frame that is being written at this moment is left to its writer.
 func (c *conn) fail(err error) {
-	t, ran := c.t, mix.Reset
+	t, ran := c.t, decision.Reset
 	if errors.Is(err, errMalformed) || errors.Is(err, os.ErrDeadlineExceeded) {
-		ran = mix.Error
+		ran = decision.Error
 	}
 	t.mu.Lock()
 	if !c.dead {
@@ -163,7 +163,7 @@
 		t.report.Outcome(a, ran, "")
 	}
 	for _, a := range never {
-		t.report.Outcome(a, mix.ConnectFailed, "")
+		t.report.Outcome(a, decision.ConnectFailed, "")
 	}
 	for range probes {
 		t.report.Probed(id, false)
--- a/internal/gatherer/net/frames/crossings_test.go
+++ b/internal/gatherer/net/frames/crossings_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
 	"pulleygw.example/pulleygw/internal/shared/peek"
 )
@@ -58,7 +58,7 @@
 		list := attempts(2)
 		tr.Call(1, list)
 		tr.Cancel(list[1])
-		r.want(t, 1, mix.Cancelled)
+		r.want(t, 1, decision.Cancelled)
 		err := io.EOF
 		if !x.reader {
 			if _, e := c.write(); e != nil {
@@ -66,9 +66,9 @@
 			}
 		}
 		c.fail(err) // as its writer or its reader does
-		want := mix.OK
+		want := decision.OK
 		if !x.served {
-			want = mix.ConnectFailed
+			want = decision.ConnectFailed
 		}
 		r.want(t, 1, want)
 		if n := script.Attempts()[1]; n > 0 {
@@ -87,7 +87,7 @@
 	busy, _ := linked(t, tr, l)
 	list := attempts(2)
 	busy.out["q.0"], busy.load, tr.where[list[0]] = &entry{a: list[0], written: time.Now()}, 1, busy
-	started := mem.Server{ID: 1, Addr: l.Addr().String(), State: mix.Ready, Born: time.Now()}
+	started := mem.Server{ID: 1, Addr: l.Addr().String(), State: decision.Ready, Born: time.Now()}
 	young, _ := linked(t, tr, l)
 	young.since = started.Born.Add(time.Microsecond)
 	tr.Servers([]mem.Server{started})
@@ -102,7 +102,7 @@
 	if err := busy.take('E', []byte("q.0 hit 7 -\nv")); err != nil {
 		t.Error(err)
 	}
-	r.want(t, 1, mix.OK)
+	r.want(t, 1, decision.OK)
 }
 
 // A write to a lot store that does not read cannot be called off when that is told to drain, or when a client leaves, and
@@ -135,7 +135,7 @@
 			begun = len(c.out) > 0 || len(ended) > 0
 			tr.mu.Unlock()
 		}
-		tr.Servers([]mem.Server{{ID: 1, Addr: l.Addr().String(), State: mix.Draining}})
+		tr.Servers([]mem.Server{{ID: 1, Addr: l.Addr().String(), State: decision.Draining}})
 		select {
 		case err := <-ended:
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -145,7 +145,7 @@
 		case <-time.After(20 * time.Second):
 			t.Fatalf("%s: the write goes on", name)
 		}
-		r.want(t, 1, mix.ConnectFailed)
+		r.want(t, 1, decision.ConnectFailed)
 		if n, _ := io.Copy(io.Discard, there); n >= 4<<20 {
 			t.Errorf("%s: the frame came whole", name)
 		}
@@ -161,13 +161,13 @@
 	for name, x := range map[string]struct {
 		send string
 		end  func(there *net.TCPConn)
-		want mix.Status
+		want decision.Status
 	}{
-		"half a line, then its end": {whole + half, func(c *net.TCPConn) { c.CloseWrite() }, mix.Reset},
-		"half a head, then its end": {whole + half[:3], func(c *net.TCPConn) { c.CloseWrite() }, mix.Reset},
-		"half a line, then a reset": {whole + half, func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, mix.Reset},
-		"half a line for ever":      {whole + half, func(*net.TCPConn) {}, mix.Error},
-		"a line without bound":      {whole + "\xff\xff\xff\x7fEq.1 hit", func(*net.TCPConn) {}, mix.Error},
+		"half a line, then its end": {whole + half, func(c *net.TCPConn) { c.CloseWrite() }, decision.Reset},
+		"half a head, then its end": {whole + half[:3], func(c *net.TCPConn) { c.CloseWrite() }, decision.Reset},
+		"half a line, then a reset": {whole + half, func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, decision.Reset},
+		"half a line for ever":      {whole + half, func(*net.TCPConn) {}, decision.Error},
+		"a line without bound":      {whole + "\xff\xff\xff\x7fEq.1 hit", func(*net.TCPConn) {}, decision.Error},
 	} {
 		l := standin.Listen(t)
 		tr, r := transport(l.Addr().String(), time.Minute)
@@ -178,7 +178,7 @@
 		}
 		io.ReadFull(nc, make([]byte, 5))
 		io.WriteString(nc, x.send[:len(whole)])
-		r.want(t, 1, mix.OK)
+		r.want(t, 1, decision.OK)
 		io.WriteString(nc, x.send[len(whole):])
 		x.end(nc.(*net.TCPConn))
 		if got := <-r.ch; got.a.Shard != 1 || got.s != x.want {
@@ -212,12 +212,12 @@
 	there.SetLinger(0)
 	there.Close()
 	c.fail(<-ended)
-	got := map[int]mix.Status{}
+	got := map[int]decision.Status{}
 	for range 2 {
 		x := <-r.ch
 		got[x.a.Shard] = x.s
 	}
-	if got[0] != mix.Reset || got[1] != mix.ConnectFailed {
+	if got[0] != decision.Reset || got[1] != decision.ConnectFailed {
 		t.Errorf("written whole: %v, begun: %v", got[0], got[1])
 	}
 }
@@ -234,7 +234,7 @@
 		list := attempts(2)
 		tr.Call(1, list[:1])
 		tr.Cancel(list[0])
-		r.want(t, 1, mix.Cancelled)
+		r.want(t, 1, decision.Cancelled)
 		if !gone {
 			tr.Call(1, list[1:])
 		}
@@ -259,7 +259,7 @@
 		}
 		there.Close()
 		if !gone {
-			r.want(t, 1, mix.Reset)
+			r.want(t, 1, decision.Reset)
 		}
 	}
 }
@@ -298,8 +298,8 @@
 	ended := make(chan struct{})
 	go func() { c.run(); close(ended) }()
 	tr.Cancel(list[0])
-	r.want(t, 1, mix.Cancelled)
-	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: mix.Gone}})
+	r.want(t, 1, decision.Cancelled)
+	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: decision.Gone}})
 	select {
 	case <-ended:
 	case <-time.After(20 * time.Second):
--- a/internal/gatherer/net/frames/frames_test.go
+++ b/internal/gatherer/net/frames/frames_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
@@ -110,23 +110,23 @@
 
 type report struct {
 	a     *gather.Attempt
-	s     mix.Status
+	s     decision.Status
 	value string
 }
 
-func (r reports) Outcome(a *gather.Attempt, s mix.Status, v string) { r.ch <- report{a, s, v} }
-func (r reports) Scored(a *gather.Attempt, v string, _ float64)     { r.ch <- report{a, mix.OK, v} }
-func (r reports) Found(*gather.Attempt, *search.Answer)             {}
-func (r reports) Unanswerable(*gather.Attempt, string)              {}
-func (r reports) Probed(_ mix.ServerID, ok bool) {
-	r.ch <- report{s: map[bool]mix.Status{true: mix.OK, false: mix.Error}[ok]}
+func (r reports) Outcome(a *gather.Attempt, s decision.Status, v string) { r.ch <- report{a, s, v} }
+func (r reports) Scored(a *gather.Attempt, v string, _ float64)          { r.ch <- report{a, decision.OK, v} }
+func (r reports) Found(*gather.Attempt, *search.Answer)                  {}
+func (r reports) Unanswerable(*gather.Attempt, string)                   {}
+func (r reports) Probed(_ decision.ServerID, ok bool) {
+	r.ch <- report{s: map[bool]decision.Status{true: decision.OK, false: decision.Error}[ok]}
 }
 
 func transport(addr string, idle time.Duration) (*Transport, reports) {
 	tr := New(Config{Streams: 16, ConnectTimeout: 250 * time.Millisecond, ConnIdle: idle, WriteFor: time.Second, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
 	r := reports{make(chan report, 100)}
 	tr.Start(r)
-	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: mix.Ready}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: decision.Ready}})
 	return tr, r
 }
 
@@ -137,7 +137,7 @@
 	return list
 }
 
-func (r reports) want(t *testing.T, n int, s mix.Status) {
+func (r reports) want(t *testing.T, n int, s decision.Status) {
 	t.Helper()
 	for range n {
 		if got := <-r.ch; got.s != s {
@@ -154,29 +154,29 @@
 	go standin.Frames(l, script)
 	tr, r := transport(l.Addr().String(), time.Minute)
 	tr.Call(1, attempts(3))
-	r.want(t, 3, mix.Reset)
+	r.want(t, 3, decision.Reset)
 	tr.Call(1, attempts(3))
-	r.want(t, 3, mix.OK)
+	r.want(t, 3, decision.OK)
 	tr.Probe(1)
-	r.want(t, 1, mix.OK)
+	r.want(t, 1, decision.OK)
 
 	refused := standin.Listen(t)
 	refused.Close()
 	tr, r = transport(refused.Addr().String(), time.Minute)
 	tr.Call(1, attempts(2))
-	r.want(t, 2, mix.ConnectFailed)
+	r.want(t, 2, decision.ConnectFailed)
 	tr.Probe(1)
-	r.want(t, 1, mix.Error)
+	r.want(t, 1, decision.Error)
 }
 
 // A malformed frame closes its connection at once, and its parts may have run; they are not counted as if the
 // lot store had died, but for its own word that it closes. An id that nobody waits for leaves somebody waiting.
 func TestMalformedFrame(t *testing.T) {
-	for frame, want := range map[string]mix.Status{
-		string(standin.Frame('Z', "?")): mix.Error, string(standin.Frame('E', "no line")): mix.Error,
-		"\x00\x00\x00\x00E": mix.Error, "\xff\xff\xff\xffE": mix.Error, "\x40\x00\x00\x00Z": mix.Error,
-		string(standin.Frame('E', "q.0 what 0 -\nv")): mix.Error, string(standin.Frame('E', "z.0 hit 0 -\nv")): mix.Error,
-		"\x40\x00\x00\x00Eq.0 hit 0 -\nv": mix.Error, string(standin.Frame('F', "what?")): mix.Reset,
+	for frame, want := range map[string]decision.Status{
+		string(standin.Frame('Z', "?")): decision.Error, string(standin.Frame('E', "no line")): decision.Error,
+		"\x00\x00\x00\x00E": decision.Error, "\xff\xff\xff\xffE": decision.Error, "\x40\x00\x00\x00Z": decision.Error,
+		string(standin.Frame('E', "q.0 what 0 -\nv")): decision.Error, string(standin.Frame('E', "z.0 hit 0 -\nv")): decision.Error,
+		"\x40\x00\x00\x00Eq.0 hit 0 -\nv": decision.Error, string(standin.Frame('F', "what?")): decision.Reset,
 	} {
 		l := standin.Listen(t)
 		closed := make(chan error, 1)
@@ -210,7 +210,7 @@
 		}()
 		tr, r := transport(l.Addr().String(), time.Minute)
 		tr.Call(1, attempts(1))
-		r.want(t, 1, mix.OK)
+		r.want(t, 1, decision.OK)
 		if len(r.ch) > 0 {
 			t.Errorf("%q: a second outcome", more)
 		}
@@ -222,7 +222,7 @@
 	tr, _ := transport("127.0.0.1:1", time.Minute)
 	c := parked(tr, nil)
 	tr.Call(1, attempts(1))
-	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:2", State: mix.Ready}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:2", State: decision.Ready}})
 	tr.Call(1, attempts(1))
 	if c.load != 1 || c.Ready() != 0 {
 		t.Errorf("load %d, ready %d", c.load, c.Ready())
@@ -235,7 +235,7 @@
 	l := standin.Listen(t)
 	tr, _ := transport(l.Addr().String(), time.Minute)
 	tr.MaxConns = 4
-	tr.Servers([]mem.Server{{ID: 2, Addr: "127.0.0.1:1", State: mix.Ready}})
+	tr.Servers([]mem.Server{{ID: 2, Addr: "127.0.0.1:1", State: decision.Ready}})
 	for i, want := range []int{1, 2, 2, 2, 3} {
 		tr.Call(1, attempts(8))
 		tr.mu.Lock()
@@ -258,17 +258,17 @@
 
 // Nothing queued may go to a server since told draining or gone: the rule allows 250 ms after that.
 func TestDrainDropsQueue(t *testing.T) {
-	for _, state := range []mix.ServerState{mix.Draining, mix.Gone} {
+	for _, state := range []decision.ServerState{decision.Draining, decision.Gone} {
 		tr, r := transport("127.0.0.1:1", time.Minute)
 		c := parked(tr, nil)
 		tr.Call(1, attempts(3))
 		tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:1", State: state}})
-		r.want(t, 3, mix.Moot)
+		r.want(t, 3, decision.Moot)
 		if len(c.queue) != 0 || c.load != 0 {
 			t.Errorf("queue %v, load %d", c.queue, c.load)
 		}
 		tr.Call(1, attempts(1))
-		r.want(t, 1, mix.Moot)
+		r.want(t, 1, decision.Moot)
 	}
 }
 
@@ -286,7 +286,7 @@
 	if more, err := c.write(); !more || err != nil { // a write to the pipe would fail: nobody reads
 		t.Errorf("more %v, error %v", more, err)
 	}
-	r.want(t, 2, mix.Moot)
+	r.want(t, 2, decision.Moot)
 }
 
 // A cancelled part gives its place up, and an answer that crosses that is dropped.
@@ -297,7 +297,7 @@
 	queued, out := list[0], list[1]
 	tr.Call(1, list)
 	tr.Cancel(queued)
-	r.want(t, 1, mix.Cancelled)
+	r.want(t, 1, decision.Cancelled)
 	c.out["q.1"], c.queue = &entry{a: out, written: time.Now()}, nil
 	tr.Cancel(out)
 	if c.load != 0 || len(c.out) != 0 || len(c.give) != 1 || c.give[0] != out {
@@ -331,10 +331,10 @@
 	if err := <-told; !errors.Is(err, errMalformed) { // B is no letter that a lot store sends
 		t.Errorf("told %v", err)
 	}
-	r.want(t, 1, mix.Cancelled)
+	r.want(t, 1, decision.Cancelled)
 	tr.Cancel(list[1])
 	c.fail(io.EOF)
-	r.want(t, 1, mix.Cancelled)
+	r.want(t, 1, decision.Cancelled)
 }
 
 // A connection that was silent for long under a part that is given up takes no further part, and is closed
@@ -368,7 +368,7 @@
 	}
 	io.ReadFull(c, make([]byte, 5))
 	c.Write(standin.Frame('C', "fault"))
-	r.want(t, 1, mix.Error)
+	r.want(t, 1, decision.Error)
 	if n, err := c.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("%d bytes, %v", n, err)
 	}
@@ -382,12 +382,12 @@
 	list := attempts(1)
 	busy.out["q.0"], busy.load, tr.where[list[0]] = &entry{a: list[0], written: time.Now()}, 1, busy
 	tr.conns = 2
-	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:1", State: mix.Gone}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: "127.0.0.1:1", State: decision.Gone}})
 	if tr.conns != 1 || len(tr.servers) != 1 {
 		t.Errorf("%d connections, %d servers while one part is out", tr.conns, len(tr.servers))
 	}
 	busy.fail(io.EOF)
-	r.want(t, 1, mix.Reset)
+	r.want(t, 1, decision.Reset)
 	if tr.conns != 0 || len(tr.servers) != 0 || len(tr.where) != 0 {
 		t.Errorf("%d connections, %d servers, %d attempts are kept", tr.conns, len(tr.servers), len(tr.where))
 	}
@@ -404,12 +404,12 @@
 		frame := len(standin.Frame('A', partLine(attempts(1)[0], 59999)))
 		io.ReadFull(there, make([]byte, frame-1))
 		c.t.mu.Lock()
-		c.dead, c.ran = true, mix.Error // as fail leaves it
+		c.dead, c.ran = true, decision.Error // as fail leaves it
 		c.t.mu.Unlock()
 		io.ReadFull(there, make([]byte, 1))
 	}()
 	if _, err := c.write(); err != nil {
 		t.Fatal(err)
 	}
-	r.want(t, 1, mix.Error)
+	r.want(t, 1, decision.Error)
 }
--- a/internal/gatherer/net/frames/take.go
+++ b/internal/gatherer/net/frames/take.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
-var statuses = map[string]mix.Status{"hit": mix.OK, "fault": mix.Error, "overload": mix.Full}
+var statuses = map[string]decision.Status{"hit": decision.OK, "fault": decision.Error, "overload": decision.Full}
 
 // take takes in one frame. An error closes the connection and ends all that is out on it.
 func (c *conn) take(letter byte, rest []byte) error {
@@ -63,7 +63,7 @@
 	c.t.mu.Unlock()
 	switch {
 	case e == nil:
-	case statuses[x.how] == mix.OK && x.score != nil:
+	case statuses[x.how] == decision.OK && x.score != nil:
 		c.t.report.Scored(e.a, string(x.value), *x.score)
 	default:
 		c.t.report.Outcome(e.a, statuses[x.how], string(x.value))
--- a/internal/gatherer/net/frames/transport.go
+++ b/internal/gatherer/net/frames/transport.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // Config is what a transport needs to know.
@@ -29,7 +29,7 @@
 	report gather.Reporter
 
 	mu      sync.Mutex
-	servers map[mix.ServerID]*server
+	servers map[decision.ServerID]*server
 	where   map[*gather.Attempt]*conn
 	conns   int
 }
@@ -41,7 +41,7 @@
 
 // New makes a transport; Start must come before any other call.
 func New(c Config) *Transport {
-	return &Transport{Config: c, servers: map[mix.ServerID]*server{}, where: map[*gather.Attempt]*conn{}}
+	return &Transport{Config: c, servers: map[decision.ServerID]*server{}, where: map[*gather.Attempt]*conn{}}
 }
 
 // Start names whom outcomes are reported to.
@@ -55,22 +55,22 @@
 	for _, n := range news {
 		s := t.servers[n.ID]
 		if s == nil {
-			if n.State == mix.Gone {
+			if n.State == decision.Gone {
 				continue
 			}
 			s = &server{}
 			t.servers[n.ID] = s
 		}
 		s.Server = n
-		if n.State != mix.Ready {
+		if n.State != decision.Ready {
 			var dropped []*gather.Attempt
 			for _, c := range s.pool.All() {
 				dropped = append(dropped, c.dropQueue()...)
 			}
-			t.end(dropped, mix.Moot)
+			t.end(dropped, decision.Moot)
 		}
-		t.closeIdle(s, func(c *conn) bool { return n.State == mix.Gone || c.unfit() })
-		if n.State == mix.Gone && s.pool.Len() == 0 {
+		t.closeIdle(s, func(c *conn) bool { return n.State == decision.Gone || c.unfit() })
+		if n.State == decision.Gone && s.pool.Len() == 0 {
 			delete(t.servers, n.ID)
 		}
 	}
@@ -78,7 +78,7 @@
 
 // end reports the same outcome for attempts, from a goroutine of its own as the caller holds the lock or is
 // the core itself.
-func (t *Transport) end(attempts []*gather.Attempt, s mix.Status) {
+func (t *Transport) end(attempts []*gather.Attempt, s decision.Status) {
 	if len(attempts) == 0 {
 		return
 	}
@@ -90,23 +90,23 @@
 }
 
 // Call implements gather.Transport.
-func (t *Transport) Call(id mix.ServerID, attempts []*gather.Attempt) {
+func (t *Transport) Call(id decision.ServerID, attempts []*gather.Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.call(id, attempts)
 }
 
 // call queues a call on a connection; the lock is held.
-func (t *Transport) call(id mix.ServerID, attempts []*gather.Attempt) {
+func (t *Transport) call(id decision.ServerID, attempts []*gather.Attempt) {
 	s := t.servers[id]
-	if s == nil || s.State != mix.Ready {
-		t.end(attempts, mix.Moot)
+	if s == nil || s.State != decision.Ready {
+		t.end(attempts, decision.Moot)
 		return
 	}
 	c := t.conn(s, len(attempts))
 	if c == nil {
 		t.Log.Warn("connections used up", "most", t.MaxConns, "store", id)
-		t.end(attempts, mix.ConnectFailed)
+		t.end(attempts, decision.ConnectFailed)
 		return
 	}
 	c.queue = append(c.queue, attempts)
@@ -127,7 +127,7 @@
 	if t.conns >= t.MaxConns {
 		return c // nil where none has room
 	}
-	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, ran: mix.Reset, wake: make(chan struct{}, 1), idle: time.Now()}
+	c = &conn{t: t, s: s, addr: s.Addr, out: map[string]*entry{}, ran: decision.Reset, wake: make(chan struct{}, 1), idle: time.Now()}
 	c.ctx, c.end = context.WithCancel(context.Background())
 	s.pool.Add(c)
 	t.conns++
@@ -149,12 +149,12 @@
 	for i, call := range c.queue {
 		if j := slices.Index(call, a); j >= 0 {
 			c.queue[i] = slices.Delete(call, j, j+1)
-			t.end([]*gather.Attempt{a}, mix.Cancelled)
+			t.end([]*gather.Attempt{a}, decision.Cancelled)
 			return
 		}
 	}
 	if c.dead { // its writer is about to find out, and the frame was never whole
-		t.end([]*gather.Attempt{a}, mix.Cancelled)
+		t.end([]*gather.Attempt{a}, decision.Cancelled)
 		return
 	}
 	e := c.out[partID(a)]
@@ -170,7 +170,7 @@
 }
 
 // Probe implements gather.Transport.
-func (t *Transport) Probe(id mix.ServerID) {
+func (t *Transport) Probe(id decision.ServerID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
@@ -188,7 +188,7 @@
 }
 
 // CloseIdle implements gather.Transport.
-func (t *Transport) CloseIdle(id mix.ServerID) {
+func (t *Transport) CloseIdle(id decision.ServerID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[id]; s != nil {
--- a/internal/gatherer/net/frames/write.go
+++ b/internal/gatherer/net/frames/write.go
@@ -4,8 +4,8 @@
 	"io"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 )
 
 // write writes the next thing in line and says whether there was one. An idle connection is closed here.
@@ -38,7 +38,7 @@
 			c.nc.Close() // that, too, gives them up
 		}
 		for _, a := range given {
-			t.report.Outcome(a, mix.Cancelled, "")
+			t.report.Outcome(a, decision.Cancelled, "")
 		}
 		return true, err
 	case len(c.queue) > 0:
@@ -69,7 +69,7 @@
 	var lines []string
 	var late, attempts []*gather.Attempt
 	for _, a := range call {
-		if c.s.State != mix.Ready || a.Stale(now) {
+		if c.s.State != decision.Ready || a.Stale(now) {
 			late = append(late, a)
 			delete(t.where, a)
 			c.load--
@@ -82,7 +82,7 @@
 	c.settle()
 	t.mu.Unlock()
 	for _, a := range late {
-		t.report.Outcome(a, mix.Moot, "")
+		t.report.Outcome(a, decision.Moot, "")
 	}
 	if len(attempts) == 0 {
 		return nil
@@ -107,7 +107,7 @@
 	status := c.ran // written whole, and the connection ended before that was booked
 	t.mu.Unlock()
 	if err != nil {
-		status = mix.ConnectFailed
+		status = decision.ConnectFailed
 	}
 	for _, a := range ended {
 		t.report.Outcome(a, status, "")
--- a/internal/gatherer/net/opensearch/answers.go
+++ b/internal/gatherer/net/opensearch/answers.go
@@ -12,9 +12,9 @@
 	"github.com/tidwall/gjson"
 
 	"pulleygw.example/pulleygw/internal/gatherer/aggs"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/merge"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
@@ -41,14 +41,14 @@
 }
 
 // causes words how a part's last attempt ended.
-var causes = map[mix.Status]cause{
-	mix.Error:         {"query_phase_execution_exception", "the lot store reported a failure"},
-	mix.Full:          {"rejected_execution_exception", "the lot store turned it away"},
-	mix.TimedOut:      {"receive_timeout_transport_exception", "no answer in time"},
-	mix.ConnectFailed: {"connect_transport_exception", "no connection to the lot store"},
-	mix.Reset:         {"node_disconnected_exception", "the connection to the lot store broke"},
-	mix.Cancelled:     {"task_cancelled_exception", "given up"},
-	mix.Moot:          {"task_cancelled_exception", "not sent"},
+var causes = map[decision.Status]cause{
+	decision.Error:         {"query_phase_execution_exception", "the lot store reported a failure"},
+	decision.Full:          {"rejected_execution_exception", "the lot store turned it away"},
+	decision.TimedOut:      {"receive_timeout_transport_exception", "no answer in time"},
+	decision.ConnectFailed: {"connect_transport_exception", "no connection to the lot store"},
+	decision.Reset:         {"node_disconnected_exception", "the connection to the lot store broke"},
+	decision.Cancelled:     {"task_cancelled_exception", "given up"},
+	decision.Moot:          {"task_cancelled_exception", "not sent"},
 }
 
 func (a *asked) counts(res gather.Result) (c shardCounts, timedOut bool) {
@@ -65,8 +65,8 @@
 		}
 		c.Failed++
 		why := causes[p.Last]
-		if p.Waiting || p.Last == mix.TimedOut {
-			why, timedOut = causes[mix.TimedOut], true
+		if p.Waiting || p.Last == decision.TimedOut {
+			why, timedOut = causes[decision.TimedOut], true
 		}
 		c.Failures = append(c.Failures, shardError{Shard: p.Shard, Index: a.index, Reason: why})
 	}
--- a/internal/gatherer/net/opensearch/calls.go
+++ b/internal/gatherer/net/opensearch/calls.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 )
 
@@ -183,9 +183,9 @@
 	}
 	k := set.Policy.Classes[class]
 	switch {
-	case !keyed && k.Effect != mix.Safe:
+	case !keyed && k.Effect != decision.Safe:
 		return nil, illegal("index [%s] takes only create", index)
-	case keyed && k.Effect == mix.Safe:
+	case keyed && k.Effect == decision.Safe:
 		return nil, illegal("index [%s] takes only _search", index)
 	}
 	wait := k.Deadline
--- a/internal/gatherer/net/opensearch/cluster.go
+++ b/internal/gatherer/net/opensearch/cluster.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 )
 
@@ -26,7 +26,7 @@
 	holders := make([]int, set.Policy.Cells)
 	nodes := 0
 	for _, x := range s.Servers {
-		if x.State != mix.Ready || slices.Contains(s.Banned, x.Name) {
+		if x.State != decision.Ready || slices.Contains(s.Banned, x.Name) {
 			continue
 		}
 		nodes++
--- a/internal/gatherer/net/opensearch/opensearch_test.go
+++ b/internal/gatherer/net/opensearch/opensearch_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/tidwall/gjson"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
@@ -43,7 +43,7 @@
 func front(res gather.Result) (*Front, *core) {
 	c := &core{result: res}
 	set := settings.Settings{Classes: []string{"lot-search", "place-bid"}, Shards: 24}
-	set.Policy.Classes = []mix.Class{{Deadline: 3 * time.Second}, {Deadline: 4 * time.Second, Effect: mix.Keyed}}
+	set.Policy.Classes = []decision.Class{{Deadline: 3 * time.Second}, {Deadline: 4 * time.Second, Effect: decision.Keyed}}
 	current := &settings.Current{}
 	current.Store(&set)
 	f := &Front{Core: c, Settings: current, Name: "os"}
@@ -96,7 +96,7 @@
 // handed to the core as such.
 func TestPartial(t *testing.T) {
 	f, c := front(gather.Result{Parts: []gather.PartResult{{Shard: 4, OK: true, Value: "a"}, {Shard: 5, OK: true, Value: "b"},
-		{Shard: 6, Attempts: 1, Waiting: true}, {Shard: 7, Attempts: 4, Last: mix.Error}}})
+		{Shard: 6, Attempts: 1, Waiting: true}, {Shard: 7, Attempts: 4, Last: decision.Error}}})
 	p := call(f, "GET", "/lots/_search?preference=_shards:4,5,6,7&allow_partial_search_results=false&timeout=2s", "")
 	r := gjson.ParseBytes(p.Body)
 	if p.Status != 200 || !r.Get("timed_out").Bool() || r.Get("_shards.total").Int() != 4 || r.Get("_shards.successful").Int() != 2 ||
--- a/internal/gatherer/net/opensearch/phases_test.go
+++ b/internal/gatherer/net/opensearch/phases_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/pages"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
@@ -343,7 +343,7 @@
 				}
 				done = true
 				set := *r.front.Settings.Load()
-				set.Policy.Classes = append(slices.Clone(set.Policy.Classes), mix.Class{Aim: time.Second, Deadline: 2 * time.Second, Need: 1, Floor: 1, MaxAttempts: 1})
+				set.Policy.Classes = append(slices.Clone(set.Policy.Classes), decision.Class{Aim: time.Second, Deadline: 2 * time.Second, Need: 1, Floor: 1, MaxAttempts: 1})
 				set.Classes = append(slices.Clone(set.Classes), "other")
 				go func() {
 					r.core.Retune(set)
--- a/internal/gatherer/net/opensearch/rig_test.go
+++ b/internal/gatherer/net/opensearch/rig_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/tidwall/gjson"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
 	"pulleygw.example/pulleygw/internal/gatherer/merge"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/record"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
@@ -30,7 +30,7 @@
 	front  *Front
 	core   *gather.Core
 	corpus *lots.Corpus
-	stores map[mix.ServerID]*memStore
+	stores map[decision.ServerID]*memStore
 	ranges int
 	ended  chan struct{}
 
@@ -47,7 +47,7 @@
 
 // memStore is one lot store: two cores and a queue.
 type memStore struct {
-	id    mix.ServerID
+	id    decision.ServerID
 	copy  *lots.Copy
 	free  int
 	queue []*memJob
@@ -90,14 +90,14 @@
 func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
 
 func newRig(o rigOptions) *rig {
-	r := &rig{ranges: o.ranges, corpus: lots.New(7, o.ranges, o.each), stores: map[mix.ServerID]*memStore{}, ended: make(chan struct{}),
+	r := &rig{ranges: o.ranges, corpus: lots.New(7, o.ranges, o.each), stores: map[decision.ServerID]*memStore{}, ended: make(chan struct{}),
 		out: map[*gather.Attempt]*memJob{}, most: map[string]int{}, live: map[string]int{}, tries: map[string]int{}}
 	cells := max(o.ranges/4, 1)
 	set := settings.Settings{Classes: []string{"lot-search"}, Zones: []string{"a", "b"}, Shards: o.ranges, OpenCap: 50 * (o.ranges + 1), StreamsPerConn: 32}
-	set.Policy = mix.Settings{Siblings: 1, Tick: 5 * time.Millisecond, Cells: cells, Width: 1, Batch: 8, CallCost: callWork, MaxAttempts: 4,
+	set.Policy = decision.Settings{Siblings: 1, Tick: 5 * time.Millisecond, Cells: cells, Width: 1, Batch: 8, CallCost: callWork, MaxAttempts: 4,
 		Cancel: true, Probes: true, MaxRetryAfter: 500 * time.Millisecond,
-		Rules:   mix.Rules{StartCapacity: 0.15, Ramp: 17 * time.Second, FallMultiple: 3, FallSpan: 1500 * time.Millisecond},
-		Classes: []mix.Class{{Aim: 1200 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Need: 1, Floor: 0.7, MaxAttempts: 4}}}
+		Rules:   decision.Rules{StartCapacity: 0.15, Ramp: 17 * time.Second, FallMultiple: 3, FallSpan: 1500 * time.Millisecond},
+		Classes: []decision.Class{{Aim: 1200 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Need: 1, Floor: 0.7, MaxAttempts: 4}}}
 	if o.change != nil {
 		o.change(&set)
 	}
@@ -118,11 +118,11 @@
 	var list []mem.Server
 	for cell := range cells {
 		for i := range 3 {
-			list = append(list, mem.Server{Name: fmt.Sprintf("s-%d-%d", cell, i), Addr: "x", Cell: cell, Zone: i % 2, Weight: 1, State: mix.Ready})
+			list = append(list, mem.Server{Name: fmt.Sprintf("s-%d-%d", cell, i), Addr: "x", Cell: cell, Zone: i % 2, Weight: 1, State: decision.Ready})
 		}
 	}
 	for i, s := range list { // the core numbers them from 1 on, in the list's order
-		id := mix.ServerID(i + 1)
+		id := decision.ServerID(i + 1)
 		r.stores[id] = &memStore{id: id, copy: r.corpus.NewCopy(s.Name, o.refresh), free: 2, slow: max(o.unit, 0.0001),
 			asked: map[lots.Phase]map[int]int{}}
 		if o.unit == 0 {
@@ -130,7 +130,7 @@
 		}
 	}
 	go func() { core.Run(); close(r.ended) }()
-	core.List(gather.List{Kind: mix.Cached, Servers: list})
+	core.List(gather.List{Kind: decision.Cached, Servers: list})
 	return r
 }
 
@@ -150,7 +150,7 @@
 func (r *rig) holders(shard int) (s []*memStore) {
 	cell := shard % max(r.ranges/4, 1)
 	for i := range 3 {
-		s = append(s, r.stores[mix.ServerID(cell*3+i+1)])
+		s = append(s, r.stores[decision.ServerID(cell*3+i+1)])
 	}
 	return s
 }
@@ -169,9 +169,9 @@
 }
 
 // Servers, Probe and CloseIdle implement gather.Transport.
-func (r *rig) Servers([]mem.Server)   {}
-func (r *rig) CloseIdle(mix.ServerID) {}
-func (r *rig) Probe(id mix.ServerID) {
+func (r *rig) Servers([]mem.Server)        {}
+func (r *rig) CloseIdle(decision.ServerID) {}
+func (r *rig) Probe(id decision.ServerID) {
 	time.AfterFunc(2*wayThere, func() {
 		r.mu.Lock()
 		ok := !r.stores[id].dead
@@ -181,7 +181,7 @@
 }
 
 // Call implements gather.Transport: the call's own work goes with its first part.
-func (r *rig) Call(id mix.ServerID, attempts []*gather.Attempt) {
+func (r *rig) Call(id decision.ServerID, attempts []*gather.Attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.stores[id]
@@ -216,7 +216,7 @@
 	defer r.mu.Unlock()
 	switch {
 	case j.s.dead:
-		go r.end(j, mix.ConnectFailed, nil)
+		go r.end(j, decision.ConnectFailed, nil)
 	case j.state == 0:
 		j.s.queue = append(j.s.queue, j)
 		r.run(j.s)
@@ -255,7 +255,7 @@
 	case end == standin.Silent:
 		return
 	case end != standin.Hit:
-		r.end(j, mix.Error, nil)
+		r.end(j, decision.Error, nil)
 		return
 	}
 	item := j.s.copy.Search(j.a.Shard, body)
@@ -274,17 +274,17 @@
 	r.bytes += len(item)
 	r.mu.Unlock()
 	if why != "" {
-		r.end(j, mix.Error, nil)
+		r.end(j, decision.Error, nil)
 		return
 	}
-	r.end(j, mix.OK, found)
+	r.end(j, decision.OK, found)
 }
 
 // end reports an attempt's end, once.
-func (r *rig) end(j *memJob, s mix.Status, found *search.Answer) {
+func (r *rig) end(j *memJob, s decision.Status, found *search.Answer) {
 	switch {
 	case !r.over(j):
-	case s == mix.OK:
+	case s == decision.OK:
 		r.report.Found(j.a, found)
 	default:
 		r.report.Outcome(j.a, s, "")
@@ -312,7 +312,7 @@
 		if j.state == 0 {
 			j.state = 2
 		}
-		go r.end(j, mix.Cancelled, nil)
+		go r.end(j, decision.Cancelled, nil)
 	}
 }
 
@@ -324,7 +324,7 @@
 	for a, j := range r.out {
 		if j.s == s {
 			_ = a
-			go r.end(j, mix.Reset, nil)
+			go r.end(j, decision.Reset, nil)
 		}
 	}
 }
--- a/internal/gatherer/net/opensearch/stores.go
+++ b/internal/gatherer/net/opensearch/stores.go
@@ -15,9 +15,9 @@
 
 	"github.com/tidwall/gjson"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
@@ -42,7 +42,7 @@
 	report  gather.Reporter
 
 	mu      sync.Mutex
-	servers map[mix.ServerID]*store
+	servers map[decision.ServerID]*store
 	where   map[*gather.Attempt]*exchange
 	conns   int
 }
@@ -73,7 +73,7 @@
 			found++
 		}
 	}
-	return &Stores{StoresConfig: c, routing: routing, servers: map[mix.ServerID]*store{}, where: map[*gather.Attempt]*exchange{}}
+	return &Stores{StoresConfig: c, routing: routing, servers: map[decision.ServerID]*store{}, where: map[*gather.Attempt]*exchange{}}
 }
 
 // Start names whom outcomes are reported to.
@@ -91,10 +91,10 @@
 		}
 		moved := s.Addr != n.Addr
 		s.Server = n
-		if n.State == mix.Gone || moved {
+		if n.State == decision.Gone || moved {
 			t.closeIdle(s, time.Now())
 		}
-		if n.State == mix.Gone {
+		if n.State == decision.Gone {
 			delete(t.servers, n.ID)
 		}
 	}
@@ -123,7 +123,7 @@
 }
 
 // CloseIdle implements gather.Transport.
-func (t *Stores) CloseIdle(id mix.ServerID) {
+func (t *Stores) CloseIdle(id decision.ServerID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[id]; s != nil {
@@ -132,7 +132,7 @@
 }
 
 // Call implements gather.Transport.
-func (t *Stores) Call(id mix.ServerID, attempts []*gather.Attempt) {
+func (t *Stores) Call(id decision.ServerID, attempts []*gather.Attempt) {
 	var kinds [2][]*gather.Attempt
 	for _, a := range attempts {
 		k := 0
@@ -171,7 +171,7 @@
 }
 
 // end reports an attempt's outcome, unless it has been cancelled.
-func (t *Stores) end(a *gather.Attempt, s mix.Status, value string) {
+func (t *Stores) end(a *gather.Attempt, s decision.Status, value string) {
 	if t.ended(a) {
 		t.report.Outcome(a, s, value)
 	}
@@ -196,14 +196,14 @@
 	return x != nil
 }
 
-func (t *Stores) endAll(attempts []*gather.Attempt, s mix.Status) {
+func (t *Stores) endAll(attempts []*gather.Attempt, s decision.Status) {
 	for _, a := range attempts {
 		t.end(a, s, "")
 	}
 }
 
 // take gets an open connection or room for a new one.
-func (t *Stores) take(id mix.ServerID) (c *http1.Client, open, ok bool) {
+func (t *Stores) take(id decision.ServerID) (c *http1.Client, open, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
@@ -228,7 +228,7 @@
 }
 
 // put gives a connection back. One that is closed, or leads to where the server no longer is, is dropped.
-func (t *Stores) put(id mix.ServerID, c *http1.Client) {
+func (t *Stores) put(id decision.ServerID, c *http1.Client) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
@@ -247,25 +247,25 @@
 }
 
 // run carries one call.
-func (t *Stores) run(ctx context.Context, id mix.ServerID, x *exchange, attempts []*gather.Attempt) {
+func (t *Stores) run(ctx context.Context, id decision.ServerID, x *exchange, attempts []*gather.Attempt) {
 	defer func() {
 		x.stop()
 		t.mu.Lock()
 		gone := x.gone
 		t.mu.Unlock()
 		for _, a := range gone {
-			t.report.Outcome(a, mix.Cancelled, "")
+			t.report.Outcome(a, decision.Cancelled, "")
 		}
 	}()
 	c, open, ok := t.take(id)
 	if !ok {
-		t.endAll(attempts, mix.ConnectFailed)
+		t.endAll(attempts, decision.ConnectFailed)
 		return
 	}
 	defer func() { t.put(id, c) }()
 	if !open {
 		if err := c.Dial(ctx, t.ConnectTimeout); err != nil {
-			t.endAll(attempts, mix.ConnectFailed)
+			t.endAll(attempts, decision.ConnectFailed)
 			return
 		}
 	}
@@ -274,7 +274,7 @@
 	now := time.Now()
 	t.mu.Lock()
 	s := t.servers[id]
-	ready := s != nil && s.State == mix.Ready
+	ready := s != nil && s.State == decision.Ready
 	var live []*gather.Attempt
 	var stale []*gather.Attempt
 	for _, a := range attempts {
@@ -287,7 +287,7 @@
 		}
 	}
 	t.mu.Unlock()
-	t.endAll(stale, mix.Moot)
+	t.endAll(stale, decision.Moot)
 	if len(live) == 0 {
 		return
 	}
@@ -301,7 +301,7 @@
 	head := textproto.MIMEHeader{"Content-Type": {"application/x-ndjson"}}
 	if err := c.Write(gather.WriteBy(now, t.WriteFor, live), "POST", target, head, body); err != nil {
 		c.Close()
-		t.endAll(live, mix.ConnectFailed)
+		t.endAll(live, decision.ConnectFailed)
 		return
 	}
 	p, err := c.Read(live[0].Until.Add(time.Second))
@@ -313,10 +313,10 @@
 	switch p.Status {
 	case 200:
 	case 429:
-		t.endAll(live, mix.Full)
+		t.endAll(live, decision.Full)
 		return
 	default:
-		t.endAll(live, mix.Error)
+		t.endAll(live, decision.Error)
 		return
 	}
 	_, keyed := t.Class(live[0].Class)
@@ -333,18 +333,18 @@
 			}
 			continue
 		}
-		if a.Ask != nil && status == mix.OK {
+		if a.Ask != nil && status == decision.OK {
 			found, why := parseFound(items[i].whole, a.Ask)
 			if why != "" {
 				t.Log.Warn("answer not believed", "store", id, "reason", why)
-				t.end(a, mix.Error, "")
+				t.end(a, decision.Error, "")
 				continue
 			}
 			t.found(a, found)
 			continue
 		}
 		if items[i].conflict && a.Number > 0 {
-			status = mix.OK // the document is there: an earlier attempt ran
+			status = decision.OK // the document is there: an earlier attempt ran
 		}
 		t.end(a, status, value)
 	}
@@ -352,14 +352,14 @@
 
 // broken ends a connection after a call was written whole: its parts may have run. One whose answer cannot be
 // read is faulty, and is not to be taken for one that died.
-func (t *Stores) broken(ctx context.Context, id mix.ServerID, c *http1.Client, out []*gather.Attempt, err error) {
+func (t *Stores) broken(ctx context.Context, id decision.ServerID, c *http1.Client, out []*gather.Attempt, err error) {
 	c.Close()
 	if ctx.Err() == nil {
 		t.Log.Info("connection ended", "store", id, "out", len(out), "never_sent", 0, "reason", err)
 	}
-	status := mix.Reset
+	status := decision.Reset
 	if e := (*http1.Error)(nil); errors.As(err, &e) || errors.Is(err, errMalformed) {
-		status = mix.Error
+		status = decision.Error
 	}
 	t.endAll(out, status)
 }
@@ -402,7 +402,7 @@
 
 // item is what came of one part.
 type item struct {
-	status   mix.Status
+	status   decision.Status
 	value    string
 	whole    gjson.Result // of a search
 	conflict bool         // the document was there already
@@ -432,22 +432,22 @@
 		hits, status := a.Get("hits"), a.Get("status").Int()
 		switch {
 		case status == 429:
-			items[i].status = mix.Full
+			items[i].status = decision.Full
 		case keyed && status == 201:
-			items[i] = item{status: mix.OK, value: a.Raw}
+			items[i] = item{status: decision.OK, value: a.Raw}
 		case keyed && status == 409:
-			items[i] = item{status: mix.Error, value: a.Raw, conflict: true}
+			items[i] = item{status: decision.Error, value: a.Raw, conflict: true}
 		case !keyed && hits.Get("hits").IsArray() && !a.Get("timed_out").Bool() && a.Get("_shards.failed").Int() == 0:
-			items[i] = item{status: mix.OK, value: hits.Raw, whole: a}
+			items[i] = item{status: decision.OK, value: hits.Raw, whole: a}
 		default:
-			items[i] = item{status: mix.Error, whole: a}
+			items[i] = item{status: decision.Error, whole: a}
 		}
 	}
 	return items, nil
 }
 
 // Probe implements gather.Transport.
-func (t *Stores) Probe(id mix.ServerID) {
+func (t *Stores) Probe(id decision.ServerID) {
 	go func() {
 		c, open, ok := t.take(id)
 		if !ok {
--- a/internal/gatherer/net/opensearch/stores_test.go
+++ b/internal/gatherer/net/opensearch/stores_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
@@ -21,18 +21,20 @@
 
 type report struct {
 	shard int
-	s     mix.Status
+	s     decision.Status
 	value string
 }
 
-func (r reports) Outcome(a *gather.Attempt, s mix.Status, v string) { r <- report{a.Shard, s, v} }
-func (r reports) Scored(a *gather.Attempt, v string, _ float64)     { r <- report{a.Shard, mix.OK, v} }
+func (r reports) Outcome(a *gather.Attempt, s decision.Status, v string) { r <- report{a.Shard, s, v} }
+func (r reports) Scored(a *gather.Attempt, v string, _ float64)          { r <- report{a.Shard, decision.OK, v} }
 func (r reports) Found(a *gather.Attempt, f *search.Answer) {
-	r <- report{a.Shard, mix.OK, fmt.Sprintf("%d hits of %d", len(f.Hits), f.Total)}
+	r <- report{a.Shard, decision.OK, fmt.Sprintf("%d hits of %d", len(f.Hits), f.Total)}
 }
-func (r reports) Unanswerable(a *gather.Attempt, why string) { r <- report{a.Shard, mix.Moot, why} }
-func (r reports) Probed(_ mix.ServerID, ok bool) {
-	r <- report{s: map[bool]mix.Status{true: mix.OK, false: mix.Error}[ok]}
+func (r reports) Unanswerable(a *gather.Attempt, why string) {
+	r <- report{a.Shard, decision.Moot, why}
+}
+func (r reports) Probed(_ decision.ServerID, ok bool) {
+	r <- report{s: map[bool]decision.Status{true: decision.OK, false: decision.Error}[ok]}
 }
 
 func listen(t *testing.T) net.Listener {
@@ -56,7 +58,7 @@
 		ConnectTimeout: 250 * time.Millisecond, ConnIdle: time.Minute, WriteFor: time.Second, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
 	r := make(reports, 100)
 	tr.Start(r)
-	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: mix.Ready}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: decision.Ready}})
 	return tr, r
 }
 
@@ -79,18 +81,18 @@
 		name   string
 		handle http1.Handler
 		number int
-		want   mix.Status
+		want   decision.Status
 	}{
-		{"created", answer(200, create("201")), 0, mix.OK},
-		{"turned away", answer(200, create("429")), 0, mix.Full},
-		{"all turned away", answer(429, "{}"), 0, mix.Full},
-		{"failed", answer(200, create("500")), 0, mix.Error},
-		{"all failed", answer(503, "{}"), 0, mix.Error},
-		{"there already, on the first try", answer(200, create("409")), 0, mix.Error},
-		{"there already, from an earlier try", answer(200, create("409")), 1, mix.OK},
-		{"not JSON", answer(200, "x"), 0, mix.Error},
-		{"too few items", answer(200, `{"items":[]}`), 0, mix.Error},
-		{"closed", func(*http1.Request, <-chan struct{}) *http1.Response { return nil }, 0, mix.Reset},
+		{"created", answer(200, create("201")), 0, decision.OK},
+		{"turned away", answer(200, create("429")), 0, decision.Full},
+		{"all turned away", answer(429, "{}"), 0, decision.Full},
+		{"failed", answer(200, create("500")), 0, decision.Error},
+		{"all failed", answer(503, "{}"), 0, decision.Error},
+		{"there already, on the first try", answer(200, create("409")), 0, decision.Error},
+		{"there already, from an earlier try", answer(200, create("409")), 1, decision.OK},
+		{"not JSON", answer(200, "x"), 0, decision.Error},
+		{"too few items", answer(200, `{"items":[]}`), 0, decision.Error},
+		{"closed", func(*http1.Request, <-chan struct{}) *http1.Response { return nil }, 0, decision.Reset},
 	} {
 		tr, r := stores(t, x.handle)
 		tr.Call(1, []*gather.Attempt{bid(x.number)})
@@ -102,11 +104,11 @@
 	gone.Close()
 	tr, r := storesAt(gone.Addr().String())
 	tr.Call(1, []*gather.Attempt{bid(0)})
-	if got := <-r; got.s != mix.ConnectFailed {
+	if got := <-r; got.s != decision.ConnectFailed {
 		t.Errorf("refused: status %v", got.s)
 	}
 	tr.Probe(1)
-	if got := <-r; got.s != mix.Error {
+	if got := <-r; got.s != decision.Error {
 		t.Errorf("probe: %v", got.s)
 	}
 }
@@ -121,13 +123,13 @@
 	over.Until = time.Now().Add(-time.Millisecond)
 	for _, a := range []*gather.Attempt{late, over} {
 		tr.Call(1, []*gather.Attempt{a})
-		if got := <-r; got.s != mix.Moot && got.s != mix.ConnectFailed { // the dial, too, ends with the time
+		if got := <-r; got.s != decision.Moot && got.s != decision.ConnectFailed { // the dial, too, ends with the time
 			t.Errorf("status %v", got.s)
 		}
 	}
-	tr.Servers([]mem.Server{{ID: 1, Addr: tr.servers[1].Addr, State: mix.Draining}})
+	tr.Servers([]mem.Server{{ID: 1, Addr: tr.servers[1].Addr, State: decision.Draining}})
 	tr.Call(1, []*gather.Attempt{bid(0)})
-	if got := <-r; got.s != mix.Moot || asked.Load() != 0 {
+	if got := <-r; got.s != decision.Moot || asked.Load() != 0 {
 		t.Errorf("status %v, asked %d times", got.s, asked.Load())
 	}
 }
@@ -186,7 +188,7 @@
 		done := make(chan struct{})
 		go func() { serve(); close(done) }()
 		tr.Call(1, []*gather.Attempt{bid(0)})
-		if got := <-r; got.s != mix.OK {
+		if got := <-r; got.s != decision.OK {
 			t.Errorf("call %d: status %v", i, got.s)
 		}
 		<-done
@@ -213,7 +215,7 @@
 	tr.Cancel(list[1])
 	<-closed
 	for range list {
-		if got := <-r; got.s != mix.Cancelled {
+		if got := <-r; got.s != decision.Cancelled {
 			t.Errorf("reported %+v", got)
 		}
 	}
--- a/internal/gatherer/net/opensearch/twophase_bench_test.go
+++ b/internal/gatherer/net/opensearch/twophase_bench_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/search"
 )
 
@@ -41,7 +41,7 @@
 	rng := rand.New(rand.NewPCG(11, uint64(o.ranges)))
 	if slow {
 		for id := 1; id <= len(r.stores); id += 5 {
-			r.stores[mix.ServerID(id)].slow *= 4 + 6*rng.Float64()
+			r.stores[decision.ServerID(id)].slow *= 4 + 6*rng.Float64()
 		}
 	}
 	bodies := queries(rng, int(perSecond*(warm+span).Seconds())+10)
--- a/internal/gatherer/net/platform/platform_test.go
+++ b/internal/gatherer/net/platform/platform_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/gatherer/net/http1"
 	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
@@ -32,8 +32,8 @@
 func front(res gather.Result) (*Front, *core) {
 	c := &core{result: res}
 	set := settings.Settings{Classes: []string{"lot-search", "place-bid", "close-lot"}, Shards: 24}
-	set.Policy.Classes = []mix.Class{{Deadline: 3 * time.Second}, {Deadline: 4 * time.Second, Effect: mix.Keyed},
-		{Deadline: 4 * time.Second, Effect: mix.Unsafe}}
+	set.Policy.Classes = []decision.Class{{Deadline: 3 * time.Second}, {Deadline: 4 * time.Second, Effect: decision.Keyed},
+		{Deadline: 4 * time.Second, Effect: decision.Unsafe}}
 	current := &settings.Current{}
 	current.Store(&set)
 	return &Front{Core: c, Settings: current, Ready: func() bool { return true }}, c
--- a/internal/gatherer/settings/daemon.go
+++ b/internal/gatherer/settings/daemon.go
@@ -8,7 +8,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
 // Current holds the settings in force, for all that read them; they are swapped whole.
@@ -29,7 +29,7 @@
 // Narrow gives settings in which a class stands also as changed, under a number of its own, and that number: the class's
 // own where nothing of it is changed. Names lead to the class as it was; the number is for requests that are given it.
 // A number that stands for the very same from before is used again.
-func (s Settings) Narrow(class int, change func(*mix.Class)) (Settings, int) {
+func (s Settings) Narrow(class int, change func(*decision.Class)) (Settings, int) {
 	k := s.Policy.Classes[class]
 	if change(&k); k == s.Policy.Classes[class] {
 		return s, class
@@ -113,7 +113,7 @@
 			return s, fmt.Errorf("settings: classes[%d].onTimeUs is not above 0", i)
 		case effect != "safe" && effect != "keyed" && effect != "unsafe":
 			return s, fmt.Errorf("settings: classes[%d].effect: %.40q is not known", i, effect)
-		case k.Effect == mix.Keyed && k.Window <= 0:
+		case k.Effect == decision.Keyed && k.Window <= 0:
 			return s, fmt.Errorf("settings: classes[%d].memorySpanUs is missing or not above 0", i)
 		}
 	}
--- a/internal/gatherer/settings/settings.go
+++ b/internal/gatherer/settings/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
 // options mirrors the settings text. Keys not named here are skipped; pointers tell absent keys.
@@ -61,7 +61,7 @@
 
 // Settings are what the operator states: the module's part, and what only a daemon on sockets needs.
 type Settings struct {
-	Policy         mix.Settings
+	Policy         decision.Settings
 	Classes        []string // names, in the order of Policy.Classes
 	Dropped        []bool   // of those, the ones kept only for requests in hand; the rest are in force
 	Zones          []string
@@ -93,13 +93,13 @@
 		return Settings{}, fmt.Errorf("settings: not the JSON expected: %w", err)
 	}
 	f, l, r := o.FamilyInfo, o.Limits, o.Rules
-	s := mix.Settings{
+	s := decision.Settings{
 		Siblings: o.Siblings, Tick: us(o.TickUs), AskMode: o.Discovery == "ask",
 		Cells: f.Positions, Width: f.Width, Batch: f.Batch, CallCost: us(f.CallUs),
 		MaxAttempts: l.MaxAttempts, SecondCopies: l.SecondCopies, Cancel: l.Cancel,
 		Probes:         l.Probes,
 		OverShareWorth: o.OverShareWorth,
-		Rules: mix.Rules{
+		Rules: decision.Rules{
 			AskWithin: us(r.AskWithinUs), StartCapacity: r.StartCapacity,
 			Ramp: us(r.RampTimeUs), FallMultiple: r.FallMultiple, FallSpan: us(r.FallUs),
 			BudgetOn: r.ExtraPerRequest != nil || r.BudgetFree != nil, BudgetSpan: us(r.BudgetSpanUs),
@@ -115,7 +115,7 @@
 		s.Rules.BudgetShare = *r.ExtraPerRequest
 	}
 	for i, c := range o.Classes {
-		k := mix.Class{
+		k := decision.Class{
 			Deadline: us(c.DeadlineUs),
 			Aim:      us(c.OnTimeUs), Worth: c.Worth, Window: us(c.MemorySpanUs),
 			Need: at(f.CompleteFrom, i, 1), Floor: at(f.LeastShare, i, 1), MaxAttempts: l.MaxAttempts,
@@ -125,11 +125,11 @@
 		}
 		switch c.Effect {
 		case "safe":
-			k.Effect = mix.Safe
+			k.Effect = decision.Safe
 		case "keyed":
-			k.Effect = mix.Keyed
+			k.Effect = decision.Keyed
 		default: // what is not known is taken for the worst
-			k.Effect = mix.Unsafe
+			k.Effect = decision.Unsafe
 		}
 		s.Classes = append(s.Classes, k)
 	}
@@ -141,7 +141,7 @@
 		out.Classes = append(out.Classes, c.Name)
 	}
 	for _, t := range o.Tenants {
-		s.Tenants = append(s.Tenants, mix.Tenant{PerSecond: t.AllowancePerS})
+		s.Tenants = append(s.Tenants, decision.Tenant{PerSecond: t.AllowancePerS})
 	}
 	out.Policy = s
 	return out, nil
--- a/internal/gatherer/settings/settings_test.go
+++ b/internal/gatherer/settings/settings_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/proptest"
 )
 
@@ -97,7 +97,7 @@
 	}
 	changed := strings.NewReplacer(`"effect":"keyed"`, `"effect":"safe"`, `"maxAttempts":4`, `"maxAttempts":2`, `"shards":24`, `"shards":12`)
 	third, kept := parse(t, changed.Replace(fmt.Sprintf(whole, bid))).Over(second)
-	if n := third.Class("place-bid"); n != 4 || third.Policy.Classes[n].MaxAttempts != 2 || third.Policy.Classes[n].Effect != mix.Safe ||
+	if n := third.Class("place-bid"); n != 4 || third.Policy.Classes[n].MaxAttempts != 2 || third.Policy.Classes[n].Effect != decision.Safe ||
 		third.Policy.Classes[1].MaxAttempts != 4 || third.Class("lot-search") != 3 {
 		t.Errorf("effect and attempts changed: %+v %+v", third.Classes, third.Policy.Classes)
 	}
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -1,8 +1,8 @@
 package policy
 
 import (
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
@@ -11,7 +11,8 @@
 // repeatable says whether another attempt of the part keeps the rule on effects.
 func (m *Mixer) repeatable(p *fleet.Part) bool {
 	c := p.Q.Terms
-	return p.MayRun < 0 || c.Effect == mix.Safe || c.Effect == mix.Keyed && m.Now-p.MayRun < c.Window-m.Set.Tick
+	return p.MayRun < 0 || c.Effect == decision.Safe ||
+		c.Effect == decision.Keyed && m.Now-p.MayRun < c.Window-m.Set.Tick
 }
 
 // budget says whether another attempt fits; part is the share of the free ones that the caller may use up.
@@ -58,7 +59,7 @@
 	if !a.Live || !m.repeatable(p) || !p.Q.Sure && p.Q.Deaths > 0 {
 		return
 	}
-	if !m.Set.SecondCopies || p.Q.Terms.Effect != mix.Safe {
+	if !m.Set.SecondCopies || p.Q.Terms.Effect != decision.Safe {
 		m.move(p, a)
 		return
 	}
@@ -109,7 +110,7 @@
 	}
 	if (scores || seldom || s.AnswerAt > a.At) && m.budget(1) {
 		a.Moved = true
-		m.Do(mix.Cancel{Part: p.ID, Attempt: a.Number})
+		m.Do(decision.Cancel{Part: p.ID, Attempt: a.Number})
 	}
 }
 
--- a/policy/choice.go
+++ b/policy/choice.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
@@ -118,7 +118,7 @@
 
 // open says whether parts may be held for a server: a cold one's next may have to wait.
 func (m *Mixer) open(s *fleet.Server) bool {
-	return s.Listed && s.State == mix.Ready && m.Now >= s.FullTo
+	return s.Listed && s.State == decision.Ready && m.Now >= s.FullTo
 }
 
 // sendableFrom is when a server's next part may leave.
@@ -141,12 +141,12 @@
 	return until + takes + float64(len(s.Held))*max(takes/float64(m.room(s)), m.gap(s))
 }
 
-func (m *Mixer) onList(e mix.ServerList) {
+func (m *Mixer) onList(e decision.ServerList) {
 	if !m.ListCame(e.Kind) {
 		return
 	}
-	m.Apply(e, func(s *fleet.Server, i mix.ServerInfo) {
-		if s.Listed && s.State == mix.Ready && (i.State == mix.Gone || i.Started > s.Started) {
+	m.Apply(e, func(s *fleet.Server, i decision.ServerInfo) {
+		if s.Listed && s.State == decision.Ready && (i.State == decision.Gone || i.Started > s.Started) {
 			s.DiedAt = m.Now // a release drains first
 		}
 		if s.Started != i.Started { // a new process: what we knew of the old one is void
--- a/policy/deadlines.go
+++ b/policy/deadlines.go
@@ -4,20 +4,20 @@
 	"slices"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 	"pulleygw.example/pulleygw/internal/shared/tailguard"
 )
 
 // Arrival, and the one deadline of a query's parts.
 
-func (m *Mixer) onQuery(e mix.QueryArrived) {
+func (m *Mixer) onQuery(e decision.QueryArrived) {
 	m.Taken.Add(m.Now, 1)
 	if m.Queries[e.ID] != nil {
 		return
 	} else if e.Class < 0 || e.Class >= len(m.Set.Classes) {
-		m.Do(mix.Refuse{Query: e.ID}) // a class we were not told of: nothing has run
+		m.Do(decision.Refuse{Query: e.ID}) // a class we were not told of: nothing has run
 		return
 	}
 	q := &fleet.Query{QueryArrived: e, Terms: &m.Set.Classes[e.Class], Step: 1, Want: e.Parts, At: m.Now}
@@ -25,7 +25,7 @@
 	m.Queries[e.ID], m.Live = q, append(m.Live, q)
 }
 
-func (m *Mixer) onPart(e mix.PartArrived) {
+func (m *Mixer) onPart(e decision.PartArrived) {
 	m.Taken.Add(m.Now, 1)
 	q := m.Queries[e.Query]
 	if q == nil || m.Parts[e.ID] != nil || e.Shard < 0 {
@@ -57,7 +57,7 @@
 
 // planned takes in what a search's planner made of its answers: parts to ask now, parts to do without, which
 // count as in, and how many the second step has. A part held back on purpose is no miss.
-func (m *Mixer) planned(q *fleet.Query, e mix.Planned) {
+func (m *Mixer) planned(q *fleet.Query, e decision.Planned) {
 	if q == nil {
 		return
 	}
@@ -159,12 +159,12 @@
 	}
 	idle := len(s.Out) == 0 && s.EndAt > 0 && m.Now-s.EndAt > idleLeast
 	if idle && m.IdleDead {
-		m.Do(mix.CloseIdle{Server: s.ID})
+		m.Do(decision.CloseIdle{Server: s.ID})
 		idle = false
 	}
 	if n := len(s.Out); n > 0 && s.Out[n-1].At == m.Now {
 		idle = s.Out[n-1].Idle // in the same call
 	}
 	m.Launch(p, s, idle)
-	m.Do(mix.Send{Part: p.ID, Server: s.ID, Limit: max(p.Q.End-m.Now, m.Set.Tick)})
+	m.Do(decision.Send{Part: p.ID, Server: s.ID, Limit: max(p.Q.End-m.Now, m.Set.Tick)})
 }
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -3,14 +3,14 @@
 import (
 	"slices"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
 // Outcomes, and what they tell of connections and zones.
 
-func (m *Mixer) onOutcome(e mix.Outcome) {
+func (m *Mixer) onOutcome(e decision.Outcome) {
 	p := m.Parts[e.Part]
 	if p == nil || e.Attempt < 0 || e.Attempt >= len(p.Attempts) || !p.Attempts[e.Attempt].Live {
 		return
@@ -18,7 +18,7 @@
 	a := p.Attempts[e.Attempt]
 	a.Live, a.S.EndAt = false, m.Now
 	a.S.Drop(a)
-	if e.Status == mix.OK || e.Status == mix.Error || e.Status == mix.Full {
+	if e.Status == decision.OK || e.Status == decision.Error || e.Status == decision.Full {
 		a.S.AnswerAt, a.S.PassedAt = m.Now, max(a.S.PassedAt, a.At)
 	}
 	age := curve.Seconds(m.Now - a.At)
@@ -26,48 +26,48 @@
 		age = min(age, curve.Seconds(e.Took))
 	}
 	silent := age > min(m.TailAge, farTimes*m.Typical)+m.waitNow()
-	if e.Status == mix.OK {
+	if e.Status == decision.OK {
 		m.lossAfter(a, 0)
-	} else if silent && e.Status != mix.Moot {
+	} else if silent && e.Status != decision.Moot {
 		m.lossAfter(a, 1)
 	}
 	z := &m.Zones[a.S.Zone]
-	silence := e.Status == mix.Cancelled || e.Status == mix.Moot
-	z.Heard(age >= farTimes*m.Typical || e.Status == mix.ConnectFailed, !silence)
+	silence := e.Status == decision.Cancelled || e.Status == decision.Moot
+	z.Heard(age >= farTimes*m.Typical || e.Status == decision.ConnectFailed, !silence)
 	switch {
-	case e.Status != mix.Full && m.doubtful(z): // the way's doing, or so it looks: no server's fault
-	case e.Status == mix.OK:
+	case e.Status != decision.Full && m.doubtful(z): // the way's doing, or so it looks: no server's fault
+	case e.Status == decision.OK:
 		m.Answered.Add(m.Now, 1)
 		a.S.Errors -= errorWeight * a.S.Errors
 		m.note(a.S, true, 1)
 		m.heard(a.S, age, a.SentOut < quietOut)
 	case a.Idle && m.IdleDead: // the connection's doing
-	case e.Status == mix.Cancelled:
+	case e.Status == decision.Cancelled:
 		if silent { // it must not leave a server looking good
 			m.note(a.S, false, min(cancelWeight*curve.Seconds(m.memory(badHalf))/curve.Seconds(badHalf), cancelMost))
 			m.heard(a.S, age, false)
 		}
-	case e.Status != mix.Moot:
+	case e.Status != decision.Moot:
 		m.note(a.S, false, 1)
-		if e.Status == mix.Error {
+		if e.Status == decision.Error {
 			a.S.Erred(age, latWeight, errorWeight)
 		}
-		if e.Status == mix.ConnectFailed {
+		if e.Status == decision.ConnectFailed {
 			a.S.ColdFrom = m.Now // it may come back cold before the list tells
-			if a.S.ResetAt > 0 && m.Now-a.S.ResetAt < deathSpan && a.S.State == mix.Ready {
+			if a.S.ResetAt > 0 && m.Now-a.S.ResetAt < deathSpan && a.S.State == decision.Ready {
 				a.S.DiedAt = m.Now
 			}
-		} else if e.Status == mix.Full { // it is as full for the next, until a slot is free
+		} else if e.Status == decision.Full { // it is as full for the next, until a slot is free
 			alone := m.Typical
 			if m.Set.Siblings >= seldomFrom { // and stays full if all come again before they would have met it
 				alone = max(alone, min(1/max(m.Carried, weightSlip), fullMost))
 			}
 			a.S.FullTo = m.Now + curve.Duration(alone)
-		} else if e.Status == mix.Reset { // no death by itself: a connection may break alone
+		} else if e.Status == decision.Reset { // no death by itself: a connection may break alone
 			a.S.ResetAt = m.Now
 		}
 	}
-	if e.Status == mix.Full || e.Status == mix.ConnectFailed || e.Status == mix.Moot {
+	if e.Status == decision.Full || e.Status == decision.ConnectFailed || e.Status == decision.Moot {
 		a.Spared = true
 		p.NeverRan()
 	}
@@ -75,11 +75,11 @@
 		m.Forget(p)
 		return
 	}
-	p.Cheap = e.Status == mix.Error && age < errorQuick*m.Typical && !m.Set.Rules.BudgetOn
-	if e.Status == mix.Reset {
+	p.Cheap = e.Status == decision.Error && age < errorQuick*m.Typical && !m.Set.Rules.BudgetOn
+	if e.Status == decision.Reset {
 		m.died(p.Q, a)
 	}
-	if e.Status == mix.OK {
+	if e.Status == decision.OK {
 		p.Done = true
 		m.Settle(p)
 		if !p.Q.Sure { // what was held back until one part had come goes now
@@ -129,7 +129,7 @@
 			continue
 		}
 		z.ProbeAt, z.Next = m.Now+farProbe, z.Next+1
-		m.Do(mix.Probe{Server: z.Servers[z.Next%len(z.Servers)].ID})
+		m.Do(decision.Probe{Server: z.Servers[z.Next%len(z.Servers)].ID})
 	}
 }
 
--- a/policy/phased_test.go
+++ b/policy/phased_test.go
@@ -4,55 +4,55 @@
 	"testing"
 	"time"
 
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
 // phased hands over a phased query of six shards; those from later on wait to be asked for.
-func (b *bed) phased(class, later int, left time.Duration) (mix.QueryID, []mix.PartID) {
+func (b *bed) phased(class, later int, left time.Duration) (decision.QueryID, []decision.PartID) {
 	b.nextID += 100
-	q := mix.QueryID(b.nextID)
-	ev := []mix.Event{mix.QueryArrived{ID: q, Class: class, Left: left, Parts: 6, Phased: true, Fetch: 2}}
-	var ids []mix.PartID
+	q := decision.QueryID(b.nextID)
+	ev := []decision.Event{decision.QueryArrived{ID: q, Class: class, Left: left, Parts: 6, Phased: true, Fetch: 2}}
+	var ids []decision.PartID
 	for i := range 6 {
-		id := mix.PartID(b.nextID + uint64(i) + 1)
+		id := decision.PartID(b.nextID + uint64(i) + 1)
 		b.owner[id] = q
 		ids = append(ids, id)
-		ev = append(ev, mix.PartArrived{ID: id, Query: q, Shard: i, Weight: 1.0 / 6, Later: i >= later})
+		ev = append(ev, decision.PartArrived{ID: id, Query: q, Shard: i, Weight: 1.0 / 6, Later: i >= later})
 	}
 	b.step(ev...)
 	return q, ids
 }
 
 // fetch hands over the parts of the second step, of the shards given.
-func (b *bed) fetch(q mix.QueryID, used int, prefer mix.ServerID, shards ...int) (ids []mix.PartID) {
+func (b *bed) fetch(q decision.QueryID, used int, prefer decision.ServerID, shards ...int) (ids []decision.PartID) {
 	b.nextID += 100
-	ev := []mix.Event{mix.Planned{Query: q, Fetch: len(shards)}}
+	ev := []decision.Event{decision.Planned{Query: q, Fetch: len(shards)}}
 	for i, s := range shards {
-		id := mix.PartID(b.nextID + uint64(i) + 1)
+		id := decision.PartID(b.nextID + uint64(i) + 1)
 		b.owner[id] = q
 		ids = append(ids, id)
-		ev = append(ev, mix.PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards)), Prefer: prefer, Used: used})
+		ev = append(ev, decision.PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards)), Prefer: prefer, Used: used})
 	}
 	b.step(ev...)
 	return ids
 }
 
-func (b *bed) ok(ids ...mix.PartID) {
+func (b *bed) ok(ids ...decision.PartID) {
 	for _, id := range ids {
-		b.step(mix.Outcome{Part: id, Attempt: b.tries[id] - 1, Status: mix.OK})
+		b.step(decision.Outcome{Part: id, Attempt: b.tries[id] - 1, Status: decision.OK})
 	}
 }
 
-func (b *bed) nonFinal(q mix.QueryID) (got, whole bool) {
+func (b *bed) nonFinal(q decision.QueryID) (got, whole bool) {
 	for _, a := range b.acts {
-		if a, ok := a.(mix.Answer); ok && a.Query == q && !a.Final {
+		if a, ok := a.(decision.Answer); ok && a.Query == q && !a.Final {
 			return true, a.Whole
 		}
 	}
 	return false, false
 }
 
-func phasedBase() mix.Settings {
+func phasedBase() decision.Settings {
 	set := base()
 	set.SecondCopies, set.MaxAttempts = false, 4
 	set.Classes[0].Floor = 0.7
@@ -67,10 +67,10 @@
 		t.Fatalf("%d parts sent, want the 4 of the first wave", len(b.sends))
 	}
 	b.ok(ids[0], ids[1], ids[2])
-	b.step(mix.Planned{Query: q, Ask: ids[4:5], Skip: []mix.PartID{ids[3], ids[5]}})
+	b.step(decision.Planned{Query: q, Ask: ids[4:5], Skip: []decision.PartID{ids[3], ids[5]}})
 	cancelled := false
 	for _, a := range b.acts {
-		c, ok := a.(mix.Cancel)
+		c, ok := a.(decision.Cancel)
 		cancelled = cancelled || ok && c.Part == ids[3]
 	}
 	if len(b.sends) != 5 || b.sends[4].Part != ids[4] || !cancelled {
@@ -87,7 +87,7 @@
 		}
 	}
 	b.ok(fetch...)
-	if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
+	if a, ok := b.last[q].(decision.Answer); !ok || !a.Whole {
 		t.Errorf("final %+v", b.last[q])
 	}
 }
@@ -98,7 +98,7 @@
 	q, ids := b.phased(0, 6, 4*time.Second)
 	b.ok(ids...)
 	b.fetch(q, 0, 0)
-	if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
+	if a, ok := b.last[q].(decision.Answer); !ok || !a.Whole {
 		t.Errorf("final %+v", b.last[q])
 	}
 }
@@ -110,9 +110,9 @@
 	b.ok(ids[0], ids[1], ids[2])
 	for at := b.now + time.Second; b.now < at; {
 		b.now += 10 * ms
-		b.step(mix.Wake{})
+		b.step(decision.Wake{})
 	}
-	if _, ok := b.last[q].(mix.Refuse); !ok {
+	if _, ok := b.last[q].(decision.Refuse); !ok {
 		t.Errorf("final %+v after the aim with half of the weight", b.last[q])
 	}
 }
@@ -130,7 +130,7 @@
 			if b.now += 10 * ms; b.now > start+time.Second {
 				t.Fatal("the first step did not end")
 			}
-			b.step(mix.Wake{})
+			b.step(decision.Wake{})
 		}
 		if b.now > start+900*ms {
 			t.Errorf("the first step ended %v after the start, with nothing left for the second", b.now-start)
@@ -140,10 +140,10 @@
 		b.ok(fetch[lost:]...)
 		for b.now < start+1010*ms {
 			b.now += 10 * ms
-			b.step(mix.Wake{})
+			b.step(decision.Wake{})
 		}
-		a, ok := b.last[q].(mix.Answer)
-		if _, refused := b.last[q].(mix.Refuse); lost == 0 && (!ok || a.Whole) || lost == 1 && !refused {
+		a, ok := b.last[q].(decision.Answer)
+		if _, refused := b.last[q].(decision.Refuse); lost == 0 && (!ok || a.Whole) || lost == 1 && !refused {
 			t.Errorf("%d listings lost: final %+v", lost, b.last[q])
 		}
 	}
@@ -153,10 +153,10 @@
 func TestPhasedAttempts(t *testing.T) {
 	b := newBed(t, phasedBase(), 0, 1, 2)
 	q, ids := b.phased(0, 6, 4*time.Second)
-	fail := func(id mix.PartID) {
+	fail := func(id decision.PartID) {
 		for n := 0; n < b.tries[id]; n++ {
 			b.now += 10 * ms
-			b.step(mix.Outcome{Part: id, Attempt: n, Status: mix.Error})
+			b.step(decision.Outcome{Part: id, Attempt: n, Status: decision.Error})
 		}
 	}
 	b.ok(ids[1:]...)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -9,25 +9,25 @@
 	"testing"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/shared/tailguard"
 )
 
 const ms = time.Millisecond
 
 // base returns settings with three servers' worth of cells, each shard held by all three.
-func base() mix.Settings {
-	return mix.Settings{
+func base() decision.Settings {
+	return decision.Settings{
 		Siblings: 1, Tick: 5 * ms, Cells: 3, Width: 3, Batch: 1, MaxAttempts: 3,
 		SecondCopies: true, Cancel: true, MaxRetryAfter: time.Second,
-		Classes: []mix.Class{
-			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: mix.Safe, Need: 1, Floor: 1},
-			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: mix.Keyed, Window: 300 * ms, Need: 1, Floor: 1},
-			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: mix.Unsafe, Need: 1, Floor: 1},
-			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: mix.Safe, Need: 1, Floor: 0.5, Fetch: 1},
+		Classes: []decision.Class{
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: decision.Safe, Need: 1, Floor: 1},
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: decision.Keyed, Window: 300 * ms, Need: 1, Floor: 1},
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: decision.Unsafe, Need: 1, Floor: 1},
+			{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: decision.Safe, Need: 1, Floor: 0.5, Fetch: 1},
 		},
-		Rules: mix.Rules{StartCapacity: 0.2, Ramp: 10 * time.Second, FallMultiple: 2,
+		Rules: decision.Rules{StartCapacity: 0.2, Ramp: 10 * time.Second, FallMultiple: 2,
 			FallSpan: 3 * time.Second},
 	}
 }
@@ -38,62 +38,62 @@
 	m      *Mixer
 	now    time.Duration
 	nextID uint64
-	finals map[mix.QueryID]int
-	last   map[mix.QueryID]mix.Action
+	finals map[decision.QueryID]int
+	last   map[decision.QueryID]decision.Action
 	sends  []sent
-	tries  map[mix.PartID]int
-	owner  map[mix.PartID]mix.QueryID
-	acts   []mix.Action
+	tries  map[decision.PartID]int
+	owner  map[decision.PartID]decision.QueryID
+	acts   []decision.Action
 	wake   time.Duration // asked for last
 }
 
 type sent struct {
-	mix.Send
+	decision.Send
 	at      time.Duration
 	attempt int
 }
 
-func newBed(t *testing.T, set mix.Settings, cells ...int) *bed {
+func newBed(t *testing.T, set decision.Settings, cells ...int) *bed {
 	m, err := New(set, 7)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bed{t: t, m: m, now: time.Second, finals: map[mix.QueryID]int{}, last: map[mix.QueryID]mix.Action{},
-		tries: map[mix.PartID]int{}, owner: map[mix.PartID]mix.QueryID{}}
-	var l []mix.ServerInfo
+	b := &bed{t: t, m: m, now: time.Second, finals: map[decision.QueryID]int{}, last: map[decision.QueryID]decision.Action{},
+		tries: map[decision.PartID]int{}, owner: map[decision.PartID]decision.QueryID{}}
+	var l []decision.ServerInfo
 	for i, c := range cells {
-		l = append(l, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: c, State: mix.Ready, Nominal: 1})
+		l = append(l, decision.ServerInfo{ID: decision.ServerID(i + 1), Cell: c, State: decision.Ready, Nominal: 1})
 	}
-	b.step(mix.ServerList{Kind: mix.Cached, Servers: l})
+	b.step(decision.ServerList{Kind: decision.Cached, Servers: l})
 	return b
 }
 
-func (b *bed) step(events ...mix.Event) []mix.Action {
-	b.acts = append([]mix.Action(nil), b.m.Step(b.now, events)...)
+func (b *bed) step(events ...decision.Event) []decision.Action {
+	b.acts = append([]decision.Action(nil), b.m.Step(b.now, events)...)
 	for _, a := range b.acts {
 		switch a := a.(type) {
-		case mix.WakeAt:
+		case decision.WakeAt:
 			b.wake = a.At
-		case mix.Send:
+		case decision.Send:
 			if b.finals[b.owner[a.Part]] > 0 {
 				b.t.Errorf("part %d sent after its query's final answer", a.Part)
 			}
 			b.sends = append(b.sends, sent{a, b.now, b.tries[a.Part]})
 			b.tries[a.Part]++
-		case mix.Answer:
+		case decision.Answer:
 			if a.Final {
 				b.final(a.Query, a)
 			}
-		case mix.Refuse:
+		case decision.Refuse:
 			b.final(a.Query, a)
-		case mix.Fail:
+		case decision.Fail:
 			b.final(a.Query, a)
 		}
 	}
 	return b.acts
 }
 
-func (b *bed) final(q mix.QueryID, a mix.Action) {
+func (b *bed) final(q decision.QueryID, a decision.Action) {
 	b.finals[q]++
 	b.last[q] = a
 	if b.finals[q] > 1 {
@@ -102,16 +102,16 @@
 }
 
 // query hands over a query with one part for each shard and returns its ID and its parts'.
-func (b *bed) query(class int, left time.Duration, shards ...int) (mix.QueryID, []mix.PartID) {
+func (b *bed) query(class int, left time.Duration, shards ...int) (decision.QueryID, []decision.PartID) {
 	b.nextID += 100
-	q := mix.QueryID(b.nextID)
-	ev := []mix.Event{mix.QueryArrived{ID: q, Class: class, Left: left, Parts: len(shards)}}
-	var ids []mix.PartID
+	q := decision.QueryID(b.nextID)
+	ev := []decision.Event{decision.QueryArrived{ID: q, Class: class, Left: left, Parts: len(shards)}}
+	var ids []decision.PartID
 	for i, s := range shards {
-		id := mix.PartID(b.nextID + uint64(i) + 1)
+		id := decision.PartID(b.nextID + uint64(i) + 1)
 		b.owner[id] = q
 		ids = append(ids, id)
-		ev = append(ev, mix.PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards))})
+		ev = append(ev, decision.PartArrived{ID: id, Query: q, Shard: s, Weight: 1 / float64(len(shards))})
 	}
 	b.step(ev...)
 	return q, ids
@@ -121,12 +121,12 @@
 func (b *bed) run(d time.Duration) {
 	for end := b.now + d; b.now < end; {
 		b.now += 10 * ms
-		b.step(mix.Wake{})
+		b.step(decision.Wake{})
 	}
 }
 
-func (b *bed) outcome(s sent, st mix.Status) {
-	b.step(mix.Outcome{Part: s.Part, Server: s.Server, Attempt: s.attempt, Status: st, Took: b.now - s.at})
+func (b *bed) outcome(s sent, st decision.Status) {
+	b.step(decision.Outcome{Part: s.Part, Server: s.Server, Attempt: s.attempt, Status: st, Took: b.now - s.at})
 }
 
 // warm answers n one-part queries so that there are records.
@@ -136,7 +136,7 @@
 		b.query(0, 4*time.Second, 0)
 		b.run(took)
 		for _, s := range b.sends[k:] {
-			b.outcome(s, mix.OK)
+			b.outcome(s, decision.OK)
 		}
 	}
 	b.sends = nil
@@ -147,9 +147,9 @@
 	q, _ := b.query(0, 4*time.Second, 0, 1, 2)
 	b.run(50 * ms)
 	for _, s := range append([]sent(nil), b.sends...) {
-		b.outcome(s, mix.OK)
+		b.outcome(s, decision.OK)
 	}
-	if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
+	if a, ok := b.last[q].(decision.Answer); !ok || !a.Whole {
 		t.Fatalf("last word %v, want a whole answer", b.last[q])
 	}
 }
@@ -177,10 +177,10 @@
 		}
 	}
 	for _, s := range append([]sent(nil), b.sends...) {
-		b.outcome(s, mix.Error)
+		b.outcome(s, decision.Error)
 	}
 	b.run(100 * ms)
-	if _, ok := b.last[q].(mix.Fail); !ok {
+	if _, ok := b.last[q].(decision.Fail); !ok {
 		t.Errorf("last word %v, want Fail", b.last[q])
 	}
 }
@@ -190,25 +190,25 @@
 	b := newBed(t, base(), 0, 1, 2)
 	q, _ := b.query(1, 4*time.Second, 0)
 	b.run(20 * ms)
-	b.outcome(b.sends[0], mix.Error)
+	b.outcome(b.sends[0], decision.Error)
 	b.run(20 * ms)
 	if len(b.sends) != 2 {
 		t.Fatalf("%d attempts, want a second within the window", len(b.sends))
 	}
 	b.run(300 * ms) // past the window
-	b.outcome(b.sends[1], mix.Full)
+	b.outcome(b.sends[1], decision.Full)
 	b.run(20 * ms)
 	if len(b.sends) != 2 {
 		t.Error("sent again past its window")
 	}
-	if _, ok := b.last[q].(mix.Fail); !ok {
+	if _, ok := b.last[q].(decision.Fail); !ok {
 		t.Errorf("last word %v, want Fail", b.last[q])
 	}
 }
 
 // An unsafe part goes again only when every attempt is known not to have run.
 func TestUnsafe(t *testing.T) {
-	for st, want := range map[mix.Status]int{mix.Error: 1, mix.TimedOut: 1, mix.Reset: 1, mix.Cancelled: 1, mix.Full: 2, mix.ConnectFailed: 2} {
+	for st, want := range map[decision.Status]int{decision.Error: 1, decision.TimedOut: 1, decision.Reset: 1, decision.Cancelled: 1, decision.Full: 2, decision.ConnectFailed: 2} {
 		b := newBed(t, base(), 0, 1, 2)
 		q, _ := b.query(2, 4*time.Second, 0)
 		b.run(20 * ms)
@@ -217,7 +217,7 @@
 		if len(b.sends) != want {
 			t.Errorf("status %d: %d attempts, want %d", st, len(b.sends), want)
 		}
-		if _, refused := b.last[q].(mix.Refuse); refused {
+		if _, refused := b.last[q].(decision.Refuse); refused {
 			t.Errorf("status %d: refused though it may have run", st)
 		}
 	}
@@ -230,10 +230,10 @@
 		b.query(0, 4*time.Second, 0, 1, 2)
 	}
 	n := len(b.sends)
-	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 1, State: mix.Draining, Nominal: 1}}})
+	b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: 2, Cell: 1, State: decision.Draining, Nominal: 1}}})
 	for i := 0; i < n; i++ {
 		b.now += 20 * ms
-		b.outcome(b.sends[i], mix.OK)
+		b.outcome(b.sends[i], decision.OK)
 	}
 	b.run(100 * ms)
 	for _, s := range b.sends[n:] {
@@ -258,7 +258,7 @@
 		taken = append(taken, b.now, b.now)
 		b.run(50 * ms)
 		for _, s := range append([]sent(nil), b.sends[k:]...) {
-			b.outcome(s, mix.Error)
+			b.outcome(s, decision.Error)
 		}
 	}
 	extra := 0
@@ -291,16 +291,16 @@
 func TestColdServer(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(60, 50*ms)
-	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 3, Cell: 2, State: mix.Ready, Nominal: 1, Started: b.now}}})
+	b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: 3, Cell: 2, State: decision.Ready, Nominal: 1, Started: b.now}}})
 	for range 60 {
 		k := len(b.sends)
 		b.query(0, 4*time.Second, 0)
 		b.run(50 * ms)
 		for _, s := range append([]sent(nil), b.sends[k:]...) {
-			b.outcome(s, mix.OK)
+			b.outcome(s, decision.OK)
 		}
 	}
-	n := map[mix.ServerID]int{}
+	n := map[decision.ServerID]int{}
 	for _, s := range b.sends {
 		n[s.Server]++
 	}
@@ -314,22 +314,22 @@
 	b := newBed(t, base(), 0, 1, 2)
 	q, _ := b.query(3, 4*time.Second, 0, 1)
 	b.run(50 * ms)
-	b.outcome(b.sends[0], mix.OK)
+	b.outcome(b.sends[0], decision.OK)
 	b.run(1000 * ms) // the other stays out: a partial answer saves the aim
 	if b.m.Queries[q] == nil || b.m.Queries[q].Step != 2 {
 		t.Fatal("no partial first answer by the aim")
 	}
 	b.owner[999] = q
 	k := len(b.sends)
-	b.step(mix.PartArrived{ID: 999, Query: q, Shard: 0, Weight: 1})
+	b.step(decision.PartArrived{ID: 999, Query: q, Shard: 0, Weight: 1})
 	b.run(20 * ms)
 	for _, s := range append([]sent(nil), b.sends[k:]...) {
 		if s.Part == 999 {
-			b.outcome(s, mix.OK)
+			b.outcome(s, decision.OK)
 			break
 		}
 	}
-	a, ok := b.last[q].(mix.Answer)
+	a, ok := b.last[q].(decision.Answer)
 	if !ok || a.Whole {
 		t.Errorf("last word %v, want an answer that is not whole", b.last[q])
 	}
@@ -347,13 +347,13 @@
 			b.run(20 * ms)
 			for _, s := range append([]sent(nil), b.sends[k:]...) {
 				if s.Server == 1 {
-					b.outcome(s, mix.Error)
+					b.outcome(s, decision.Error)
 				} else if b.now-s.at >= 40*ms {
-					b.outcome(s, mix.OK)
+					b.outcome(s, decision.OK)
 				}
 			}
 		}
-		if _, ok := b.last[q].(mix.Answer); !ok {
+		if _, ok := b.last[q].(decision.Answer); !ok {
 			lost++
 		}
 	}
@@ -375,7 +375,7 @@
 func (b *bed) wakes(until time.Duration) {
 	for b.wake > b.now && b.wake <= until {
 		b.now = b.wake
-		b.step(mix.Wake{})
+		b.step(decision.Wake{})
 	}
 }
 
@@ -384,7 +384,7 @@
 func TestPartInTime(t *testing.T) {
 	set := base()
 	set.Tick, set.SecondCopies = ms, false
-	set.Classes[0] = mix.Class{Aim: 300 * ms, Deadline: time.Second, Worth: 1, Effect: mix.Safe, Need: 1, Floor: 0.5}
+	set.Classes[0] = decision.Class{Aim: 300 * ms, Deadline: time.Second, Worth: 1, Effect: decision.Safe, Need: 1, Floor: 0.5}
 	for _, offset := range []time.Duration{1, 3, 7, 9} {
 		b := newBed(t, set, 0, 1, 2)
 		b.now += 11 * ms
@@ -394,7 +394,7 @@
 		q, ids := b.query(0, time.Second, 0, 1)
 		for _, s := range slices.Clone(b.sends) {
 			if s.Part == ids[0] {
-				b.outcome(s, mix.OK)
+				b.outcome(s, decision.OK)
 			}
 		}
 		b.wakes(came + 290*ms)
@@ -402,19 +402,19 @@
 			t.Fatalf("offset %v: answered in part while the rest could still come", offset)
 		}
 		b.wakes(came + 299*ms)
-		if a, ok := b.last[q].(mix.Answer); !ok || a.Whole {
+		if a, ok := b.last[q].(decision.Answer); !ok || a.Whole {
 			t.Errorf("offset %v: no answer in part before the aim", offset)
 		}
 	}
 }
 
 // thin returns settings of one mixer of a large fleet that meets each server seldom: aims ten times an answer's time.
-func thin() mix.Settings {
+func thin() decision.Settings {
 	set := base()
 	set.Siblings, set.Tick, set.SecondCopies, set.MaxAttempts = 80, ms, false, 4
-	set.Classes = []mix.Class{
-		{Aim: 300 * ms, Deadline: time.Second, Worth: 3, Effect: mix.Safe, Need: 1, Floor: 0.7},
-		{Aim: 380 * ms, Deadline: 1300 * ms, Worth: 2, Effect: mix.Keyed, Window: 4 * time.Second, Need: 1, Floor: 1},
+	set.Classes = []decision.Class{
+		{Aim: 300 * ms, Deadline: time.Second, Worth: 3, Effect: decision.Safe, Need: 1, Floor: 0.7},
+		{Aim: 380 * ms, Deadline: 1300 * ms, Worth: 2, Effect: decision.Keyed, Window: 4 * time.Second, Need: 1, Floor: 1},
 	}
 	return set
 }
@@ -431,17 +431,17 @@
 		silent := b.sends[0].Server
 		for b.now < came+in && b.finals[q] == 0 {
 			b.now += 2 * ms
-			b.step(mix.Wake{})
+			b.step(decision.Wake{})
 			for _, a := range b.acts {
-				if c, ok := a.(mix.Cancel); ok {
-					b.outcome(b.sends[c.Attempt], mix.Cancelled)
+				if c, ok := a.(decision.Cancel); ok {
+					b.outcome(b.sends[c.Attempt], decision.Cancelled)
 				}
 			}
 			if s := b.sends[len(b.sends)-1]; s.Server != silent && b.now-s.at >= 30*ms {
-				b.outcome(s, mix.OK)
+				b.outcome(s, decision.OK)
 			}
 		}
-		if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
+		if a, ok := b.last[q].(decision.Answer); !ok || !a.Whole {
 			t.Errorf("class %d: %d attempts and no answer within the aim", class, len(b.sends))
 		}
 	}
@@ -456,10 +456,10 @@
 	first := b.sends[0]
 	for b.now < first.at+15*ms {
 		for _, s := range b.sends[max(len(b.sends)-1, 0):] {
-			b.outcome(s, mix.Full)
+			b.outcome(s, decision.Full)
 		}
 		b.now += ms
-		b.step(mix.Wake{})
+		b.step(decision.Wake{})
 	}
 	if len(b.sends) > 1 {
 		t.Errorf("sent %d times in half the time of an answer", len(b.sends))
@@ -478,7 +478,7 @@
 	b.query(0, time.Second, 0)
 	b.run(2 * ms)
 	n := len(b.sends)
-	b.outcome(b.sends[n-1], mix.Full)
+	b.outcome(b.sends[n-1], decision.Full)
 	b.query(0, time.Second, 0)
 	b.run(900 * ms)
 	if len(b.sends) != n {
@@ -502,7 +502,7 @@
 	for range 29 {
 		b.run(10 * ms)
 		for _, a := range b.acts {
-			if c, ok := a.(mix.Cancel); ok {
+			if c, ok := a.(decision.Cancel); ok {
 				t.Fatalf("%v moved with no news of another replica", c)
 			}
 		}
@@ -527,10 +527,10 @@
 		b.m.Shed, b.m.ShedAt, b.m.Wait, b.m.WaitAt = 0.5, b.now, 0.35, b.now
 		for class, at := range [][]int{shards, shards[:1]} {
 			q, _ := b.query(class, time.Second, at...)
-			if _, ok := b.last[q].(mix.Refuse); ok {
+			if _, ok := b.last[q].(decision.Refuse); ok {
 				refused[class]++
 			}
-			b.step(mix.ClientLeft{Query: q})
+			b.step(decision.ClientLeft{Query: q})
 		}
 	}
 	if refused[0] < 70 || refused[1] > 30 {
@@ -553,7 +553,7 @@
 	run := func(steps int) {
 		for range steps {
 			b.run(10 * ms)
-			called = called || stuck.Part > 0 && slices.Contains(b.acts, mix.Action(mix.Cancel{Part: stuck.Part}))
+			called = called || stuck.Part > 0 && slices.Contains(b.acts, decision.Action(decision.Cancel{Part: stuck.Part}))
 		}
 	}
 	for i := range 12 {
@@ -568,7 +568,7 @@
 			if s.Server == 1 && stuck.Part == 0 {
 				stuck = s
 			} else if s.Server != 1 || passed {
-				b.outcome(s, mix.OK)
+				b.outcome(s, decision.OK)
 			}
 		}
 		if i == 11 && stuck.Part == 0 {
@@ -587,7 +587,7 @@
 	if !called || again() != 1 {
 		t.Fatalf("called off %v, %d attempts before that is through", called, again())
 	}
-	b.outcome(stuck, mix.Cancelled)
+	b.outcome(stuck, decision.Cancelled)
 	b.run(10 * ms)
 	if s := b.sends[len(b.sends)-1]; again() != 2 || s.Part != stuck.Part || s.Server == 1 {
 		t.Errorf("%d attempts, the last %+v", again(), s)
@@ -602,7 +602,7 @@
 	b := newBed(t, set, 0, 0, 0)
 	b.warm(30, 60*ms)
 	var due []sent // answers to come; at is when
-	n, asked, late, seen := map[mix.ServerID]int{}, map[mix.QueryID]time.Duration{}, 0, 0
+	n, asked, late, seen := map[decision.ServerID]int{}, map[decision.QueryID]time.Duration{}, 0, 0
 	busy := b.now // until then the sound one has work
 	for i := range 3000 {
 		if i%3 == 0 {
@@ -613,7 +613,7 @@
 		for ; seen < len(b.sends); seen++ {
 			s := b.sends[seen]
 			if n[s.Server]++; s.Server < 3 && n[s.Server]%5 > 0 {
-				b.outcome(s, mix.Error)
+				b.outcome(s, decision.Error)
 				continue
 			}
 			if s.at = b.now + 60*ms; s.Server == 3 {
@@ -626,7 +626,7 @@
 			if s.at > b.now {
 				return false
 			}
-			b.outcome(s, mix.OK)
+			b.outcome(s, decision.OK)
 			if b.now-asked[b.owner[s.Part]] > 600*ms {
 				late++
 			}
@@ -649,14 +649,14 @@
 			b.run(20 * ms)
 			for _, s := range append([]sent(nil), b.sends...) {
 				if s.Server != 2 && b.now-s.at >= 40*ms && b.now-s.at < 80*ms {
-					b.outcome(s, mix.OK)
+					b.outcome(s, decision.OK)
 				}
 			}
 			if b.finals[q] > 0 {
 				break
 			}
 		}
-		if _, ok := b.last[q].(mix.Answer); !ok {
+		if _, ok := b.last[q].(decision.Answer); !ok {
 			late++
 		}
 	}
@@ -672,7 +672,7 @@
 	b := newBed(t, set, 0, 1, 2)
 	asks := func() (n int) {
 		for _, a := range b.acts {
-			if _, ok := a.(mix.Subscribe); ok {
+			if _, ok := a.(decision.Subscribe); ok {
 				n++
 			}
 		}
@@ -683,10 +683,10 @@
 	}
 	total := 0
 	for range 20 {
-		b.step(mix.ServerList{Kind: mix.ListFailed})
+		b.step(decision.ServerList{Kind: decision.ListFailed})
 		for range 500 {
 			b.now += 10 * ms
-			b.step(mix.Wake{})
+			b.step(decision.Wake{})
 			if asks() > 0 {
 				total++
 				break
@@ -696,7 +696,7 @@
 	if total != 20 {
 		t.Errorf("asked again %d times after 20 failures", total)
 	}
-	b.step(mix.ServerList{Kind: mix.Whole, Servers: []mix.ServerInfo{{ID: 1, Cell: 0, State: mix.Ready}}})
+	b.step(decision.ServerList{Kind: decision.Whole, Servers: []decision.ServerInfo{{ID: 1, Cell: 0, State: decision.Ready}}})
 	b.run(10 * time.Second)
 	if asks() != 0 {
 		t.Error("asked though subscribed")
@@ -706,14 +706,14 @@
 // Bad input to the public interface is ignored, or refused where a query is owed its answer.
 func TestBadInput(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
-	b.step(mix.QueryArrived{ID: 1, Class: 99, Left: time.Second, Parts: 1}, mix.Outcome{Part: 5}, mix.ClientLeft{Query: 9},
-		mix.PartArrived{ID: 8, Query: 77}, mix.PartArrived{ID: 9, Query: 1, Shard: -4})
-	if _, ok := b.last[1].(mix.Refuse); !ok {
+	b.step(decision.QueryArrived{ID: 1, Class: 99, Left: time.Second, Parts: 1}, decision.Outcome{Part: 5}, decision.ClientLeft{Query: 9},
+		decision.PartArrived{ID: 8, Query: 77}, decision.PartArrived{ID: 9, Query: 1, Shard: -4})
+	if _, ok := b.last[1].(decision.Refuse); !ok {
 		t.Error("a query of an unknown class was not refused")
 	}
 	q, p := b.query(0, time.Second, 0)
 	b.now -= 500 * ms // time going backwards counts as standing still
-	b.step(mix.QueryArrived{ID: q, Left: time.Second, Parts: 1}, mix.Outcome{Part: p[0], Attempt: 7})
+	b.step(decision.QueryArrived{ID: q, Left: time.Second, Parts: 1}, decision.Outcome{Part: p[0], Attempt: 7})
 	b.now += 500 * ms
 	b.run(time.Second)
 	if b.finals[q] != 1 {
@@ -738,27 +738,27 @@
 				b.run(20 * ms)
 				for _, s := range append([]sent(nil), b.sends[k:]...) {
 					if bad && s.Server == 1 {
-						b.outcome(s, mix.Error)
+						b.outcome(s, decision.Error)
 					} else if b.now-s.at >= 40*ms {
-						b.outcome(s, mix.OK)
+						b.outcome(s, decision.OK)
 					}
 				}
 			}
-			if _, is := b.last[q].(mix.Answer); is {
+			if _, is := b.last[q].(decision.Answer); is {
 				ok++
 			}
 		}
 		return ok
 	}
-	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 1, State: mix.Ready, Started: b.now},
-		{ID: 3, Cell: 2, State: mix.Draining}}})
+	b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: 2, Cell: 1, State: decision.Ready, Started: b.now},
+		{ID: 3, Cell: 2, State: decision.Draining}}})
 	play(40, true)
 	for _, s := range b.sends {
 		if s.Server == 3 {
 			t.Fatal("sent to a draining server")
 		}
 	}
-	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 3, Cell: 2, State: mix.Ready}}})
+	b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: 3, Cell: 2, State: decision.Ready}}})
 	b.run(15 * time.Second)
 	if ok := play(40, false); ok < 38 {
 		t.Errorf("after the symptoms %d of 40 were answered", ok)
@@ -767,14 +767,14 @@
 
 // Identical events give identical actions.
 func TestDeterminism(t *testing.T) {
-	play := func() (all []mix.Action) {
+	play := func() (all []decision.Action) {
 		b := newBed(t, base(), 0, 1, 2, 0, 1, 2)
 		for i := range 300 {
 			b.query(i%4, 2*time.Second, i%3, (i+1)%3)
 			b.now += 7 * ms
 			for j := len(b.sends) - 8; j < len(b.sends); j += 3 {
 				if j >= 0 {
-					b.outcome(b.sends[j], []mix.Status{mix.OK, mix.OK, mix.Error, mix.TimedOut}[j%4])
+					b.outcome(b.sends[j], []decision.Status{decision.OK, decision.OK, decision.Error, decision.TimedOut}[j%4])
 				}
 			}
 			all = append(all, b.acts...)
@@ -823,7 +823,7 @@
 	b.sends = nil
 	q, _ := b.query(3, 2*time.Second, 0, 1) // half the class's wait, as a late repeat would have
 	b.run(50 * ms)
-	b.outcome(b.sends[0], mix.OK)
+	b.outcome(b.sends[0], decision.OK)
 	b.run(100 * ms)
 	if b.m.Queries[q] == nil || b.m.Queries[q].Step != 1 {
 		t.Fatal("answered in part long before the aim")
@@ -834,7 +834,7 @@
 func TestAllSuspect(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 50*ms)
-	play := func(n int, st mix.Status) (ok int) {
+	play := func(n int, st decision.Status) (ok int) {
 		for range n {
 			k := len(b.sends)
 			q, _ := b.query(0, 4*time.Second, 0)
@@ -844,18 +844,18 @@
 					b.outcome(s, st)
 				}
 			}
-			if _, is := b.last[q].(mix.Answer); is {
+			if _, is := b.last[q].(decision.Answer); is {
 				ok++
 			}
 		}
 		return ok
 	}
-	play(20, mix.Error)
+	play(20, decision.Error)
 	if len(b.sends) < 20 {
 		t.Errorf("only %d attempts for 20 queries: the least bad replica is not used", len(b.sends))
 	}
 	b.run(5 * time.Second)
-	if ok := play(30, mix.OK); ok < 28 {
+	if ok := play(30, decision.OK); ok < 28 {
 		t.Errorf("%d of 30 answered once the errors had ended", ok)
 	}
 }
@@ -867,7 +867,7 @@
 		b.query(0, time.Second, 0, 1, 2)
 		b.run(10 * ms)
 		if n := len(b.sends); n > 3 && n%3 == 0 {
-			b.outcome(b.sends[n/2], mix.OK)
+			b.outcome(b.sends[n/2], decision.OK)
 		}
 	}
 	b.run(1500 * ms)
@@ -884,12 +884,12 @@
 func TestPoison(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 50*ms)
-	kill := func(q mix.QueryID) {
+	kill := func(q decision.QueryID) {
 		for range 20 {
 			b.run(20 * ms)
 			for _, s := range append([]sent(nil), b.sends...) {
 				if b.owner[s.Part] == q {
-					b.outcome(s, mix.Reset)
+					b.outcome(s, decision.Reset)
 					b.m.Servers[s.Server].DiedAt = b.now // as when the next connection is refused
 				}
 			}
@@ -900,12 +900,12 @@
 	if n := len(b.sends); n != 4 {
 		t.Errorf("%d attempts of a query that kills servers, want 3 and one alone", n)
 	}
-	if _, ok := b.last[q].(mix.Refuse); !ok {
+	if _, ok := b.last[q].(decision.Refuse); !ok {
 		t.Errorf("last word %v, want Refuse", b.last[q])
 	}
 	b.sends = nil
 	again, _ := b.query(0, 4*time.Second, 0, 1, 2)
-	if _, ok := b.last[again].(mix.Refuse); !ok || len(b.sends) > 0 {
+	if _, ok := b.last[again].(decision.Refuse); !ok || len(b.sends) > 0 {
 		t.Error("the same query was not refused when it came again")
 	}
 	if other, _ := b.query(0, 4*time.Second, 1, 2); b.finals[other] > 0 || len(b.sends) == 0 {
@@ -920,14 +920,14 @@
 	b := newBed(t, set, 0, 1, 2)
 	b.warm(30, 50*ms)
 	q, _ := b.query(0, 4*time.Second, 0)
-	for i, st := range []mix.Status{mix.Reset, mix.Reset, mix.OK} {
+	for i, st := range []decision.Status{decision.Reset, decision.Reset, decision.OK} {
 		b.run(20 * ms)
 		if len(b.sends) != i+1 {
 			t.Fatalf("%d attempts, want %d; last word %v", len(b.sends), i+1, b.last[q])
 		}
 		b.outcome(b.sends[i], st)
 	}
-	if _, ok := b.last[q].(mix.Answer); !ok {
+	if _, ok := b.last[q].(decision.Answer); !ok {
 		t.Errorf("last word %v, want an answer", b.last[q])
 	}
 }
@@ -938,14 +938,14 @@
 	b.warm(30, 50*ms)
 	q, _ := b.query(0, 4*time.Second, 0, 1)
 	b.run(50 * ms)
-	b.outcome(b.sends[0], mix.OK)
-	b.outcome(b.sends[1], mix.Reset)
+	b.outcome(b.sends[0], decision.OK)
+	b.outcome(b.sends[1], decision.Reset)
 	b.run(10 * ms)
 	if len(b.sends) != 3 {
 		t.Fatalf("%d attempts, want the lost part sent again", len(b.sends))
 	}
-	b.outcome(b.sends[2], mix.OK)
-	if _, ok := b.last[q].(mix.Answer); !ok {
+	b.outcome(b.sends[2], decision.OK)
+	if _, ok := b.last[q].(decision.Answer); !ok {
 		t.Errorf("last word %v, want an answer", b.last[q])
 	}
 }
@@ -957,7 +957,7 @@
 	b := newBed(t, set, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 	for i := range 3 {
 		b.now += 100 * ms
-		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: mix.ServerID(i + 1), Cell: i, Zone: i % 2, Nominal: 1}}})
+		b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: decision.ServerID(i + 1), Cell: i, Zone: i % 2, Nominal: 1}}})
 	}
 	b.run(200 * ms)
 	b.query(0, 4*time.Second, 3, 4, 5)
@@ -965,7 +965,7 @@
 	if len(b.sends) != 1 {
 		t.Fatalf("%d parts sent while crashes are about, want one first", len(b.sends))
 	}
-	b.outcome(b.sends[0], mix.OK)
+	b.outcome(b.sends[0], decision.OK)
 	b.run(20 * ms)
 	if len(b.sends) != 3 {
 		t.Errorf("%d parts sent once the first came back, want all", len(b.sends))
@@ -980,24 +980,24 @@
 		s.Zone = i % 2
 	}
 	b.m.Index()
-	end := func(st mix.Status) {
+	end := func(st decision.Status) {
 		for i := range 3 {
 			k := len(b.sends)
 			b.query(0, 4*time.Second, i)
 			for n := range 3 { // each server in turn, as one that was tried is passed over
 				b.run(20 * ms)
-				if len(b.sends) > k+n && (st != mix.Reset || n == 0) {
+				if len(b.sends) > k+n && (st != decision.Reset || n == 0) {
 					b.outcome(b.sends[k+n], st)
 				}
 			}
 		}
 		b.run(200 * ms)
 	}
-	end(mix.Reset)
+	end(decision.Reset)
 	if b.m.Alarm {
 		t.Error("lone resets count as crashes")
 	}
-	end(mix.ConnectFailed)
+	end(decision.ConnectFailed)
 	if !b.m.Alarm {
 		t.Error("servers that reset and then refuse do not count as crashes")
 	}
@@ -1009,11 +1009,11 @@
 	set := thin()
 	set.Probes, set.Siblings = true, 4 // no subset
 	b := newBed(t, set)
-	var l []mix.ServerInfo
+	var l []decision.ServerInfo
 	for i := range 40 {
-		l = append(l, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: 0, State: mix.Ready, Zone: i % 2})
+		l = append(l, decision.ServerInfo{ID: decision.ServerID(i + 1), Cell: 0, State: decision.Ready, Zone: i % 2})
 	}
-	b.step(mix.ServerList{Kind: mix.Whole, Servers: l})
+	b.step(decision.ServerList{Kind: decision.Whole, Servers: l})
 	b.warm(60, 30*ms)
 	there := func(s sent) bool { return s.Server%2 == 0 } // zone 1, from which nothing comes any more
 	for i, n := 0, 0; i < 40; i++ {
@@ -1024,7 +1024,7 @@
 		b.run(10 * ms)
 		for _, s := range slices.Clone(b.sends) {
 			if !there(s) && b.now-s.at >= 30*ms && b.now-s.at < 40*ms {
-				b.outcome(s, mix.OK)
+				b.outcome(s, decision.OK)
 			}
 		}
 		if i == 39 && (b.m.Zones[1].Far || slices.ContainsFunc(b.sends[n:], there)) {
@@ -1040,16 +1040,16 @@
 		set := base()
 		set.Probes = true
 		b := newBed(t, set)
-		var l []mix.ServerInfo
+		var l []decision.ServerInfo
 		for i := range 3 {
-			l = append(l, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: i, State: mix.Ready, Zone: min(i, 1)})
+			l = append(l, decision.ServerInfo{ID: decision.ServerID(i + 1), Cell: i, State: decision.Ready, Zone: min(i, 1)})
 		}
-		b.step(mix.ServerList{Kind: mix.Whole, Servers: l})
+		b.step(decision.ServerList{Kind: decision.Whole, Servers: l})
 		b.warm(30, 50*ms)
 		probe := func(ok bool) {
 			for _, a := range b.acts {
-				if p, is := a.(mix.Probe); is {
-					b.step(mix.Probed{Server: p.Server, OK: ok})
+				if p, is := a.(decision.Probe); is {
+					b.step(decision.Probed{Server: p.Server, OK: ok})
 				}
 			}
 		}
@@ -1061,7 +1061,7 @@
 				b.run(10 * ms)
 				for _, s := range append([]sent(nil), b.sends...) {
 					if s.Server == 1 && b.now-s.at >= 40*ms {
-						b.outcome(s, mix.OK)
+						b.outcome(s, decision.OK)
 					}
 				}
 				b.run(10 * ms)
@@ -1077,7 +1077,7 @@
 		if bad := b.m.Servers[2].Bad; bad > badBack {
 			t.Errorf("a server behind the slow way is blamed: %v", bad)
 		}
-		b.step(mix.Probed{Server: 2, OK: true})
+		b.step(decision.Probed{Server: 2, OK: true})
 		if b.m.Zones[1].Far {
 			t.Error("still far after a probe got through")
 		}
@@ -1095,9 +1095,9 @@
 			q, _ := b.query(0, 4*time.Second, 0, 1, 2, 0, 1, 2)
 			b.run(took)
 			for ; k < len(b.sends); k++ { // copies sent meanwhile too
-				b.outcome(b.sends[k], mix.OK)
+				b.outcome(b.sends[k], decision.OK)
 			}
-			if _, is := b.last[q].(mix.Refuse); is {
+			if _, is := b.last[q].(decision.Refuse); is {
 				r++
 			}
 		}
@@ -1117,7 +1117,7 @@
 func TestLateClock(t *testing.T) {
 	for _, start := range []time.Duration{0, 300 * time.Hour} {
 		m, _ := New(base(), 7)
-		m.Step(start+time.Second, []mix.Event{mix.ServerList{Kind: mix.Cached, Servers: []mix.ServerInfo{{ID: 1, State: mix.Ready}}}})
+		m.Step(start+time.Second, []decision.Event{decision.ServerList{Kind: decision.Cached, Servers: []decision.ServerInfo{{ID: 1, State: decision.Ready}}}})
 		if m.Typical <= 0 || m.Typical > 0.5 {
 			t.Errorf("clock from %v: the start curve's median is %v s", start, m.Typical)
 		}
@@ -1141,8 +1141,8 @@
 	if len(b.sends) < 2 {
 		t.Fatal("no copy by the deadline")
 	}
-	b.outcome(b.sends[1], mix.OK)
-	if _, ok := b.last[q].(mix.Answer); !ok {
+	b.outcome(b.sends[1], decision.OK)
+	if _, ok := b.last[q].(decision.Answer); !ok {
 		t.Errorf("last word %v, want an answer", b.last[q])
 	}
 }
@@ -1160,7 +1160,7 @@
 		b.run(10 * ms)
 		for _, s := range b.sends[1:] {
 			if s.Part != parts[0] && b.now-s.at == 10*ms {
-				b.outcome(s, mix.OK)
+				b.outcome(s, decision.OK)
 			}
 		}
 		if n := b.tries[parts[0]]; n != 1 {
@@ -1170,7 +1170,7 @@
 	if !b.m.Parts[parts[0]].Attempts[0].Moved {
 		t.Fatal("it was not called off")
 	}
-	b.outcome(b.sends[0], mix.Cancelled)
+	b.outcome(b.sends[0], decision.Cancelled)
 	if n := b.tries[parts[0]]; n != 2 {
 		t.Errorf("%d attempts when the first was called off", n)
 	}
@@ -1202,9 +1202,9 @@
 	b.now += 900 * ms
 	b.nextID++
 	out, sends := append([]sent(nil), b.sends...), len(b.sends)
-	var ev []mix.Event
+	var ev []decision.Event
 	for _, s := range out[:len(out)-3] {
-		ev = append(ev, mix.Outcome{Part: s.Part, Server: s.Server, Attempt: s.attempt, Status: mix.OK, Took: 50 * ms})
+		ev = append(ev, decision.Outcome{Part: s.Part, Server: s.Server, Attempt: s.attempt, Status: decision.OK, Took: 50 * ms})
 	}
 	b.step(ev...)
 	if got := b.m.Servers[1].Lat; got > 2*lat {
@@ -1226,7 +1226,7 @@
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 200*ms)
 	q, _ := b.query(0, 100*ms, 0, 1)
-	if _, ok := b.last[q].(mix.Refuse); !ok || len(b.sends) > 0 {
+	if _, ok := b.last[q].(decision.Refuse); !ok || len(b.sends) > 0 {
 		t.Errorf("last word %v and %d parts sent, want a refusal and none", b.last[q], len(b.sends))
 	}
 	if q, _ = b.query(0, 400*ms, 0, 1); b.finals[q] > 0 || len(b.sends) != 2 {
@@ -1249,7 +1249,7 @@
 	b.run(40 * ms)
 	for _, s := range append([]sent(nil), b.sends...) {
 		if s.Server != 1 {
-			b.outcome(s, mix.OK)
+			b.outcome(s, decision.OK)
 		}
 	}
 	b.run(300 * ms)
@@ -1267,7 +1267,7 @@
 		t.Errorf("%d copies for 48 queries and parts, want a twentieth of them", copies)
 	}
 	for _, s := range append([]sent(nil), b.sends...) {
-		b.outcome(s, mix.Error)
+		b.outcome(s, decision.Error)
 	}
 	b.run(50 * ms)
 	if n := len(b.sends) - 24 - copies; n < 2 {
@@ -1279,17 +1279,17 @@
 func TestLongLife(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	for i := range 200 {
-		id := mix.ServerID(100 + i)
-		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: id, Cell: 1, State: mix.Ready, Nominal: 1}}})
+		id := decision.ServerID(100 + i)
+		b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: id, Cell: 1, State: decision.Ready, Nominal: 1}}})
 		for range 10 {
 			k := len(b.sends)
 			b.query(0, 4*time.Second, 0, 1)
 			b.run(50 * ms)
 			for _, s := range append([]sent(nil), b.sends[k:]...) {
-				b.outcome(s, mix.OK)
+				b.outcome(s, decision.OK)
 			}
 		}
-		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: id, Cell: 1, State: mix.Gone, Nominal: 1}}})
+		b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: id, Cell: 1, State: decision.Gone, Nominal: 1}}})
 		b.sends = nil
 	}
 	b.m.Suspects[1] = b.now - time.Hour
@@ -1316,7 +1316,7 @@
 	s.Started = b.now
 	can := func(after time.Duration) bool {
 		b.now = s.Started + after
-		b.step(mix.Wake{})
+		b.step(decision.Wake{})
 		b.m.Carried = 0.5 / 3 // parts a second that a warm server answers us
 		return b.m.sendable(s)
 	}
@@ -1333,7 +1333,7 @@
 func TestColdServerInStorm(t *testing.T) {
 	b := newBed(t, base(), 0, 1, 2)
 	b.warm(30, 300*ms) // one part a second and server
-	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 3, Cell: 2, State: mix.Ready, Nominal: 1, Started: b.now}}})
+	b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: 3, Cell: 2, State: decision.Ready, Nominal: 1, Started: b.now}}})
 	n, cold := 0, b.m.Servers[3]
 	for range 300 { // 3 s, in which the warm ones are sent a hundred parts a second each, and answer none
 		for _, s := range []*fleet.Server{b.m.Servers[1], b.m.Servers[2]} {
@@ -1369,16 +1369,16 @@
 
 // Mixers that start together do not all begin at the same servers.
 func TestStartsSpread(t *testing.T) {
-	first := map[mix.ServerID]int{}
+	first := map[decision.ServerID]int{}
 	for seed := range uint64(30) {
 		m, _ := New(base(), seed)
-		var list []mix.ServerInfo
+		var list []decision.ServerInfo
 		for i := range 3 {
-			list = append(list, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: i, State: mix.Ready})
+			list = append(list, decision.ServerInfo{ID: decision.ServerID(i + 1), Cell: i, State: decision.Ready})
 		}
-		for _, a := range m.Step(time.Second, []mix.Event{mix.ServerList{Kind: mix.Cached, Servers: list},
-			mix.QueryArrived{ID: 1, Left: 4 * time.Second, Parts: 1}, mix.PartArrived{ID: 2, Query: 1, Weight: 1}}) {
-			if s, ok := a.(mix.Send); ok {
+		for _, a := range m.Step(time.Second, []decision.Event{decision.ServerList{Kind: decision.Cached, Servers: list},
+			decision.QueryArrived{ID: 1, Left: 4 * time.Second, Parts: 1}, decision.PartArrived{ID: 2, Query: 1, Weight: 1}}) {
+			if s, ok := a.(decision.Send); ok {
 				first[s.Server]++
 			}
 		}
@@ -1406,7 +1406,7 @@
 			t.Error("a part of the weak shard was asked for first")
 		}
 	}
-	b.outcome(b.sends[0], mix.Error)
+	b.outcome(b.sends[0], decision.Error)
 	if len(b.sends) != 4 || b.finals[q] > 0 {
 		t.Fatalf("%d parts sent and %d last words after a lost part, want 4 and none", len(b.sends), b.finals[q])
 	}
@@ -1414,11 +1414,11 @@
 	if len(b.sends) != 5 {
 		t.Errorf("%d parts sent once others were late, want all 5", len(b.sends))
 	}
-	b.outcome(b.sends[1], mix.Error)
+	b.outcome(b.sends[1], decision.Error)
 	if b.finals[q] > 0 {
 		t.Fatal("given up though three parts can still come")
 	}
-	b.outcome(b.sends[2], mix.Error)
+	b.outcome(b.sends[2], decision.Error)
 	if b.finals[q] != 1 {
 		t.Error("not given up at once when two of five could still come")
 	}
@@ -1434,12 +1434,12 @@
 		if b.run(10 * ms); i%5 == 4 {
 			for k := 0; k < len(b.sends); k++ {
 				if b.sends[k].Server > 2 {
-					b.outcome(b.sends[k], mix.OK)
+					b.outcome(b.sends[k], decision.OK)
 				}
 			}
 		}
 	}
-	if _, is := b.last[q].(mix.Answer); !is {
+	if _, is := b.last[q].(decision.Answer); !is {
 		t.Errorf("last word %v, want an answer within the aim by copies", b.last[q])
 	}
 }
@@ -1452,14 +1452,14 @@
 		k := len(b.sends)
 		b.query(0, 4*time.Second, 0)
 		b.run(500 * ms)
-		b.outcome(b.sends[k], mix.OK)
+		b.outcome(b.sends[k], decision.OK)
 	}
 	s := b.m.Servers[1]
-	p := &fleet.Part{PartArrived: mix.PartArrived{ID: 9}, Q: &fleet.Query{Terms: &b.m.Set.Classes[0], Ended: true}, Index: -1}
+	p := &fleet.Part{PartArrived: decision.PartArrived{ID: 9}, Q: &fleet.Query{Terms: &b.m.Set.Classes[0], Ended: true}, Index: -1}
 	b.m.Parts[9] = p
 	b.m.Launch(p, s, false)
 	b.run(3 * time.Second)
-	b.step(mix.Outcome{Part: 9, Server: 1, Status: mix.Cancelled})
+	b.step(decision.Outcome{Part: 9, Server: 1, Status: decision.Cancelled})
 	b.run(6 * time.Second)
 	if got := b.m.trust(s); got >= trusted {
 		t.Errorf("trust %.2f two meetings after a silence, want a suspect still", got)
@@ -1480,13 +1480,13 @@
 	set.SecondCopies = false
 	b := newBed(t, set, 0, 1, 2)
 	b.warm(30, 50*ms)
-	closed := map[mix.ServerID]bool{}
+	closed := map[decision.ServerID]bool{}
 	n, answered := 0, 0
 	for range 60 {
 		k := len(b.sends)
 		q, _ := b.query(0, time.Second, 0, 1, 2)
 		for _, a := range b.acts {
-			if c, is := a.(mix.CloseIdle); is {
+			if c, is := a.(decision.CloseIdle); is {
 				closed[c.Server] = true
 				n++
 			}
@@ -1494,15 +1494,15 @@
 		b.run(100 * ms)
 		for _, s := range b.sends[k:] {
 			if closed[s.Server] { // opened anew
-				b.outcome(s, mix.OK)
+				b.outcome(s, decision.OK)
 			}
 		}
-		if _, is := b.last[q].(mix.Answer); is {
+		if _, is := b.last[q].(decision.Answer); is {
 			answered++
 		}
 		b.run(time.Second)
 		for ; k < len(b.sends); k++ {
-			b.outcome(b.sends[k], mix.Cancelled)
+			b.outcome(b.sends[k], decision.Cancelled)
 		}
 		clear(closed)
 		b.run(500 * ms)
@@ -1555,7 +1555,7 @@
 		b.m.note(b.m.Servers[3], false, 1)
 	}
 	for shard, want := range []bool{false, true, true} {
-		p := &fleet.Part{PartArrived: mix.PartArrived{Shard: shard}, Place: tailguard.Place{Deadline: b.now + time.Second}}
+		p := &fleet.Part{PartArrived: decision.PartArrived{Shard: shard}, Place: tailguard.Place{Deadline: b.now + time.Second}}
 		if got := b.m.wouldMiss(p); got != want {
 			t.Errorf("shard %d: a miss is %v, want %v", shard, got, want)
 		}
@@ -1572,8 +1572,8 @@
 		t.Fatalf("%d parts sent, %d final answers", len(b.sends), b.finals[q])
 	}
 	b.now += 50 * ms
-	b.outcome(b.sends[0], mix.OK)
-	if a, ok := b.last[q].(mix.Answer); !ok || a.Whole || !a.Final {
+	b.outcome(b.sends[0], decision.OK)
+	if a, ok := b.last[q].(decision.Answer); !ok || a.Whole || !a.Final {
 		t.Errorf("last word %+v", b.last[q])
 	}
 }
@@ -1590,7 +1590,7 @@
 	if len(b.sends) != 1 {
 		t.Fatalf("%d parts sent while servers crash, want one", len(b.sends))
 	}
-	b.outcome(b.sends[0], mix.Reset)
+	b.outcome(b.sends[0], decision.Reset)
 	b.run(20 * ms)
 	if len(b.sends) != 2 || b.sends[1].Part == b.sends[0].Part {
 		t.Errorf("after a death %v, want one part of another shard", b.sends[1:])
@@ -1628,7 +1628,7 @@
 		}
 	}
 	for _, s := range append([]sent(nil), b.sends[1:]...) {
-		b.step(mix.Outcome{Part: s.Part, Server: s.Server, Status: mix.OK})
+		b.step(decision.Outcome{Part: s.Part, Server: s.Server, Status: decision.OK})
 	}
 	for _, s := range b.m.Order {
 		if s.ID != last.Server {
@@ -1647,8 +1647,8 @@
 	set := base()
 	set.Classes[0].Need, set.Classes[0].Floor = 0.6, 0.6
 	b := newBed(t, set, 0, 1, 2)
-	b.step(mix.QueryArrived{ID: 1, Left: time.Second, Parts: 2},
-		mix.PartArrived{ID: 2, Query: 1, Shard: 0}, mix.PartArrived{ID: 3, Query: 1, Shard: 1})
+	b.step(decision.QueryArrived{ID: 1, Left: time.Second, Parts: 2},
+		decision.PartArrived{ID: 2, Query: 1, Shard: 0}, decision.PartArrived{ID: 3, Query: 1, Shard: 1})
 	if b.finals[1] != 1 || len(b.sends) > 0 {
 		t.Errorf("%d last words and %d parts sent, want one and none", b.finals[1], len(b.sends))
 	}
@@ -1661,14 +1661,14 @@
 	set.Width = 1
 	b := newBed(t, set, 0, 1)
 	lost, _ := b.query(0, 4*time.Second, 0, 2)
-	if r, ok := b.last[lost].(mix.Refuse); !ok || r.RetryAfter <= 0 {
+	if r, ok := b.last[lost].(decision.Refuse); !ok || r.RetryAfter <= 0 {
 		t.Errorf("without a server: %+v", b.last[lost])
 	}
 	held, parts := b.query(2, 4*time.Second, 1)
 	b.now += 10 * ms
-	b.step(mix.Outcome{Part: parts[0], Server: 2, Status: mix.ConnectFailed},
-		mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 1, State: mix.Gone}}})
-	if _, ok := b.last[held].(mix.Refuse); !ok {
+	b.step(decision.Outcome{Part: parts[0], Server: 2, Status: decision.ConnectFailed},
+		decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: 2, Cell: 1, State: decision.Gone}}})
+	if _, ok := b.last[held].(decision.Refuse); !ok {
 		t.Errorf("its last server gone: %+v", b.last[held])
 	}
 }
@@ -1680,11 +1680,11 @@
 	set := base()
 	set.MaxAttempts = 1
 	set.Classes = append(set.Classes, set.Classes[0])
-	b.step(mix.Retuned{Settings: set})
+	b.step(decision.Retuned{Settings: set})
 	_, after := b.query(len(set.Classes)-1, 4*time.Second, 0)
 	for i := 0; i < len(b.sends); i++ {
 		b.now += 10 * ms
-		b.outcome(b.sends[i], mix.Error)
+		b.outcome(b.sends[i], decision.Error)
 	}
 	if b.tries[before[0]] != 3 || b.tries[after[0]] != 1 {
 		t.Errorf("%d attempts of a part from before, %d of one from after", b.tries[before[0]], b.tries[after[0]])
@@ -1699,7 +1699,7 @@
 	old.m.Servers[3].ColdFrom = old.now
 	young := newBed(t, base(), 0, 1, 2)
 	young.now += time.Hour
-	young.step(mix.Learned{Records: append(old.m.Records(), mix.Record{Server: 9}, mix.Record{Server: 1, Answers: []float64{1}})})
+	young.step(decision.Learned{Records: append(old.m.Records(), decision.Record{Server: 9}, decision.Record{Server: 1, Answers: []float64{1}})})
 	young.step()
 	m := young.m
 	if m.Typical != old.m.Typical || m.Servers[1].Lat != old.m.Servers[1].Lat || m.Servers[2].Bad == 0 || m.warmth(m.Servers[3]) > 0.21 {
@@ -1717,7 +1717,7 @@
 	b.steady(280*ms, stood.ID)
 	for _, s := range append([]sent(nil), b.sends[k:]...) {
 		if s.Server == 1 {
-			b.outcome(s, mix.OK) // a second answer of one that was called off is heard by nobody
+			b.outcome(s, decision.OK) // a second answer of one that was called off is heard by nobody
 		}
 	}
 	if stood.DiedAt != 0 || stood.ColdFrom != 0 {
@@ -1740,8 +1740,8 @@
 	if b.finals[q] != 0 || b.sends[0].Limit < 9*time.Second {
 		t.Fatalf("ended with %+v; the part had %v", b.last[q], b.sends[0].Limit)
 	}
-	b.outcome(b.sends[0], mix.OK)
-	if a, ok := b.last[q].(mix.Answer); !ok || !a.Whole {
+	b.outcome(b.sends[0], decision.OK)
+	if a, ok := b.last[q].(decision.Answer); !ok || !a.Whole {
 		t.Errorf("last word %+v", b.last[q])
 	}
 }
@@ -1753,7 +1753,7 @@
 	set := base()
 	set.Width, set.Rules.FallMultiple, set.Rules.FallSpan = 1, 1, time.Second
 	cold := func(b *bed) int { // parts that a cold server gets within a second, beside a warm one
-		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 0, State: mix.Ready, Nominal: 1, Started: b.now}}})
+		b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: 2, Cell: 0, State: decision.Ready, Nominal: 1, Started: b.now}}})
 		k := len(b.sends)
 		b.steady(time.Second)
 		n := 0
@@ -1773,24 +1773,24 @@
 	}
 	next := newBed(t, set, 0, 0)
 	next.now = old.now
-	next.step(mix.Learned{Records: old.m.Records(), PerSecond: old.m.PerSecond()})
+	next.step(decision.Learned{Records: old.m.Records(), PerSecond: old.m.PerSecond()})
 	if got := cold(next); got < want*2/3 {
 		t.Errorf("a cold server gets %d parts a second of a successor, %d of its predecessor", got, want)
 	}
 }
 
 // steady puts a query of one part every 20 ms, and answers each after 40 ms, but at servers that stand still.
-func (b *bed) steady(d time.Duration, still ...mix.ServerID) {
+func (b *bed) steady(d time.Duration, still ...decision.ServerID) {
 	for end := b.now + d; b.now < end; {
 		b.query(0, 4*time.Second, 0)
 		for range 2 {
 			b.now += 10 * ms
 			for i := len(b.sends) - 1; i >= 0 && b.now-b.sends[i].at <= 40*ms; i-- {
 				if b.now-b.sends[i].at == 40*ms && !slices.Contains(still, b.sends[i].Server) {
-					b.outcome(b.sends[i], mix.OK)
+					b.outcome(b.sends[i], decision.OK)
 				}
 			}
-			b.step(mix.Wake{})
+			b.step(decision.Wake{})
 		}
 	}
 }
@@ -1805,11 +1805,11 @@
 		refused              bool
 	}{{0, 200, 200, true}, {0, 200, 0, false}, {0, 2, 2, false}, {4, 200, 200, false}} {
 		set := base()
-		set.Classes = append(set.Classes, mix.Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Need: 1, Floor: 0.5})
+		set.Classes = append(set.Classes, decision.Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Need: 1, Floor: 0.5})
 		b := newBed(t, set, 0, 0)
 		b.warm(60, 50*ms)
 		for i, n := range []int{x.first, x.second} {
-			s := b.m.Servers[mix.ServerID(i+1)]
+			s := b.m.Servers[decision.ServerID(i+1)]
 			s.Cap = capRule.Min
 			b.full(s)
 			for range n {
@@ -1817,7 +1817,7 @@
 			}
 		}
 		q, _ := b.query(x.class, 4*time.Second, 0)
-		if _, is := b.last[q].(mix.Refuse); is != x.refused {
+		if _, is := b.last[q].(decision.Refuse); is != x.refused {
 			t.Errorf("class %d, %d and %d held: last word %+v", x.class, x.first, x.second, b.last[q])
 		}
 	}
@@ -1856,7 +1856,7 @@
 func TestWaitsForCold(t *testing.T) {
 	b := newBed(t, base(), 0, 0)
 	b.warm(60, 50*ms)
-	b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: 2, Cell: 0, State: mix.Ready, Nominal: 1, Started: b.now}}})
+	b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: 2, Cell: 0, State: decision.Ready, Nominal: 1, Started: b.now}}})
 	b.run(2 * surveyGap) // what warm ones carry is told anew
 	m, still, cold := b.m, b.m.Servers[1], b.m.Servers[2]
 	b.full(still)
@@ -1915,11 +1915,11 @@
 	}
 	set := base()
 	set.Width, set.Siblings = 1, 400
-	first := map[mix.ServerID]bool{}
+	first := map[decision.ServerID]bool{}
 	for seed := range uint64(20) {
 		b := newBed(t, set, 0, 0, 0, 0)
 		b.m, _ = New(set, seed)
-		b.step(mix.ServerList{Kind: mix.Cached, Servers: []mix.ServerInfo{{ID: 1, State: mix.Ready}, {ID: 2, State: mix.Ready}, {ID: 3, State: mix.Ready}, {ID: 4, State: mix.Ready}}})
+		b.step(decision.ServerList{Kind: decision.Cached, Servers: []decision.ServerInfo{{ID: 1, State: decision.Ready}, {ID: 2, State: decision.Ready}, {ID: 3, State: decision.Ready}, {ID: 4, State: decision.Ready}}})
 		b.warm(60, 50*ms)
 		own := kept(b)
 		if len(own) != 1 {
@@ -1931,7 +1931,7 @@
 				t.Errorf("server %d: of the reserve %v, got a part %v", s.ID, s.Reserve, s.Lat > 0)
 			}
 		}
-		b.step(mix.ServerList{Kind: mix.Delta, Servers: []mix.ServerInfo{{ID: own[0].ID, State: mix.Gone}}})
+		b.step(decision.ServerList{Kind: decision.Delta, Servers: []decision.ServerInfo{{ID: own[0].ID, State: decision.Gone}}})
 		if next := kept(b); len(next) != 1 || next[0] == own[0] {
 			t.Errorf("with the subset gone, %d are kept to", len(next))
 		}
@@ -1956,7 +1956,7 @@
 	b := newBed(t, base(), 0, 1, 2)
 	b.query(0, 4*time.Second, 0)
 	b.now += 50 * ms
-	b.outcome(b.sends[0], mix.OK)
+	b.outcome(b.sends[0], decision.OK)
 	if s := b.m.Servers[b.sends[0].Server]; b.m.Median != 0 || b.m.trust(s) < 1 {
 		t.Errorf("trust %v after the first answer, with a median of %v", b.m.trust(s), b.m.Median)
 	}
@@ -1967,15 +1967,15 @@
 	b := newBed(t, base(), 0, 1, 2)
 	q, parts := b.query(1, 4*time.Second, 0)
 	b.now += 10 * ms
-	var cold []mix.ServerInfo
+	var cold []decision.ServerInfo
 	for i := range 3 {
-		cold = append(cold, mix.ServerInfo{ID: mix.ServerID(i + 1), Cell: i, State: mix.Ready, Nominal: 1, Started: b.now})
+		cold = append(cold, decision.ServerInfo{ID: decision.ServerID(i + 1), Cell: i, State: decision.Ready, Nominal: 1, Started: b.now})
 	}
-	b.step(mix.ServerList{Kind: mix.Delta, Servers: cold}, mix.Outcome{Part: parts[0], Server: b.sends[0].Server, Status: mix.Error})
+	b.step(decision.ServerList{Kind: decision.Delta, Servers: cold}, decision.Outcome{Part: parts[0], Server: b.sends[0].Server, Status: decision.Error})
 	for end := b.now + 310*ms; b.now < end; b.now += 10 * ms {
-		b.step(mix.Wake{})
+		b.step(decision.Wake{})
 	}
-	if _, ok := b.last[q].(mix.Fail); !ok || len(b.sends) != 1 {
+	if _, ok := b.last[q].(decision.Fail); !ok || len(b.sends) != 1 {
 		t.Errorf("%d sends, then %+v", len(b.sends), b.last[q])
 	}
 }
--- a/policy/refusal.go
+++ b/policy/refusal.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
@@ -41,7 +41,7 @@
 // given. One that comes back is listed seconds later: the client is told at once, and may come back itself.
 func (m *Mixer) unheld(q *fleet.Query) bool {
 	can := 0.0
-	ready := func(s *fleet.Server) bool { return s.State == mix.Ready }
+	ready := func(s *fleet.Server) bool { return s.State == decision.Ready }
 	for _, p := range q.Current {
 		if p.Done || fleet.AnyLive(p) || slices.ContainsFunc(m.Replicas[p.Shard%m.Set.Cells], ready) {
 			can += p.Weight
--- a/policy/reply.go
+++ b/policy/reply.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem/fleet"
-	"pulleygw.example/pulleygw/internal/gatherer/mix"
 	"pulleygw.example/pulleygw/internal/shared/curve"
 )
 
@@ -41,7 +41,7 @@
 		return
 	}
 	if q.Step == 1 && (q.Terms.Fetch > 0 || q.Phased) {
-		m.Do(mix.Answer{Query: q.ID, Whole: whole})
+		m.Do(decision.Answer{Query: q.ID, Whole: whole})
 		for _, p := range q.Current {
 			if !p.Done { // abandoned: it no longer counts
 				p.Dead = true
@@ -54,7 +54,7 @@
 		}
 		return
 	}
-	m.Do(mix.Answer{Query: q.ID, Whole: whole && (q.Step == 1 || q.FirstWhole), Final: true})
+	m.Do(decision.Answer{Query: q.ID, Whole: whole && (q.Step == 1 || q.FirstWhole), Final: true})
 	m.End(q)
 }
 
@@ -64,11 +64,11 @@
 // giveUp gives a query its final answer at once: refused where trying again is harmless, else failed.
 func (m *Mixer) giveUp(q *fleet.Query) {
 	ran := slices.ContainsFunc(q.All, func(p *fleet.Part) bool { return p.MayRun >= 0 })
-	if q.Terms.Effect != mix.Safe && ran {
-		m.Do(mix.Fail{Query: q.ID})
+	if q.Terms.Effect != decision.Safe && ran {
+		m.Do(decision.Fail{Query: q.ID})
 	} else {
 		after := adviseMin + curve.Duration(m.Shed*curve.Seconds(adviseMax-adviseMin))
-		m.Do(mix.Refuse{Query: q.ID, RetryAfter: min(after, m.Set.MaxRetryAfter)})
+		m.Do(decision.Refuse{Query: q.ID, RetryAfter: min(after, m.Set.MaxRetryAfter)})
 	}
 	m.End(q)
 }
