Identity and epoch go between coordinators only where they are news

A feed belongs to one life of a process, so the identity is told with its first reply; the epoch is told where voters were accepted that the control state does not show.

--- a/internal/tier/coordinator/directory.go
+++ b/internal/tier/coordinator/directory.go
@@ -37,8 +37,9 @@
 type answer struct {
 	answers  bool
 	since    time.Time
-	identity uint64    // who answered the last poll that was answered
-	asked    time.Time // when that poll was sent
+	feed     uint64    // of the process that answered
+	identity uint64    // of that process
+	asked    time.Time // when its last poll that counts as contact was sent
 }
 
 func newDirectory(now func() time.Time) *directory {
@@ -81,15 +82,25 @@
 	d.answers[address] = last
 }
 
-// answered notes who answered a poll of an address, and when that was sent.
-func (d *directory) answered(address string, identity uint64, asked time.Time) {
+// identify notes the identity of the process behind a feed, at an address.
+func (d *directory) identify(address string, feed, identity uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	last := d.answers[address]
-	last.identity, last.asked = identity, asked
+	last.feed, last.identity, last.asked = feed, identity, time.Time{}
 	d.answers[address] = last
 }
 
+// answered notes a poll of an address that was answered out of a feed, and when it was sent.
+func (d *directory) answered(address string, feed uint64, asked time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if last := d.answers[address]; last.feed == feed {
+		last.asked = asked
+		d.answers[address] = last
+	}
+}
+
 // answersAs says whether the last poll of some address was answered under an identity, and sent no longer than
 // contactMost ago.
 func (d *directory) answersAs(identity uint64) bool {
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -131,10 +131,26 @@
 	if err != nil {
 		return nil, err
 	}
-	reply.Answerer = &tierpb.Answerer{Identity: c.self.Identity, Epoch: c.newestVoters().GetEpoch()}
+	reply.Answerer = c.answerer(request, reply)
 	return reply, nil
 }
 
+// answerer tells another coordinator what it needs to count this one's vote, nil where it knows: a feed belongs to one
+// life of a process, and most often the newest voters are those of the control state that the reply brings it up to.
+func (c *coordinator) answerer(request *tierpb.WatchRequest, reply *tierpb.WatchReply) *tierpb.Answerer {
+	told := &tierpb.Answerer{}
+	if request.Feed != reply.Feed {
+		told.Identity = c.self.Identity
+	}
+	if epoch := c.newestVoters().GetEpoch(); epoch > c.state.Control().GetEpoch() {
+		told.Epoch = epoch
+	}
+	if told.Identity == 0 && told.Epoch == 0 {
+		return nil
+	}
+	return told
+}
+
 func (c *coordinator) takePing(context.Context, *tierpb.PingRequest) (*tierpb.PingReply, error) {
 	return &tierpb.PingReply{Node: c.self}, nil
 }
@@ -153,7 +169,7 @@
 		Caller: c.caller, State: c.state, Targets: c.targets, Self: c.self, Heartbeats: true,
 		Now: c.now,
 		Answered: func(address string, reply *tierpb.WatchReply, asked time.Time) {
-			c.answered(address, reply.GetAnswerer(), asked)
+			c.answered(address, reply, asked)
 		},
 		Changed: func(address string, answers bool) {
 			c.directory.answering(address, answers)
