--- /dev/null
+++ b/internal/tier/coordinator/network_test.go
@@ -0,0 +1,138 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// isolate cuts a machine off from all others, or heals it.
+func (c *cluster) isolate(name string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for other := range c.machines {
+		c.cut[[2]string{name, other}] = cut && other != name
+		c.cut[[2]string{other, name}] = cut && other != name
+	}
+}
+
+// setCut cuts one direction, or heals it.
+func (c *cluster) setCut(from, to string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[[2]string{from, to}] = cut
+}
+
+func (c *cluster) isCut(from, to string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[[2]string{from, to}]
+}
+
+// caller makes the calls of one machine.
+type caller struct{ from *machine }
+
+const callDelay = time.Millisecond
+
+func (c *caller) Call(ctx context.Context, address string, method rpc.Method, request, reply rpc.Message) error {
+	cluster := c.from.cluster
+	<-time.After(time.Duration(cluster.delay.Load()))
+	to := cluster.machineAt(address)
+	if to == nil || cluster.isCut(c.from.name, to.name) {
+		<-ctx.Done()
+		return rpc.ErrTimeout
+	}
+	p := cluster.at(to.name)
+	if p == nil {
+		return rpc.ErrUnreachable
+	}
+	payload := encoded(request)
+	cluster.transfer(c.from, to, len(payload))
+	answer, err := p.dispatch(ctx, method, payload)
+	if ctx.Err() != nil || cluster.isCut(to.name, c.from.name) {
+		<-ctx.Done()
+		return rpc.ErrTimeout
+	}
+	if cluster.at(to.name) != p {
+		return rpc.ErrUnreachable
+	}
+	if err != nil {
+		return rpc.ErrRefused
+	}
+	payload = encoded(answer)
+	cluster.transfer(to, c.from, len(payload))
+	if ctx.Err() != nil {
+		return rpc.ErrTimeout
+	}
+	cluster.mu.Lock()
+	cluster.calls[method]++
+	cluster.mu.Unlock()
+	return reply.UnmarshalVT(payload)
+}
+
+// transfer takes the time that some bytes need on the links of two machines, one message after the other.
+func (c *cluster) transfer(from, to *machine, size int) {
+	c.mu.Lock()
+	to.received += size
+	if c.rate == 0 {
+		c.mu.Unlock()
+		return
+	}
+	start := time.Now()
+	for _, free := range []time.Time{from.busyOut, to.busyIn} {
+		if free.After(start) {
+			start = free
+		}
+	}
+	end := start.Add(time.Duration(size) * time.Second / time.Duration(c.rate))
+	from.busyOut, to.busyIn = end, end
+	c.mu.Unlock()
+	<-time.After(time.Until(end))
+}
+
+func (c *cluster) machineAt(address string) *machine {
+	for _, m := range c.machines {
+		if m.address == address {
+			return m
+		}
+	}
+	return nil
+}
+
+func encoded(message rpc.Message) []byte {
+	payload := make([]byte, message.SizeVT())
+	if _, err := message.MarshalToSizedBufferVT(payload); err != nil {
+		panic(err)
+	}
+	return payload
+}
+
+// dispatch hands a call to the part of the process that answers it.
+func (p *process) dispatch(ctx context.Context, method rpc.Method, payload []byte) (rpc.Message, error) {
+	switch method {
+	case rpc.MethodPrepare:
+		return p.acceptor.Prepare(decoded(&tierpb.PrepareRequest{}, payload)), nil
+	case rpc.MethodAccept:
+		return p.acceptor.Accept(decoded(&tierpb.AcceptRequest{}, payload)), nil
+	case rpc.MethodLease:
+		return p.grantor.Answer(decoded(&tierpb.LeaseRequest{}, payload)), nil
+	case rpc.MethodWatch:
+		return p.watch(ctx, decoded(&tierpb.WatchRequest{}, payload))
+	case rpc.MethodAnnounce:
+		return p.takeAnnounce(ctx, decoded(&tierpb.AnnounceRequest{}, payload))
+	case rpc.MethodOrderRuns:
+		return p.takeOrderRuns(ctx, decoded(&tierpb.OrderRunsRequest{}, payload))
+	case rpc.MethodJoin:
+		return p.takeJoin(ctx, decoded(&tierpb.JoinRequest{}, payload))
+	}
+	return nil, rpc.ErrRefused
+}
+
+func decoded[T rpc.Message](message T, payload []byte) T {
+	if err := message.UnmarshalVT(payload); err != nil {
+		panic(err)
+	}
+	return message
+}
