Turn stores learn that a move has ended, and send nobody to the members before

Cause: the end of a move keeps the epoch, and stores took in newer epochs only. Until the next change they sent callers with an older membership to the previous members too, which may be gone: their quorum is then not to be had. Change: a membership of the same epoch without previous members is newer than one with them.

--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -145,7 +145,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.control = max(s.control, control.GetVersion())
-	if control.GetStores().GetEpoch() <= s.membership.GetEpoch() {
+	if !isNewer(control.GetStores(), s.membership) {
 		return
 	}
 	s.membership = control.Stores
@@ -153,6 +153,14 @@
 	s.changed = make(chan struct{})
 }
 
+// isNewer says whether a membership comes after another. The end of a move keeps the epoch.
+func isNewer(told, known *tierpb.StoreMembership) bool {
+	if told.GetEpoch() != known.GetEpoch() {
+		return told.GetEpoch() > known.GetEpoch()
+	}
+	return len(told.GetPrevious()) == 0 && len(known.GetPrevious()) > 0
+}
+
 // verdict says whether a call may be served; nil error and STORE_OK when it may. The caller holds the lock.
 func (s *Store) verdict(header *tierpb.StoreHeader) (*tierpb.StoreVerdict, error) {
 	if header.GetIdentity() != s.identity {
