A store that wakes does not take its successor's place

Cause: a joiner takes the place of the member with its name. Where a machine was replaced at another address under its name and woke, each took the place of the other, one change of members after the other. Change: of two that run under one name the one that was heard of later stays. Figures: TestStoreThatWakesDoesNotTakeItsSuccessorsPlace failed before.

--- a/internal/tier/placement/moving_test.go
+++ b/internal/tier/placement/moving_test.go
@@ -147,3 +147,19 @@
 	s.lapse(time.Minute, 1, 2, 3, 4)
 	assert.Equal(t, s.step(), "")
 }
+
+// A machine that was replaced at another address under its name wakes, and both call from then on.
+func TestStoreThatWakesDoesNotTakeItsSuccessorsPlace(t *testing.T) {
+	s := newScene(1, 2, 3)
+	s.lapse(2*time.Second, 1, 2)
+	successor := store(3)
+	successor.Address, successor.Identity = "10.0.1.3", 30
+	s.callAs(successor, batchQuiet)
+	assert.Equal(t, s.step(), "turn stores joined")
+	s.lapse(time.Second, 1, 2, 3, 30)
+	assert.Equal(t, s.step(), "")
+	s.copied(1, 2, 3)
+	assert.Equal(t, s.step(), "records moved")
+	assert.Equal(t, s.step(), "")
+	s.expect(t, []uint64{1, 2, 30}, []uint64{})
+}
--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -62,7 +62,8 @@
 	var waiting []Join
 	for _, join := range view.Joins {
 		node := join.Request.Node
-		if node.Role != tierpb.Role_ROLE_TURN_STORE || !view.fresh(join) || retired(current, node) {
+		if node.Role != tierpb.Role_ROLE_TURN_STORE || !view.fresh(join) || retired(current, node) ||
+			hasSuccessor(join, view) {
 			continue
 		}
 		if find(current.Stores.Current, node.Identity) < 0 {
@@ -72,6 +73,16 @@
 	return waiting
 }
 
+// hasSuccessor says that another turn store runs under a node's name that was heard of later: it stands in its place.
+func hasSuccessor(join Join, view *View) bool {
+	node := join.Request.Node
+	return slices.ContainsFunc(view.Joins, func(other Join) bool {
+		successor := other.Request.Node
+		return successor.Role == node.Role && successor.Identity != node.Identity && successor.Name == node.Name &&
+			node.Name != "" && view.fresh(other) && other.First.After(join.First)
+	})
+}
+
 // retired says that a node was taken out on the operator's order, or that its machine is being emptied.
 func retired(current *tierpb.ControlState, node *tierpb.Node) bool {
 	for _, retirement := range current.Retirements {
