A standby that was told to stop is no replacement for a lost voter

Cause: a coordinator that finishes its calls after SIGTERM (up to graceS) went on asking to be taken in, and answered; a voter that was lost in that time gave its vote to it, though it was about to end. The new test failed with the leaving standby among the voters, both with the lease at another and at itself.

Change: it stops to join when it is told to stop, and counts itself as no standby. Its own vote is handed over as before.

--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 	"context"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -58,6 +59,7 @@
 	now       func() time.Time
 	moveMu    sync.Mutex
 	move      seenMove      // guarded by moveMu
+	stopping  atomic.Bool   // told to stop, and finishing what is in hand
 	faults    *fault.Points // tests only
 
 	redundancy redundancy
--- a/internal/tier/coordinator/maintenance.go
+++ b/internal/tier/coordinator/maintenance.go
@@ -91,9 +91,9 @@
 	_, _ = c.register.Read(ctx) // without a quorum it is tried again
 }
 
-// keepJoining asks to be taken in as a voter until the control state names this process.
+// keepJoining asks to be taken in as a voter until the control state names this process, or it is told to stop.
 func (c *coordinator) keepJoining(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !c.stopping.Load() {
 		if !register.IsVoter(c.state.Control(), c.self.Identity) && !c.votesFromStart() {
 			c.join(ctx)
 		}
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -98,6 +98,7 @@
 	case <-ctx.Done():
 	}
 	c.log.Info("stopping")
+	c.stopping.Store(true)
 	grace := settings.Seconds(c.live.Current().Bounds.GraceS, defaultGrace)
 	patience, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(grace-shutdownReserve, grace/2))
 	defer cancel()
--- a/internal/tier/coordinator/view.go
+++ b/internal/tier/coordinator/view.go
@@ -19,7 +19,7 @@
 		Joins:   c.directory.recentJoins(),
 		VoterSilence: func(address string) time.Duration {
 			if address == c.self.Address {
-				return 0
+				return c.ownSilence()
 			}
 			return min(c.directory.silentFor(address), now.Sub(since))
 		},
@@ -28,6 +28,14 @@
 	}
 }
 
+// ownSilence says, once this process is told to stop, that it is no standby any more; its vote is handed over at the end.
+func (c *coordinator) ownSilence() time.Duration {
+	if c.stopping.Load() {
+		return time.Nanosecond
+	}
+	return 0
+}
+
 // zones are the zones of the coordinators by address; the first voters are named without.
 func (c *coordinator) zones() map[string]string {
 	zones := map[string]string{c.self.Address: c.self.Zone}
