A coordinator that has just started gives no 404 to an order to retire

Whether a turn store that is no member yet is known rests on its calls, half a second apart; a coordinator that had started 100 ms before answered 404 unknown_machine for one that the others knew (the new test failed).

--- a/internal/tier/coordinator/cutoff_test.go
+++ b/internal/tier/coordinator/cutoff_test.go
@@ -85,3 +85,21 @@
 		assert.Equal(t, c.at("core-1").beat("draining", 4), http.StatusOK)
 	})
 }
+
+// A turn store that is no member yet is known by its calls alone; a coordinator that has just started has had none.
+func TestCoordinatorThatHasJustStartedRefusesNoRetirement(t *testing.T) {
+	inCluster(t, 3, 1, func(c *cluster) {
+		post := func(name string) int {
+			status, _ := c.at(name).send(http.MethodPost, "/v1/retire/store-1", "", `{"deadlineS":10}`)
+			return status
+		}
+		c.storesRun(time.Second, "core-2", storeNode(1))
+		assert.Equal(t, post("core-1"), http.StatusConflict, "records will need it")
+		c.kill("core-1")
+		c.start("core-1", false)
+		c.pass(100 * time.Millisecond)
+		assert.Equal(t, post("core-1"), http.StatusServiceUnavailable)
+		c.storesRun(startPatience, "core-2", storeNode(1))
+		assert.Equal(t, post("core-1"), http.StatusConflict)
+	})
+}
--- a/internal/tier/coordinator/retire.go
+++ b/internal/tier/coordinator/retire.go
@@ -45,13 +45,23 @@
 	chosen, err := c.register.Change(ctx, sent.change)
 	if err != nil {
 		c.log.Info("retirement not taken", "node", name, "reason", err)
-		result.Write(w, resultOf(err))
+		result.Write(w, c.retirementRefusal(err))
 		return
 	}
 	c.log.Info("retirement taken", "node", name)
 	writeRetirement(w, findRetirement(chosen, name))
 }
 
+// retirementRefusal is the answer to an order that failed. Whether a machine that is no member is known rests on its
+// calls, of which a coordinator that has just started has had none.
+func (c *coordinator) retirementRefusal(err error) *result.Error {
+	refusal := resultOf(err)
+	if refusal.Code == result.UnknownMachine && c.starting() {
+		return result.New(result.NotReady, "")
+	}
+	return refusal
+}
+
 // getRetirement reads the register: the operator takes a machine away on what this answers, with its disk.
 func (c *coordinator) getRetirement(w http.ResponseWriter, r *http.Request) {
 	name := chi.URLParam(r, "node")
