Voters that lost out end no contact; an identity told twice does not either

An acceptor that had taken later voters from a proposer which died, and missed what was chosen instead, told their epoch until it accepted something newer: with another voter away the two left were no contact for each other. It tells the epoch only while the value may have been chosen: its version is above the newest chosen one (TestVotersThatLostOutAreForgotten).

A reply that named the identity of a feed again and told of later voters ended contact before its time (TestContactBelongsToAFeed).

--- a/internal/tier/coordinator/contact_test.go
+++ b/internal/tier/coordinator/contact_test.go
@@ -180,3 +180,45 @@
 		assert.Equal(t, two.readiness(), http.StatusServiceUnavailable)
 	})
 }
+
+// What a feed tells of later voters neither renews contact nor ends what there is of it, also where the identity is told
+// again; another process at the address has its own.
+func TestContactBelongsToAFeed(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	c := newCoordinator(settings.Fixed(&settings.Settings{}), hclog.NewNullLogger(), &tierpb.Node{Identity: 1}, nil)
+	c.directory.now = func() time.Time { return now }
+	const address = "10.0.2.1:7000"
+	c.directory.answering(address, true)
+	reply := func(feed, identity, epoch uint64) *tierpb.WatchReply {
+		return &tierpb.WatchReply{Feed: feed, Answerer: &tierpb.Answerer{Identity: identity, Epoch: epoch}}
+	}
+	c.answered(address, reply(5, 2, 0), now)
+	assert.Assert(t, c.hasContact(2))
+	now = now.Add(contactMost)
+	c.answered(address, reply(5, 2, 7), now)
+	assert.Assert(t, c.hasContact(2), "ended before its time")
+	now = now.Add(1)
+	assert.Assert(t, !c.hasContact(2), "renewed by one that knows of later voters")
+	c.answered(address, reply(5, 0, 0), now)
+	assert.Assert(t, c.hasContact(2))
+	c.answered(address, reply(6, 0, 0), now)
+	assert.Assert(t, c.hasContact(2), "of the life before, whose poll was answered")
+	c.answered(address, reply(6, 3, 0), now)
+	assert.Assert(t, c.hasContact(3) && !c.hasContact(2))
+}
+
+// Voters that this process accepted and that were not chosen are none once it knows what was chosen in their version.
+func TestVotersThatLostOutAreForgotten(t *testing.T) {
+	c := newCoordinator(settings.Fixed(&settings.Settings{}), hclog.NewNullLogger(), &tierpb.Node{Identity: 1}, nil)
+	state := func(version, epoch uint64) *tierpb.ControlState {
+		return &tierpb.ControlState{Version: version, Epoch: epoch, Voters: []*tierpb.VoterSet{{}}}
+	}
+	accepted := state(3, 2)
+	c.accepted = func() *tierpb.ControlState { return accepted }
+	assert.Equal(t, c.newestVoters().Epoch, uint64(2))
+	c.state.SetControl(state(2, 1))
+	assert.Equal(t, c.newestVoters().Epoch, uint64(2), "they may have been chosen")
+	c.state.SetControl(state(3, 1))
+	assert.Equal(t, c.newestVoters().Epoch, uint64(1))
+	assert.Equal(t, c.answerer(&tierpb.WatchRequest{Feed: 1}, &tierpb.WatchReply{Feed: 1}).GetEpoch(), uint64(0))
+}
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -153,10 +153,11 @@
 const defaultHeartbeat = time.Second
 
 // newestVoters returns the value with the newest voters known, chosen or not; nil for a coordinator that has just
-// started on an empty disk.
+// started on an empty disk. An accepted value whose version is no later than the chosen one's, and whose voters are, lost
+// out: voters of a chosen value are never later than those of the values behind it.
 func (c *coordinator) newestVoters() *tierpb.ControlState {
 	known, accepted := c.state.Control(), c.accepted()
-	if known == nil || accepted.GetEpoch() > known.Epoch {
+	if known == nil || accepted.GetEpoch() > known.Epoch && accepted.GetVersion() > known.Version {
 		return accepted
 	}
 	return known
--- a/internal/tier/coordinator/directory.go
+++ b/internal/tier/coordinator/directory.go
@@ -87,6 +87,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	last := d.answers[address]
+	if last.feed == feed && last.identity == identity {
+		return
+	}
 	last.feed, last.identity, last.asked = feed, identity, time.Time{}
 	d.answers[address] = last
 }
