A short freeze of a coordinator marks no store silent

A freeze shorter than contact lasts (2.2 s) was taken for silence of all stores where heartbeatMs is under 0.9 s (TestShortFreezeMarksNoStoreSilent failed). A look that comes over 1.25 s after the one before marks nothing, and the five periods of confidence begin anew.

--- a/internal/tier/coordinator/contact_test.go
+++ b/internal/tier/coordinator/contact_test.go
@@ -222,3 +222,32 @@
 	assert.Equal(t, c.newestVoters().Epoch, uint64(1))
 	assert.Equal(t, c.answerer(&tierpb.WatchRequest{Feed: 1}, &tierpb.WatchReply{Feed: 1}).GetEpoch(), uint64(0))
 }
+
+// A freeze that is shorter than contact lasts is no silence of stores that call often.
+func TestShortFreezeMarksNoStoreSilent(t *testing.T) {
+	const period = 500 * time.Millisecond
+	now := time.Unix(1_000_000, 0)
+	own := &settings.Settings{HeartbeatMs: int(period / time.Millisecond)}
+	c := newCoordinator(settings.Fixed(own), hclog.NewNullLogger(), &tierpb.Node{Identity: 1}, nil)
+	c.now = func() time.Time { return now }
+	c.directory.now = c.now
+	voters := &tierpb.VoterSet{Nodes: []*tierpb.Node{{Identity: 1}}}
+	c.state.SetControl(&tierpb.ControlState{Version: 1, Voters: []*tierpb.VoterSet{voters}})
+	look := func(sequence uint64) tierpb.InstanceState {
+		c.state.Upsert(&tierpb.Instance{Id: "i-1", Sequence: sequence})
+		c.markSilent()
+		return c.state.Instance("i-1").State
+	}
+	sequence := uint64(1)
+	for ; sequence < 20; sequence++ {
+		assert.Equal(t, look(sequence), ready)
+		now = now.Add(silenceInterval)
+	}
+	now = now.Add(contactMost - silenceInterval) // nothing was heard, nor could be
+	assert.Equal(t, look(sequence-1), ready)
+	for range 3 * int(5*period/silenceInterval) {
+		now = now.Add(silenceInterval)
+		look(sequence - 1)
+	}
+	assert.Equal(t, look(sequence-1), silent, "a store that says nothing once the process runs again")
+}
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -55,6 +55,7 @@
 	listening *listening
 	sampler   *peers.Sampler
 	silence   *registry.Silence
+	lookedAt  time.Time // at the stores' silence; maintenance alone uses it
 	announced *announcements
 	now       func() time.Time
 	moveMu    sync.Mutex
--- a/internal/tier/coordinator/maintenance.go
+++ b/internal/tier/coordinator/maintenance.go
@@ -17,6 +17,7 @@
 const (
 	maintenanceInterval = 250 * time.Millisecond
 	silenceInterval     = 750 * time.Millisecond
+	lookGapMost         = silenceInterval + 2*maintenanceInterval // after which the process did not run meanwhile
 	joinInterval        = 500 * time.Millisecond
 	joinCall            = 700 * time.Millisecond
 	readPatience        = 2 * time.Second
@@ -28,7 +29,6 @@
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
 	var listed []*tierpb.Node
-	var looked time.Time
 	unknownFor := 0
 	for ctx.Err() == nil {
 		select {
@@ -38,8 +38,7 @@
 		}
 		c.readiness.Check()
 		listed = c.listCoordinators(listed)
-		if c.now().Sub(looked) >= silenceInterval {
-			looked = c.now()
+		if c.now().Sub(c.lookedAt) >= silenceInterval {
 			c.markSilent()
 		}
 		if !c.holdsUnknown() {
@@ -66,9 +65,13 @@
 	return heard
 }
 
-// markSilent marks stores without heartbeats and forgets those that are gone.
+// markSilent marks stores without heartbeats and forgets those that are gone. A process that did not run for a while has
+// heard nobody in that time.
 func (c *coordinator) markSilent() {
-	for _, mark := range c.silence.Look(c.now(), c.inTouch(), c.state.Instances()) {
+	now := c.now()
+	ran := now.Sub(c.lookedAt) <= lookGapMost
+	c.lookedAt = now
+	for _, mark := range c.silence.Look(now, ran && c.inTouch(), c.state.Instances()) {
 		c.state.Upsert(mark)
 		c.log.Info("store", "id", mark.Id, "address", mark.Address, "state", mark.State)
 	}
