--- a/internal/tier/proxy/stream.go
+++ b/internal/tier/proxy/stream.go
@@ -22,7 +22,7 @@
 	errEventTooLarge = eris.New("event is too large")
 	errOverAllowance = eris.New("more events than were reserved")
 	errGap           = eris.New("events do not go on where the last store broke off")
-	errHalfEvent     = eris.New("connection ended within an event")
+	errHalfEvent     = eris.New("connection ended within an event or before the first")
 )
 
 // streamState is what has been passed on of a stream.
@@ -110,7 +110,7 @@
 		passed, failure := x.takeEvents((*buffer)[:held])
 		switch {
 		case failure != nil || !errors.Is(err, io.EOF):
-		case answer.EndsByClose && passed < held:
+		case answer.EndsByClose && (passed < held || x.stream.events == 0):
 			failure = errHalfEvent
 		default:
 			passed = held // the end of the body comes as the store sent it
--- a/internal/tier/proxy/unframed_test.go
+++ b/internal/tier/proxy/unframed_test.go
@@ -99,13 +99,19 @@
 	}
 }
 
-// ORDER: an orderly end within an event is no whole stream.
+// ORDER: an orderly end within an event, or before the first one, is no whole stream.
 func TestStreamWithoutLengthThatEndsWithinAnEvent(t *testing.T) {
 	store := newStandIn(t, "a", cut(eventHead+text(1, 2)+"id: 3\nda"))
 	b := newBench(t, longTimeout, nil, []*standIn{store})
 	got := b.send("POST", "/s/x", "id", "in")
 	assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
 	assert.Equal(t, got.body, text(1, 2))
+	for _, before := range []string{"", ": comment\n\n"} {
+		store = newStandIn(t, "a", cut(eventHead+before))
+		b = newBench(t, longTimeout, nil, []*standIn{store})
+		got = b.send("POST", "/s/x", "id", "in")
+		assert.Assert(t, got.err != nil || got.status == 502, "%d", got.status)
+	}
 }
 
 // A promise without a length is believed at once: its connection need not end first.
