upstream: a store may read a long body late; its connection is not kept before it has

Cause: the kernel's limit on unacknowledged bytes (0.8 s) counts a store without room for more like one behind a cut. And a connection whose kernel still held a part of a body was kept: the next request waited behind it.

One with bytes that the store's kernel has not taken is closed. A store that neither reads nor answers has 0.8 s as before: it looks like one that is gone.

--- a/internal/tier/upstream/answer.go
+++ b/internal/tier/upstream/answer.go
@@ -53,11 +53,15 @@
 	a.done = true
 	c := a.connection
 	undisturbed := a.stop()
-	reusable := undisturbed && a.whole && !a.closing && c.sending.isWhole() && c.reader.Buffered() == 0
+	reusable := undisturbed && a.whole && !a.closing && c.sending.isWhole() && c.reader.Buffered() == 0 &&
+		!c.owesBytes() // for which the next request would wait
 	if !reusable || c.socket.SetDeadline(time.Time{}) != nil {
 		c.discard()
 		return
 	}
+	if c.bearsUnread {
+		c.bearUnread(userTimeout)
+	}
 	now := c.pools.now()
 	c.until = idleUntil(now, a.Header)
 	if !now.Before(c.until) {
--- a/internal/tier/upstream/early_test.go
+++ b/internal/tier/upstream/early_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -122,3 +124,70 @@
 		assert.Equal(t, time.Since(began), 6*request.Patience)
 	})
 }
+
+// A store that has begun to answer may leave a long body unread for as long as the request has: the kernel does not end its
+// connection before. One that has not, and the next request, have the usual time.
+func TestLongBodyMayBeLeftUnread(t *testing.T) {
+	body := strings.Repeat("x", 300<<10)
+	for name, early := range map[string]bool{"answers early": true, "reads first": false} {
+		t.Run(name, func(t *testing.T) {
+			pools, store, accept := loopbackPools(t)
+			done := sendInBackground(context.Background(), pools, store, post("a", body))
+			side := accept()
+			if early {
+				side.readHead()
+				side.write(earlyAnswer)
+			} else {
+				answerOn(side, idAnswer)
+			}
+			sent := <-done
+			assert.NilError(t, sent.err)
+			during := unacknowledgedMost(t, sent.answer.connection)
+			assert.Equal(t, during > 2*userTimeout, early, "%v", during)
+			_, err := io.ReadAll(sent.answer)
+			assert.NilError(t, err)
+			if early {
+				_, err = io.CopyN(io.Discard, side.reader, int64(len(body)))
+				assert.NilError(t, err)
+				<-sent.answer.connection.sending.done
+			}
+			sent.answer.Finish()
+			kept, err := pools.reserve(store, 0, "b")
+			assert.NilError(t, err)
+			if kept != nil {
+				assert.Equal(t, unacknowledgedMost(t, kept), userTimeout)
+			}
+		})
+	}
+}
+
+// A connection whose store has not taken a long body is not kept, also where all of it could be written: the next request
+// would wait behind it.
+func TestConnectionWithAnUnreadBodyIsNotKept(t *testing.T) {
+	pools, store, accept := loopbackPools(t)
+	body := strings.Repeat("x", 300<<10)
+	done := sendInBackground(context.Background(), pools, store, post("a", body))
+	side := accept()
+	side.readHead()
+	side.write(earlyAnswer)
+	sent := <-done
+	assert.NilError(t, sent.err)
+	_, err := io.ReadAll(sent.answer)
+	assert.NilError(t, err)
+	sent.answer.Finish()
+	assert.Equal(t, pools.idleConnections(store), 0)
+	rest, _ := io.ReadAll(side.reader)
+	assert.Assert(t, strings.HasPrefix(body, string(rest)))
+}
+
+func unacknowledgedMost(t *testing.T, c *connection) time.Duration {
+	t.Helper()
+	raw, err := c.socket.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	milliseconds := 0
+	assert.NilError(t, raw.Control(func(descriptor uintptr) {
+		milliseconds, err = unix.GetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	assert.NilError(t, err)
+	return time.Duration(milliseconds) * time.Millisecond
+}
--- a/internal/tier/upstream/pool.go
+++ b/internal/tier/upstream/pool.go
@@ -213,7 +213,12 @@
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return limitUnacknowledged(raw, userTimeout)
+}
+
+// limitUnacknowledged sets for how long bytes may be unacknowledged, or without room at the other end.
+func limitUnacknowledged(raw syscall.RawConn, most time.Duration) error {
 	return raw.Control(func(descriptor uintptr) {
-		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(most/time.Millisecond))
 	})
 }
--- a/internal/tier/upstream/sending.go
+++ b/internal/tier/upstream/sending.go
@@ -3,11 +3,16 @@
 import (
 	"bytes"
 	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // sending is the writing of one request. A long body is written while the answer may already come: a store may answer
 // before it has read all of it.
 type sending struct {
+	long    bool          // its body may be more than the store's kernel takes at once
 	done    chan struct{} // closed at the end; what follows is not read before
 	written int64
 	err     error
@@ -47,7 +52,7 @@
 	buffer.Reset()
 	writeHead(buffer, c.store, request, request.Deadline.Sub(c.pools.now()))
 	if bodyLength(request.Body) > mergedBodyBytes {
-		c.sending = &sending{done: make(chan struct{})}
+		c.sending = &sending{long: true, done: make(chan struct{})}
 		go c.sendParts(c.sending, buffer, request)
 		return
 	}
@@ -62,6 +67,47 @@
 	c.sending = &sending{done: ended, written: int64(written), err: err}
 }
 
+// bearUnread lets a store leave bytes unread for so long: to the kernel one that has no room for more of a body is like one
+// that is behind a cut, and it would end the answer that has begun, too.
+func (c *connection) bearUnread(most time.Duration) {
+	if raw := c.raw(); raw != nil {
+		_ = limitUnacknowledged(raw, most)
+		c.bearsUnread = most != userTimeout
+	}
+}
+
+// owesBytes says whether the store's kernel has not taken all of the request yet.
+func (c *connection) owesBytes() bool {
+	if !c.sending.long {
+		return false
+	}
+	if !c.sending.isWhole() {
+		return true
+	}
+	raw := c.raw()
+	if raw == nil {
+		return false
+	}
+	waiting := 0
+	err := raw.Control(func(descriptor uintptr) {
+		waiting, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+	})
+	return err != nil || waiting > 0
+}
+
+// raw gives access to the socket's descriptor, nil where there is none.
+func (c *connection) raw() syscall.RawConn {
+	socket, ok := c.socket.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 func (c *connection) sendParts(into *sending, buffer *bytes.Buffer, request *Request) {
 	defer close(into.done)
 	defer keepBuffer(buffer)
