--- a/internal/tier/rules/rules_test.go
+++ b/internal/tier/rules/rules_test.go
@@ -14,6 +14,7 @@
 
 var (
 	named    = regexp.MustCompile("`([a-z/]+)\\.(Test[A-Za-z0-9]+)`")
+	code     = regexp.MustCompile("`([a-z/]+\\.go)(?: ([A-Za-z]+))?`")
 	declared = regexp.MustCompile(`(?m)^func (Test[A-Za-z0-9]+)\(`)
 )
 
@@ -53,3 +54,21 @@
 	}
 	return names
 }
+
+// TestPageNamesCodeThatExists looks up every file and function that the page names.
+func TestPageNamesCodeThatExists(t *testing.T) {
+	text, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	found := code.FindAllStringSubmatch(string(text), -1)
+	assert.Assert(t, len(found) > 0)
+	for _, match := range found {
+		file, function := match[1], match[2]
+		source, err := os.ReadFile(filepath.Join("..", file))
+		assert.Check(t, err, "%s", file)
+		if function == "" {
+			continue
+		}
+		header := regexp.MustCompile(`(?m)^func (\([^)]*\) )?` + function + `[\[(]`)
+		assert.Check(t, header.Match(source), "no function %s in %s", function, file)
+	}
+}
