A hang-up while a process starts or ends does not end it

SIGHUP was taken only after the settings had been read, and given back before the process ended: in both spans it killed the process (a process that ends by itself). It is taken first of all and ignored at the end; SIGTERM too is taken from the start.

TestHangUpWhileTheSettingsAreRead is killed by the signal on the code before.

--- a/internal/tier/command/command_test.go
+++ b/internal/tier/command/command_test.go
@@ -161,6 +161,30 @@
 	assert.Equal(t, got.code, ExitDone, got.err)
 }
 
+// LOST, own ends: a hang-up that comes while the process starts does not end it.
+func TestHangUpWhileTheSettingsAreRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "pipe")
+	assert.NilError(t, syscall.Mkfifo(path, 0o600))
+	written := make(chan error, 1)
+	go func() {
+		pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // comes back when the settings are being read
+		if err == nil {
+			err = errors.Join(os.Remove(path), os.WriteFile(path, []byte(goodSettings), 0o600))
+		}
+		if err == nil {
+			err = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		}
+		if err == nil {
+			_, err = pipe.WriteString(goodSettings)
+		}
+		written <- errors.Join(err, pipe.Close())
+	}()
+	table := []Role{{Name: "agent", Help: "h", Run: func(context.Context, *settings.Live, hclog.Logger) error { return nil }}}
+	got := carryOut(table, "agent", "--settings", path)
+	assert.NilError(t, <-written)
+	assert.Equal(t, got.code, ExitDone, got.err)
+}
+
 // TestAChangeWithoutASignalIsSeen drives the reloader by hand: a tick is taken only when the one before is dealt with.
 func TestAChangeWithoutASignalIsSeen(t *testing.T) {
 	path := write(t, goodSettings)
--- a/internal/tier/command/role.go
+++ b/internal/tier/command/role.go
@@ -36,6 +36,11 @@
 // Run runs the role until SIGTERM or SIGINT.
 func (r *runRole) Run(around *environment) error {
 	log := around.logger(r.role.Name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // before anything else: without a taker the signal ends the process
+	defer signal.Ignore(syscall.SIGHUP)    // and at the end it must not change the exit code
 	live, err := settings.NewLive(r.Settings)
 	if err != nil {
 		log.Error("settings cannot be used", "file", r.Settings, "error", err)
@@ -46,10 +51,6 @@
 		return errNotBuilt
 	}
 	process.Fit(live.Current().Limits)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	reloading := &reloader{live: live, log: log}
