Gather: door.go is limits.go, takein.go is inbox.go, with the names in them

Names that needed explaining: doors -> gating, openDoors -> admitWaiting, doorDue -> waitingDue, leaveDoor -> leaveQueue, closeDoors -> refuseWaiting, take -> receive, recordLet -> recordWaited; the test TestDoor is TestRouteLimits. No change of behaviour: names, comments, and the docs that name them.

--- a/internal/gatherer/gather/api.go
+++ b/internal/gatherer/gather/api.go
@@ -2,7 +2,7 @@
 //
 // One goroutine owns the Mixer and every table. Fronts, the transport to the lot stores and discovery
 // talk to it by one channel, and it never waits for any of them. What came in is batched into one
-// Step of the Mixer per tick. A request passes these stages, a file each: take in, admit, route,
+// Step of the Mixer per tick. A request passes these stages, a file each: inbox, limits, admit, route,
 // send, relay, book.
 package gather
 
@@ -32,8 +32,8 @@
 	Done chan Result
 
 	id         uint64
-	ticket     uint64       // at the door
-	gate       *limits.Gate // that has let it in, or where it waits
+	ticket     uint64       // of its arrival
+	gate       *limits.Gate // that admitted it, or where it waits
 	answerMost int          // bytes of lot stores' answers that its route allows; 0 for no bound
 	arrived    time.Duration
 }
--- a/internal/gatherer/gather/core.go
+++ b/internal/gatherer/gather/core.go
@@ -44,7 +44,7 @@
 	steppedAt time.Duration
 	endBy     time.Time // when the last answer is due, zero for no such time
 	searches
-	doors
+	gating
 	recorder func(record.Entry) // nil for none
 }
 
@@ -105,7 +105,7 @@
 			timer.Reset(wait)
 			select {
 			case m := <-c.in:
-				c.take(m)
+				c.receive(m)
 				due = min(due, c.due())
 			case <-timer.C:
 			case <-c.quit:
@@ -116,7 +116,7 @@
 		for range inbox {
 			select {
 			case m := <-c.in:
-				c.take(m)
+				c.receive(m)
 			default:
 				break drain
 			}
@@ -145,7 +145,7 @@
 	for a := range c.out {
 		due = min(due, c.dueAt(a))
 	}
-	return max(min(c.doorDue(due), c.searchDue(due)), soonest)
+	return max(min(c.waitingDue(due), c.searchDue(due)), soonest)
 }
 
 // step lets the Mixer decide on what came in, and carries out what it wants.
@@ -155,7 +155,7 @@
 	c.expire(now)
 	c.endAll(now)
 	c.tickSearches(now)
-	c.openDoors(now)
+	c.admitWaiting(now)
 	if c.wakeAt > 0 && now >= c.wakeAt {
 		c.wakeAt = 0
 		c.events = append(c.events, decision.Wake{})
--- a/internal/gatherer/gather/takein.go
+++ b/internal/gatherer/gather/inbox.go
@@ -9,7 +9,7 @@
 	"pulleygw.example/pulleygw/internal/gatherer/settings"
 )
 
-// Take in: what fronts, transport and discovery tell comes through one channel, and becomes events of
+// What fronts, transport and discovery tell comes through one channel, and here becomes events of
 // the next step here.
 
 type (
@@ -155,7 +155,8 @@
 	}
 }
 
-func (c *Core) take(m any) {
+// receive handles one message on the core's goroutine.
+func (c *Core) receive(m any) {
 	switch m := m.(type) {
 	case *Request:
 		c.arrive(m)
@@ -164,7 +165,7 @@
 	case gateCounts:
 		m.to <- c.countGates()
 	case left:
-		if c.leaveDoor(m.r) {
+		if c.leaveQueue(m.r) {
 			c.recordFinal(m.r, "left", "")
 			return
 		}
@@ -204,7 +205,7 @@
 		c.events = append(c.events, decision.Retuned{Settings: m.set.Policy})
 	case lastCall:
 		c.endBy = m.at
-		c.closeDoors()
+		c.refuseWaiting()
 	}
 }
 
--- a/internal/gatherer/gather/door.go
+++ b/internal/gatherer/gather/limits.go
@@ -6,8 +6,8 @@
 	"pulleygw.example/pulleygw/internal/gatherer/limits"
 )
 
-// Door: where an installation has limits by route, they are asked before a request is admitted. The core keeps the
-// gates, whose decisions are package limits's, and the requests that wait; the Mixer hears of those let in alone.
+// Where an installation has limits by route, they are checked before a request is admitted. The core keeps the gates,
+// whose decisions are package limits's, and the requests that wait; the Mixer hears only of those that were admitted.
 
 // Limits are the routes and what goes with them. The zero value limits nothing.
 type Limits struct {
@@ -17,8 +17,8 @@
 	Class func(r *limits.Route, class int) int
 }
 
-// doors is the core's own state of limits.
-type doors struct {
+// gating is the core's own state of limits.
+type gating struct {
 	limits  Limits
 	gates   map[string]*limits.Gate // by route
 	whole   limits.Gate             // of all routes together: its repeats only
@@ -57,7 +57,7 @@
 	return m
 }
 
-// limit takes new limits: a route that keeps its name keeps its gate, and what that has in hand and in its queue.
+// limit applies new limits: a route that keeps its name keeps its gate, and what that has in hand and in its queue.
 func (c *Core) limit(l Limits) {
 	gates := map[string]*limits.Gate{}
 	if l.Table != nil {
@@ -70,7 +70,7 @@
 			gates[r.Name] = g
 		}
 	}
-	for name, g := range c.gates { // a route that is gone limits nothing more; who waits there goes on
+	for name, g := range c.gates { // a route that is gone limits nothing more; requests that wait there go on
 		if gates[name] == nil {
 			g.Change(limits.Limits{})
 		}
@@ -82,13 +82,13 @@
 	}
 }
 
-// Why a request is refused or fails at the door, beside package limits's reasons.
+// Why a request is refused or fails on arrival, beside package limits's reasons.
 const (
 	ReasonBody  = "the body is over the route's limit"
 	ReasonDepth = "the page is deeper than the route's limit"
 )
 
-// arrive asks a request's route to let it in.
+// arrive asks a request's route to admit it.
 func (c *Core) arrive(r *Request) {
 	r.arrived = c.now()
 	c.lastID++
@@ -138,15 +138,15 @@
 	}
 }
 
-// turnAway refuses a request at the door.
+// turnAway refuses a request that was not admitted.
 func (c *Core) turnAway(r *Request, d limits.Decision) {
-	r.gate = nil // it was never let in
+	r.gate = nil // it was never admitted
 	c.recordFinal(r, "refused", d.Why)
 	r.Done <- Result{Kind: Refused, RetryAfter: d.RetryAfter, Reason: d.Why, Parts: partResults(r)}
 }
 
-// openDoors lets in who waits and has a place, and refuses whose wait is over.
-func (c *Core) openDoors(now time.Duration) {
+// admitWaiting admits waiting requests that there is room for, and refuses those whose wait is over.
+func (c *Core) admitWaiting(now time.Duration) {
 	if len(c.waiting) == 0 {
 		return
 	}
@@ -160,7 +160,7 @@
 		for _, x := range r.gate.Next(now) {
 			r := c.waiting[x.ID]
 			delete(c.waiting, x.ID)
-			c.recordLet(r, x.Decision)
+			c.recordWaited(r, x.Decision)
 			if x.Verdict == limits.Admit {
 				c.admit(r)
 			} else {
@@ -177,8 +177,8 @@
 	c.queue = kept
 }
 
-// doorDue is when the next wait is over, or due if that is sooner.
-func (c *Core) doorDue(due time.Duration) time.Duration {
+// waitingDue is when the next wait is over, or due if that is sooner.
+func (c *Core) waitingDue(due time.Duration) time.Duration {
 	for _, r := range c.waiting {
 		if d := r.gate.Due(); d > 0 {
 			due = min(due, d)
@@ -187,8 +187,8 @@
 	return due
 }
 
-// leaveDoor takes a request whose client is gone out of its queue; false where it does not wait.
-func (c *Core) leaveDoor(r *Request) bool {
+// leaveQueue removes a request whose client is gone from its route's queue; false where it does not wait.
+func (c *Core) leaveQueue(r *Request) bool {
 	if c.waiting[r.ticket] != r {
 		return false
 	}
@@ -196,8 +196,8 @@
 	return r.gate.Leave(r.ticket)
 }
 
-// closeDoors refuses all who wait, as the process stops.
-func (c *Core) closeDoors() {
+// refuseWaiting refuses every waiting request, as the process stops.
+func (c *Core) refuseWaiting() {
 	for _, id := range c.queue {
 		if r := c.waiting[id]; r != nil {
 			r.gate.Leave(id)
@@ -232,5 +232,5 @@
 	}
 }
 
-// over says whether lot stores' answers to a request are more than its route allows.
+// overAnswer says whether lot stores' answers to a request are more than its route allows.
 func (q *query) overAnswer(more int) bool { return q.answerMost > 0 && q.bytes+more > q.answerMost }
--- a/internal/gatherer/gather/recorder.go
+++ b/internal/gatherer/gather/recorder.go
@@ -47,7 +47,7 @@
 	c.recorder(e)
 }
 
-func (c *Core) recordLet(r *Request, d limits.Decision) {
+func (c *Core) recordWaited(r *Request, d limits.Decision) {
 	if c.recorder != nil {
 		c.recorder(record.Entry{Kind: record.Let, At: c.micros(c.now()), Request: r.ticket, Verdict: verdicts[d.Verdict], Why: d.Why})
 	}
--- a/internal/gatherer/lifecycle/replay_test.go
+++ b/internal/gatherer/lifecycle/replay_test.go
@@ -283,7 +283,7 @@
 	large := strings.Repeat("x", 70000)
 	id := textproto.MIMEHeader{"Req-Id": {"b1"}}
 	for _, x := range []struct {
-		door           int
+		front          int
 		method, target string
 		header         textproto.MIMEHeader
 		body           string
@@ -298,7 +298,7 @@
 		{1, "POST", "/auctions/_search", nil, "{}", 404},
 		{1, "PUT", "/bids/_create/1", nil, large, 413},
 	} {
-		if p := do(t, w.Addrs()[x.door], x.method, x.target, x.header, x.body); p.Status != x.status || len(p.Body) == 0 {
+		if p := do(t, w.Addrs()[x.front], x.method, x.target, x.header, x.body); p.Status != x.status || len(p.Body) == 0 {
 			t.Errorf("%s %s: %d %s", x.method, x.target, p.Status, p.Body)
 		}
 	}
--- a/internal/gatherer/limits/gate.go
+++ b/internal/gatherer/limits/gate.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Verdict is what becomes of a request at the door.
+// Verdict is what becomes of a request on arrival.
 type Verdict uint8
 
 // The verdicts.
@@ -47,7 +47,7 @@
 type Counts struct {
 	Admitted       uint64 `json:"admitted"`
 	Queued         uint64 `json:"queued"`
-	Refused        uint64 `json:"refused"`  // at the door
+	Refused        uint64 `json:"refused"`  // on arrival
 	GivenUp        uint64 `json:"given_up"` // after they had waited
 	Repeats        uint64 `json:"repeats"`
 	RepeatsRefused uint64 `json:"repeats_refused"`
--- a/internal/gatherer/net/opensearch/limits_test.go
+++ b/internal/gatherer/net/opensearch/limits_test.go
@@ -110,9 +110,10 @@
 	})
 }
 
-// Who waits is let in as places come free, refused when its wait is over, and forgotten when it leaves; deadlines of a
-// microsecond and of an hour, pages too deep and bodies too long are met at the door; new limits take the queue over.
-func TestDoor(t *testing.T) {
+// Waiting requests are admitted as places come free, refused when their wait is over, and forgotten when their clients
+// leave; deadlines of a microsecond and of an hour, pages too deep and bodies too long are checked on arrival; new limits
+// keep the queue.
+func TestRouteLimits(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		r := newRig(usual)
 		defer r.stop()
