--- a/internal/gatherer/gather/book.go
+++ b/internal/gatherer/gather/book.go
@@ -11,7 +11,7 @@
 // valuesMost bounds the values of one answer, as a body holds 64 KiB at most.
 const valuesMost = 56 << 10
 
-// book takes in the outcome that the transport tells of. A score is told of a value that has one.
+// book records the outcome of an attempt. A score is told of a value that has one.
 func (c *Core) book(a *Attempt, s decision.Status, value string, score *float64) {
 	if a.outcome {
 		return // timed out while this was on its way
--- a/internal/gatherer/gather/search.go
+++ b/internal/gatherer/gather/search.go
@@ -101,7 +101,7 @@
 	c.events = append(c.events, e)
 }
 
-// bookFound takes in an answer of a lot store to a search.
+// bookFound records an answer of a lot store to a search.
 func (c *Core) bookFound(a *Attempt, found *search.Answer) {
 	p, q := a.part, a.part.q
 	switch {
@@ -132,7 +132,7 @@
 	c.order(q, q.plan.Scored(p.place, uint32(a.Server), found, sent, c.now()))
 }
 
-// bookUnanswerable takes in that a lot store cannot answer a question. It counts as never sent, as nothing speaks
+// bookUnanswerable records that a lot store cannot answer a question. It counts as never sent, as nothing speaks
 // against the lot store: one client's bad query must not have all of them taken for failing.
 func (c *Core) bookUnanswerable(a *Attempt, why string) {
 	if a.outcome {
--- a/internal/gatherer/limits/gate.go
+++ b/internal/gatherer/limits/gate.go
@@ -171,7 +171,7 @@
 	return len(g.waiting) < n
 }
 
-// Done takes in the end of an admitted request. Only an answer's time says anything: a refusal by the decision module,
+// Done records the end of an admitted request. Only an answer's time says anything: a refusal by the decision module,
 // or a failure, is none.
 func (g *Gate) Done(took time.Duration, answered bool) {
 	inHand := g.inHand
--- a/internal/gatherer/mem/fleet/fleet.go
+++ b/internal/gatherer/mem/fleet/fleet.go
@@ -91,7 +91,7 @@
 	m.Do(decision.Log{Text: fmt.Sprintf(format, args...)})
 }
 
-// Told takes in what the host tells of itself.
+// Told applies what the host tells of itself.
 func (m *State) Told(e decision.Event) {
 	switch e := e.(type) {
 	case decision.Retuned:
--- a/internal/gatherer/mem/fleet/list.go
+++ b/internal/gatherer/mem/fleet/list.go
@@ -15,7 +15,7 @@
 	askMost  = 4 * time.Second
 )
 
-// ListCame takes in what came of the list, and says whether it brings lines.
+// ListCame records the outcome of a list call, and says whether it brings lines.
 func (m *State) ListCame(kind decision.ListKind) bool {
 	if kind == decision.ListFailed {
 		m.Subscribed, m.AskWait = false, min(2*m.AskWait, askMost)
--- a/internal/gatherer/mem/fleet/query.go
+++ b/internal/gatherer/mem/fleet/query.go
@@ -86,7 +86,7 @@
 	})
 }
 
-// End takes a query off the books; outcomes still to come are heard for the servers' sake.
+// End removes a query from the tables; outcomes still to come are recorded for the servers' sake.
 func (m *State) End(q *Query) {
 	if q == nil { // gone already
 		return
@@ -99,7 +99,7 @@
 	}
 }
 
-// Launch books an attempt of the part at the server.
+// Launch records an attempt of the part at the server.
 func (m *State) Launch(p *Part, s *Server, idle bool) {
 	a := &Attempt{P: p, S: s, Number: len(p.Attempts), At: m.Now, Live: true, Idle: idle}
 	for _, o := range s.Out {
--- a/internal/gatherer/mem/fleet/records.go
+++ b/internal/gatherer/mem/fleet/records.go
@@ -45,7 +45,7 @@
 	return all
 }
 
-// Learn takes in what another mixer knew. What does not fit this one's records is passed over.
+// Learn adopts what another mixer knew. What does not fit this one's records is passed over.
 func (m *State) Learn(e decision.Learned) {
 	if len(m.Answered.At) == 0 && e.PerSecond > 0 { // as if it had heard them itself
 		for at := -m.Tuning.UsualSpan; at < 0; at += m.Tuning.SurveyGap {
--- a/internal/gatherer/mem/fleet/server.go
+++ b/internal/gatherer/mem/fleet/server.go
@@ -67,14 +67,14 @@
 	return median + curve.Faded(s.Lat-median, now-s.LatAt, half)
 }
 
-// Erred takes in an error that took so many seconds.
+// Erred records an error that took so many seconds.
 func (s *Server) Erred(took, tookWeight, shareWeight float64) {
 	s.ErrorTook = cmp.Or(s.ErrorTook, took)
 	s.ErrorTook += tookWeight * (took - s.ErrorTook)
 	s.Errors += shareWeight * (1 - s.Errors)
 }
 
-// Heard takes in an outcome from the zone: one that was not quick, or one that proves the way.
+// Heard records an outcome from the zone: one that was not quick, or one that proves the way.
 func (z *Zone) Heard(slow, proves bool) {
 	switch {
 	case slow:
@@ -84,7 +84,7 @@
 	}
 }
 
-// Drop takes an attempt off the server's books.
+// Drop removes an attempt from those out at the server.
 func (s *Server) Drop(a *Attempt) {
 	s.Out = slices.DeleteFunc(s.Out, func(x *Attempt) bool { return x == a })
 }
--- a/internal/gatherer/mem/servers.go
+++ b/internal/gatherer/mem/servers.go
@@ -40,7 +40,7 @@
 // again. It is longer than anything may be out there.
 const keepGone = 2 * time.Minute
 
-// Apply takes in news and returns the lines that it brings, numbered; of a whole list, also a line
+// Apply applies changes of the list and returns the lines that it brings, numbered; of a whole list, also a line
 // for each server that it lacks and that was not gone before.
 func (l *Servers) Apply(whole bool, entries []Server, now time.Time) []Server {
 	named := map[string]bool{}
--- a/internal/gatherer/net/frames/conn.go
+++ b/internal/gatherer/net/frames/conn.go
@@ -42,7 +42,7 @@
 	heard    time.Time       // when something last came
 	idle     time.Time       // since when nothing is on it
 	wake     chan struct{}
-	ctx      context.Context // ends when it is off the books
+	ctx      context.Context // ends when it is removed
 	end      context.CancelFunc
 }
 
@@ -99,7 +99,7 @@
 	}
 }
 
-// remove takes a connection off the books, under the lock, and ends its goroutines.
+// remove removes a connection from the tables, under the lock, and ends its goroutines.
 func (c *conn) remove() {
 	if c.dead {
 		return
@@ -226,9 +226,9 @@
 	}
 }
 
-// read takes in what the lot store tells until the connection ends.
+// read handles what the lot store sends until the connection ends.
 func (c *conn) read() {
-	r, take := bufio.NewReaderSize(c.nc, 4<<10), c.take
+	r := bufio.NewReaderSize(c.nc, 4<<10)
 	for {
 		if _, err := r.Peek(1); err != nil {
 			c.fail(err)
@@ -236,7 +236,7 @@
 		}
 		// Once a frame has begun, the rest of it must follow.
 		c.nc.SetReadDeadline(time.Now().Add(c.t.ConnectTimeout))
-		if err := readFrame(r, take); err != nil {
+		if err := readFrame(r, c.receive); err != nil {
 			c.fail(err)
 			return
 		}
--- a/internal/gatherer/net/frames/crossings_test.go
+++ b/internal/gatherer/net/frames/crossings_test.go
@@ -99,7 +99,7 @@
 	if tr.where[list[1]] != young {
 		t.Error("a part goes to the process before")
 	}
-	if err := busy.take('E', []byte("q.0 hit 7 -\nv")); err != nil {
+	if err := busy.receive('E', []byte("q.0 hit 7 -\nv")); err != nil {
 		t.Error(err)
 	}
 	r.want(t, 1, decision.OK)
--- a/internal/gatherer/net/frames/frames_test.go
+++ b/internal/gatherer/net/frames/frames_test.go
@@ -30,7 +30,7 @@
 		if len(b) == 0 {
 			return nil
 		}
-		return (&conn{t: New(Config{}), s: &server{}, past: []string{"a.3"}}).take(b[0], b[1:])
+		return (&conn{t: New(Config{}), s: &server{}, past: []string{"a.3"}}).receive(b[0], b[1:])
 	}, "Chit", "Ea.3 hit 7 -\nvalue")
 }
 
@@ -74,7 +74,7 @@
 		id   string
 		want *gather.Attempt
 	}{{"q.0.load", load}, {"q.0.load", nil}, {"q.0", first}} {
-		if err := c.take('E', []byte(x.id+" hit 7 -\nv")); err != nil {
+		if err := c.receive('E', []byte(x.id+" hit 7 -\nv")); err != nil {
 			t.Fatal(err)
 		}
 		var got *gather.Attempt
@@ -85,7 +85,7 @@
 			t.Errorf("%s: reported %+v", x.id, got)
 		}
 	}
-	if err := c.take('E', []byte("q.4.load hit 7 -\nv")); err == nil {
+	if err := c.receive('E', []byte("q.4.load hit 7 -\nv")); err == nil {
 		t.Error("took an answer to a part of a second step that was never out")
 	}
 }
@@ -303,7 +303,7 @@
 	if c.load != 0 || len(c.out) != 0 || len(c.give) != 1 || c.give[0] != out {
 		t.Errorf("load %d, out %v, give up %v", c.load, c.out, c.give)
 	}
-	if err := c.take('E', []byte("q.1 hit 0 -\nv")); err != nil || len(r.ch) != 0 {
+	if err := c.receive('E', []byte("q.1 hit 0 -\nv")); err != nil || len(r.ch) != 0 {
 		t.Errorf("error %v, %d reports", err, len(r.ch))
 	}
 }
--- a/internal/gatherer/net/frames/take.go
+++ b/internal/gatherer/net/frames/receive.go
@@ -10,8 +10,8 @@
 
 var statuses = map[string]decision.Status{"hit": decision.OK, "fault": decision.Error, "overload": decision.Full}
 
-// take takes in one frame. An error closes the connection and ends all that is out on it.
-func (c *conn) take(letter byte, rest []byte) error {
+// receive handles one frame. An error closes the connection and ends all that is out on it.
+func (c *conn) receive(letter byte, rest []byte) error {
 	switch letter {
 	case letterEnd:
 		e, err := parseEnd(rest)
--- a/internal/gatherer/net/frames/transport.go
+++ b/internal/gatherer/net/frames/transport.go
@@ -22,7 +22,7 @@
 	Log            *slog.Logger
 }
 
-// Transport implements gather.Transport on frames. One lock covers all its books; nothing is written, read
+// Transport implements gather.Transport on frames. One lock covers all its tables; nothing is written, read
 // or reported under it.
 type Transport struct {
 	Config
@@ -47,7 +47,7 @@
 // Start names whom outcomes are reported to.
 func (t *Transport) Start(r gather.Reporter) { t.report = r }
 
-// Servers takes in news of the list. What waits to be written to a server that may be sent nothing new is
+// Servers applies changes of the server list. What waits to be written to a server that may be sent nothing new is
 // dropped now: the time until such sends must have stopped runs.
 func (t *Transport) Servers(news []mem.Server) {
 	t.mu.Lock()
--- a/internal/gatherer/net/opensearch/stores.go
+++ b/internal/gatherer/net/opensearch/stores.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// ended takes an attempt off the books, and says whether anybody still waits for it.
+// ended removes an attempt from the tables, and says whether anybody still waits for it.
 func (t *Stores) ended(a *gather.Attempt) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gatherer/search/choose.go
+++ b/internal/gatherer/search/choose.go
@@ -84,7 +84,7 @@
 	return x.use, why
 }
 
-// Measured takes in how a query went: what its answer took, and whether it was an answer at all.
+// Measured records how a query went: what its answer took, and whether it was an answer at all.
 func (c *Chooser) Measured(class int, p *Plan, took, aim time.Duration, answered bool) {
 	if c.force != 0 || len(p.ranges) < 2 || p.Query.Size == 0 {
 		return
--- a/internal/gatherer/search/index.go
+++ b/internal/gatherer/search/index.go
@@ -67,7 +67,7 @@
 // Len is the number of bounds that there is room for at present, and of names.
 func (x *Index) Len() (slots, names int) { return x.slots, len(x.tables) }
 
-// observe takes in the view of an answer whose question left at asked, and says whether a bound may be learnt.
+// observe records the view of an answer whose question left at asked, and says whether a bound may be learnt.
 func (x *Index) observe(number int, source uint32, v View, asked time.Duration) bool {
 	if number < 0 || number >= len(x.ranges) || v.Boot == "" {
 		return false
@@ -107,7 +107,7 @@
 	}
 }
 
-// Learn takes in an answer of a range to a query, from a lot store and to a question that left at asked.
+// Learn records an answer of a range to a query, from a lot store and to a question that left at asked.
 func (x *Index) Learn(q *Query, number int, source uint32, a *Answer, asked time.Duration) {
 	if f := q.Keys[0].Field; len(a.Hits) > 0 && a.Hits[0].Sort[0].Kind == merge.Number && len(x.numeric) < numericMost {
 		x.numeric[f] = struct{}{}
--- a/internal/gatherer/search/plan.go
+++ b/internal/gatherer/search/plan.go
@@ -342,7 +342,7 @@
 	return s == pages.Same
 }
 
-// Scored takes in a range's answer to a question that left at left. An answer must pass Check before.
+// Scored records a range's answer to a question that left at left. An answer must pass Check before.
 func (p *Plan) Scored(i int, source uint32, a *Answer, left, now time.Duration) (o Orders) {
 	if p.state[i] != asked {
 		return o // skipped meanwhile
@@ -380,7 +380,7 @@
 	return o
 }
 
-// Refused takes in that a lot store called the question one that cannot be answered, and says whether that is to be
+// Refused records that a lot store called the question one that cannot be answered, and says whether that is to be
 // believed: the fault is the client's then, and no other lot store is to be asked.
 func (p *Plan) Refused(source uint32) bool {
 	if !slices.Contains(p.refusers, source) {
@@ -414,7 +414,7 @@
 	return fetch
 }
 
-// Listed takes in a range's listings. A lot that is not among them, or that has changed so that its rank is not
+// Listed records a range's listings. A lot that is not among them, or that has changed so that its rank is not
 // its own any more, is left out of the page.
 func (p *Plan) Listed(i int, a *Answer) {
 	p.bytes += a.Bytes
