--- /dev/null
+++ b/internal/gatherer/aggs/kinds.go
@@ -0,0 +1,264 @@
+package aggs
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pulleygw.example/pulleygw/internal/gatherer/query"
+)
+
+func (p *parser) minDocs(n *Node) member {
+	return func(v gjson.Result) *query.Error {
+		i := 0
+		e := p.whole(&i, 0, math.MaxInt32)(v)
+		n.MinDocs = int64(i)
+		return e
+	}
+}
+
+func (p *parser) cardinality(n *Node, v gjson.Result) *query.Error {
+	precision := 0
+	return p.members(n, v, true, map[string]member{"precision_threshold": p.whole(&precision, 0, 40000)})
+}
+
+func (p *parser) percentiles(n *Node, v gjson.Result) *query.Error {
+	n.Keyed = true
+	n.Percents = []float64{1, 5, 25, 50, 75, 95, 99}
+	return p.members(n, v, true, map[string]member{"keyed": p.flag(&n.Keyed), "percents": func(v gjson.Result) *query.Error {
+		n.Percents = nil
+		for _, x := range v.Array() {
+			if x.Type != gjson.Number || x.Num < 0 || x.Num > 100 || len(n.Percents) == MaxRanges {
+				return p.at(v, "[percents] is not a list of at most %d numbers from 0 to 100", MaxRanges)
+			}
+			n.Percents = append(n.Percents, x.Num)
+		}
+		if n.Percents == nil {
+			return p.at(v, "[percents] is empty")
+		}
+		return nil
+	}})
+}
+
+func (p *parser) terms(n *Node, v gjson.Result) *query.Error {
+	n.Size, n.Desc = 10, true
+	e := p.members(n, v, true, map[string]member{"size": p.whole(&n.Size, 1, MaxSize), "min_doc_count": p.minDocs(n),
+		"shard_size": p.whole(&n.Shard, 1, MaxBuckets), "order": func(v gjson.Result) *query.Error {
+			if v.IsArray() && len(v.Array()) > 0 { // further keys break ties, as the key does here
+				v = v.Array()[0]
+			}
+			ok := false
+			v.ForEach(func(k, x gjson.Result) bool {
+				n.ByKey = k.Str == "_key" || k.Str == "_term"
+				n.Desc = x.Str == "desc"
+				ok = (n.ByKey || k.Str == "_count") && (n.Desc || x.Str == "asc")
+				return false
+			})
+			switch {
+			case !ok:
+				return p.at(v, "not supported here: [order] other than by [_count] or [_key]")
+			case !n.ByKey && !n.Desc:
+				return p.at(v, "not supported here: the rarest first, as no range can tell which are rare over all")
+			}
+			return nil
+		}})
+	if e == nil && n.MinDocs == 0 {
+		e = p.at(v, "not supported here: [min_doc_count] of 0 in [terms]")
+	}
+	return e
+}
+
+func (p *parser) histogram(n *Node, v gjson.Result) *query.Error {
+	offset := 0.0
+	return p.members(n, v, true, map[string]member{"interval": p.number(&n.Interval, func(x float64) bool { return x > 0 }, "a number above 0"),
+		"min_doc_count": p.minDocs(n), "keyed": p.flag(&n.Keyed), "extended_bounds": p.bounds(n),
+		"offset": func(v gjson.Result) *query.Error {
+			n.Offset = v.Raw
+			return p.number(&offset, func(x float64) bool { return x >= 0 }, "a number from 0 on")(v)
+		}})
+}
+
+func (p *parser) bounds(n *Node) member {
+	return func(v gjson.Result) *query.Error {
+		lo, hi := v.Get("min"), v.Get("max")
+		if lo.Type != gjson.Number || hi.Type != gjson.Number || lo.Num > hi.Num || len(v.Map()) != 2 {
+			return p.at(v, "[extended_bounds] is not an object of two numbers, [min] and [max]")
+		}
+		n.Bounds = &[2]float64{lo.Num, hi.Num}
+		return nil
+	}
+}
+
+// calendars are the calendar intervals, by the names that the API has for them.
+var calendars = map[string]string{"minute": "1m", "1m": "1m", "hour": "1h", "1h": "1h", "day": "1d", "1d": "1d", "week": "1w", "1w": "1w",
+	"month": "1M", "1M": "1M", "quarter": "1q", "1q": "1q", "year": "1y", "1y": "1y"}
+
+func (p *parser) dateHistogram(n *Node, v gjson.Result) *query.Error {
+	e := p.members(n, v, true, map[string]member{"min_doc_count": p.minDocs(n), "keyed": p.flag(&n.Keyed), "format": p.str(&n.Format),
+		"offset": p.str(&n.Offset), "extended_bounds": p.bounds(n),
+		"time_zone": func(v gjson.Result) *query.Error {
+			e := p.str(&n.Zone)(v)
+			if _, err := zone(n.Zone); e == nil && err != nil {
+				e = p.at(v, "[time_zone] is not known: [%.60s]", n.Zone)
+			}
+			return e
+		},
+		"fixed_interval": func(v gjson.Result) *query.Error {
+			var ok bool
+			if n.Fixed, ok = fixed(v.Str); !ok {
+				return p.at(v, "[fixed_interval] is not a number of ms, s, m, h or d")
+			}
+			return nil
+		},
+		"calendar_interval": func(v gjson.Result) *query.Error {
+			if n.Calendar = calendars[v.Str]; n.Calendar == "" {
+				return p.at(v, "[calendar_interval] is none of minute, hour, day, week, month, quarter and year")
+			}
+			return nil
+		}})
+	if _, ok := layoutOf(n.Format); e == nil && !ok && n.MinDocs <= 0 {
+		e = p.at(v, "not supported here: the [format] %.40q where empty buckets are wanted; ask for [min_doc_count] of 1", n.Format)
+	}
+	if _, ok := fixed(strings.TrimLeft(n.Offset, "+-")); e == nil && n.Offset != "" && !ok {
+		e = p.at(v, "[offset] is not a number of ms, s, m, h or d")
+	}
+	if e == nil && (n.Fixed == 0) == (n.Calendar == "") {
+		e = p.at(v, "[date_histogram] wants [fixed_interval] or [calendar_interval]")
+	}
+	return e
+}
+
+// fixed reads a fixed interval.
+func fixed(s string) (time.Duration, bool) {
+	for _, u := range []struct {
+		suffix string
+		unit   time.Duration
+	}{{"ms", time.Millisecond}, {"s", time.Second}, {"m", time.Minute}, {"h", time.Hour}, {"d", 24 * time.Hour}} {
+		var n int
+		if digits, ok := strings.CutSuffix(s, u.suffix); ok && len(digits) < 8 {
+			if _, err := fmt.Sscanf(digits+"|", "%d|", &n); err == nil && n > 0 {
+				return time.Duration(n) * u.unit, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// zone reads a time zone: a name, or an offset such as +09:00.
+func zone(s string) (*time.Location, error) {
+	if t, err := time.Parse("-07:00", s); err == nil {
+		_, off := t.Zone()
+		return time.FixedZone(s, off), nil
+	}
+	return time.LoadLocation(s)
+}
+
+func (p *parser) ranges(n *Node, v gjson.Result) *query.Error {
+	e := p.members(n, v, true, map[string]member{"keyed": p.flag(&n.Keyed), "format": p.str(&n.Format), "time_zone": p.str(&n.Zone),
+		"ranges": func(v gjson.Result) (e *query.Error) {
+			for _, r := range v.Array() {
+				s := Span{}
+				r.ForEach(func(k, x gjson.Result) bool {
+					switch {
+					case k.Str == "key" && x.Type == gjson.String && x.Str != "":
+						s.Key = x.Str
+					case k.Str == "from" && x.Type != gjson.JSON:
+						s.From = x.Raw
+					case k.Str == "to" && x.Type != gjson.JSON:
+						s.To = x.Raw
+					default:
+						e = p.at(v, "a range has [%.40s]", k.Str)
+					}
+					return e == nil
+				})
+				if n.Ranges = append(n.Ranges, s); e == nil && s.From+s.To == "" {
+					e = p.at(v, "a range has no end")
+				}
+			}
+			if e == nil && (len(n.Ranges) == 0 || len(n.Ranges) > MaxRanges) {
+				e = p.at(v, "not 1 to %d ranges", MaxRanges)
+			}
+			return e
+		}})
+	if e == nil && n.Ranges == nil {
+		e = p.at(v, "[%s] lacks [ranges]", n.Kind)
+	}
+	return e
+}
+
+func (p *parser) filter(n *Node, v gjson.Result) *query.Error {
+	q, e := query.Parse(p.text, v)
+	n.Filters = []Named{{Query: q}}
+	return e
+}
+
+func (p *parser) filters(n *Node, v gjson.Result) *query.Error {
+	other := false
+	e := p.members(n, v, false, map[string]member{"filters": func(v gjson.Result) (e *query.Error) {
+		v.ForEach(func(k, x gjson.Result) bool {
+			f := Named{}
+			if v.IsObject() {
+				f.Name = k.Str
+			}
+			f.Query, e = query.Parse(p.text, x)
+			n.Filters = append(n.Filters, f)
+			return e == nil && len(n.Filters) <= MaxRanges
+		})
+		if e == nil && (len(n.Filters) == 0 || len(n.Filters) > MaxRanges) {
+			e = p.at(v, "not 1 to %d filters", MaxRanges)
+		}
+		n.Keyed = v.IsObject()
+		return e
+	}, "other_bucket": p.flag(&other), "other_bucket_key": p.str(&n.Other)})
+	if other && n.Other == "" {
+		n.Other = "_other_"
+	}
+	if e == nil && n.Filters == nil {
+		e = p.at(v, "[filters] lacks [filters]")
+	}
+	return e
+}
+
+func (p *parser) topHits(n *Node, v gjson.Result) *query.Error {
+	n.Size = 3
+	e := p.members(n, v, false, map[string]member{"size": p.whole(&n.Size, 0, MaxHits), "from": p.whole(&n.From, 0, MaxHits),
+		"sort":    func(v gjson.Result) *query.Error { n.Sort = v.Raw; return nil },
+		"_source": func(v gjson.Result) *query.Error { n.Source = v.Raw; return nil }})
+	if e == nil && n.From+n.Size > MaxHits {
+		e = p.at(v, "[top_hits] goes past %d", MaxHits)
+	}
+	if e == nil && n.Sort != "" && !simpleSort(gjson.Parse(n.Sort)) {
+		e = p.at(v, "not supported here: a [sort] in [top_hits] of other than one field with asc or desc")
+	}
+	return e
+}
+
+// simpleSort takes [{"field":"asc"}], [{"field":{"order":"desc"}}] and the like.
+func simpleSort(v gjson.Result) bool {
+	if v.IsArray() {
+		if len(v.Array()) != 1 {
+			return false
+		}
+		v = v.Array()[0]
+	}
+	if v.Type == gjson.String {
+		return true
+	}
+	ok, n := false, 0
+	v.ForEach(func(_, x gjson.Result) bool {
+		n++
+		order := x.Str
+		if x.IsObject() {
+			order = x.Get("order").Str
+			if len(x.Map()) != 1 {
+				order = ""
+			}
+		}
+		ok = order == "asc" || order == "desc"
+		return true
+	})
+	return ok && n == 1
+}
