--- a/internal/gatherer/net/frames/conn.go
+++ b/internal/gatherer/net/frames/conn.go
@@ -228,7 +228,7 @@
 
 // read handles what the lot store sends until the connection ends.
 func (c *conn) read() {
-	r := bufio.NewReaderSize(c.nc, 4<<10)
+	r, receive := bufio.NewReaderSize(c.nc, 4<<10), c.receive // bound once, as a bound method is allocated
 	for {
 		if _, err := r.Peek(1); err != nil {
 			c.fail(err)
@@ -236,7 +236,7 @@
 		}
 		// Once a frame has begun, the rest of it must follow.
 		c.nc.SetReadDeadline(time.Now().Add(c.t.ConnectTimeout))
-		if err := readFrame(r, c.receive); err != nil {
+		if err := readFrame(r, receive); err != nil {
 			c.fail(err)
 			return
 		}
