--- /dev/null
+++ b/internal/gatherer/query/members.go
@@ -0,0 +1,135 @@
+package query
+
+import (
+	"math"
+	"strings"
+
+	"github.com/tidwall/gjson"
+)
+
+// only takes an object of one member.
+func (p *parser) only(v gjson.Result, what string) (key, value gjson.Result, e *Error) {
+	if !v.IsObject() {
+		return key, value, p.at(v, "not an object, want one with %s", what)
+	}
+	n := 0
+	v.ForEach(func(k, x gjson.Result) bool {
+		if n++; n == 1 {
+			key, value = k, x
+		}
+		return n < 2
+	})
+	if n != 1 {
+		return key, value, p.at(v, "an object of %s members, want just %s", map[int]string{0: "no", 2: "several"}[n], what)
+	}
+	return key, value, nil
+}
+
+// member reads one member of an object.
+type member func(v gjson.Result) *Error
+
+// members reads an object by its members; those not named are refused, and boost is known everywhere.
+func (p *parser) members(v gjson.Result, boost *float64, known map[string]member) (e *Error) {
+	seen := map[string]bool{}
+	v.ForEach(func(k, x gjson.Result) bool {
+		read := known[k.Str]
+		switch {
+		case seen[k.Str]:
+			e = p.at(k, "[%.60s] stands twice", k.Str)
+		case read != nil:
+			e = read(x)
+		case k.Str == "boost" && boost != nil:
+			if *boost = x.Num; x.Type != gjson.Number || !boosted(x.Num) {
+				e = p.at(x, "[boost] is not a number from 0 on")
+			}
+			if *boost == 0 {
+				*boost = math.SmallestNonzeroFloat64 // 0 stands for none
+			}
+		case k.Str == "_name":
+		default:
+			e = p.at(k, "not supported here: [%.60s]", k.Str)
+		}
+		seen[k.Str] = true
+		return e == nil
+	})
+	return e
+}
+
+func (p *parser) str(to *string, most int) member {
+	return func(v gjson.Result) *Error {
+		if v.Type != gjson.String || len(v.Str) > most {
+			return p.at(v, "not a string of at most %d bytes", most)
+		}
+		*to = v.Str
+		return nil
+	}
+}
+
+func (p *parser) flag(to *bool) member {
+	return func(v gjson.Result) *Error {
+		if v.Type != gjson.True && v.Type != gjson.False {
+			return p.at(v, "neither true nor false")
+		}
+		*to = v.Bool()
+		return nil
+	}
+}
+
+// value reads a scalar. Numbers keep their digits: 64-bit integers past 2^53 are not rounded.
+func (p *parser) value(to *Value) member {
+	return func(v gjson.Result) *Error {
+		switch {
+		case v.Type == gjson.JSON || v.Type == gjson.Null:
+			return p.at(v, "not a string, number or boolean")
+		case len(v.Raw) > MaxText:
+			return p.at(v, "longer than %d bytes", MaxText)
+		case v.Type == gjson.String:
+			*to = Value(appendString(nil, v.Str))
+		default:
+			*to = Value(v.Raw)
+		}
+		return nil
+	}
+}
+
+// short reads a number or a short string, and keeps it as a string.
+func (p *parser) short(to *string) member {
+	return func(v gjson.Result) *Error {
+		if v.Type != gjson.String && v.Type != gjson.Number || len(v.Raw) > MaxField {
+			return p.at(v, "not a number or a short string")
+		}
+		*to = v.String()
+		return nil
+	}
+}
+
+func (p *parser) operator(to *bool) member {
+	return func(v gjson.Result) *Error {
+		if *to = strings.EqualFold(v.Str, "and"); !*to && !strings.EqualFold(v.Str, "or") {
+			return p.at(v, "[operator] is neither [and] nor [or]")
+		}
+		return nil
+	}
+}
+
+// field takes an object of one field, given as the short form's value or as an object of members.
+func (p *parser) field(v gjson.Result, short string) (name string, members gjson.Result, shortened bool, e *Error) {
+	k, x, e := p.only(v, "a field")
+	if e != nil {
+		return "", x, false, e
+	}
+	if e := p.fieldName(k); e != nil {
+		return "", x, false, e
+	}
+	if !x.IsObject() && short == "" {
+		return "", x, false, p.at(x, "not an object")
+	}
+	return k.Str, x, !x.IsObject(), nil
+}
+
+func (p *parser) fieldName(k gjson.Result) *Error {
+	if k.Str == "" || len(k.Str) > MaxField || strings.ContainsAny(k.Str, "\x00\n") {
+		return p.at(k, "not a field's name of at most %d bytes", MaxField)
+	}
+	return nil
+}
