Gatherer: what 'words' something formats it; objectWriter, merger.bucket and others

Cause: 'word' and 'wording' as verbs and as names needed explaining. Change: comments, and names that are not exported; the error of a record's encoder says 'format an entry'. Nothing a client gets has changed.

--- a/internal/gatherer/aggs/aggs.go
+++ b/internal/gatherer/aggs/aggs.go
@@ -62,7 +62,7 @@
 	Interval float64       // of a histogram
 	Fixed    time.Duration // of a date_histogram, or
 	Calendar string
-	Offset   string // as the API words it, empty for none
+	Offset   string // as the API has it, empty for none
 	Zone     string
 	Format   string
 	Bounds   *[2]float64 // extended_bounds
--- a/internal/gatherer/aggs/ask.go
+++ b/internal/gatherer/aggs/ask.go
@@ -26,7 +26,7 @@
 	return min(n.Size+n.Size/2+termsExtra, MaxBuckets)
 }
 
-// AppendAsk words what a range is asked, as the value of aggs.
+// AppendAsk formats what a range is asked, as the value of aggs.
 func AppendAsk(b []byte, list []*Node) []byte {
 	b = append(b, '{')
 	for i, n := range list {
@@ -38,13 +38,13 @@
 	return append(b, '}')
 }
 
-// words builds an object member by member.
-type words struct {
+// objectWriter builds an object member by member.
+type objectWriter struct {
 	b     []byte
 	begun bool
 }
 
-func (w *words) member(name, value string) *words {
+func (w *objectWriter) member(name, value string) *objectWriter {
 	if value == "" {
 		return w
 	}
@@ -71,9 +71,9 @@
 	return quote(s)
 }
 
-// object words the members given in pairs, those of empty value left out.
+// object formats the members given in pairs, those of empty value left out.
 func object(members ...string) string {
-	w := &words{b: []byte{'{'}}
+	w := &objectWriter{b: []byte{'{'}}
 	for i := 0; i+1 < len(members); i += 2 {
 		w.member(members[i], members[i+1])
 	}
--- a/internal/gatherer/aggs/histogram.go
+++ b/internal/gatherer/aggs/histogram.go
@@ -51,7 +51,7 @@
 			b = append(append(b, quote(cmp.Or(x.text, num(x.key.num)))...), ':')
 		}
 		var err error
-		if b, err = m.words(b, n, x, "key", num(x.key.num), "key_as_string", quoted(x.text)); err != nil {
+		if b, err = m.bucket(b, n, x, "key", num(x.key.num), "key_as_string", quoted(x.text)); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/gatherer/aggs/merge.go
+++ b/internal/gatherer/aggs/merge.go
@@ -39,7 +39,7 @@
 	kept    int // while merging
 }
 
-// list words aggregations; answers are by range, then by aggregation.
+// list formats aggregations; answers are by range, then by aggregation.
 func (m *merger) list(b []byte, list []*Node, answers [][]Part) ([]byte, error) {
 	b = append(b, '{')
 	for i, n := range list {
@@ -59,7 +59,7 @@
 	return append(b, '}'), nil
 }
 
-// meta words a bound, and more beside it.
+// meta formats a bound, and more beside it.
 func meta(b Bound, more ...string) string {
 	if b == Exact {
 		return ""
@@ -140,8 +140,8 @@
 	return b, nil
 }
 
-// words words a bucket after its key.
-func (m *merger) words(b []byte, n *Node, x *merged, members ...string) ([]byte, error) {
+// bucket formats a bucket after its key.
+func (m *merger) bucket(b []byte, n *Node, x *merged, members ...string) ([]byte, error) {
 	if m.buckets++; m.buckets > MaxBuckets {
 		return nil, ErrTooMany
 	}
--- a/internal/gatherer/aggs/ranges.go
+++ b/internal/gatherer/aggs/ranges.go
@@ -39,11 +39,11 @@
 		}
 	}
 	if one {
-		words, err := m.words(nil, n, &all[0])
+		text, err := m.bucket(nil, n, &all[0])
 		if err != nil || m.lacks(Lower) == Exact {
-			return append(b, words...), err
+			return append(b, text...), err
 		}
-		return append(append(b, words[:len(words)-1]...), `,"meta":`+meta(Lower)+"}"...), nil
+		return append(append(b, text[:len(text)-1]...), `,"meta":`+meta(Lower)+"}"...), nil
 	}
 	open, end := byte('['), byte(']')
 	if n.Keyed {
@@ -72,7 +72,7 @@
 			key = ""
 		}
 		var err error
-		if b, err = m.words(b, n, &all[i], "key", key, "from", from, "to", to); err != nil {
+		if b, err = m.bucket(b, n, &all[i], "key", key, "from", from, "to", to); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/gatherer/aggs/terms.go
+++ b/internal/gatherer/aggs/terms.go
@@ -56,7 +56,7 @@
 		}
 		shown++
 		var err error
-		if b, err = m.words(b, n, x, "key", x.key.raw, "key_as_string", quoted(x.text), "doc_count_error_upper_bound", whole(caps-x.listed)); err != nil {
+		if b, err = m.bucket(b, n, x, "key", x.key.raw, "key_as_string", quoted(x.text), "doc_count_error_upper_bound", whole(caps-x.listed)); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/gatherer/gather/relay.go
+++ b/internal/gatherer/gather/relay.go
@@ -7,7 +7,7 @@
 	"pulleygw.example/pulleygw/internal/gatherer/decision"
 )
 
-// Relay: the Mixer's final word on a query goes to its front at once. Nothing is ever held back.
+// Relay: the Mixer's final decision on a query goes to its front at once. Nothing is ever held back.
 
 func (c *Core) relayAnswer(a decision.Answer) {
 	q, ok := c.flight.Query(uint64(a.Query))
--- a/internal/gatherer/lifecycle/operations.go
+++ b/internal/gatherer/lifecycle/operations.go
@@ -71,7 +71,7 @@
 // changed puts what the store holds in force.
 func (x *operations) changed(c Config, values map[string]string) {
 	marked := values[drainKey+c.Name] == "on"
-	if x.marked != marked { // the last word counts, the store's or an operator's call
+	if x.marked != marked { // the last change counts, the store's or an operator's call
 		x.marked = marked
 		x.d.log.Info("store drain mark", "on", marked)
 		x.d.sendAway(marked)
--- a/internal/gatherer/merge/merge.go
+++ b/internal/gatherer/merge/merge.go
@@ -39,7 +39,7 @@
 // Str makes a string.
 func Str(s string) Value { return Value{Kind: String, Str: s} }
 
-// JSON words a value, a missing one as null.
+// JSON formats a value, a missing one as null.
 func (v Value) JSON(quote func(string) string) string {
 	switch {
 	case v.Kind == String:
@@ -131,7 +131,7 @@
 	ID      string
 	Sort    []Value // by the search's keys
 	Version int64   // of the lot, 0 where not told
-	Listing string  // as its range words it; the score phase has none
+	Listing string  // as its range has it; the score phase has none
 	// Rank is its place in the answer of its range, which has lots of equal sort values in the order of their ids.
 	Range, Rank int
 }
--- a/internal/gatherer/net/agentcheck/agentcheck.go
+++ b/internal/gatherer/net/agentcheck/agentcheck.go
@@ -19,7 +19,7 @@
 
 const writeFor = time.Second
 
-// Line is the agent's word: drain, or up and ready with a weight that falls as the table fills.
+// Line is the agent's answer: drain, or up and ready with a weight that falls as the table fills.
 func Line(s State) string {
 	if s.Draining {
 		return "drain\n"
--- a/internal/gatherer/net/discovery/discovery.go
+++ b/internal/gatherer/net/discovery/discovery.go
@@ -52,7 +52,7 @@
 	Tell func(gather.List)
 }
 
-// ParseList reads a list as discovery and the configuration word it.
+// ParseList reads a list in the format of discovery and the configuration.
 func ParseList(text []byte, zones []string) (seq int64, l gather.List, err error) {
 	if !gjson.ValidBytes(text) { // gjson's getters take garbage
 		return 0, l, errors.New("the list is not JSON")
@@ -75,7 +75,7 @@
 	return version.Int(), l, err
 }
 
-// AppendList words a list as ParseList reads it.
+// AppendList formats a list as ParseList reads it.
 func AppendList(b []byte, seq int64, list []mem.Server, zones []string) []byte {
 	b = fmt.Appendf(b, `{"seq":%d,"whole":true,"hosts":[`, seq)
 	for i, s := range list {
--- a/internal/gatherer/net/handover/message.go
+++ b/internal/gatherer/net/handover/message.go
@@ -34,7 +34,7 @@
 
 // State is what a successor begins with.
 type State struct {
-	Hosts    json.RawMessage  `json:"hosts"`    // the list, as discovery words it
+	Hosts    json.RawMessage  `json:"hosts"`    // the list, in discovery's format
 	Banned   []string         `json:"banned"`   // lot stores that are out
 	Attached map[string]int64 `json:"attached"` // lot stores put back: cold from then, in Unix time in ms
 	Drain    bool             `json:"drain"`
--- a/internal/gatherer/net/opensearch/answers.go
+++ b/internal/gatherer/net/opensearch/answers.go
@@ -40,7 +40,7 @@
 	Failures   []shardError `json:"failures,omitempty"`
 }
 
-// causes words how a part's last attempt ended.
+// causes describes how a part's last attempt ended.
 var causes = map[decision.Status]cause{
 	decision.Error:         {"query_phase_execution_exception", "the lot store reported a failure"},
 	decision.Full:          {"rejected_execution_exception", "the lot store turned it away"},
@@ -73,7 +73,7 @@
 	return c, timedOut
 }
 
-// render words a final answer.
+// render formats a final answer.
 func (a *asked) render(res gather.Result, took time.Duration) *http1.Response {
 	counts, timedOut := a.counts(res)
 	if res.Kind != gather.Answered && len(res.Search.Moved) > 0 { // no use in trying again
@@ -160,7 +160,7 @@
 	})
 }
 
-// page words what a plan led to.
+// page formats what a plan led to.
 func (a *asked) page(res gather.Result, counts shardCounts, timedOut bool, took time.Duration) *http1.Response {
 	r := res.Search
 	raws := make([]json.RawMessage, len(r.Hits))
@@ -220,7 +220,7 @@
 	Phases  int     `json:"phases"`
 }
 
-// listing words a hit as its client asked for it: without what was asked of the lot store for the ranking's sake.
+// listing formats a hit as its client asked for it: without what was asked of the lot store for the ranking's sake.
 func (a *asked) listing(h *merge.Hit, phases search.Phases) json.RawMessage {
 	q := a.q.Search
 	if !q.Ties && phases == search.One {
--- a/internal/gatherer/net/opensearch/ask.go
+++ b/internal/gatherer/net/opensearch/ask.go
@@ -36,9 +36,9 @@
 	return append(b, '}')
 }
 
-// askBody words what an attempt asks a range for. text is its search's, as wanted.text words it.
+// askBody formats what an attempt asks a range for. text is its search's, as wanted.text formats it.
 func askBody(text []byte, a *gather.Ask, shard int, timeout string) []byte {
-	root := gjson.ParseBytes(text) // as wanted.text words it
+	root := gjson.ParseBytes(text) // as wanted.text formats it
 	asked := root.Get("query").Raw
 	q := a.Query
 	b := append([]byte(nil), `{"timeout":"`...)
@@ -115,7 +115,7 @@
 
 func quote(s string) string { return string(must(json.Marshal(s))) }
 
-// appendSort words sort keys, and the id that breaks ties.
+// appendSort formats sort keys, and the id that breaks ties.
 func appendSort(b []byte, keys []merge.Key, ties bool) []byte {
 	for i, k := range keys {
 		b = append(b, "[,"[min(i, 1)])
@@ -261,7 +261,7 @@
 	return hits, why
 }
 
-// parseValue reads a sort value. The API words infinite numbers, which stand for lots without the field, as strings.
+// parseValue reads a sort value. The API has infinite numbers, which stand for lots without the field, as strings.
 func parseValue(v gjson.Result) merge.Value {
 	switch {
 	case v.Type == gjson.Number:
--- a/internal/gatherer/net/opensearch/calls.go
+++ b/internal/gatherer/net/opensearch/calls.go
@@ -53,7 +53,7 @@
 		}
 		select {
 		case res := <-a.q.Done:
-			answers[i] = a.word(res, time.Since(r.At))
+			answers[i] = a.response(res, time.Since(r.At))
 		case <-gone:
 			for _, a := range j.asked[i:] {
 				if a.wrong == nil {
@@ -75,10 +75,10 @@
 	return p
 }
 
-// word words a request's final answer.
-func (a *asked) word(res gather.Result, took time.Duration) *http1.Response {
-	if a.wording != nil && res.Kind == gather.Answered {
-		return a.wording(res, took)
+// response formats a request's final answer.
+func (a *asked) response(res gather.Result, took time.Duration) *http1.Response {
+	if a.format != nil && res.Kind == gather.Answered {
+		return a.format(res, took)
 	}
 	return a.render(res, took)
 }
--- a/internal/gatherer/net/opensearch/documents.go
+++ b/internal/gatherer/net/opensearch/documents.go
@@ -39,7 +39,7 @@
 	if e := f.parseSearch(a, r.At, url.Values{"routing": {routing}}, []byte(body+"}")); e != nil {
 		return nil, e
 	}
-	a.wording = func(res gather.Result, _ time.Duration) *http1.Response {
+	a.format = func(res gather.Result, _ time.Duration) *http1.Response {
 		doc := map[string]any{"_index": index, "_id": id, "found": false}
 		for _, h := range res.Search.Hits {
 			if h.ID != id {
@@ -192,7 +192,7 @@
 			return nil, illegal("line %d: [%s] was created in line %d", i+1, id, first)
 		}
 		seen[in+"/"+id] = i + 1
-		a.wording = func(res gather.Result, _ time.Duration) *http1.Response {
+		a.format = func(res gather.Result, _ time.Duration) *http1.Response {
 			counts, _ := a.counts(res)
 			return a.created(res, counts)
 		}
--- a/internal/gatherer/net/opensearch/exchange.go
+++ b/internal/gatherer/net/opensearch/exchange.go
@@ -143,7 +143,7 @@
 	t.endAll(out, status)
 }
 
-// request words a call: an _msearch or a _bulk.
+// request formats a call: an _msearch or a _bulk.
 func (t *Stores) request(attempts []*gather.Attempt, now time.Time) (target string, body []byte) {
 	var b bytes.Buffer
 	for _, a := range attempts {
--- a/internal/gatherer/net/opensearch/front.go
+++ b/internal/gatherer/net/opensearch/front.go
@@ -71,8 +71,8 @@
 	pin    *pages.Pin
 	token  string    // of the pin
 	wrong  *apiError // what is wrong with it, so that it never reaches the core
-	// wording words an answer, where not as a search or a create.
-	wording func(gather.Result, time.Duration) *http1.Response
+	// format makes the response of an answer, where it is neither a search's nor a create's.
+	format func(gather.Result, time.Duration) *http1.Response
 }
 
 // parseTime reads a time value such as 500ms or 2s.
--- a/internal/gatherer/net/opensearch/query.go
+++ b/internal/gatherer/net/opensearch/query.go
@@ -42,7 +42,7 @@
 	aggs      []*aggs.Node
 }
 
-// placed words what is wrong in a text, with its place.
+// placed is the error object of a fault in a text, with its place.
 func placed(e *query.Error) *apiError {
 	return parsing("%s", e.Error())
 }
@@ -196,7 +196,7 @@
 	return nil
 }
 
-// tieOf words the tie of a lot.
+// tieOf formats the tie of a lot.
 func tieOf(h *merge.Hit) string { return strconv.Itoa(h.Range) + "/" + h.ID }
 
 // sorted says whether a search has a sort of its own.
--- a/internal/gatherer/net/opensearch/searches.go
+++ b/internal/gatherer/net/opensearch/searches.go
@@ -183,7 +183,7 @@
 	if e := f.parseSearch(a, r.At, p, body); e != nil {
 		return nil, e
 	}
-	a.wording = func(res gather.Result, _ time.Duration) *http1.Response {
+	a.format = func(res gather.Result, _ time.Duration) *http1.Response {
 		counts, _ := a.counts(res)
 		return jsonResponse(200, map[string]any{"count": res.Search.Total, "_shards": counts, "coverage": a.coverage(res)})
 	}
--- a/internal/gatherer/net/platform/platform.go
+++ b/internal/gatherer/net/platform/platform.go
@@ -161,7 +161,7 @@
 	return shards, []byte(text.String()), err
 }
 
-// render words a final answer.
+// render formats a final answer.
 func render(res gather.Result) *http1.Response {
 	switch res.Kind {
 	case gather.Answered:
--- a/internal/gatherer/pages/pages.go
+++ b/internal/gatherer/pages/pages.go
@@ -108,7 +108,7 @@
 	return h.Sum(nil)[:signature]
 }
 
-// Seal words a pin as a token: its ranges as a bitmap and their versions as steps from the least, some 450 bytes at 200
+// Seal encodes a pin as a token: its ranges as a bitmap and their versions as steps from the least, some 450 bytes at 200
 // ranges. What it holds is no secret; that nobody else made it is what the signature says.
 func (k *Keys) Seal(p *Pin) string {
 	b := append([]byte{form}, k.list[0].name[:]...)
--- a/internal/gatherer/query/query.go
+++ b/internal/gatherer/query/query.go
@@ -1,5 +1,5 @@
 // Package query is the typed tree of the query language that searches are asked in: what is known of it, within stated
-// limits. It parses the JSON form and the short form of a q parameter, and words a tree in one canonical way, so that
+// limits. It parses the JSON form and the short form of a q parameter, and formats a tree in one canonical way, so that
 // two texts that mean the same are worded the same. It answers no query.
 package query
 
@@ -24,7 +24,7 @@
 
 // Query is one node of the tree. The zero Boost stands for 1.
 type Query interface {
-	// append words the node as JSON.
+	// append formats the node as JSON.
 	append(b []byte) []byte
 }
 
@@ -105,10 +105,10 @@
 	}
 )
 
-// JSON words a query canonically.
+// JSON formats a query canonically.
 func JSON(q Query) []byte { return q.append(nil) }
 
-// object words {"kind":{...}}, with members in the order given; those of empty value are left out.
+// object formats {"kind":{...}}, with members in the order given; those of empty value are left out.
 func object(b []byte, kind string, boost float64, members ...string) []byte {
 	b = append(append(append(b, `{"`...), kind...), `":{`...)
 	b = appendMembers(b, boost, members...)
@@ -136,7 +136,7 @@
 	return b
 }
 
-// fielded words {"kind":{"field":{...}}}.
+// fielded formats {"kind":{"field":{...}}}.
 func fielded(b []byte, kind, field string, boost float64, members ...string) []byte {
 	b = append(append(append(b, `{"`...), kind...), `":{`...)
 	b = append(appendString(b, field), `:{`...)
@@ -224,7 +224,7 @@
 		"must_not", nodes(q.MustNot, true), "minimum_should_match", quote(q.MinShould))
 }
 
-// nodes words a list of queries; those whose order does not show in a score stand in one order.
+// nodes formats a list of queries; those whose order does not show in a score stand in one order.
 func nodes(list []Query, sorted bool) string {
 	if len(list) == 0 {
 		return ""
--- a/internal/gatherer/query/short.go
+++ b/internal/gatherer/query/short.go
@@ -301,7 +301,7 @@
 	return Value(appendString(nil, text))
 }
 
-// isNumber says whether a text is a number as JSON words it.
+// isNumber says whether a text is a number as JSON has it.
 func isNumber(s string) bool {
 	digits := strings.TrimPrefix(s, "-")
 	whole, part, dot := strings.Cut(digits, ".")
--- a/internal/gatherer/record/record.go
+++ b/internal/gatherer/record/record.go
@@ -163,7 +163,7 @@
 	defer close(w.done)
 	var out *file
 	var told uint64
-	var words Encoder
+	var encoder Encoder
 	failing := false
 	timer := time.NewTimer(flushEvery)
 	defer timer.Stop()
@@ -189,7 +189,7 @@
 			out = &file{f: f, b: bufio.NewWriterSize(f, 64<<10)}
 			w.prune()
 		}
-		n, err := words.Append(out.b, &e)
+		n, err := encoder.Append(out.b, &e)
 		if out.size += int64(n); err != nil {
 			w.dropped.Add(1)
 			fail(err)
@@ -262,7 +262,7 @@
 	return names, nil
 }
 
-// Encoder words entries, each in the memory of the one before. The zero Encoder is ready.
+// Encoder formats entries, each in the memory of the one before. The zero Encoder is ready.
 type Encoder struct {
 	b   bytes.Buffer
 	enc *msgpack.Encoder
@@ -277,7 +277,7 @@
 	x.b.Reset()
 	x.b.Write(make([]byte, 8))
 	if err := x.enc.Encode(e); err != nil {
-		return 0, fmt.Errorf("word an entry: %w", err)
+		return 0, fmt.Errorf("format an entry: %w", err)
 	}
 	b := x.b.Bytes()
 	text := b[8:]
--- a/internal/gatherer/search/search.go
+++ b/internal/gatherer/search/search.go
@@ -44,7 +44,7 @@
 	Absent []int
 	// Every says that more is asked of each range than the page, so that only one without a lot may be left out.
 	Every bool
-	// Extra is the host's own, for wording questions and reading answers.
+	// Extra is the host's own, for formatting questions and reading answers.
 	Extra any
 }
 
--- a/internal/gatherer/standin/frames.go
+++ b/internal/gatherer/standin/frames.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// Frame words a frame.
+// Frame formats a frame.
 func Frame(letter byte, rest string) []byte {
 	b := binary.LittleEndian.AppendUint32(nil, uint32(1+len(rest)))
 	return append(append(b, letter), rest...)
--- a/internal/gatherer/standin/lots/rank.go
+++ b/internal/gatherer/standin/lots/rank.go
@@ -335,7 +335,7 @@
 	return string(append(out, `,"status":200}`...))
 }
 
-// append words a hit.
+// append formats a hit.
 func (x *scored) append(out []byte, question gjson.Result, plain bool) []byte {
 	out = fmt.Appendf(out, `{"_index":"lots","_id":%q`, x.lot.ID)
 	if question.Get("version").Bool() {
--- a/internal/gatherer/standin/standin.go
+++ b/internal/gatherer/standin/standin.go
@@ -27,7 +27,7 @@
 type Script struct {
 	// Fetch is how many shards a second step goes to; a part of it for any other ends as Fault.
 	Fetch int
-	// Scores words an answer's score by shard; nil for Score's.
+	// Scores gives an answer's score by shard; nil for Score's.
 	Scores func(shard int) string
 
 	mu       sync.Mutex
