query.Members walks an object for queries and aggregations alike

Cause: the parsers of queries and of aggregations each had the same walk over an object's members with the check for names that stand twice, three times in all. Change: query.Members; errors and their places are the same.

--- a/internal/gatherer/aggs/parse.go
+++ b/internal/gatherer/aggs/parse.go
@@ -31,21 +31,15 @@
 	if !v.IsObject() {
 		return nil, p.at(v, "aggregations are not an object")
 	}
-	seen := map[string]bool{}
-	v.ForEach(func(k, x gjson.Result) bool {
-		switch {
-		case k.Str == "" || len(k.Str) > 128 || strings.ContainsAny(k.Str, "[]>\x00") || strings.Contains(k.Str, "::"):
-			e = p.at(k, "not a name of an aggregation: [%.40s]", k.Str)
-		case seen[k.Str]:
-			e = p.at(k, "[%.60s] stands twice", k.Str)
-		default:
-			var n *Node
-			if n, e = p.node(k, x, depth); e == nil {
-				list = append(list, n)
-			}
+	e = query.Members(p.text, v, func(k, x gjson.Result) *query.Error {
+		if k.Str == "" || len(k.Str) > 128 || strings.ContainsAny(k.Str, "[]>\x00") || strings.Contains(k.Str, "::") {
+			return p.at(k, "not a name of an aggregation: [%.40s]", k.Str)
 		}
-		seen[k.Str] = true
-		return e == nil
+		n, e := p.node(k, x, depth)
+		if e == nil {
+			list = append(list, n)
+		}
+		return e
 	})
 	return list, e
 }
@@ -106,12 +100,9 @@
 
 // members reads an object; field and missing are known where an aggregation is of a field.
 func (p *parser) members(n *Node, v gjson.Result, ofField bool, known map[string]member) (e *query.Error) {
-	seen := map[string]bool{}
-	v.ForEach(func(k, x gjson.Result) bool {
+	e = query.Members(p.text, v, func(k, x gjson.Result) (e *query.Error) {
 		read := known[k.Str]
 		switch {
-		case seen[k.Str]:
-			e = p.at(k, "[%.60s] stands twice", k.Str)
 		case read != nil:
 			e = read(x)
 		case ofField && k.Str == "field":
@@ -125,8 +116,7 @@
 		default:
 			e = p.at(k, "not supported here: [%.60s] in [%s]", k.Str, n.Kind)
 		}
-		seen[k.Str] = true
-		return e == nil
+		return e
 	})
 	if e == nil && ofField && n.Field == "" {
 		e = p.at(v, "[%s] lacks [field]", n.Kind)
--- a/internal/gatherer/query/members.go
+++ b/internal/gatherer/query/members.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"cmp"
 	"math"
 	"strings"
 
@@ -25,34 +26,48 @@
 	return key, value, nil
 }
 
+// Members calls read for each member of an object of text, in order, up to the first error. A name that stands twice is
+// one. v must come from a walk over text, so that its place is known.
+func Members(text string, v gjson.Result, read func(key, value gjson.Result) *Error) (e *Error) {
+	seen := map[string]bool{}
+	v.ForEach(func(key, value gjson.Result) bool {
+		if seen[key.Str] {
+			e = At(text, key.Index, "[%.60s] stands twice", key.Str)
+		} else {
+			e = read(key, value)
+		}
+		seen[key.Str] = true
+		return e == nil
+	})
+	return e
+}
+
 // member reads one member of an object.
 type member func(v gjson.Result) *Error
 
 // members reads an object by its members; those not named are refused, and boost is known everywhere.
-func (p *parser) members(v gjson.Result, boost *float64, known map[string]member) (e *Error) {
-	seen := map[string]bool{}
-	v.ForEach(func(k, x gjson.Result) bool {
+func (p *parser) members(v gjson.Result, boost *float64, known map[string]member) *Error {
+	return Members(p.text, v, func(k, x gjson.Result) *Error {
 		read := known[k.Str]
 		switch {
-		case seen[k.Str]:
-			e = p.at(k, "[%.60s] stands twice", k.Str)
 		case read != nil:
-			e = read(x)
+			return read(x)
 		case k.Str == "boost" && boost != nil:
-			if *boost = x.Num; x.Type != gjson.Number || !boosted(x.Num) {
-				e = p.at(x, "[boost] is not a number from 0 on")
-			}
-			if *boost == 0 {
-				*boost = math.SmallestNonzeroFloat64 // 0 stands for none
-			}
+			return p.boost(boost, x)
 		case k.Str == "_name":
-		default:
-			e = p.at(k, "not supported here: [%.60s]", k.Str)
+			return nil
 		}
-		seen[k.Str] = true
-		return e == nil
+		return p.at(k, "not supported here: [%.60s]", k.Str)
 	})
-	return e
+}
+
+// boost reads a query's boost. As the zero of its field stands for none, a boost of 0 is the least number above that.
+func (p *parser) boost(to *float64, v gjson.Result) *Error {
+	if v.Type != gjson.Number || !boosted(v.Num) {
+		return p.at(v, "[boost] is not a number from 0 on")
+	}
+	*to = cmp.Or(v.Num, math.SmallestNonzeroFloat64)
+	return nil
 }
 
 func (p *parser) str(to *string, most int) member {
