--- a/internal/gatherer/net/opensearch/exchange.go
+++ b/internal/gatherer/net/opensearch/exchange.go
@@ -25,17 +25,9 @@
 	gone []*gather.Attempt  // cancelled ones, to be reported when the exchange has ended
 }
 
-// run carries one call.
+// run carries one call, from taking a connection to giving it back.
 func (t *Stores) run(ctx context.Context, id decision.ServerID, x *exchange, attempts []*gather.Attempt) {
-	defer func() {
-		x.stop()
-		t.mu.Lock()
-		gone := x.gone
-		t.mu.Unlock()
-		for _, a := range gone {
-			t.report.Outcome(a, decision.Cancelled, "")
-		}
-	}()
+	defer t.finish(x)
 	c, open, ok := t.take(id)
 	if !ok {
 		t.endAll(attempts, decision.ConnectFailed)
@@ -48,13 +40,37 @@
 			return
 		}
 	}
-	// Looked at again, as the connection took time: a keyed part past its window, a part past its time and
-	// a server that drains by now.
 	now := time.Now()
+	live := t.writable(id, x, attempts, now)
+	if len(live) == 0 {
+		return
+	}
+	unwatch := context.AfterFunc(ctx, c.Aborter())
+	defer func() {
+		if !unwatch() { // nobody waits any more, and the connection was closed for that
+			c.Close()
+		}
+	}()
+	t.carry(ctx, id, c, live, now)
+}
+
+// finish ends an exchange, and reports the attempts that were cancelled while it ran.
+func (t *Stores) finish(x *exchange) {
+	x.stop()
+	t.mu.Lock()
+	gone := x.gone
+	t.mu.Unlock()
+	for _, a := range gone {
+		t.report.Outcome(a, decision.Cancelled, "")
+	}
+}
+
+// writable returns the attempts that may still be written once the connection is open, which took time. A keyed part past
+// its window, a part past its time, and any part for a server that drains by now end as never sent.
+func (t *Stores) writable(id decision.ServerID, x *exchange, attempts []*gather.Attempt, now time.Time) (live []*gather.Attempt) {
 	t.mu.Lock()
 	s := t.servers[id]
 	ready := s != nil && s.State == decision.Ready
-	var live []*gather.Attempt
 	var stale []*gather.Attempt
 	for _, a := range attempts {
 		switch {
@@ -67,15 +83,11 @@
 	}
 	t.mu.Unlock()
 	t.endAll(stale, decision.Moot)
-	if len(live) == 0 {
-		return
-	}
-	unwatch := context.AfterFunc(ctx, c.Aborter())
-	defer func() {
-		if !unwatch() { // nobody waits any more, and the connection was closed for that
-			c.Close()
-		}
-	}()
+	return live
+}
+
+// carry writes a call, reads its answer and reports how each attempt ended.
+func (t *Stores) carry(ctx context.Context, id decision.ServerID, c *http1.Client, live []*gather.Attempt, now time.Time) {
 	target, body := t.request(live, now)
 	head := textproto.MIMEHeader{"Content-Type": {"application/x-ndjson"}}
 	if err := c.Write(gather.WriteBy(now, t.WriteFor, live), "POST", target, head, body); err != nil {
@@ -105,27 +117,29 @@
 		return
 	}
 	for i, a := range live {
-		status, value := items[i].status, items[i].value
-		if e := items[i].whole; a.Ask != nil && e.Get("status").Int() == 400 {
-			if t.ended(a) {
-				t.report.Unanswerable(a, e.Get("error.reason").String())
-			}
-			continue
-		}
-		if a.Ask != nil && status == decision.OK {
-			found, why := parseFound(items[i].whole, a.Ask)
-			if why != "" {
-				t.Log.Warn("answer not believed", "store", id, "reason", why)
-				t.end(a, decision.Error, "")
-				continue
-			}
-			t.found(a, found)
-			continue
+		t.deliver(id, a, items[i])
+	}
+}
+
+// deliver reports what came of one attempt.
+func (t *Stores) deliver(id decision.ServerID, a *gather.Attempt, came item) {
+	switch {
+	case a.Ask != nil && came.whole.Get("status").Int() == 400:
+		if t.ended(a) {
+			t.report.Unanswerable(a, came.whole.Get("error.reason").String())
 		}
-		if items[i].conflict && a.Number > 0 {
-			status = decision.OK // the document is there: an earlier attempt ran
+	case a.Ask != nil && came.status == decision.OK:
+		found, why := parseFound(came.whole, a.Ask)
+		if why != "" {
+			t.Log.Warn("answer not believed", "store", id, "reason", why)
+			t.end(a, decision.Error, "")
+			return
 		}
-		t.end(a, status, value)
+		t.found(a, found)
+	case came.conflict && a.Number > 0: // the document is there: an earlier attempt ran
+		t.end(a, decision.OK, came.value)
+	default:
+		t.end(a, came.status, came.value)
 	}
 }
 
