--- a/internal/gatherer/net/frames/frames_test.go
+++ b/internal/gatherer/net/frames/frames_test.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -16,7 +14,6 @@
 	"pulleygw.example/pulleygw/internal/gatherer/gather"
 	"pulleygw.example/pulleygw/internal/gatherer/mem"
 	"pulleygw.example/pulleygw/internal/gatherer/proptest"
-	"pulleygw.example/pulleygw/internal/gatherer/search"
 	"pulleygw.example/pulleygw/internal/gatherer/standin"
 )
 
@@ -105,47 +102,6 @@
 	proptest.CheckParser(t, false, func(b []byte) error { _, err := parseEnd(b); return err }, "9b1f03aa5c7e2d41.3.load hit 1840277719 inflight=7\nvalue")
 }
 
-// reports collects what the transport tells.
-type reports struct{ ch chan report }
-
-type report struct {
-	a     *gather.Attempt
-	s     decision.Status
-	value string
-}
-
-func (r reports) Outcome(a *gather.Attempt, s decision.Status, v string) { r.ch <- report{a, s, v} }
-func (r reports) Scored(a *gather.Attempt, v string, _ float64)          { r.ch <- report{a, decision.OK, v} }
-func (r reports) Found(*gather.Attempt, *search.Answer)                  {}
-func (r reports) Unanswerable(*gather.Attempt, string)                   {}
-func (r reports) Probed(_ decision.ServerID, ok bool) {
-	r.ch <- report{s: map[bool]decision.Status{true: decision.OK, false: decision.Error}[ok]}
-}
-
-func transport(addr string, idle time.Duration) (*Transport, reports) {
-	tr := New(Config{Streams: 16, ConnectTimeout: 250 * time.Millisecond, ConnIdle: idle, WriteFor: time.Second, MaxConns: 10, Log: slog.New(slog.DiscardHandler)})
-	r := reports{make(chan report, 100)}
-	tr.Start(r)
-	tr.Servers([]mem.Server{{ID: 1, Addr: addr, State: decision.Ready}})
-	return tr, r
-}
-
-func attempts(n int) (list []*gather.Attempt) {
-	for i := range n {
-		list = append(list, &gather.Attempt{Query: "q", Shard: i, Server: 1, Until: time.Now().Add(time.Minute)})
-	}
-	return list
-}
-
-func (r reports) want(t *testing.T, n int, s decision.Status) {
-	t.Helper()
-	for range n {
-		if got := <-r.ch; got.s != s {
-			t.Errorf("shard %d: status %v, want %v", got.a.Shard, got.s, s)
-		}
-	}
-}
-
 // What breaks before its frame's last byte never ran; what breaks after that may have, all parts of it.
 func TestBroken(t *testing.T) {
 	l := standin.Listen(t)
@@ -246,16 +202,6 @@
 	}
 }
 
-// parked puts in a connection that nobody writes to, so that what is called stays queued.
-func parked(tr *Transport, nc net.Conn) *conn {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	c := &conn{t: tr, s: tr.servers[1], addr: tr.servers[1].Addr, nc: nc, up: true, out: map[string]*entry{}, wake: make(chan struct{}, 1)}
-	c.ctx, c.end = context.WithCancel(context.Background())
-	c.s.pool.Add(c)
-	return c
-}
-
 // Nothing queued may go to a server since told draining or gone: the rule allows 250 ms after that.
 func TestDrainDropsQueue(t *testing.T) {
 	for _, state := range []decision.ServerState{decision.Draining, decision.Gone} {
