--- a/internal/gatherer/aggs/part.go
+++ b/internal/gatherer/aggs/part.go
@@ -13,7 +13,6 @@
 	count    int64
 	sum      float64
 	min, max float64 // NaN for none
-	value    float64 // of a cardinality
 	buckets  []bucket
 	other    int64     // lots in buckets that were cut off
 	dist     []float64 // values at each hundredth, of percentiles
--- a/internal/gatherer/limits/check.go
+++ b/internal/gatherer/limits/check.go
@@ -35,10 +35,7 @@
 // Check says how limits break the rules of the class that they are for; none is let through.
 func (l Limits) Check(c Class) (list []Breach) {
 	add := func(field, rule string) { list = append(list, Breach{field, rule}) }
-	attempts, wanted, giveUp := l.Attempts, l.Wanted, l.GiveUp
-	if attempts == 0 {
-		attempts = c.Attempts
-	}
+	wanted, giveUp := l.Wanted, l.GiveUp
 	if wanted == 0 {
 		wanted = c.Wanted
 	}
--- a/internal/gatherer/net/opensearch/points.go
+++ b/internal/gatherer/net/opensearch/points.go
@@ -38,10 +38,9 @@
 		return keepDefault, nil
 	}
 	if n, ok := strings.CutSuffix(s, "h"); ok {
-		s = n + "m"
 		hours, err := strconv.Atoi(n)
 		if err != nil || hours < 1 || hours > int(keepMost/time.Hour) {
-			return 0, illegal("[keep_alive] is not a time of at most %v: [%.40s]", keepMost, n+"h")
+			return 0, illegal("[keep_alive] is not a time of at most %v: [%.40s]", keepMost, s)
 		}
 		return time.Duration(hours) * time.Hour, nil
 	}
