A coordinator that comes back from a long cut brings no store back

When a source failed, a follower had all sources tell the last seconds again, the one that failed included: after a cut of over a minute, in which the mark of a gone store is forgotten, the others took the store from the coordinator that came back, as ready for 0.2 s and then as silent, for ten minutes (TestLongCutBringsNoStoreBack failed). Only sources that answer are rewound now, and a rewind that a source did not answer is taken back.

--- a/internal/tier/coordinator/cutoff_test.go
+++ b/internal/tier/coordinator/cutoff_test.go
@@ -103,3 +103,43 @@
 		assert.Equal(t, post("core-1"), http.StatusConflict)
 	})
 }
+
+// What has been gone for longer than it is remembered does not come back from coordinators that were cut off meanwhile.
+func TestLongCutBringsNoStoreBack(t *testing.T) {
+	for _, size := range []struct{ coordinators, apart int }{{3, 1}, {5, 2}} {
+		inCluster(t, size.coordinators, size.apart, func(c *cluster) {
+			c.pass(2 * time.Second)
+			apart, others := five[:size.apart], five[size.apart:size.coordinators]
+			assert.Equal(t, c.at("core-1").configured(0, configurationOf(1, "a")), http.StatusOK)
+			assert.Equal(t, c.at("core-1").beat("ready", 1), http.StatusOK)
+			c.pass(100 * time.Millisecond)
+			setCut := func(cut bool) {
+				for _, from := range apart {
+					for _, to := range others {
+						c.setCut(from, to, cut)
+						c.setCut(to, from, cut)
+					}
+				}
+			}
+			setCut(true)
+			there := c.at(others[0])
+			assert.Equal(t, there.beat("draining", 2), http.StatusOK)
+			status, _ := there.send(http.MethodDelete, "/v1/instances/i-1", "", "")
+			assert.Equal(t, status, http.StatusOK)
+			c.pass(2 * time.Minute)
+			other := `{"backend":"s","address":"10.9.0.2:80","zone":"z","slots":4,"state":"ready","sequence":1}`
+			status, _ = there.send(http.MethodPut, "/v1/instances/i-2", "", other) // old marks are dropped with it
+			assert.Equal(t, status, http.StatusOK)
+			setCut(false)
+			for range 400 {
+				c.pass(50 * time.Millisecond)
+				for _, name := range others {
+					assert.Assert(t, c.at(name).state.Instance("i-1") == nil, name)
+				}
+			}
+			for _, name := range apart {
+				assert.Equal(t, c.at(name).state.Instance("i-1").State, silent, name)
+			}
+		})
+	}
+}
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -293,6 +293,7 @@
 	s := f.sources[address]
 	was := s.answers
 	s.followed, s.answers = false, false
+	s.place.unwind()
 	s.failures++
 	avoid := min(avoidFirst<<min(s.failures-1, 4), avoidMost)
 	s.avoidUntil = time.Now().Add(jittered(avoid))
--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -17,6 +17,7 @@
 	middle   uint64 // cursor at middleAt
 	older    uint64 // cursor at least rewindTime before middleAt
 	middleAt time.Time
+	rewound  uint64 // cursor before it was rewound, until the source has answered; 0 where it was not
 }
 
 // advance notes a reply that was taken in.
@@ -24,7 +25,7 @@
 	if p.feed != reply.Feed {
 		*p = place{feed: reply.Feed}
 	}
-	p.cursor, p.begins, p.whole = reply.Cursor, reply.More, false
+	p.cursor, p.begins, p.whole, p.rewound = reply.Cursor, reply.More, false, 0
 	if now.Sub(p.middleAt) >= rewindTime {
 		p.older, p.middle, p.middleAt = p.middle, p.cursor, now
 	}
@@ -168,9 +169,16 @@
 	return time.Since(f.readyAt) > staleAfter
 }
 
-// rewind has the sources tell again what came lately: they left out what the source that failed seemed to tell.
+// rewind has the sources that answer tell again what came lately: they left out what the source that failed seemed to
+// tell. That one goes on where it was: after a long cut, what it told before may have been forgotten by all others.
 func (f *Follower) rewind() {
 	for _, s := range f.sources {
-		s.place.cursor = min(s.place.cursor, s.place.older)
+		if s.answers && s.place.older < s.place.cursor {
+			s.place.rewound = max(s.place.rewound, s.place.cursor)
+			s.place.cursor = s.place.older
+		}
 	}
 }
+
+// unwind takes a rewind back that the source has not answered.
+func (p *place) unwind() { p.cursor, p.rewound = max(p.cursor, p.rewound), 0 }
