--- a/internal/tier/coordinator/trouble_test.go
+++ b/internal/tier/coordinator/trouble_test.go
@@ -32,7 +32,7 @@
 
 var directions = []direction{{"both", true, true}, {"not_heard", true, false}, {"hears_nothing", false, true}}
 
-// troubleRun is a run in which two operators race, stores drain, agents start anew and machines are emptied while
+// troubleRun is a run in which two operators race, stores drain, agents start anew, machines are emptied and one of the coordinators cut off starts anew while
 // coordinators are cut off, with what came of it.
 type troubleRun struct {
 	*cluster
@@ -231,7 +231,9 @@
 		assert.Equal(t, r.at(name).readiness(), http.StatusServiceUnavailable, name)
 	}
 	r.running.Go(func() { r.retire("store-2") })
-	r.steps(cutTime-5*time.Second, stores)
+	r.steps(3*time.Second, stores)
+	r.restart(r.apart[len(r.apart)-1])
+	r.steps(cutTime-8*time.Second, stores)
 	underCut := len(r.orders) - before
 	r.mu.Lock()
 	r.ended = true
@@ -247,6 +249,12 @@
 	r.checkEnd(underCut)
 }
 
+// restart ends the process of a coordinator and starts it anew at once.
+func (r *troubleRun) restart(name string) {
+	r.kill(name)
+	r.start(name, false)
+}
+
 // stop ends the operators and the stores.
 func (r *troubleRun) stop() {
 	r.stopOnce.Do(func() { close(r.stopped) })
