--- a/internal/tier/coordinator/random_test.go
+++ b/internal/tier/coordinator/random_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"pulleygw.example/pulleygw/internal/tier/register"
+	"pulleygw.example/pulleygw/internal/tier/simulation"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -25,6 +26,8 @@
 	dayTime     = 20 * time.Second
 	troubleGap  = 700 * time.Millisecond
 	recoverTime = 8 * time.Second
+	syncStep    = 20 * time.Millisecond
+	callStep    = 10 * time.Millisecond
 )
 
 // drawnOrder is an order that operators send, perhaps several of them, and again.
@@ -75,6 +78,7 @@
 }
 
 func (d *day) play(seed uint64) {
+	d.slowDown(seed)
 	until := time.Now().Add(dayTime)
 	var operators sync.WaitGroup
 	for i := range 4 {
@@ -96,6 +100,14 @@
 	d.judgeAll()
 }
 
+// slowDown gives the disks and the links of a day some of four and three speeds.
+func (d *day) slowDown(seed uint64) {
+	for _, m := range d.machines {
+		m.hardware.Disk.SetTrouble(simulation.Trouble{Delay: time.Duration(seed%4) * syncStep})
+	}
+	d.delay.Store(int64(callDelay + time.Duration(seed%3)*callStep))
+}
+
 // operate sends one order: a new one on top of the newest version that is known, or one that somebody sent before.
 func (d *day) operate(random *rand.Rand) {
 	d.mu.Lock()
