--- a/internal/tier/proxy/disorder_test.go
+++ b/internal/tier/proxy/disorder_test.go
@@ -37,6 +37,7 @@
 	arrivals map[string]int
 	runs     map[string]int
 	answers  map[string]givenAnswer // by stamp
+	partial  []string               // requests of which clients sent a part
 	faults   []string
 }
 
@@ -61,6 +62,12 @@
 	return stamp
 }
 
+func (l *ledger) brokenOff(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.partial = append(l.partial, id)
+}
+
 func (l *ledger) fault(format string, values ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,9 +160,35 @@
 	return got
 }
 
+// breakOff sends a part of a request on a connection of its own, with its body by length or in chunks, and ends that in an
+// orderly way or not. It does nothing for a request without a body.
+func (c *disorderClient) breakOff(path, id string) bool {
+	body := requestBody(id)
+	if body == "" {
+		return false
+	}
+	connection, err := net.Dial("tcp4", c.bench.addr)
+	if err != nil {
+		return false
+	}
+	defer connection.Close()
+	framing := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	if hashOf(id)%2 == 0 {
+		framing = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	whole := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\n%s", path, id, framing)
+	_, _ = io.WriteString(connection, whole[:1+int(hashOf(id+"cut")%uint64(len(whole)-1))])
+	if hashOf(id)%3 == 0 {
+		_ = connection.(*net.TCPConn).SetLinger(0)
+	}
+	c.ledger.brokenOff(id)
+	return true
+}
+
 // Stores treat requests in any way that a small grammar makes: they answer early, late, twice, in part, as others or not at
 // all, and end connections in an orderly way or not. Each client gets a store's own answer whole, or a failure that looks
-// like one; nothing runs twice that may not, nor after a promise; stores get nothing but whole requests and beginnings.
+// like one; nothing runs twice that may not, nor after a promise; stores get nothing but whole requests and beginnings, and
+// nothing of a request that its client broke off.
 func TestStoresInDisorder(t *testing.T) {
 	seeds := 8
 	if testing.Short() {
@@ -189,6 +222,9 @@
 				id := fmt.Sprintf("%d.%d.%d", seed, number, i)
 				path := []string{"/n/x", "/i/x", "/s/x", "/r/x", "/t/x"}[hashOf(id+"path")%5]
 				protocol := []string{"HTTP/1.1", "HTTP/1.1", "HTTP/1.0"}[hashOf(id+"protocol")%3]
+				if hashOf(id+"breaks off")%10 == 0 && client.breakOff(path, id) {
+					continue
+				}
 				got := client.send(path, id, protocol)
 				kind := book.judge(path, id, got)
 				if kind == "promise" && path != "/i/x" && path != "/r/x" {
@@ -220,6 +256,9 @@
 	for _, fault := range l.faults {
 		t.Errorf("seed %d: %s", seed, fault)
 	}
+	for _, id := range l.partial {
+		assert.Check(t, l.arrivals[id] == 0, "seed %d: a store got the broken off %s", seed, id)
+	}
 	for id, runs := range l.runs {
 		most := 1
 		if path := hashOf(id+"path") % 5; path == 1 || path == 3 {
