--- a/internal/tier/turnstore/losses_test.go
+++ b/internal/tier/turnstore/losses_test.go
@@ -40,7 +40,6 @@
 			return
 		}
 	}
-	w.clients.Wait()
 	for _, m := range w.machines {
 		m.slow.Store(false)
 	}
@@ -51,6 +50,7 @@
 		w.lost[m] = time.Time{}
 	}
 	w.waitFor(func() bool { return len(w.lost) == 0 && len(w.control.Stores.Previous) == 0 })
+	w.clients.Wait()
 	for _, retirement := range w.control.Retirements {
 		assert.Check(t, retirement.Completed, "%s", retirement.Node)
 	}
