--- a/internal/tier/coordinator/fence_test.go
+++ b/internal/tier/coordinator/fence_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// sleeps says whether the point has been reached.
+func (s *sleeper) sleeps() bool {
+	select {
+	case <-s.asleep:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *sleeper) thaw() {
 	s.cluster.isolate(s.name, false)
 	close(s.wake)
