--- a/internal/tier/turnstore/cluster_test.go
+++ b/internal/tier/turnstore/cluster_test.go
@@ -154,6 +154,13 @@
 	}
 }
 
+// setCut makes a machine one that nobody reaches, or ends that.
+func (c *cluster) setCut(m *machine, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[m.address] = cut
+}
+
 func (c *cluster) wipe(m *machine) {
 	c.kill(m)
 	m.disk = newMemoryDisk()
--- a/internal/tier/turnstore/losses_test.go
+++ b/internal/tier/turnstore/losses_test.go
@@ -207,12 +207,6 @@
 	w.cluster.mu.Unlock()
 }
 
-func (w *world) setCut(m *machine, cut bool) {
-	w.cluster.mu.Lock()
-	defer w.cluster.mu.Unlock()
-	w.cut[m.address] = cut
-}
-
 func (w *world) comeBack(m *machine) {
 	w.setCut(m, false)
 	if m.store == nil {
--- a/internal/tier/turnstore/schedule_test.go
+++ b/internal/tier/turnstore/schedule_test.go
@@ -213,12 +213,6 @@
 	}
 }
 
-func (s *schedule) setCut(m *machine, cut bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cut[m.address] = cut
-}
-
 // restore brings the lost machine back. One with another identity is taken in by a change of members.
 func (s *schedule) restore() {
 	if s.lost == nil {
--- a/internal/tier/turnstore/store_test.go
+++ b/internal/tier/turnstore/store_test.go
@@ -37,7 +37,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	_, err := c.turns().Chain(ctx, "nobody")
 	assert.ErrorIs(t, err, turns.ErrNotFound)
-	c.cut["10.0.0.1:1"], c.cut["10.0.0.2:1"] = true, true
+	c.setCut(c.machines["10.0.0.1:1"], true)
+	c.setCut(c.machines["10.0.0.2:1"], true)
 	cancel()
 	_, err = c.turns().Chain(ctx, "nobody")
 	assert.ErrorIs(t, err, turns.ErrUncertain)
