An extension that comes again is acknowledged when it is synced

Cause: a store that held a record for as long already acknowledged the extension at once, also while the batch with the first one was not on the disk. Change: a record knows the batch of the time until which it is kept, and a repeated extension waits for it. Figures: TestRepeatedExtensionWaitsForTheSync failed before; TestClockThatIsAheadByTheSlackKeepsRecords shows the slack, and held before.

--- a/internal/tier/turnstore/extend_test.go
+++ b/internal/tier/turnstore/extend_test.go
@@ -76,3 +76,39 @@
 	}
 	assert.Assert(t, copies >= 2, "%d copies", copies)
 }
+
+// An extension that comes again is acknowledged when the first is synced, not before.
+func TestRepeatedExtensionWaitsForTheSync(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, "a", "b", "c")
+		defer c.close()
+		m := c.machines["10.0.0.1:1"]
+		assert.Equal(t, put(c, m, c.record("turn", "")), tierpb.StoreStatus_STORE_OK)
+		m.disk.syncing = func() time.Duration { return 100 * time.Millisecond }
+		until := c.clock.time().Add(time.Hour).UnixMilli()
+		extend := func() {
+			header := &tierpb.StoreHeader{Identity: m.store.Identity(), Epoch: c.known().Epoch}
+			extensions := []*tierpb.Extension{{Id: "turn", UntilUnixMs: until}}
+			_, err := m.store.PutTurns(context.Background(), &tierpb.PutTurnsRequest{Header: header, Extensions: extensions})
+			assert.NilError(t, err)
+		}
+		go extend()
+		time.Sleep(50 * time.Millisecond)
+		extend()
+		assert.Equal(t, held(m.disk).records["turn"].until, until)
+	})
+}
+
+// The clock of a store may be ahead by the slack: a record is still kept for all of its retention.
+func TestClockThatIsAheadByTheSlackKeepsRecords(t *testing.T) {
+	c := newCluster(t, 1, "a", "b", "c")
+	m := c.machines["10.0.0.1:1"]
+	record := c.record("turn", "")
+	assert.Equal(t, put(c, m, record), tierpb.StoreStatus_STORE_OK)
+	retention := time.Duration(record.RetentionMs) * time.Millisecond
+	slack := retention/slackShare + recordSlack
+	m.store.view.expire(c.clock.time().Add(retention + slack))
+	assert.Equal(t, m.store.Records(), 1)
+	m.store.view.expire(c.clock.time().Add(retention + slack + time.Millisecond))
+	assert.Equal(t, m.store.Records(), 0)
+}
--- a/internal/tier/turnstore/view.go
+++ b/internal/tier/turnstore/view.go
@@ -23,6 +23,7 @@
 	turn  *tierpb.TurnRecord
 	until int64  // Unix milliseconds until which it is kept
 	batch *batch // that made it durable or will; nil for what was read from disk
+	kept  *batch // likewise for the time until which it is kept
 }
 
 // program is a program's budget that is held.
@@ -55,20 +56,21 @@
 // addRecord takes in a record that is not held yet, and keeps its chain as long.
 func (v *view) addRecord(turn *tierpb.TurnRecord, in *batch) {
 	until := keptUntil(turn)
-	v.records[turn.Id] = &record{turn: turn, until: until, batch: in}
+	v.records[turn.Id] = &record{turn: turn, until: until, batch: in, kept: in}
 	v.bytes += recordBytes(turn)
-	v.extend(turn.Previous, until)
+	v.extend(turn.Previous, until, in)
 }
 
-// extend keeps a record and those before it until a time at least; it says whether that changed the first.
-func (v *view) extend(id string, until int64) bool {
+// extend keeps a record and those before it until a time at least, as a batch makes durable; it says whether that
+// changed the first.
+func (v *view) extend(id string, until int64, in *batch) bool {
 	changed := false
 	for steps := 0; id != "" && steps < longestExtension; steps++ {
 		held := v.records[id]
 		if held == nil || held.until >= until {
 			break
 		}
-		held.until = until
+		held.until, held.kept = until, in
 		changed = changed || steps == 0
 		id = held.turn.Previous
 	}
@@ -94,7 +96,7 @@
 func (v *view) expire(now time.Time) {
 	at := now.UnixMilli()
 	for _, held := range v.records {
-		v.extend(held.turn.Previous, held.until) // turns may have come before those that they go on from
+		v.extend(held.turn.Previous, held.until, held.kept) // turns may have come before those that they go on from
 	}
 	for id, held := range v.records {
 		if held.until < at {
@@ -134,5 +136,5 @@
 func (v *view) takeBudget(from *tierpb.ProgramBudget) { v.addClaims(from) }
 
 func (v *view) takeExtension(extension *tierpb.Extension) {
-	v.extend(extension.Id, extension.UntilUnixMs)
+	v.extend(extension.Id, extension.UntilUnixMs, nil)
 }
--- a/internal/tier/turnstore/write.go
+++ b/internal/tier/turnstore/write.go
@@ -80,7 +80,11 @@
 	}
 	for _, extension := range asked.extensions {
 		held := s.view.records[extension.Id]
-		if held == nil && !brings(asked.records, extension.Id) || held != nil && held.until >= extension.UntilUnixMs {
+		if held != nil && held.until >= extension.UntilUnixMs {
+			waiting = addBatch(waiting, held.kept)
+			continue
+		}
+		if held == nil && !brings(asked.records, extension.Id) {
 			continue
 		}
 		if frames, err = appendFrame(frames, kindExtension, extension); err != nil {
@@ -103,7 +107,7 @@
 		}
 	}
 	for _, extension := range asked.extensions {
-		s.view.extend(extension.Id, extension.UntilUnixMs)
+		s.view.extend(extension.Id, extension.UntilUnixMs, in)
 	}
 }
 
