--- a/internal/tier/coordinator/random_placement_test.go
+++ b/internal/tier/coordinator/random_placement_test.go
@@ -145,12 +145,23 @@
 			s.away[name] = back
 		}
 	case 5, 6:
+		name = s.holderAmong(name)
 		points := []fault.Point{fault.PlacementDecided, fault.PrepareDone, fault.AcceptSending, fault.VotersJoint}
 		s.frozen[name] = s.freezeAt(name, points[s.random.IntN(len(points))])
 		s.away[name] = back.Add(sleepLonger)
 	}
 }
 
+// holderAmong is the machine that holds the lease where it is not in trouble, else another.
+func (s *placementSchedule) holderAmong(other string) string {
+	for _, name := range s.runningMachines() {
+		if _, found := s.away[name]; !found && s.at(name).lease.Held() {
+			return name
+		}
+	}
+	return other
+}
+
 // whole says that all voters of the newest value run and have it.
 func (s *placementSchedule) whole() bool {
 	var versions []uint64
