--- a/internal/tier/modelcheck/scenario.go
+++ b/internal/tier/modelcheck/scenario.go
@@ -75,6 +75,14 @@
 				{Kind: Put, Node: 1, From: 0, To: 1, After: 1},
 			},
 		},
+		{
+			Name: "standby", Nodes: 4, Voters: 3, Limits: limits,
+			Operations: []Operation{
+				{Kind: Replace, Node: 3, Out: 2, In: 3},
+				{Kind: Replace, Node: 3, Out: 2, In: 3, After: 1},
+				{Kind: Put, Node: 0, From: 0, To: 1, After: 2},
+			},
+		},
 		{
 			Name: "lease", Nodes: 3, Voters: 3, Limits: limits, Lease: true, Candidates: 2, Length: 6 * time.Second,
 		},
