A write or read does not go back to an older membership

Cause: replica.Collect took whatever membership it was told at the start of a round. The schedules' own clients were told an older one (a mistake of the test, in one of some 400 schedules), and a write was then acknowledged on previous members alone. A follower's state never goes back, so this is a second fence. Change: an operation keeps the newest membership that it has seen; the schedules' clients know none before the first.

--- a/internal/tier/replica/collect.go
+++ b/internal/tier/replica/collect.go
@@ -91,9 +91,12 @@
 	}
 }
 
-// place takes the newest membership and forgets what counted only under an older one.
+// place takes the newest membership and forgets what counted only under an older one. It never goes back.
 func (r *collection[R]) place() {
 	newest := r.client.Membership()
+	if newest.GetEpoch() < r.membership.GetEpoch() {
+		newest = r.membership
+	}
 	if r.membership != nil && differ(newest, r.membership) {
 		r.placed++
 		if r.operation.Fresh {
@@ -295,7 +298,7 @@
 
 // pause waits before the next round, unless a newer membership is known already.
 func (r *collection[R]) pause(ctx context.Context) error {
-	if differ(r.client.Membership(), r.membership) {
+	if newest := r.client.Membership(); newest.GetEpoch() >= r.membership.GetEpoch() && differ(newest, r.membership) {
 		return nil
 	}
 	select {
--- a/internal/tier/turnstore/traffic_test.go
+++ b/internal/tier/turnstore/traffic_test.go
@@ -43,7 +43,7 @@
 			return w.history[i].membership
 		}
 	}
-	return w.membership
+	return nil
 }
 
 // blame notes what a client found that must not be.
