--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -14,6 +14,8 @@
 	FreshJoin      = 1300 * time.Millisecond // a node whose last join is older than this does not count as running
 	firstQuiet     = 700 * time.Millisecond  // no new turn store for this long: the first members are complete
 	firstWait      = 1500 * time.Millisecond // after the first turn store: the first members are complete
+	fewWait        = 4 * time.Second         // the same, where those that came are too few to go on after as many losses
+	fewerWait      = 7 * time.Second         // the same, where as many losses would leave none of them
 	batchQuiet     = 300 * time.Millisecond  // no new joiner for this long: those that wait are taken in together
 	batchWait      = time.Second             // after the first of those that wait
 	voterDead      = 1200 * time.Millisecond // a voter silent for so long is replaced, where a standby is there
--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -40,10 +40,7 @@
 	present := current.Stores.Current
 	waiting := waitingStores(current, view)
 	if len(present) == 0 {
-		if len(waiting) >= view.least() && settled(waiting, view, firstQuiet, firstWait) {
-			return nodesOf(waiting), "first turn stores"
-		}
-		return nil, ""
+		return firstMembers(waiting, view)
 	}
 	if len(waiting) > 0 && settled(waiting, view, batchQuiet, batchWait) {
 		next, room := takeIn(present, waiting, view)
@@ -57,6 +54,28 @@
 	return abandon(present, view)
 }
 
+// firstMembers are the members to begin with. Fewer than bear the losses that are tolerated begin late, once no more
+// have come for long: a deployment that has no more is served all the same, by as many copies as it can have.
+func firstMembers(waiting []Join, view *View) ([]*tierpb.Node, string) {
+	switch {
+	case len(waiting) == 0:
+		return nil, ""
+	case len(waiting) >= view.least():
+		if settled(waiting, view, firstQuiet, firstWait) {
+			return nodesOf(waiting), "first turn stores"
+		}
+		return nil, ""
+	}
+	patience := fewWait
+	if len(waiting) <= view.Tolerance {
+		patience = fewerWait
+	}
+	if settled(waiting, view, patience, patience) {
+		return nodesOf(waiting), "first turn stores, too few to bear all losses that are tolerated"
+	}
+	return nil, ""
+}
+
 // waitingStores are the turn stores that run, are no members and are not to be emptied.
 func waitingStores(current *tierpb.ControlState, view *View) []Join {
 	var waiting []Join
--- a/internal/tier/placement/stores_test.go
+++ b/internal/tier/placement/stores_test.go
@@ -97,6 +97,30 @@
 	assert.DeepEqual(t, identities(s.state.Stores.Previous), previous)
 }
 
+// A deployment may have fewer turn stores than bear the losses that are tolerated: it waits for more, and then begins.
+func TestFewTurnStoresBeginLate(t *testing.T) {
+	for _, c := range []struct {
+		stores, tolerance int
+		begin             time.Duration
+	}{{3, 2, fewWait}, {4, 2, fewWait}, {2, 2, fewerWait}, {1, 1, fewerWait}, {2, 1, fewWait}} {
+		s := newScene()
+		s.view.Tolerance = c.tolerance
+		var numbers []int
+		for number := 1; number <= c.stores; number++ {
+			s.call(number, 0)
+			numbers = append(numbers, number)
+		}
+		s.lapse(c.begin-time.Millisecond, numbers...)
+		assert.Equal(t, s.step(), "", "%+v", c)
+		s.lapse(time.Millisecond, numbers...)
+		assert.Equal(t, s.step(), "first turn stores, too few to bear all losses that are tolerated", "%+v", c)
+		assert.Equal(t, len(s.state.Stores.Current), c.stores)
+		s.call(9, batchQuiet)
+		assert.Equal(t, s.step(), "turn stores joined", "one that comes later")
+		assert.Equal(t, len(s.state.Stores.Previous), c.stores, "what they hold moves")
+	}
+}
+
 func TestFirstMembersWaitForEachOther(t *testing.T) {
 	s := newScene()
 	s.call(1, 0)
