--- a/internal/tier/rpc/client.go
+++ b/internal/tier/rpc/client.go
@@ -13,7 +13,7 @@
 // Client calls peers by address. It keeps one connection to each, and one more for bulk transfers, and is safe for
 // concurrent use.
 type Client struct {
-	dial     func(ctx context.Context, address string) (net.Conn, error)
+	dial     DialFunc
 	now      func() time.Time
 	counters counters
 
@@ -34,10 +34,20 @@
 	Call(ctx context.Context, address string, method Method, request, reply Message) error
 }
 
+// DialFunc opens a connection to an address (ip:port).
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// defaultDial is how clients made by NewClient connect.
+var defaultDial DialFunc = dialTCP
+
+// UseDialer has clients made from now on connect by another function. Tests of whole processes lead connections through
+// a relay by it; it is called before any role runs.
+func UseDialer(dial DialFunc) { defaultDial = dial }
+
 // NewClient makes a client without connections.
-func NewClient() *Client { return newClient(dialTCP) }
+func NewClient() *Client { return newClient(defaultDial) }
 
-func newClient(dial func(context.Context, string) (net.Conn, error)) *Client {
+func newClient(dial DialFunc) *Client {
 	return &Client{dial: dial, now: time.Now, peers: make(map[lane]*peer)}
 }
 
--- /dev/null
+++ b/internal/tier/soak/operator.go
@@ -0,0 +1,336 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/standin"
+)
+
+// Bounds of the operators.
+const (
+	orderTimeout  = time.Second
+	orderPause    = 60 * time.Millisecond
+	changePause   = 250 * time.Millisecond
+	configBound   = 2 * time.Second // configMs
+	contactBound  = 3 * time.Second // contactMs
+	rollbackSlack = 2 * time.Second // eight times rollbackSlackMs: any machine may be slowed here
+	probePause    = 25 * time.Millisecond
+	calmSlack     = 700 * time.Millisecond // this machine is busy: a bound of the rules is stretched by it
+)
+
+// change is a configuration that an operator sent.
+type change struct {
+	generation uint64
+	ifMatch    uint64
+	marks      []uint64 // routes that tell which configuration is in force
+	body       []byte
+	taken      time.Time // zero: not acknowledged
+	refused    bool
+}
+
+// configurations is what operators sent and were told.
+type configurations struct {
+	world *world
+
+	mu     sync.Mutex
+	sent   []*change
+	newest *change // acknowledged
+	floor  uint64  // newest generation that was acknowledged or read
+	seen   map[sight]time.Time
+}
+
+// sight is that one life of an edge's processes handled a request as of a generation or later.
+type sight struct {
+	front      string
+	life       int
+	generation uint64
+}
+
+func markPath(generation uint64) string { return fmt.Sprintf("/mark-%d/", generation) }
+
+// compose writes a configuration with the routes of the example and the marks of all it builds on.
+func compose(generation uint64, base *change, random *rand.Rand) *change {
+	composed := &change{generation: generation}
+	if base != nil {
+		composed.ifMatch = base.generation
+		composed.marks = append(composed.marks, base.marks...)
+	}
+	composed.marks = append(composed.marks, generation)
+	configuration := standin.ExampleConfiguration(generation)
+	for _, mark := range composed.marks {
+		route := configuration.Routes[0]
+		route.Name, route.PathPrefix = fmt.Sprint("mark-", mark), markPath(mark)
+		configuration.Routes = append(configuration.Routes, route)
+	}
+	configuration.Limits.IdleTimeoutMs = 12000 + random.IntN(4000) // two bodies of one generation differ
+	composed.body = configuration.Body()
+	return composed
+}
+
+// first sends the first configuration until it is taken.
+func (c *configurations) first(ctx context.Context) error {
+	c.seen = make(map[sight]time.Time)
+	made := compose(1, nil, rand.New(rand.NewPCG(c.world.plan.Seed, 3000)))
+	c.note(made)
+	c.send(ctx, made, rand.New(rand.NewPCG(c.world.plan.Seed, 3001)))
+	return ctx.Err()
+}
+
+func (c *configurations) note(made *change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent = append(c.sent, made)
+}
+
+// operate changes the configuration until ctx ends; now and then two operators do at once.
+func (c *configurations) operate(ctx context.Context) {
+	random := rand.New(rand.NewPCG(c.world.plan.Seed, 3002))
+	for pause(ctx, changePause+time.Duration(random.Int64N(int64(2*changePause)))) {
+		base := c.base()
+		generation := base.generation + 1 + uint64(random.IntN(3))
+		made := []*change{compose(generation, base, random)}
+		if random.IntN(3) == 0 {
+			made = append(made, compose(generation+uint64(random.IntN(2)), base, random))
+			c.world.Count("two operators at once")
+		}
+		var group sync.WaitGroup
+		for _, one := range made {
+			c.note(one)
+			source := rand.New(rand.NewPCG(random.Uint64(), 0))
+			group.Go(func() { c.send(ctx, one, source) })
+		}
+		group.Wait()
+		c.resendOld(ctx, random)
+	}
+}
+
+func (c *configurations) base() *change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newest
+}
+
+// resendOld sends an order again that was taken a while ago: it is never refused.
+func (c *configurations) resendOld(ctx context.Context, random *rand.Rand) {
+	if random.IntN(3) > 0 {
+		return
+	}
+	c.mu.Lock()
+	old := c.sent[random.IntN(len(c.sent))]
+	taken := !old.taken.IsZero()
+	c.mu.Unlock()
+	if taken {
+		c.world.Count("old order sent again")
+		c.sendOnce(ctx, old, random)
+	}
+}
+
+// send sends an order, unchanged, until the answer is clear.
+func (c *configurations) send(ctx context.Context, made *change, random *rand.Rand) {
+	for number := 0; ctx.Err() == nil; number++ {
+		if c.sendOnce(ctx, made, random) {
+			if number > 0 {
+				c.world.Count("order acknowledged when sent again")
+			}
+			return
+		}
+		pause(ctx, orderPause)
+	}
+}
+
+// sendOnce sends an order to one coordinator and says whether the answer was clear.
+func (c *configurations) sendOnce(ctx context.Context, made *change, random *rand.Rand) bool {
+	status, text := c.call(ctx, http.MethodPut, made.body, strconv.FormatUint(made.ifMatch, 10), random)
+	switch {
+	case status == http.StatusOK:
+		c.take(made)
+	case status >= 400 && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
+		c.refuse(made, status, text)
+	default:
+		return false
+	}
+	return true
+}
+
+func (c *configurations) call(ctx context.Context, method string, body []byte, ifMatch string, random *rand.Rand) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	controls := c.world.Controls()
+	if random.IntN(10) == 0 { // the answer is lost on its way
+		var end context.CancelFunc
+		ctx, end = context.WithTimeout(ctx, time.Duration(random.IntN(30))*time.Millisecond)
+		defer end()
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+controls[random.IntN(len(controls))]+"/v1/config", bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	if ifMatch != "" {
+		request.Header.Set("If-Match", ifMatch)
+	}
+	request.Close = true
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, text
+}
+
+// take notes an acknowledgement. Of all changes on top of one version at most one is acknowledged.
+func (c *configurations) take(made *change) {
+	c.world.Note("configuration %d on %d acknowledged", made.generation, made.ifMatch)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if made.refused {
+		c.world.Break("CONFIG", "configuration %d on %d was refused and then acknowledged", made.generation, made.ifMatch)
+	}
+	for _, other := range c.sent {
+		if other != made && other.ifMatch == made.ifMatch && !other.taken.IsZero() {
+			c.world.Break("CONFIG", "two changes on %d were acknowledged: %d and %d", made.ifMatch, other.generation, made.generation)
+		}
+	}
+	if made.taken.IsZero() {
+		made.taken = time.Now()
+	}
+	if c.newest == nil || made.generation > c.newest.generation {
+		c.newest = made
+	}
+	c.floor = max(c.floor, made.generation)
+}
+
+// refuse notes a refusal: it stands only where another change of that version was, and the order never is, in force.
+func (c *configurations) refuse(made *change, status int, text []byte) {
+	c.world.Note("configuration %d on %d refused: %d %s", made.generation, made.ifMatch, status, text)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !made.taken.IsZero() {
+		c.world.Break("CONFIG", "configuration %d on %d was acknowledged and then refused: %d %s", made.generation, made.ifMatch, status, text)
+	}
+	made.refused = true
+}
+
+// read asks for the configuration once: it is never older than what was acknowledged or read before it was sent.
+func (c *configurations) read(ctx context.Context, random *rand.Rand) (uint64, bool) {
+	c.mu.Lock()
+	floor := c.floor
+	c.mu.Unlock()
+	status, text := c.call(ctx, http.MethodGet, nil, "", random)
+	if status != http.StatusOK {
+		return 0, false
+	}
+	told := struct {
+		Generation uint64 `json:"generation"`
+	}{}
+	if err := json.Unmarshal(text, &told); err != nil {
+		c.world.Break("CONFIG", "a read came with %q", text)
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if told.Generation < floor {
+		c.world.Break("CONFIG", "a read came with %d after %d had been acknowledged or read", told.Generation, floor)
+	}
+	c.floor = max(c.floor, told.Generation)
+	c.compare(told.Generation, text)
+	return told.Generation, true
+}
+
+// compare wants what was read to be what was sent, and not refused.
+func (c *configurations) compare(generation uint64, text []byte) {
+	for _, one := range c.sent {
+		if !bytes.Equal(one.body, text) {
+			continue
+		}
+		if one.refused {
+			c.world.Break("CONFIG", "configuration %d on %d was refused and is in force", one.generation, one.ifMatch)
+		}
+		if c.newest == nil || one.generation > c.newest.generation {
+			c.newest = one // taken, whatever its operator was told
+		}
+		return
+	}
+	c.world.Break("CONFIG", "configuration %d was read and never sent so: %s", generation, text)
+}
+
+// readAlong reads again and again until ctx ends.
+func (c *configurations) readAlong(ctx context.Context) {
+	random := rand.New(rand.NewPCG(c.world.plan.Seed, 3003))
+	for pause(ctx, 90*time.Millisecond) {
+		c.read(ctx, random)
+	}
+}
+
+// probe asks edges for the newest marks until ctx ends: within one life of its processes an edge never goes back, and in
+// calm times it is up to date.
+func (c *configurations) probe(ctx context.Context) {
+	random := rand.New(rand.NewPCG(c.world.plan.Seed, 3004))
+	client := standin.NewClient()
+	defer client.Close()
+	for pause(ctx, probePause) {
+		c.probeOnce(ctx, client, random)
+	}
+}
+
+func (c *configurations) probeOnce(ctx context.Context, client *standin.Client, random *rand.Rand) {
+	c.mu.Lock()
+	asked := c.sent[max(0, len(c.sent)-1-random.IntN(4))]
+	c.mu.Unlock()
+	edge := c.world.Edges[random.IntN(len(c.world.Edges))]
+	life := c.world.life(edge)
+	call := standin.Call{
+		RequestID: standin.NewRequestID(), Method: "GET", Path: markPath(asked.generation) + standin.NewRequestID(), Deadline: callTime,
+	}
+	attempt := c.world.try(ctx, client, edge, markRoute, call, nil)
+	if c.world.life(edge) == life && attempt.whole() {
+		c.judgeProbe(asked, sight{attempt.Front, life, asked.generation}, attempt)
+	}
+}
+
+func (c *configurations) judgeProbe(asked *change, at sight, attempt *Attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch attempt.Status {
+	case http.StatusOK:
+		if asked.refused && !c.superseded(asked) {
+			c.world.Break("CONFIG", "%s has got %d, which was refused", at.front, asked.generation)
+		}
+		if _, known := c.seen[at]; !known {
+			c.seen[at] = attempt.Ended
+		}
+	case http.StatusNotFound:
+		if c.superseded(asked) {
+			return
+		}
+		if seen, known := c.seen[at]; known && attempt.Sent.After(seen.Add(rollbackSlack)) {
+			c.world.Break("CONFIG", "%s went back behind %d", at.front, asked.generation)
+		}
+		late := asked.taken.Add(configBound + calmSlack)
+		if !asked.taken.IsZero() && attempt.Sent.After(late) && c.world.calm(contactBound, asked.taken, attempt.Ended) {
+			c.world.late("CONFIG", "%s has not got %d, acknowledged at %s", at.front, asked.generation, asked.taken.Format("15:04:05.000"))
+		}
+	}
+}
+
+// superseded says whether the mark of a change tells nothing of it: another one of its generation was sent.
+func (c *configurations) superseded(asked *change) bool {
+	for _, other := range c.sent {
+		if other != asked && other.generation == asked.generation {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/tier/soak/soak_test.go
@@ -0,0 +1,169 @@
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/command"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/soak"
+)
+
+var (
+	seeds   = flag.Int("seeds", 2, "number of plans that TestSoak plays")
+	first   = flag.Uint64("first-seed", 1, "seed of the first plan")
+	traffic = flag.Duration("traffic", 6*time.Second, "how long troubles come in each plan")
+	jobs    = flag.Int("jobs", 1, "plans played at once")
+	timed   = flag.Bool("timed", false, "judge the bounds of the rules too: for a machine that does nothing else")
+	keep    = flag.String("keep", "", "folder for the logs of plans that broke a promise; those of the test where empty")
+	planned = flag.String("plan", "", "file of one plan to play in place of drawn ones, as a failure leaves it")
+)
+
+// Variables that turn this test's binary into the tier's.
+const (
+	relayVariable = "PULLEYTIER_SOAK_RELAY"
+	selfVariable  = "PULLEYTIER_SOAK_SELF"
+)
+
+func TestMain(m *testing.M) {
+	if relay := os.Getenv(relayVariable); relay != "" {
+		rpc.UseDialer(soak.Dialer(relay, os.Getenv(selfVariable)))
+		os.Exit(int(command.Run(os.Args[1:], os.Stdout, os.Stderr)))
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func launch(role, settingsPath, relay, self string) *exec.Cmd {
+	program := os.Args[0]
+	started := exec.Command(program, role, "--log-format", "json", "--settings", settingsPath)
+	started.Env = append(os.Environ(), relayVariable+"="+relay, selfVariable+"="+self)
+	return started
+}
+
+var usedSubnets atomic.Int32
+
+// subnet gives each plan addresses of its own, away from those of package endtoend.
+func subnet() string {
+	const firstOfSoak, count = 130, 60
+	return fmt.Sprintf("127.%d.%d", firstOfSoak+os.Getpid()%count, (os.Getpid()/count+int(usedSubnets.Add(1)))%250)
+}
+
+// TestSoak plays drawn plans; any promise that breaks fails it and leaves the plan, the log and the history in a folder.
+func TestSoak(t *testing.T) {
+	if *planned != "" {
+		play(t, readPlan(t, *planned))
+		return
+	}
+	var group sync.WaitGroup
+	next := make(chan uint64)
+	for range *jobs {
+		group.Go(func() {
+			for seed := range next {
+				play(t, soak.NewPlan(seed, *traffic))
+			}
+		})
+	}
+	for number := range *seeds {
+		next <- *first + uint64(number)
+	}
+	close(next)
+	group.Wait()
+}
+
+func readPlan(t *testing.T, path string) soak.Plan {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	plan := soak.Plan{}
+	assert.NilError(t, json.Unmarshal(text, &plan))
+	return plan
+}
+
+func play(t *testing.T, plan soak.Plan) {
+	folder := t.TempDir()
+	logs := folder
+	if *keep != "" {
+		logs = filepath.Join(*keep, fmt.Sprint("seed-", plan.Seed))
+		if err := os.MkdirAll(logs, 0o755); err != nil {
+			t.Error(err)
+			return
+		}
+	}
+	log, err := os.Create(filepath.Join(logs, "log"))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer log.Close()
+	buffered := &lockedWriter{to: bufio.NewWriter(log)}
+	result, history, err := soak.Run(context.Background(), plan, soak.Options{
+		Folder: filepath.Join(folder, fmt.Sprint(plan.Seed)), Subnet: subnet(), Log: buffered, Timed: *timed, Launch: launch,
+	})
+	buffered.flush()
+	if err != nil {
+		t.Errorf("seed %d: did not start: %v", plan.Seed, err)
+		return
+	}
+	t.Logf("seed %d: %d of %d requests served in %.0f s, final %s, %v", plan.Seed, result.Served, result.Attempts, result.Seconds,
+		plan.Final, result.Sometimes)
+	save(t, logs, result, history)
+	for _, broken := range result.Violations {
+		t.Errorf("seed %d: %s at %s: %s (logs in %s)", plan.Seed, broken.Rule, broken.At.Format("15:04:05.000"), broken.Text, logs)
+	}
+	if len(result.Violations) == 0 && *keep != "" {
+		_ = os.RemoveAll(logs)
+	}
+}
+
+// save writes the plan, the result and the history of clients beside the log.
+func save(t *testing.T, folder string, result *soak.Result, history *soak.History) {
+	for name, value := range map[string]any{"plan.json": result.Plan, "result.json": result} {
+		text, err := json.MarshalIndent(value, "", " ")
+		if err == nil {
+			err = os.WriteFile(filepath.Join(folder, name), text, 0o644)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	attempts, err := os.Create(filepath.Join(folder, "history.jsonl"))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer attempts.Close()
+	if err := history.Save(attempts); err != nil {
+		t.Error(err)
+	}
+}
+
+// lockedWriter lets processes and clients write one log.
+type lockedWriter struct {
+	mu sync.Mutex
+	to *bufio.Writer
+}
+
+func (w *lockedWriter) Write(text []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.to.Write(text)
+}
+
+func (w *lockedWriter) flush() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.to.Flush()
+}
--- /dev/null
+++ b/internal/tier/soak/stores.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/standin"
+)
+
+const (
+	fewestStores  = 2 // of each service that stay well
+	churnPause    = 700 * time.Millisecond
+	ackPatience   = 6 * time.Second
+	servesOn      = 3500 * time.Millisecond // after its leave was acknowledged, longer than drainMs
+	disturbedTime = 900 * time.Millisecond
+)
+
+// storeSet holds the stores of the two services, those that have ended too: their runs are judged.
+type storeSet struct {
+	world *world
+
+	mu      sync.Mutex
+	all     []*standin.Store
+	well    map[string][]*standin.Store // by service
+	leaving map[*standin.Store]time.Time
+}
+
+func (s *storeSet) add(ctx context.Context, service string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	store, err := s.world.AddStore(ctx, service, slots)
+	if err != nil {
+		return err
+	}
+	if s.well == nil {
+		s.well, s.leaving = make(map[string][]*standin.Store), make(map[*standin.Store]time.Time)
+	}
+	s.all = append(s.all, store)
+	s.well[service] = append(s.well[service], store)
+	return nil
+}
+
+// take removes a store from those that are well, nil where too few would remain.
+func (s *storeSet) take(service string, number int) *standin.Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	well := s.well[service]
+	if len(well) <= fewestStores {
+		return nil
+	}
+	taken := well[number%len(well)]
+	kept := make([]*standin.Store, 0, len(well)-1)
+	for _, store := range well {
+		if store != taken {
+			kept = append(kept, store)
+		}
+	}
+	s.well[service] = kept
+	return taken
+}
+
+func (s *storeSet) giveBack(service string, store *standin.Store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.well[service] = append(s.well[service], store)
+}
+
+func (s *storeSet) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, store := range s.all {
+		store.Kill()
+	}
+}
+
+// left notes when the leave of a store was acknowledged.
+func (s *storeSet) left(store *standin.Store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[store] = time.Now()
+}
+
+// churn has stores come, leave, crash and misbehave until ctx ends.
+func (s *storeSet) churn(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.world.plan.Seed, 2000))
+	var group sync.WaitGroup
+	defer group.Wait()
+	for pause(ctx, churnPause) {
+		service := []string{standin.EngineService, standin.PlainService}[random.IntN(2)]
+		store := s.take(service, random.IntN(1<<16))
+		if store == nil {
+			if s.add(ctx, service) != nil {
+				s.world.Count("a store could not register")
+			}
+			continue
+		}
+		how, disturbance := random.IntN(6), standin.Disturbance(1+random.IntN(int(standin.LastDisturbance)))
+		group.Go(func() { s.trouble(ctx, service, store, how, disturbance) })
+	}
+}
+
+func (s *storeSet) trouble(ctx context.Context, service string, store *standin.Store, how int, disturbance standin.Disturbance) {
+	w := s.world
+	acknowledged, cancel := context.WithTimeout(context.WithoutCancel(ctx), ackPatience)
+	defer cancel()
+	switch how {
+	case 0:
+		defer w.begin(cause{what: "store " + store.ID() + " crashes"})()
+		store.Kill()
+		w.Count("store crashed")
+	case 1:
+		if store.Drain(acknowledged) == nil {
+			s.left(store)
+			w.Count("store drained")
+			pause(ctx, servesOn)
+			_ = store.Leave(acknowledged)
+		}
+		store.Kill()
+	case 2:
+		if store.Deregister(acknowledged) == nil {
+			s.left(store)
+			w.Count("store said nothing but DELETE")
+			pause(ctx, servesOn)
+		}
+		store.Kill()
+	default:
+		defer w.begin(cause{what: "store " + store.ID() + " is disturbed"})()
+		w.Count("store disturbed")
+		store.Disturb(disturbance)
+		pause(ctx, disturbedTime)
+		store.Disturb(standin.NoDisturbance)
+		s.giveBack(service, store)
+	}
+}
--- a/internal/tier/standin/answer.go
+++ b/internal/tier/standin/answer.go
@@ -95,6 +95,14 @@
 		refuse(w, http.StatusBadRequest)
 		return
 	}
+	disturbance := s.disturbance()
+	if disturbance == RefuseAll {
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	if disturbance == BreakBeforeRun {
+		panic(http.ErrAbortHandler)
+	}
 	run := s.begin(r, body)
 	if run == nil {
 		refuse(w, http.StatusServiceUnavailable)
@@ -102,6 +110,9 @@
 	}
 	whole := false
 	defer func() { s.finish(run, whole) }()
+	if !s.disturbRun(w, r, disturbance) {
+		return
+	}
 	if s.options.Engine {
 		whole = s.answerEvents(w, r, body)
 	} else {
@@ -115,7 +126,7 @@
 }
 
 func (s *Store) answerPlain(w http.ResponseWriter, r *http.Request, body []byte) bool {
-	if !s.waitForRelease(r.Context()) {
+	if !s.pause(r.Context()) || !s.waitForRelease(r.Context()) {
 		return false
 	}
 	answer := PlainBody(r.Method, r.URL.RequestURI(), body)
@@ -138,7 +149,7 @@
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return false
 		}
-		if !s.waitForRelease(r.Context()) {
+		if !s.pause(r.Context()) || !s.waitForRelease(r.Context()) {
 			return false
 		}
 	}
--- a/internal/tier/standin/client.go
+++ b/internal/tier/standin/client.go
@@ -17,10 +17,12 @@
 
 // Call is a client's request.
 type Call struct {
+	RequestID string // drawn where empty
 	Method    string
 	Path      string
 	Body      []byte
 	Deadline  time.Duration // 0: defaultDeadline
+	Lateness  time.Duration // how much longer than its deadline the client waits
 	Program   string
 	Session   string
 	Previous  string // request id of the turn that this one goes on from
@@ -55,12 +57,15 @@
 
 // Try sends a call once to a front address and reads the answer to its end.
 func (c *Client) Try(ctx context.Context, front string, call Call) Reply {
-	reply := Reply{RequestID: newRequestID()}
+	reply := Reply{RequestID: call.RequestID}
+	if reply.RequestID == "" {
+		reply.RequestID = NewRequestID()
+	}
 	deadline := call.Deadline
 	if deadline == 0 {
 		deadline = defaultDeadline
 	}
-	ctx, cancel := context.WithTimeout(ctx, deadline)
+	ctx, cancel := context.WithTimeout(ctx, deadline+call.Lateness)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+front+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -128,29 +133,50 @@
 	if err := r.checkHead(prompt); err != nil {
 		return err
 	}
-	want := strings.Builder{}
-	for i, data := range EventData(prompt, EventCount(call.TokensOut)) {
-		fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", i+1, data)
+	if want := eventsText(prompt, EventCount(call.TokensOut)); string(r.Body) != want {
+		return eris.Errorf("request %s: want the events\n%sgot\n%s", r.RequestID, want, r.Body)
+	}
+	return nil
+}
+
+// CheckEventsSoFar says what is wrong with the beginning of an answer of events that broke off.
+func (r Reply) CheckEventsSoFar(call Call, prompt []byte) error {
+	if err := r.checkSignature(prompt); err != nil {
+		return err
 	}
-	if string(r.Body) != want.String() {
-		return eris.Errorf("request %s: want the events\n%sgot\n%s", r.RequestID, want.String(), r.Body)
+	if whole := eventsText(prompt, EventCount(call.TokensOut)); !strings.HasPrefix(whole, string(r.Body)) {
+		return eris.Errorf("request %s: want a beginning of\n%sgot\n%s", r.RequestID, whole, r.Body)
 	}
 	return nil
 }
 
+func eventsText(prompt []byte, count int) string {
+	text := strings.Builder{}
+	for i, data := range EventData(prompt, count) {
+		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", i+1, data)
+	}
+	return text.String()
+}
+
 func (r Reply) checkHead(signed []byte) error {
 	switch {
 	case r.Err != nil:
 		return eris.Wrapf(r.Err, "request %s: not whole", r.RequestID)
 	case r.Status != http.StatusOK:
 		return eris.Errorf("request %s: status %d: %s", r.RequestID, r.Status, r.Body)
-	case r.Header.Get(headerSignature) != Signature(r.RequestID, signed):
+	}
+	return r.checkSignature(signed)
+}
+
+func (r Reply) checkSignature(signed []byte) error {
+	if r.Header.Get(headerSignature) != Signature(r.RequestID, signed) {
 		return eris.Errorf("request %s: signature %q is not the store's", r.RequestID, r.Header.Get(headerSignature))
 	}
 	return nil
 }
 
-func newRequestID() string {
+// NewRequestID draws the id of a request.
+func NewRequestID() string {
 	random := make([]byte, 8)
 	if _, err := rand.Read(random); err != nil {
 		panic(err) // the system's source of randomness is gone
--- a/internal/tier/standin/machine.go
+++ b/internal/tier/standin/machine.go
@@ -120,6 +120,29 @@
 	return nil
 }
 
+// Roles lists the roles that the machine runs.
+func (m *Machine) Roles() []string { return m.roles }
+
+// SignalRole sends a signal to the process of one role.
+func (m *Machine) SignalRole(role string, signal os.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if process := m.running[role]; process != nil {
+		_ = process.command.Process.Signal(signal) // one that has ended takes no signal
+	}
+}
+
+// KillRole ends the process of one role and returns when it is gone.
+func (m *Machine) KillRole(role string) {
+	m.SignalRole(role, syscall.SIGKILL)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if process := m.running[role]; process != nil {
+		<-process.exited
+		delete(m.running, role)
+	}
+}
+
 // Kill ends all processes at once, as a loss of the machine would, and returns when they are gone.
 func (m *Machine) Kill() { _ = m.end(syscall.SIGKILL) }
 
--- a/internal/tier/standin/store.go
+++ b/internal/tier/standin/store.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -24,6 +25,7 @@
 	Slots    int
 	Engine   bool            // answers with events
 	Registry func() []string // control addresses that take registrations
+	Pause    time.Duration   // before a plain answer and between events
 }
 
 // Run is one request that a store has begun to work on.
@@ -33,6 +35,7 @@
 	Path      string
 	Body      []byte
 	Whole     bool // answered to the end
+	At        time.Time
 }
 
 // Store is a stand-in for one incarnation of a store.
@@ -46,6 +49,7 @@
 	runs    []*Run
 	running int
 	closed  bool
+	disturb Disturbance
 	gate    chan struct{} // not nil while answers are held
 }
 
@@ -165,7 +169,7 @@
 		return nil
 	}
 	s.running++
-	run := &Run{RequestID: r.Header.Get(headerRequestID), Method: r.Method, Path: r.URL.RequestURI(), Body: body}
+	run := &Run{RequestID: r.Header.Get(headerRequestID), Method: r.Method, Path: r.URL.RequestURI(), Body: body, At: time.Now()}
 	s.runs = append(s.runs, run)
 	return run
 }
@@ -177,6 +181,19 @@
 	run.Whole = whole
 }
 
+// pause waits as long as the store's work takes, and returns false when the caller has left before.
+func (s *Store) pause(ctx context.Context) bool {
+	if s.options.Pause <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(s.options.Pause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // waitForRelease returns when answers are not held, and false when the caller has left before.
 func (s *Store) waitForRelease(ctx context.Context) bool {
 	s.mu.Lock()
--- a/internal/tier/standin/tier.go
+++ b/internal/tier/standin/tier.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -36,6 +37,9 @@
 	firstToy   = 121
 )
 
+// firstOf is the last part of the first address of the machines of a class.
+var firstOf = map[string]int{classEdge: firstEdge, classCore: firstCore, classAppStore: firstStore}
+
 const seedCount = 3
 
 // Layout says what a tier on loopback consists of.
@@ -46,9 +50,11 @@
 	Edges        int
 	Coordinators int
 	TurnStores   int
+	Spares       int // empty machines of each class with a disk, not started with the others
 	Tolerated    int // machines that may be lost at once
 	Launch       Launcher
 	Log          io.Writer
+	StorePause   time.Duration // of the stores' work: before a plain answer and between events
 }
 
 // Tier is a whole serving tier on loopback addresses.
@@ -57,6 +63,9 @@
 	Coordinators []*Machine
 	TurnStores   []*Machine
 
+	SpareCoordinators []*Machine // of these, only those that were started are part of the tier
+	SpareTurnStores   []*Machine
+
 	layout Layout
 	stores int
 }
@@ -74,6 +83,11 @@
 			return nil, err
 		}
 	}
+	for i := range layout.Spares {
+		if err := tier.addSpares(i); err != nil {
+			return nil, err
+		}
+	}
 	for i := range layout.Edges {
 		if err := tier.add(&tier.Edges, classEdge, firstEdge+i, RoleAgent, RoleProxy); err != nil {
 			return nil, err
@@ -82,8 +96,22 @@
 	return tier, nil
 }
 
+// addSpares writes down an empty machine of each class with a disk.
+func (t *Tier) addSpares(number int) error {
+	if err := t.add(&t.SpareCoordinators, classCore, firstCore+t.layout.Coordinators+number, RoleCoordinator); err != nil {
+		return err
+	}
+	if err := t.add(&t.SpareTurnStores, classAppStore, firstStore+t.layout.TurnStores+number, RoleTurnStore); err != nil {
+		return err
+	}
+	for _, spare := range []*Machine{t.SpareCoordinators[number], t.SpareTurnStores[number]} {
+		spare.Settings.Bootstrap = false
+	}
+	return nil
+}
+
 func (t *Tier) add(to *[]*Machine, class string, last int, roles ...string) error {
-	told := t.settings(class, last, len(*to))
+	told := t.settings(class, last)
 	machine, err := newMachine(t.layout.Folder, told, t.layout.Launch, t.layout.Log, roles...)
 	if err != nil {
 		return err
@@ -102,8 +130,9 @@
 	return added, added.Start()
 }
 
-func (t *Tier) settings(class string, last, index int) settings.Settings {
+func (t *Tier) settings(class string, last int) settings.Settings {
 	ip := fmt.Sprintf("%s.%d", t.layout.Subnet, last)
+	index := last - firstOf[class]
 	zone := t.layout.Zones[index%len(t.layout.Zones)]
 	told := settings.Settings{
 		NodeName: fmt.Sprintf("%s-%s-%d", class, zone, index+1), MachineClass: class, Serves: []string{class},
@@ -141,7 +170,7 @@
 
 // Controls lists the control addresses of all coordinators.
 func (t *Tier) Controls() []string {
-	addresses := make([]string, t.layout.Coordinators)
+	addresses := make([]string, t.layout.Coordinators+t.layout.Spares)
 	for i := range addresses {
 		addresses[i] = endpoint(fmt.Sprintf("%s.%d", t.layout.Subnet, firstCore+i), controlPort)
 	}
@@ -164,7 +193,7 @@
 	store, err := StartStore(StoreOptions{
 		ID: fmt.Sprintf("i-%s-%d", service, t.stores), Backend: service, Zone: zone, Slots: slots,
 		Address: endpoint(fmt.Sprintf("%s.%d", t.layout.Subnet, firstToy+t.stores), storePort),
-		Engine:  service == EngineService, Registry: t.Controls,
+		Engine:  service == EngineService, Registry: t.Controls, Pause: t.layout.StorePause,
 	})
 	if err != nil {
 		return nil, err
@@ -176,7 +205,7 @@
 	return store, nil
 }
 
-// Machines lists all machines.
+// Machines lists all machines but spares.
 func (t *Tier) Machines() []*Machine {
 	all := make([]*Machine, 0, len(t.Coordinators)+len(t.TurnStores)+len(t.Edges))
 	all = append(all, t.Coordinators...)
