Turn store: a file that lost synced bytes makes another node, and does so once

Cause: recovery took every end of a segment for one torn as it was written, so a segment cut short or spoilt was read as empty and the same identity said "no such turn" of what it had acknowledged; a damaged merged file stayed, and each later start drew one more identity. Class: what can't be read is taken for what was never there. Change: beside each segment a file of marks says how far it is synced (unsynced write behind each batch, synced every 5 s); recovery compares. Damage is replaced by a merged file behind the new identity. TestDamagedDiskMakesAnotherNode finds the merged file by its prefix, not by number 1: it fails now where no such file is.

--- a/internal/tier/turnstore/frame.go
+++ b/internal/tier/turnstore/frame.go
@@ -57,25 +57,26 @@
 	takeExtension(*tierpb.Extension)
 }
 
-// readFrames hands on the frames of a file up to its end or to the first that is torn. A sync covers all that
-// was written to the file before, so nothing behind a torn frame was ever acknowledged. It says whether the
-// whole file was read.
-func readFrames(data []byte, into contents) (whole bool, err error) {
+// readFrames hands on the frames of a file up to its end or to the first that is not whole, and returns how many bytes
+// that is and whether it is the whole file. A sync covers all that was written to the file before, so nothing behind a
+// frame that was torn as it was written was ever acknowledged.
+func readFrames(data []byte, into contents) (valid int64, whole bool, err error) {
 	if len(data) < len(fileMagic) || string(data[:len(fileMagic)]) != fileMagic {
-		return false, nil
+		return 0, false, nil
 	}
-	rest := data[len(fileMagic):]
-	for len(rest) > 0 {
+	valid = int64(len(fileMagic))
+	for rest := data[len(fileMagic):]; len(rest) > 0; {
 		body, size := nextFrame(rest)
 		if body == nil {
-			return false, nil
+			return valid, false, nil
 		}
 		if err := takeFrame(body, into); err != nil {
-			return false, err
+			return valid, false, err
 		}
+		valid += int64(size)
 		rest = rest[size:]
 	}
-	return true, nil
+	return valid, true, nil
 }
 
 // nextFrame returns the body of the first frame and the frame's size, nil where it is not whole.
--- a/internal/tier/turnstore/journal.go
+++ b/internal/tier/turnstore/journal.go
@@ -26,6 +26,7 @@
 const (
 	mostPendingBytes = 8 << 20                // not yet handed to the disk
 	stalledAfter     = 400 * time.Millisecond // a sync that takes longer makes new writes be refused at once
+	marksEvery       = 5 * time.Second        // between syncs of the marks
 )
 
 var (
@@ -60,8 +61,12 @@
 	finished chan struct{}
 	broken   chan struct{} // told of each failed write
 
-	file       storage.File // used by the writer only
+	// Used by the writer only.
+	file       storage.File
 	fileNumber uint64
+	fileBytes  int64
+	marks      marks
+	marksDue   time.Time // when the marks are to be synced
 }
 
 func newJournal(disk storage.Disk, folder string, segment uint64, now func() time.Time, faults *fault.Points) *journal {
@@ -69,6 +74,7 @@
 		disk: disk, folder: folder, segment: segment, now: now, faults: faults,
 		finished: make(chan struct{}),
 		broken:   make(chan struct{}, 1),
+		marks:    marks{disk: disk, folder: folder},
 	}
 	j.wake = sync.NewCond(&j.mu)
 	return j
@@ -116,23 +122,48 @@
 		next, number := j.next()
 		if next == nil {
 			j.closeFile()
+			j.marks.close()
 			return
 		}
-		err := j.write(next, number)
-		j.mu.Lock()
-		j.busyFrom = time.Time{}
-		if err != nil {
-			j.failed = true
-			j.failures++
-		} else {
-			j.bytes += int64(len(next.frames))
-		}
-		j.mu.Unlock()
-		next.err = err
+		next.err = j.write(next, number)
+		j.settle(next)
 		close(next.done)
-		if err != nil {
+		if next.err != nil {
 			j.tellBroken()
+			continue
 		}
+		j.mark()
+	}
+}
+
+// settle notes the end of a write.
+func (j *journal) settle(written *batch) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.busyFrom = time.Time{}
+	if written.err != nil {
+		j.failed = true
+		j.failures++
+		return
+	}
+	j.bytes += int64(len(written.frames))
+}
+
+// fail has nothing more taken until a merged file has saved all that is held.
+func (j *journal) fail() {
+	j.mu.Lock()
+	j.failed = true
+	j.failures++
+	j.mu.Unlock()
+	j.tellBroken()
+}
+
+// mark notes beside the segment how far it is synced. Nobody waits for it.
+func (j *journal) mark() {
+	j.marks.put(j.fileNumber, j.fileBytes)
+	if now := j.now(); now.After(j.marksDue) {
+		j.marks.sync()
+		j.marksDue = now.Add(marksEvery)
 	}
 }
 
@@ -159,7 +190,9 @@
 	if err := j.open(number); err != nil {
 		return eris.Wrap(err, "open a segment")
 	}
-	if _, err := j.file.Write(taken.frames); err != nil {
+	written, err := j.file.Write(taken.frames)
+	j.fileBytes += int64(written)
+	if err != nil {
 		return eris.Wrap(err, "write a segment")
 	}
 	if err := j.faults.At(pointBatchWritten); err != nil {
@@ -195,7 +228,8 @@
 		return err
 	}
 	j.file, j.fileNumber = file, number
-	_, err = file.Write([]byte(fileMagic))
+	written, err := file.Write([]byte(fileMagic))
+	j.fileBytes = int64(written)
 	return err
 }
 
--- a/internal/tier/turnstore/merged.go
+++ b/internal/tier/turnstore/merged.go
@@ -16,9 +16,12 @@
 
 // recovery is what reading a data folder told.
 type recovery struct {
-	next    uint64 // number of the first free segment
-	bytes   int64
-	damaged bool // a merged file is not whole: the disk has lost what it had made durable
+	next     uint64 // number of the first free segment
+	bytes    int64
+	damaged  bool             // the disk has lost what it had made durable
+	segments map[uint64]int64 // how many bytes of each are whole
+	marks    map[uint64]int64 // how many were synced at least
+	replaced uint64           // segments up to this number stand in a merged file
 }
 
 // recoverFiles reads all merged files and segments.
@@ -28,43 +31,77 @@
 		return recovery{}, eris.Wrap(err, "list the data folder")
 	}
 	slices.Sort(names)
-	found := recovery{next: 1}
+	found := recovery{next: 1, segments: make(map[uint64]int64), marks: make(map[uint64]int64)}
 	for _, name := range names {
 		if strings.HasSuffix(name, asideSuffix) {
 			_ = disk.Remove(filepath.Join(folder, name))
 			continue
 		}
-		segment, isSegment := numberOf(name, segmentPrefix)
-		merged, isMerged := numberOf(name, mergedPrefix)
-		if !isSegment && !isMerged {
-			continue
-		}
-		found.next = max(found.next, segment+1, merged+1)
-		size, whole, err := recoverFile(disk, filepath.Join(folder, name), into)
-		if err != nil {
+		if err := found.take(disk, filepath.Join(folder, name), into); err != nil {
 			return recovery{}, err
 		}
-		found.bytes += size
-		found.damaged = found.damaged || isMerged && !whole
 	}
+	found.damaged = found.damaged || found.lacksSynced()
 	return found, nil
 }
 
+// take reads one file.
+func (r *recovery) take(disk storage.Disk, path string, into contents) error {
+	name := filepath.Base(path)
+	if number, isMarks := numberOf(name, marksPrefix); isMarks {
+		data, err := disk.Read(path)
+		r.marks[number] = readMarks(data)
+		r.next = max(r.next, number+1)
+		return eris.Wrapf(err, "read %s", path)
+	}
+	segment, isSegment := numberOf(name, segmentPrefix)
+	merged, isMerged := numberOf(name, mergedPrefix)
+	if !isSegment && !isMerged {
+		return nil
+	}
+	size, valid, whole, err := recoverFile(disk, path, into)
+	if err != nil {
+		return err
+	}
+	r.next = max(r.next, segment+1, merged+1)
+	r.bytes += size
+	switch {
+	case isSegment:
+		r.segments[segment] = valid
+	case whole:
+		r.replaced = max(r.replaced, merged)
+	default:
+		r.damaged = true
+	}
+	return nil
+}
+
+// lacksSynced says whether a segment that no merged file has replaced has lost what it had synced. What is not whole
+// behind that was never acknowledged.
+func (r *recovery) lacksSynced() bool {
+	for segment, synced := range r.marks {
+		if segment > r.replaced && r.segments[segment] < synced {
+			return true
+		}
+	}
+	return false
+}
+
 // recoverFile takes in a file. Merging is free of order, so files that a merged one has replaced do no harm. What a
 // process that was killed had written and not synced is synced first: from here on it counts as durable.
-func recoverFile(disk storage.Disk, path string, into contents) (size int64, whole bool, err error) {
+func recoverFile(disk storage.Disk, path string, into contents) (size, valid int64, whole bool, err error) {
 	if err := disk.SyncFile(path); err != nil {
-		return 0, false, eris.Wrapf(err, "sync %s", path)
+		return 0, 0, false, eris.Wrapf(err, "sync %s", path)
 	}
 	data, err := disk.Read(path)
 	if err != nil {
-		return 0, false, eris.Wrapf(err, "read %s", path)
+		return 0, 0, false, eris.Wrapf(err, "read %s", path)
 	}
-	whole, err = readFrames(data, into)
+	valid, whole, err = readFrames(data, into)
 	if err != nil {
-		return 0, false, eris.Wrapf(err, "read %s", path)
+		return 0, 0, false, eris.Wrapf(err, "read %s", path)
 	}
-	return int64(len(data)), whole, nil
+	return int64(len(data)), valid, whole, nil
 }
 
 // mergedFile writes all that is held into one file aside, which then replaces segments.
@@ -156,7 +193,8 @@
 	for _, name := range names {
 		segment, isSegment := numberOf(name, segmentPrefix)
 		merged, isMerged := numberOf(name, mergedPrefix)
-		if isSegment && segment <= m.number || isMerged && merged < m.number {
+		marked, isMarks := numberOf(name, marksPrefix)
+		if isSegment && segment <= m.number || isMerged && merged < m.number || isMarks && marked <= m.number {
 			_ = m.disk.Remove(filepath.Join(m.folder, name))
 		}
 	}
--- a/internal/tier/turnstore/oracle_test.go
+++ b/internal/tier/turnstore/oracle_test.go
@@ -33,7 +33,7 @@
 				continue
 			}
 		}
-		_, _ = readFrames(file.data[:file.synced], found)
+		_, _, _ = readFrames(file.data[:file.synced], found)
 	}
 	return found
 }
--- a/internal/tier/turnstore/rot_test.go
+++ b/internal/tier/turnstore/rot_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -10,18 +13,21 @@
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
-// spoil flips a bit of each file whose name has a prefix, at a place, and returns how many.
-func spoil(m *machine, prefix string, at int) int {
-	spoilt := 0
-	for path, file := range m.disk.files {
-		if strings.HasPrefix(path, "data/"+prefix) && len(file.data) > at {
-			file.data[at] ^= 1
-			spoilt++
+// fileOf returns the first file whose name has a prefix.
+func fileOf(t *testing.T, m *machine, prefix string) *memoryFile {
+	t.Helper()
+	for _, path := range slices.Sorted(maps.Keys(m.disk.files)) {
+		if strings.HasPrefix(path, "data/"+prefix) {
+			return m.disk.files[path]
 		}
 	}
-	return spoilt
+	t.Fatalf("no file is named %s", prefix)
+	return nil
 }
 
+// spoil flips a bit of a file's first frame.
+func spoil(file *memoryFile) { file.data[len(fileMagic)+frameHeaderBytes+1] ^= 1 }
+
 // A disk that has lost what it had made durable is one loss, however often the process starts again: at each further
 // identity as many machines fewer may be lost.
 func TestDamagedMergedFileMakesAnotherNodeOnce(t *testing.T) {
@@ -31,7 +37,7 @@
 	assert.NilError(t, m.store.Merge(context.Background()))
 	before := m.store.Identity()
 	c.kill(m)
-	assert.Equal(t, spoil(m, mergedPrefix, len(fileMagic)+frameHeaderBytes+1), 1)
+	spoil(fileOf(t, m, mergedPrefix))
 	c.start(m)
 	after := m.store.Identity()
 	assert.Assert(t, after != before)
@@ -51,7 +57,7 @@
 	assert.Equal(t, put(c, m, c.record("second", "")), tierpb.StoreStatus_STORE_OK)
 	before := m.store.Identity()
 	c.kill(m)
-	assert.Equal(t, spoil(m, segmentPrefix, len(fileMagic)+frameHeaderBytes+1), 1)
+	spoil(fileOf(t, m, segmentPrefix))
 	c.start(m)
 	assert.Assert(t, m.store.Identity() != before, "%d records are left", m.store.Records())
 }
@@ -65,12 +71,69 @@
 		assert.Equal(t, put(c, m, c.record("second", "")), tierpb.StoreStatus_STORE_OK)
 		before := m.store.Identity()
 		c.kill(m)
-		for path, file := range m.disk.files {
-			if strings.HasPrefix(path, "data/"+segmentPrefix) {
-				file.data = file.data[:length]
-			}
-		}
+		file := fileOf(t, m, segmentPrefix)
+		file.data = file.data[:length]
 		c.start(m)
 		assert.Assert(t, m.store.Identity() != before, "cut to %d bytes: %d records are left", length, m.store.Records())
 	}
 }
+
+// An end that was torn as it was written was never acknowledged: the store is the same as before, with what it had.
+func TestTornEndIsNoDamage(t *testing.T) {
+	for seed := range uint64(60) {
+		c := newCluster(t, seed, "a", "b", "c")
+		m := c.machines["10.0.0.1:1"]
+		before := m.store.Identity()
+		for number := range 1 + seed%3 {
+			assert.Equal(t, put(c, m, c.record(fmt.Sprint("turn ", number), "")), tierpb.StoreStatus_STORE_OK)
+		}
+		m.stopAfter(int(seed % 2)) // behind the write, or behind its sync
+		put(c, m, c.record("torn", ""))
+		m.goOn()
+		c.losePower(m)
+		c.start(m)
+		assert.Equal(t, m.store.Identity(), before, "seed %d", seed)
+		assert.Assert(t, m.store.Records() >= int(1+seed%3), "seed %d", seed)
+	}
+}
+
+// Marks that cannot be written, or that a loss of power takes, cost nothing that is held.
+func TestMarksThatAreLostChangeNothing(t *testing.T) {
+	c := newCluster(t, 1, "a", "b", "c")
+	m := c.machines["10.0.0.1:1"]
+	before := m.store.Identity()
+	assert.Equal(t, put(c, m, c.record("first", "")), tierpb.StoreStatus_STORE_OK)
+	c.kill(m)
+	file := fileOf(t, m, marksPrefix)
+	file.data = append(file.data, "not a mark, nor the whole of one"...)
+	c.start(m)
+	assert.Equal(t, m.store.Identity(), before)
+	assert.Equal(t, put(c, m, c.record("second", "")), tierpb.StoreStatus_STORE_OK)
+	c.kill(m)
+	for path := range m.disk.files {
+		if strings.HasPrefix(path, "data/"+marksPrefix) {
+			delete(m.disk.files, path)
+		}
+	}
+	c.start(m)
+	assert.Equal(t, m.store.Identity(), before)
+	assert.Equal(t, m.store.Records(), 2)
+}
+
+// Marks go with the segments that a merged file replaces.
+func TestMergedFileReplacesMarks(t *testing.T) {
+	c := newCluster(t, 1, "a", "b", "c")
+	m := c.machines["10.0.0.1:1"]
+	before := m.store.Identity()
+	assert.Equal(t, put(c, m, c.record("first", "")), tierpb.StoreStatus_STORE_OK)
+	c.kill(m)
+	c.start(m)
+	assert.NilError(t, m.store.Merge(context.Background()))
+	c.kill(m)
+	for path := range m.disk.files {
+		assert.Assert(t, !strings.HasPrefix(path, "data/"+marksPrefix) && !strings.HasPrefix(path, "data/"+segmentPrefix), path)
+	}
+	c.start(m)
+	assert.Equal(t, m.store.Identity(), before)
+	assert.Equal(t, m.store.Records(), 1)
+}
--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -70,16 +70,34 @@
 	if err := s.openMembership(); err != nil {
 		return nil, err
 	}
-	if err := s.openIdentity(found.damaged || s.members.Damaged()); err != nil {
+	damaged := found.damaged || s.members.Damaged()
+	if err := s.openIdentity(damaged); err != nil {
 		return nil, err
 	}
 	s.view.expire(options.Now())
 	s.journal = newJournal(options.Disk, options.Folder, found.next, options.Now, options.Faults)
 	s.journal.bytes = found.bytes
+	if damaged {
+		s.replaceDamaged()
+	}
 	go s.journal.run()
 	return s, nil
 }
 
+// replaceDamaged leaves nothing of the damage for the next start to find: what was lost was lost by the identity before.
+// Where that fails, the journal takes nothing until it has been done.
+func (s *Store) replaceDamaged() {
+	s.options.Log.Warn("damaged files found: this store is another one now", "identity", s.identity, "records", len(s.view.records))
+	if err := s.members.Clear(); err != nil {
+		s.options.Log.Warn("damaged files of the membership could not be removed", "error", err)
+	}
+	s.membership = nil
+	if err := s.Merge(context.Background()); err != nil {
+		s.options.Log.Warn("damaged files could not be replaced", "error", err)
+		s.journal.fail()
+	}
+}
+
 // openIdentity reads the identity, or draws and saves one.
 func (s *Store) openIdentity(damaged bool) error {
 	series, err := storage.Open(s.options.Disk, s.options.Folder, identitySeries, s.options.Faults)
--- a/internal/tier/turnstore/trouble_test.go
+++ b/internal/tier/turnstore/trouble_test.go
@@ -103,11 +103,8 @@
 	assert.NilError(t, m.store.Merge(context.Background()))
 	before := m.store.Identity()
 	c.kill(m)
-	for path, file := range m.disk.files {
-		if path == "data/"+mergedName(1) {
-			file.data[len(file.data)-3] ^= 1
-		}
-	}
+	file := fileOf(t, m, mergedPrefix)
+	file.data[len(file.data)-3] ^= 1
 	c.start(m)
 	assert.Assert(t, m.store.Identity() != before)
 }
