Invariants in the running code, metrics as text, and lines for failed requests

Cause: a failed request left no line at a proxy, no role told figures, and promises rested on code that nothing watched.

--- a/internal/tier/admission/core.go
+++ b/internal/tier/admission/core.go
@@ -8,6 +8,7 @@
 
 	"pulleygw.example/pulleygw/internal/shared/curve"
 	"pulleygw.example/pulleygw/internal/shared/tailguard"
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 )
 
 // core is the state machine of all decisions. Times are spans since its start; it does no I/O and keeps no clock.
@@ -247,5 +248,6 @@
 	s.forget(g)
 	s.out--
 	v.out--
+	invariant.Check(s.out >= 0 && v.out >= 0, invariant.PlacesNotNegative, s.out, 0)
 	c.release(v, now)
 }
--- a/internal/tier/admission/dispatcher.go
+++ b/internal/tier/admission/dispatcher.go
@@ -137,6 +137,7 @@
 	defer d.mu.Unlock()
 	now := d.since(d.now())
 	d.core.finish(g, now, outcome)
+	sends.Inc(outcomeNames[outcome])
 	d.arm(g.store.service, now)
 }
 
--- /dev/null
+++ b/internal/tier/admission/invariant_test.go
@@ -0,0 +1,5 @@
+package admission
+
+import "pulleygw.example/pulleygw/internal/tier/invariant"
+
+func init() { invariant.FailTests() }
--- a/internal/tier/admission/types.go
+++ b/internal/tier/admission/types.go
@@ -7,7 +7,11 @@
 // at most one timer for all requests that are held.
 package admission
 
-import "time"
+import (
+	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/metrics"
+)
 
 // State of a store, as the list of stores tells it.
 type State uint8
@@ -65,6 +69,10 @@
 	Cancelled                    // we stopped waiting: the client has left or its time is up
 )
 
+var outcomeNames = [...]string{"answered", "failure", "full", "not executed", "no connection", "broken", "cancelled"}
+
+var sends = metrics.NewVector("proxy_sends_total", "Sends to stores by how they ended.", "outcome")
+
 // Reason says why a request was refused.
 type Reason uint8
 
--- a/internal/tier/budget/client.go
+++ b/internal/tier/budget/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/replica"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -77,7 +78,14 @@
 			return err
 		}
 	}
-	return c.contest(ctx, known, claim, budget)
+	if err := c.contest(ctx, known, claim, budget); err != nil {
+		return err
+	}
+	counted := Sum(known)
+	if !invariant.Check(Covers(known, []*tierpb.BudgetEntry{claim}) && counted <= budget, invariant.WithinBudget, counted, budget) {
+		return ErrUncertain
+	}
+	return nil
 }
 
 // contest decides on what is known of a program. Claims that came together and have no room together are settled
--- a/internal/tier/command/role.go
+++ b/internal/tier/command/role.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"os/signal"
@@ -11,6 +12,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/invariant"
+	"pulleygw.example/pulleygw/internal/tier/metrics"
 	"pulleygw.example/pulleygw/internal/tier/process"
 	"pulleygw.example/pulleygw/internal/tier/settings"
 )
@@ -30,6 +33,7 @@
 
 type runRole struct {
 	role     Role
+	Metrics  string `help:"Where metrics are told, as PORT/PATH; the settings file's where empty." default:""`
 	Settings string `help:"Settings file." env:"PULLEYGW_SETTINGS" default:"/etc/pulleygw/node.toml"`
 }
 
@@ -51,6 +55,8 @@
 		return errNotBuilt
 	}
 	process.Fit(live.Current().Limits)
+	invariant.UseLog(log)
+	r.serveMetrics(ctx, live.Current(), log)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	reloading := &reloader{live: live, log: log}
@@ -69,11 +75,27 @@
 	return nil
 }
 
+// serveMetrics tells metrics where that is asked for. A process that cannot serves its role all the same.
+func (r *runRole) serveMetrics(ctx context.Context, own *settings.Settings, log hclog.Logger) {
+	asked := cmp.Or(r.Metrics, own.Metrics)
+	if asked == "" {
+		return
+	}
+	at, err := metrics.ParsePlace(asked)
+	if err == nil {
+		err = metrics.Serve(ctx, own.IP, at)
+	}
+	if err != nil {
+		log.Warn("metrics are not told", "error", err)
+	}
+}
+
 // reloader puts a changed settings file in force.
 type reloader struct {
 	live    *settings.Live
 	log     hclog.Logger
 	refused string // the last error told, so that a file that stays bad is logged once
+	looked  time.Time
 }
 
 // run reads the file again at each hang-up signal and each tick until ctx ends.
@@ -87,11 +109,23 @@
 			r.refused = ""
 			r.reload()
 		case <-ticks:
+			r.noteGap(time.Now())
 			r.reload()
 		}
 	}
 }
 
+// gapMost is the longest time between two ticks of a process that runs all the while.
+const gapMost = pollInterval + time.Second
+
+// noteGap tells that the process did not run for a while: what came in meanwhile was answered late or not at all.
+func (r *reloader) noteGap(now time.Time) {
+	if gap := now.Sub(r.looked); !r.looked.IsZero() && gap > gapMost {
+		r.log.Warn("this process did not run for a while", "seconds", (gap - pollInterval).Seconds())
+	}
+	r.looked = now
+}
+
 func (r *reloader) reload() {
 	changed, err := r.live.Reload()
 	switch {
--- a/internal/tier/coordinator/api.go
+++ b/internal/tier/coordinator/api.go
@@ -9,12 +9,14 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/rotisserie/eris"
 
 	"pulleygw.example/pulleygw/internal/tier/configuration"
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/registry"
 	"pulleygw.example/pulleygw/internal/tier/result"
@@ -57,6 +59,18 @@
 	writeJSON(w, struct{}{})
 }
 
+// toldGeneration is the newest generation that this process has acknowledged or told of.
+type toldGeneration struct{ newest atomic.Uint64 }
+
+func (t *toldGeneration) raise(to uint64) {
+	for {
+		known := t.newest.Load()
+		if to <= known || t.newest.CompareAndSwap(known, to) {
+			return
+		}
+	}
+}
+
 // generationBody is the answer to a configuration that was taken.
 type generationBody struct {
 	Generation uint64 `json:"generation"`
@@ -81,6 +95,7 @@
 		result.Write(w, resultOf(err))
 		return
 	}
+	c.told.raise(sent.Generation)
 	c.log.Info("configuration taken", "generation", sent.Generation, "bytes", len(body))
 	writeJSON(w, generationBody{Generation: sent.Generation})
 }
@@ -100,12 +115,18 @@
 func (c *coordinator) getConfiguration(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), c.patienceFor(0))
 	defer cancel()
+	floor := c.told.newest.Load()
 	current, err := c.register.Read(ctx)
 	if err != nil {
 		result.Write(w, resultOf(err))
 		return
 	}
 	taken := current.GetConfiguration()
+	if !invariant.Check(taken.GetGeneration() >= floor, invariant.ReadNotOlder, taken.GetGeneration(), floor) {
+		result.Write(w, result.New(result.Uncertain, ""))
+		return
+	}
+	c.told.raise(taken.GetGeneration())
 	if taken.GetGeneration() == 0 {
 		result.Write(w, result.New(result.NoConfiguration, ""))
 		return
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -49,6 +49,7 @@
 	register  controlRegister
 	history   *orders.History
 	progress  progress
+	told      toldGeneration
 	accepted  func() *tierpb.ControlState // newest value of the own acceptor, chosen or not
 	lease     placementLease
 	tenure    placementTenure // keepPlaced alone uses it
--- /dev/null
+++ b/internal/tier/metrics/metrics_test.go
@@ -0,0 +1,75 @@
+package metrics
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func text() string {
+	written := &strings.Builder{}
+	Write(written)
+	return written.String()
+}
+
+func TestMetricsAreToldByName(t *testing.T) {
+	counter := NewCounter("test_events_total", "Events of the test.")
+	counter.Inc()
+	counter.Add(2)
+	NewGauge("test_a_gauge", "A gauge of the test.", func() float64 { return 1.5 })
+	told := text()
+	assert.Assert(t, strings.Contains(told, "# TYPE pulleytier_test_events_total counter\npulleytier_test_events_total 3\n"), told)
+	assert.Assert(t, strings.Index(told, "pulleytier_test_a_gauge 1.5") < strings.Index(told, "pulleytier_test_events_total 3"), told)
+}
+
+func TestLabelsAreEscapedAndBounded(t *testing.T) {
+	vector := NewVector("test_by_kind_total", "Events of the test by kind.", "kind")
+	vector.Inc("a \"b\"\n\\")
+	for number := range 2 * mostValues {
+		vector.Inc(fmt.Sprint(number))
+	}
+	assert.Equal(t, vector.Total(), uint64(2*mostValues+1))
+	assert.Equal(t, vector.Value(otherValue), uint64(mostValues+1))
+	assert.Assert(t, strings.Contains(text(), `pulleytier_test_by_kind_total{kind="a \"b\"\n\\"} 1`), text())
+}
+
+func TestPlaceOfMetrics(t *testing.T) {
+	place, err := ParsePlace("9464/metrics")
+	assert.NilError(t, err)
+	assert.Equal(t, place, Place{Port: 9464, Path: "/metrics"})
+	place, err = ParsePlace("9464")
+	assert.NilError(t, err)
+	assert.Equal(t, place.Path, "/")
+	for _, wrong := range []string{"", "/metrics", "metrics", "0/metrics", "65536/m", "-1/m"} {
+		_, err := ParsePlace(wrong)
+		assert.ErrorContains(t, err, "want PORT/PATH", wrong)
+	}
+}
+
+func TestMetricsAreServedUntilTheEnd(t *testing.T) {
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	port := free.Addr().(*net.TCPAddr).Port
+	assert.NilError(t, free.Close())
+	assert.NilError(t, Serve(ctx, "127.0.0.1", Place{Port: port, Path: "/metrics"}))
+	address := fmt.Sprintf("http://127.0.0.1:%d", port)
+	answer, err := http.Get(address + "/metrics")
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	told, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(told), "pulleytier_goroutines "), "%s", told)
+	other, err := http.Get(address + "/")
+	assert.NilError(t, err)
+	defer other.Body.Close()
+	assert.Equal(t, other.StatusCode, http.StatusNotFound)
+	assert.ErrorContains(t, Serve(ctx, "127.0.0.1", Place{Port: port}), "address already in use")
+}
--- /dev/null
+++ b/internal/tier/modelcheck/invariant_test.go
@@ -0,0 +1,5 @@
+package modelcheck
+
+import "pulleygw.example/pulleygw/internal/tier/invariant"
+
+func init() { invariant.FailTests() }
--- /dev/null
+++ b/internal/tier/placement/invariant_test.go
@@ -0,0 +1,5 @@
+package placement
+
+import "pulleygw.example/pulleygw/internal/tier/invariant"
+
+func init() { invariant.FailTests() }
--- a/internal/tier/proxy/exchange.go
+++ b/internal/tier/proxy/exchange.go
@@ -7,7 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"pulleygw.example/pulleygw/internal/tier/admission"
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/upstream"
 )
 
@@ -22,6 +25,12 @@
 // mostTurnedAway is how many stores may decline a request before it is refused.
 const mostTurnedAway = 6
 
+// Causes of sends without use, beside the errors of package upstream.
+var (
+	errDeclined      = eris.New("the store did not run it")
+	errNotAcceptable = eris.New("the answer was none of the store's: without its stamp, encoded, or a promise without its header")
+)
+
 // verdict says what comes after a send.
 type verdict uint8
 
@@ -39,7 +48,7 @@
 	defer x.endTurn()
 	for {
 		changed := x.proxy.news.next()
-		granted, refused := x.proxy.admit.Acquire(ctx, x.ask())
+		granted, refused := x.acquire(ctx)
 		if refused != nil && refused.Reason == admission.NoStore && x.awaitStores(ctx, changed) {
 			continue
 		}
@@ -78,20 +87,28 @@
 
 // attempt sends the request to one store.
 func (x *exchange) attempt(ctx context.Context, granted *admission.Grant) verdict {
+	if !x.maySend() {
+		granted.Finish(admission.Cancelled)
+		x.turned = mostTurnedAway + 1
+		return again
+	}
 	store := storeOf(granted)
 	x.avoid = append(x.avoid, store.Instance)
 	x.sending.Patience = x.patienceWithStore()
 	answer, err := x.proxy.pools.Send(ctx, store, x.connectionLimit(), &x.sending)
 	if err != nil {
 		x.proxy.strays.note(x.proxy.log, store, err)
+		x.cause = err
 		return x.sendFailed(ctx, granted, err)
 	}
 	tellLoad(granted, answer.Header)
 	if notExecuted(answer) {
+		x.cause = errDeclined
 		return x.turnedAway(granted, answer)
 	}
 	x.ran++
 	if !acceptable(answer) {
+		x.cause = errNotAcceptable
 		answer.Abort()
 		granted.Finish(admission.Broken)
 		return x.afterBreak()
@@ -105,6 +122,16 @@
 	return x.relayPlain(ctx, granted, answer)
 }
 
+// maySend says whether the promises allow that a store is sent the request now. They always do, unless the code above is
+// wrong.
+func (x *exchange) maySend() bool {
+	once := invariant.Check(x.ran == 0 || x.repeatable(), invariant.SentOnce, x.ran, 0)
+	attempts := max(1, x.route.MaxAttempts)
+	within := invariant.Check(x.ran < attempts, invariant.SentWithinAttempts, x.ran, attempts)
+	reserved := invariant.Check(!x.turn.limited || x.turn.reserved, invariant.ReservedBeforeSent, "no claim", x.turn.most)
+	return once && within && reserved
+}
+
 // patienceWithStore is how long a store may be silent before another one is tried: only a request that may be sent
 // again is worth that, and only while there is time for another store. Zero where the deadline alone counts.
 func (x *exchange) patienceWithStore() time.Duration {
@@ -216,10 +243,13 @@
 	case x.stream.headSent, x.clientLeft():
 		x.breakOff() // or nobody is there any more
 	case x.ran == 0:
-		x.proxy.respondLater(x.w, x.id, comeAgain(refused))
+		x.became = resultOfRefusal(refused)
+		x.promiseLater(comeAgain(refused))
 	case x.isOver(ctx):
+		x.became = resultTimeout
 		x.proxy.respond(x.w, x.id, http.StatusGatewayTimeout)
 	default:
+		x.became = resultBadGateway
 		x.proxy.respond(x.w, x.id, http.StatusBadGateway)
 	}
 }
--- a/internal/tier/proxy/handler.go
+++ b/internal/tier/proxy/handler.go
@@ -42,6 +42,9 @@
 	turned   int      // sends that did not run
 	stream   streamState
 	control  *http.ResponseController
+	became   result        // what became of it
+	cause    error         // of the last send without use
+	held     time.Duration // by admission
 }
 
 // ServeHTTP serves one request of a client.
@@ -50,15 +53,21 @@
 	current := p.views.get()
 	id := r.Header.Get(upstream.HeaderRequestID)
 	limits := p.limits(current)
-	x := &exchange{proxy: p, w: w, r: r, view: current, id: id, arrival: arrival, control: http.NewResponseController(w)}
+	x := &exchange{
+		proxy: p, w: w, r: r, view: current, id: id, arrival: arrival, control: http.NewResponseController(w),
+		became: resultBrokenOff, // until an answer is told
+	}
+	defer x.account()
 	x.boundWrites(current)
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
+		x.became = resultBadRequest
 		p.respond(w, id, http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
 	body, err := readBody(w, r, limits, current.bodyUntil(r, limits, arrival))
 	if err != nil {
 		w.Header()["Connection"] = []string{"close"}
+		x.became, x.cause = resultBadRequest, err
 		p.respond(w, id, bodyFailure(err))
 		return
 	}
@@ -83,21 +92,25 @@
 		x.boundWrites(x.view)
 	}
 	if x.view.configuration == nil {
-		p.respondLater(w, x.id, retryUnconfigured)
+		x.became = resultNoConfiguration
+		x.promiseLater(retryUnconfigured)
 		return
 	}
 	if x.id == "" {
+		x.became = resultBadRequest
 		p.respond(w, x.id, http.StatusBadRequest)
 		return
 	}
 	x.route = x.view.route(r)
 	if x.route == nil {
+		x.became = resultNoRoute
 		p.respond(w, x.id, http.StatusNotFound)
 		return
 	}
 	x.service = x.view.configuration.Service(x.backend())
 	if x.service == nil { // no configuration that was checked is like this
-		p.respondLater(w, x.id, retryUncertain)
+		x.became = resultNoConfiguration
+		x.promiseLater(retryUncertain)
 		return
 	}
 	x.deadline = x.arrival.Add(patience(r.Header, x.route.Timeout))
--- /dev/null
+++ b/internal/tier/proxy/invariant_test.go
@@ -0,0 +1,5 @@
+package proxy
+
+import "pulleygw.example/pulleygw/internal/tier/invariant"
+
+func init() { invariant.FailTests() }
--- a/internal/tier/proxy/plain.go
+++ b/internal/tier/proxy/plain.go
@@ -31,6 +31,7 @@
 	defer putAnswerBuffer(buffer)
 	read, err := readUpTo(answer, buffer, plainBufferBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
+		x.cause = err
 		answer.Abort()
 		granted.Finish(brokenOutcome(ctx))
 		return x.afterBreak()
@@ -53,6 +54,7 @@
 	answer.Finish()
 	granted.Finish(outcomeOf(answer.Status))
 	x.turn.finishPlain(answer.Status)
+	x.became = resultOfStore(answer.Status)
 	return answered
 }
 
@@ -81,8 +83,10 @@
 		case errors.Is(err, io.EOF):
 			answer.Finish()
 			granted.Finish(outcomeOf(answer.Status))
+			x.became = resultOfStore(answer.Status)
 			return answered
 		default:
+			x.cause = err
 			answer.Abort()
 			granted.Finish(brokenOutcome(ctx))
 			return brokeOff
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -45,6 +45,7 @@
 	listed   atomic.Bool // at least one store was ever known
 	news     news
 	strays   strays
+	journal  requestLog
 	started  time.Time
 }
 
--- a/internal/tier/proxy/refuse.go
+++ b/internal/tier/proxy/refuse.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 )
 
 // Times told to clients that are to come again.
@@ -26,6 +28,18 @@
 	w.WriteHeader(status)
 }
 
+// promise answers that the request has not run and will not.
+func (x *exchange) promise(status int) {
+	invariant.Check(x.ran == 0, invariant.PromiseOfNoRun, x.ran, 0)
+	x.proxy.respond(x.w, x.id, status)
+}
+
+// promiseLater is promise, and tells when to come again.
+func (x *exchange) promiseLater(after time.Duration) {
+	invariant.Check(x.ran == 0, invariant.PromiseOfNoRun, x.ran, 0)
+	x.proxy.respondLater(x.w, x.id, after)
+}
+
 // respondLater writes a 503 that tells when to come again: the request has not run and will not.
 func (p *Proxy) respondLater(w http.ResponseWriter, id string, after time.Duration) {
 	seconds := max(after, shortestRetry).Seconds()
--- a/internal/tier/proxy/stream.go
+++ b/internal/tier/proxy/stream.go
@@ -12,6 +12,7 @@
 
 	"pulleygw.example/pulleygw/internal/tier/admission"
 	"pulleygw.example/pulleygw/internal/tier/configuration"
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/upstream"
 )
 
@@ -46,6 +47,7 @@
 // resume goes on with a stream at another store, inside the answer that has begun.
 func (x *exchange) resume(ctx context.Context, granted *admission.Grant, answer *upstream.Answer) verdict {
 	if !x.isStream(answer) {
+		x.cause = errNotAcceptable
 		answer.Abort()
 		granted.Finish(outcomeOf(answer.Status))
 		return x.afterBreak()
@@ -62,11 +64,14 @@
 		err = x.completeTurn(ctx)
 	}
 	if err == nil {
+		invariant.Check(!x.turn.retained || x.turn.saved, invariant.SavedBeforeEnd, "not saved", x.id)
 		x.sendHead(answer)
 		answer.Finish()
 		granted.Finish(admission.OK)
+		x.became = resultServed
 		return answered
 	}
+	x.cause = err
 	answer.Abort()
 	granted.Finish(brokenOutcome(ctx))
 	if !x.mayResume(ctx, err) {
@@ -167,6 +172,7 @@
 		return errOverAllowance
 	}
 	x.stream.events++
+	invariant.Check(!x.turn.limited || x.stream.events <= x.turn.allowance, invariant.WithinAllowance, x.stream.events, x.turn.allowance)
 	if x.turn.retained {
 		x.turn.output = append(x.turn.output, next.data...)
 		x.turn.output = append(x.turn.output, '\n')
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -44,6 +44,7 @@
 	allowance uint64 // events that may be passed on
 	reserved  bool
 	settled   bool
+	saved     bool
 	handed    bool // a plain answer was passed on
 }
 
@@ -136,15 +137,19 @@
 }
 
 func (x *exchange) answerTurnFailure(err error) {
+	x.cause = err
 	switch {
 	case x.clientLeft():
 		panic(http.ErrAbortHandler)
 	case errors.Is(err, turns.ErrNotFound):
+		x.became = resultUnknownTurn
 		x.proxy.respond(x.w, x.id, http.StatusNotFound)
 	case errors.Is(err, budget.ErrSpent):
-		x.proxy.respond(x.w, x.id, http.StatusPaymentRequired)
+		x.became = resultSpent
+		x.promise(http.StatusPaymentRequired)
 	default:
-		x.proxy.respondLater(x.w, x.id, retryUncertain)
+		x.became = resultUncertainTurn
+		x.promiseLater(retryUncertain)
 	}
 }
 
@@ -155,6 +160,7 @@
 		if err := x.proxy.turns.Save(ctx, x.record()); err != nil {
 			return errNotSaved
 		}
+		t.saved = true
 	}
 	if t.limited {
 		t.settled = true
--- a/internal/tier/proxy/view.go
+++ b/internal/tier/proxy/view.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"pulleygw.example/pulleygw/internal/tier/configuration"
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -38,7 +39,11 @@
 		return false
 	}
 	next := &view{version: control.Version, configuration: known.configuration, membership: control.Stores}
-	if sent := control.Configuration; sent.GetGeneration() > 0 && next.generation() != sent.Generation {
+	sent := control.Configuration
+	if !invariant.Check(sent.GetGeneration() >= known.generation(), invariant.NeverBack, sent.GetGeneration(), known.generation()) {
+		sent = nil // what is in force stays
+	}
+	if sent.GetGeneration() > 0 && next.generation() != sent.Generation {
 		parsed, err := configuration.Parse(sent.Body)
 		if err != nil {
 			v.log.Error("the chosen configuration cannot be read", "generation", sent.Generation, "error", err)
--- a/internal/tier/register/acceptor.go
+++ b/internal/tier/register/acceptor.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"pulleygw.example/pulleygw/internal/tier/fault"
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/storage"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -197,7 +198,7 @@
 	if err := a.promises.Save(payload); err != nil {
 		return err
 	}
-	a.state.Store(&acceptorState{promised: ballot, accepted: state.accepted, value: state.value})
+	a.keep(&acceptorState{promised: ballot, accepted: state.accepted, value: state.value})
 	return a.faults.At(fault.PromiseSaved)
 }
 
@@ -249,10 +250,18 @@
 		return err
 	}
 	a.unclear = false
-	a.state.Store(&acceptorState{promised: request.Ballot, accepted: request.Ballot, value: request.Value})
+	a.keep(&acceptorState{promised: request.Ballot, accepted: request.Ballot, value: request.Value})
 	return a.faults.At(fault.AcceptSaved)
 }
 
+// keep takes over what is on disk now.
+func (a *Acceptor) keep(next *acceptorState) {
+	known := a.state.Load()
+	holds := !higher(known.promised, next.promised) && !higher(next.accepted, next.promised)
+	invariant.Check(holds, invariant.PromiseNotLowered, next.promised, known.promised)
+	a.state.Store(next)
+}
+
 func (a *Acceptor) saveValue(ballot *tierpb.Ballot, value *tierpb.ControlState) error {
 	stored := &tierpb.AcceptRequest{Identity: a.identity, Ballot: ballot, Value: value}
 	payload, err := stored.MarshalVT()
--- /dev/null
+++ b/internal/tier/register/invariant_test.go
@@ -0,0 +1,5 @@
+package register
+
+import "pulleygw.example/pulleygw/internal/tier/invariant"
+
+func init() { invariant.FailTests() }
--- a/internal/tier/settings/settings.go
+++ b/internal/tier/settings/settings.go
@@ -41,6 +41,7 @@
 	CountsForQuorum bool              `toml:"countsForQuorum"`
 	DataDir         string            `toml:"dataDir"`
 	HeartbeatMs     int               `toml:"heartbeatMs"`
+	Metrics         string            `toml:"metrics"` // PORT/PATH; empty where they are not told
 	Contracts       []string          `toml:"contracts"`
 	Zones           map[string]string `toml:"zones"` // zone to region
 	Listen          Listen            `toml:"listen"`
--- a/internal/tier/soak/operator.go
+++ b/internal/tier/soak/operator.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/standin"
@@ -29,6 +30,7 @@
 
 // change is a configuration that an operator sent.
 type change struct {
+	number     uint64 // of all that were composed
 	generation uint64
 	ifMatch    uint64
 	marks      []uint64 // routes that tell which configuration is in force
@@ -41,6 +43,8 @@
 type configurations struct {
 	world *world
 
+	composed atomic.Uint64
+
 	mu     sync.Mutex
 	sent   []*change
 	newest *change // acknowledged
@@ -58,8 +62,8 @@
 func markPath(generation uint64) string { return fmt.Sprintf("/mark-%d/", generation) }
 
 // compose writes a configuration with the routes of the example and the marks of all it builds on.
-func compose(generation uint64, base *change, random *rand.Rand) *change {
-	composed := &change{generation: generation}
+func (c *configurations) compose(generation uint64, base *change) *change {
+	composed := &change{generation: generation, number: c.composed.Add(1)}
 	if base != nil {
 		composed.ifMatch = base.generation
 		composed.marks = append(composed.marks, base.marks...)
@@ -71,7 +75,7 @@
 		route.Name, route.PathPrefix = fmt.Sprint("mark-", mark), markPath(mark)
 		configuration.Routes = append(configuration.Routes, route)
 	}
-	configuration.Limits.IdleTimeoutMs = 12000 + random.IntN(4000) // two bodies of one generation differ
+	configuration.Limits.IdleTimeoutMs = 12000 + int(composed.number%4000) // no two bodies are the same order
 	composed.body = configuration.Body()
 	return composed
 }
@@ -79,7 +83,7 @@
 // first sends the first configuration until it is taken.
 func (c *configurations) first(ctx context.Context) error {
 	c.seen = make(map[sight]time.Time)
-	made := compose(1, nil, rand.New(rand.NewPCG(c.world.plan.Seed, 3000)))
+	made := c.compose(1, nil)
 	c.note(made)
 	c.send(ctx, made, rand.New(rand.NewPCG(c.world.plan.Seed, 3001)))
 	return ctx.Err()
@@ -97,9 +101,9 @@
 	for pause(ctx, changePause+time.Duration(random.Int64N(int64(2*changePause)))) {
 		base := c.base()
 		generation := base.generation + 1 + uint64(random.IntN(3))
-		made := []*change{compose(generation, base, random)}
+		made := []*change{c.compose(generation, base)}
 		if random.IntN(3) == 0 {
-			made = append(made, compose(generation+uint64(random.IntN(2)), base, random))
+			made = append(made, c.compose(generation+uint64(random.IntN(2)), base))
 			c.world.Count("two operators at once")
 		}
 		var group sync.WaitGroup
--- a/internal/tier/soak/run.go
+++ b/internal/tier/soak/run.go
@@ -80,7 +80,7 @@
 		return
 	}
 	random := rand.New(rand.NewPCG(w.plan.Seed, 4000))
-	made := compose(w.config.base().generation+1, w.config.base(), random)
+	made := w.config.compose(w.config.base().generation+1, w.config.base())
 	w.config.note(made)
 	ordering, cancel := context.WithTimeout(ctx, recoverTime)
 	w.config.send(ordering, made, random)
--- a/internal/tier/soak/world.go
+++ b/internal/tier/soak/world.go
@@ -60,12 +60,13 @@
 	if err != nil {
 		return nil, err
 	}
+	log := &watchedLog{to: options.Log}
 	launch := func(role, settingsPath string) *exec.Cmd {
 		return options.Launch(role, settingsPath, address, selfOf(settingsPath))
 	}
 	tier, err := standin.NewTier(standin.Layout{
 		Folder: options.Folder, Subnet: options.Subnet, Zones: []string{"north", "south", "west"}, Edges: edges,
-		Coordinators: coordinators, TurnStores: turnStores, Spares: 1, Tolerated: 1, Launch: launch, Log: options.Log,
+		Coordinators: coordinators, TurnStores: turnStores, Spares: 1, Tolerated: 1, Launch: launch, Log: log,
 		StorePause: storePause,
 	})
 	if err != nil {
@@ -77,6 +78,7 @@
 		ended: make(map[*standin.Machine]int), busy: make(map[*standin.Machine]bool), gone: make(map[*standin.Machine]bool),
 	}
 	w.config.world, w.turns.world, w.stores.world = w, w, w
+	log.found = func(line string) { w.Break("INVARIANT", "%s", line) }
 	if err := w.start(ctx); err != nil {
 		w.close()
 		return nil, err
@@ -85,6 +87,7 @@
 }
 
 func (w *world) start(ctx context.Context) error {
+	defer w.begin(cause{what: "start", stops: everyEdge})()
 	for _, machine := range w.Machines() {
 		if err := w.launch(machine); err != nil {
 			return err
--- a/internal/tier/turnstore/write.go
+++ b/internal/tier/turnstore/write.go
@@ -1,10 +1,12 @@
 package turnstore
 
 import (
+	"bytes"
 	"context"
 	"slices"
 
 	"pulleygw.example/pulleygw/internal/tier/budget"
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -62,6 +64,7 @@
 func (s *Store) news(asked writes) (frames []byte, waiting []*batch, err error) {
 	for _, turn := range asked.records {
 		if held := s.view.records[turn.Id]; held != nil {
+			invariant.Check(isSame(held.turn, turn), invariant.RecordsNeverChange, turn.Id, held.turn.Id)
 			waiting = addBatch(waiting, held.batch)
 			continue
 		}
@@ -94,6 +97,11 @@
 	return frames, waiting, nil
 }
 
+// isSame says whether two records are of one and the same turn.
+func isSame(held, told *tierpb.TurnRecord) bool {
+	return held.Previous == told.Previous && bytes.Equal(held.Input, told.Input) && bytes.Equal(held.Output, told.Output)
+}
+
 // apply folds writes into the view.
 func (s *Store) apply(asked writes, in *batch) {
 	for _, turn := range asked.records {
--- a/internal/tier/watch/join.go
+++ b/internal/tier/watch/join.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -38,6 +39,7 @@
 		merged = merged.CloneVT()
 		merged.State = state
 	}
+	invariant.Check(!Terminal(known.State) || merged.State >= known.State, invariant.FinalStateStays, merged.State, known.State)
 	return merged, compare(known, merged)
 }
 
--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -198,7 +199,7 @@
 }
 
 func (s *State) takeControl(control *tierpb.ControlState) bool {
-	if control == nil || s.control != nil && control.Version <= s.control.Version {
+	if control == nil || !s.isNews(control) {
 		return false
 	}
 	s.control = control
@@ -209,6 +210,23 @@
 	return true
 }
 
+// isNews says whether a control state is newer than the one known. Both are chosen values: where that is so, what one
+// version holds is always the same, and a later one has no older configuration.
+func (s *State) isNews(control *tierpb.ControlState) bool {
+	known := s.control
+	if known == nil {
+		return true
+	}
+	generation, told := known.Configuration.GetGeneration(), control.Configuration.GetGeneration()
+	if control.Version == known.Version {
+		invariant.Check(told == generation, invariant.OneValueAVersion, told, generation)
+	}
+	if control.Version <= known.Version {
+		return false
+	}
+	return invariant.Check(told >= generation && control.Epoch >= known.Epoch, invariant.NeverBack, told, generation)
+}
+
 // wholeControl is the control state of a reply, with the configuration's body made from a delta where there is one; nil
 // where that does not fit.
 func (s *State) wholeControl(reply *tierpb.WatchReply) *tierpb.ControlState {
