--- a/internal/tier/command/role.go
+++ b/internal/tier/command/role.go
@@ -82,7 +82,11 @@
 		return
 	}
 	at, err := metrics.ParsePlace(asked)
-	if err == nil {
+	switch {
+	case err != nil:
+	case own.UsesPort(at.Port): // the role comes first
+		err = eris.Errorf("port %d is one of this machine's own", at.Port)
+	default:
 		err = metrics.Serve(ctx, own.IP, at)
 	}
 	if err != nil {
--- a/internal/tier/settings/settings.go
+++ b/internal/tier/settings/settings.go
@@ -174,6 +174,19 @@
 	return fmt.Sprintf("%s:%d", ip, s.EphemeralPorts[0]+offset)
 }
 
+// UsesPort says whether a port is among those that the machine is given for its roles.
+func (s *Settings) UsesPort(port int) bool {
+	if len(s.EphemeralPorts) == 2 && port >= s.EphemeralPorts[0] && port <= s.EphemeralPorts[1] {
+		return true
+	}
+	for _, address := range []string{s.Listen.Front, s.Listen.Readiness, s.Listen.Control} {
+		if used, err := netip.ParseAddrPort(address); err == nil && int(used.Port()) == port {
+			return true
+		}
+	}
+	return false
+}
+
 // loopback is where the processes of one machine reach each other.
 const loopback = "127.0.0.1"
 
