--- a/internal/tier/proxy/account.go
+++ b/internal/tier/proxy/account.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -79,8 +81,18 @@
 	return resultOverload
 }
 
-// account tells metrics and log what became of a request.
+var panics = metrics.NewCounter("proxy_panics_total", "Requests that ended by a mistake in the code.")
+
+// account tells metrics and log what became of a request. A mistake in the code ends its request alone, and not without a
+// word: net/http would drop it.
 func (x *exchange) account() {
+	if mistake := recover(); mistake != nil {
+		if mistake != http.ErrAbortHandler {
+			panics.Inc()
+			x.proxy.log.Error("mistake in the code", "id", x.id, "panic", fmt.Sprint(mistake), "stack", string(debug.Stack()))
+		}
+		defer panic(http.ErrAbortHandler)
+	}
 	became := x.became
 	if became == resultBrokenOff && x.clientLeft() {
 		became = resultClientLeft
--- /dev/null
+++ b/internal/tier/proxy/unknown_members_test.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/budget"
+	"pulleygw.example/pulleygw/internal/tier/replica"
+	"pulleygw.example/pulleygw/internal/tier/rpc"
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+	"pulleygw.example/pulleygw/internal/tier/turns"
+)
+
+// While no turn store is known nothing can be kept: a turn that is to be kept, or that counts against a budget, is refused
+// at once, before any store works on it and without being held for all of its time.
+func TestTurnIsRefusedAtOnceWhileNoTurnStoreIsKnown(t *testing.T) {
+	const allowed = 10 * time.Second
+	store := newStandIn(t, "a", events(true, numbered(1, 3)...))
+	b := newBench(t, allowed, nil, []*standIn{store})
+	options := replica.Options{Membership: func() *tierpb.StoreMembership { return b.proxy.views.get().membership }, Tolerance: 1}
+	b.proxy.turns, b.proxy.budgets = turns.NewClient(options), budget.NewClient(options)
+	limited := []string{"Program: p", "Budget: 100", "X-Token-Usage: 10,9"}
+	for name, fields := range map[string][]string{
+		"kept":             nil,
+		"kept, limited":    limited,
+		"goes on from one": append(limited, "Previous: before"),
+	} {
+		began := time.Now()
+		got := b.send("POST", "/t/x", "id", "in", fields...)
+		assert.NilError(t, got.err, name)
+		assert.Equal(t, got.status, 503, name)
+		assert.Assert(t, got.header.Get("Retry-After") != "", name)
+		assert.Assert(t, time.Since(began) < allowed/2, "%s: held for %v", name, time.Since(began))
+	}
+	assert.Equal(t, len(store.requests()), 0)
+	got := b.send("POST", "/s/x", "id", "in") // what is not kept is served
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, 200)
+}
+
+// silentCaller reaches nobody and hears nothing.
+type silentCaller struct{}
+
+func (silentCaller) Call(ctx context.Context, _ string, _ rpc.Method, _, _ rpc.Message) error {
+	<-ctx.Done()
+	return rpc.ErrTimeout
+}
+
+// Where the turn stores do not answer, a turn is refused while its client has time left to come again.
+func TestTurnIsRefusedInTimeWhileTurnStoresAreSilent(t *testing.T) {
+	const allowed = 5 * time.Second
+	store := newStandIn(t, "a", events(true, numbered(1, 3)...))
+	b := newBench(t, allowed, nil, []*standIn{store})
+	members := &tierpb.StoreMembership{Epoch: 1, Current: []*tierpb.Node{
+		{Name: "s-1", Address: "10.0.0.1:1", Identity: 1}, {Name: "s-2", Address: "10.0.0.2:1", Identity: 2},
+		{Name: "s-3", Address: "10.0.0.3:1", Identity: 3},
+	}}
+	options := replica.Options{
+		Caller: silentCaller{}, Membership: func() *tierpb.StoreMembership { return members }, Tolerance: 1,
+	}
+	b.proxy.turns, b.proxy.budgets = turns.NewClient(options), budget.NewClient(options)
+	began := time.Now()
+	got := b.send("POST", "/t/x", "id", "in", "Program: p", "Budget: 100", "X-Token-Usage: 10,9", "Previous: before")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(began) < allowed/2, "held for %v", time.Since(began))
+	assert.Equal(t, len(store.requests()), 0)
+}
--- a/internal/tier/soak/plan.go
+++ b/internal/tier/soak/plan.go
@@ -38,7 +38,7 @@
 	NoTrouble     Kind = "none"
 )
 
-// losing are the kinds that take a disk; no more than one is in a plan before its end.
+// losing are the kinds that take a disk; before its end no more are in a plan than are tolerated.
 var losing = []Kind{Wipe, Spoil, ReplaceCore}
 
 // Trouble is one trouble of a plan.
@@ -61,16 +61,42 @@
 	Seed     uint64        `json:"seed"`
 	Traffic  time.Duration `json:"traffic"`
 	Troubles []Trouble     `json:"troubles"`
-	Final    Kind          `json:"final"` // none, kill_everybody, or wipe: everybody is killed and one disk is lost
-	Lost     Trouble       `json:"lost"`  // whose disk
+	Final    Kind          `json:"final"` // none, kill_everybody, or wipe: everybody is killed and disks are lost
+	Lost     []Trouble     `json:"lost"`  // whose disks
+	Size     Size          `json:"size"`
+	Mixed    bool          `json:"mixed"` // some starts are of another build, where there is one
 }
 
-// Sizes of the tier that is soaked.
-const (
-	edges        = 3
-	coordinators = 3
-	turnStores   = 4
-)
+// Size is what the tier consists of.
+type Size struct {
+	Edges        int `json:"edges"`
+	Coordinators int `json:"coordinators"`
+	TurnStores   int `json:"turnStores"`
+	Tolerated    int `json:"tolerated"` // machines that may be lost at once
+}
+
+// sizes are drawn from; the first is that of plans which say none.
+var sizes = []Size{
+	{Edges: 3, Coordinators: 3, TurnStores: 4, Tolerated: 1},
+	{Edges: 2, Coordinators: 3, TurnStores: 3, Tolerated: 1},
+	{Edges: 3, Coordinators: 5, TurnStores: 6, Tolerated: 2},
+	{Edges: 3, Coordinators: 5, TurnStores: 5, Tolerated: 2},
+	{Edges: 2, Coordinators: 4, TurnStores: 5, Tolerated: 1},
+	{Edges: 2, Coordinators: 3, TurnStores: 2, Tolerated: 1}, // fewer turn stores than bear all losses
+	{Edges: 2, Coordinators: 1, TurnStores: 1, Tolerated: 0},
+}
+
+func (s Size) of(class string) int {
+	switch class {
+	case classEdge:
+		return s.Edges
+	case classCore:
+		return s.Coordinators
+	}
+	return s.TurnStores
+}
+
+func (s Size) all() int { return s.Edges + s.Coordinators + s.TurnStores }
 
 // Classes of machines.
 const (
@@ -79,8 +105,6 @@
 	classStore = "store"
 )
 
-var classSizes = map[string]int{classEdge: edges, classCore: coordinators, classStore: turnStores}
-
 const (
 	waveGap  = 1600 * time.Millisecond
 	quietEnd = 1500 * time.Millisecond // at the end of the traffic, without new troubles
@@ -89,8 +113,8 @@
 // NewPlan draws a plan. Troubles come in waves of one to three; half of the waves begin within milliseconds.
 func NewPlan(seed uint64, traffic time.Duration) Plan {
 	random := rand.New(rand.NewPCG(seed, 0x50a6))
-	plan := Plan{Seed: seed, Traffic: traffic, Final: NoTrouble}
-	lost := false
+	plan := Plan{Seed: seed, Traffic: traffic, Final: NoTrouble, Size: sizes[random.IntN(len(sizes))], Mixed: random.IntN(3) == 0}
+	lost := 0
 	kinds := swarm(random)
 	for at := 300 * time.Millisecond; at < traffic-quietEnd; at += waveGap + time.Duration(random.Int64N(int64(waveGap))) {
 		within := 1200 * time.Millisecond
@@ -98,12 +122,12 @@
 			within = 8 * time.Millisecond
 		}
 		for range 1 + random.IntN(3) {
-			trouble := draw(random, kinds)
+			trouble := draw(random, kinds, plan.Size)
 			if slices.Contains(losing, trouble.Kind) {
-				if lost {
+				if lost >= plan.Size.Tolerated {
 					continue
 				}
-				lost = true
+				lost++
 			}
 			trouble.At = at + time.Duration(random.Int64N(int64(within)))
 			plan.Troubles = append(plan.Troubles, trouble)
@@ -114,8 +138,11 @@
 		plan.Final = KillEverybody
 	case 1:
 		plan.Final = Wipe
-		plan.Lost = Trouble{Class: diskClass(random)}
-		plan.Lost.Number = random.IntN(classSizes[plan.Lost.Class])
+		for range plan.Size.Tolerated {
+			lost := Trouble{Class: diskClass(random)}
+			lost.Number = random.IntN(plan.Size.of(lost.Class))
+			plan.Lost = append(plan.Lost, lost)
+		}
 	}
 	return plan
 }
@@ -130,9 +157,9 @@
 	return all[:5+random.IntN(6)]
 }
 
-func draw(random *rand.Rand, kinds []Kind) Trouble {
+func draw(random *rand.Rand, kinds []Kind, size Size) Trouble {
 	trouble := Trouble{
-		Kind: kinds[random.IntN(len(kinds))], Role: random.IntN(2), Other: random.IntN(edges + coordinators + turnStores),
+		Kind: kinds[random.IntN(len(kinds))], Role: random.IntN(2), Other: random.IntN(size.all()),
 		For: 100*time.Millisecond + time.Duration(random.Int64N(int64(2400*time.Millisecond))),
 	}
 	trouble.Class = []string{classEdge, classCore, classStore}[random.IntN(3)]
@@ -148,7 +175,7 @@
 	case Isolate, CutPair, CutOneWay, PauseMachine:
 		trouble.For += time.Duration(random.Int64N(int64(2 * time.Second)))
 	}
-	trouble.Number = random.IntN(classSizes[trouble.Class])
+	trouble.Number = random.IntN(size.of(trouble.Class))
 	return trouble
 }
 
--- a/internal/tier/soak/run.go
+++ b/internal/tier/soak/run.go
@@ -91,13 +91,19 @@
 	if w.plan.Final != Wipe {
 		return
 	}
-	machine := w.machine(w.plan.Lost)
-	if !w.claim(machine) {
-		return
+	var group sync.WaitGroup
+	for _, lost := range w.plan.Lost {
+		machine := w.machine(lost)
+		if !w.claim(machine) {
+			continue
+		}
+		group.Go(func() {
+			defer w.release(machine)
+			w.loseDisk(machine, Trouble{Kind: Wipe, For: backAfter})
+			w.Count("final loss of a disk in " + lost.Class)
+		})
 	}
-	defer w.release(machine)
-	w.loseDisk(machine, Trouble{Kind: Wipe, For: backAfter})
-	w.Count("final loss of a disk in " + w.plan.Lost.Class)
+	group.Wait()
 }
 
 // verify wants all that was acknowledged to be there within the time that recovery may take.
--- a/internal/tier/soak/soak_test.go
+++ b/internal/tier/soak/soak_test.go
@@ -28,6 +28,8 @@
 	jobs    = flag.Int("jobs", 1, "plans played at once")
 	timed   = flag.Bool("timed", false, "judge the bounds of the rules too: for a machine that does nothing else")
 	keep    = flag.String("keep", "", "folder for the logs of plans that broke a promise; those of the test where empty")
+	other   = flag.String("other", "", "program of the tier of another build, for plans that mix builds")
+	keepAll = flag.Bool("keep-all", false, "keep the logs of all plans")
 	planned = flag.String("plan", "", "file of one plan to play in place of drawn ones, as a failure leaves it")
 )
 
@@ -53,6 +55,16 @@
 	return started
 }
 
+// otherBuild makes the commands of the other build, nil where none is named.
+func otherBuild() func(role, settingsPath string) *exec.Cmd {
+	if *other == "" {
+		return nil
+	}
+	return func(role, settingsPath string) *exec.Cmd {
+		return exec.Command(*other, role, "--log-format", "json", "--settings", settingsPath)
+	}
+}
+
 var usedSubnets atomic.Int32
 
 // subnet gives each plan addresses of its own, away from those of package endtoend.
@@ -111,6 +123,7 @@
 	buffered := &lockedWriter{to: bufio.NewWriter(log)}
 	result, history, err := soak.Run(context.Background(), plan, soak.Options{
 		Folder: filepath.Join(folder, fmt.Sprint(plan.Seed)), Subnet: subnet(), Log: buffered, Timed: *timed, Launch: launch,
+		Other: otherBuild(),
 	})
 	buffered.flush()
 	if err != nil {
@@ -123,7 +136,7 @@
 	for _, broken := range result.Violations {
 		t.Errorf("seed %d: %s at %s: %s (logs in %s)", plan.Seed, broken.Rule, broken.At.Format("15:04:05.000"), broken.Text, logs)
 	}
-	if len(result.Violations) == 0 && *keep != "" {
+	if len(result.Violations) == 0 && *keep != "" && !*keepAll {
 		_ = os.RemoveAll(logs)
 	}
 }
--- a/internal/tier/soak/stores.go
+++ b/internal/tier/soak/stores.go
@@ -28,18 +28,33 @@
 }
 
 func (s *storeSet) add(ctx context.Context, service string) error {
+	store, err := s.begin(service)
+	if err != nil {
+		return err
+	}
+	if err := store.Register(ctx); err != nil { // it may be known all the same, and have run something
+		store.Kill()
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	store, err := s.world.AddStore(ctx, service, slots)
+	s.well[service] = append(s.well[service], store)
+	return nil
+}
+
+// begin starts a store; from here on its runs are judged.
+func (s *storeSet) begin(service string) (*standin.Store, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	store, err := s.world.NewStore(service, slots)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if s.well == nil {
 		s.well, s.leaving = make(map[string][]*standin.Store), make(map[*standin.Store]time.Time)
 	}
 	s.all = append(s.all, store)
-	s.well[service] = append(s.well[service], store)
-	return nil
+	return store, nil
 }
 
 // take removes a store from those that are well, nil where too few would remain.
--- a/internal/tier/soak/watchedlog.go
+++ b/internal/tier/soak/watchedlog.go
@@ -8,7 +8,7 @@
 )
 
 // signsOfFaults are what no process may log.
-var signsOfFaults = []string{invariant.Message, "panic: ", "fatal error: ", "DATA RACE", "runtime error"}
+var signsOfFaults = []string{invariant.Message, "panic: ", "fatal error: ", "DATA RACE", "runtime error", "mistake in the code"}
 
 // watchedLog passes the lines of all processes on and tells of those that show a fault. Lines come whole and one at a time.
 type watchedLog struct {
--- a/internal/tier/soak/world.go
+++ b/internal/tier/soak/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os/exec"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	Timed  bool // the bounds of the rules are judged too; elsewhere what is late is counted
 	// Launch makes the command of a role whose inner connections go through the relay.
 	Launch func(role, settingsPath, relay, self string) *exec.Cmd
+	// Other makes that of another build, whose connections are direct; nil where there is none.
+	Other func(role, settingsPath string) *exec.Cmd
 }
 
 // relayPort is where the relay listens, at the last address of the subnet.
@@ -55,18 +58,28 @@
 
 // newWorld starts a tier and waits until it serves.
 func newWorld(ctx context.Context, plan Plan, options Options) (*world, error) {
+	if plan.Size == (Size{}) {
+		plan.Size = sizes[0]
+	}
 	address := fmt.Sprintf("%s.250:%d", options.Subnet, relayPort)
 	relay, err := NewRelay(address)
 	if err != nil {
 		return nil, err
 	}
 	log := &watchedLog{to: options.Log}
+	builds := rand.New(rand.NewPCG(plan.Seed, 5000))
+	var drawing sync.Mutex
 	launch := func(role, settingsPath string) *exec.Cmd {
+		drawing.Lock()
+		defer drawing.Unlock()
+		if plan.Mixed && options.Other != nil && builds.IntN(2) == 0 {
+			return options.Other(role, settingsPath)
+		}
 		return options.Launch(role, settingsPath, address, selfOf(settingsPath))
 	}
 	tier, err := standin.NewTier(standin.Layout{
-		Folder: options.Folder, Subnet: options.Subnet, Zones: []string{"north", "south", "west"}, Edges: edges,
-		Coordinators: coordinators, TurnStores: turnStores, Spares: 1, Tolerated: 1, Launch: launch, Log: log,
+		Folder: options.Folder, Subnet: options.Subnet, Zones: []string{"north", "south", "west"}, Edges: plan.Size.Edges,
+		Coordinators: plan.Size.Coordinators, TurnStores: plan.Size.TurnStores, Spares: 1, Tolerated: plan.Size.Tolerated, Launch: launch, Log: log,
 		StorePause: storePause,
 	})
 	if err != nil {
--- a/internal/tier/standin/tier.go
+++ b/internal/tier/standin/tier.go
@@ -164,8 +164,7 @@
 }
 
 func (t *Tier) seeds() []string {
-	controls := t.Controls()
-	return controls[:min(seedCount, len(controls))]
+	return t.Controls()[:min(seedCount, t.layout.Coordinators)]
 }
 
 // Controls lists the control addresses of all coordinators.
@@ -188,13 +187,7 @@
 
 // AddStore starts a store of a service at the next free address; it has registered when the call returns.
 func (t *Tier) AddStore(ctx context.Context, service string, slots int) (*Store, error) {
-	t.stores++
-	zone := t.layout.Zones[t.stores%len(t.layout.Zones)]
-	store, err := StartStore(StoreOptions{
-		ID: fmt.Sprintf("i-%s-%d", service, t.stores), Backend: service, Zone: zone, Slots: slots,
-		Address: endpoint(fmt.Sprintf("%s.%d", t.layout.Subnet, firstToy+t.stores), storePort),
-		Engine:  service == EngineService, Registry: t.Controls, Pause: t.layout.StorePause,
-	})
+	store, err := t.NewStore(service, slots)
 	if err != nil {
 		return nil, err
 	}
@@ -205,6 +198,17 @@
 	return store, nil
 }
 
+// NewStore starts a store of a service at the next free address. It is not registered.
+func (t *Tier) NewStore(service string, slots int) (*Store, error) {
+	t.stores++
+	zone := t.layout.Zones[t.stores%len(t.layout.Zones)]
+	return StartStore(StoreOptions{
+		ID: fmt.Sprintf("i-%s-%d", service, t.stores), Backend: service, Zone: zone, Slots: slots,
+		Address: endpoint(fmt.Sprintf("%s.%d", t.layout.Subnet, firstToy+t.stores), storePort),
+		Engine:  service == EngineService, Registry: t.Controls, Pause: t.layout.StorePause,
+	})
+}
+
 // Machines lists all machines but spares.
 func (t *Tier) Machines() []*Machine {
 	all := make([]*Machine, 0, len(t.Coordinators)+len(t.TurnStores)+len(t.Edges))
