Proxy: a turn is refused at once, or in time, while nothing can keep it

Cause: the proxy went by what a turn asks for alone, not by whether a turn store is known or answers. Class: work begun or held on a part that is known to be away. Change: a kept or limited turn gets 503 with Retry-After at once before the first membership, and waits for turn stores at most 0.4 of its time before any store is sent it. Looked for elsewhere: orders wait 0.88 s (0.3 s when cut off), admission refuses at once without a store, saves can't be given up earlier (all events are out).

--- a/internal/tier/proxy/harness_test.go
+++ b/internal/tier/proxy/harness_test.go
@@ -203,6 +203,8 @@
 	}
 }
 
+func (k *keeper) Ready() bool { return true }
+
 func (k *keeper) Chain(ctx context.Context, id string) ([]*tierpb.TurnRecord, error) {
 	if k.onChain != nil {
 		k.onChain(ctx)
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -16,10 +16,15 @@
 	"pulleygw.example/pulleygw/internal/tier/turns"
 )
 
+// turnStoresPart is the part of a request's time that it waits for turn stores before any store is sent it: what is left
+// is for its client to come again, when they may answer.
+const turnStoresPart = 0.4
+
 var errNotSaved = eris.New("the turn could not be saved")
 
 // turnKeeper keeps the records of turns. Chain returns turns.ErrNotFound where it is sure that there is no such turn.
 type turnKeeper interface {
+	Ready() bool // whether there is anything that could keep a turn
 	Chain(ctx context.Context, id string) ([]*tierpb.TurnRecord, error)
 	Save(ctx context.Context, record *tierpb.TurnRecord) error
 }
@@ -49,15 +54,21 @@
 }
 
 // beginTurn fetches what the turn goes on from and reserves what it may generate, both at the same time. Where that
-// fails, the client has been answered and false is returned.
+// fails, or nothing could keep the turn, the client has been answered and false is returned.
 func (x *exchange) beginTurn(ctx context.Context) bool {
 	if x.route.Kind != configuration.Streaming {
 		return true
 	}
 	x.readTurn()
+	if (x.turn.limited || x.turn.retained) && !x.proxy.turns.Ready() {
+		x.answerTurnFailure(turns.ErrUncertain)
+		return false
+	}
 	if !x.turn.limited && x.turn.previous == "" {
 		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(turnStoresPart*float64(time.Until(x.deadline))))
+	defer cancel()
 	reserved := x.reserve(ctx)
 	chain, chainErr := x.chain(ctx)
 	reserveErr := <-reserved
--- a/internal/tier/turns/client.go
+++ b/internal/tier/turns/client.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// Ready says whether any turn store is known: before that nothing can be saved.
+func (c *Client) Ready() bool { return len(c.replicas.Membership().GetCurrent()) > 0 }
+
 // Save returns nil when the record is synced on enough stores that no loss within tolerance loses it.
 func (c *Client) Save(ctx context.Context, record *tierpb.TurnRecord) error {
 	ctx, cancel := bounded(ctx)
