--- a/internal/tier/register/peek.go
+++ b/internal/tier/register/peek.go
@@ -15,11 +15,11 @@
 		return nil
 	}
 	defer func() { p.turn <- struct{}{} }()
-	return p.look(ctx)
+	return p.peekInTurn(ctx)
 }
 
-// look is peek for the owner of the turn.
-func (p *Proposer) look(ctx context.Context) *tierpb.ControlState {
+// peekInTurn is peek for the owner of the turn.
+func (p *Proposer) peekInTurn(ctx context.Context) *tierpb.ControlState {
 	round := newRound(p, &tierpb.Ballot{}, p.options.Timeout)
 	found := round.prepare(ctx, p.startingPoint())
 	p.saw(found)
@@ -39,7 +39,7 @@
 	if known := p.options.Known(); known == nil || !isSettled(known) {
 		return nil
 	}
-	if value := p.look(ctx); value != nil && isSettled(value) {
+	if value := p.peekInTurn(ctx); value != nil && isSettled(value) {
 		return value
 	}
 	return nil
--- a/internal/tier/soak/run.go
+++ b/internal/tier/soak/run.go
@@ -61,6 +61,7 @@
 	for worker := range plainWorkers {
 		group.Go(func() { w.runPlain(traffic, worker) })
 	}
+	group.Go(func() { w.runRude(traffic) })
 	group.Go(func() { w.config.operate(traffic) })
 	group.Go(func() { w.config.readAlong(traffic) })
 	group.Go(func() { w.config.probe(traffic) })
--- a/internal/tier/upstream/answer.go
+++ b/internal/tier/upstream/answer.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if c.bearsUnread {
-		c.bearUnread(userTimeout)
+		c.allowUnread(userTimeout)
 	}
 	now := c.pools.now()
 	c.until = idleUntil(now, a.Header)
--- a/internal/tier/upstream/connection.go
+++ b/internal/tier/upstream/connection.go
@@ -84,7 +84,7 @@
 	answer, failure := c.readHead(request)
 	if failure == nil {
 		if c.owesBytes() {
-			c.bearUnread(max(userTimeout, request.Deadline.Sub(c.pools.now())))
+			c.allowUnread(max(userTimeout, request.Deadline.Sub(c.pools.now())))
 		}
 		return answer, nil
 	}
--- a/internal/tier/upstream/sending.go
+++ b/internal/tier/upstream/sending.go
@@ -67,9 +67,9 @@
 	c.sending = &sending{done: ended, written: int64(written), err: err}
 }
 
-// bearUnread lets a store leave bytes unread for so long: to the kernel one that has no room for more of a body is like one
+// allowUnread lets a store leave bytes unread for so long: to the kernel one that has no room for more of a body is like one
 // that is behind a cut, and it would end the answer that has begun, too.
-func (c *connection) bearUnread(most time.Duration) {
+func (c *connection) allowUnread(most time.Duration) {
 	if raw := c.raw(); raw != nil {
 		_ = limitUnacknowledged(raw, most)
 		c.bearsUnread = most != userTimeout
