Soak: late heartbeats, coordinators killed behind an acknowledgement; promises page tested

Change: heartbeats of before a leave come behind it; coordinators are killed right behind the acknowledgement of a leave, and such stores serve on into the calm time; a test holds docs/promises.md to the code. A process stopped 13 ms after its start ends by the signal: counted, no fault.

--- /dev/null
+++ b/internal/tier/rules/promises_test.go
@@ -0,0 +1,65 @@
+package rules
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const promises = "../../../docs/promises.md"
+
+var (
+	declaredInvariant = regexp.MustCompile(`(?m)^\t([A-Za-z]+) Name = "([a-z-]+)"`)
+	namedInvariant    = regexp.MustCompile("inv\\. `([a-z-]+)`")
+	alsoNamed         = regexp.MustCompile("`([a-z-]+)`; soak marks")
+)
+
+// TestPromisesNameTheInvariants wants each invariant to be checked somewhere and named on the page, and no other one there.
+func TestPromisesNameTheInvariants(t *testing.T) {
+	page, err := os.ReadFile(promises)
+	assert.NilError(t, err)
+	names, err := os.ReadFile("../invariant/names.go")
+	assert.NilError(t, err)
+	code := sourcesBelow(t, "..")
+	known := make(map[string]bool)
+	for _, match := range declaredInvariant.FindAllStringSubmatch(string(names), -1) {
+		known[match[2]] = true
+		assert.Check(t, strings.Contains(code, "invariant."+match[1]+","), "%s is checked nowhere", match[1])
+		assert.Check(t, strings.Contains(string(page), "`"+match[2]+"`"), "%s is not on the page", match[2])
+	}
+	for _, pattern := range []*regexp.Regexp{namedInvariant, alsoNamed} {
+		for _, match := range pattern.FindAllStringSubmatch(string(page), -1) {
+			assert.Check(t, known[match[1]], "the page names %s", match[1])
+		}
+	}
+}
+
+// TestPromisesNameTestsThatExist looks up the tests that the page names.
+func TestPromisesNameTestsThatExist(t *testing.T) {
+	page, err := os.ReadFile(promises)
+	assert.NilError(t, err)
+	for _, match := range named.FindAllStringSubmatch(string(page), -1) {
+		assert.Check(t, testsIn(t, match[1])[match[2]], "no test %s in %s", match[2], match[1])
+	}
+}
+
+// sourcesBelow joins all sources below a folder but those of tests.
+func sourcesBelow(t *testing.T, folder string) string {
+	t.Helper()
+	all := strings.Builder{}
+	files, err := filepath.Glob(filepath.Join(folder, "*", "*.go"))
+	assert.NilError(t, err)
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		all.Write(text)
+	}
+	return all.String()
+}
--- a/internal/tier/soak/stores.go
+++ b/internal/tier/soak/stores.go
@@ -17,6 +17,9 @@
 	disturbedTime = 900 * time.Millisecond
 )
 
+// servesOnLong is how long a store serves on whose leave was acknowledged by a machine that ended right after.
+const servesOnLong = 9 * time.Second
+
 // storeSet holds the stores of the two services, those that have ended too: their runs are judged.
 type storeSet struct {
 	world *world
@@ -116,10 +119,42 @@
 	}
 }
 
+// deliverLate delivers a heartbeat of before the leave behind its acknowledgement.
+func (s *storeSet) deliverLate(ctx context.Context, late func(context.Context, string) error) {
+	for _, address := range s.world.Controls() {
+		if late(ctx, address) == nil {
+			s.world.Count("heartbeat came behind the leave")
+		}
+	}
+}
+
+// leaveAlone ends, for half of the stores, the coordinator that acknowledged the leave in the same moment: the others have
+// to know of it. Else a heartbeat of before comes late.
+func (s *storeSet) leaveAlone(
+	ctx, patience context.Context, store *standin.Store, late func(context.Context, string) error, spared bool,
+) {
+	w := s.world
+	machine := w.machineAt(store.AcknowledgedBy())
+	if machine == nil || spared || !w.claim(machine) {
+		s.deliverLate(patience, late)
+		pause(ctx, servesOn)
+		return
+	}
+	end := w.begin(cause{what: "coordinator " + machine.Settings.NodeName + " ends behind an acknowledgement"})
+	w.kill(machine)
+	pause(ctx, time.Second)
+	_ = w.launch(machine)
+	w.release(machine)
+	end()
+	w.Count("coordinator ended behind the acknowledgement of a leave")
+	pause(context.WithoutCancel(ctx), servesOnLong) // into the calm time, where a late request shows
+}
+
 func (s *storeSet) trouble(ctx context.Context, service string, store *standin.Store, how int, disturbance standin.Disturbance) {
 	w := s.world
 	acknowledged, cancel := context.WithTimeout(context.WithoutCancel(ctx), ackPatience)
 	defer cancel()
+	late := store.Delayed()
 	switch how {
 	case 0:
 		defer w.begin(cause{what: "store " + store.ID() + " crashes"})()
@@ -129,6 +164,7 @@
 		if store.Drain(acknowledged) == nil {
 			s.left(store)
 			w.Count("store drained")
+			s.deliverLate(acknowledged, late)
 			pause(ctx, servesOn)
 			_ = store.Leave(acknowledged)
 		}
@@ -137,7 +173,7 @@
 		if store.Deregister(acknowledged) == nil {
 			s.left(store)
 			w.Count("store said nothing but DELETE")
-			pause(ctx, servesOn)
+			s.leaveAlone(ctx, acknowledged, store, late, disturbance%2 == 0)
 		}
 		store.Kill()
 	default:
--- a/internal/tier/soak/troubles.go
+++ b/internal/tier/soak/troubles.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,7 @@
 const (
 	spoilLength  = 7 // bytes that are left of a file
 	retireTime   = 20 * time.Second
+	beginTime    = time.Second // within which a process may not have got to take signals, on a busy machine
 	slowLinkTime = 60 * time.Millisecond
 )
 
@@ -139,8 +141,16 @@
 // terminate stops a machine in order; a process that fails to is a fault.
 func (w *world) terminate(machine *standin.Machine) {
 	w.expectEnd(machine)
-	if err := machine.Terminate(); err != nil {
-		w.Break("FAULT", "SIGTERM: %v", err)
+	w.mu.Lock()
+	lived := time.Since(w.started[machine])
+	w.mu.Unlock()
+	err := machine.Terminate()
+	switch {
+	case err == nil:
+	case lived < beginTime && strings.Contains(err.Error(), "signal: terminated"):
+		w.Count("stopped before it took signals")
+	default:
+		w.Break("FAULT", "SIGTERM after %v: %v", lived, err)
 	}
 }
 
--- a/internal/tier/soak/world.go
+++ b/internal/tier/soak/world.go
@@ -43,7 +43,8 @@
 	relay *Relay
 
 	mu       sync.Mutex
-	lives    map[*standin.Machine]int  // processes started so far
+	lives    map[*standin.Machine]int // processes started so far
+	started  map[*standin.Machine]time.Time
 	ended    map[*standin.Machine]int  // the last life that was ended on purpose
 	busy     map[*standin.Machine]bool // a trouble of its life is on
 	gone     map[*standin.Machine]bool // taken away for good
@@ -88,7 +89,8 @@
 	}
 	w := &world{
 		Tier: tier, History: NewHistory(options.Log), plan: plan, timed: options.Timed, relay: relay, lives: make(map[*standin.Machine]int),
-		ended: make(map[*standin.Machine]int), busy: make(map[*standin.Machine]bool), gone: make(map[*standin.Machine]bool),
+		started: make(map[*standin.Machine]time.Time),
+		ended:   make(map[*standin.Machine]int), busy: make(map[*standin.Machine]bool), gone: make(map[*standin.Machine]bool),
 	}
 	w.config.world, w.turns.world, w.stores.world = w, w, w
 	log.found = func(line string) { w.Break("INVARIANT", "%s", line) }
@@ -157,6 +159,7 @@
 func (w *world) launch(machine *standin.Machine) error {
 	w.mu.Lock()
 	w.lives[machine]++
+	w.started[machine] = time.Now()
 	life := w.lives[machine]
 	w.mu.Unlock()
 	if err := machine.Start(); err != nil {
@@ -222,6 +225,16 @@
 	return members
 }
 
+// machineAt finds the machine at an address, nil where there is none.
+func (w *world) machineAt(address string) *standin.Machine {
+	for _, machine := range w.members() {
+		if machine.Settings.IP == address {
+			return machine
+		}
+	}
+	return nil
+}
+
 // untilServed waits until every route is served at every edge.
 func (w *world) untilServed(ctx context.Context, most time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, most)
--- a/internal/tier/standin/registration.go
+++ b/internal/tier/standin/registration.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -52,6 +53,7 @@
 	state    string
 	sequence uint64
 	next     string // heartbeatUrl of the last answer
+	last     string // URL of the last acknowledgement
 	cancel   context.CancelFunc
 }
 
@@ -119,6 +121,31 @@
 	return r.callEach(ctx, http.MethodPut, body)
 }
 
+// delayed makes a heartbeat now and returns what delivers it, however late: once, to an address.
+func (r *registration) delayed() (deliver func(ctx context.Context, address string) error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	body, err := json.Marshal(r.heartbeat())
+	return func(ctx context.Context, address string) error {
+		if err != nil {
+			return err
+		}
+		return r.call(ctx, http.MethodPut, "http://"+address+"/v1/instances/"+r.store.options.ID, body)
+	}
+}
+
+// acknowledgedBy is the host of the last acknowledgement, empty before the first.
+func (r *registration) acknowledgedBy() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	parsed, err := url.Parse(r.last)
+	if err != nil {
+		return ""
+	}
+	return parsed.Hostname()
+}
+
 func (r *registration) heartbeat() heartbeat {
 	options := r.store.options
 	said := heartbeat{
@@ -156,8 +183,8 @@
 	return err
 }
 
-func (r *registration) call(ctx context.Context, method, url string, body []byte) error {
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+func (r *registration) call(ctx context.Context, method, address string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -172,8 +199,11 @@
 		return err
 	}
 	if answer.StatusCode/100 != 2 || len(text) > largestReply {
-		return eris.Errorf("%s %s: %s %s", method, url, answer.Status, text)
+		return eris.Errorf("%s %s: %s %s", method, address, answer.Status, text)
 	}
+	r.mu.Lock()
+	r.last = address
+	r.mu.Unlock()
 	said := struct {
 		HeartbeatURL string `json:"heartbeatUrl"`
 	}{}
--- a/internal/tier/standin/store.go
+++ b/internal/tier/standin/store.go
@@ -124,6 +124,14 @@
 // Deregister tells the registry that the store is gone, and nothing before; it serves on.
 func (s *Store) Deregister(ctx context.Context) error { return s.registry.leave(ctx) }
 
+// Delayed makes a heartbeat of now, and returns what delivers it later, once, to a control address.
+func (s *Store) Delayed() (deliver func(ctx context.Context, address string) error) {
+	return s.registry.delayed()
+}
+
+// AcknowledgedBy is the address of the machine that acknowledged its last call.
+func (s *Store) AcknowledgedBy() string { return s.registry.acknowledgedBy() }
+
 // Kill ends the store without a word; connections are closed at once.
 func (s *Store) Kill() {
 	s.mu.Lock()
