--- /dev/null
+++ b/internal/tier/coordinator/departures_test.go
@@ -0,0 +1,71 @@
+package coordinator
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/tierpb"
+)
+
+// The acknowledgement of a leave binds when all coordinators are killed right behind it: the store says nothing more, and
+// edges that had not heard of it would send it requests for as long as it lives.
+func TestLeaveThatWasAcknowledgedOutlivesAKillOfAll(t *testing.T) {
+	for _, size := range []struct{ coordinators, tolerated int }{{1, 0}, {3, 1}, {5, 2}} {
+		inCluster(t, size.coordinators, size.tolerated, func(c *cluster) {
+			names := coreNames(size.coordinators)
+			assert.Equal(t, c.at("core-1").beat("ready", 1), http.StatusOK)
+			c.pass(time.Second)
+			status, _ := c.at("core-1").send(http.MethodDelete, "/v1/instances/i-1", "", "")
+			assert.Equal(t, status, http.StatusOK)
+			for _, name := range names {
+				c.kill(name)
+			}
+			for _, name := range names {
+				c.start(name, false)
+			}
+			c.pass(time.Second)
+			for _, name := range names {
+				assert.DeepEqual(t, c.states(name), []tierpb.InstanceState{gone})
+			}
+			fresh := c.startEdge("edge", names...)
+			defer fresh.stop()
+			c.pass(time.Second)
+			assert.Equal(t, fresh.state.Instance("i-1").GetState(), gone)
+		})
+	}
+}
+
+// The same where as many disks are lost with it as are tolerated.
+func TestLeaveThatWasAcknowledgedOutlivesAKillOfAllAndALostDisk(t *testing.T) {
+	for lost := range 3 {
+		inCluster(t, 3, 1, func(c *cluster) {
+			names := coreNames(3)
+			assert.Equal(t, c.at("core-2").beat("ready", 1), http.StatusOK)
+			assert.Equal(t, c.at("core-2").beat("draining", 2), http.StatusOK)
+			status, _ := c.at("core-2").send(http.MethodDelete, "/v1/instances/i-1", "", "")
+			assert.Equal(t, status, http.StatusOK)
+			for _, name := range names {
+				c.kill(name)
+			}
+			c.wipe(names[lost])
+			for _, name := range names {
+				c.start(name, false)
+			}
+			c.pass(5 * time.Second)
+			assert.DeepEqual(t, c.states(names...), []tierpb.InstanceState{gone, gone, gone})
+		})
+	}
+}
+
+// coreNames are the names of the first machines of a cluster.
+func coreNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf("core-%d", i+1)
+	}
+	return names
+}
