Coordinators: a leave is on the disks of a quorum before it is acknowledged

Cause: final states of stores lived in memory, while a store that sent DELETE never says so again. Class: acknowledged, and held in memory only. Change: departures.go saves them (one file, together where they come together) before a coordinator votes for an acknowledgement, and reads them at its start. Looked for elsewhere: configurations, retirements, turns and claims are synced before their acknowledgement; ready heartbeats bind nothing. TestDrainIsNotAcknowledgedAgainWithoutContact: a restarted coordinator now knows the drain from its disk; that it is not acknowledged without contact is checked as before.

--- a/internal/tier/coordinator/announce.go
+++ b/internal/tier/coordinator/announce.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -51,14 +53,19 @@
 	}
 }
 
-// announce tells all coordinators of an instance and says whether a majority of each voter set has it before ctx ends.
+// announce tells all coordinators of an instance and says whether a majority of each voter set has it on disk before ctx ends.
 // Those that do not answer are called again for a while, whatever the result.
 func (c *coordinator) announce(ctx context.Context, instance *tierpb.Instance) bool {
 	if c.announced.isHeld(instance) && c.inTouch() { // without contact, those that had it may have started anew
 		return true
 	}
 	targets := c.targets()
-	told := make(chan *tierpb.AnnounceReply, len(targets))
+	told := make(chan *tierpb.AnnounceReply, len(targets)+1)
+	go func() {
+		if reply := c.hold(instance); reply != nil {
+			told <- reply
+		}
+	}()
 	for _, target := range targets {
 		go func() {
 			if reply := c.announceTo(context.WithoutCancel(ctx), target.Address, instance); reply != nil {
@@ -66,7 +73,7 @@
 			}
 		}()
 	}
-	replies := []*tierpb.AnnounceReply{{Identity: c.self.Identity}}
+	var replies []*tierpb.AnnounceReply
 	for {
 		changed := c.state.Changed()
 		if c.isQuorum(replies) {
@@ -114,13 +121,28 @@
 	}
 }
 
-// takeAnnounce merges what another coordinator was told.
+// takeAnnounce merges what another coordinator was told, and answers when it is on disk.
 func (c *coordinator) takeAnnounce(_ context.Context, request *tierpb.AnnounceRequest) (*tierpb.AnnounceReply, error) {
 	c.directory.heard(request.From)
 	for _, instance := range request.Instances {
 		c.state.Upsert(instance)
 	}
-	return &tierpb.AnnounceReply{Identity: c.self.Identity, Epoch: c.newestVoters().GetEpoch()}, nil
+	reply := c.hold(request.Instances...)
+	if reply == nil {
+		return nil, errNotHeld
+	}
+	return reply, nil
+}
+
+var errNotHeld = eris.New("what was announced could not be saved")
+
+// hold saves final states and returns this process's vote for them, nil where the disk does not take them.
+func (c *coordinator) hold(instances ...*tierpb.Instance) *tierpb.AnnounceReply {
+	if err := c.departures.hold(instances...); err != nil {
+		c.log.Warn("the leave of stores could not be saved", "error", err)
+		return nil
+	}
+	return &tierpb.AnnounceReply{Identity: c.self.Identity, Epoch: c.newestVoters().GetEpoch()}
 }
 
 // pause says whether the time passed before ctx ended.
--- a/internal/tier/coordinator/cluster_test.go
+++ b/internal/tier/coordinator/cluster_test.go
@@ -140,6 +140,7 @@
 	coordinator.directory.started = m.now()
 	coordinator.history, err = orders.OpenHistory(disk, ordersFolder)
 	assert.NilError(c.t, err)
+	assert.NilError(c.t, coordinator.openDepartures(disk, departuresFolder))
 	points := &stops{}
 	coordinator.faults = &fault.Points{Stop: points.pass}
 	coordinator.useRegister(acceptor)
--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -48,21 +48,23 @@
 	directory *directory
 	register  controlRegister
 	history   *orders.History
-	progress  progress
-	told      toldGeneration
-	accepted  func() *tierpb.ControlState // newest value of the own acceptor, chosen or not
-	lease     placementLease
-	tenure    placementTenure // keepPlaced alone uses it
-	listening *listening
-	sampler   *peers.Sampler
-	silence   *registry.Silence
-	lookedAt  time.Time // at the stores' silence; maintenance alone uses it
-	announced *announcements
-	now       func() time.Time
-	moveMu    sync.Mutex
-	move      seenMove      // guarded by moveMu
-	stopping  atomic.Bool   // told to stop, and finishing what is in hand
-	faults    *fault.Points // tests only
+
+	departures *departures
+	progress   progress
+	told       toldGeneration
+	accepted   func() *tierpb.ControlState // newest value of the own acceptor, chosen or not
+	lease      placementLease
+	tenure     placementTenure // keepPlaced alone uses it
+	listening  *listening
+	sampler    *peers.Sampler
+	silence    *registry.Silence
+	lookedAt   time.Time // at the stores' silence; maintenance alone uses it
+	announced  *announcements
+	now        func() time.Time
+	moveMu     sync.Mutex
+	move       seenMove      // guarded by moveMu
+	stopping   atomic.Bool   // told to stop, and finishing what is in hand
+	faults     *fault.Points // tests only
 
 	redundancy redundancy
 
@@ -98,6 +100,9 @@
 	}
 	c := newCoordinator(live, log, self, caller)
 	c.history = history
+	if err := c.openDepartures(storage.OS{}, filepath.Join(current.DataDir, departuresFolder)); err != nil {
+		return eris.Wrap(err, "coordinator")
+	}
 	c.useRegister(acceptor)
 	log.Info("starting", "identity", self.Identity, "fresh", acceptor.Fresh(), "bootstrap", current.Bootstrap)
 	return c.serve(ctx, acceptor)
@@ -120,13 +125,26 @@
 		live: live, log: log, self: self, caller: caller, state: watch.NewState(),
 		sampler: peers.NewSampler(self, caller, seeds), accepted: func() *tierpb.ControlState { return nil },
 		directory: newDirectory(time.Now), silence: registry.NewSilence(heartbeatPeriod(live.Current())),
-		announced: newAnnouncements(), now: time.Now,
+		announced: newAnnouncements(), departures: newDepartures(), now: time.Now,
 	}
 	c.listening = newListening(func() time.Time { return c.now() })
 	c.readiness = c.newReadiness()
 	return c
 }
 
+// openDepartures reads which stores have said that they leave, so that all who ask hear of it from the start.
+func (c *coordinator) openDepartures(disk storage.Disk, folder string) error {
+	opened, err := openDepartures(disk, folder)
+	if err != nil {
+		return err
+	}
+	c.departures = opened
+	for _, instance := range opened.all() {
+		c.state.Upsert(instance)
+	}
+	return nil
+}
+
 // useRegister makes the proposer that changes the register; whatever it finds to be chosen is brought out.
 func (c *coordinator) useRegister(acceptor *register.Acceptor) {
 	c.accepted = acceptor.Value
--- a/internal/tier/coordinator/maintenance.go
+++ b/internal/tier/coordinator/maintenance.go
@@ -75,7 +75,9 @@
 		c.state.Upsert(mark)
 		c.log.Info("store", "id", mark.Id, "address", mark.Address, "state", mark.State)
 	}
-	c.announced.forget(func(id string) bool { return c.state.Instance(id) != nil })
+	isListed := func(id string) bool { return c.state.Instance(id) != nil }
+	c.announced.forget(isListed)
+	c.departures.forget(isListed)
 }
 
 // holdsUnknown says that the own acceptor has a value that may have been chosen without this process knowing it.
