--- a/internal/tier/endtoend/main_test.go
+++ b/internal/tier/endtoend/main_test.go
@@ -153,7 +153,7 @@
 	}, poll.WithTimeout(patience), poll.WithDelay(20*time.Millisecond))
 }
 
-// untilServed waits until an edge knows the configuration and the stores of both services.
+// untilServed waits until an edge knows the configuration, the stores of both services and the turn stores.
 func (w *world) untilServed(edge *standin.Machine) {
 	w.t.Helper()
 	w.until("a plain request is served", func() error {
@@ -164,4 +164,8 @@
 		call := draft("first", 6)
 		return w.client.Try(w.ctx, edge.Settings.Listen.Front, call).CheckEvents(call, call.Body)
 	})
+	w.until("a turn is kept", func() error {
+		call := talk("first", 6)
+		return w.client.Try(w.ctx, edge.Settings.Listen.Front, call).CheckEvents(call, call.Body)
+	})
 }
--- a/internal/tier/proxy/news.go
+++ b/internal/tier/proxy/news.go
@@ -53,6 +53,27 @@
 // fresh says whether the proxy started so short a time ago that its list of stores may lack some.
 func (p *Proxy) fresh() bool { return time.Since(p.started) < startSpan }
 
+// awaitTurnStores waits, just after the start, until any turn store is known, and says whether one is.
+func (x *exchange) awaitTurnStores(ctx context.Context) bool {
+	until := x.arrival.Add(time.Duration(startPart * float64(x.deadline.Sub(x.arrival))))
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for {
+		changed := x.proxy.news.next()
+		if x.proxy.turns.Ready() {
+			return true
+		}
+		if !x.proxy.fresh() {
+			return false
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // awaitStores waits, just after the start, for news of a service that no store is known of. It says whether there is
 // reason to look again.
 func (x *exchange) awaitStores(ctx context.Context, changed <-chan struct{}) bool {
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -153,9 +153,13 @@
 
 // refresh takes in the newest control state and list.
 func (p *Proxy) refresh() {
-	before := p.views.get().configuration
+	known := p.views.get()
+	before := known.configuration
 	p.views.take(p.state.Control())
 	current := p.views.get()
+	if known.membership == nil && current.membership != nil {
+		p.news.tell()
+	}
 	touched := p.listing.take(p.state)
 	if p.listing.known() {
 		p.listed.Store(true)
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -60,7 +60,7 @@
 		return true
 	}
 	x.readTurn()
-	if (x.turn.limited || x.turn.retained) && !x.proxy.turns.Ready() {
+	if (x.turn.limited || x.turn.retained) && !x.awaitTurnStores(ctx) {
 		x.answerTurnFailure(turns.ErrUncertain)
 		return false
 	}
--- a/internal/tier/proxy/unknown_members_test.go
+++ b/internal/tier/proxy/unknown_members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	const allowed = 10 * time.Second
 	store := newStandIn(t, "a", events(true, numbered(1, 3)...))
 	b := newBench(t, allowed, nil, []*standIn{store})
+	b.proxy.started = time.Now().Add(-2 * startSpan)
 	options := replica.Options{Membership: func() *tierpb.StoreMembership { return b.proxy.views.get().membership }, Tolerance: 1}
 	b.proxy.turns, b.proxy.budgets = turns.NewClient(options), budget.NewClient(options)
 	limited := []string{"Program: p", "Budget: 100", "X-Token-Usage: 10,9"}
@@ -41,6 +43,35 @@
 	assert.Equal(t, got.status, 200)
 }
 
+// Just after the start the first turn stores may only not have been told yet: a turn waits a little for them.
+func TestTurnWaitsForTheFirstTurnStoresAfterTheStart(t *testing.T) {
+	store := newStandIn(t, "a", events(true, numbered(1, 3)...))
+	b := newBench(t, longTimeout, nil, []*standIn{store})
+	unknown := &unreadyKeeper{keeper: b.keeper, asked: make(chan struct{}, 16)}
+	b.proxy.turns = unknown
+	answered := make(chan answer, 1)
+	go func() { answered <- b.send("POST", "/t/x", "id", "in") }()
+	<-unknown.asked
+	unknown.ready.Store(true)
+	b.proxy.news.tell()
+	got := <-answered
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, len(store.requests()), 1)
+}
+
+// unreadyKeeper is a keeper that knows no turn store at first.
+type unreadyKeeper struct {
+	*keeper
+	ready atomic.Bool
+	asked chan struct{}
+}
+
+func (k *unreadyKeeper) Ready() bool {
+	k.asked <- struct{}{}
+	return k.ready.Load()
+}
+
 // silentCaller reaches nobody and hears nothing.
 type silentCaller struct{}
 
--- a/internal/tier/turnstore/cluster_test.go
+++ b/internal/tier/turnstore/cluster_test.go
@@ -112,7 +112,7 @@
 // add puts an empty machine at an address and starts its store.
 func (c *cluster) add(address, zone string) *machine {
 	m := &machine{address: address, zone: zone, disk: newMemoryDisk()}
-	m.disk.syncing = c.latency
+	m.disk.setSyncTime(c.latency)
 	m.goOn()
 	c.mu.Lock()
 	c.machines[address] = m
@@ -164,7 +164,7 @@
 func (c *cluster) wipe(m *machine) {
 	c.kill(m)
 	m.disk = newMemoryDisk()
-	m.disk.syncing = c.latency
+	m.disk.setSyncTime(c.latency)
 }
 
 func (c *cluster) losePower(m *machine) {
--- a/internal/tier/turnstore/copies_test.go
+++ b/internal/tier/turnstore/copies_test.go
@@ -134,7 +134,7 @@
 	w.names++
 	zones := []string{"a", "b", "c", "d", "e"}
 	m := &machine{address: w.freshAddress(w.names), zone: zones[w.names%len(zones)], disk: newMemoryDisk()}
-	m.disk.syncing = w.syncTime(m)
+	m.disk.setSyncTime(w.syncTime(m))
 	m.goOn()
 	w.cluster.mu.Lock()
 	w.machines[m.address] = m
--- a/internal/tier/turnstore/disk_test.go
+++ b/internal/tier/turnstore/disk_test.go
@@ -53,6 +53,18 @@
 	d.failing = failing
 }
 
+func (d *memoryDisk) setSyncTime(syncing func() time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.syncing = syncing
+}
+
+func (d *memoryDisk) syncTime() func() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.syncing
+}
+
 func (d *memoryDisk) MakeFolder(string) error { return nil }
 
 func (d *memoryDisk) List(folder string) ([]string, error) {
@@ -207,8 +219,8 @@
 }
 
 func (h *handle) Sync() error {
-	if h.disk.syncing != nil {
-		time.Sleep(h.disk.syncing())
+	if syncing := h.disk.syncTime(); syncing != nil {
+		time.Sleep(syncing())
 	}
 	h.disk.mu.Lock()
 	defer h.disk.mu.Unlock()
--- a/internal/tier/turnstore/extend_test.go
+++ b/internal/tier/turnstore/extend_test.go
@@ -84,7 +84,7 @@
 		defer c.close()
 		m := c.machines["10.0.0.1:1"]
 		assert.Equal(t, put(c, m, c.record("turn", "")), tierpb.StoreStatus_STORE_OK)
-		m.disk.syncing = func() time.Duration { return 100 * time.Millisecond }
+		m.disk.setSyncTime(func() time.Duration { return 100 * time.Millisecond })
 		until := c.clock.time().Add(time.Hour).UnixMilli()
 		extend := func() {
 			header := &tierpb.StoreHeader{Identity: m.store.Identity(), Epoch: c.known().Epoch}
--- a/internal/tier/turnstore/losses_test.go
+++ b/internal/tier/turnstore/losses_test.go
@@ -192,7 +192,7 @@
 
 func (w *world) wipeDisk(m *machine) {
 	w.wipe(m)
-	m.disk.syncing = w.syncTime(m)
+	m.disk.setSyncTime(w.syncTime(m))
 }
 
 // moveTo has an empty machine at another address take the place of one that is gone.
--- a/internal/tier/turnstore/schedule_test.go
+++ b/internal/tier/turnstore/schedule_test.go
@@ -74,7 +74,7 @@
 	s.clock.now = time.Now()
 	s.latency = randomLatency(seed, 6*time.Millisecond)
 	for _, m := range s.machines {
-		m.disk.syncing = s.latency
+		m.disk.setSyncTime(s.latency)
 	}
 	return s
 }
--- a/internal/tier/turnstore/synced_test.go
+++ b/internal/tier/turnstore/synced_test.go
@@ -20,7 +20,7 @@
 		previous := c.known().Current
 		c.add(c.freshAddress(1), "d")
 		c.setMembers(previous)
-		m.disk.syncing = func() time.Duration { return 200 * time.Millisecond }
+		m.disk.setSyncTime(func() time.Duration { return 200 * time.Millisecond })
 		go put(c, m, c.record("turn", ""))
 		copies := func() (own int, lacking int) {
 			work := &pass{store: m.store, caller: c, tolerance: 3, membership: c.known(), after: atOnce}
