--- a/internal/gatherer/gather/limits.go
+++ b/internal/gatherer/gather/limits.go
@@ -125,7 +125,7 @@
 		r.Done <- Result{Kind: Failed, Reason: wrong, Parts: partResults(r)}
 		return
 	}
-	d := r.gate.Arrive(r.ticket, l.Priority, c.now(), c.at(r.Deadline))
+	d := r.gate.Arrive(r.ticket, l.Priority, r.arrived, c.at(r.Deadline)) // by the time that the record has
 	c.recordArrival(r, route.Name, d)
 	switch d.Verdict {
 	case limits.Admit:
