--- a/internal/tier/simulation/disk.go
+++ b/internal/tier/simulation/disk.go
@@ -301,7 +301,7 @@
 	return len(data), err
 }
 
-// Sync makes the content last, and the name under which the file was made.
+// Sync makes the content last. The name under which the file was made lasts when its folder is synced, not before.
 func (f *openFile) Sync() error {
 	f.mount.wait()
 	return f.mount.use(func(disk *Disk) error {
@@ -310,9 +310,6 @@
 		}
 		disk.Usage.FileSyncs++
 		f.file.synced, f.file.writes = f.file.content(), nil
-		if disk.current[f.name] == f.file {
-			disk.durable[f.name] = f.file
-		}
 		return nil
 	})
 }
--- a/internal/tier/turnstore/disk_test.go
+++ b/internal/tier/turnstore/disk_test.go
@@ -21,11 +21,13 @@
 	synced int
 }
 
-// memoryDisk is a simulated disk. Power loss keeps synced bytes and drops or tears the rest.
+// memoryDisk is a simulated disk. Power loss keeps synced bytes and drops or tears the rest; of names it keeps for sure
+// only those that a sync of their folder has covered.
 type memoryDisk struct {
 	mu      sync.Mutex
 	files   map[string]*memoryFile
-	renamed map[string]string // new name to old, while the folder is not synced
+	made    map[string]bool   // names of new files, while the folder is not synced
+	renamed map[string]string // new name to old, likewise
 	removed map[string]*memoryFile
 	failing bool
 	syncing func() time.Duration // time of a sync; nil for none. Only under synctest
@@ -35,6 +37,7 @@
 func newMemoryDisk() *memoryDisk {
 	return &memoryDisk{
 		files:   make(map[string]*memoryFile),
+		made:    make(map[string]bool),
 		renamed: make(map[string]string),
 		removed: make(map[string]*memoryFile),
 	}
@@ -95,7 +98,7 @@
 	if err := d.trouble(); err != nil {
 		return nil, err
 	}
-	d.files[path] = &memoryFile{}
+	d.files[path], d.made[path] = &memoryFile{}, true
 	return &handle{disk: d, file: d.files[path], life: d.life}, nil
 }
 
@@ -108,6 +111,10 @@
 	d.files[to] = d.files[from]
 	delete(d.files, from)
 	d.renamed[to] = from
+	if d.made[from] { // neither name lasts
+		delete(d.made, from)
+		d.made[to] = true
+	}
 	return nil
 }
 
@@ -117,6 +124,7 @@
 	if file := d.files[path]; file != nil {
 		d.removed[path] = file
 		delete(d.files, path)
+		delete(d.made, path)
 	}
 	return nil
 }
@@ -141,6 +149,7 @@
 	if err := d.trouble(); err != nil {
 		return err
 	}
+	clear(d.made)
 	clear(d.renamed)
 	clear(d.removed)
 	return nil
@@ -169,6 +178,12 @@
 			delete(d.files, to)
 		}
 	}
+	for path := range d.made {
+		if random.IntN(2) == 0 {
+			delete(d.files, path)
+		}
+	}
+	clear(d.made)
 	clear(d.removed)
 	clear(d.renamed)
 	for path, file := range d.files {
