Names of new segments and folders are durable before anything rests on them

Class: durable content under a name that is not. Change: the folder is synced once a segment, with its marks in it, before the first acknowledgement; recovery syncs the folder that it has read; folders made one within another are all synced, and the coordinator makes its data folder by itself first. The disk of roles is a seam now, for the soak.

--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -80,15 +80,19 @@
 	if err := checkSettings(current); err != nil {
 		return err
 	}
+	disk := storage.Local()
+	if err := disk.MakeFolder(current.DataDir); err != nil {
+		return eris.Wrap(err, "coordinator")
+	}
 	address := current.InnerAddress(current.IP, settings.CoordinatorPort)
 	acceptor, err := register.OpenAcceptor(register.AcceptorOptions{
-		Disk: storage.OS{}, Folder: filepath.Join(current.DataDir, registerFolder), Address: address,
+		Disk: disk, Folder: filepath.Join(current.DataDir, registerFolder), Address: address,
 		Bootstrap: current.Bootstrap, Seeds: current.SeedCoordinators(),
 	})
 	if err != nil {
 		return eris.Wrap(err, "coordinator")
 	}
-	history, err := orders.OpenHistory(storage.OS{}, filepath.Join(current.DataDir, ordersFolder))
+	history, err := orders.OpenHistory(disk, filepath.Join(current.DataDir, ordersFolder))
 	if err != nil {
 		return eris.Wrap(err, "coordinator")
 	}
@@ -100,7 +104,7 @@
 	}
 	c := newCoordinator(live, log, self, caller)
 	c.history = history
-	if err := c.openDepartures(storage.OS{}, filepath.Join(current.DataDir, departuresFolder)); err != nil {
+	if err := c.openDepartures(disk, filepath.Join(current.DataDir, departuresFolder)); err != nil {
 		return eris.Wrap(err, "coordinator")
 	}
 	c.useRegister(acceptor)
--- a/internal/tier/storage/disk.go
+++ b/internal/tier/storage/disk.go
@@ -36,15 +36,45 @@
 	Close() error
 }
 
+// local is the Disk that roles keep their state on.
+var local Disk = OS{}
+
+// Local returns the Disk of the machine that this process runs on.
+func Local() Disk { return local }
+
+// UseLocal has roles keep their state on another Disk. Tests of whole processes lose by it what was not synced, and bring
+// trouble to disks; it is called before any role runs.
+func UseLocal(disk Disk) { local = disk }
+
 // OS is the Disk of the machine.
 type OS struct{}
 
-// MakeFolder implements Disk. The parent of the folder is synced, so that the folder itself lasts.
+// MakeFolder implements Disk. All folders that have got a new entry are synced, so that the folder itself lasts.
 func (OS) MakeFolder(path string) error {
+	changed := parentsOfMissing(path)
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return err
 	}
-	return OS{}.SyncFolder(filepath.Dir(path))
+	for _, folder := range changed {
+		if err := (OS{}).SyncFolder(folder); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// parentsOfMissing lists the parent of a folder, and those of all folders above it that do not exist. The parent is always
+// among them: an earlier process may have made the folder and ended before it synced that.
+func parentsOfMissing(path string) []string {
+	parents := []string{filepath.Dir(path)}
+	for {
+		missing := parents[len(parents)-1]
+		above := filepath.Dir(missing)
+		if _, err := os.Stat(missing); err == nil || above == missing {
+			return parents
+		}
+		parents = append(parents, above)
+	}
 }
 
 // List implements Disk.
--- a/internal/tier/turnstore/journal.go
+++ b/internal/tier/turnstore/journal.go
@@ -65,6 +65,7 @@
 	file       storage.File
 	fileNumber uint64
 	fileBytes  int64
+	nameLoose  bool // the folder was not synced since the file was made
 	marks      marks
 	marksDue   time.Time // when the marks are to be synced
 }
@@ -201,9 +202,26 @@
 	if err := j.file.Sync(); err != nil {
 		return eris.Wrap(err, "sync a segment")
 	}
+	if err := j.syncName(); err != nil {
+		return eris.Wrap(err, "sync the folder of a new segment")
+	}
 	return j.faults.At(pointBatchSynced)
 }
 
+// syncName makes the name of a new segment durable, and that of its marks: without them a loss of power may take away
+// whole what was synced, and nothing tells that it was there.
+func (j *journal) syncName() error {
+	if !j.nameLoose {
+		return nil
+	}
+	j.marks.put(j.fileNumber, j.fileBytes)
+	if err := j.disk.SyncFolder(j.folder); err != nil {
+		return err
+	}
+	j.nameLoose = false
+	return nil
+}
+
 func (j *journal) tellBroken() {
 	select {
 	case j.broken <- struct{}{}:
@@ -227,7 +245,7 @@
 	if err != nil {
 		return err
 	}
-	j.file, j.fileNumber = file, number
+	j.file, j.fileNumber, j.nameLoose = file, number, true
 	written, err := file.Write([]byte(fileMagic))
 	j.fileBytes = int64(written)
 	return err
--- a/internal/tier/turnstore/merged.go
+++ b/internal/tier/turnstore/merged.go
@@ -41,6 +41,10 @@
 			return recovery{}, err
 		}
 	}
+	// A process that was killed may have made files without syncing the folder. What they hold counts as durable now.
+	if err := disk.SyncFolder(folder); err != nil {
+		return recovery{}, eris.Wrap(err, "sync the data folder")
+	}
 	found.damaged = found.damaged || found.lacksSynced()
 	return found, nil
 }
--- a/internal/tier/turnstore/run.go
+++ b/internal/tier/turnstore/run.go
@@ -65,7 +65,7 @@
 // open reads the disk.
 func (r *role) open(current *settings.Settings) error {
 	store, err := Open(Options{
-		Disk:     storage.OS{},
+		Disk:     storage.Local(),
 		Folder:   current.DataDir,
 		Now:      time.Now,
 		After:    time.After,
