Soak: kills lose what was not synced; disks that are slow, full, failing; files that go

Cause: a kill keeps what was written, so real processes never met a loss of power, nor a sync that fails. Change: a disk of the test's processes that holds in memory what was not synced; two plans of three have it. At the end all machines lose power at the same moment, those that do not count too, with f disks lost in it. New troubles: slow_disk, fail_sync, full_disk, remove_file, rot.

--- /dev/null
+++ b/internal/tier/soak/disk_test.go
@@ -0,0 +1,66 @@
+package soak_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/soak"
+	"pulleygw.example/pulleygw/internal/tier/storage"
+)
+
+// TestVolatileDiskLosesWhatWasNotSynced saves at one disk and reads at another of the same folder, as a process does that
+// comes after a loss of power.
+func TestVolatileDiskLosesWhatWasNotSynced(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	path := filepath.Join(folder, "file")
+	disk := soak.NewVolatileDisk(folder)
+	assert.NilError(t, disk.MakeFolder(folder))
+	names := func() int {
+		listed, err := soak.NewVolatileDisk(folder).List(folder)
+		assert.NilError(t, err)
+		return len(listed)
+	}
+	file, err := disk.Create(path)
+	assert.NilError(t, err)
+	write(t, file, "one ")
+	assert.NilError(t, file.Sync())
+	assert.Equal(t, names(), 0, "a name lasts with its folder alone")
+	assert.NilError(t, disk.SyncFolder(folder))
+	write(t, file, "two ")
+	assert.NilError(t, file.Sync())
+	write(t, file, "three")
+	seen, err := disk.Read(path)
+	assert.NilError(t, err)
+	assert.Equal(t, string(seen), "one two three")
+	left, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Equal(t, string(left), "one two ")
+	assert.NilError(t, disk.Remove(path))
+	assert.Equal(t, names(), 1)
+	assert.NilError(t, disk.SyncFolder(folder))
+	assert.Equal(t, names(), 0)
+}
+
+// TestVolatileDiskKeepsVersions saves versions on it: each is whole, and the newest is there after a loss of power.
+func TestVolatileDiskKeepsVersions(t *testing.T) {
+	folder := t.TempDir()
+	series, err := storage.Open(soak.NewVolatileDisk(folder), folder, "state", nil)
+	assert.NilError(t, err)
+	for _, text := range []string{"one", "two", "three"} {
+		assert.NilError(t, series.Save([]byte(text)))
+		again, err := storage.Open(soak.NewVolatileDisk(folder), folder, "state", nil)
+		assert.NilError(t, err)
+		payload, found := again.Newest()
+		assert.Assert(t, found && !again.Damaged())
+		assert.Equal(t, string(payload), text)
+	}
+}
+
+func write(t *testing.T, file storage.File, text string) {
+	t.Helper()
+	_, err := file.Write([]byte(text))
+	assert.NilError(t, err)
+}
--- a/internal/tier/soak/plan.go
+++ b/internal/tier/soak/plan.go
@@ -35,11 +35,19 @@
 	GrowStores    Kind = "grow_stores"    // a turn store is added
 	DiskFails     Kind = "disk_fails"     // a machine's folder is not there for a while
 	Retire        Kind = "retire"         // a turn store is emptied and taken away
+	RemoveFile    Kind = "remove_file"    // a state file of a machine is gone when it comes back
+	Rot           Kind = "rot"            // a byte of a state file is another one
+	SlowDisk      Kind = "slow_disk"      // syncs of a machine take long
+	FailSync      Kind = "fail_sync"      // syncs of a machine fail, and what they were to keep is lost
+	FullDisk      Kind = "full_disk"      // a machine's disk takes nothing more for a while
 	NoTrouble     Kind = "none"
 )
 
 // losing are the kinds that take a disk; before its end no more are in a plan than are tolerated.
-var losing = []Kind{Wipe, Spoil, ReplaceCore}
+var losing = []Kind{Wipe, Spoil, RemoveFile, Rot, ReplaceCore}
+
+// ofDisks are the kinds that are of machines with a disk.
+var ofDisks = []Kind{Wipe, Spoil, RemoveFile, Rot, DiskFails, SlowDisk, FailSync, FullDisk}
 
 // Trouble is one trouble of a plan.
 type Trouble struct {
@@ -64,7 +72,8 @@
 	Final    Kind          `json:"final"` // none, kill_everybody, or wipe: everybody is killed and disks are lost
 	Lost     []Trouble     `json:"lost"`  // whose disks
 	Size     Size          `json:"size"`
-	Mixed    bool          `json:"mixed"` // some starts are of another build, where there is one
+	Mixed    bool          `json:"mixed"`    // some starts are of another build, where there is one
+	Volatile bool          `json:"volatile"` // each kill loses what was not synced, and disks may be slow, full or failing
 }
 
 // Size is what the tier consists of.
@@ -144,6 +153,7 @@
 			plan.Lost = append(plan.Lost, lost)
 		}
 	}
+	plan.Volatile = random.IntN(3) > 0
 	return plan
 }
 
@@ -152,6 +162,7 @@
 	all := []Kind{
 		KillMachine, KillRole, PauseMachine, PauseRole, Terminate, HangUp, BadSettings, Isolate, CutPair, CutOneWay, CutHalves,
 		SlowLinks, LoseReplies, ResetAll, KillCore, KillStores, KillEverybody, Wipe, Spoil, ReplaceCore, GrowStores, Retire, DiskFails,
+		RemoveFile, Rot, SlowDisk, FailSync, FullDisk,
 	}
 	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:5+random.IntN(6)]
@@ -163,11 +174,12 @@
 		For: 100*time.Millisecond + time.Duration(random.Int64N(int64(2400*time.Millisecond))),
 	}
 	trouble.Class = []string{classEdge, classCore, classStore}[random.IntN(3)]
+	if slices.Contains(ofDisks, trouble.Kind) {
+		trouble.Class = diskClass(random)
+	}
 	switch trouble.Kind {
 	case KillRole, PauseRole:
 		trouble.Class = classEdge
-	case Wipe, Spoil, DiskFails:
-		trouble.Class = diskClass(random)
 	case ReplaceCore:
 		trouble.Class = classCore
 	case Retire, GrowStores:
--- a/internal/tier/soak/run.go
+++ b/internal/tier/soak/run.go
@@ -88,7 +88,36 @@
 	cancel()
 	end := w.begin(cause{what: "final " + string(w.plan.Final), stops: everyEdge})
 	defer end()
+	if w.plan.Volatile {
+		w.losePower()
+		return
+	}
 	w.killAll(w.members(), 0)
+	w.loseDisks()
+}
+
+// losePower ends all machines at the same moment, those too that do not count, and of some the disk is lost in it.
+func (w *world) losePower() {
+	members := w.members()
+	var group sync.WaitGroup
+	for _, machine := range members {
+		group.Go(func() { w.kill(machine) })
+	}
+	group.Wait()
+	if w.plan.Final == Wipe {
+		for _, lost := range w.plan.Lost {
+			_ = w.machine(lost).Wipe()
+			w.Count("final loss of power with a lost disk in " + lost.Class)
+		}
+	}
+	pause(context.Background(), backAfter)
+	for _, machine := range members {
+		_ = w.launch(machine)
+	}
+}
+
+// loseDisks takes disks of running machines one by one.
+func (w *world) loseDisks() {
 	if w.plan.Final != Wipe {
 		return
 	}
--- a/internal/tier/soak/soak_test.go
+++ b/internal/tier/soak/soak_test.go
@@ -19,6 +19,7 @@
 	"pulleygw.example/pulleygw/internal/tier/command"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/soak"
+	"pulleygw.example/pulleygw/internal/tier/storage"
 )
 
 var (
@@ -37,21 +38,25 @@
 const (
 	relayVariable = "PULLEYTIER_SOAK_RELAY"
 	selfVariable  = "PULLEYTIER_SOAK_SELF"
+	diskVariable  = "PULLEYTIER_SOAK_DISK" // data folder of a process whose kills lose what was not synced
 )
 
 func TestMain(m *testing.M) {
 	if relay := os.Getenv(relayVariable); relay != "" {
 		rpc.UseDialer(soak.Dialer(relay, os.Getenv(selfVariable)))
+		if folder := os.Getenv(diskVariable); folder != "" {
+			storage.UseLocal(soak.NewVolatileDisk(folder))
+		}
 		os.Exit(int(command.Run(os.Args[1:], os.Stdout, os.Stderr)))
 	}
 	flag.Parse()
 	os.Exit(m.Run())
 }
 
-func launch(role, settingsPath, relay, self string) *exec.Cmd {
+func launch(role, settingsPath, relay, self, volatile string) *exec.Cmd {
 	program := os.Args[0]
 	started := exec.Command(program, role, "--log-format", "json", "--settings", settingsPath)
-	started.Env = append(os.Environ(), relayVariable+"="+relay, selfVariable+"="+self)
+	started.Env = append(os.Environ(), relayVariable+"="+relay, selfVariable+"="+self, diskVariable+"="+volatile)
 	return started
 }
 
--- a/internal/tier/soak/traffic.go
+++ b/internal/tier/soak/traffic.go
@@ -35,13 +35,13 @@
 	lateness = 900 * time.Millisecond
 )
 
-// selfOf reads the address of the machine whose settings these are.
-func selfOf(settingsPath string) string {
+// settingsOf reads a machine's settings; nothing where they can't be used.
+func settingsOf(settingsPath string) *settings.Settings {
 	told, err := settings.Load(settingsPath)
 	if err != nil {
-		return ""
+		return &settings.Settings{}
 	}
-	return told.IP
+	return told
 }
 
 // callOf is a call of a route with a text of its own.
--- a/internal/tier/soak/troubles.go
+++ b/internal/tier/soak/troubles.go
@@ -14,6 +14,7 @@
 
 const (
 	spoilLength  = 7 // bytes that are left of a file
+	slowSync     = 700 * time.Millisecond
 	retireTime   = 20 * time.Second
 	beginTime    = time.Second // within which a process may not have got to take signals, on a busy machine
 	slowLinkTime = 60 * time.Millisecond
@@ -123,8 +124,14 @@
 		machine.Signal(syscall.SIGHUP)
 	case BadSettings:
 		w.spoilSettings(machine, trouble.For)
-	case Wipe, Spoil:
+	case Wipe, Spoil, RemoveFile, Rot:
 		return w.loseDisk(machine, trouble)
+	case SlowDisk:
+		return w.troubleDisk(machine, trouble.For, DiskTrouble{Delay: slowSync})
+	case FailSync:
+		return w.troubleDisk(machine, trouble.For, DiskTrouble{Failing: true})
+	case FullDisk:
+		return w.troubleDisk(machine, trouble.For, DiskTrouble{Full: true})
 	case DiskFails:
 		return failDisk(machine, trouble.For)
 	case Retire:
@@ -171,15 +178,15 @@
 	w.kill(machine)
 	if trouble.Kind == Wipe {
 		_ = machine.Wipe()
-	} else if !spoilFile(machine.Settings.DataDir, trouble.Other) {
+	} else if !w.spoilFile(machine.Settings.DataDir, trouble) {
 		w.Count("nothing to spoil")
 	}
 	time.Sleep(trouble.For)
 	return w.launch(machine) == nil
 }
 
-// spoilFile cuts a file below a folder short.
-func spoilFile(folder string, number int) bool {
+// spoilFile damages a file below a folder.
+func (w *world) spoilFile(folder string, trouble Trouble) bool {
 	var files []string
 	_ = filepath.Walk(folder, func(path string, info os.FileInfo, err error) error {
 		if err == nil && info.Mode().IsRegular() && info.Size() > spoilLength {
@@ -190,7 +197,36 @@
 	if len(files) == 0 {
 		return false
 	}
-	return os.Truncate(files[number%len(files)], spoilLength) == nil
+	path := files[trouble.Other%len(files)]
+	w.Note("%s of %s", trouble.Kind, path)
+	switch trouble.Kind {
+	case RemoveFile:
+		return os.Remove(path) == nil
+	case Rot:
+		return rotFile(path)
+	}
+	return os.Truncate(path, spoilLength) == nil
+}
+
+// rotFile changes a byte in the middle of a file.
+func rotFile(path string) bool {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return false
+	}
+	data[len(data)/2] ^= 1
+	return os.WriteFile(path, data, 0o600) == nil
+}
+
+// troubleDisk has something wrong with a running machine's disk for a while.
+func (w *world) troubleDisk(machine *standin.Machine, during time.Duration, trouble DiskTrouble) bool {
+	folder := machine.Settings.DataDir
+	if !w.plan.Volatile || folder == "" || setTrouble(folder, trouble) != nil {
+		return false
+	}
+	time.Sleep(during)
+	clearTrouble(folder)
+	return true
 }
 
 // failDisk takes the folder of a running machine away for a while: files cannot be made, renamed or listed meanwhile.
--- a/internal/tier/soak/world.go
+++ b/internal/tier/soak/world.go
@@ -20,8 +20,9 @@
 	Subnet string // first three parts of the machines' addresses
 	Log    io.Writer
 	Timed  bool // the bounds of the rules are judged too; elsewhere what is late is counted
-	// Launch makes the command of a role whose inner connections go through the relay.
-	Launch func(role, settingsPath, relay, self string) *exec.Cmd
+	// Launch makes the command of a role whose inner connections go through the relay. Where volatile names its data
+	// folder, its disk is a VolatileDisk.
+	Launch func(role, settingsPath, relay, self, volatile string) *exec.Cmd
 	// Other makes that of another build, whose connections are direct; nil where there is none.
 	Other func(role, settingsPath string) *exec.Cmd
 }
@@ -76,7 +77,12 @@
 		if plan.Mixed && options.Other != nil && builds.IntN(2) == 0 {
 			return options.Other(role, settingsPath)
 		}
-		return options.Launch(role, settingsPath, address, selfOf(settingsPath))
+		told := settingsOf(settingsPath)
+		volatile := ""
+		if plan.Volatile {
+			volatile = told.DataDir
+		}
+		return options.Launch(role, settingsPath, address, told.IP, volatile)
 	}
 	tier, err := standin.NewTier(standin.Layout{
 		Folder: options.Folder, Subnet: options.Subnet, Zones: []string{"north", "south", "west"}, Edges: plan.Size.Edges,
