--- a/internal/tier/register/acceptor_test.go
+++ b/internal/tier/register/acceptor_test.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// TestMissingFileIsAnotherNode: an acceptor whose file of promises or of the accepted value is gone has forgotten what it
+// told others, as one whose file is damaged.
+func TestMissingFileIsAnotherNode(t *testing.T) {
+	for _, series := range []string{identitySeries, promiseSeries, acceptedSeries} {
+		for _, bootstrap := range []bool{true, false} {
+			machine := machineAlone(1)
+			acceptor := openOn(t, machine, bootstrap)
+			assert.Assert(t, acceptor.prepareFor(5).Promised)
+			assert.Assert(t, acceptor.acceptFor(5, 1).Accepted)
+			assert.Assert(t, acceptor.prepareFor(6).Promised)
+			machine.Disk.Lose(series + "-")
+			reopened := openOn(t, machine, false)
+			assert.Assert(t, reopened.Fresh() && reopened.Identity() != acceptor.Identity(), series)
+			assert.Assert(t, reopened.Value() == nil)
+			assert.Equal(t, openOn(t, machine, false).Identity(), reopened.Identity())
+		}
+	}
+}
+
 func TestCallsThatWaitForAStalledDiskAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		machine := machineAlone(1)
--- a/internal/tier/simulation/disk.go
+++ b/internal/tier/simulation/disk.go
@@ -135,6 +135,15 @@
 	}
 }
 
+// Lose removes each file whose path contains a text.
+func (d *Disk) Lose(text string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	contains := func(name string, _ *inode) bool { return strings.Contains(name, text) }
+	maps.DeleteFunc(d.current, contains)
+	maps.DeleteFunc(d.durable, contains)
+}
+
 // Mount gives a life access to the disk of its machine.
 func (l *Life) Mount() storage.Disk { return &mount{disk: l.machine.Disk, life: l} }
 
--- a/internal/tier/turnstore/rot_test.go
+++ b/internal/tier/turnstore/rot_test.go
@@ -48,6 +48,26 @@
 	}
 }
 
+// A merged file that is gone whole is a loss as one that is damaged: it held all that was acknowledged before it.
+func TestMissingMergedFileMakesAnotherNodeOnce(t *testing.T) {
+	c := newCluster(t, 1, "a", "b", "c")
+	m := c.machines["10.0.0.1:1"]
+	assert.Equal(t, put(c, m, c.record("turn", "")), tierpb.StoreStatus_STORE_OK)
+	assert.NilError(t, m.store.Merge(context.Background()))
+	assert.Equal(t, put(c, m, c.record("later", "")), tierpb.StoreStatus_STORE_OK)
+	before := m.store.Identity()
+	c.kill(m)
+	maps.DeleteFunc(m.disk.files, func(path string, _ *memoryFile) bool { return strings.HasPrefix(path, "data/"+mergedPrefix) })
+	c.start(m)
+	after := m.store.Identity()
+	assert.Assert(t, after != before, "%d records are left", m.store.Records())
+	for range 3 {
+		c.kill(m)
+		c.start(m)
+		assert.Equal(t, m.store.Identity(), after)
+	}
+}
+
 // What is not whole in the middle of a segment was synced: a store that has lost it is another node, never the same one
 // that says "no such turn" of what it has acknowledged.
 func TestRottenSegmentMakesAnotherNode(t *testing.T) {
