Soak: addresses used again by another service, and clients that left, are judged

Cause: neither ROUTE nor GONE was judged by the soak. Change: half of the crashed stores' addresses go to a store of the other service after reuseAfterS; a run of another service's request breaks ROUTE; one that begins over 0.5 s behind its client's leave breaks GONE, where bounds are judged.

--- a/internal/tier/soak/judge.go
+++ b/internal/tier/soak/judge.go
@@ -12,6 +12,9 @@
 // again for a request that may be repeated.
 const mostRuns = 4
 
+// goneBound is how long after its client has left a request may still reach a store.
+const goneBound = 500 * time.Millisecond
+
 // drainBound is drainMs of the machines' settings.
 const drainBound = 2 * time.Second
 
@@ -59,6 +62,10 @@
 	case attempt.Prompt == nil && attempt.Body != nil || !bytes.Equal(attempt.Prompt, run.Body):
 		w.Break("UNASKED", "%s ran %s with another body: want %q, got %q", store.ID(), run.RequestID, attempt.Prompt, run.Body)
 	}
+	if attempt != nil && store.Service() != serviceOf(routeKind(attempt.Route)) {
+		w.Break("ROUTE", "%s ran %s, a request of the route %s", store.ID(), run.RequestID, attempt.Route)
+	}
+	w.judgeGone(attempt, store, run)
 	w.stores.mu.Lock()
 	left, leaving := w.stores.leaving[store]
 	w.stores.mu.Unlock()
@@ -68,6 +75,25 @@
 	}
 }
 
+// serviceOf is the service that a route's requests go to.
+func serviceOf(kind routeKind) string {
+	if kind == draftRoute || kind == talkRoute {
+		return standin.EngineService
+	}
+	return standin.PlainService
+}
+
+// judgeGone wants no run to begin long after the client has left, at an edge that could know of it.
+func (w *world) judgeGone(attempt *Attempt, store *standin.Store, run standin.Run) {
+	if !attempt.Left || attempt.Ended.IsZero() {
+		return
+	}
+	w.Count("run of a request whose client left")
+	if run.At.After(attempt.Ended.Add(goneBound+calmSlack)) && w.running(attempt.Front, calmSlack, attempt.Sent, run.At) {
+		w.late("GONE", "%s ran %s %v after its client had left", store.ID(), run.RequestID, run.At.Sub(attempt.Ended))
+	}
+}
+
 func (w *world) judgeAttempt(attempt *Attempt, runs []standin.Run) {
 	once := attempt.Route == string(orderRoute) || attempt.Route == string(talkRoute)
 	switch {
--- a/internal/tier/soak/stores.go
+++ b/internal/tier/soak/stores.go
@@ -15,6 +15,7 @@
 	ackPatience   = 6 * time.Second
 	servesOn      = 3500 * time.Millisecond // after its leave was acknowledged, longer than drainMs
 	disturbedTime = 900 * time.Millisecond
+	reuseAfter    = 2 * time.Second // reuseAfterS
 )
 
 // servesOnLong is how long a store serves on whose leave was acknowledged by a machine that ended right after.
@@ -31,7 +32,12 @@
 }
 
 func (s *storeSet) add(ctx context.Context, service string) error {
-	store, err := s.begin(service)
+	return s.addAt(ctx, "", service)
+}
+
+// addAt adds a store at an address that an earlier one had, or at a new one where it is empty.
+func (s *storeSet) addAt(ctx context.Context, address, service string) error {
+	store, err := s.begin(address, service)
 	if err != nil {
 		return err
 	}
@@ -46,10 +52,14 @@
 }
 
 // begin starts a store; from here on its runs are judged.
-func (s *storeSet) begin(service string) (*standin.Store, error) {
+func (s *storeSet) begin(address, service string) (*standin.Store, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	store, err := s.world.NewStore(service, slots)
+	start := func() (*standin.Store, error) { return s.world.NewStore(service, slots) }
+	if address != "" {
+		start = func() (*standin.Store, error) { return s.world.NewStoreAt(address, service, slots) }
+	}
+	store, err := start()
 	if err != nil {
 		return nil, err
 	}
@@ -150,6 +160,17 @@
 	pause(context.WithoutCancel(ctx), servesOnLong) // into the calm time, where a late request shows
 }
 
+// reuse starts a store of the other service at the address of one that crashed.
+func (s *storeSet) reuse(ctx context.Context, address, service string) {
+	other := standin.EngineService
+	if service == other {
+		other = standin.PlainService
+	}
+	if pause(ctx, reuseAfter) && s.addAt(ctx, address, other) == nil {
+		s.world.Count("address used again by another service")
+	}
+}
+
 func (s *storeSet) trouble(ctx context.Context, service string, store *standin.Store, how int, disturbance standin.Disturbance) {
 	w := s.world
 	acknowledged, cancel := context.WithTimeout(context.WithoutCancel(ctx), ackPatience)
@@ -160,6 +181,9 @@
 		defer w.begin(cause{what: "store " + store.ID() + " crashes"})()
 		store.Kill()
 		w.Count("store crashed")
+		if disturbance%2 == 0 {
+			s.reuse(ctx, store.Address(), service)
+		}
 	case 1:
 		if store.Drain(acknowledged) == nil {
 			s.left(store)
--- a/internal/tier/standin/store.go
+++ b/internal/tier/standin/store.go
@@ -73,6 +73,9 @@
 // ID is the store's instanceId.
 func (s *Store) ID() string { return s.options.ID }
 
+// Service is the service that it is one of.
+func (s *Store) Service() string { return s.options.Backend }
+
 // Address is where it listens.
 func (s *Store) Address() string { return s.listener.Addr().String() }
 
--- a/internal/tier/standin/tier.go
+++ b/internal/tier/standin/tier.go
@@ -200,12 +200,16 @@
 
 // NewStore starts a store of a service at the next free address. It is not registered.
 func (t *Tier) NewStore(service string, slots int) (*Store, error) {
+	return t.NewStoreAt(endpoint(fmt.Sprintf("%s.%d", t.layout.Subnet, firstToy+t.stores+1), storePort), service, slots)
+}
+
+// NewStoreAt starts a store of a service at an address, which an earlier one may have had.
+func (t *Tier) NewStoreAt(address, service string, slots int) (*Store, error) {
 	t.stores++
 	zone := t.layout.Zones[t.stores%len(t.layout.Zones)]
 	return StartStore(StoreOptions{
-		ID: fmt.Sprintf("i-%s-%d", service, t.stores), Backend: service, Zone: zone, Slots: slots,
-		Address: endpoint(fmt.Sprintf("%s.%d", t.layout.Subnet, firstToy+t.stores), storePort),
-		Engine:  service == EngineService, Registry: t.Controls, Pause: t.layout.StorePause,
+		ID: fmt.Sprintf("i-%s-%d", service, t.stores), Backend: service, Zone: zone, Slots: slots, Address: address,
+		Engine: service == EngineService, Registry: t.Controls, Pause: t.layout.StorePause,
 	})
 }
 
