Finding: edges keep a store that crashed while all coordinators lost their memory

Cause: silence is found by coordinators, of stores that they know; a store that nobody announces again is known to edges alone, and edges drop nothing. Class: what its source does not announce again is kept for good. Open: it needs an inner message by which edges tell a fresh coordinator what that lacks, and its cost at 2,900 stores measured.

--- a/internal/tier/soak/judge.go
+++ b/internal/tier/soak/judge.go
@@ -39,6 +39,7 @@
 	w.judgeOnce(attempts, runs)
 	w.judgeBudgets(attempts)
 	w.judgeCalm(attempts)
+	w.judgeWorking()
 }
 
 func (w *world) attemptsByID() map[string]*Attempt {
@@ -88,12 +89,35 @@
 	if !attempt.Left || attempt.Ended.IsZero() {
 		return
 	}
+	w.countWorking(attempt, run)
 	w.Count("run of a request whose client left")
 	if run.At.After(attempt.Ended.Add(goneBound+calmSlack)) && w.running(attempt.Front, calmSlack, attempt.Sent, run.At) {
 		w.late("GONE", "%s ran %s %v after its client had left", store.ID(), run.RequestID, run.At.Sub(attempt.Ended))
 	}
 }
 
+// workingAfterLeave names the counter of runs that went on long after their client had left.
+const workingAfterLeave = "store at work long after the client left"
+
+// countWorking counts stores that are still at work on what nobody waits for: of requests that may be repeated and streams.
+func (w *world) countWorking(attempt *Attempt, run standin.Run) {
+	if kind := routeKind(attempt.Route); kind != fetchRoute && kind != draftRoute {
+		return
+	}
+	late := attempt.Ended.Add(goneBound + calmSlack)
+	if (run.Ended.IsZero() || run.Ended.After(late)) && w.running(attempt.Front, calmSlack, attempt.Sent, late) {
+		w.Count(workingAfterLeave)
+	}
+}
+
+// judgeWorking bears the few that a cut or a frozen edge explains.
+func (w *world) judgeWorking() {
+	const most = 3
+	if working := w.Sometimes()[workingAfterLeave]; working > most {
+		w.late("GONE", "%d times a store was at work long after the client had left", working)
+	}
+}
+
 func (w *world) judgeAttempt(attempt *Attempt, runs []standin.Run) {
 	once := attempt.Route == string(orderRoute) || attempt.Route == string(talkRoute)
 	switch {
--- a/internal/tier/soak/stores.go
+++ b/internal/tier/soak/stores.go
@@ -125,7 +125,8 @@
 			continue
 		}
 		how, disturbance := random.IntN(6), standin.Disturbance(1+random.IntN(int(standin.LastDisturbance)))
-		group.Go(func() { s.trouble(ctx, service, store, how, disturbance) })
+		source := rand.New(rand.NewPCG(random.Uint64(), 0))
+		group.Go(func() { s.trouble(ctx, service, store, how, disturbance, source) })
 	}
 }
 
@@ -171,15 +172,49 @@
 	}
 }
 
-func (s *storeSet) trouble(ctx context.Context, service string, store *standin.Store, how int, disturbance standin.Disturbance) {
+// leaveCutOff has a coordinator that is cut off from all other machines be told of a leave, and ends it behind that: an
+// acknowledgement that it gave by itself is known to nobody. Then the others start anew, so that they know as little of the
+// store's silence. It says whether there was an acknowledgement.
+func (s *storeSet) leaveCutOff(ctx, patience context.Context, store *standin.Store, random *rand.Rand) bool {
+	w := s.world
+	machine := w.Coordinators[random.IntN(len(w.Coordinators))]
+	if !w.claim(machine) {
+		return false
+	}
+	defer w.release(machine)
+	end := w.begin(cause{what: "coordinator " + machine.Settings.NodeName + " is cut off, told of a leave and killed"})
+	restore := w.isolate(machine)
+	err := store.DeregisterAt(patience, machine.Settings.Listen.Control)
+	w.kill(machine)
+	restore()
+	w.Count("leave told to a coordinator that was cut off")
+	if err != nil {
+		_ = w.launch(machine)
+		end()
+		return false
+	}
+	s.left(store)
+	w.Count("leave acknowledged by a coordinator that was cut off")
+	w.killAll(w.Coordinators, 0)
+	end()                                           // away, it disturbs nobody any more
+	pause(context.WithoutCancel(ctx), servesOnLong) // into the calm time, where a late request shows
+	defer w.begin(cause{what: "coordinator " + machine.Settings.NodeName + " is back"})()
+	_ = w.launch(machine)
+	return true
+}
+
+func (s *storeSet) trouble(
+	ctx context.Context, service string, store *standin.Store, how int, disturbance standin.Disturbance, random *rand.Rand,
+) {
 	w := s.world
 	acknowledged, cancel := context.WithTimeout(context.WithoutCancel(ctx), ackPatience)
 	defer cancel()
 	late := store.Delayed()
 	switch how {
 	case 0:
-		defer w.begin(cause{what: "store " + store.ID() + " crashes"})()
+		end := w.begin(cause{what: "store " + store.ID() + " crashes"})
 		store.Kill()
+		end()
 		w.Count("store crashed")
 		if disturbance%2 == 0 {
 			s.reuse(ctx, store.Address(), service)
@@ -194,6 +229,9 @@
 		}
 		store.Kill()
 	case 2:
+		if disturbance%2 == 1 && s.leaveCutOff(ctx, acknowledged, store, random) {
+			break
+		}
 		if store.Deregister(acknowledged) == nil {
 			s.left(store)
 			w.Count("store said nothing but DELETE")
--- a/internal/tier/soak/troubles.go
+++ b/internal/tier/soak/troubles.go
@@ -350,6 +350,22 @@
 	return len(releases) > 0
 }
 
+// isolate cuts a machine off from all others until the returned function is called.
+func (w *world) isolate(machine *standin.Machine) (restore func()) {
+	var releases []func()
+	for _, other := range w.members() {
+		if other != machine {
+			releases = append(releases, w.relay.Block(machine.Settings.IP, other.Settings.IP))
+			releases = append(releases, w.relay.Block(other.Settings.IP, machine.Settings.IP))
+		}
+	}
+	return func() {
+		for _, release := range releases {
+			release()
+		}
+	}
+}
+
 // cutHalves cuts the machines with a disk in two; edges reach both halves.
 func (w *world) cutHalves(trouble Trouble, block func(from, to string)) {
 	var disks []*standin.Machine
--- a/internal/tier/standin/registration.go
+++ b/internal/tier/standin/registration.go
@@ -110,6 +110,12 @@
 	})
 }
 
+// leaveAt says once, to one address, that the store is gone.
+func (r *registration) leaveAt(ctx context.Context, address string) error {
+	r.stop()
+	return r.call(ctx, http.MethodDelete, "http://"+address+"/v1/instances/"+r.store.options.ID, nil)
+}
+
 func (r *registration) put(ctx context.Context) error {
 	r.mu.Lock()
 	r.sequence++
--- a/internal/tier/standin/store.go
+++ b/internal/tier/standin/store.go
@@ -36,6 +36,7 @@
 	Body      []byte
 	Whole     bool // answered to the end
 	At        time.Time
+	Ended     time.Time // zero while the store works on it
 }
 
 // Store is a stand-in for one incarnation of a store.
@@ -127,6 +128,11 @@
 // Deregister tells the registry that the store is gone, and nothing before; it serves on.
 func (s *Store) Deregister(ctx context.Context) error { return s.registry.leave(ctx) }
 
+// DeregisterAt tells one control address alone, once, that the store is gone; it serves on.
+func (s *Store) DeregisterAt(ctx context.Context, address string) error {
+	return s.registry.leaveAt(ctx, address)
+}
+
 // Delayed makes a heartbeat of now, and returns what delivers it later, once, to a control address.
 func (s *Store) Delayed() (deliver func(ctx context.Context, address string) error) {
 	return s.registry.delayed()
@@ -150,6 +156,7 @@
 	case r.Header.Get(headerExpectInstance) == "" && r.URL.Path == healthPath:
 		s.serveHealth(w)
 	case s.isOther(r):
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 		w.Header().Set(headerInstance, s.options.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	default:
@@ -189,7 +196,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	run.Whole = whole
+	run.Whole, run.Ended = whole, time.Now()
 }
 
 // pause waits as long as the store's work takes, and returns false when the caller has left before.
