--- a/internal/tier/coordinator/announce.go
+++ b/internal/tier/coordinator/announce.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -115,7 +116,7 @@
 		if err == nil {
 			return reply
 		}
-		if !pause(ctx, announcePause) {
+		if !pause.For(ctx, announcePause) {
 			return nil
 		}
 	}
@@ -144,15 +145,3 @@
 	}
 	return &tierpb.AnnounceReply{Identity: c.self.Identity, Epoch: c.newestVoters().GetEpoch()}
 }
-
-// pause says whether the time passed before ctx ended.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/tier/coordinator/departures.go
+++ b/internal/tier/coordinator/departures.go
@@ -45,18 +45,14 @@
 
 // openDepartures reads the departures in a folder. A file that is not whole counts as none.
 func openDepartures(disk storage.Disk, folder string) (*departures, error) {
-	if err := disk.MakeFolder(folder); err != nil {
-		return nil, eris.Wrap(err, "departures")
-	}
-	files, err := storage.Open(disk, folder, departuresSeries, nil)
+	stored := &tierpb.AnnounceRequest{}
+	files, found, err := storage.OpenMessages(disk, folder, departuresSeries, stored)
 	if err != nil {
 		return nil, err
 	}
 	d := newDepartures()
 	d.files = files
-	payload, found := files.Newest()
-	stored := &tierpb.AnnounceRequest{}
-	if !found || stored.UnmarshalVT(payload) != nil {
+	if !found {
 		return d, nil
 	}
 	for _, instance := range stored.Instances {
@@ -87,11 +83,7 @@
 		return nil
 	}
 	listed, changes := d.snapshot()
-	payload, err := listed.MarshalVT()
-	if err != nil {
-		return eris.Wrap(err, "departures")
-	}
-	if err := d.files.Save(payload); err != nil {
+	if err := d.files.SaveMessage(listed); err != nil {
 		return err
 	}
 	d.saved = changes
--- a/internal/tier/coordinator/history.go
+++ b/internal/tier/coordinator/history.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -21,7 +22,7 @@
 func (c *coordinator) keepOrders(ctx context.Context) {
 	var kept *tierpb.ControlState
 	wait := ordersInterval
-	for pause(ctx, wait) {
+	for pause.For(ctx, wait) {
 		known := c.state.Control()
 		if known == kept {
 			continue
--- a/internal/tier/coordinator/listening.go
+++ b/internal/tier/coordinator/listening.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"sync"
 	"time"
 )
@@ -25,7 +26,7 @@
 
 // keep looks again and again until ctx ends.
 func (l *listening) keep(ctx context.Context) {
-	for pause(ctx, maintenanceInterval) {
+	for pause.For(ctx, maintenanceInterval) {
 		l.since()
 	}
 }
--- a/internal/tier/coordinator/maintenance.go
+++ b/internal/tier/coordinator/maintenance.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -88,7 +89,7 @@
 
 // learnChosen finds out which value is chosen. The others may be about to do the same.
 func (c *coordinator) learnChosen(ctx context.Context) {
-	if !pause(ctx, rand.N(maintenanceInterval)) || !c.holdsUnknown() {
+	if !pause.For(ctx, rand.N(maintenanceInterval)) || !c.holdsUnknown() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, readPatience)
@@ -102,7 +103,7 @@
 		if !register.IsVoter(c.state.Control(), c.self.Identity) && !c.votesFromStart() {
 			c.join(ctx)
 		}
-		if !pause(ctx, joinInterval/2+rand.N(joinInterval)) {
+		if !pause.For(ctx, joinInterval/2+rand.N(joinInterval)) {
 			return
 		}
 	}
--- a/internal/tier/coordinator/place.go
+++ b/internal/tier/coordinator/place.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/placement"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -21,7 +22,7 @@
 	listening.Go(func() { c.listening.keep(ctx) })
 	defer listening.Wait()
 	wait := maintenanceInterval
-	for pause(ctx, wait) {
+	for pause.For(ctx, wait) {
 		wait = maintenanceInterval
 		if !c.lease.Held() {
 			c.redundancy = redundancy{} // another one measures
--- a/internal/tier/orders/history.go
+++ b/internal/tier/orders/history.go
@@ -6,8 +6,6 @@
 	"slices"
 	"sync"
 
-	"github.com/rotisserie/eris"
-
 	"pulleygw.example/pulleygw/internal/tier/storage"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -29,17 +27,13 @@
 
 // OpenHistory reads the runs in a folder. A file that is not whole counts as none.
 func OpenHistory(disk storage.Disk, folder string) (*History, error) {
-	if err := disk.MakeFolder(folder); err != nil {
-		return nil, eris.Wrap(err, "history of orders")
-	}
-	files, err := storage.Open(disk, folder, series, nil)
+	stored := &tierpb.OrderRuns{}
+	files, found, err := storage.OpenMessages(disk, folder, series, stored)
 	if err != nil {
 		return nil, err
 	}
 	history := &History{files: files, runs: make(map[string]*tierpb.OrderRun)}
-	payload, found := files.Newest()
-	stored := &tierpb.OrderRuns{}
-	if !found || stored.UnmarshalVT(payload) != nil {
+	if !found {
 		return history, nil
 	}
 	for _, run := range stored.Runs {
@@ -119,11 +113,7 @@
 	if slices.Equal(digests, h.saved) {
 		return nil
 	}
-	payload, err := stored.MarshalVT()
-	if err != nil {
-		return eris.Wrap(err, "history of orders")
-	}
-	if err := h.files.Save(payload); err != nil {
+	if err := h.files.SaveMessage(stored); err != nil {
 		return err
 	}
 	h.saved = digests
--- /dev/null
+++ b/internal/tier/pause/pause_test.go
@@ -0,0 +1,22 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestForEndsWithItsTimeOrItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		assert.Assert(t, For(t.Context(), time.Minute))
+		assert.Equal(t, time.Since(started), time.Minute)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.Assert(t, !For(ctx, time.Hour))
+		assert.Equal(t, time.Since(started), time.Minute+time.Second)
+	})
+}
--- a/internal/tier/proxy/account.go
+++ b/internal/tier/proxy/account.go
@@ -100,9 +100,9 @@
 	results.Inc(string(became))
 	switch {
 	case became.failed():
-		x.proxy.journal.failure(x.proxy.log, x.describe(became))
+		x.proxy.requests.failure(x.proxy.log, x.describe(became))
 	case became != resultServed && became != resultClientLeft && became != resultStoreFailed && became != resultStoreClient:
-		x.proxy.journal.refusal(x.proxy.log, became, x.describe(became))
+		x.proxy.requests.refusal(x.proxy.log, became, x.describe(became))
 	}
 }
 
--- a/internal/tier/proxy/account_test.go
+++ b/internal/tier/proxy/account_test.go
@@ -44,7 +44,7 @@
 		x.account()
 	}
 	assert.Equal(t, strings.Count(log.String(), "request failed"), failureLines)
-	x.proxy.journal.from = time.Now().Add(-2 * failureSpan)
+	x.proxy.requests.from = time.Now().Add(-2 * failureSpan)
 	x.account()
 	assert.Assert(t, strings.Contains(log.String(), "suppressed=40"), "%s", log)
 }
@@ -56,7 +56,7 @@
 		x.account()
 	}
 	assert.Equal(t, strings.Count(log.String(), "requests refused"), 2, "%s", log)
-	x.proxy.journal.refused[resultOverload].at = time.Now().Add(-2 * refusalLogSpan)
+	x.proxy.requests.refused[resultOverload].at = time.Now().Add(-2 * refusalLogSpan)
 	x.became = resultOverload
 	x.account()
 	assert.Assert(t, strings.Contains(log.String(), "count=2"), "%s", log)
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -45,7 +45,7 @@
 	listed   atomic.Bool // at least one store was ever known
 	news     news
 	strays   strays
-	journal  requestLog
+	requests requestLog
 	started  time.Time
 }
 
--- a/internal/tier/register/acceptor.go
+++ b/internal/tier/register/acceptor.go
@@ -300,21 +300,10 @@
 	a.state.Store(next)
 }
 
-func (a *Acceptor) savePromise(ballot *tierpb.Ballot) error {
-	payload, err := ballot.MarshalVT()
-	if err != nil {
-		return eris.Wrap(err, "encode promise")
-	}
-	return a.promises.Save(payload)
-}
+func (a *Acceptor) savePromise(ballot *tierpb.Ballot) error { return a.promises.SaveMessage(ballot) }
 
 func (a *Acceptor) saveValue(ballot *tierpb.Ballot, value *tierpb.ControlState) error {
-	stored := &tierpb.AcceptRequest{Identity: a.identity, Ballot: ballot, Value: value}
-	payload, err := stored.MarshalVT()
-	if err != nil {
-		return eris.Wrap(err, "encode accepted value")
-	}
-	return a.values.Save(payload)
+	return a.values.SaveMessage(&tierpb.AcceptRequest{Identity: a.identity, Ballot: ballot, Value: value})
 }
 
 // take waits for the acceptor's turn, unless too many wait already.
--- a/internal/tier/soak/operator.go
+++ b/internal/tier/soak/operator.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/standin"
 )
 
@@ -88,7 +89,7 @@
 // operate changes the configuration until ctx ends; now and then two operators do at once.
 func (c *configurations) operate(ctx context.Context) {
 	random := rand.New(rand.NewPCG(c.world.plan.Seed, 3002))
-	for pause(ctx, changePause+time.Duration(random.Int64N(int64(2*changePause)))) {
+	for pause.For(ctx, changePause+time.Duration(random.Int64N(int64(2*changePause)))) {
 		base := c.base()
 		generation := base.generation + 1 + uint64(random.IntN(3))
 		made := []*change{c.compose(generation, base)}
@@ -137,7 +138,7 @@
 			}
 			return
 		}
-		pause(ctx, orderPause)
+		pause.For(ctx, orderPause)
 	}
 }
 
@@ -263,7 +264,7 @@
 // readAlong reads again and again until ctx ends.
 func (c *configurations) readAlong(ctx context.Context) {
 	random := rand.New(rand.NewPCG(c.world.plan.Seed, 3003))
-	for pause(ctx, 90*time.Millisecond) {
+	for pause.For(ctx, 90*time.Millisecond) {
 		c.read(ctx, random)
 	}
 }
--- a/internal/tier/soak/probe.go
+++ b/internal/tier/soak/probe.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/standin"
 )
 
@@ -29,7 +30,7 @@
 	random := rand.New(rand.NewPCG(c.world.plan.Seed, 3004))
 	client := standin.NewClient()
 	defer client.Close()
-	for pause(ctx, probePause) {
+	for pause.For(ctx, probePause) {
 		c.probeOnce(ctx, client, random)
 	}
 }
--- a/internal/tier/soak/rude.go
+++ b/internal/tier/soak/rude.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/standin"
 )
 
@@ -22,7 +23,7 @@
 // runRude plays clients that misbehave on raw connections until ctx ends.
 func (w *world) runRude(ctx context.Context) {
 	random := rand.New(rand.NewPCG(w.plan.Seed, 6000))
-	for number := 0; pause(ctx, rudePause); number++ {
+	for number := 0; pause.For(ctx, rudePause); number++ {
 		edge := w.Edges[random.IntN(len(w.Edges))]
 		connection, err := net.DialTimeout("tcp4", edge.Settings.Listen.Front, time.Second)
 		if err != nil {
@@ -133,6 +134,6 @@
 	defer w.add(attempt)
 	_, _ = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Token-Usage: 5,%d\r\nContent-Length: %d\r\n\r\n%s",
 		attempt.Path, standin.Host, attempt.ID, mostTokens, len(text), text)
-	pause(ctx, time.Duration(random.IntN(400))*time.Millisecond)
+	pause.For(ctx, time.Duration(random.IntN(400))*time.Millisecond)
 	w.Count("client read nothing")
 }
--- a/internal/tier/soak/run.go
+++ b/internal/tier/soak/run.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/standin"
 )
 
@@ -70,7 +71,7 @@
 	stopChurn()
 	churn.Wait()
 	w.Note("calm")
-	pause(ctx, calmTime)
+	pause.For(ctx, calmTime)
 	stop()
 	group.Wait()
 }
@@ -110,7 +111,7 @@
 			w.Count("final loss of power with a lost disk in " + lost.Class)
 		}
 	}
-	pause(context.Background(), backAfter)
+	pause.For(context.Background(), backAfter)
 	for _, machine := range members {
 		_ = w.launch(machine)
 	}
@@ -162,7 +163,7 @@
 		if _, ok := w.config.read(ctx, random); ok {
 			return
 		}
-		if !pause(ctx, orderPause) {
+		if !pause.For(ctx, orderPause) {
 			w.Break("RECOVER", "no coordinator tells the configuration")
 			return
 		}
@@ -180,7 +181,7 @@
 		if attempt.Status == 200 && attempt.whole() || attempt.Status == 404 {
 			return
 		}
-		if !pause(ctx, 100*time.Millisecond) {
+		if !pause.For(ctx, 100*time.Millisecond) {
 			w.Break("LOST", "turn %s is not served after the last trouble: %s", kept.id, outcomeOf(attempt))
 			return
 		}
--- a/internal/tier/soak/stores.go
+++ b/internal/tier/soak/stores.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/standin"
 )
 
@@ -115,7 +116,7 @@
 	random := rand.New(rand.NewPCG(s.world.plan.Seed, 2000))
 	var group sync.WaitGroup
 	defer group.Wait()
-	for pause(ctx, churnPause) {
+	for pause.For(ctx, churnPause) {
 		service := []string{standin.EngineService, standin.PlainService}[random.IntN(2)]
 		store := s.take(service, random.IntN(1<<16))
 		if store == nil {
@@ -148,17 +149,17 @@
 	machine := w.machineAt(store.AcknowledgedBy())
 	if machine == nil || spared || !w.claim(machine) {
 		s.deliverLate(patience, late)
-		pause(ctx, servesOn)
+		pause.For(ctx, servesOn)
 		return
 	}
 	end := w.begin(cause{what: "coordinator " + machine.Settings.NodeName + " ends behind an acknowledgement"})
 	w.kill(machine)
-	pause(ctx, time.Second)
+	pause.For(ctx, time.Second)
 	_ = w.launch(machine)
 	w.release(machine)
 	end()
 	w.Count("coordinator ended behind the acknowledgement of a leave")
-	pause(context.WithoutCancel(ctx), servesOnLong) // into the calm time, where a late request shows
+	pause.For(context.WithoutCancel(ctx), servesOnLong) // into the calm time, where a late request shows
 }
 
 // reuse starts a store of the other service at the address of one that crashed.
@@ -167,7 +168,7 @@
 	if service == other {
 		other = standin.PlainService
 	}
-	if pause(ctx, reuseAfter) && s.addAt(ctx, address, other) == nil {
+	if pause.For(ctx, reuseAfter) && s.addAt(ctx, address, other) == nil {
 		s.world.Count("address used again by another service")
 	}
 }
@@ -196,8 +197,8 @@
 	s.left(store)
 	w.Count("leave acknowledged by a coordinator that was cut off")
 	w.killAll(w.Coordinators, 0)
-	end()                                           // away, it disturbs nobody any more
-	pause(context.WithoutCancel(ctx), servesOnLong) // into the calm time, where a late request shows
+	end()                                               // away, it disturbs nobody any more
+	pause.For(context.WithoutCancel(ctx), servesOnLong) // into the calm time, where a late request shows
 	defer w.begin(cause{what: "coordinator " + machine.Settings.NodeName + " is back"})()
 	_ = w.launch(machine)
 	return true
@@ -224,7 +225,7 @@
 			s.left(store)
 			w.Count("store drained")
 			s.deliverLate(acknowledged, late)
-			pause(ctx, servesOn)
+			pause.For(ctx, servesOn)
 			_ = store.Leave(acknowledged)
 		}
 		store.Kill()
@@ -242,7 +243,7 @@
 		defer w.begin(cause{what: "store " + store.ID() + " is disturbed"})()
 		w.Count("store disturbed")
 		store.Disturb(disturbance)
-		pause(ctx, disturbedTime)
+		pause.For(ctx, disturbedTime)
 		store.Disturb(standin.NoDisturbance)
 		s.giveBack(service, store)
 	}
--- a/internal/tier/soak/traffic.go
+++ b/internal/tier/soak/traffic.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/settings"
 	"pulleygw.example/pulleygw/internal/tier/standin"
 )
@@ -239,7 +240,7 @@
 			w.Count("client left its turn")
 			return nil, false
 		}
-		if !pause(ctx, time.Duration(20+random.IntN(80))*time.Millisecond) {
+		if !pause.For(ctx, time.Duration(20+random.IntN(80))*time.Millisecond) {
 			return nil, true
 		}
 	}
@@ -263,7 +264,7 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		kind := kinds[random.IntN(len(kinds))]
 		w.sendPlain(ctx, client, random, kind, fmt.Sprintf("%s-%d-%d", kind, worker, number))
-		pause(ctx, time.Duration(random.IntN(25))*time.Millisecond)
+		pause.For(ctx, time.Duration(random.IntN(25))*time.Millisecond)
 	}
 }
 
@@ -278,7 +279,7 @@
 		if attempt.Status == 200 && attempt.whole() || !again || attempt.Left {
 			return
 		}
-		if !pause(ctx, time.Duration(10+random.IntN(60))*time.Millisecond) {
+		if !pause.For(ctx, time.Duration(10+random.IntN(60))*time.Millisecond) {
 			return
 		}
 	}
--- a/internal/tier/soak/troubles.go
+++ b/internal/tier/soak/troubles.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/standin"
 )
 
@@ -26,7 +27,7 @@
 	var group sync.WaitGroup
 	for _, trouble := range w.plan.Troubles {
 		group.Go(func() {
-			if !pause(ctx, time.Until(started.Add(trouble.At))) {
+			if !pause.For(ctx, time.Until(started.Add(trouble.At))) {
 				return
 			}
 			end := w.begin(w.causeOf(trouble))
@@ -306,7 +307,7 @@
 			w.Count("retirement completed")
 			return true
 		}
-		pause(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 	w.Count("retirement not completed in time")
 	return true
--- a/internal/tier/soak/world.go
+++ b/internal/tier/soak/world.go
@@ -269,15 +269,3 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
-
-// pause waits, or returns false when ctx ends before.
-func pause(ctx context.Context, most time.Duration) bool {
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/pause"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -144,7 +145,7 @@
 			retry = retryFirst
 		}
 		f.startSlots(ctx, f.options.Targets())
-		if !pause(ctx, jittered(retry)) {
+		if !pause.For(ctx, jittered(retry)) {
 			return
 		}
 		retry = min(2*retry, retryMost)
@@ -324,14 +325,3 @@
 
 // jittered is between half and one and a half of the duration.
 func jittered(duration time.Duration) time.Duration { return duration/2 + rand.N(duration) }
-
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
