Test of the idle close waits until the connection rests

TestRequestCrossesIdleClose was wrong: it took the client's having the answer for the connection's resting. The server notes an answer behind its last byte; a request that comes before is taken and answered, as is written at answered, and a reader that has not got to its next read waits for the lock that the test holds. It now waits until the answer is noted and the reader is in its read; all checks are as they were.

--- a/internal/gatherer/net/http1/crossings_test.go
+++ b/internal/gatherer/net/http1/crossings_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -13,10 +14,12 @@
 // tapped tells when bytes of the client are in the reader's hands.
 type tapped struct {
 	*net.TCPConn
-	read chan struct{}
+	read  chan struct{}
+	begun atomic.Int32 // reads, those that wait for bytes too
 }
 
 func (c *tapped) Read(b []byte) (int, error) {
+	c.begun.Add(1)
 	n, err := c.TCPConn.Read(b)
 	if n > 0 {
 		c.read <- struct{}{}
@@ -45,7 +48,7 @@
 		t.Fatal(err)
 	}
 	s = New(l.(*net.TCPListener), h, 10, slog.New(slog.DiscardHandler))
-	c = &tapped{nc.(*net.TCPConn), make(chan struct{}, 100)}
+	c = &tapped{TCPConn: nc.(*net.TCPConn), read: make(chan struct{}, 100)}
 	x := &conn{nc: c, since: time.Now()}
 	s.conns[x] = struct{}{}
 	s.done.Add(1)
@@ -63,6 +66,25 @@
 	return x
 }
 
+// awaitResting returns when the server's one connection rests: its answers are noted, and its reader waits in another read
+// than those before. A client has its answer before that.
+func awaitResting(t *testing.T, s *Server, c *tapped, reads int32) {
+	t.Helper()
+	resting := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for x := range s.conns {
+			return x.used && x.busy == 0 && c.begun.Load() > reads
+		}
+		return false
+	}
+	for begun := time.Now(); !resting(); time.Sleep(100 * time.Microsecond) {
+		if time.Since(begun) > 20*time.Second {
+			t.Fatal("never: the connection rests")
+		}
+	}
+}
+
 // wantEnd reads what the client still gets: the connection's end, and no reset, as that could take an answer with it.
 func wantEnd(t *testing.T, client net.Conn) {
 	t.Helper()
@@ -90,6 +112,7 @@
 			t.Fatalf("%s: %+v %v", name, p, err)
 		}
 		await(t, taken, "the first request is taken")
+		awaitResting(t, s, c, 1)
 		s.mu.Lock()
 		io.WriteString(client, post)
 		await(t, c.read, "the second request is read")
