--- a/internal/tier/soak/stores.go
+++ b/internal/tier/soak/stores.go
@@ -230,7 +230,7 @@
 		}
 		store.Kill()
 	case 2:
-		if disturbance%2 == 1 && s.leaveCutOff(ctx, acknowledged, store, random) {
+		if disturbance%2 == 1 && !s.world.mixed && s.leaveCutOff(ctx, acknowledged, store, random) {
 			break
 		}
 		if store.Deregister(acknowledged) == nil {
--- a/internal/tier/soak/world.go
+++ b/internal/tier/soak/world.go
@@ -41,6 +41,7 @@
 	*History
 	plan  Plan
 	timed bool
+	mixed bool // some processes are of another build, whose links the relay does not cut
 	relay *Relay
 
 	mu       sync.Mutex
@@ -94,7 +95,7 @@
 		return nil, err
 	}
 	w := &world{
-		Tier: tier, History: NewHistory(options.Log), plan: plan, timed: options.Timed, relay: relay, lives: make(map[*standin.Machine]int),
+		Tier: tier, History: NewHistory(options.Log), plan: plan, timed: options.Timed, mixed: plan.Mixed && options.Other != nil, relay: relay, lives: make(map[*standin.Machine]int),
 		started: make(map[*standin.Machine]time.Time),
 		ended:   make(map[*standin.Machine]int), busy: make(map[*standin.Machine]bool), gone: make(map[*standin.Machine]bool),
 	}
