One check of a node that is another one, once, and one way to isolate a machine

The change had written both twice: the check in two tests of turnstore, the cut in the soak's troubles and for leaves. Test code alone; checks are the same.

--- a/internal/tier/soak/troubles.go
+++ b/internal/tier/soak/troubles.go
@@ -324,10 +324,12 @@
 		releases = append(releases, w.relay.LoseReplies(self))
 	case CutHalves:
 		w.cutHalves(trouble, block)
+	case Isolate:
+		releases = append(releases, w.isolate(machine))
 	default:
 		others := w.members()
 		for number, other := range others {
-			if other == machine || trouble.Kind != Isolate && trouble.Kind != SlowLinks && number != trouble.Other%len(others) {
+			if other == machine || trouble.Kind != SlowLinks && number != trouble.Other%len(others) {
 				continue
 			}
 			switch trouble.Kind {
--- a/internal/tier/turnstore/rot_test.go
+++ b/internal/tier/turnstore/rot_test.go
@@ -28,6 +28,19 @@
 // spoil flips a bit of a file's first frame.
 func spoil(file *memoryFile) { file.data[len(fileMagic)+frameHeaderBytes+1] ^= 1 }
 
+// wantAnotherOnce starts a machine and wants it to be another node than before, and the same one at each further start.
+func (c *cluster) wantAnotherOnce(m *machine, before uint64) {
+	c.t.Helper()
+	c.start(m)
+	after := m.store.Identity()
+	assert.Assert(c.t, after != before, "%d records are left", m.store.Records())
+	for range 3 {
+		c.kill(m)
+		c.start(m)
+		assert.Equal(c.t, m.store.Identity(), after)
+	}
+}
+
 // A disk that has lost what it had made durable is one loss, however often the process starts again: at each further
 // identity as many machines fewer may be lost.
 func TestDamagedMergedFileMakesAnotherNodeOnce(t *testing.T) {
@@ -38,14 +51,7 @@
 	before := m.store.Identity()
 	c.kill(m)
 	spoil(fileOf(t, m, mergedPrefix))
-	c.start(m)
-	after := m.store.Identity()
-	assert.Assert(t, after != before)
-	for range 3 {
-		c.kill(m)
-		c.start(m)
-		assert.Equal(t, m.store.Identity(), after)
-	}
+	c.wantAnotherOnce(m, before)
 }
 
 // A merged file that is gone whole is a loss as one that is damaged: it held all that was acknowledged before it.
@@ -58,14 +64,7 @@
 	before := m.store.Identity()
 	c.kill(m)
 	maps.DeleteFunc(m.disk.files, func(path string, _ *memoryFile) bool { return strings.HasPrefix(path, "data/"+mergedPrefix) })
-	c.start(m)
-	after := m.store.Identity()
-	assert.Assert(t, after != before, "%d records are left", m.store.Records())
-	for range 3 {
-		c.kill(m)
-		c.start(m)
-		assert.Equal(t, m.store.Identity(), after)
-	}
+	c.wantAnotherOnce(m, before)
 }
 
 // Builds before save no number of their merged files, and merge on beside an older number: neither is a loss.
