--- a/internal/tier/agent/agent.go
+++ b/internal/tier/agent/agent.go
@@ -87,7 +87,7 @@
 func (a *Agent) followOptions() watch.Options {
 	return watch.Options{
 		Caller: a.client, State: a.state, Targets: a.targets, Count: coordinatorsFollowed, Self: a.self,
-		Changed: a.logCoordinator,
+		Compare: true, Changed: a.logCoordinator,
 	}
 }
 
--- a/internal/tier/coordinator/followers_test.go
+++ b/internal/tier/coordinator/followers_test.go
@@ -34,6 +34,7 @@
 		watch.Follow(ctx, watch.Options{
 			Caller: &caller{from: &machine{cluster: c, name: name}}, State: state, Count: 2,
 			Targets: func() []watch.Target { return targets }, Self: &tierpb.Node{Name: name, Role: tierpb.Role_ROLE_AGENT},
+			Compare: true,
 		})
 	})
 	return &edge{state: state, stop: func() { cancel(); done.Wait() }}
--- a/internal/tier/coordinator/maintenance.go
+++ b/internal/tier/coordinator/maintenance.go
@@ -76,6 +76,9 @@
 		c.state.Upsert(mark)
 		c.log.Info("store", "id", mark.Id, "address", mark.Address, "state", mark.State)
 	}
+	if c.silence.Confident(now) {
+		c.state.Listened()
+	}
 	isListed := func(id string) bool { return c.state.Instance(id) != nil }
 	c.announced.forget(isListed)
 	c.departures.forget(isListed)
--- a/internal/tier/registry/silence.go
+++ b/internal/tier/registry/silence.go
@@ -39,7 +39,7 @@
 	} else if s.confidentSince.IsZero() {
 		s.confidentSince = now
 	}
-	confident := inTouch && now.Sub(s.confidentSince) >= confidentPeriods*s.period
+	confident := s.Confident(now)
 	present := make(map[string]heardInstance, len(instances))
 	var marks []*tierpb.Instance
 	for _, instance := range instances {
@@ -56,6 +56,11 @@
 	return marks
 }
 
+// Confident says whether every store that sends heartbeats has been heard by now, as of the last look.
+func (s *Silence) Confident(now time.Time) bool {
+	return !s.confidentSince.IsZero() && now.Sub(s.confidentSince) >= confidentPeriods*s.period
+}
+
 // mark is what to say of an instance that has said nothing for so long, nil for nothing new.
 func (s *Silence) mark(instance *tierpb.Instance, quiet time.Duration) *tierpb.Instance {
 	state := instance.State
--- a/internal/tier/watch/follower.go
+++ b/internal/tier/watch/follower.go
@@ -41,6 +41,8 @@
 	Wait       time.Duration   // for which a poll may be held; DefaultWait where it is 0
 	Self       *tierpb.Node
 	Heartbeats bool
+	// Compare has the Follower find stores that it knows and that its sources have forgotten.
+	Compare bool
 	// Answered is called with each reply that was taken in, and the time at which the poll was sent, before Changed;
 	// it may be nil.
 	Answered func(address string, reply *tierpb.WatchReply, asked time.Time)
--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -18,12 +18,14 @@
 	older    uint64 // cursor at least rewindTime before middleAt
 	middleAt time.Time
 	rewound  uint64 // cursor before it was rewound, until the source has answered; 0 where it was not
+
+	compareAt time.Time // when the lists are to be compared next
 }
 
 // advance notes a reply that was taken in.
 func (p *place) advance(reply *tierpb.WatchReply, now time.Time) {
 	if p.feed != reply.Feed {
-		*p = place{feed: reply.Feed}
+		*p = place{feed: reply.Feed, compareAt: now.Add(jittered(compareUnanswered))}
 	}
 	p.cursor, p.begins, p.whole, p.rewound = reply.Cursor, reply.More, false, 0
 	if now.Sub(p.middleAt) >= rewindTime {
@@ -39,6 +41,9 @@
 	}
 	request := f.request(address, wait, first)
 	request.Stale = f.mayBeStale()
+	if request.Compare {
+		request.WaitMs = 0
+	}
 	reply := &tierpb.WatchReply{}
 	asked := f.options.Now()
 	if err := f.call(ctx, address, wait+replySlack, request, reply); err != nil {
@@ -63,6 +68,9 @@
 	case s == nil:
 	case taken:
 		s.place.advance(reply, time.Now())
+		if request.Compare {
+			s.place.compared(reply, time.Now())
+		}
 	default:
 		s.place.whole = true
 	}
@@ -96,6 +104,9 @@
 		request.Hears = f.answering()
 	}
 	request.Brief = !f.isPrimary(address) && !at.whole
+	if f.options.Compare && !request.Brief && at.compares(time.Now()) {
+		request.Compare, request.Summary = true, f.options.State.digests()
+	}
 	request.WholeBody = at.whole
 	return request
 }
--- a/internal/tier/watch/reply.go
+++ b/internal/tier/watch/reply.go
@@ -78,6 +78,9 @@
 		return
 	}
 	reply.Cursor = s.cursor
+	if request.Compare && s.hasListened() {
+		s.tellDiffering(request, reply)
+	}
 	if request.Heartbeats {
 		reply.Marks = s.tellHeartbeats(request, cursor, reply.Marks)
 	}
--- a/internal/tier/watch/serve.go
+++ b/internal/tier/watch/serve.go
@@ -61,6 +61,9 @@
 }
 
 func (s *State) hasNews(request *tierpb.WatchRequest) bool {
+	if request.Compare {
+		return true
+	}
 	if s.control != nil && s.control.Version > request.ControlVersion && s.controlAt <= s.published {
 		return true
 	}
--- a/internal/tier/watch/state.go
+++ b/internal/tier/watch/state.go
@@ -43,6 +43,7 @@
 	coordinators []*tierpb.Node
 	listedAt     uint64 // cursor at which coordinators changed
 	heard        []*tierpb.Node
+	listenedAt   time.Time // when this State was last said to hold every store that sends heartbeats
 
 	published          uint64 // changes up to here have been told
 	publishedHeartbeat uint64
@@ -101,6 +102,9 @@
 	if len(reply.Coordinators) > 0 {
 		s.heard = reply.Coordinators
 	}
+	if reply.Compared && s.markOrphans(reply) {
+		changed = true
+	}
 	return changed
 }
 
