A store that read a long body before it answered has only the usual time

TestLongBodyMayBeLeftUnread/reads first failed once, beside other load (30 s instead of 0.8 s allowed unread): the answer's head can arrive before the goroutine that wrote the body has noted its end, and the connection was then taken to owe bytes for the rest of the answer, so that a store in the dark was found at the deadline only.

--- a/internal/tier/upstream/answer.go
+++ b/internal/tier/upstream/answer.go
@@ -59,9 +59,7 @@
 		c.discard()
 		return
 	}
-	if c.bearsUnread {
-		c.allowUnread(userTimeout)
-	}
+	c.bearUsual()
 	now := c.pools.now()
 	c.until = idleUntil(now, a.Header)
 	if !now.Before(c.until) {
--- a/internal/tier/upstream/connection.go
+++ b/internal/tier/upstream/connection.go
@@ -23,15 +23,17 @@
 
 // connection carries one request at a time to a store.
 type connection struct {
-	pools       *Pools
-	store       Store
-	socket      net.Conn
-	source      *source // what reader reads from
-	reader      *bufio.Reader
-	until       time.Time // may stay idle until then
-	lastID      string    // X-Request-Id of the last request
-	sending     *sending  // of the last request, nil before the first
-	bearsUnread bool      // bytes may be unread for longer than usual
+	pools   *Pools
+	store   Store
+	socket  net.Conn
+	source  *source // what reader reads from
+	reader  *bufio.Reader
+	until   time.Time // may stay idle until then
+	lastID  string    // X-Request-Id of the last request
+	sending *sending  // of the last request, nil before the first
+
+	unread      sync.Mutex
+	bearsUnread bool // bytes may be unread for longer than usual
 }
 
 var writeBuffers = sync.Pool{New: func() any { return bytes.NewBuffer(make([]byte, 0, writeBufferBytes)) }}
@@ -83,9 +85,7 @@
 	}
 	answer, failure := c.readHead(request)
 	if failure == nil {
-		if c.owesBytes() {
-			c.allowUnread(max(userTimeout, request.Deadline.Sub(c.pools.now())))
-		}
+		c.bearUnread(max(userTimeout, request.Deadline.Sub(c.pools.now())))
 		return answer, nil
 	}
 	if failure.Reason == ErrTimeout && c.pools.now().Before(request.Deadline) {
--- a/internal/tier/upstream/early_test.go
+++ b/internal/tier/upstream/early_test.go
@@ -142,6 +142,9 @@
 			}
 			sent := <-done
 			assert.NilError(t, sent.err)
+			if !early { // the writer may come to note its end after the answer is there
+				<-sent.answer.connection.sending.done
+			}
 			during := unacknowledgedMost(t, sent.answer.connection)
 			assert.Equal(t, during > 2*userTimeout, early, "%v", during)
 			_, err := io.ReadAll(sent.answer)
@@ -191,3 +194,22 @@
 	assert.NilError(t, err)
 	return time.Duration(milliseconds) * time.Millisecond
 }
+
+// TestAnswerThatComesBeforeTheWriterNotesItsEnd has the head of an answer arrive when the store has read the whole body and the
+// writer has not come to note it: the store gets no more than the usual time once it has.
+func TestAnswerThatComesBeforeTheWriterNotesItsEnd(t *testing.T) {
+	pools, store, accept := loopbackPools(t)
+	done := sendInBackground(context.Background(), pools, store, post("a", ""))
+	side := accept()
+	answerOn(side, idAnswer)
+	sent := <-done
+	assert.NilError(t, sent.err)
+	c := sent.answer.connection
+	c.sending = &sending{long: true, done: make(chan struct{})}
+	c.bearUnread(10 * time.Second)
+	assert.Equal(t, unacknowledgedMost(t, c), 10*time.Second)
+	c.took(c.sending)
+	close(c.sending.done)
+	assert.Equal(t, unacknowledgedMost(t, c), userTimeout)
+	sent.answer.Abort()
+}
--- a/internal/tier/upstream/sending.go
+++ b/internal/tier/upstream/sending.go
@@ -12,6 +12,7 @@
 // sending is the writing of one request. A long body is written while the answer may already come: a store may answer
 // before it has read all of it.
 type sending struct {
+	taken   bool          // all of it was written; guarded by the connection's mutex for what is unread
 	long    bool          // its body may be more than the store's kernel takes at once
 	done    chan struct{} // closed at the end; what follows is not read before
 	written int64
@@ -67,8 +68,36 @@
 	c.sending = &sending{done: ended, written: int64(written), err: err}
 }
 
-// allowUnread lets a store leave bytes unread for so long: to the kernel one that has no room for more of a body is like one
-// that is behind a cut, and it would end the answer that has begun, too.
+// bearUnread lets a store that has answered before it has read all leave bytes unread for so long: to the kernel one that has
+// no room for more of a body is like one that is behind a cut, and it would end the answer that has begun, too.
+func (c *connection) bearUnread(most time.Duration) {
+	c.unread.Lock()
+	defer c.unread.Unlock()
+	if c.owesBytes() {
+		c.allowUnread(most)
+	}
+}
+
+// bearUsual goes back to the usual time, where the store was given more.
+func (c *connection) bearUsual() {
+	c.unread.Lock()
+	defer c.unread.Unlock()
+	if c.bearsUnread {
+		c.allowUnread(userTimeout)
+	}
+}
+
+// took notes that all of a request was written. A store that read all before it answered may have done so before the writer
+// came to note it: it is given no more than the usual time.
+func (c *connection) took(request *sending) {
+	c.unread.Lock()
+	defer c.unread.Unlock()
+	request.taken = true
+	if c.bearsUnread && c.unacknowledged() == 0 {
+		c.allowUnread(userTimeout)
+	}
+}
+
 func (c *connection) allowUnread(most time.Duration) {
 	if raw := c.raw(); raw != nil {
 		_ = limitUnacknowledged(raw, most)
@@ -76,23 +105,29 @@
 	}
 }
 
-// owesBytes says whether the store's kernel has not taken all of the request yet.
+// owesBytes says whether the store's kernel has not taken all of the request yet. The mutex for what is unread is held, or the
+// sending is over.
 func (c *connection) owesBytes() bool {
 	if !c.sending.long {
 		return false
 	}
-	if !c.sending.isWhole() {
-		return true
-	}
+	return !c.sending.taken || c.unacknowledged() > 0
+}
+
+// unacknowledged is how many bytes the store's kernel has not acknowledged; one, where that cannot be told.
+func (c *connection) unacknowledged() int {
 	raw := c.raw()
 	if raw == nil {
-		return false
+		return 0
 	}
 	waiting := 0
 	err := raw.Control(func(descriptor uintptr) {
 		waiting, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
 	})
-	return err != nil || waiting > 0
+	if err != nil {
+		return 1
+	}
+	return waiting
 }
 
 // raw gives access to the socket's descriptor, nil where there is none.
@@ -116,4 +151,7 @@
 	if into.err == nil {
 		into.err = c.expect(request.Patience, request.Deadline)
 	}
+	if into.err == nil {
+		c.took(into)
+	}
 }
