--- a/internal/tier/rpc/client.go
+++ b/internal/tier/rpc/client.go
@@ -52,6 +52,10 @@
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return dialRepeatedly(ctx, address, dialOnce)
+}
+
+func dialOnce(ctx context.Context, address string) (net.Conn, error) {
 	connection, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/tools/rounds/leaveout.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	deployFile   = "deploy/system.toml"
+	usualFlags   = "-ldflags=-linkmode=external"
+	leftOutFlag  = " -X pulleygw.example/pulleygw/internal/tier/ablation.leftOut="
+	ablationTags = "-tags=ablation "
+)
+
+// withoutEach makes, of what is committed in the first build's folder, one build for each mechanism that leaves it out.
+// Several mechanisms joined by + are left out together.
+func withoutEach(first build, mechanisms []string, out string) ([]build, error) {
+	var builds []build
+	for _, mechanism := range mechanisms {
+		made, err := without(first, mechanism, out)
+		if err != nil {
+			return nil, eris.Wrapf(err, "build without %s", mechanism)
+		}
+		builds = append(builds, made)
+	}
+	return builds, nil
+}
+
+func without(first build, mechanism, out string) (build, error) {
+	folder, err := filepath.Abs(filepath.Join(out, "builds", mechanism))
+	if err != nil {
+		return build{}, err
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		return build{}, err
+	}
+	if printed, err := exec.Command("git", "clone", "-q", "--shared", first.folder, folder).CombinedOutput(); err != nil {
+		return build{}, eris.Wrap(err, string(printed))
+	}
+	path := filepath.Join(folder, deployFile)
+	deploy, err := os.ReadFile(path)
+	if err != nil {
+		return build{}, err
+	}
+	changed := leaveOut(string(deploy), strings.ReplaceAll(mechanism, "+", ","))
+	if changed == string(deploy) {
+		return build{}, eris.Errorf("%s has no %s", deployFile, usualFlags)
+	}
+	return build{name: "no-" + mechanism, folder: folder}, os.WriteFile(path, []byte(changed), 0o644)
+}
+
+// leaveOut changes the deploy file's build so that it leaves mechanisms out.
+func leaveOut(deploy, mechanisms string) string {
+	flags := ablationTags + "-ldflags='-linkmode=external" + leftOutFlag + mechanisms + "'"
+	return strings.Replace(deploy, usualFlags, flags, 1)
+}
