--- a/internal/tier/admission/choose.go
+++ b/internal/tier/admission/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/ablation"
 )
 
 // A store's tier for a request: 0 takes its turn, the rest are passed over while a better one is there.
@@ -21,7 +23,7 @@
 		return barred
 	case slices.Contains(w.Avoid, s.Instance):
 		return tried
-	case now < s.leftTo:
+	case s.leftAlone(now):
 		return shut
 	case s == w.shunned || s.late(now) || s.doubtful(w, now):
 		return suspect
@@ -34,10 +36,10 @@
 // doubtful says whether the store is too doubtful for a request. One that fails is tried by safe requests, one at a time;
 // a call that could not be made again keeps away from what lost an answer of late.
 func (s *store) doubtful(w *waiter, now time.Duration) bool {
-	if !w.Safe && !w.Streaming && s.losingNow(now) > careful {
+	if !w.Safe && !w.Streaming && s.losingNow(now) > careful && !ablation.Off(ablation.Careful) {
 		return true
 	}
-	trial := w.Safe && w.Attempt == 0 && s.out == 0
+	trial := w.Safe && w.Attempt == 0 && s.out == 0 && !ablation.Off(ablation.Trials)
 	return !trial && !s.sound(now)
 }
 
@@ -85,13 +87,26 @@
 	load := s.load(now)
 	waited := float64(s.service.turn-s.turn) + 1
 	r := rank{wait: waited * max(s.trust(now), leastTurns)}
-	r.near = s.Zone == c.zone && load < nearShare*float64(s.slots())
-	if w.Affinity != 0 && s.service.engine && s.sound(now) && s.pressure(now) < even {
-		r.affinity, r.near = mix(w.Affinity^s.hash), true
+	free := load < nearShare*float64(s.slots())
+	if w.Affinity != 0 && s.sound(now) && s.mayKeep(now, even) && !ablation.Off(ablation.Affinity) {
+		r.affinity, free = mix(w.Affinity^s.hash), true
 	}
+	r.near = s.Zone == c.zone && free && !ablation.Off(ablation.NearZone)
 	return r
 }
 
+// mayKeep says whether the store has so little to do that requests with an affinity to it keep to it. How much work a prompt
+// still to be read means is known of engines only; other stores are held to their places.
+func (s *store) mayKeep(now time.Duration, even float64) bool {
+	switch {
+	case ablation.Off(ablation.EvenShare):
+		return true
+	case s.service.engine:
+		return s.pressure(now) < even
+	}
+	return s.load(now) < nearShare*float64(s.slots())
+}
+
 // evenShare is the load up to which a store keeps the requests that have an affinity to it.
 func (c *core) evenShare(v *service, now time.Duration) float64 {
 	if !v.engine || len(v.stores) == 0 {
--- a/internal/tier/admission/refuse.go
+++ b/internal/tier/admission/refuse.go
@@ -4,12 +4,16 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/shared/curve"
+	"pulleygw.example/pulleygw/internal/tier/ablation"
 )
 
 // level is a request's place in the order of refusal, the least urgent last: requests by priority, then by priority the first
 // turns of programs, as a program that has begun is worth something only when all of its turns are served.
 func (w *waiter) level() int {
 	l := min(max(w.Priority, 0), priorities-1)
+	if ablation.Off(ablation.Levels) {
+		l = 0
+	}
 	if w.begins {
 		l += priorities
 	}
@@ -26,6 +30,9 @@
 
 // begins says whether a request is the first of its program, as far as this proxy can know.
 func (v *service) begins(r *Request) bool {
+	if ablation.Off(ablation.FirstTurns) {
+		return false
+	}
 	return r.First && r.Affinity != 0 && !v.begun.has(r.Affinity)
 }
 
@@ -43,7 +50,7 @@
 		return true
 	}
 	share := v.missShare(now)
-	if share == 0 || !v.busy(now) || c.random.Float64() >= v.refusedShare(w.level(), share) {
+	if share == 0 || ablation.Off(ablation.Refusal) || !v.busy(now) || c.random.Float64() >= v.refusedShare(w.level(), share) {
 		return false
 	}
 	c.refuse(v, w, Overload)
--- a/internal/tier/admission/service.go
+++ b/internal/tier/admission/service.go
@@ -7,6 +7,7 @@
 
 	"pulleygw.example/pulleygw/internal/shared/curve"
 	"pulleygw.example/pulleygw/internal/shared/tailguard"
+	"pulleygw.example/pulleygw/internal/tier/ablation"
 )
 
 // service is a pool of stores and what is decided for all of them together.
@@ -124,7 +125,7 @@
 
 // shunnedBy is the store that failed what a request goes on from, or nil.
 func (v *service) shunnedBy(affinity uint64, now time.Duration) *store {
-	if o, is := v.shunned[affinity]; is && affinity != 0 && now < o.until {
+	if o, is := v.shunned[affinity]; is && affinity != 0 && now < o.until && !ablation.Off(ablation.Shun) {
 		return o.store
 	}
 	return nil
@@ -132,6 +133,9 @@
 
 // usual is how many requests of other callers run and wait at a store, as far as stores told of late.
 func (v *service) usual(now time.Duration) (running, waiting float64) {
+	if ablation.Off(ablation.UsualLoad) {
+		return 0, 0
+	}
 	left := tailguard.Faded(1, now-v.toldAt, usualHalf)
 	return left * v.running, left * v.waiting
 }
--- a/internal/tier/admission/sliver_test.go
+++ b/internal/tier/admission/sliver_test.go
@@ -102,7 +102,7 @@
 		s.engines = append(s.engines, &engine{instance: fmt.Sprint("e-", i)})
 	}
 	for i := range sliverProxies {
-		zone := fmt.Sprint("z", i%3)
+		zone := zoneOf(i)
 		s.proxies = append(s.proxies, &core{zone: zone, random: rand.New(rand.NewPCG(seed, uint64(i+2))), services: map[string]*service{}})
 	}
 	s.list()
@@ -134,13 +134,16 @@
 	s.now = until
 }
 
+// zoneOf is the zone of an engine, or of a proxy, by its number.
+func zoneOf(number int) string { return fmt.Sprint("z", number%3) }
+
 // list tells all proxies of the engines.
 func (s *sliver) list() {
 	var listed []Store
 	s.byName = make(map[string]*engine, len(s.engines))
 	for i, e := range s.engines {
 		s.byName[e.instance] = e
-		listed = append(listed, Store{Instance: e.instance, Zone: fmt.Sprint("z", i%3), Slots: sliverSlots})
+		listed = append(listed, Store{Instance: e.instance, Zone: zoneOf(i), Slots: sliverSlots})
 	}
 	for _, p := range s.proxies {
 		v := p.services["s"]
--- a/internal/tier/admission/spread_test.go
+++ b/internal/tier/admission/spread_test.go
@@ -98,9 +98,9 @@
 	}{
 		{"hangs", illness{hangs: true}, passedOverShare},
 		{"slow 8x", illness{slower: 8}, passedOverShare},
-		{"hangs for one zone", illness{zone: "z1", hangs: true}, oneZoneShare},
+		{"hangs for its zone", illness{zone: zoneOf(2), hangs: true}, oneZoneShare},
 		{"fails 40%", illness{errors: 0.4}, failingShare},
-		{"fails 40% for one zone", illness{zone: "z1", errors: 0.4}, failingShare},
+		{"fails 40% for its zone", illness{zone: zoneOf(4), errors: 0.4}, failingShare},
 		{"lies: ready, fails all", illness{errors: 1}, failingShare},
 		{"flaps", illness{refuses: func(now time.Duration) bool { return now/time.Second%2 == 0 }}, failingShare},
 	}
--- a/internal/tier/admission/store.go
+++ b/internal/tier/admission/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/shared/tailguard"
+	"pulleygw.example/pulleygw/internal/tier/ablation"
 )
 
 // store is what is known of one store.
@@ -57,6 +58,9 @@
 
 // others is how many requests of other callers run and wait at the store.
 func (s *store) others(now time.Duration) (running, waiting float64) {
+	if ablation.Off(ablation.ToldLoad) {
+		return 0, 0
+	}
 	running, waiting = s.service.usual(now)
 	if s.loadTold {
 		left := tailguard.Faded(1, now-s.loadAt, loadHalf)
@@ -76,12 +80,17 @@
 
 // open says whether the store may be sent anything now.
 func (s *store) open(now time.Duration) bool {
-	return s.listed && (s.State == Ready || s.State == Silent) && now >= s.leftTo
+	return s.listed && (s.State == Ready || s.State == Silent) && !s.leftAlone(now)
+}
+
+// leftAlone says whether the store turned a request away, or could not be reached, a moment ago.
+func (s *store) leftAlone(now time.Duration) bool {
+	return now < s.leftTo && !ablation.Off(ablation.LeftAlone)
 }
 
 // warmth is the share of its capacity that the store has.
 func (s *store) warmth(now time.Duration) float64 {
-	if s.coldTo <= now {
+	if s.coldTo <= now || ablation.Off(ablation.ColdRamp) {
 		return 1
 	}
 	return tailguard.Warmth(coldShare, now-s.coldFrom, s.coldTo-s.coldFrom)
@@ -91,7 +100,7 @@
 // there are places left.
 func (s *store) room(now time.Duration) bool {
 	warmth := s.warmth(now)
-	if float64(s.out) >= max(s.cap*warmth, 1) {
+	if float64(s.out) >= max(s.cap*warmth, 1) && !ablation.Off(ablation.LoadCap) {
 		return false
 	}
 	return s.load(now) < max(float64(s.slots())*warmth, 1)
@@ -99,7 +108,7 @@
 
 // late is the design's skip: the oldest request that nothing has come of is past the 99th percentile of the record.
 func (s *store) late(now time.Duration) bool {
-	if len(s.unheard) == 0 {
+	if len(s.unheard) == 0 || ablation.Off(ablation.Skip) {
 		return false
 	}
 	oldest := s.unheard[0]
@@ -123,6 +132,9 @@
 
 // trust is 1 on the ordinary path, and less while the store fails, is slower than the others, or is cold.
 func (s *store) trust(now time.Duration) float64 {
+	if ablation.Off(ablation.Trust) {
+		return s.warmth(now)
+	}
 	slow := 1 + tailguard.Faded(max(s.slowness/max(s.service.slowness, 1), 1)-1, now-s.slowAt, latencyHalf)
 	t := tailguard.Trust(s.failingNow(now), slow/slowSlack, s.warmth(now))
 	if s.State == Silent {
--- a/internal/tier/proxy/admit.go
+++ b/internal/tier/proxy/admit.go
@@ -30,16 +30,19 @@
 	return asked
 }
 
-// affinity is what requests share that may find parts of their prompts kept by the same store.
+// affinity is what requests share that are served faster by the same store: turns find parts of their prompts kept there,
+// other requests the object that they are about.
 func (x *exchange) affinity() uint64 {
-	key := x.r.Header.Get(headerProgram)
-	if key == "" {
-		key = x.r.Header.Get(headerSession)
+	names := [...]string{headerAffinityKey, headerProgram, headerSession}
+	if x.route.Kind == configuration.Streaming {
+		names = [...]string{headerProgram, headerSession, headerAffinityKey}
 	}
-	if key == "" {
-		return 0
+	for _, name := range names {
+		if key := x.r.Header.Get(name); key != "" {
+			return hashOf(key)
+		}
 	}
-	return hashOf(key)
+	return 0
 }
 
 // storeOf is the store that a grant names.
--- a/internal/tier/proxy/exchange.go
+++ b/internal/tier/proxy/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/ablation"
 	"pulleygw.example/pulleygw/internal/tier/admission"
 	"pulleygw.example/pulleygw/internal/tier/invariant"
 	"pulleygw.example/pulleygw/internal/tier/upstream"
@@ -77,6 +78,9 @@
 	if x.ran == 0 {
 		return true
 	}
+	if ablation.Off(ablation.Retries) {
+		return false
+	}
 	return x.repeatable() && x.ran < max(1, x.route.MaxAttempts)
 }
 
--- a/internal/tier/proxy/handler.go
+++ b/internal/tier/proxy/handler.go
@@ -15,12 +15,13 @@
 
 // Headers of requests, in canonical form.
 const (
-	headerProgram    = "Program"
-	headerBudget     = "Budget"
-	headerPrevious   = "Previous"
-	headerFinish     = "Finish-Ms"
-	headerSession    = "Session"
-	headerTokenUsage = "X-Token-Usage"
+	headerProgram     = "Program"
+	headerBudget      = "Budget"
+	headerPrevious    = "Previous"
+	headerFinish      = "Finish-Ms"
+	headerSession     = "Session"
+	headerAffinityKey = "X-Affinity-Key"
+	headerTokenUsage  = "X-Token-Usage"
 )
 
 // exchange is one request of a client on its way through the proxy.
@@ -186,6 +187,7 @@
 // prepare fills in what is the same for all sends of the request.
 func (x *exchange) prepare() {
 	x.sending = upstream.Request{
+		Service: x.service.Name, Once: !x.repeatable(),
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: x.r.Header,
 		ID: x.id, Deadline: x.deadline,
 	}
--- a/internal/tier/proxy/news.go
+++ b/internal/tier/proxy/news.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"pulleygw.example/pulleygw/internal/tier/ablation"
 )
 
 // Requests that come just after the start wait a little for what the proxy does not know yet.
@@ -63,7 +65,7 @@
 		if x.proxy.turns.Ready() {
 			return true
 		}
-		if !x.proxy.fresh() {
+		if !x.proxy.fresh() || ablation.Off(ablation.AwaitTurns) {
 			return false
 		}
 		select {
@@ -79,7 +81,7 @@
 func (x *exchange) awaitStores(ctx context.Context, changed <-chan struct{}) bool {
 	until := x.arrival.Add(time.Duration(startPart * float64(x.deadline.Sub(x.arrival))))
 	wait := time.Until(until)
-	if wait <= 0 || !x.proxy.fresh() {
+	if wait <= 0 || !x.proxy.fresh() || ablation.Off(ablation.AwaitStores) {
 		return false
 	}
 	timer := time.NewTimer(wait)
--- a/internal/tier/proxy/stream.go
+++ b/internal/tier/proxy/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"pulleygw.example/pulleygw/internal/tier/ablation"
 	"pulleygw.example/pulleygw/internal/tier/admission"
 	"pulleygw.example/pulleygw/internal/tier/configuration"
 	"pulleygw.example/pulleygw/internal/tier/invariant"
@@ -89,7 +90,7 @@
 
 // mayResume says whether another store may take the stream up after this error.
 func (x *exchange) mayResume(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || errors.Is(err, errOverAllowance) || errors.Is(err, errNotSaved) {
+	if ctx.Err() != nil || errors.Is(err, errOverAllowance) || errors.Is(err, errNotSaved) || ablation.Off(ablation.HandOver) {
 		return false
 	}
 	if x.stream.events > 0 && x.stream.lastID == "" {
--- a/internal/tier/upstream/connection.go
+++ b/internal/tier/upstream/connection.go
@@ -23,14 +23,15 @@
 
 // connection carries one request at a time to a store.
 type connection struct {
-	pools   *Pools
-	store   Store
-	socket  net.Conn
-	source  *source // what reader reads from
-	reader  *bufio.Reader
-	until   time.Time // may stay idle until then
-	lastID  string    // X-Request-Id of the last request
-	sending *sending  // of the last request, nil before the first
+	pools      *Pools
+	store      Store
+	socket     net.Conn
+	source     *source // what reader reads from
+	reader     *bufio.Reader
+	until      time.Time // may stay idle until then
+	restsSince time.Time // when its last answer was over; zero while it is new
+	lastID     string    // X-Request-Id of the last request
+	sending    *sending  // of the last request, nil before the first
 
 	unread      sync.Mutex
 	bearsUnread bool // bytes may be unread for longer than usual
@@ -64,9 +65,12 @@
 		taken.discard()
 		return nil, notSent(ErrBroken)
 	}
+	sentAt := p.now()
 	answer, failure := taken.exchange(request)
 	if failure != nil {
-		stop()
+		if stop() && failure.Sent && failure.Reason == ErrBroken && taken.source.heardNothing() {
+			p.noteDead(taken, request.Service, sentAt)
+		}
 		taken.discard()
 		return nil, failure
 	}
--- a/internal/tier/upstream/early_test.go
+++ b/internal/tier/upstream/early_test.go
@@ -155,7 +155,7 @@
 				<-sent.answer.connection.sending.done
 			}
 			sent.answer.Finish()
-			kept, err := pools.reserve(store, 0, "b")
+			kept, err := pools.reserve(store, 0, &Request{ID: "b"})
 			assert.NilError(t, err)
 			if kept != nil {
 				assert.Equal(t, unacknowledgedMost(t, kept), userTimeout)
--- a/internal/tier/upstream/failures_test.go
+++ b/internal/tier/upstream/failures_test.go
@@ -110,7 +110,7 @@
 				assertSent(t, err, ErrBroken)
 			}
 			sent.answer.Finish()
-			kept, err := pools.reserve(store, 0, "b")
+			kept, err := pools.reserve(store, 0, &Request{ID: "b"})
 			assert.NilError(t, err)
 			assert.Assert(t, kept == nil)
 		})
@@ -209,12 +209,12 @@
 	assert.NilError(t, err)
 	sent.answer.Finish()
 	assert.Equal(t, pools.idleConnections(store), 2)
-	found, err := pools.reserve(store, 2, "a")
+	found, err := pools.reserve(store, 2, &Request{ID: "a"})
 	assert.NilError(t, err)
 	assert.Assert(t, found == nil)
 	_, err = first.reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
-	found, err = pools.reserve(store, 2, "b")
+	found, err = pools.reserve(store, 2, &Request{ID: "b"})
 	assert.NilError(t, err)
 	assert.Equal(t, found.lastID, "a")
 }
--- a/internal/tier/upstream/pool.go
+++ b/internal/tier/upstream/pool.go
@@ -31,6 +31,7 @@
 	mu     sync.Mutex
 	closed bool
 	stores map[Store]*pool
+	rests  restLimits
 	dial   func(ctx context.Context, address string) (net.Conn, error)
 	now    func() time.Time
 }
@@ -44,7 +45,7 @@
 
 // NewPools makes a set without connections.
 func NewPools() *Pools {
-	return &Pools{stores: make(map[Store]*pool), dial: dialStore, now: time.Now}
+	return &Pools{stores: make(map[Store]*pool), rests: restLimits{}, dial: dialStore, now: time.Now}
 }
 
 // Retain closes the idle connections to stores that are not in use any more, and forgets those stores.
@@ -75,7 +76,7 @@
 // take returns an idle connection that is alive, or a new one. At most limit connections are open to a store; zero
 // means no limit.
 func (p *Pools) take(ctx context.Context, store Store, limit int, request *Request) (*connection, error) {
-	found, err := p.reserve(store, limit, request.ID)
+	found, err := p.reserve(store, limit, request)
 	if found != nil || err != nil {
 		return found, err
 	}
@@ -94,8 +95,8 @@
 	return newConnection(p, store, dialed), nil
 }
 
-// reserve takes an idle connection for a request with this id, or counts one that the caller is to dial.
-func (p *Pools) reserve(store Store, limit int, id string) (*connection, error) {
+// reserve takes an idle connection for a request, or counts one that the caller is to dial.
+func (p *Pools) reserve(store Store, limit int, request *Request) (*connection, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -106,8 +107,12 @@
 		held = &pool{store: store}
 		p.stores[store] = held
 	}
-	if found := held.takeIdle(p.now(), id); found != nil {
-		return found, nil
+	now := p.now()
+	rested, limited := p.rests.most(request.Service, now)
+	if !request.Once || !limited || held.restedLess(now, rested) {
+		if found := held.takeIdle(now, request.ID); found != nil {
+			return found, nil
+		}
 	}
 	if limit > 0 && held.open >= limit && !held.dropOldest() {
 		return nil, ErrConnections
@@ -116,6 +121,21 @@
 	return nil, nil
 }
 
+// restedLess says whether the connection that takeIdle looks at first has rested for less than this.
+func (p *pool) restedLess(now time.Time, most time.Duration) bool {
+	return len(p.idle) > 0 && now.Sub(p.idle[len(p.idle)-1].restsSince) < most
+}
+
+// noteDead notes a connection on which a request was reset before any of an answer came, where it had rested before.
+func (p *Pools) noteDead(c *connection, service string, sentAt time.Time) {
+	if c.restsSince.IsZero() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests.dead(service, sentAt.Sub(c.restsSince), p.now())
+}
+
 // dropOldest closes an idle connection to make room for another one, and says whether there was one.
 func (p *pool) dropOldest() bool {
 	if len(p.idle) == 0 {
@@ -169,7 +189,8 @@
 		}
 		return
 	}
-	held.closeOld(p.now())
+	c.restsSince = p.now()
+	held.closeOld(c.restsSince)
 	held.idle = append(held.idle, c)
 }
 
--- a/internal/tier/upstream/source.go
+++ b/internal/tier/upstream/source.go
@@ -21,6 +21,9 @@
 func (s *source) limit(most int) { s.limited, s.left = true, most }
 func (s *source) unlimit()       { s.limited = false }
 
+// heardNothing says whether not a byte came of the last head that was expected.
+func (s *source) heardNothing() bool { return s.left == largestHead }
+
 // Read reads from the socket.
 func (s *source) Read(into []byte) (int, error) {
 	if !s.limited {
--- a/internal/tier/upstream/upstream.go
+++ b/internal/tier/upstream/upstream.go
@@ -17,6 +17,8 @@
 
 // Request is one request as a store is to get it. Hop-by-hop headers are left out when it is written.
 type Request struct {
+	Service  string
+	Once     bool // it may not be sent again: it keeps away from connections that the store may have closed
 	Method   string
 	URI      string // request target, byte for byte
 	Host     string
--- a/internal/tier/upstream/upstream_test.go
+++ b/internal/tier/upstream/upstream_test.go
@@ -73,7 +73,7 @@
 	assertNotSent(t, err, ErrDial)
 	_, err = pools.Send(context.Background(), store, 1, request)
 	assertNotSent(t, err, ErrDial) // the failed one is not counted
-	_, err = pools.reserve(store, 1, "")
+	_, err = pools.reserve(store, 1, &Request{ID: ""})
 	assert.NilError(t, err)
 	_, err = pools.Send(context.Background(), store, 1, request)
 	assertNotSent(t, err, ErrConnections)
