Last attempts keep away from connections that their store may have closed

A stream whose route allows one attempt is ended with 502 where it meets a dead connection, as a call that may not be repeated is.

--- a/internal/tier/proxy/exchange.go
+++ b/internal/tier/proxy/exchange.go
@@ -99,6 +99,7 @@
 	store := storeOf(granted)
 	x.avoid = append(x.avoid, store.Instance)
 	x.sending.Patience = x.patienceWithStore()
+	x.sending.Once = x.isLastAttempt()
 	answer, err := x.proxy.pools.Send(ctx, store, x.connectionLimit(), &x.sending)
 	if err != nil {
 		x.proxy.strays.note(x.proxy.log, store, err)
@@ -126,6 +127,11 @@
 	return x.relayPlain(ctx, granted, answer)
 }
 
+// isLastAttempt says whether no other store may be sent the request after this one.
+func (x *exchange) isLastAttempt() bool {
+	return !x.repeatable() || x.ran+1 >= x.route.MaxAttempts
+}
+
 // maySend says whether the promises allow that a store is sent the request now. They always do, unless the code above is
 // wrong.
 func (x *exchange) maySend() bool {
@@ -143,7 +149,7 @@
 		aims      = 6    // times the aim, or the pause between events that is still in time
 		leastLeft = 0.45 // of the time that is left
 	)
-	if !x.repeatable() || x.ran+1 >= x.route.MaxAttempts {
+	if x.isLastAttempt() {
 		return 0
 	}
 	usual := max(x.route.TargetLatency, x.route.GapAim)
--- a/internal/tier/proxy/handler.go
+++ b/internal/tier/proxy/handler.go
@@ -187,8 +187,8 @@
 // prepare fills in what is the same for all sends of the request.
 func (x *exchange) prepare() {
 	x.sending = upstream.Request{
-		Service: x.service.Name, Once: !x.repeatable(),
-		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: x.r.Header,
+		Service: x.service.Name,
+		Method:  x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: x.r.Header,
 		ID: x.id, Deadline: x.deadline,
 	}
 	switch x.r.Method {
--- /dev/null
+++ b/internal/tier/proxy/once_test.go
@@ -0,0 +1,20 @@
+package proxy
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// What can't be sent to another store keeps away from connections that may be dead, be it that it must not run twice or
+// that its route allows no further attempt.
+func TestLastAttemptsAreSentOnce(t *testing.T) {
+	for path, attempts := range map[string][]bool{"/i/x": {false, true}, "/r/x": {false, true}, "/n/x": {true, true}, "/s/x": {true, true}} {
+		b := newBench(t, longTimeout, nil, nil)
+		x := &exchange{proxy: b.proxy, route: b.proxy.views.get().configuration.Route("h.example", path)}
+		for ran, once := range attempts {
+			x.ran = ran
+			assert.Equal(t, x.isLastAttempt(), once, "%s, %d", path, ran)
+		}
+	}
+}
--- a/internal/tier/upstream/rest.go
+++ b/internal/tier/upstream/rest.go
@@ -10,7 +10,7 @@
 
 // restLimits learns, by service, for how long a connection may rest so that its store still has it. A store may drop one
 // that rested without a word, or be gone; the next request on it is reset, and whether it ran nobody can tell. What may be
-// sent again finds that out; what may not keeps to connections that rested for less, or to new ones.
+// sent to another store finds that out; what may not keeps to connections that rested for less, or to new ones.
 type restLimits map[string]restLimit
 
 // restLimit is the shortest rest after which a connection turned out to be dead, of late.
@@ -29,7 +29,7 @@
 	l[service] = known
 }
 
-// most is how long a connection may have rested to take a request that can't be sent again; false where nothing speaks
+// most is how long a connection may have rested to take a request that goes to no other store; false where nothing speaks
 // against any.
 func (l restLimits) most(service string, now time.Time) (time.Duration, bool) {
 	known, is := l[service]
--- a/internal/tier/upstream/upstream.go
+++ b/internal/tier/upstream/upstream.go
@@ -18,7 +18,7 @@
 // Request is one request as a store is to get it. Hop-by-hop headers are left out when it is written.
 type Request struct {
 	Service  string
-	Once     bool // it may not be sent again: it keeps away from connections that the store may have closed
+	Once     bool // it will not be sent to another store: it keeps away from connections that this one may have closed
 	Method   string
 	URI      string // request target, byte for byte
 	Host     string
