--- a/internal/tier/admission/choose.go
+++ b/internal/tier/admission/choose.go
@@ -48,13 +48,13 @@
 func (c *core) choose(v *service, w *waiter, now time.Duration) (best *store, bestTier int) {
 	bestTier = barred
 	bestRank := rank{}
-	even := c.evenShare(v, now)
+	share := c.shareOf(v, now)
 	for _, s := range v.stores {
 		tier := s.tier(w, now)
 		if tier > bestTier || tier == barred {
 			continue
 		}
-		r := c.rank(s, w, now, even)
+		r := c.rank(s, w, now, share)
 		if best == nil || tier < bestTier || r.above(bestRank) {
 			best, bestTier, bestRank = s, tier, r
 		}
@@ -83,15 +83,16 @@
 	return r.wait > o.wait
 }
 
-func (c *core) rank(s *store, w *waiter, now time.Duration, even float64) rank {
+func (c *core) rank(s *store, w *waiter, now time.Duration, share share) rank {
 	load := s.load(now)
 	waited := float64(s.service.turn-s.turn) + 1
 	r := rank{wait: waited * max(s.trust(now), leastTurns)}
 	free := load < nearShare*float64(s.slots())
-	if w.Affinity != 0 && s.sound(now) && s.mayKeep(now, even) && !ablation.Off(ablation.Affinity) {
-		r.affinity, free = mix(w.Affinity^s.hash), true
-	}
 	r.near = s.Zone == c.zone && free && !ablation.Off(ablation.NearZone)
+	if w.Affinity != 0 && s.sound(now) && s.mayKeep(now, share.even) && !ablation.Off(ablation.Affinity) {
+		r.affinity = mix(w.Affinity ^ s.hash)
+		r.near = r.near || !share.light
+	}
 	return r
 }
 
@@ -107,16 +108,22 @@
 	return s.load(now) < nearShare*float64(s.slots())
 }
 
-// evenShare is the load up to which a store keeps the requests that have an affinity to it.
-func (c *core) evenShare(v *service, now time.Duration) float64 {
+// share is what the stores of a service have to do together.
+type share struct {
+	even  float64 // the load up to which an engine keeps the requests that have an affinity to it
+	light bool    // so little that the own zone's stores may take all that has an affinity and comes in there
+}
+
+func (c *core) shareOf(v *service, now time.Duration) share {
 	if !v.engine || len(v.stores) == 0 {
-		return 0
+		return share{light: true}
 	}
 	sum := 0.0
 	for _, s := range v.stores {
 		sum += s.pressure(now)
 	}
-	return affinitySlack*sum/float64(len(v.stores)) + affinityFree
+	taken, all := v.places(now)
+	return share{even: affinitySlack*sum/float64(len(v.stores)) + affinityFree, light: taken < lightShare*all}
 }
 
 // mix spreads the bits of a hash (the finaliser of SplitMix64); it never returns 0.
