--- a/internal/tier/admission/affinity_test.go
+++ b/internal/tier/admission/affinity_test.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// Where stores tell their load, the home of what has an affinity is the same for the proxies of all zones.
+func TestAffinityIsTheSameInAllZonesWhereLoadIsTold(t *testing.T) {
+	homes := map[uint64]string{}
+	for zone := range 3 {
+		b := zonedBench(t, true)
+		b.core.zone = zoneOf(zone)
+		g := b.now(b.request())
+		g.Load(0, 0, 8)
+		g.Finish(OK)
+		for affinity := range uint64(30) {
+			home := b.home(affinity + 1).Instance
+			if zone > 0 {
+				assert.Equal(t, home, homes[affinity])
+			}
+			homes[affinity] = home
+		}
+	}
+}
+
 // Where the own zone's stores are over their share, another zone's store becomes the home, the same for all.
 func TestAffinityLeavesTheZoneUnderLoad(t *testing.T) {
 	b := zonedBench(t, true)
--- a/internal/tier/admission/choose.go
+++ b/internal/tier/admission/choose.go
@@ -91,7 +91,7 @@
 	r.near = s.Zone == c.zone && free && !ablation.Off(ablation.NearZone)
 	if w.Affinity != 0 && s.sound(now) && s.mayKeep(now, share.even) && !ablation.Off(ablation.Affinity) {
 		r.affinity = mix(w.Affinity ^ s.hash)
-		r.near = r.near || !share.light
+		r.near = r.near || !share.inZone
 	}
 	return r
 }
@@ -110,20 +110,23 @@
 
 // share is what the stores of a service have to do together.
 type share struct {
-	even  float64 // the load up to which an engine keeps the requests that have an affinity to it
-	light bool    // so little that the own zone's stores may take all that has an affinity and comes in there
+	even float64 // the load up to which an engine keeps the requests that have an affinity to it
+
+	// What has an affinity keeps to the own zone's stores. That gives a proxy few stores to know, so that it hears of each
+	// often: it is worth that where its own answers are all that it hears. Where stores tell their load, a home among all of
+	// them keeps what is remembered for lines of turns that come in through several zones.
+	inZone bool
 }
 
 func (c *core) shareOf(v *service, now time.Duration) share {
 	if !v.engine || len(v.stores) == 0 {
-		return share{light: true}
+		return share{inZone: true}
 	}
 	sum := 0.0
 	for _, s := range v.stores {
 		sum += s.pressure(now)
 	}
-	taken, all := v.places(now)
-	return share{even: affinitySlack*sum/float64(len(v.stores)) + affinityFree, light: taken < lightShare*all}
+	return share{even: affinitySlack*sum/float64(len(v.stores)) + affinityFree, inZone: !v.tellsLoad}
 }
 
 // mix spreads the bits of a hash (the finaliser of SplitMix64); it never returns 0.
--- a/internal/tier/admission/service.go
+++ b/internal/tier/admission/service.go
@@ -28,6 +28,8 @@
 	waiting float64 // ... and those that wait there
 	toldAt  time.Duration
 
+	tellsLoad bool // a store of it has told its load
+
 	slowness  float64 // smoothed answer time of all stores as a multiple of the usual
 	out       int     // requests of ours that are at its stores
 	occupancy float64 // smoothed seconds that a request holds its place
--- a/internal/tier/admission/store.go
+++ b/internal/tier/admission/store.go
@@ -184,7 +184,7 @@
 	s.waiting = float64(max(waiting-unheard, 0))
 	s.loadAt, s.loadTold = now, true
 	v := s.service
-	v.toldAt = now
+	v.toldAt, v.tellsLoad = now, true
 	v.running += loadWeight * (s.running - v.running)
 	v.waiting += loadWeight * (s.waiting - v.waiting)
 }
--- a/internal/tier/admission/tuning.go
+++ b/internal/tier/admission/tuning.go
@@ -43,10 +43,9 @@
 	fullMost      = 400 * time.Millisecond
 	refusedDial   = time.Second // one that could not be reached is left alone so long, while others are there
 
-	affinitySlack = 1.5  // times the even share: a store that is over it passes the turn on
-	affinityFree  = 6    // requests more than the even share that never count
-	lightShare    = 0.15 // of an engine service's places: while fewer are taken, a home in the own zone goes first
-	nearShare     = 0.4  // of a store's places: while fewer are taken, the own zone goes first
+	affinitySlack = 1.5 // times the even share: a store that is over it passes the turn on
+	affinityFree  = 6   // requests more than the even share that never count
+	nearShare     = 0.4 // of a store's places: while fewer are taken, the own zone goes first
 
 	missWindow = 5 * time.Second // span of the miss share
 	busyShare  = 0.5             // of the places taken: below it nothing is refused
