--- a/tools/rounds/leaveout.go
+++ b/tools/rounds/leaveout.go
@@ -16,11 +16,18 @@
 	ablationTags = "-tags=ablation "
 )
 
-// withoutEach makes, of what is committed in the first build's folder, one build for each mechanism that leaves it out.
-// Several mechanisms joined by + are left out together.
+// nothing is a mechanism that does not exist: a build without it is what the others are held against. It has the tag as well,
+// since two programs that differ in their code alone make different plays.
+const nothing = "nothing"
+
+// withoutEach makes, of what is committed in the first build's folder, one build that leaves out nothing and one for each
+// mechanism that leaves it out. Several mechanisms joined by + are left out together.
 func withoutEach(first build, mechanisms []string, out string) ([]build, error) {
+	if len(mechanisms) == 0 {
+		return nil, nil
+	}
 	var builds []build
-	for _, mechanism := range mechanisms {
+	for _, mechanism := range append([]string{nothing}, mechanisms...) {
 		made, err := without(first, mechanism, out)
 		if err != nil {
 			return nil, eris.Wrapf(err, "build without %s", mechanism)
--- a/tools/rounds/main.go
+++ b/tools/rounds/main.go
@@ -17,7 +17,7 @@
 type options struct {
 	Bench    string   `required:"" help:"The bench's program."`
 	Build    []string `required:"" help:"NAME=FOLDER of a checkout; the first one is what the others are held against."`
-	LeaveOut []string `help:"Mechanisms (package ablation); each is left out of a build made of the first one's last commit."`
+	LeaveOut []string `help:"Mechanisms (package ablation); each is left out of a build made of the first one's last commit, and held against one that leaves out nothing."`
 	Site     []string `required:"" help:"Site files."`
 	Day      []string `required:"" help:"Days of the sites by name, or files with days of one's own."`
 	Seeds    []int64  `required:"" help:"Seeds; each build plays each site's days with each of them."`
@@ -48,7 +48,9 @@
 	if err != nil {
 		return err
 	}
-	builds = append(builds, ablated...)
+	if len(ablated) > 0 {
+		builds = ablated // the first of them leaves out nothing
+	}
 	results, err := playAll(chosen, builds)
 	if err != nil {
 		return err
