--- a/internal/tier/admission/affinity_test.go
+++ b/internal/tier/admission/affinity_test.go
@@ -58,12 +58,28 @@
 func TestAffinityStaysInTheZone(t *testing.T) {
 	for _, engine := range []bool{false, true} {
 		b := zonedBench(t, engine)
+		b.now(b.request()).Finish(OK)
 		for affinity := range uint64(30) {
 			assert.Equal(t, b.home(affinity+1).Zone, zoneOf(0))
 		}
 	}
 }
 
+// A proxy that has just started does not know whether stores tell their load: programs that are under way go on at the home among
+// all of them, and lose nothing where they had it there.
+func TestAffinityOfAProxyThatHasHeardNothingIsTheSameInAllZones(t *testing.T) {
+	for affinity := range uint64(30) {
+		var homes [3]string
+		for zone := range homes {
+			b := zonedBench(t, true)
+			b.core.zone = zoneOf(zone)
+			homes[zone] = b.home(affinity + 1).Instance
+		}
+		assert.Equal(t, homes[0], homes[1])
+		assert.Equal(t, homes[0], homes[2])
+	}
+}
+
 // Where stores tell their load, the home of what has an affinity is the same for the proxies of all zones.
 func TestAffinityIsTheSameInAllZonesWhereLoadIsTold(t *testing.T) {
 	homes := map[uint64]string{}
--- a/internal/tier/admission/choose.go
+++ b/internal/tier/admission/choose.go
@@ -126,7 +126,7 @@
 	for _, s := range v.stores {
 		sum += s.pressure(now)
 	}
-	return share{even: affinitySlack*sum/float64(len(v.stores)) + affinityFree, inZone: !v.tellsLoad}
+	return share{even: affinitySlack*sum/float64(len(v.stores)) + affinityFree, inZone: v.answers && !v.tellsLoad}
 }
 
 // mix spreads the bits of a hash (the finaliser of SplitMix64); it never returns 0.
