Withdraw a request's unwritten attempts before its final answer goes out

Cause: the scheduler emits an answer before its cancels, and the core passed the answer to the front at once. Until the cancel had been carried out (the next step, where the request ended outside of the scheduler) a transport could still write an attempt that waited for a dial or in a queue. Change: the core marks the attempts as withdrawn before it answers or forgets a request; Stale, which both transports ask last before they write, is then true.

--- a/internal/gatherer/gather/api.go
+++ b/internal/gatherer/gather/api.go
@@ -9,6 +9,7 @@
 package gather
 
 import (
+	"sync/atomic"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/gatherer/decision"
@@ -137,11 +138,14 @@
 	calledAt    time.Duration // when it was handed to the transport
 	cancelledAt time.Duration // when its cancellation is confirmed, 0 before its server has been told
 	ended       bool          // its outcome is known
+	// withdrawn is set by the core before its request gets the final answer, and read by the transport's goroutines.
+	withdrawn atomic.Bool
 }
 
-// Stale reports whether an attempt must no longer be written, however long it has waited to be.
+// Stale reports whether an attempt must no longer be written, however long it has waited to be: its time is over, or its
+// request has got its final answer. Transports ask last thing before they write.
 func (a *Attempt) Stale(now time.Time) bool {
-	return !now.Before(a.Until) || !a.NotAfter.IsZero() && now.After(a.NotAfter)
+	return a.withdrawn.Load() || !now.Before(a.Until) || !a.NotAfter.IsZero() && now.After(a.NotAfter)
 }
 
 // WriteBy is the deadline for writing a call completely, where a server that does not read is given the time limit. It
--- a/internal/gatherer/gather/inbox.go
+++ b/internal/gatherer/gather/inbox.go
@@ -199,6 +199,7 @@
 	if q, ok := c.inFlight.Query(r.id); ok && q.Request == r {
 		c.recordFinal(r, "left", "")
 		c.events = append(c.events, decision.ClientDisconnected{Query: decision.QueryID(r.id)})
+		q.withdraw()
 		c.forget(q)
 	}
 }
--- a/internal/gatherer/gather/relay.go
+++ b/internal/gatherer/gather/relay.go
@@ -65,14 +65,25 @@
 	c.deliver(q, r)
 }
 
-// deliver sends a query's final answer to its front and removes the query.
+// deliver sends a query's final answer to its front and removes the query. What the query has not sent by then is never
+// sent: its attempts are withdrawn first, as the front may write the answer before the scheduler's cancels are carried out.
 func (c *Core) deliver(q *query, r Result) {
+	q.withdraw()
 	q.leaveRoute(c.now(), r.Kind == Answered)
 	c.recordFinal(q.Request, kinds[r.Kind], r.Reason)
 	q.Done <- r
 	c.forget(q)
 }
 
+// withdraw keeps the query's attempts from being written. Those that have been are cancelled by the scheduler.
+func (q *query) withdraw() {
+	for _, p := range slices.Concat(q.subqueries, q.second) {
+		for _, a := range p.attempts {
+			a.withdrawn.Store(true)
+		}
+	}
+}
+
 // result is the result of a subquery so far.
 func (p *subquery) result() ShardResult {
 	r := *p.res
