Say when a proxy ejects a store, why a 503 was sent, and when a disk is a new one

Cause: an ejection had no log line, rejected_overload had two causes, a 503 at a shutdown or a deadline in the queue was counted as client_disconnected and not logged, no metric told a lost disk, and a Budget that cannot be read was no limit at all. Change: admission notes ejections and returns with their reason; two metrics by instance and reason, one line a second at most however many (120 at once: one line with count=120). Results rejected_shed, rejected_queue_too_long, rejected_deadline_in_queue, rejected_shutdown. identity, previous_identity and new_identity at a turn store's start, and a counter. 400 for a malformed Budget, nothing run. Acquire returns error. Messages of the control API in the glossary's terms; codes, names, statuses unchanged. Counter vectors take several labels.

--- a/internal/tier/admission/core.go
+++ b/internal/tier/admission/core.go
@@ -15,6 +15,8 @@
 	random   *rand.Rand
 	services map[string]*service
 	seq      uint64 // number of the last request
+
+	healthChanges []HealthChange // noted by observeHealth and not reported yet
 }
 
 // submit decides on a new request. Afterwards it has a grant or a rejection, or it is queued.
@@ -95,6 +97,7 @@
 	g.store.service.responded = true
 	g.store.removeAwaiting(g)
 	g.store.recordLatency(g.class, now, (now - g.sentAt).Seconds(), g.unloaded)
+	c.observeHealth(g.store, now)
 }
 
 // finish records the outcome of an attempt, and releases queued requests into its slot.
@@ -113,6 +116,7 @@
 		svc.recordServiceTime((now - g.sentAt).Seconds())
 	}
 	s.removeAwaiting(g)
+	c.observeHealth(s, now)
 	s.inFlight--
 	svc.inFlight--
 	invariant.Check(s.inFlight >= 0 && svc.inFlight >= 0, invariant.InFlightNotNegative, s.inFlight, 0)
--- a/internal/tier/admission/dispatcher.go
+++ b/internal/tier/admission/dispatcher.go
@@ -22,6 +22,9 @@
 	Zone string
 	// After runs f once after d, and returns a function that stops it; nil means time.AfterFunc.
 	After func(d time.Duration, f func()) (stop func() bool)
+	// OnHealthChange is called, without a lock, after a store was ejected or has returned; nil means that nobody is told.
+	// Calls of several goroutines may overlap.
+	OnHealthChange func(HealthChange)
 }
 
 // Dispatcher is the admission stage of one proxy. It is safe for concurrent use.
@@ -30,6 +33,8 @@
 	after func(time.Duration, func()) func() bool
 	start time.Time
 
+	onHealthChange func(HealthChange)
+
 	mu              sync.Mutex
 	core            core
 	stop            func() bool   // stops the timer; nil while none is set
@@ -48,8 +53,11 @@
 	if o.After == nil {
 		o.After = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
 	}
+	if o.OnHealthChange == nil {
+		o.OnHealthChange = func(HealthChange) {}
+	}
 	return &Dispatcher{
-		now: o.Now, after: o.After, start: o.Now(),
+		now: o.Now, after: o.After, start: o.Now(), onHealthChange: o.OnHealthChange,
 		core: core{zone: o.Zone, random: o.Rand, services: map[string]*service{}},
 	}
 }
@@ -59,11 +67,11 @@
 // that do not report it; 0 means 8. Requests queued for a store that is gone are assigned to another one.
 func (d *Dispatcher) SetStores(name string, engine bool, slots int, stores []Store) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	now := d.sinceStart(d.now())
 	svc := d.core.services[name]
 	if svc == nil {
-		svc = newService()
+		svc = newService(name)
 		d.core.services[name] = svc
 	}
 	svc.engine, svc.defaultSlots = engine, slots
@@ -74,9 +82,18 @@
 	d.armTimer(svc, now)
 }
 
-// Acquire waits until the request may be sent, and returns a Grant, or else the rejection; the other one is nil. When ctx
-// ends first, the request is rejected with ClientGone.
-func (d *Dispatcher) Acquire(ctx context.Context, r Request) (*Grant, *RejectedError) {
+// unlock releases the lock and then reports the changes of health that were noted under it.
+func (d *Dispatcher) unlock() {
+	changes := d.core.takeHealthChanges()
+	d.mu.Unlock()
+	for _, change := range changes {
+		d.onHealthChange(change)
+	}
+}
+
+// Acquire waits until the request may be sent, and returns a Grant. A request that is not to be sent gets a *RejectedError,
+// with ClientGone where ctx ended first.
+func (d *Dispatcher) Acquire(ctx context.Context, r Request) (*Grant, error) {
 	d.mu.Lock()
 	now := d.sinceStart(d.now())
 	p := &pendingRequest{
@@ -87,11 +104,11 @@
 	}
 	d.core.submit(now, p)
 	if p.grant != nil || p.rejection != nil {
-		d.mu.Unlock()
+		d.unlock()
 		return d.result(p)
 	}
 	d.armTimer(d.core.services[r.Service], now)
-	d.mu.Unlock()
+	d.unlock()
 	select {
 	case <-p.done:
 	case <-ctx.Done():
@@ -103,7 +120,7 @@
 // abandon rejects a request whose context has ended.
 func (d *Dispatcher) abandon(p *pendingRequest) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	d.core.abandon(p)
 	if p.grant != nil { // it was granted at the same time
 		d.core.finish(p.grant, d.sinceStart(d.now()), Cancelled)
@@ -111,7 +128,7 @@
 	}
 }
 
-func (d *Dispatcher) result(p *pendingRequest) (*Grant, *RejectedError) {
+func (d *Dispatcher) result(p *pendingRequest) (*Grant, error) {
 	if p.grant == nil {
 		return nil, p.rejection
 	}
@@ -139,7 +156,7 @@
 // onTimer sweeps the queues of all services.
 func (d *Dispatcher) onTimer(generation uint64) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	if generation != d.timerGeneration {
 		return
 	}
--- a/internal/tier/admission/doc.go
+++ b/internal/tier/admission/doc.go
@@ -67,7 +67,12 @@
 // # Load shedding
 //
 // When the share of requests that missed their deadline in the last 5 s exceeds a threshold, a share of the new requests is
-// rejected with Overload: the lowest priority first, and the first requests of programs before those of programs under way. A
-// request is also rejected with Overload where it would wait for more than a third of the time that it has. A request whose
+// rejected with Shed: the lowest priority first, and the first requests of programs before those of programs under way. A
+// request is rejected with QueueTooLong where it would wait for more than a third of the time that it has. A request whose
 // response has started is never shed.
+//
+// # What operators see
+//
+// A store that is unreachable, stalled or unhealthy counts as ejected until it is none of these: Options.OnHealthChange is told
+// of both, and two metrics count them by instance and reason (ejection.go). Backoff for want of capacity is no ejection.
 package admission
--- a/internal/tier/admission/fleet_simulation_test.go
+++ b/internal/tier/admission/fleet_simulation_test.go
@@ -150,7 +150,7 @@
 	for _, proxy := range s.proxies {
 		svc := proxy.services["s"]
 		if svc == nil {
-			svc = newService()
+			svc = newService("s")
 			proxy.services["s"] = svc
 		}
 		svc.engine = true
--- a/internal/tier/admission/grant.go
+++ b/internal/tier/admission/grant.go
@@ -21,7 +21,7 @@
 // ReportFirstByte reports that the first event of a stream has arrived. Later calls change nothing.
 func (g *Grant) ReportFirstByte() {
 	g.dispatcher.mu.Lock()
-	defer g.dispatcher.mu.Unlock()
+	defer g.dispatcher.unlock()
 	g.dispatcher.core.recordFirstByte(g, g.dispatcher.sinceStart(g.dispatcher.now()))
 }
 
@@ -29,7 +29,7 @@
 // its slots, of which 0 means that they are unknown. It is called before Finish, as the request itself is still counted.
 func (g *Grant) ReportLoad(running, waiting, slots int) {
 	g.dispatcher.mu.Lock()
-	defer g.dispatcher.mu.Unlock()
+	defer g.dispatcher.unlock()
 	g.store.recordReport(g.dispatcher.sinceStart(g.dispatcher.now()), running, waiting, slots)
 }
 
@@ -37,7 +37,7 @@
 func (g *Grant) Finish(outcome Outcome) {
 	d := g.dispatcher
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	now := d.sinceStart(d.now())
 	d.core.finish(g, now, outcome)
 	attemptOutcomes.Inc(outcome.String())
--- a/internal/tier/admission/harness_test.go
+++ b/internal/tier/admission/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -93,6 +94,15 @@
 	return list
 }
 
+// Acquire is that of the Dispatcher, with its error as the rejection that it must be; nil for a grant.
+func (h *harness) Acquire(ctx context.Context, r Request) (*Grant, *RejectedError) {
+	h.t.Helper()
+	grant, err := h.Dispatcher.Acquire(ctx, r)
+	var rejection *RejectedError
+	assert.Check(h.t, err == nil || errors.As(err, &rejection), "%v", err)
+	return grant, rejection
+}
+
 // request returns an idempotent request that arrives now.
 func (h *harness) request() Request {
 	now := h.clock.Now()
--- a/internal/tier/admission/health.go
+++ b/internal/tier/admission/health.go
@@ -20,10 +20,13 @@
 		s.recordResult(now, true, 1)
 		s.recordLoss(now, false)
 	case Saturated:
-		s.backoffUntil = now + min(max(curve.Duration(g.class.median), minBackoff), maxBackoff)
+		s.backOff(now, min(max(curve.Duration(g.class.median), minBackoff), maxBackoff), notEjected)
 		s.recordSaturated(now)
-	case ConnectFailed, NotExecuted:
-		s.backoffUntil = now + connectBackoff
+	case ConnectFailed:
+		s.backOff(now, connectBackoff, EjectedUnreachable)
+		s.recordResult(now, false, 1)
+	case NotExecuted:
+		s.backOff(now, connectBackoff, EjectedNotExecuting)
 		s.recordResult(now, false, 1)
 	case StoreError:
 		s.recordResult(now, false, 1)
@@ -37,6 +40,11 @@
 	}
 }
 
+// backOff keeps requests away from the store for a time. Reason says whether that is an ejection.
+func (s *store) backOff(now, span time.Duration, reason EjectionReason) {
+	s.backoffUntil, s.backoffReason = now+span, reason
+}
+
 // recordCancelled counts an attempt that was cancelled before its first byte as a failure, where it waited for longer than
 // the stall time-out, and as a lost response where it waited for several times as long.
 func (s *store) recordCancelled(g *Grant, now time.Duration) {
--- a/internal/tier/admission/request.go
+++ b/internal/tier/admission/request.go
@@ -62,17 +62,19 @@
 
 // The reasons.
 const (
-	// Overload means that too many requests miss their deadlines, or that the request would be queued for too long.
-	Overload RejectReason = iota
+	// Shed means that too many requests miss their deadlines, and that this one was chosen to make room for others.
+	Shed RejectReason = iota
+	// QueueTooLong means that the request would be queued for too large a part of the time that it has.
+	QueueTooLong
 	// NoStore means that the service has no store that could take the request.
 	NoStore
 	// DeadlineUnreachable means that no response can arrive in the time that the request has left.
 	DeadlineUnreachable
-	// ClientGone means that the request's context ended.
+	// ClientGone means that the request's context ended: the client disconnected, the deadline passed, or the process stops.
 	ClientGone
 )
 
-var rejectReasonNames = [...]string{"overload", "no store available", "deadline unreachable", "client gone"}
+var rejectReasonNames = [...]string{"load is shed", "queue too long", "no store available", "deadline unreachable", "client gone"}
 
 func (r RejectReason) String() string { return rejectReasonNames[r] }
 
--- a/internal/tier/admission/selection.go
+++ b/internal/tier/admission/selection.go
@@ -54,6 +54,9 @@
 	bounds := svc.affinityBounds(now)
 	for _, s := range svc.stores {
 		t := s.tierFor(p, now)
+		if t == tierUnhealthy || s.ejectedFor != notEjected {
+			c.observeHealth(s, now)
+		}
 		if t > bestTier || t == tierExcluded {
 			continue
 		}
--- a/internal/tier/admission/service.go
+++ b/internal/tier/admission/service.go
@@ -8,6 +8,7 @@
 
 // service is the stores of one service and what is decided for all of them together.
 type service struct {
+	name         string
 	engine       bool // its stores generate tokens
 	defaultSlots int  // of a store that does not report them; 0 means unknown
 	stores       []*store
@@ -38,8 +39,8 @@
 	levelShares [levelCount]float64 // smoothed share of each level in what arrives
 }
 
-func newService() *service {
-	return &service{byInstance: map[string]*store{}, failedStores: map[uint64]failedStore{}}
+func newService(name string) *service {
+	return &service{name: name, byInstance: map[string]*store{}, failedStores: map[uint64]failedStore{}}
 }
 
 // class returns the class of requests with a latency target and kind of response.
--- a/internal/tier/admission/shedding.go
+++ b/internal/tier/admission/shedding.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	if t == tierSaturated && svc.expectedWait(svc.queued+1) > (p.deadlineAt-now)/maxWaitDivisor {
-		c.reject(svc, p, Overload)
+		c.reject(svc, p, QueueTooLong)
 		return true
 	}
 	share := svc.updateShedShare(now)
@@ -57,7 +57,7 @@
 	if c.random.Float64() >= svc.shedShareOf(p.level(), share) {
 		return false
 	}
-	c.reject(svc, p, Overload)
+	c.reject(svc, p, Shed)
 	return true
 }
 
--- a/internal/tier/admission/shedding_test.go
+++ b/internal/tier/admission/shedding_test.go
@@ -20,7 +20,7 @@
 	for range 20 {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		if _, rejection := h.Acquire(ctx, h.request()); rejection.Reason == Overload {
+		if _, rejection := h.Acquire(ctx, h.request()); rejection.Reason == Shed {
 			shed++
 		}
 	}
@@ -45,7 +45,7 @@
 }
 
 func TestLowPriorityIsShedFirst(t *testing.T) {
-	svc := newService()
+	svc := newService("s")
 	for range 500 {
 		svc.countLevel(0)
 		svc.countLevel(1)
@@ -56,7 +56,7 @@
 }
 
 func TestFirstRequestsOfProgramsAreShedBeforeProgramsUnderWay(t *testing.T) {
-	svc := newService()
+	svc := newService("s")
 	for range 200 {
 		svc.countLevel(priorityCount) // first requests of programs, most urgent
 		for range 5 {
--- a/internal/tier/admission/store.go
+++ b/internal/tier/admission/store.go
@@ -56,7 +56,9 @@
 	failureRateAt  time.Duration
 	lossRate       float64 // smoothed share of lost responses, which decays more slowly
 	lossRateAt     time.Duration
-	backoffUntil   time.Duration // it rejected a request, or could not be reached
+	backoffUntil   time.Duration  // it rejected a request, or could not be reached
+	backoffReason  EjectionReason // why; notEjected for want of capacity
+	ejectedFor     EjectionReason // as last observed; see ejection.go
 
 	// Concurrency limit.
 	limit            float64
--- a/internal/tier/metrics/metrics.go
+++ b/internal/tier/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,7 +18,7 @@
 // prefix is the namespace of all metrics.
 const prefix = "pulleytier_"
 
-// maxLabelValues bounds the cardinality of a label; events of further values are counted under otherValue.
+// maxLabelValues bounds the combinations of label values of a vector; events of further ones are counted under otherValue.
 const (
 	maxLabelValues = 128
 	otherValue     = "other"
@@ -85,38 +86,47 @@
 	fmt.Fprintf(to, "%s %d\n", c.fullName, c.Value())
 }
 
-// CounterVec is a set of counters, one for each value of a label. It is safe for concurrent use.
+// CounterVec is a set of counters, one for each combination of its labels' values. It is safe for concurrent use.
 type CounterVec struct {
 	fullName string
 	help     string
-	label    string
+	labels   []string
 
 	mu     sync.Mutex
-	counts map[string]uint64
+	counts map[string]uint64 // by the values, joined by valueSeparator
 }
 
-// NewCounterVec makes and registers a counter vector. The name gets the tier's prefix.
-func NewCounterVec(name, help, label string) *CounterVec {
-	vector := &CounterVec{fullName: prefix + name, help: help, label: label, counts: make(map[string]uint64)}
+// valueSeparator joins the values of several labels to a key. No value contains it.
+const valueSeparator = "\x00"
+
+// NewCounterVec makes and registers a counter vector with one label or several. The name gets the tier's prefix.
+func NewCounterVec(name, help string, labels ...string) *CounterVec {
+	vector := &CounterVec{fullName: prefix + name, help: help, labels: labels, counts: make(map[string]uint64)}
 	register(vector)
 	return vector
 }
 
-// Inc counts one event with this label value.
-func (v *CounterVec) Inc(value string) {
+// Inc counts one event with these label values, one for each label. Once maxLabelValues combinations are known, the first
+// value of a new one is replaced by otherValue.
+func (v *CounterVec) Inc(values ...string) {
+	key := strings.Join(values, valueSeparator)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if _, known := v.counts[value]; !known && len(v.counts) >= maxLabelValues {
-		value = otherValue
+	if _, known := v.counts[key]; !known && len(v.counts) >= maxLabelValues {
+		_, rest, several := strings.Cut(key, valueSeparator)
+		key = otherValue
+		if several {
+			key += valueSeparator + rest
+		}
 	}
-	v.counts[value]++
+	v.counts[key]++
 }
 
-// Value is the number of events with this label value so far.
-func (v *CounterVec) Value(value string) uint64 {
+// Value is the number of events with these label values so far.
+func (v *CounterVec) Value(values ...string) uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.counts[value]
+	return v.counts[strings.Join(values, valueSeparator)]
 }
 
 // Total is the number of events of all label values.
@@ -135,15 +145,20 @@
 func (v *CounterVec) write(to *bytes.Buffer) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	values := make([]string, 0, len(v.counts))
-	for value := range v.counts {
-		values = append(values, value)
-	}
-	slices.Sort(values)
 	writeHeader(to, v.fullName, v.help, "counter")
-	for _, value := range values {
-		fmt.Fprintf(to, "%s{%s=\"%s\"} %d\n", v.fullName, v.label, escape(value), v.counts[value])
+	for _, key := range slices.Sorted(maps.Keys(v.counts)) {
+		fmt.Fprintf(to, "%s{%s} %d\n", v.fullName, v.labelPairs(key), v.counts[key])
+	}
+}
+
+// labelPairs formats the labels of a key of counts.
+func (v *CounterVec) labelPairs(key string) string {
+	values := strings.Split(key, valueSeparator)
+	pairs := make([]string, len(values))
+	for i, value := range values {
+		pairs[i] = fmt.Sprintf("%s=\"%s\"", v.labels[i], escape(value))
 	}
+	return strings.Join(pairs, ",")
 }
 
 // GaugeFunc is a gauge whose value is read from a function at each scrape.
--- a/internal/tier/metrics/metrics_test.go
+++ b/internal/tier/metrics/metrics_test.go
@@ -40,6 +40,20 @@
 	assert.Assert(t, strings.Contains(exposition(t), `pulleytier_test_by_kind_total{kind="a \"b\"\n\\"} 1`), exposition(t))
 }
 
+// The first label has many values: further ones are counted together, by the values of the other labels.
+func TestSeveralLabels(t *testing.T) {
+	vector := NewCounterVec("test_by_store_total", "Events of the test by store and reason.", "instance", "reason")
+	for number := range 2 * maxLabelValues {
+		vector.Inc(fmt.Sprint(number), "slow")
+	}
+	vector.Inc("late", "failing")
+	vector.Inc("0", "slow")
+	assert.Equal(t, vector.Value("0", "slow"), uint64(2))
+	assert.Equal(t, vector.Value(otherValue, "slow"), uint64(maxLabelValues))
+	assert.Equal(t, vector.Value(otherValue, "failing"), uint64(1))
+	assert.Assert(t, strings.Contains(exposition(t), `pulleytier_test_by_store_total{instance="0",reason="slow"} 2`), exposition(t))
+}
+
 func TestParseEndpoint(t *testing.T) {
 	endpoint, err := ParseEndpoint("9464/metrics")
 	assert.NilError(t, err)
--- /dev/null
+++ b/internal/tier/proxy/ejection_log_test.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"pulleygw.example/pulleygw/internal/tier/admission"
+)
+
+func newEjectionLog() (*ejectionLog, *bytes.Buffer) {
+	written := &bytes.Buffer{}
+	return &ejectionLog{log: hclog.New(&hclog.LoggerOptions{Output: written})}, written
+}
+
+// A zone is lost, and comes back: a line each, however many stores it has.
+func TestEjectionsAtOnceShareALine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, written := newEjectionLog()
+		for number := range 120 {
+			reason := admission.EjectedStalled
+			if number%4 == 0 {
+				reason = admission.EjectedUnreachable
+			}
+			l.record(admission.HealthChange{Service: "engine", Instance: fmt.Sprint("i-", number), Reason: reason, Ejected: true})
+		}
+		time.Sleep(ejectionLogDelay + time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, strings.Count(written.String(), "stores ejected"), 1, "%s", written)
+		for _, part := range []string{"count=120", `reasons=["stalled:90", "unreachable:30"]`, `services=["engine"]`, `"i-0"`, `"i-7"]`} {
+			assert.Check(t, strings.Contains(written.String(), part), "%s is missing in %s", part, written)
+		}
+		for number := range 120 {
+			l.record(admission.HealthChange{Service: "engine", Instance: fmt.Sprint("i-", number), Reason: admission.EjectedStalled})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(ejectionLogInterval)
+		synctest.Wait()
+		assert.Equal(t, strings.Count(written.String(), "stores returned"), 1, "%s", written)
+		assert.Equal(t, strings.Count(written.String(), "\n"), 2, "%s", written)
+	})
+}
+
+func TestSingleEjectionIsLoggedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, written := newEjectionLog()
+		l.record(admission.HealthChange{Service: "s", Instance: "i-1", Reason: admission.EjectedFailing, Ejected: true})
+		time.Sleep(ejectionLogDelay + time.Millisecond)
+		synctest.Wait()
+		assert.Assert(t, strings.Contains(written.String(), `instances=["i-1"]`), "%s", written)
+		l.record(admission.HealthChange{Service: "s", Instance: "i-1", Reason: admission.EjectedFailing})
+		time.Sleep(ejectionLogDelay + time.Millisecond)
+		synctest.Wait()
+		assert.Assert(t, !strings.Contains(written.String(), "stores returned"), "within the interval: %s", written)
+		time.Sleep(ejectionLogInterval)
+		synctest.Wait()
+		assert.Assert(t, strings.Contains(written.String(), "stores returned"), "%s", written)
+	})
+}
--- a/internal/tier/proxy/exchange.go
+++ b/internal/tier/proxy/exchange.go
@@ -256,7 +256,7 @@
 	case x.stream.headWritten, x.clientDisconnected():
 		x.abort()
 	case x.executions == 0:
-		x.result = resultOfRejection(rejection)
+		x.result = x.resultOfRejection(rejection)
 		x.respondRetryLater(retryAfter(rejection))
 	case x.isDone(ctx):
 		x.result = resultTimeout
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -63,9 +63,10 @@
 // New makes a proxy that follows a watched state. Requests on routes that retain turns or have budgets need clients of
 // the turn stores, which Run sets.
 func New(log hclog.Logger, zone string, state *watch.State) *Proxy {
+	ejections := &ejectionLog{log: log}
 	p := &Proxy{
 		log: log, state: state, pools: upstream.NewTransport(),
-		admit: admission.New(admission.Options{Zone: zone}), started: time.Now(),
+		admit: admission.New(admission.Options{Zone: zone, OnHealthChange: ejections.record}), started: time.Now(),
 	}
 	p.updates.channel = make(chan struct{})
 	p.snapshots.log = log
--- a/internal/tier/proxy/result.go
+++ b/internal/tier/proxy/result.go
@@ -38,9 +38,12 @@
 	resultTimeout    result = "timeout"
 
 	resultClientDisconnected  result = "client_disconnected"
-	resultOverload            result = "rejected_overload"
+	resultShed                result = "rejected_shed"
+	resultQueueTooLong        result = "rejected_queue_too_long"
 	resultNoStore             result = "rejected_no_store"
 	resultDeadlineUnreachable result = "rejected_deadline_unreachable"
+	resultDeadlineInQueue     result = "rejected_deadline_in_queue"
+	resultShutdown            result = "rejected_shutdown"
 	resultDeclined            result = "rejected_by_stores"
 	resultNoConfiguration     result = "rejected_no_configuration"
 	resultTurnStoresUncertain result = "rejected_turn_stores_uncertain"
@@ -66,20 +69,27 @@
 	return resultServed
 }
 
-// resultOfRejection is the result of a request that no store executed. A nil rejection means that stores declined it.
-func resultOfRejection(rejection *admission.RejectedError) result {
+// resultsOfRejection are the results of requests that admission rejected, but for those whose context ended.
+var resultsOfRejection = map[admission.RejectReason]result{
+	admission.Shed:                resultShed,
+	admission.QueueTooLong:        resultQueueTooLong,
+	admission.NoStore:             resultNoStore,
+	admission.DeadlineUnreachable: resultDeadlineUnreachable,
+}
+
+// resultOfRejection is the result of a request that no store executed, and whose client still waits. A nil rejection
+// means that stores declined it.
+func (x *exchange) resultOfRejection(rejection *admission.RejectedError) result {
+	if isShutdown(x.r.Context()) {
+		return resultShutdown
+	}
 	if rejection == nil {
 		return resultDeclined
 	}
-	switch rejection.Reason {
-	case admission.NoStore:
-		return resultNoStore
-	case admission.DeadlineUnreachable:
-		return resultDeadlineUnreachable
-	case admission.ClientGone:
-		return resultClientDisconnected
+	if became, known := resultsOfRejection[rejection.Reason]; known {
+		return became
 	}
-	return resultOverload
+	return resultDeadlineInQueue
 }
 
 var panics = metrics.NewCounter("proxy_panics_total", "Requests that ended by a panic in the handler.")
@@ -130,12 +140,16 @@
 	}
 }
 
-// acquire asks admission for a store and records the time spent waiting.
+// acquire asks admission for a store and records the time spent waiting. One of grant and rejection is nil.
 func (x *exchange) acquire(ctx context.Context) (*admission.Grant, *admission.RejectedError) {
 	began := time.Now()
-	grant, rejection := x.proxy.admit.Acquire(ctx, x.admissionRequest())
+	grant, err := x.proxy.admit.Acquire(ctx, x.admissionRequest())
 	x.queueTime += time.Since(began)
-	return grant, rejection
+	var rejection *admission.RejectedError
+	if errors.As(err, &rejection) {
+		return nil, rejection
+	}
+	return grant, nil
 }
 
 // requestLog limits the rate of log lines about requests.
--- a/internal/tier/proxy/result_test.go
+++ b/internal/tier/proxy/result_test.go
@@ -51,13 +51,13 @@
 
 func TestRejectionsAreLoggedOncePerReasonAndInterval(t *testing.T) {
 	x, log := newRecordedExchange("r")
-	for _, became := range []result{resultOverload, resultOverload, resultNoStore, resultServed, resultClientDisconnected} {
+	for _, became := range []result{resultShed, resultShed, resultNoStore, resultServed, resultClientDisconnected} {
 		x.result = became
 		x.recordResult()
 	}
 	assert.Equal(t, strings.Count(log.String(), "requests rejected"), 2, "%s", log)
-	x.proxy.requestLog.rejections[resultOverload].lastLogged = time.Now().Add(-2 * rejectionLogInterval)
-	x.result = resultOverload
+	x.proxy.requestLog.rejections[resultShed].lastLogged = time.Now().Add(-2 * rejectionLogInterval)
+	x.result = resultShed
 	x.recordResult()
 	assert.Assert(t, strings.Contains(log.String(), "count=2"), "%s", log)
 }
@@ -71,6 +71,33 @@
 	assert.Equal(t, log.Len(), 0, "%s", log)
 }
 
+// A 503 of each kind is counted and logged as what it is, also where it was the request's own context that ended.
+func TestRejectionIsNamedByItsReason(t *testing.T) {
+	shutdown, stop := context.WithCancelCause(context.Background())
+	stop(errShutdown)
+	for _, test := range []struct {
+		ctx       context.Context
+		rejection *admission.RejectedError
+		expected  result
+	}{
+		{t.Context(), nil, resultDeclined},
+		{t.Context(), &admission.RejectedError{Reason: admission.Shed}, resultShed},
+		{t.Context(), &admission.RejectedError{Reason: admission.QueueTooLong}, resultQueueTooLong},
+		{t.Context(), &admission.RejectedError{Reason: admission.NoStore}, resultNoStore},
+		{t.Context(), &admission.RejectedError{Reason: admission.DeadlineUnreachable}, resultDeadlineUnreachable},
+		{t.Context(), &admission.RejectedError{Reason: admission.ClientGone}, resultDeadlineInQueue},
+		{shutdown, &admission.RejectedError{Reason: admission.ClientGone}, resultShutdown},
+		{shutdown, nil, resultShutdown},
+	} {
+		x, log := newRecordedExchange("r")
+		x.r = x.r.WithContext(test.ctx)
+		x.result = x.resultOfRejection(test.rejection)
+		assert.Equal(t, x.result, test.expected)
+		x.recordResult()
+		assert.Assert(t, strings.Contains(log.String(), "requests rejected: count=1 result="+string(test.expected)), "%s", log)
+	}
+}
+
 // A panic in the handler ends its request only, and its stack is logged.
 func TestPanicIsLoggedWithItsStack(t *testing.T) {
 	x, log := newRecordedExchange("r-9")
--- a/internal/tier/proxy/shutdown_test.go
+++ b/internal/tier/proxy/shutdown_test.go
@@ -60,9 +60,12 @@
 		b.turnStores.chainErr = turns.ErrUncertain
 		connection := b.post("/t/x", "id", "Previous: p")
 		<-waiting
+		before := results.Value(string(resultShutdown))
 		b.server.cancelRequests(errShutdown)
 		got := readResponse(bufio.NewReader(connection), "POST")
 		assert.Equal(t, got.status, 503)
+		b.awaitConnectionsEnd()
+		assert.Equal(t, results.Value(string(resultShutdown)), before+1)
 		assert.Assert(t, got.header.Get("Retry-After") != "")
 		assert.Equal(t, len(store.requests()), 0)
 	})
--- a/internal/tier/proxy/stream_test.go
+++ b/internal/tier/proxy/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -182,6 +183,19 @@
 }
 
 // REFUSED: 402 and 503 are sent before anything is sent to a store.
+// A Budget that cannot be read is no budget without limit: the request is malformed, and nothing is run or reserved for it.
+func TestTurnWithMalformedBudgetIsNotSent(t *testing.T) {
+	for _, malformed := range []string{"many", "-1", "1.5", "9 tokens", "99999999999999999999"} {
+		store := newFakeStore(t, "a", streamEvents(true, numberedEvents(1, 3)...))
+		b := newTestProxy(t, longTimeout, nil, []*fakeStore{store})
+		b.turnStores.onReserve = func(context.Context) { t.Errorf("%q: reserved", malformed) }
+		got := b.send("POST", "/t/x", "t1", "in", "Program: p", "Budget: "+malformed, "X-Token-Usage: 5,9")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, 400, "%q", malformed)
+		assert.Equal(t, len(store.requests()), 0, "%q", malformed)
+	}
+}
+
 func TestTurnBeyondBudgetIsNotSent(t *testing.T) {
 	store := newFakeStore(t, "a", streamEvents(true))
 	b := newTestProxy(t, longTimeout, nil, []*fakeStore{store})
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -20,7 +20,10 @@
 // request. The rest is left for the client's retry, when the turn stores may answer.
 const turnStoreTimeFraction = 0.4
 
-var errTurnNotSaved = eris.New("turn could not be saved")
+var (
+	errTurnNotSaved    = eris.New("turn could not be saved")
+	errMalformedBudget = eris.New("malformed Budget: want a number of tokens")
+)
 
 // turnStoreClient reads and writes the records of turns. Chain returns turns.ErrNotFound only if it is certain that
 // there is no such turn.
@@ -45,7 +48,8 @@
 	retained       bool
 	previous       string
 	output         []byte
-	budgeted       bool // the turn counts against the program's budget
+	budgeted       bool   // the turn counts against the program's budget
+	budget         uint64 // tokens that all turns of the program may generate, if budgeted
 	program        string
 	maxTokens      uint64
 	tokensPerEvent uint64
@@ -62,7 +66,11 @@
 	if x.route.Kind != configuration.Streaming {
 		return true
 	}
-	x.parseTurn()
+	if err := x.parseTurn(); err != nil {
+		x.result, x.lastErr = resultBadRequest, err
+		x.proxy.respond(x.w, x.id, http.StatusBadRequest)
+		return false
+	}
 	if (x.turn.budgeted || x.turn.retained) && !x.awaitTurnStores(ctx) {
 		x.respondTurnError(turns.ErrUncertain)
 		return false
@@ -86,7 +94,9 @@
 	return false
 }
 
-func (x *exchange) parseTurn() {
+// parseTurn reads what the request says of the turn. It returns errMalformedBudget for a Budget that is no number of tokens:
+// without a limit the turn would be run on an assumption that its program did not make.
+func (x *exchange) parseTurn() error {
 	t := &x.turn
 	t.retained = x.route.Retained
 	if t.retained {
@@ -99,14 +109,19 @@
 	t.program = x.r.Header.Get(headerProgram)
 	budget := x.r.Header.Get(headerBudget)
 	if t.program == "" || budget == "" {
-		return
+		return nil
+	}
+	tokens, err := strconv.ParseUint(budget, 10, 63)
+	if err != nil {
+		return eris.Wrapf(errMalformedBudget, "%.40q", budget)
 	}
-	t.budgeted = true
+	t.budgeted, t.budget = true, tokens
 	_, t.maxTokens = parseTokenUsage(x.r.Header)
 	if t.maxTokens == 0 {
-		t.maxTokens, _ = strconv.ParseUint(budget, 10, 63)
+		t.maxTokens = tokens
 	}
 	t.maxEvents = (t.maxTokens + t.tokensPerEvent - 1) / t.tokensPerEvent
+	return nil
 }
 
 func (x *exchange) reserve(ctx context.Context) <-chan error {
@@ -115,13 +130,7 @@
 		done <- nil
 		return done
 	}
-	budget, err := strconv.ParseUint(x.r.Header.Get(headerBudget), 10, 63)
-	if err != nil {
-		done <- nil
-		x.turn.budgeted = false
-		return done
-	}
-	reserve := func() { done <- x.proxy.budgets.Reserve(ctx, x.turn.program, budget, x.id, x.turn.maxTokens) }
+	reserve := func() { done <- x.proxy.budgets.Reserve(ctx, x.turn.program, x.turn.budget, x.id, x.turn.maxTokens) }
 	if x.turn.previous == "" {
 		reserve()
 	} else {
@@ -163,6 +172,9 @@
 		x.respondNotExecuted(http.StatusPaymentRequired)
 	default:
 		x.result = resultTurnStoresUncertain
+		if isShutdown(x.r.Context()) {
+			x.result = resultShutdown
+		}
 		x.respondRetryLater(retryAfterUncertain)
 	}
 }
--- a/internal/tier/result/result_test.go
+++ b/internal/tier/result/result_test.go
@@ -82,7 +82,7 @@
 	assert.Equal(t, recorder.Code, 503)
 	body := result.Body{}
 	assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &body))
-	assert.Equal(t, body.Message, "The change was proposed and its end is not known; it may be in force.")
+	assert.Equal(t, body.Message, "The change was proposed and its outcome is unknown; it may be in force.")
 }
 
 func TestUnknownCodeIsInternalError(t *testing.T) {
--- a/internal/tier/turnstore/identity.go
+++ b/internal/tier/turnstore/identity.go
@@ -1,6 +1,7 @@
 package turnstore
 
 import (
+	"pulleygw.example/pulleygw/internal/tier/metrics"
 	"pulleygw.example/pulleygw/internal/tier/storage"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -8,23 +9,37 @@
 // identitySeries is the name of the versioned file of the store's identity, a tierpb.Node.
 const identitySeries = "identity"
 
+var newIdentities = metrics.NewCounter("turn_store_new_identities_total",
+	"Starts of this turn store under a new identity: its disk was empty or had lost synced data.")
+
 // Identity returns the identity of this store's disk. Calls for another identity are rejected.
 func (s *Store) Identity() uint64 { return s.identity }
 
+// HasNewIdentity reports whether this start drew a new identity: the disk was empty or had lost synced data.
+func (s *Store) HasNewIdentity() bool { return s.hasNewIdentity }
+
+// PreviousIdentity returns the identity that the disk had before this start, and 0 if it kept it or none is known: the disk
+// was empty.
+func (s *Store) PreviousIdentity() uint64 { return s.previousIdentity }
+
 // loadIdentity reads the identity. If there is none, or if the disk is damaged, it draws a new one and saves it.
 func (s *Store) loadIdentity(damaged bool) error {
 	series, err := storage.Open(s.options.Disk, s.options.Folder, identitySeries, s.options.Failpoints)
 	if err != nil {
 		return err
 	}
-	if payload, found := series.Newest(); found && !damaged && !series.Corrupted() {
+	if payload, found := series.Newest(); found {
 		node := &tierpb.Node{}
-		if err := node.UnmarshalVT(payload); err == nil && node.Identity != 0 {
+		if err := node.UnmarshalVT(payload); err == nil {
 			s.identity = node.Identity
-			return nil
 		}
 	}
+	if s.identity != 0 && !damaged && !series.Corrupted() {
+		return nil
+	}
+	s.previousIdentity, s.hasNewIdentity = s.identity, true
 	s.identity = s.options.NewIdentity()
+	newIdentities.Inc()
 	payload, err := (&tierpb.Node{Identity: s.identity}).MarshalVT()
 	if err != nil {
 		return err
--- a/internal/tier/turnstore/recovery_test.go
+++ b/internal/tier/turnstore/recovery_test.go
@@ -18,10 +18,14 @@
 	c.start(m)
 	after := m.store.Identity()
 	assert.Assert(c.t, after != before, "%d records are left", m.store.Records())
+	assert.Assert(c.t, m.store.HasNewIdentity())
+	assert.Equal(c.t, m.store.PreviousIdentity(), before)
 	for range 3 {
 		c.kill(m)
 		c.start(m)
 		assert.Equal(c.t, m.store.Identity(), after)
+		assert.Assert(c.t, !m.store.HasNewIdentity())
+		assert.Equal(c.t, m.store.PreviousIdentity(), uint64(0))
 	}
 }
 
--- a/internal/tier/turnstore/run.go
+++ b/internal/tier/turnstore/run.go
@@ -79,7 +79,8 @@
 		Role:     tierpb.Role_ROLE_TURN_STORE,
 		Identity: store.Identity(),
 	}
-	r.log.Info("data folder recovered", "identity", store.Identity(), "records", store.Records())
+	r.log.Info("data folder recovered", "identity", store.Identity(), "previous_identity", store.PreviousIdentity(),
+		"new_identity", store.HasNewIdentity(), "records", store.Records())
 	return nil
 }
 
--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -31,10 +31,12 @@
 
 // Store holds turn records and program budgets. It is safe for concurrent use.
 type Store struct {
-	options        Options
-	identity       uint64
-	wal            *writeAheadLog
-	membershipFile *storage.Series
+	options          Options
+	identity         uint64
+	hasNewIdentity   bool
+	previousIdentity uint64 // 0 if the disk kept its identity, or had none
+	wal              *writeAheadLog
+	membershipFile   *storage.Series
 
 	mu             sync.Mutex // taken before the log's own lock
 	state          *state
@@ -75,7 +77,7 @@
 // identity before. If that fails, the log accepts nothing until a compaction has succeeded.
 func (s *Store) replaceDamagedFiles() {
 	s.options.Log.Warn("disk lost synced data: store restarts with a new identity",
-		"identity", s.identity, "records", len(s.state.records))
+		"identity", s.identity, "previous_identity", s.previousIdentity, "records", len(s.state.records))
 	if err := s.membershipFile.Clear(); err != nil {
 		s.options.Log.Warn("cannot remove damaged membership files", "error", err)
 	}
