--- a/internal/tier/admission/ejection.go
+++ b/internal/tier/admission/ejection.go
@@ -27,7 +27,8 @@
 	EjectedUnreachable EjectionReason = "unreachable"
 	// EjectedNotExecuting stores declined a request for another reason than load: another instance runs at the address.
 	EjectedNotExecuting EjectionReason = "not_executing"
-	// EjectedStalled stores have not sent the first byte of their oldest request within the stall time-out.
+	// EjectedStalled stores have not sent the first byte of their oldest request within hungTailMultiple times the stall time-out.
+	// One request in a hundred takes longer than the time-out itself: its store is passed over for that moment only.
 	EjectedStalled EjectionReason = "stalled"
 	// EjectedFailing stores fail too many attempts.
 	EjectedFailing EjectionReason = "failing"
@@ -75,7 +76,7 @@
 	switch {
 	case s.backoffReason != notEjected && s.inBackoff(now):
 		return s.backoffReason
-	case s.stalled(now):
+	case s.stalledFor(now, hungTailMultiple):
 		return EjectedStalled
 	case s.healthy(now):
 		return notEjected
--- a/internal/tier/admission/health.go
+++ b/internal/tier/admission/health.go
@@ -121,12 +121,15 @@
 
 // stalled reports whether the oldest request without a first byte has waited for longer than the stall time-out: the store
 // may hang.
-func (s *store) stalled(now time.Duration) bool {
+func (s *store) stalled(now time.Duration) bool { return s.stalledFor(now, 1) }
+
+// stalledFor reports whether that request has waited for longer than a multiple of the stall time-out.
+func (s *store) stalledFor(now time.Duration, multiple float64) bool {
 	if len(s.awaitingFirstByte) == 0 || ablation.Disabled(ablation.StallDetection) {
 		return false
 	}
 	oldest := s.awaitingFirstByte[0]
-	return (now - oldest.sentAt).Seconds() > s.stallTimeout(oldest.class, now)
+	return (now - oldest.sentAt).Seconds() > multiple*s.stallTimeout(oldest.class, now)
 }
 
 // inBackoff reports whether the store rejected a request, or could not be reached, a moment ago.
