A holder whose term was overtaken presents that term no more

Cause: that a fenced holder sends nothing more under its term rested on Candidate.Resign alone; a holder that owned the lease wrongly, or whose rejection was lost, would have called again every 0.4 s. Change: placement.Tenure joins acquisition and term, remembers that it was overtaken, also from the control state that the holder learns by watch, and is checked before anything is sent; controller and model use it.

--- a/internal/tier/coordinator/placementcontrol/controller.go
+++ b/internal/tier/coordinator/placementcontrol/controller.go
@@ -86,7 +86,7 @@
 	options Options
 
 	// What follows belongs to Run's goroutine.
-	fencing    fencing
+	tenure     placement.Tenure
 	redundancy redundancyTimer
 }
 
@@ -117,6 +117,9 @@
 	if err := c.ensureTerm(ctx); err != nil {
 		return err
 	}
+	if err := c.checkTenure(); err != nil {
+		return err
+	}
 	if err := c.reconcileVoters(ctx, c.options.Control()); err != nil {
 		return err
 	}
--- a/internal/tier/coordinator/placementcontrol/fencing.go
+++ b/internal/tier/coordinator/placementcontrol/fencing.go
@@ -10,17 +10,11 @@
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
-// fencing is the acquisition of the lease under which this process makes changes, and the term that it raised for it.
-type fencing struct {
-	acquisition uint64 // of the lease; 0 for none
-	term        placement.Term
-}
-
 // ensureTerm raises the term once after each acquisition of the lease, before anything is changed under it. When that is
 // chosen, nothing that an earlier holder has under way can be chosen any more: it has a lower proposal number.
 func (c *Controller) ensureTerm(ctx context.Context) error {
 	acquisition := c.options.Lease.Acquisition()
-	if acquisition == c.fencing.acquisition {
+	if acquisition == c.tenure.Acquisition() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
@@ -37,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	c.fencing = fencing{acquisition: acquisition, term: term}
+	c.tenure = placement.NewTenure(acquisition, term)
 	c.options.Log.Info("placement term raised", "term", term.Number, "holder", term.Holder)
 	return nil
 }
@@ -63,18 +57,23 @@
 		if err := c.options.Faults.At(failpoint.PlacementDecided); err != nil {
 			return nil, err
 		}
-		credentials := placement.Credentials{
-			Term:       c.fencing.term,
-			LeaseOwned: c.ownsLeaseSince(c.fencing.acquisition, current),
-			ViewAge:    c.options.Now().Sub(view.Now),
-		}
-		if err := placement.CheckFence(placement.TermOf(current), credentials); err != nil {
+		owned := c.ownsLeaseSince(c.tenure.Acquisition(), current)
+		if err := c.tenure.Check(placement.TermOf(current), owned, c.options.Now().Sub(view.Now)); err != nil {
 			return nil, err
 		}
 		return next, nil
 	}
 }
 
+// checkTenure ends a tenure that is known to be overtaken, before anything is sent under its term.
+func (c *Controller) checkTenure() error {
+	c.tenure.Observe(placement.TermOf(c.options.Control()))
+	if c.tenure.Overtaken() {
+		return placement.ErrFenced
+	}
+	return nil
+}
+
 // handleFailure logs why a change was not made. A holder whose term was overtaken has to acquire the lease anew; one whose
 // lease is lost has none to resign, and one whose view was old looks again.
 func (c *Controller) handleFailure(reason error) {
@@ -83,7 +82,7 @@
 		return
 	}
 	newest := placement.TermOf(c.options.Control())
-	c.options.Log.Info("stale lease holder rejected", "reason", reason, "own", c.fencing.term.Number,
+	c.options.Log.Info("stale lease holder rejected", "reason", reason, "own", c.tenure.Term().Number,
 		"term", newest.Number, "holder", newest.Holder)
 	if errors.Is(reason, placement.ErrFenced) {
 		c.options.Lease.Resign()
--- a/internal/tier/modelcheck/lease_change.go
+++ b/internal/tier/modelcheck/lease_change.go
@@ -13,12 +13,6 @@
 // leasePollInterval is the time between two looks at whether the process owns the lease.
 const leasePollInterval = 130 * time.Millisecond
 
-// acquisition is one acquisition of the lease with the term that was raised for it, as a coordinator keeps them.
-type acquisition struct {
-	number uint64
-	term   placement.Term
-}
-
 // changeUnderLease makes a change as a lease holder does, once the process owns the lease: it raises the term for a new
 // acquisition, decides, and presents its fencing token. The decision is an event of its own, so that anything may happen
 // between it and the check of the token.
@@ -42,14 +36,12 @@
 	return p.proposer.Change(ctx, func(current *tierpb.ControlState) (*tierpb.ControlState, error) {
 		began := time.Now()
 		p.awaitDecision()
-		credentials := placement.Credentials{
-			Term: p.acquisition.term, LeaseOwned: p.ownsLease(current, p.acquisition.number), ViewAge: time.Since(began),
-		}
-		if err := placement.CheckFence(placement.TermOf(current), credentials); err != nil {
+		owned := p.ownsLease(current, p.tenure.Acquisition())
+		if err := p.tenure.Check(placement.TermOf(current), owned, time.Since(began)); err != nil {
 			return nil, err
 		}
 		current.Retirements = append(current.Retirements, &tierpb.Retirement{
-			Node: leaseChangeMarker, Identity: p.acquisition.term.Number, Completed: placement.TermOf(current) == p.acquisition.term,
+			Node: leaseChangeMarker, Identity: p.tenure.Term().Number, Completed: placement.TermOf(current) == p.tenure.Term(),
 		})
 		return current, nil
 	})
@@ -62,7 +54,7 @@
 // raiseTerm raises the term once after each acquisition of the lease.
 func (p *process) raiseTerm(ctx context.Context) error {
 	number := p.candidate.Acquisition()
-	if number == p.acquisition.number {
+	if number == p.tenure.Acquisition() {
 		return nil
 	}
 	var term placement.Term
@@ -75,7 +67,7 @@
 		return current, nil
 	})
 	if err == nil {
-		p.acquisition = acquisition{number: number, term: term}
+		p.tenure = placement.NewTenure(number, term)
 	}
 	return err
 }
--- a/internal/tier/modelcheck/process.go
+++ b/internal/tier/modelcheck/process.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/lease"
+	"pulleygw.example/pulleygw/internal/tier/placement"
 	"pulleygw.example/pulleygw/internal/tier/register"
 	"pulleygw.example/pulleygw/internal/tier/simulation"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -39,8 +40,8 @@
 	acceptor       *register.Acceptor
 	proposer       *register.Proposer
 	candidate      *lease.Candidate
-	leaseToken     chan struct{} // holds one token; its owner may make changes under the lease
-	acquisition    acquisition   // used by the owner of the token
+	leaseToken     chan struct{}    // holds one token; its owner may make changes under the lease
+	tenure         placement.Tenure // used by the owner of the token
 	serving        bool
 	lastAccepted   *tierpb.ControlState // accepted value that was checked last, and its proposal number
 	lastAcceptedAt *tierpb.ProposalNumber
