--- a/internal/tier/proxy/result.go
+++ b/internal/tier/proxy/result.go
@@ -109,6 +109,7 @@
 		ended = resultClientDisconnected
 	}
 	results.Inc(string(ended))
+	x.recordByPriority(ended)
 	switch {
 	case ended.failed():
 		x.proxy.requestLog.logFailure(x.proxy.log, x.logFields(ended))
--- a/internal/tier/proxy/stream.go
+++ b/internal/tier/proxy/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -29,12 +30,13 @@
 
 // streamState is what has been passed on of a stream.
 type streamState struct {
-	headWritten bool
-	events      uint64
-	lastID      string // of the last event passed on
-	step        int64  // between ids, once two are known
-	resumed     bool   // the next event is the first of another store
-	version     string // of the weights that generated the last event, if the stores report it
+	headWritten  bool
+	events       uint64
+	firstEventAt time.Time // when the first event was passed on
+	lastID       string    // of the last event passed on
+	step         int64     // between ids, once two are known
+	resumed      bool      // the next event is the first of another store
+	version      string    // of the weights that generated the last event, if the stores report it
 }
 
 // isStream reports whether a response is to be passed on event by event.
@@ -125,6 +127,7 @@
 			if !firstByteReported {
 				firstByteReported = true
 				grant.ReportFirstByte()
+				x.recordFirstEvent()
 			}
 			x.forward(response, (*buffer)[:passed])
 		}
--- a/internal/tier/watch/poll.go
+++ b/internal/tier/watch/poll.go
@@ -165,6 +165,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.readyReplyAt = time.Now()
+	recordReadyReply()
 }
 
 // acceptsNotReady reports whether nothing is known and no source that is ready has answered for long: then a state that
