Soak: kill any half or third of all machines, throttle one, tear writes at a loss of power

Change: four kinds of faults; the volatile disk lets the first half of a write through while writes are torn.

--- a/internal/tier/soak/disk_faults.go
+++ b/internal/tier/soak/disk_faults.go
@@ -70,6 +70,18 @@
 	return true
 }
 
+// losePowerWithinWrites makes a machine's disk take a part of each write before its sync, and kills the machine then.
+func (h *harness) losePowerWithinWrites(machine *testbed.Machine, during time.Duration) bool {
+	folder := machine.Settings.DataDir
+	if !h.plan.Volatile || folder == "" || setDiskFault(folder, DiskFault{Torn: true}) != nil {
+		return false
+	}
+	time.Sleep(during)
+	h.kill(machine)
+	clearDiskFault(folder)
+	return h.launch(machine) == nil
+}
+
 // removeDataFolder moves the data folder of a running machine away for a while: files can be neither created nor renamed
 // nor listed meanwhile.
 func removeDataFolder(machine *testbed.Machine, during time.Duration) bool {
--- a/internal/tier/soak/faults.go
+++ b/internal/tier/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"syscall"
@@ -11,6 +12,18 @@
 	"pulleygw.example/pulleygw/internal/tier/testbed"
 )
 
+// Shares of all machines that are killed at once: 1 of so many, rounded up.
+const (
+	halfOfAll  = 2
+	thirdOfAll = 3
+)
+
+// A machine whose CPU quota is spent runs for a part of each period, as under the bandwidth control of Linux.
+const (
+	quotaPeriod  = 100 * time.Millisecond
+	quotaRunTime = 40 * time.Millisecond
+)
+
 // Times of faults.
 const (
 	slowSync        = 700 * time.Millisecond
@@ -47,11 +60,11 @@
 		scope.planned = true
 	case Terminate:
 		scope.planned = fault.Class == classEdge
-	case KillAll:
+	case KillAll, KillHalf, KillThird:
 		scope.stops = everyEdge
 	}
 	switch fault.Kind {
-	case KillMachine, KillRole, PauseMachine, PauseRole, Terminate:
+	case ThrottleMachine, KillMachine, KillRole, PauseMachine, PauseRole, Terminate:
 		if fault.Class == classEdge {
 			scope.stops = h.machine(fault).Settings.Listen.Front
 		}
@@ -81,6 +94,10 @@
 		return h.killMachines(h.TurnStores, fault.For)
 	case KillAll:
 		return h.killMachines(h.Machines(), fault.For)
+	case KillHalf:
+		return h.killMachines(drawMachines(h.members(), halfOfAll, fault), fault.For)
+	case KillThird:
+		return h.killMachines(drawMachines(h.members(), thirdOfAll, fault), fault.For)
 	case ReplaceCoordinator:
 		return h.replaceCoordinator(machine)
 	case AddTurnStore:
@@ -113,6 +130,8 @@
 		machine.SignalRole(role, syscall.SIGSTOP)
 		time.Sleep(fault.For)
 		machine.SignalRole(role, syscall.SIGCONT)
+	case ThrottleMachine:
+		throttle(machine, fault.For)
 	case Terminate:
 		h.terminate(machine)
 		return h.launch(machine) == nil
@@ -130,6 +149,8 @@
 		return h.injectDiskFault(machine, fault.For, DiskFault{Failing: true})
 	case FullDisk:
 		return h.injectDiskFault(machine, fault.For, DiskFault{Full: true})
+	case TornWrites:
+		return h.losePowerWithinWrites(machine, fault.For)
 	case RemoveDataFolder:
 		return removeDataFolder(machine, fault.For)
 	case RetireTurnStore:
@@ -171,6 +192,23 @@
 	machine.Signal(syscall.SIGHUP)
 }
 
+// drawMachines draws one of so many machines, rounded up. The same fault always draws the same numbers.
+func drawMachines(machines []*testbed.Machine, oneOf int, fault Fault) []*testbed.Machine {
+	random := rand.New(rand.NewPCG(uint64(fault.At), uint64(fault.Other)))
+	random.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
+	return machines[:(len(machines)+oneOf-1)/oneOf]
+}
+
+// throttle lets a machine run for a part of each quota period only.
+func throttle(machine *testbed.Machine, during time.Duration) {
+	for end := time.Now().Add(during); time.Now().Before(end); {
+		machine.Signal(syscall.SIGSTOP)
+		time.Sleep(quotaPeriod - quotaRunTime)
+		machine.Signal(syscall.SIGCONT)
+		time.Sleep(quotaRunTime)
+	}
+}
+
 // killMachines kills machines at the same time and restarts them. It reports whether there were any that it could claim.
 func (h *harness) killMachines(machines []*testbed.Machine, during time.Duration) bool {
 	var claimed []*testbed.Machine
--- a/internal/tier/soak/plan.go
+++ b/internal/tier/soak/plan.go
@@ -29,6 +29,9 @@
 	KillCoordinators   Kind = "kill_core"      // all coordinators at once
 	KillTurnStores     Kind = "kill_stores"    // all turn stores at once
 	KillAll            Kind = "kill_everybody" // all processes at once
+	KillHalf           Kind = "kill_half"      // half of all machines at once, of any class
+	KillThird          Kind = "kill_third"     // a third of them
+	ThrottleMachine    Kind = "throttle"       // a machine runs for 40 ms of each 100 ms, as with a CPU quota that it has spent
 	Wipe               Kind = "wipe"           // a machine restarts without its data
 	TruncateFile       Kind = "spoil"          // a file of a machine is truncated while it is down
 	ReplaceCoordinator Kind = "replace_core"   // a coordinator is removed for good, a new one starts at another address
@@ -40,6 +43,7 @@
 	SlowDisk           Kind = "slow_disk"      // syncs of a machine are slow
 	FailSync           Kind = "fail_sync"      // syncs of a machine fail, and the data is lost
 	FullDisk           Kind = "full_disk"      // the disk of a machine is full for a while
+	TornWrites         Kind = "torn_writes"    // a machine loses power while only a part of each write has reached its disk
 	NoFault            Kind = "none"
 )
 
@@ -48,7 +52,7 @@
 var destructiveKinds = []Kind{Wipe, TruncateFile, RemoveFile, CorruptFile, ReplaceCoordinator}
 
 // diskKinds need a machine with a disk.
-var diskKinds = []Kind{Wipe, TruncateFile, RemoveFile, CorruptFile, RemoveDataFolder, SlowDisk, FailSync, FullDisk}
+var diskKinds = []Kind{Wipe, TruncateFile, RemoveFile, CorruptFile, RemoveDataFolder, SlowDisk, FailSync, FullDisk, TornWrites}
 
 // Fault is a fault of a plan.
 type Fault struct {
@@ -166,6 +170,7 @@
 		KillMachine, KillRole, PauseMachine, PauseRole, Terminate, Reload, BadSettings, Isolate, PartitionPair, PartitionOneWay,
 		PartitionHalves, SlowLinks, DropReplies, ResetConnections, KillCoordinators, KillTurnStores, KillAll, Wipe, TruncateFile,
 		ReplaceCoordinator, AddTurnStore, RetireTurnStore, RemoveDataFolder, RemoveFile, CorruptFile, SlowDisk, FailSync, FullDisk,
+		KillHalf, KillThird, ThrottleMachine, TornWrites,
 	}
 	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:5+random.IntN(6)]
--- a/internal/tier/soak/volatile_disk.go
+++ b/internal/tier/soak/volatile_disk.go
@@ -23,6 +23,7 @@
 	Delay   time.Duration `json:"delay"`   // of each sync
 	Failing bool          `json:"failing"` // syncs fail, and the data they were to make durable is lost
 	Full    bool          `json:"full"`    // nothing can be written
+	Torn    bool          `json:"torn"`    // the first part of each write to a file with a durable name survives a kill
 }
 
 // diskFaultPath returns the file that holds the fault of a machine's disk, beside its data folder.
@@ -222,15 +223,35 @@
 
 // Write implements storage.File.
 func (f *volatileFile) Write(data []byte) (int, error) {
-	if f.disk.currentFault().Full {
+	fault := f.disk.currentFault()
+	if fault.Full {
 		return 0, syscall.ENOSPC
 	}
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
-	f.unsynced = append(f.unsynced, data...)
+	rest := data
+	if fault.Torn && f.durableName && len(f.unsynced) == 0 {
+		part := len(data) / 2
+		if err := f.store(data[:part]); err != nil {
+			return 0, err
+		}
+		rest = data[part:]
+	}
+	f.unsynced = append(f.unsynced, rest...)
 	return len(data), nil
 }
 
+// store makes content durable, in a file whose name is. The disk's lock is held.
+func (f *volatileFile) store(content []byte) error {
+	f.synced = append(f.synced, content...)
+	durable, err := os.OpenFile(f.path, os.O_WRONLY|os.O_APPEND, 0)
+	if err != nil {
+		return err
+	}
+	_, err = durable.Write(content)
+	return errors.Join(err, durable.Close())
+}
+
 // Sync implements storage.File. After a failed sync the content is lost, and later syncs do not report that, as with the
 // page cache of Linux.
 func (f *volatileFile) Sync() error {
@@ -243,16 +264,12 @@
 		return errSync
 	}
 	unsynced := f.unsynced
-	f.synced, f.unsynced = append(f.synced, unsynced...), nil
+	f.unsynced = nil
 	if !f.durableName {
+		f.synced = append(f.synced, unsynced...)
 		return nil
 	}
-	durable, err := os.OpenFile(f.path, os.O_WRONLY|os.O_APPEND, 0)
-	if err != nil {
-		return err
-	}
-	_, err = durable.Write(unsynced)
-	return errors.Join(err, durable.Close())
+	return f.store(unsynced)
 }
 
 // Close implements storage.File.
--- a/internal/tier/soak/volatile_disk_test.go
+++ b/internal/tier/soak/volatile_disk_test.go
@@ -44,6 +44,31 @@
 	assert.Equal(t, names(), 0)
 }
 
+// TestVolatileDiskTearsWrites shows that a kill within a write leaves its first part, and that a sync completes it.
+func TestVolatileDiskTearsWrites(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	path := filepath.Join(folder, "file")
+	disk := soak.NewVolatileDisk(folder)
+	assert.NilError(t, disk.MkdirAll(folder))
+	file, err := disk.Create(path)
+	assert.NilError(t, err)
+	assert.NilError(t, disk.SyncDir(folder))
+	assert.NilError(t, os.WriteFile(folder+".fault", []byte(`{"torn": true}`), 0o600))
+	durable := func() string {
+		left, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		return string(left)
+	}
+	write(t, file, "abcdef")
+	write(t, file, "gh")
+	assert.Equal(t, durable(), "abc")
+	seen, err := disk.Read(path)
+	assert.NilError(t, err)
+	assert.Equal(t, string(seen), "abcdefgh")
+	assert.NilError(t, file.Sync())
+	assert.Equal(t, durable(), "abcdefgh")
+}
+
 // TestVolatileDiskKeepsVersions saves versions on it: each is whole, and the newest is there after a loss of power.
 func TestVolatileDiskKeepsVersions(t *testing.T) {
 	folder := t.TempDir()
