Retained turns ask silent turn stores before they run

Cause: a retained turn without budget or previous turn needs nothing of the turn stores before it runs, so while these were silent each such turn was executed in vain and broke off at its end. Change: after a call that got no quorum the next such turn first reads its own id from a quorum; 503 with Retry-After where none answers. No call more while the last one got its quorum.

--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -44,20 +44,21 @@
 
 // Proxy serves clients' requests. It is safe for concurrent use.
 type Proxy struct {
-	log            hclog.Logger
-	state          *watch.State
-	snapshots      latestSnapshot
-	endpoints      endpointList
-	pools          *upstream.Transport
-	admit          *admission.Dispatcher
-	turns          turnStoreClient
-	budgets        budgetClient
-	draining       atomic.Bool
-	endpointsKnown atomic.Bool // at least one store was ever known
-	updates        updates
-	mismatches     mismatchLog
-	requestLog     requestLog
-	started        time.Time
+	log             hclog.Logger
+	state           *watch.State
+	snapshots       latestSnapshot
+	endpoints       endpointList
+	pools           *upstream.Transport
+	admit           *admission.Dispatcher
+	turns           turnStoreClient
+	budgets         budgetClient
+	turnStoreHealth turnStoreHealth
+	draining        atomic.Bool
+	endpointsKnown  atomic.Bool // at least one store was ever known
+	updates         updates
+	mismatches      mismatchLog
+	requestLog      requestLog
+	started         time.Time
 }
 
 // New makes a proxy that follows a watched state. Requests on routes that retain turns or have budgets need clients of
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -76,7 +76,7 @@
 		return false
 	}
 	if !x.turn.budgeted && x.turn.previous == "" {
-		return true
+		return x.canRetain(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(turnStoreTimeFraction*float64(time.Until(x.deadline))))
 	defer cancel()
@@ -85,6 +85,7 @@
 	reserveErr := <-reserved
 	x.turn.reserved = x.turn.budgeted && reserveErr == nil // a failed reservation has withdrawn itself
 	err := errors.Join(chainErr, reserveErr)
+	x.recordTurnStores(err)
 	if err == nil {
 		x.prependChain(chain)
 		return true
@@ -183,7 +184,9 @@
 func (x *exchange) completeTurn(ctx context.Context) error {
 	t := &x.turn
 	if t.retained {
-		if err := x.proxy.turns.Save(ctx, x.turnRecord()); err != nil {
+		err := x.proxy.turns.Save(ctx, x.turnRecord())
+		x.recordTurnStores(err)
+		if err != nil {
 			return errTurnNotSaved
 		}
 		t.saved = true
--- a/internal/tier/proxy/turn_stores_unavailable_test.go
+++ b/internal/tier/proxy/turn_stores_unavailable_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -78,3 +79,50 @@
 	assert.Assert(t, time.Since(began) < allowed/2, "held for %v", time.Since(began))
 	assert.Equal(t, len(store.requests()), 0)
 }
+
+// After a turn that could not be saved, another one that needs nothing of the turn stores before it runs asks them first: it
+// is rejected before any store executes it, until they answer again.
+func TestTurnIsNotExecutedInVainWhileTurnStoresAreSilent(t *testing.T) {
+	store := newFakeStore(t, "a", streamEvents(true, numberedEvents(1, 3)...))
+	b := newTestProxy(t, longTimeout, nil, []*fakeStore{store})
+	setUnavailable := func(err error) {
+		b.turnStores.mu.Lock()
+		defer b.turnStores.mu.Unlock()
+		b.turnStores.saveErr, b.turnStores.chainErr = err, err
+	}
+	setUnavailable(turns.ErrUncertain)
+	got := b.send("POST", "/t/x", "first", "in")
+	assert.Assert(t, got.err != nil, "it was known of no turn store that it is silent: the stream breaks off")
+	assert.Equal(t, len(store.requests()), 1)
+	for range 3 {
+		got = b.send("POST", "/t/x", "next", "in")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, 503)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	}
+	got = b.send("POST", "/s/x", "other", "in") // what is not retained needs no turn store
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, len(store.requests()), 2)
+	setUnavailable(nil)
+	for _, id := range []string{"again", "and-again"} {
+		got = b.send("POST", "/t/x", id, "in")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, 200)
+	}
+}
+
+// Only a call that no quorum answered makes the turn stores suspect, and any that one did ends that.
+func TestTurnStoreHealthFollowsTheLastQuorum(t *testing.T) {
+	health := &turnStoreHealth{}
+	for _, step := range []struct {
+		err     error
+		suspect bool
+	}{
+		{turns.ErrUncertain, true}, {nil, false}, {turns.ErrUncertain, true}, {context.Canceled, true}, {turns.ErrNotFound, false},
+		{context.Canceled, false}, {turns.ErrUncertain, true}, {budget.ErrExhausted, false},
+	} {
+		health.record(step.err)
+		assert.Equal(t, health.suspect.Load(), step.suspect, "%v", step.err)
+	}
+}
