policy: names for the conditions of hedging and rerouting, and for a query's progress

Cause: five-part conditions without a name, several assignments a line, four results without names; spread.Rank was called by its own test alone. Change: hedgeDue, hedgesAt, rerouteAge, cluster.Progress; the rendezvous rank stands in the test that needs it. Same order of calls, no decision changed.

--- a/internal/gatherer/mem/cluster/query.go
+++ b/internal/gatherer/mem/cluster/query.go
@@ -160,21 +160,28 @@
 	return slices.ContainsFunc(sub.Attempts, func(a *Attempt) bool { return a.Live })
 }
 
-// Progress sums the weights of the step's subqueries that are done, and of those that are or can still be. It counts
-// those that failed and those that are done.
-func Progress(q *Query) (got, can float64, failed, done int) {
+// Progress is how far the current step of a query has come.
+type Progress struct {
+	Answered   float64 // weight of the subqueries that have been answered
+	Attainable float64 // weight of those that have been or may still be
+	Failed     int     // subqueries that cannot be answered any more
+	Done       int     // subqueries that have been answered
+}
+
+// ProgressOf returns how far the current step of a query has come.
+func ProgressOf(q *Query) (p Progress) {
 	for _, sub := range q.Current {
 		if sub.Done {
-			got += sub.Weight
-			done++
+			p.Answered += sub.Weight
+			p.Done++
 		}
 		if sub.Failed {
-			failed++
+			p.Failed++
 		} else {
-			can += sub.Weight
+			p.Attainable += sub.Weight
 		}
 	}
-	return got, can, failed, done
+	return p
 }
 
 // Drop marks the selected subqueries as failed and the rest as not, and returns the weight of the rest.
--- a/internal/gatherer/spread/spread.go
+++ b/internal/gatherer/spread/spread.go
@@ -1,20 +1,19 @@
 // Package spread selects the subset of lot stores that one gatherer uses, so that many gatherers that share nothing load
 // the stores evenly. It does no I/O and has no clock.
 //
-// Each gatherer ranks the replicas of a cell, by rendezvous hashing (highest random weight) of its own seed and the
-// store's name (Rank) or by its own random numbers, and selects the first k that are usable. A store that comes or goes
-// moves only the gatherers that ranked it among their first k. See docs/design/spread.md.
+// Each gatherer ranks the replicas of a cell by random numbers of its own, as in rendezvous hashing (highest random weight), and
+// selects the first k that are usable. A store that comes or goes moves only the gatherers that ranked it among their first
+// k. See docs/design/spread.md.
 package spread
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 )
 
 // Replica is one store of a cell, as the caller sees it now.
 type Replica struct {
-	Rank   float64 // higher first: Rank's rendezvous weight, or any random number of the caller's
+	Rank   float64 // higher first: a random number that the caller keeps for the store
 	Usable bool    // ready and healthy
 }
 
@@ -36,23 +35,6 @@
 	return limit
 }
 
-// Rank is the rendezvous weight, in [0, 1), of a store by its name in the server list, for the gatherer of this seed. It is
-// deterministic, and independent between gatherers.
-func Rank(seed uint64, name string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name)) // a hash does not fail
-	return float64(mix(h.Sum64()^seed)>>11) / (1 << 53)
-}
-
-// mix is SplitMix64's finaliser: FNV alone leaves weights of names that differ in their last byte close together.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // Select selects the k usable replicas of highest rank of one cell. The result is in the order of cell, true for selected
 // ones. Where fewer than k are usable, all of them are selected; an unusable replica is replaced by the next by rank for as
 // long as it is unusable.
--- a/internal/gatherer/spread/spread_test.go
+++ b/internal/gatherer/spread/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -18,11 +19,28 @@
 	return all
 }
 
+// rankOf is the rendezvous weight, in [0, 1), of a store by its name, for the gatherer of this seed. It stands for the random
+// numbers that gatherers keep: deterministic, and independent between them.
+func rankOf(seed uint64, name string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // a hash does not fail
+	return float64(mix(h.Sum64()^seed)>>11) / (1 << 53)
+}
+
+// mix is SplitMix64's finaliser: FNV alone leaves weights of names that differ in their last byte close together.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // ranked is one cell as the gatherer of this seed ranks it, all usable.
 func ranked(seed uint64, names []string) []Replica {
 	cell := make([]Replica, len(names))
 	for i, name := range names {
-		cell[i] = Replica{Rank: Rank(seed, name), Usable: true}
+		cell[i] = Replica{Rank: rankOf(seed, name), Usable: true}
 	}
 	return cell
 }
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"time"
+
 	"pulleygw.example/pulleygw/internal/gatherer/decision"
 	"pulleygw.example/pulleygw/internal/gatherer/mem/cluster"
 	"pulleygw.example/pulleygw/internal/shared/curve"
@@ -54,41 +56,65 @@
 // (see reroute). The hedged requests of all instances together may use the free attempts of one; retries of
 // failed ones may use any.
 func (sc *Scheduler) hedge(sub *cluster.Subquery) {
-	q, n := sub.Parent, len(sub.Attempts)
-	if sc.Stalled || sub.Done || sub.QueueIndex >= 0 || n == 0 || n+sub.Used >= q.Spec.MaxAttempts {
+	q := sub.Parent
+	attempts := len(sub.Attempts)
+	waiting := sub.QueueIndex >= 0 || attempts == 0
+	if sc.Stalled || sub.Done || waiting || attempts+sub.Used >= q.Spec.MaxAttempts {
 		return
 	}
-	a := sub.Attempts[n-1]
-	if !a.Live || !sc.retryable(sub) || !q.Proven && q.Crashes > 0 {
+	latest := sub.Attempts[attempts-1]
+	unproven := !q.Proven && q.Crashes > 0
+	if !latest.Live || !sc.retryable(sub) || unproven {
 		return
 	}
 	if !sc.Settings.Hedging || q.Spec.Effect != decision.Idempotent {
-		sc.reroute(sub, a)
+		sc.reroute(sub, latest)
 		return
 	}
-	// Without a budget all that will miss the latency target are hedged in time.
-	rationed := sc.Settings.Rules.BudgetOn
-	takes := sc.Typical + sc.waitNow()
-	if rationed && sc.Shed > 0 || sc.Now+curve.Duration(takes) > q.GivesUpAt {
-		return // it is too late, or everything is slow and hedging would add to the load
+	overloaded := sc.Settings.Rules.BudgetOn && sc.Shed > 0 // hedging would add to the load
+	expected := curve.Duration(sc.Typical + sc.waitNow())
+	tooLate := sc.Now+expected > q.GivesUpAt
+	if overloaded || tooLate || !sc.hedgeDue(sub, latest) {
+		return
 	}
-	sc.CDF(a.Server)
-	age := curve.Seconds(sc.Now - a.SentAt)
-	due := sc.Now > sub.Deadline-curve.Duration(sc.Typical) &&
-		(age > a.Server.MaxAge || !rationed && age > lateTimes*sc.Typical)
-	if !due && !sc.Zones[a.Server.Zone].Unreachable || !sc.withinBudget(1/float64(sc.Settings.Instances)) {
+	if !sc.withinBudget(1 / float64(sc.Settings.Instances)) {
 		return
 	}
 	s := sc.pick(sub)
-	_, _, _, in := cluster.Progress(q)
-	last := float64(len(q.Current)-in) <= lastFraction*float64(len(q.Current)) // any untried replica will do
-	if s == nil || !sc.sendable(s) || sc.tier(s, sub) > 2 || !last && (sc.tier(s, sub) > 0 || !sc.healthy(s)) {
+	if s == nil || !sc.hedgesAt(s, sub) {
 		return
 	}
 	sc.Turn, s.Turn = sc.Turn+1, sc.Turn+1
 	sc.send(sub, s)
 }
 
+// hedgeDue reports whether an attempt has been in flight for so long that a second one is worth its cost.
+// Without a retry budget all that will miss the latency target are hedged in time.
+func (sc *Scheduler) hedgeDue(sub *cluster.Subquery, latest *cluster.Attempt) bool {
+	sc.CDF(latest.Server) // updates MaxAge
+	if sc.Zones[latest.Server.Zone].Unreachable {
+		return true
+	}
+	age := curve.Seconds(sc.Now - latest.SentAt)
+	missesTarget := sc.Now > sub.Deadline-curve.Duration(sc.Typical)
+	rationed := sc.Settings.Rules.BudgetOn
+	late := age > latest.Server.MaxAge || !rationed && age > lateTimes*sc.Typical
+	return missesTarget && late
+}
+
+// hedgesAt reports whether the replica suits a hedged request: it is healthy and of the best tier. For the
+// last subqueries of a query any that was not tried does.
+func (sc *Scheduler) hedgesAt(s *cluster.Server, sub *cluster.Subquery) bool {
+	tier := sc.tier(s, sub)
+	if !sc.sendable(s) || tier > 2 {
+		return false
+	}
+	current := sub.Parent.Current
+	missing := float64(len(current) - cluster.ProgressOf(sub.Parent).Done)
+	lastOnes := missing <= lastFraction*float64(len(current))
+	return lastOnes || tier == 0 && sc.healthy(s)
+}
+
 // reroute cancels an attempt that has been in flight too long at a server that has answered nothing since, or
 // that has answered something sent later, if a healthy replica can still answer in time: after twice the tail
 // latency, or after the tail where that is too late. Scores, which the listings wait for, are rerouted
@@ -97,32 +123,47 @@
 	if !sc.Settings.Cancel || a.Rerouted || a.InTurn() {
 		return
 	}
-	sc.CDF(a.Server)
+	sc.CDF(a.Server) // updates MaxAge
 	q := sub.Parent
-	takes, s, age, until := sc.Typical+sc.waitNow(), sc.pick(sub), curve.Seconds(sc.Now-a.SentAt), sc.answerBy(q)
-	scores, tooLong := q.Phased && q.Step == 1, lateTimes*sc.Typical+sc.waitNow()
+	expected := sc.Typical + sc.waitNow()
+	s := sc.pick(sub)
+	age := curve.Seconds(sc.Now - a.SentAt)
 	seldom := sc.Settings.Instances >= seldomFrom && sc.ServerRate*age < 1 // no answer was due meanwhile
+	until := sc.answerBy(q)
 	if seldom && q.Spec.Floor >= q.Spec.Need {
 		until = q.GivesUpAt // a late answer has some value, an incomplete one none
 	}
-	if !scores {
-		tooLong = max(a.Server.MaxAge, tooLong)
-		if !seldom || a.SentAt+curve.Duration(2*tooLong+takes) < until { // there is time to be certain
-			tooLong *= 2
-		}
-	}
-	if age < tooLong || sc.Now+curve.Duration(takes) > until {
+	scores := q.Phased && q.Step == 1
+	tooLate := sc.Now+curve.Duration(expected) > until
+	if tooLate || age < sc.rerouteAge(a, scores, seldom, expected, until) {
 		return
 	}
 	if s == nil || sc.tier(s, sub) > 0 || !sc.healthy(s) {
 		return
 	}
-	if (scores || seldom || s.AnsweredAt > a.SentAt) && sc.withinBudget(1) {
+	overtaken := s.AnsweredAt > a.SentAt
+	if (scores || seldom || overtaken) && sc.withinBudget(1) {
 		a.Rerouted = true
 		sc.Emit(decision.Cancel{Subquery: sub.ID, Attempt: a.Number})
 	}
 }
 
+// rerouteAge is the age in seconds from which an attempt is rerouted.
+func (sc *Scheduler) rerouteAge(
+	a *cluster.Attempt, scores, seldom bool, expected float64, until time.Duration,
+) float64 {
+	tooLong := lateTimes*sc.Typical + sc.waitNow()
+	if scores {
+		return tooLong
+	}
+	tooLong = max(a.Server.MaxAge, tooLong)
+	timeToBeCertain := a.SentAt+curve.Duration(2*tooLong+expected) < until
+	if !seldom || timeToBeCertain {
+		tooLong *= 2
+	}
+	return tooLong
+}
+
 // Poison queries crash the servers that execute them. One subquery that is answered clears its query, as the
 // fault crashes every server. Servers that crash in several zones without having drained raise the alarm.
 
--- a/policy/reply.go
+++ b/policy/reply.go
@@ -18,30 +18,35 @@
 	if q.Ended || !q.Admitted || len(q.Current) < q.Awaited || len(q.Current) == 0 && q.Step == 1 {
 		return
 	}
-	got, can, lost, in := cluster.Progress(q)
-	need, floor, over := q.Spec.Need, q.Spec.Floor, sc.Now >= sc.answerBy(q)
+	progress := cluster.ProgressOf(q)
+	need, floor := q.Spec.Need, q.Spec.Floor
 	if q.Step == 2 {
-		need, got, can = 1, got*q.FirstWeight, can*q.FirstWeight // a fraction of the page, out of what was ranked
+		progress.Answered *= q.FirstWeight // a fraction of the page, out of what was ranked
+		progress.Attainable *= q.FirstWeight
+		need = 1
 		if q.Spec.Floor >= q.Spec.Need {
 			floor = 1
 		}
 	}
-	complete := got >= need-weightSlip
+	complete := progress.Answered >= need-weightSlip
 	if q.Step == 2 || need == 1 {
-		complete = in == len(q.Current)
+		complete = progress.Done == len(q.Current)
 	}
-	partial := floor < need && got >= floor-weightSlip
+	partial := floor < need && progress.Answered >= floor-weightSlip
+	decided := progress.Failed+progress.Done == len(q.Current)
+	targetReached := sc.Now >= sc.answerBy(q)
+	unattainable := progress.Attainable < floor-weightSlip
 	switch {
 	case complete:
-	case partial && (over || lost+in == len(q.Current)):
-	case can < floor-weightSlip || over && q.Phased: // what has come and what still can is too little
+	case partial && (targetReached || decided):
+	case unattainable || targetReached && q.Phased: // what has come and what still can is too little
 		sc.abandon(q)
 		return
 	default:
 		return
 	}
 	if q.Step == 1 && (q.Spec.Fetch > 0 || q.Phased) {
-		sc.endFirstStep(q, complete, got, in)
+		sc.endFirstStep(q, complete, progress.Answered, progress.Done)
 		return
 	}
 	sc.Emit(decision.Answer{Query: q.ID, Complete: complete && (q.Step == 1 || q.FirstComplete), Final: true})
