--- a/internal/gatherer/aggs/partial.go
+++ b/internal/gatherer/aggs/partial.go
@@ -187,32 +187,39 @@
 		p.buckets = append(p.buckets, b)
 		return why == ""
 	})
-	switch {
-	case why != "":
-	case n.Kind == Terms:
+	if why != "" {
+		return why
+	}
+	return n.checkBuckets(p, v)
+}
+
+// checkBuckets returns why the decoded buckets are not those that were asked for, empty if they are.
+func (n *Node) checkBuckets(p *Partial, v gjson.Result) (why string) {
+	switch n.Kind {
+	case Terms:
 		var ok bool
 		if p.other, ok = count(v.Get("sum_other_doc_count")); !ok {
-			why = "no sum of what was cut off"
+			return "no sum of what was cut off"
 		}
-	case n.Kind == Range || n.Kind == DateRange:
+	case Range, DateRange:
 		for _, b := range p.buckets { // their keys are indices
 			if i, err := strconv.Atoi(unquote(b.key.raw)); err != nil || i < 0 || i >= len(n.Ranges) {
 				return "a range that was not asked for"
 			}
 		}
-		if len(p.buckets) != most {
-			why = "not all ranges"
+		if len(p.buckets) != len(n.Ranges) {
+			return "not all ranges"
 		}
-	case n.Kind == Filters:
+	case Filters:
 		want := len(n.Filters)
 		if n.Other != "" {
 			want++
 		}
 		if len(p.buckets) != want {
-			why = "not all filters"
+			return "not all filters"
 		}
 	}
-	return why
+	return ""
 }
 
 // unquote decodes a JSON value as a string.
--- a/internal/gatherer/cli/cli.go
+++ b/internal/gatherer/cli/cli.go
@@ -85,7 +85,11 @@
 		RunE: func(*cobra.Command, []string) error { return serving() }}
 	serveCommand.Flags().AddFlagSet(root.Flags())
 	root.AddCommand(serveCommand, check(&files), explain(&files), auditCommand(), logCommand(), ctl(), version())
-	err := root.ExecuteContext(context.Background())
+	return exitCode(root.ExecuteContext(context.Background()), errOut)
+}
+
+// exitCode prints the error of a command, if any, and returns the exit code for it.
+func exitCode(err error, errOut io.Writer) int {
 	if err == nil {
 		return 0
 	}
--- a/internal/gatherer/lifecycle/config.go
+++ b/internal/gatherer/lifecycle/config.go
@@ -77,15 +77,8 @@
 	if c.Seed, err = strconv.ParseUint(root.Get("seed").String(), 16, 64); err != nil {
 		return c, fmt.Errorf("seed: not a hexadecimal number of 64 bits")
 	}
-	limits := root.Get("limits")
-	c.Cores, c.MemoryMB, c.Sockets = limits.Get("cores").Float(), int(limits.Get("memory_mb").Int()), int(limits.Get("sockets").Int())
-	switch {
-	case c.Cores <= 0:
-		return c, errors.New("limits.cores: missing or not above 0")
-	case c.MemoryMB < 32:
-		return c, errors.New("limits.memory_mb: missing or under 32")
-	case c.Sockets < 128:
-		return c, errors.New("limits.sockets: missing or under 128")
+	if err := c.parseLimits(root.Get("limits")); err != nil {
+		return c, err
 	}
 	if c.Settings, err = settings.ParseDaemon([]byte(root.Get("settings").Raw)); err != nil {
 		return c, err
@@ -99,6 +92,22 @@
 	return c, nil
 }
 
+// parseLimits takes in the limits of the process.
+func (c *Config) parseLimits(limits gjson.Result) error {
+	c.Cores = limits.Get("cores").Float()
+	c.MemoryMB = int(limits.Get("memory_mb").Int())
+	c.Sockets = int(limits.Get("sockets").Int())
+	switch {
+	case c.Cores <= 0:
+		return errors.New("limits.cores: missing or not above 0")
+	case c.MemoryMB < 32:
+		return errors.New("limits.memory_mb: missing or under 32")
+	case c.Sockets < 128:
+		return errors.New("limits.sockets: missing or under 128")
+	}
+	return nil
+}
+
 // FrontConfig is the configuration of the OpenSearch-style front.
 type FrontConfig struct {
 	Listen  string
--- a/internal/gatherer/net/opensearch/shardsearch.go
+++ b/internal/gatherer/net/opensearch/shardsearch.go
@@ -236,23 +236,7 @@
 	hits = make([]merge.Hit, 0, min(expected, 64))
 	values := make([]merge.Value, 0, keys*cap(hits)) // of all hits, one allocation for the usual page
 	list.ForEach(func(_, h gjson.Result) bool {
-		x := merge.Hit{}
-		var score, sort gjson.Result
-		h.ForEach(func(k, v gjson.Result) bool {
-			switch k.Str {
-			case "_id":
-				if v.Type == gjson.String {
-					x.ID = v.Str
-				}
-			case "_version":
-				x.Version = v.Int()
-			case "_score":
-				score = v
-			case "sort":
-				sort = v
-			}
-			return true
-		})
+		x, score, sort := parseHitFields(h)
 		if x.ID == "" {
 			why = "a hit without an id"
 			return false
@@ -283,6 +267,26 @@
 	return hits, why
 }
 
+// parseHitFields parses the fields of a hit in one pass, and returns its score and sort values as they are.
+func parseHitFields(h gjson.Result) (x merge.Hit, score, sort gjson.Result) {
+	h.ForEach(func(k, v gjson.Result) bool {
+		switch k.Str {
+		case "_id":
+			if v.Type == gjson.String {
+				x.ID = v.Str
+			}
+		case "_version":
+			x.Version = v.Int()
+		case "_score":
+			score = v
+		case "sort":
+			sort = v
+		}
+		return true
+	})
+	return x, score, sort
+}
+
 // parseValue parses a sort value. The API encodes infinite numbers, which stand for lots without the field, as strings.
 func parseValue(v gjson.Result) merge.Value {
 	switch {
--- a/internal/gatherer/query/short.go
+++ b/internal/gatherer/query/short.go
@@ -210,41 +210,51 @@
 	case field == "" && (one.Range != nil || one.Than != nil):
 		return nil, At(s.text, 0, "a range wants a field")
 	case one.Range != nil:
-		r := Range{Field: field, Boost: boost}
-		from, to := one.Range.From.value(), one.Range.To.value()
-		if one.Range.Open == "{" {
-			r.GT = from
-		} else {
-			r.GTE = from
-		}
-		if one.Range.Close == "}" {
-			r.LT = to
-		} else {
-			r.LTE = to
-		}
-		if from+to == "" {
-			return Exists{Field: field, Boost: boost}, nil
-		}
-		return r, nil
+		return rangeBetween(one, field, boost), nil
 	case one.Than != nil:
-		r, v := Range{Field: field, Boost: boost}, one.Than.To.value()
-		switch one.Than.Op {
-		case ">":
-			r.GT = v
-		case ">=":
-			r.GTE = v
-		case "<":
-			r.LT = v
-		default:
-			r.LTE = v
-		}
-		return r, nil
+		return rangeBeyond(one, field, boost), nil
 	case one.Text != "":
 		return s.phrase(one, field, boost)
 	}
 	return s.word(one, field, boost)
 }
 
+// rangeBetween converts a range with two bounds. One without any is about the field's existence.
+func rangeBetween(one *shortSigned, field string, boost float64) Query {
+	r := Range{Field: field, Boost: boost}
+	from, to := one.Range.From.value(), one.Range.To.value()
+	if from+to == "" {
+		return Exists{Field: field, Boost: boost}
+	}
+	if one.Range.Open == "{" {
+		r.GT = from
+	} else {
+		r.GTE = from
+	}
+	if one.Range.Close == "}" {
+		r.LT = to
+	} else {
+		r.LTE = to
+	}
+	return r
+}
+
+// rangeBeyond converts a range with one bound.
+func rangeBeyond(one *shortSigned, field string, boost float64) Query {
+	r, bound := Range{Field: field, Boost: boost}, one.Than.To.value()
+	switch one.Than.Op {
+	case ">":
+		r.GT = bound
+	case ">=":
+		r.GTE = bound
+	case "<":
+		r.LT = bound
+	default:
+		r.LTE = bound
+	}
+	return r
+}
+
 // phrase converts a phrase.
 func (s *short) phrase(one *shortSigned, field string, boost float64) (Query, *Error) {
 	text := Value(appendString(nil, unescape(one.Text[1:len(one.Text)-1])))
--- a/internal/gatherer/settings/settings.go
+++ b/internal/gatherer/settings/settings.go
@@ -116,24 +116,8 @@
 	if r.ExtraPerRequest != nil {
 		s.Rules.BudgetRatio = *r.ExtraPerRequest
 	}
-	for i, c := range o.Classes {
-		k := decision.Class{
-			Deadline:      us(c.DeadlineUs),
-			LatencyTarget: us(c.OnTimeUs), Value: c.Worth, Window: us(c.MemorySpanUs),
-			Need: valueAt(f.CompleteFrom, i, 1), Floor: valueAt(f.LeastShare, i, 1), MaxAttempts: l.MaxAttempts,
-		}
-		if i < len(f.FetchParts) {
-			k.Fetch = f.FetchParts[i]
-		}
-		switch c.Effect {
-		case "safe":
-			k.Effect = decision.Idempotent
-		case "keyed":
-			k.Effect = decision.Deduplicated
-		default: // an unknown effect counts as the least safe
-			k.Effect = decision.NotIdempotent
-		}
-		s.Classes = append(s.Classes, k)
+	for i := range o.Classes {
+		s.Classes = append(s.Classes, o.policyClass(i))
 	}
 	out := Settings{
 		Zones: o.Zones, Shards: f.Shards, OpenCap: l.OpenCap, StreamsPerConn: l.StreamsPerConn,
@@ -148,3 +132,25 @@
 	out.Policy = s
 	return out, nil
 }
+
+// policyClass returns the i-th class as the scheduler needs it.
+func (o *options) policyClass(i int) decision.Class {
+	class, family := o.Classes[i], o.FamilyInfo
+	k := decision.Class{
+		Deadline:      us(class.DeadlineUs),
+		LatencyTarget: us(class.OnTimeUs), Value: class.Worth, Window: us(class.MemorySpanUs),
+		Need: valueAt(family.CompleteFrom, i, 1), Floor: valueAt(family.LeastShare, i, 1), MaxAttempts: o.Limits.MaxAttempts,
+	}
+	if i < len(family.FetchParts) {
+		k.Fetch = family.FetchParts[i]
+	}
+	switch class.Effect {
+	case "safe":
+		k.Effect = decision.Idempotent
+	case "keyed":
+		k.Effect = decision.Deduplicated
+	default: // an unknown effect counts as the least safe
+		k.Effect = decision.NotIdempotent
+	}
+	return k
+}
--- a/internal/gatherer/testbed/lots/rank.go
+++ b/internal/gatherer/testbed/lots/rank.go
@@ -295,18 +295,7 @@
 	if s := question.Get("size"); s.Exists() {
 		size = int(s.Int())
 	}
-	out := append([]byte(nil), `{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{`...)
-	if t := question.Get("track_total_hits"); t.Type != gjson.False {
-		out = fmt.Appendf(out, `"total":{"value":%d,"relation":"eq"},`, total)
-	}
-	out = append(out, `"max_score":null,"hits":[`...)
-	for i, x := range found[:min(size, len(found))] {
-		if i > 0 {
-			out = append(out, ',')
-		}
-		out = x.append(out, question, plain)
-	}
-	out = append(out, `]}`...)
+	out := appendHits(nil, question, found[:min(size, len(found))], total, plain)
 	if a := question.Get("aggs"); a.Exists() {
 		text, err := k.corpus.aggregate(a, matched, v.lots)
 		if err != nil {
@@ -323,6 +312,22 @@
 	return string(append(out, `,"status":200}`...))
 }
 
+// appendHits appends the head of an answer and its hits.
+func appendHits(out []byte, question gjson.Result, page []*scored, total int, plain bool) []byte {
+	out = append(out, `{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{`...)
+	if t := question.Get("track_total_hits"); t.Type != gjson.False {
+		out = fmt.Appendf(out, `"total":{"value":%d,"relation":"eq"},`, total)
+	}
+	out = append(out, `"max_score":null,"hits":[`...)
+	for i, x := range page {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = x.append(out, question, plain)
+	}
+	return append(out, `]}`...)
+}
+
 // findLots returns the lots that match, sorted, and whether it terminated early.
 func findLots(lots []*Lot, question gjson.Result, match matcher, keys []sortKey) (found []*scored, early bool) {
 	least, hasLeast := question.Get("min_score").Num, question.Get("min_score").Exists()
