Count late responses of loaded stores as misses, so that load is shed within seconds

Cause: the miss share counted queues of the proxy alone. Hypothesis: a response that begins after the latency target, sent in time to a store that was loaded already, shows the same load; unloaded stores that are slow are left out, so that a fault sheds nothing. Change: such a response counts as a miss, once a request.

--- a/internal/tier/admission/core.go
+++ b/internal/tier/admission/core.go
@@ -55,6 +55,7 @@
 	g := &Grant{
 		store: s, class: p.class, affinity: p.Affinity, snapshot: s.Store, sentAt: now,
 		unloaded: s.load(now) < unloadedShare*float64(s.capacity()),
+		targetAt: p.targetAt, counted: p.key.NoBudget || now > p.key.Deadline,
 	}
 	if p.Affinity != 0 {
 		svc.startedPrograms.add(p.Affinity, now)
@@ -97,6 +98,7 @@
 	g.store.service.responded = true
 	g.store.removeAwaiting(g)
 	g.store.recordLatency(g.class, now, (now - g.sentAt).Seconds(), g.unloaded)
+	c.countLateResponse(g, now)
 	c.observeHealth(g.store, now)
 }
 
--- a/internal/tier/admission/doc.go
+++ b/internal/tier/admission/doc.go
@@ -68,6 +68,8 @@
 //
 // When the share of requests that missed their deadline in the last 5 s exceeds a threshold, a share of the new requests is
 // rejected with Shed: the lowest priority first, and the first requests of programs before those of programs under way. A
+// request misses its deadline in the queue, or by a response that begins after the latency target although it was sent in
+// time, where the store was loaded already: a store's own queue is load that no queue of the proxy shows. A
 // request is rejected with QueueTooLong where it would wait for more than a third of the time that it has. A request whose
 // response has started is never shed.
 //
--- a/internal/tier/admission/grant.go
+++ b/internal/tier/admission/grant.go
@@ -10,8 +10,10 @@
 	affinity   uint64
 	snapshot   Store // the store as it was when the grant was given
 	sentAt     time.Duration
-	unloaded   bool // the store was unloaded when the grant was given
-	firstByte  bool // the first byte of the response has arrived
+	unloaded   bool          // the store was unloaded when the grant was given
+	targetAt   time.Duration // end of the request's latency target
+	counted    bool          // the request missed its deadline in the queue, or had no budget: its response counts no more
+	firstByte  bool          // the first byte of the response has arrived
 	finished   bool
 }
 
--- a/internal/tier/admission/queue.go
+++ b/internal/tier/admission/queue.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// countLateResponse counts a request as one that missed its deadline if its response begins after the latency target, though it
+// left its queue in time. A store that was loaded when the request was sent makes it wait there: that is load that no queue of
+// this proxy shows. A late response of an unloaded store says that the store is slow, which is no reason to shed load.
+func (c *core) countLateResponse(g *Grant, now time.Duration) {
+	if !g.counted && !g.unloaded && now > g.targetAt {
+		g.store.service.missed.Add(now, 1)
+	}
+}
+
 // releaseQueued dispatches queued requests, earliest deadline first. Available stores go first, with their own queues and
 // then with requests queued at stores that cannot take them. Last come requests that were queued at stores of a worse
 // tier for want of a better one.
--- a/internal/tier/admission/shedding_test.go
+++ b/internal/tier/admission/shedding_test.go
@@ -33,6 +33,46 @@
 	}
 }
 
+// Requests that wait at loaded stores, and not in a queue of this proxy, show the load all the same.
+func TestLateResponsesOfLoadedStoresCountAsMisses(t *testing.T) {
+	h := newHarness(t, stores(1, 8)...)
+	svc := h.core.services["s"]
+	grants := h.saturate()
+	loaded := 0
+	for _, grant := range grants {
+		if !grant.unloaded {
+			loaded++
+		}
+	}
+	assert.Assert(t, loaded > 0 && loaded < len(grants))
+	h.clock.advance(testLatencyTarget + time.Millisecond)
+	for _, grant := range grants {
+		grant.Finish(Success)
+	}
+	assert.Equal(t, svc.missed.Sum, float64(loaded), "those sent while the store was unloaded say nothing about the load")
+
+	h.acquireNow(h.request()).Finish(Success)
+	assert.Equal(t, svc.missed.Sum, float64(loaded), "a response in time is no miss")
+}
+
+// A request that missed its deadline in the queue, or had no budget on arrival, is not counted by its late response again.
+func TestRequestIsCountedAsMissedOnce(t *testing.T) {
+	h := newHarness(t, stores(1, 1)...)
+	svc := h.core.services["s"]
+	grants := h.saturate()
+	late := h.acquireQueued(h.request())
+	h.clock.advance(testLatencyTarget + time.Millisecond)
+	for _, grant := range grants {
+		grant.Finish(Cancelled)
+	}
+	<-late.done
+	missed := svc.missed.Sum
+	assert.Assert(t, missed > 0)
+	h.clock.advance(testLatencyTarget)
+	late.grant.Finish(Success)
+	assert.Equal(t, svc.missed.Sum, missed)
+}
+
 func TestNothingIsShedWhileSlotsAreFree(t *testing.T) {
 	h := newHarness(t, stores(2, 8)...)
 	svc := h.core.services["s"]
--- a/internal/tier/turnstore/wal.go
+++ b/internal/tier/turnstore/wal.go
@@ -12,8 +12,8 @@
 
 // Bounds of the write-ahead log.
 const (
-	maxPendingBytes    = 8 << 20                // of the batch that waits for the sync under way
-	stallThreshold     = 400 * time.Millisecond // while a sync takes longer than this, new writes fail at once
+	maxPendingBytes = 8 << 20                // of the batch that waits for the sync under way
+	stallThreshold  = 400 * time.Millisecond // while a sync takes longer than this, new writes fail at once
 	// offsetSyncInterval is the least time between syncs of the offsets file. Corrupted bytes that were synced later than that
 	// before a loss of power look like an end that was torn: the shorter, the fewer. A sync delays the next batch by some
 	// milliseconds, so this costs a store a fiftieth of its time at most.
