--- a/internal/tier/watch/contact.go
+++ b/internal/tier/watch/contact.go
@@ -16,7 +16,7 @@
 // A source replies within MaxPollDuration whether or not anything is new. While none that is ready does, the process cannot
 // know whether its control state is the newest: coordinators are ready while they reach a quorum, agents always.
 var _ = metrics.NewGaugeFunc("watch_source_silence_seconds",
-	"Seconds since a source that is ready last replied. Above 1.5 the control state may be outdated.",
+	"Seconds since a source that is ready last replied to this agent, proxy or turn store. Above 1.5 its control state may be outdated.",
 	func() float64 { return sourceSilence().Seconds() })
 
 // sourceSilence returns how long no source that is ready has replied.
--- a/tools/configdelay/main.go
+++ b/tools/configdelay/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -38,9 +39,8 @@
 	if err != nil {
 		return eris.Wrap(err, "play")
 	}
-	defer file.Close()
 	play, err := readPlay(file)
-	if err != nil {
+	if err = errors.Join(err, file.Close()); err != nil {
 		return eris.Wrapf(err, "read %s", path)
 	}
 	delays := play.delays()
