Soak: requests that a store works on for long after their client has left

Cause: the check of GONE could not fail: the fake stores answer within milliseconds. Change: a client that will disconnect from a fetch asks for a run of 2.2 s.

--- a/internal/tier/soak/traffic.go
+++ b/internal/tier/soak/traffic.go
@@ -34,6 +34,9 @@
 const (
 	callTime    = 2500 * time.Millisecond
 	gracePeriod = 900 * time.Millisecond
+	// abandonedRunTime is how long a store would work on a request whose client disconnects: longer than the bounds of GONE,
+	// so that an edge that does not cancel it is found.
+	abandonedRunTime = 2200 * time.Millisecond
 )
 
 // settingsOf reads a machine's settings; the zero value if they are invalid.
@@ -275,7 +278,11 @@
 	first := random.IntN(len(h.Edges))
 	for number := range maxAttempts {
 		attemptContext, cancel := h.maybeDisconnecting(ctx, random)
-		attempt := h.send(attemptContext, client, h.Edges[(first+number)%len(h.Edges)], kind, callOf(kind, text), nil)
+		call := callOf(kind, text)
+		if _, disconnects := attemptContext.Deadline(); disconnects && kind == fetchRoute {
+			call.RunDelay = abandonedRunTime
+		}
+		attempt := h.send(attemptContext, client, h.Edges[(first+number)%len(h.Edges)], kind, call, nil)
 		cancel()
 		retriable := kind == fetchRoute || attempt.isNotExecuted()
 		if attempt.Status == 200 && attempt.isComplete() || !retriable || attempt.Disconnected {
--- a/internal/tier/testbed/client.go
+++ b/internal/tier/testbed/client.go
@@ -25,9 +25,10 @@
 	GracePeriod  time.Duration // how much longer than its deadline the client waits for the response
 	Program      string
 	Session      string
-	PreviousTurn string // request id of the turn that this one continues
-	Budget       int    // tokens of the program; 0: none is sent
-	TokensOut    int    // limit of output tokens; engines only
+	PreviousTurn string        // request id of the turn that this one continues
+	Budget       int           // tokens of the program; 0: none is sent
+	TokensOut    int           // limit of output tokens; engines only
+	RunDelay     time.Duration // how long the store works on it, if longer than StoreOptions.ResponseDelay
 }
 
 // defaultDeadline is the deadline of calls that set none.
@@ -99,6 +100,9 @@
 		header.Set(headerSession, c.Session)
 		header.Set(headerFinish, "10000")
 	}
+	if c.RunDelay > 0 {
+		header.Set(headerRunDelay, strconv.FormatInt(c.RunDelay.Milliseconds(), 10))
+	}
 	if c.Budget > 0 {
 		header.Set(headerBudget, strconv.Itoa(c.Budget))
 	}
--- a/internal/tier/testbed/response.go
+++ b/internal/tier/testbed/response.go
@@ -28,6 +28,7 @@
 	headerBudget         = "Budget"
 	headerPrevious       = "Previous"
 	headerFinish         = "Finish-Ms"
+	headerRunDelay       = "X-Run-Delay-Ms" // between the fakes alone: Call.RunDelay
 )
 
 const (
@@ -129,7 +130,7 @@
 
 // writePlain writes a plain response and reports whether all of it was written.
 func (s *Store) writePlain(w http.ResponseWriter, r *http.Request, body []byte) bool {
-	if !s.delay(r.Context()) || !s.waitUntilUnblocked(r.Context()) {
+	if !s.delay(r) || !s.waitUntilUnblocked(r.Context()) {
 		return false
 	}
 	response := PlainBody(r.Method, r.URL.RequestURI(), body)
@@ -153,7 +154,7 @@
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return false
 		}
-		if !s.delay(r.Context()) || !s.waitUntilUnblocked(r.Context()) {
+		if !s.delay(r) || !s.waitUntilUnblocked(r.Context()) {
 			return false
 		}
 	}
--- a/internal/tier/testbed/store.go
+++ b/internal/tier/testbed/store.go
@@ -199,15 +199,20 @@
 	run.Completed, run.Ended = completed, time.Now()
 }
 
-// delay waits for the ResponseDelay and returns false if the client disconnects meanwhile.
-func (s *Store) delay(ctx context.Context) bool {
-	if s.options.ResponseDelay <= 0 {
+// delay waits for the ResponseDelay, or for the request's own delay if that is longer, and returns false if the client
+// disconnects meanwhile.
+func (s *Store) delay(r *http.Request) bool {
+	wait := s.options.ResponseDelay
+	if milliseconds, err := strconv.Atoi(r.Header.Get(headerRunDelay)); err == nil {
+		wait = max(wait, time.Duration(milliseconds)*time.Millisecond)
+	}
+	if wait <= 0 {
 		return true
 	}
 	select {
-	case <-time.After(s.options.ResponseDelay):
+	case <-time.After(wait):
 		return true
-	case <-ctx.Done():
+	case <-r.Context().Done():
 		return false
 	}
 }
