--- a/internal/tier/coordinator/placementcontrol/fencing_test.go
+++ b/internal/tier/coordinator/placementcontrol/fencing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,22 +19,25 @@
 
 // wrongLease is a lease that two processes own, as may happen where clocks fail: resigning does not end it.
 type wrongLease struct {
-	acquisition uint64
-	resigned    int
+	acquisition atomic.Uint64
+	resigned    atomic.Int64
 }
 
 func (l *wrongLease) OwnsLease() bool                     { return true }
 func (l *wrongLease) OwnsLeaseOf([]*tierpb.VoterSet) bool { return true }
-func (l *wrongLease) Acquisition() uint64                 { return l.acquisition }
-func (l *wrongLease) Resign()                             { l.resigned++ }
+func (l *wrongLease) Acquisition() uint64                 { return l.acquisition.Load() }
+func (l *wrongLease) Resign()                             { l.resigned.Add(1) }
 
 // countingRegister is a register of one process that counts the calls.
 type countingRegister struct {
-	value *tierpb.ControlState
-	calls int
+	mu    sync.Mutex
+	value *tierpb.ControlState // guarded by mu
+	calls int                  // guarded by mu
 }
 
 func (r *countingRegister) Change(_ context.Context, change register.ChangeFunc) (*tierpb.ControlState, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.calls++
 	next, err := change(r.value.CloneVT())
 	if err != nil {
@@ -44,6 +49,18 @@
 	return r.value, nil
 }
 
+func (r *countingRegister) set(value *tierpb.ControlState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.value = value
+}
+
+func (r *countingRegister) get() (value *tierpb.ControlState, calls int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.value, r.calls
+}
+
 func (r *countingRegister) Reconfigure(ctx context.Context, change register.ChangeFunc) (*tierpb.ControlState, error) {
 	return r.Change(ctx, change)
 }
@@ -67,7 +84,8 @@
 	const observed = 30 * time.Second // many times the lease's TTL
 	for _, rejectionLost := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			lease := &wrongLease{acquisition: 1}
+			lease := &wrongLease{}
+			lease.acquisition.Store(1)
 			changes := &countingRegister{value: &tierpb.ControlState{Version: 1}}
 			known := changes.value
 			controller := New(Options{
@@ -80,9 +98,10 @@
 			ctx := t.Context()
 			assert.NilError(t, controller.ensureTerm(ctx))
 			own := controller.tenure.Term()
-			newer := changes.value.CloneVT()
+			value, _ := changes.get()
+			newer := value.CloneVT()
 			own.Next(8).Stamp(newer)
-			changes.value = newer
+			changes.set(newer)
 			if rejectionLost {
 				known = newer
 			} else {
@@ -91,16 +110,20 @@
 				}))
 				assert.ErrorIs(t, err, placement.ErrFenced)
 			}
-			calls := changes.calls
+			_, before := changes.get()
 			running, stop := context.WithCancel(ctx)
 			go controller.Run(running)
 			time.Sleep(observed)
-			assert.Equal(t, changes.calls, calls, "called under a term that was overtaken")
-			assert.Assert(t, lease.resigned > 0)
+			synctest.Wait()
+			_, calls := changes.get()
+			assert.Equal(t, calls, before, "called under a term that was overtaken")
+			assert.Assert(t, lease.resigned.Load() > 0)
 
-			lease.acquisition++ // acquired anew
+			lease.acquisition.Add(1) // acquired anew
 			time.Sleep(2 * retryInterval)
-			assert.Equal(t, placement.TermOf(changes.value), placement.TermOf(newer).Next(7))
+			synctest.Wait()
+			value, _ = changes.get()
+			assert.Equal(t, placement.TermOf(value), placement.TermOf(newer).Next(7))
 			stop()
 			synctest.Wait()
 		})
--- a/internal/tier/proxy/ejection_log_test.go
+++ b/internal/tier/proxy/ejection_log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,8 +15,26 @@
 	"pulleygw.example/pulleygw/internal/tier/admission"
 )
 
-func newEjectionLog() (*ejectionLog, *bytes.Buffer) {
-	written := &bytes.Buffer{}
+// logBuffer is a log that a test reads while others may write.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(text)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func newEjectionLog() (*ejectionLog, *logBuffer) {
+	written := &logBuffer{}
 	return &ejectionLog{log: hclog.New(&hclog.LoggerOptions{Output: written})}, written
 }
 
