--- a/internal/tier/coordinator/placementcontrol/fencing_test.go
+++ b/internal/tier/coordinator/placementcontrol/fencing_test.go
@@ -69,14 +69,28 @@
 	return r.value, nil
 }
 
-// quietMembership is a view of the other nodes in which nothing calls for a change.
-type quietMembership struct{ voters []*tierpb.VoterSet }
+// joiningMembership is a view of the other nodes in which turn stores ask to join, once they do: then a change is called for.
+type joiningMembership struct{ joining atomic.Bool }
 
-func (m quietMembership) Voters() []*tierpb.VoterSet          { return m.voters }
-func (m quietMembership) RecentJoins() []placement.Join       { return nil }
-func (m quietMembership) Zones() map[string]string            { return nil }
-func (m quietMembership) UnreachableFor(string) time.Duration { return 0 }
-func (m quietMembership) Stopping() bool                      { return false }
+func (m *joiningMembership) Voters() []*tierpb.VoterSet          { return nil }
+func (m *joiningMembership) Zones() map[string]string            { return nil }
+func (m *joiningMembership) UnreachableFor(string) time.Duration { return 0 }
+func (m *joiningMembership) Stopping() bool                      { return false }
+
+func (m *joiningMembership) RecentJoins() []placement.Join {
+	if !m.joining.Load() {
+		return nil
+	}
+	node := &tierpb.Node{Name: "store-1", Address: "10.0.0.1:1", Identity: 1, Role: tierpb.Role_ROLE_TURN_STORE}
+	return []placement.Join{{Request: &tierpb.JoinRequest{Node: node}, FirstSeen: time.Now().Add(-time.Minute), LastSeen: time.Now()}}
+}
+
+// callsForChange reports whether the controller would change the turn stores by what it knows.
+func callsForChange(c *Controller) bool {
+	known := c.options.Control()
+	_, reason := placement.NextStores(known.CloneVT(), c.options.Views.View(known))
+	return reason != ""
+}
 
 // A holder whose term was overtaken, though it owns the lease as far as it knows, sends nothing under that term any more. It
 // may have learned of the newer term by a rejection, or from the control state alone where the rejection was lost.
@@ -87,12 +101,12 @@
 			lease := &wrongLease{}
 			lease.acquisition.Store(1)
 			changes := &countingRegister{value: &tierpb.ControlState{Version: 1}}
-			known := changes.value
+			known, others := changes.value, &joiningMembership{}
 			controller := New(Options{
 				Identity: 7, Lease: lease, Register: changes, Log: hclog.NewNullLogger(), Now: time.Now,
 				Control: func() *tierpb.ControlState { return known },
 				Views: NewViewSource(ViewOptions{
-					Self: &tierpb.Node{}, Live: settings.Fixed(&settings.Settings{}), Membership: quietMembership{}, Now: time.Now,
+					Self: &tierpb.Node{}, Live: settings.Fixed(&settings.Settings{}), Membership: others, Now: time.Now,
 				}),
 			})
 			ctx := t.Context()
@@ -110,6 +124,8 @@
 				}))
 				assert.ErrorIs(t, err, placement.ErrFenced)
 			}
+			others.joining.Store(true)
+			assert.Assert(t, callsForChange(controller), "otherwise nothing would be sent in any case")
 			_, before := changes.get()
 			running, stop := context.WithCancel(ctx)
 			go controller.Run(running)
@@ -124,6 +140,7 @@
 			synctest.Wait()
 			value, _ = changes.get()
 			assert.Equal(t, placement.TermOf(value), placement.TermOf(newer).Next(7))
+			assert.Equal(t, len(value.GetStores().GetCurrent()), 1, "under the new term the change is made")
 			stop()
 			synctest.Wait()
 		})
