Review, case 3: a stopping edge takes streams that it cannot finish, and cuts them

Cause: a kept connection whose stream began before the SIGTERM is used again at once, and the request is taken however little of the grace period is left.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -43,6 +43,7 @@
 var cases = map[string]func(context.Context, *bench) error{
 	"catchup":  playCatchUp,
 	"capacity": playCapacity,
+	"term":     playTerm,
 }
 
 func main() {
