--- a/review/harness/catchup.go
+++ b/review/harness/catchup.go
@@ -6,6 +6,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/testbed"
@@ -15,7 +17,8 @@
 
 // Figures of the case. The bounds are those of the site file.
 const (
-	firstTurns    = 300
+	firstTurns    = 600
+	firstWorkers  = 8
 	catchUpS      = 4100 * time.Millisecond
 	margin        = 500 * time.Millisecond // the second disk is lost this long after the first machine no longer counts as lost
 	firstKillAt   = 300 * time.Millisecond // after the first machine is back
@@ -75,19 +78,34 @@
 	return nil
 }
 
-// takeFirstTurns returns the ids of the turns that were answered whole.
+// takeFirstTurns returns the ids of the turns that were answered whole. It takes several at a time, so that edges spread their
+// records over all pairs of store machines.
 func (b *bench) takeFirstTurns(ctx context.Context) []string {
+	var next atomic.Int64
+	var mu sync.Mutex
 	var answered []string
-	for i := range firstTurns {
-		call := testbed.Call{
-			Method: "POST", Path: testbed.TalkPrefix + "x", Body: []byte(fmt.Sprint("first ", i)), Program: fmt.Sprint("p", i),
-			Session: fmt.Sprint("s", i), TokensOut: tokensPerTurn,
-		}
-		reply := b.do(ctx, fmt.Sprint("first turn ", i), i, call)
-		if reply.CheckEvents(call, call.Body) == nil {
-			answered = append(answered, reply.RequestID)
-		}
+	var group sync.WaitGroup
+	for range firstWorkers {
+		group.Go(func() {
+			for {
+				i := int(next.Add(1))
+				if i > firstTurns {
+					return
+				}
+				call := testbed.Call{
+					Method: "POST", Path: testbed.TalkPrefix + "x", Body: []byte(fmt.Sprint("first ", i)), Program: fmt.Sprint("p", i),
+					Session: fmt.Sprint("s", i), TokensOut: tokensPerTurn,
+				}
+				reply := b.do(ctx, fmt.Sprint("first turn ", i), i, call)
+				if reply.CheckEvents(call, call.Body) == nil {
+					mu.Lock()
+					answered = append(answered, reply.RequestID)
+					mu.Unlock()
+				}
+			}
+		})
 	}
+	group.Wait()
 	return answered
 }
 
