--- a/review/harness/catchup.go
+++ b/review/harness/catchup.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,8 +127,13 @@
 	return tokens
 }
 
+// loseTwoDisks takes the disks of the two store machines that have written most, one after the other.
 func (b *bench) loseTwoDisks() error {
-	if err := b.loseDisk(b.tier.TurnStores[0], 100*time.Millisecond); err != nil {
+	sizes := b.diskSizes()
+	order := []int{0, 1, 2, 3}
+	slices.SortFunc(order, func(one, other int) int { return cmp.Compare(sizes[other], sizes[one]) })
+	first, second := b.tier.TurnStores[order[0]], b.tier.TurnStores[order[1]]
+	if err := b.loseDisk(first, 100*time.Millisecond); err != nil {
 		return err
 	}
 	back := time.Now()
@@ -141,6 +148,6 @@
 		b.say("all processes of the core are back")
 	}
 	time.Sleep(time.Until(back.Add(catchUpS + margin)))
-	b.say("%s has been back for %.2f s", b.tier.TurnStores[0].Settings.NodeName, time.Since(back).Seconds())
-	return b.loseDisk(b.tier.TurnStores[1], 100*time.Millisecond)
+	b.say("%s has been back for %.2f s", first.Settings.NodeName, time.Since(back).Seconds())
+	return b.loseDisk(second, 100*time.Millisecond)
 }
