--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -95,6 +95,12 @@
 	}
 	defer b.client.Close()
 	defer b.end()
+	defer context.AfterFunc(ctx, func() { // interrupted, or out of time: no process may stay behind
+		b.end()
+		_ = os.RemoveAll(folder)
+		fmt.Fprintln(os.Stderr, "harness: the case could not run:", ctx.Err())
+		os.Exit(2)
+	})()
 	return play(ctx, b)
 }
 
