proxy: tell which responses the end of the grace period cut, and when they arrived

The log said result=aborted and cause="request sent: connection lost" for each, the same as for a store that breaks off, and not whether the request came before or after the SIGTERM, so it could not tell apart: the store broke off, the client's connection was reset, the write deadline passed, or the process cut them itself.

Change: result aborted_by_shutdown, a line 'grace period is over, cancelling requests' with the number of connections, and arrived_draining_ms in the lines about requests of a draining process. The shutdown moves from server.go to drain.go.

--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -1,7 +1,7 @@
 // Package proxy is the data plane of the serving tier: it accepts client requests, asks admission when and to which store
 // to send each one, and forwards the store's response.
 //
-// A request passes through these files: server.go accepts the connection, handler.go reads the request and finds its
+// A request passes through these files: server.go accepts the connection (drain.go shuts down), handler.go reads the request and finds its
 // route, turn.go fetches the previous turns and reserves budget, exchange.go sends it to stores until one responds,
 // response.go or stream.go forwards the response, and result.go counts and logs how the request ended. The configuration
 // and the endpoint list come from the agent on the same machine (snapshot.go, endpoints.go). A request is served with the
@@ -52,7 +52,7 @@
 	turns           turnStoreClient
 	budgets         budgetClient
 	turnStoreHealth turnStoreHealth
-	draining        atomic.Bool
+	drain           drainState
 	endpointsKnown  atomic.Bool // whether any store has ever been known
 	updates         changeBroadcaster
 	mismatches      mismatchLog
@@ -105,7 +105,7 @@
 	go func() { _ = readinessServer.Serve(readinessListener) }()
 
 	<-ctx.Done()
-	clients.drain(settings.Seconds(live.Current().Bounds.GraceS, defaultGracePeriod))
+	clients.drain(newDrainSchedule(time.Now(), settings.Seconds(live.Current().Bounds.GraceS, defaultGracePeriod)))
 	p.awaitSettlement(settlementTimeout)
 	_ = readinessServer.Close()
 	return nil
@@ -233,5 +233,5 @@
 
 // ready reports whether the proxy accepts new clients.
 func (p *Proxy) ready() bool {
-	return !p.draining.Load() && p.snapshots.load().configuration != nil && p.endpointsKnown.Load()
+	return !p.drain.active() && p.snapshots.load().configuration != nil && p.endpointsKnown.Load()
 }
--- a/internal/tier/proxy/respond.go
+++ b/internal/tier/proxy/respond.go
@@ -50,7 +50,7 @@
 
 // setConnectionClose adds "Connection: close" to a response while the process drains.
 func (p *Proxy) setConnectionClose(header http.Header) {
-	if p.draining.Load() {
+	if p.drain.active() {
 		header["Connection"] = []string{"close"}
 	}
 }
--- a/internal/tier/proxy/result.go
+++ b/internal/tier/proxy/result.go
@@ -34,9 +34,10 @@
 	resultStoreClientError result = "store_client_error"
 
 	// The request may have been executed, but the client received no complete response.
-	resultAborted    result = "aborted"
-	resultBadGateway result = "bad_gateway"
-	resultTimeout    result = "timeout"
+	resultAborted           result = "aborted"
+	resultAbortedByShutdown result = "aborted_by_shutdown" // the grace period was over before the response was complete
+	resultBadGateway        result = "bad_gateway"
+	resultTimeout           result = "timeout"
 
 	// The client disconnected, or the request was rejected.
 	resultClientDisconnected  result = "client_disconnected"
@@ -57,7 +58,7 @@
 
 // failed reports whether the client cannot know whether its request was executed.
 func (r result) failed() bool {
-	return r == resultAborted || r == resultBadGateway || r == resultTimeout
+	return r == resultAborted || r == resultAbortedByShutdown || r == resultBadGateway || r == resultTimeout
 }
 
 // resultOfStatus returns the result of a request that was answered with a store's response.
@@ -108,8 +109,12 @@
 		defer panic(http.ErrAbortHandler)
 	}
 	ended := x.result
-	if ended == resultAborted && x.clientDisconnected() {
+	switch {
+	case ended != resultAborted:
+	case x.clientDisconnected():
 		ended = resultClientDisconnected
+	case isShutdown(x.r.Context()):
+		ended = resultAbortedByShutdown
 	}
 	results.Inc(string(ended))
 	x.recordByPriority(ended)
@@ -137,11 +142,15 @@
 	if x.lastErr != nil {
 		cause = x.lastErr.Error()
 	}
-	return []any{
+	fields := []any{
 		"result", string(ended), "id", x.id, "route", route, "cause", cause, "stores", x.attemptedInstances, "ran", x.executions, "declined", x.declined,
 		"events", x.stream.events, "queued_ms", x.queueTime.Milliseconds(), "duration_ms", time.Since(x.arrival).Milliseconds(),
 		"generation", x.snapshot.generation(), "epoch", x.snapshot.membership.GetEpoch(),
 	}
+	if x.proxy.drain.active() { // 0 if the request arrived before the shutdown began
+		fields = append(fields, "arrived_draining_ms", x.proxy.drain.since(x.arrival).Milliseconds())
+	}
+	return fields
 }
 
 // acquire asks admission for a store and adds the waiting time to queueTime. One of grant and rejection is nil.
--- a/internal/tier/proxy/server.go
+++ b/internal/tier/proxy/server.go
@@ -13,17 +13,9 @@
 	"time"
 )
 
-// Parameters of the client server and of the graceful shutdown.
+// Parameters of the client server.
 const (
-	defaultGracePeriod     = 8 * time.Second
 	readinessHeaderTimeout = 2 * time.Second
-	maxDrainDelay          = 2500 * time.Millisecond // the platform checks readiness every second and reacts to two failures
-	drainDelayDivisor      = 3                       // the drain delay is at most this fraction of the grace period
-	shutdownMargin         = 500 * time.Millisecond  // pending requests are cancelled this long before the end of the grace period
-	shutdownAnswerTimeout  = 200 * time.Millisecond  // time to send responses to cancelled requests
-	settlementTimeout      = 200 * time.Millisecond  // time to settle budgets afterwards
-	drainPollInterval      = 100 * time.Millisecond
-	minIdleBeforeClose     = 100 * time.Millisecond // a next request may be on its way; its response asks for the close
 	headerTimeoutSlack     = time.Second
 	idleTimeoutSlack       = 5 * time.Second
 	headerBytesSlack       = 4 << 10  // the handler checks the configured limit
@@ -36,7 +28,6 @@
 var (
 	pastDeadline     = time.Unix(1, 0) // makes a pending Read or Accept return at once
 	errLimitsChanged = errors.New("limits changed")
-	errShutdown      = errors.New("process is shutting down")
 )
 
 // clientServer accepts and serves client connections. The limits of an http.Server cannot be changed while it runs: when
@@ -93,38 +84,6 @@
 // applyLimits applies the current limits to connections accepted from now on.
 func (s *clientServer) applyLimits() { _ = s.listener.SetDeadline(pastDeadline) }
 
-// drain shuts down gracefully: it reports not ready, waits until load balancers have noticed, stops accepting connections,
-// and returns when all requests that were read are answered, or at the end of the grace period.
-func (s *clientServer) drain(grace time.Duration) {
-	s.proxy.draining.Store(true)
-	s.proxy.log.Info("draining")
-	cancelAt := time.Now().Add(grace - shutdownMargin)
-	time.Sleep(min(maxDrainDelay, grace/drainDelayDivisor))
-	s.stopAccepting()
-	s.awaitConnectionsClosed(cancelAt)
-	s.cancelRequests(errShutdown)
-	s.awaitConnectionsClosed(cancelAt.Add(shutdownAnswerTimeout))
-	s.close()
-}
-
-// stopAccepting closes the listener.
-func (s *clientServer) stopAccepting() {
-	s.stopped.Store(true)
-	_ = s.listener.Close()
-}
-
-// awaitConnectionsClosed closes idle connections until no connection is open or the deadline passes.
-func (s *clientServer) awaitConnectionsClosed(deadline time.Time) {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for s.closeIdle(time.Now()) > 0 && time.Now().Before(deadline) {
-		<-ticker.C
-	}
-}
-
-// isShutdown reports whether a request's context ended because the process shuts down. Its client may still be connected.
-func isShutdown(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errShutdown) }
-
 // close closes the listener and all connections.
 func (s *clientServer) close() {
 	s.stopAccepting()
@@ -136,17 +95,6 @@
 	}
 }
 
-// closeIdle closes connections that have been idle for minIdleBeforeClose and returns the number of open connections,
-// which includes those being closed.
-func (s *clientServer) closeIdle(now time.Time) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, connection := range s.connections {
-		connection.closeIfIdle(now)
-	}
-	return len(s.connections)
-}
-
 // stateChanged is the ConnState hook of the http.Servers.
 func (s *clientServer) stateChanged(connection net.Conn, state http.ConnState) {
 	switch state {
--- a/internal/tier/proxy/server_test.go
+++ b/internal/tier/proxy/server_test.go
@@ -22,7 +22,7 @@
 		return recorder.Code
 	}
 	assert.Equal(t, readiness(), 200)
-	tp.proxy.draining.Store(true)
+	tp.proxy.drain.begin(time.Now())
 	assert.Equal(t, readiness(), 503)
 }
 
@@ -34,7 +34,7 @@
 	assert.NilError(t, err)
 	defer connection.Close()
 	assert.Assert(t, !tp.sendOn(connection, "POST", "/n/x", "id1", "in").raw.Close)
-	tp.proxy.draining.Store(true)
+	tp.proxy.drain.begin(time.Now())
 	assert.Assert(t, tp.sendOn(connection, "POST", "/n/x", "id2", "in").raw.Close)
 	_, err = connection.Read(make([]byte, 1))
 	assert.ErrorContains(t, err, "EOF")
@@ -57,7 +57,7 @@
 	defer idle.Close()
 	fmt.Fprintf(busy, "POST /n/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id\r\nContent-Length: 0\r\n\r\n")
 	<-arrived
-	tp.proxy.draining.Store(true)
+	tp.proxy.drain.begin(time.Now())
 	assert.NilError(t, idle.SetDeadline(time.Now().Add(testTimeout)))
 	ended := make(chan error, 1)
 	go func() {
--- a/internal/tier/proxy/shutdown_test.go
+++ b/internal/tier/proxy/shutdown_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 		open[i] = tp.post("/n/x", fmt.Sprint("first-", i))
 		assert.Assert(t, !readResponse(bufio.NewReader(open[i]), "POST").raw.Close)
 	}
-	tp.proxy.draining.Store(true)
+	tp.proxy.drain.begin(time.Now())
 	tp.server.stopAccepting()
 	tp.server.closeIdle(time.Now().Add(-time.Second)) // at this time neither connection has been idle long enough
 	got := tp.sendOn(open[0], "POST", "/n/x", "second", "in")
@@ -46,7 +47,7 @@
 		tp := newTestProxy(t, longTimeout, []*fakeStore{store}, nil)
 		connection := tp.post("/n/x", "id")
 		<-arrived
-		tp.proxy.draining.Store(true)
+		tp.proxy.drain.begin(time.Now())
 		tp.server.cancelRequests(errShutdown)
 		got := readResponse(bufio.NewReader(connection), "POST")
 		assert.Equal(t, got.status, 504)
@@ -112,3 +113,18 @@
 		})
 	}
 }
+
+// A stream that the end of the grace period cuts has another result than one that its store breaks off.
+func TestStreamCutByShutdownHasItsOwnResult(t *testing.T) {
+	tp := newTestProxy(t, longTimeout, nil, []*fakeStore{newFakeStore(t, "a", stallAfterEvents(t))})
+	connection := tp.post("/s/x", "id")
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	before := results.Value(string(resultAbortedByShutdown))
+	tp.proxy.drain.begin(time.Now())
+	tp.server.cancelRequests(errShutdown)
+	_, err = io.ReadAll(response.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	tp.awaitConnectionsEnd()
+	assert.Equal(t, results.Value(string(resultAbortedByShutdown)), before+1)
+}
