proxy: a draining proxy begins no request that it may have to cut

Cause: a stream whose head was sent before the SIGTERM cannot say 'Connection: close'. Its client sends the next request on the same connection within the 100 ms after which an idle one is closed, and the handler began any request, however little of the grace period was left.

Change: once the listener is closed, a request is begun only if its deadline comes before the time at which requests are cancelled; any other gets 503, Retry-After and 'Connection: close' before a store, a chain or a budget is touched. Only the deadline guarantees an end, whatever the store does, so the check needs no guess of how long a request will take. It stands where all ways in meet, after the body was read: calls, streams, turns and slow bodies.

--- a/internal/tier/proxy/drain.go
+++ b/internal/tier/proxy/drain.go
@@ -39,7 +39,8 @@
 // drainState tells requests how far the shutdown is. It is safe for concurrent use. The zero value is a proxy that does
 // not drain.
 type drainState struct {
-	began atomic.Pointer[time.Time] // nil before the shutdown
+	began    atomic.Pointer[time.Time] // nil before the shutdown
+	lastCall atomic.Pointer[time.Time] // nil until the listener is closed; see admits
 }
 
 // begin records that the shutdown has begun.
@@ -57,6 +58,17 @@
 	return max(0, at.Sub(*began))
 }
 
+// limitDeadlines makes admits refuse requests that may still be in progress when the others are cancelled.
+func (d *drainState) limitDeadlines(cancel time.Time) { d.lastCall.Store(&cancel) }
+
+// admits reports whether a request with this deadline may begin. After the listener is closed, requests still arrive on
+// connections that were kept open. One that begins must be sure to end before requests are cancelled, whatever its store
+// does; only its deadline guarantees that.
+func (d *drainState) admits(deadline time.Time) bool {
+	cancel := d.lastCall.Load()
+	return cancel == nil || !deadline.After(*cancel)
+}
+
 // isShutdown reports whether a request's context ended because the process shuts down. Its client may still be connected.
 func isShutdown(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errShutdown) }
 
@@ -67,12 +79,10 @@
 	s.proxy.drain.begin(time.Now())
 	s.proxy.log.Info("draining", "cancel_after_ms", time.Until(schedule.cancel).Milliseconds())
 	time.Sleep(time.Until(schedule.stopAccepting))
+	s.proxy.drain.limitDeadlines(schedule.cancel)
 	s.stopAccepting()
 	s.awaitConnectionsClosed(schedule.cancel)
-	if open := s.closeIdle(time.Now()); open > 0 {
-		s.proxy.log.Warn("grace period is over, cancelling requests", "connections", open)
-	}
-	s.cancelRequests(errShutdown)
+	s.cancelAll()
 	s.awaitConnectionsClosed(schedule.cancel.Add(shutdownAnswerTimeout))
 	s.close()
 }
@@ -102,3 +112,13 @@
 	}
 	return len(s.connections)
 }
+
+// cancelAll cancels the requests in progress, which are then answered or aborted.
+func (s *clientServer) cancelAll() {
+	s.cancelRequests(errShutdown)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.connections) > 0 {
+		s.proxy.log.Warn("grace period is over, cancelling requests", "connections", len(s.connections))
+	}
+}
--- a/internal/tier/proxy/handler.go
+++ b/internal/tier/proxy/handler.go
@@ -117,6 +117,11 @@
 		return
 	}
 	x.deadline = x.arrival.Add(requestTimeout(r.Header, x.route.Timeout))
+	if !p.drain.admits(x.deadline) {
+		x.result = resultShutdown
+		x.respondRetryLater(retryAfterShutdown)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.prepareOutbound()
--- a/internal/tier/proxy/respond.go
+++ b/internal/tier/proxy/respond.go
@@ -13,6 +13,7 @@
 	retryAfterUnconfigured = 500 * time.Millisecond // no configuration yet
 	retryAfterUncertain    = 200 * time.Millisecond // no quorum of turn stores
 	retryAfterNotExecuted  = 100 * time.Millisecond // declined by stores
+	retryAfterShutdown     = minRetryAfter          // other proxies can serve the request at once
 	minRetryAfter          = 10 * time.Millisecond
 )
 
