proxy: answer a request whose body is incomplete when the grace period ends

What callers saw: a request whose body was still coming when requests were cancelled got no answer; its connection was closed 0.2 s later.

Cause: the end of the grace period cancels the contexts of requests, and a read of a body does not look at its context.

Change: the shutdown also ends the reads, so that such a request gets its final 408 (it was not run) and 'Connection: close'.

--- a/internal/tier/proxy/drain.go
+++ b/internal/tier/proxy/drain.go
@@ -113,7 +113,8 @@
 	return len(s.connections)
 }
 
-// cancelAll cancels the requests in progress, which are then answered or aborted.
+// cancelAll cancels the requests in progress, which are then answered or aborted, and ends the reading of requests whose
+// body is not complete, which are then answered with a 408.
 func (s *clientServer) cancelAll() {
 	s.cancelRequests(errShutdown)
 	s.mu.Lock()
@@ -121,4 +122,7 @@
 	if len(s.connections) > 0 {
 		s.proxy.log.Warn("grace period is over, cancelling requests", "connections", len(s.connections))
 	}
+	for connection := range s.connections {
+		_ = connection.SetReadDeadline(pastDeadline)
+	}
 }
--- a/internal/tier/proxy/drain_test.go
+++ b/internal/tier/proxy/drain_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -140,3 +142,17 @@
 	<-c.drained
 	assert.Equal(t, len(c.plain.requests()), 0)
 }
+
+// LOST: guards against a shutdown that closes the connection of an incomplete request without an answer.
+func TestIncompleteBodyIsAnsweredAtEndOfGracePeriod(t *testing.T) {
+	c := newDrainingConnection(t, longTimeout)
+	patient := strings.Replace(testConfiguration, `"headerTimeoutMs":3000`, `"headerTimeoutMs":300000`, 1)
+	c.proxy.configure(2, fmt.Sprintf(patient, 2, (2*testTimeout).Milliseconds()))
+	c.sendPart(t)
+	c.proxy.server.cancelAll()
+	got := readResponse(bufio.NewReader(c), "POST")
+	assert.Equal(t, got.status, http.StatusRequestTimeout)
+	assert.Assert(t, got.raw.Close)
+	<-c.drained
+	assert.Equal(t, len(c.plain.requests()), 0)
+}
