--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -3,23 +3,12 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"pulleygw.example/pulleygw/internal/tier/rpc"
-	"pulleygw.example/pulleygw/internal/tier/settings"
-)
-
-// Timeouts of the control listener and the shutdown.
-const (
-	headerTimeout   = 5 * time.Second
-	bodyTimeout     = 15 * time.Second
-	idleTimeout     = time.Minute
-	shutdownReserve = 2 * time.Second // part of graceS that is left for the vote transfer after the HTTP server has stopped
-	defaultGrace    = 8 * time.Second // if the settings have no graceS
 )
 
 // maintenanceInterval is the time between two runs of the maintenance.
@@ -90,27 +79,3 @@
 		c.catchUp.Step(ctx)
 	}
 }
-
-// serveControl serves the control API until ctx ends, then waits for the calls in flight for a part of the grace period.
-func (c *coordinator) serveControl(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{
-		Handler: c.api.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: c.log.StandardLogger(nil),
-	}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return eris.Wrap(err, "control API")
-	case <-ctx.Done():
-	}
-	c.log.Info("stopping")
-	c.membership.BeginShutdown()
-	grace := settings.Seconds(c.live.Current().Bounds.GraceS, defaultGrace)
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(grace-shutdownReserve, grace/2))
-	defer cancel()
-	if err := server.Shutdown(shutdownCtx); err != nil {
-		_ = server.Close()
-	}
-	return nil
-}
