gatherer: answer every request of a planned restart before the process is killed

What callers saw: a request whose body was complete only after the SIGTERM, with a client that waits for 30 s and lot stores that say nothing, had its final answer 30 s later, though SIGKILL comes 0.7 s after the longest deadline (of which 3 s count).

Cause: only a shutdown with an inherited socket bounded the time of the answers (Core.EndBy); any other waited for each request's own deadline, which counts from its last byte and may be up to a minute.

Change: every shutdown calls EndBy. What EndBy did besides, to reject the queued requests at once, is CloseQueue, which only the shutdown with a successor on the same socket calls; in any other the queue keeps its requests until that time.

Measured: TestDrainAnswersEveryRequestBeforeTheProcessIsKilled failed without the change (504 after 30.2 s) and passes with it (502 after 3.3 s); tests of gather and lifecycle pass.

--- a/internal/gatherer/gather/core.go
+++ b/internal/gatherer/gather/core.go
@@ -143,7 +143,7 @@
 		return soonest
 	}
 	due := c.steppedAt + time.Minute
-	if queries, _ := c.inFlight.Len(); queries > 0 && !c.endBy.IsZero() {
+	if queries, _ := c.inFlight.Len(); queries+len(c.admission.queued) > 0 && !c.endBy.IsZero() {
 		due = c.clockTime(c.endBy)
 	}
 	if c.wakeAt > 0 {
--- a/internal/gatherer/gather/inbox.go
+++ b/internal/gatherer/gather/inbox.go
@@ -39,6 +39,7 @@
 		done   chan bool // receives whether the name is known; buffered
 	}
 	endBy           struct{ at time.Time }
+	closeQueue      struct{}
 	snapshot        struct{ to chan Snapshot } // buffered for the reply
 	restored        struct{ Snapshot }
 	settingsChanged struct{ set settings.Settings }
@@ -123,10 +124,13 @@
 // with the previous settings.
 func (c *Core) ChangeSettings(set settings.Settings) { c.post(settingsChanged{set}) }
 
-// EndBy gives every request its final answer by the given time at the latest, for shutdown. Queued requests are rejected at
-// once.
+// EndBy gives every request its final answer by the given time at the latest, for shutdown. A request that is submitted later
+// gets it at once.
 func (c *Core) EndBy(at time.Time) { c.post(endBy{at}) }
 
+// CloseQueue rejects all queued requests at once, for shutdown. No request is queued after that.
+func (c *Core) CloseQueue() { c.post(closeQueue{}) }
+
 // Submit submits a request. Its final answer is sent on Done.
 func (c *Core) Submit(r *Request) { c.post(r) }
 
@@ -195,7 +199,8 @@
 		c.applySettings(m.set)
 	case endBy:
 		c.endBy = m.at
-		c.rejectQueued()
+	case closeQueue:
+		c.closeQueue()
 	}
 }
 
--- a/internal/gatherer/gather/limits.go
+++ b/internal/gatherer/gather/limits.go
@@ -25,6 +25,7 @@
 	allRoutes    limits.Limiter             // limits the retries of all routes together, and nothing else
 	queued       map[uint64]*Request        // queued requests by arrivalID
 	arrivalOrder []uint64                   // arrivalIDs of queued requests in order; may have some that have left the queue
+	closed       bool                       // the process shuts down: requests are no longer limited or queued
 }
 
 // SetLimits applies limits to the requests that arrive from then on. Requests in flight keep their class.
@@ -96,7 +97,7 @@
 	c.lastID++
 	r.arrivalID = c.lastID
 	var route *limits.Route
-	if c.admission.limits.Table != nil && r.Origin != nil && c.endBy.IsZero() && r.Class < len(c.set.Classes) {
+	if c.admission.limits.Table != nil && r.Origin != nil && !c.admission.closed && r.Class < len(c.set.Classes) {
 		route = c.admission.limits.Table.Find(r.Origin, c.set.Classes[r.Class])
 	}
 	if route == nil {
@@ -204,8 +205,9 @@
 	return r.limiter.Remove(r.arrivalID)
 }
 
-// rejectQueued rejects all queued requests, for shutdown.
-func (c *Core) rejectQueued() {
+// closeQueue rejects all queued requests, and ends the limits of requests that arrive later, for shutdown.
+func (c *Core) closeQueue() {
+	c.admission.closed = true
 	for _, id := range c.admission.arrivalOrder {
 		if r := c.admission.queued[id]; r != nil {
 			r.limiter.Remove(id)
--- a/internal/gatherer/gather/relay.go
+++ b/internal/gatherer/gather/relay.go
@@ -48,6 +48,7 @@
 	if c.endBy.IsZero() || now < c.clockTime(c.endBy) {
 		return
 	}
+	c.closeQueue()
 	for _, q := range c.inFlight.Queries() {
 		kind := Failed
 		if c.set.Policy.Classes[q.Class].Effect == decision.Idempotent || !slices.ContainsFunc(q.subqueries, func(p *subquery) bool { return p.mayHaveRunAt > 0 }) {
--- a/internal/gatherer/lifecycle/calls_test.go
+++ b/internal/gatherer/lifecycle/calls_test.go
@@ -146,6 +146,27 @@
 	_, _ = bufio.NewReader(nc).ReadByte() // the end of the connection, whichever way
 }
 
+// Guards against a request that comes late in a shutdown and has no answer when the process is killed: its body takes until
+// after the SIGTERM, its client would wait for half a minute, and no lot store answers.
+func TestDrainAnswersEveryRequestBeforeTheProcessIsKilled(t *testing.T) {
+	w := start(t, "frames")
+	w.script.Set(map[int][]testbed.End{3: {testbed.NoAnswer, testbed.NoAnswer, testbed.NoAnswer, testbed.NoAnswer}})
+	c := dialKept(t, w.Addrs()[0])
+	body := `{"buckets":[{"bucket":3,"part":1}],"body":"x"}`
+	request := http1.AppendRequest(nil, "POST", "/place-bid", "x", map[string][]string{"Req-Id": {"b"}, "Req-Deadline": {"30000m"}, "Idempotency-Key": {"k"}}, []byte(body))
+	c.Write(request[:len(request)-1])
+	drained := make(chan struct{})
+	go func() { w.Drain(); close(drained) }()
+	for !w.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	c.Write(request[len(request)-1:])
+	if p, err := c.r.Response(); err != nil || p.Status != 502 || !p.Close {
+		t.Errorf("the last answer: %+v %v", p, err)
+	}
+	<-drained
+}
+
 // A descriptor that is no listening socket is an error that names the setting.
 func TestInheritedSocketInvalid(t *testing.T) {
 	_, err := LoadConfig("../../../examples/config.json", func(k string) string { return map[string]string{"LB_INHERITED_FD": "4x"}[k] })
--- a/internal/gatherer/lifecycle/daemon.go
+++ b/internal/gatherer/lifecycle/daemon.go
@@ -48,8 +48,8 @@
 	recordRing  = 16384
 )
 
-// finalAnswerWithin is how long after SIGTERM and the longest deadline the last answer is given where the clients' socket is
-// inherited: SIGKILL follows 0.7 s after the longest deadline, of which at most maxDeadline counts.
+// finalAnswerWithin is how long after SIGTERM and the longest deadline the last answer is given: SIGKILL follows 0.7 s after
+// the longest deadline, of which at most maxDeadline counts.
 const (
 	finalAnswerWithin = 300 * time.Millisecond
 	maxDeadline       = 3 * time.Second
@@ -285,21 +285,27 @@
 	return addrs
 }
 
+// longestAnswer returns how long after SIGTERM every request that was read must have its final answer.
+func (d *Daemon) longestAnswer() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range d.settings.Load().Policy.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, maxDeadline) + finalAnswerWithin
+}
+
 // Drain shuts the gatherer down gracefully: it accepts connections for a short time, answers every request, and returns
 // when all is done. Further calls do nothing.
 func (d *Daemon) Drain() { d.drained.Do(d.drain) }
 
 func (d *Daemon) drain() {
 	d.draining.Store(true)
+	within := d.longestAnswer()
+	d.core.EndBy(time.Now().Add(within))
 	for i, x := range d.listeners {
 		if i == 0 && d.config.Inherited > 0 {
-			longest := time.Duration(0)
-			for _, k := range d.settings.Load().Policy.Classes {
-				longest = max(longest, k.Deadline)
-			}
-			longest = min(longest, maxDeadline) + finalAnswerWithin
-			d.log.Info("drain accepts no more", "answered_within", longest)
-			d.core.EndBy(time.Now().Add(longest))
+			d.log.Info("drain accepts no more", "answered_within", within)
+			d.core.CloseQueue() // the successor takes the clients' next tries
 			x.CloseListener()
 			continue
 		}
