http1: a drain ends though a client keeps pipelining requests

What callers saw: while the gatherer drains, a client that always sends its next request before it has a response kept its connection for good: each response was followed by another request, until SIGKILL left the last one unanswered.

Cause: a request that waits behind the one being answered is accepted, draining or not, and only a response with nothing behind it ended the connection.

Change: while the server drains, a request that was pipelined is the last of its connection. What follows is discarded, and a disconnection is still noticed meanwhile; the exception for a client that closes its side after a single invalid request holds for invalid ones only.

--- a/internal/gatherer/net/http1/connection.go
+++ b/internal/gatherer/net/http1/connection.go
@@ -70,18 +70,19 @@
 }
 
 // requestReceived records that a request was read completely. It returns false where the connection has been ended, so that
-// it must not be answered. Last says that no further one is accepted.
-func (s *Server) requestReceived(c *conn, last bool) bool {
+// it must not be answered. Last says that no further one is accepted: an invalid request is the last one, and so is one
+// that was pipelined while the server drains, or else a client that keeps pipelining would never let the drain end.
+func (s *Server) requestReceived(c *conn, invalid bool) (accepted, last bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.halfClosed {
-		return false
+		return false, false
 	}
 	c.nc.SetReadDeadline(time.Time{}) // the request's own deadline bounds the response
 	c.received++
 	c.queued++
-	c.noMore = c.noMore || last
-	return true
+	c.noMore = c.noMore || invalid || s.draining && c.received > 1
+	return true, c.noMore
 }
 
 // requestDequeued records that the queued request is being answered, and interrupts the reader to read the next.
--- a/internal/gatherer/net/http1/crossings_test.go
+++ b/internal/gatherer/net/http1/crossings_test.go
@@ -441,3 +441,78 @@
 		}
 	}
 }
+
+// Guards against a drain that does not end: a client that always has its next request on the way before it has a response is
+// answered what it sent ahead once, and that response says that it is the last.
+func TestDrainEndsThoughTheClientKeepsPipelining(t *testing.T) {
+	began, finish := make(chan struct{}, 10), make(chan struct{}, 10)
+	s, client, c := tap(t, func(*Request, <-chan struct{}) *Response { began <- struct{}{}; <-finish; return Text(200, "done") })
+	io.WriteString(client, post)
+	await(t, c.read, "the first request is read")
+	await(t, began, "the first request is taken")
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	r, answers := NewReader(client), 0
+	for last := false; !last && answers < 5; answers++ {
+		if io.WriteString(client, post); answers < 2 {
+			await(t, c.read, "the next request is read while one is answered")
+			for read := false; !read; { // by the reader, which has it in its hands or has dropped it
+				s.mu.Lock()
+				for x := range s.conns {
+					read = x.queued == 1 || x.noMore
+				}
+				s.mu.Unlock()
+			}
+		}
+		finish <- struct{}{}
+		p, err := r.Response()
+		if err != nil || p.Status != 200 {
+			t.Fatalf("%+v %v after %d answers", p, err, answers)
+		}
+		last = p.Close
+	}
+	if answers != 2 {
+		t.Errorf("%d answers, want 2", answers)
+	}
+	client.Close()
+	s.Wait()
+}
+
+// The last request of a connection that drains is given up when its client disconnects.
+func TestDisconnectDuringLastPipelinedRequestIsNoticed(t *testing.T) {
+	began, finish, left := make(chan struct{}, 10), make(chan struct{}, 10), make(chan struct{}, 10)
+	s, client, c := tap(t, func(_ *Request, gone <-chan struct{}) *Response {
+		began <- struct{}{}
+		select {
+		case <-finish:
+			return Text(200, "done")
+		case <-gone:
+			left <- struct{}{}
+			return nil
+		}
+	})
+	io.WriteString(client, post)
+	await(t, c.read, "the first request is read")
+	await(t, began, "the first request is taken")
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	io.WriteString(client, post)
+	await(t, c.read, "the second request is read")
+	for last := false; !last; {
+		s.mu.Lock()
+		for x := range s.conns {
+			last = x.noMore
+		}
+		s.mu.Unlock()
+	}
+	finish <- struct{}{}
+	if p, err := NewReader(client).Response(); err != nil || p.Status != 200 || p.Close {
+		t.Fatalf("%+v %v", p, err)
+	}
+	await(t, began, "the second request is taken")
+	client.Close()
+	await(t, left, "the second request hears that its client has disconnected")
+	s.Wait()
+}
--- a/internal/gatherer/net/http1/serve.go
+++ b/internal/gatherer/net/http1/serve.go
@@ -92,13 +92,14 @@
 		if q != nil {
 			q.Client = client
 		}
-		if !s.requestReceived(c, err != nil) {
+		accepted, last := s.requestReceived(c, err != nil)
+		if !accepted {
 			q.Release()
 			return
 		}
 		requests <- incoming{q, err}
-		if err != nil {
-			s.discardRest(c, over)
+		if last {
+			s.discardRest(c, err != nil, over)
 			return
 		}
 	}
@@ -111,7 +112,7 @@
 		switch err := r.More(); {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if s.refuseMore(c) {
-				s.discardRest(c, over)
+				s.discardRest(c, false, over)
 				return false
 			}
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
@@ -123,13 +124,13 @@
 
 // discardRest discards what follows the last accepted request, and returns when the client has disconnected or the
 // connection is over.
-func (s *Server) discardRest(c *conn, over <-chan struct{}) {
+func (s *Server) discardRest(c *conn, invalid bool, over <-chan struct{}) {
 	err := s.discard(c)
 	s.mu.Lock()
-	only := c.pending == 1
+	onlyInvalid := invalid && c.pending == 1
 	s.mu.Unlock()
 	// A client that sent only an invalid request and closed its side is still answered.
-	if err == nil || only {
+	if err == nil || onlyInvalid {
 		<-over
 		_ = s.discard(c) // the connection is closed next, whatever came
 	}
