soak: plans of planned work, with clients that keep using their connections

Its requests lasted 2.5 s at the most, so that none was still at work at the end of the grace period, a response that an edge cut counted as broken off by its store, and a process that outlived graceS was waited for.

Change: TestPlannedWork plays plans of planned work alone: SIGTERMs of edges in series that overlap, some with SIGHUPs and a second SIGTERM during the shutdown, restarts of one machine with a disk at a time, reloads, and configuration changes throughout. Four clients an edge send calls, streams of up to 4.5 s, turns and slow bodies back to back on one connection each until the edge closes it.

--- a/internal/tier/soak/checker.go
+++ b/internal/tier/soak/checker.go
@@ -34,8 +34,10 @@
 	for id, attempt := range attempts {
 		h.checkAttempt(attempt, runs[id])
 		h.checkPlannedWork(attempt, runs[id])
+		h.checkShutdown(attempt, runs[id])
 		h.checkDeadline(attempt)
 	}
+	h.countLateRequests(attempts)
 	h.checkAtMostOnce(attempts, runs)
 	h.checkBudgets(attempts)
 	h.checkCalmPeriods(attempts)
@@ -150,7 +152,7 @@
 func (h *harness) checkDeadline(attempt *Attempt) {
 	const slack = 500 * time.Millisecond
 	took := attempt.Ended.Sub(attempt.Sent)
-	if attempt.Disconnected || took < callTime+slack || !h.running(attempt.Front, calmSlack, attempt.Sent, attempt.Ended) {
+	if attempt.Disconnected || took < max(callTime, attempt.Deadline)+slack || !h.running(attempt.Front, calmSlack, attempt.Sent, attempt.Ended) {
 		return
 	}
 	h.reportLate("CONFIG", "%s %s has no response at its deadline: %s", attempt.Route, attempt.ID, outcomeOf(attempt))
--- a/internal/tier/soak/faults.go
+++ b/internal/tier/soak/faults.go
@@ -58,13 +58,13 @@
 	switch fault.Kind {
 	case Reload:
 		scope.planned = true
-	case Terminate:
-		scope.planned = fault.Class == classEdge
+	case Terminate, TerminateSignalled:
+		scope.planned = fault.Class == classEdge || h.plan.Planned
 	case KillAll, KillHalf, KillThird:
 		scope.stops = everyEdge
 	}
 	switch fault.Kind {
-	case ThrottleMachine, KillMachine, KillRole, PauseMachine, PauseRole, Terminate:
+	case ThrottleMachine, KillMachine, KillRole, PauseMachine, PauseRole, Terminate, TerminateSignalled:
 		if fault.Class == classEdge {
 			scope.stops = h.machine(fault).Settings.Listen.Front
 		}
@@ -133,8 +133,9 @@
 	case ThrottleMachine:
 		throttle(machine, fault.For)
 	case Terminate:
-		h.terminate(machine)
-		return h.launch(machine) == nil
+		return h.restartGracefully(machine, fault.Class, nil)
+	case TerminateSignalled:
+		return h.restartGracefully(machine, fault.Class, []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP})
 	case Reload:
 		machine.Settings.Limits.LinkMbps++
 		_ = machine.WriteSettings()
@@ -170,7 +171,7 @@
 	h.mu.Lock()
 	lived := time.Since(h.started[machine])
 	h.mu.Unlock()
-	err := machine.Terminate()
+	err := machine.TerminateWithin(h.killAfter())
 	switch {
 	case err == nil:
 	case lived < signalReadyTime && strings.Contains(err.Error(), "signal: terminated"):
--- a/internal/tier/soak/harness.go
+++ b/internal/tier/soak/harness.go
@@ -55,6 +55,8 @@
 	retired      bool
 	grown        bool
 
+	rolling sync.Mutex // held while a machine with a disk is restarted in a plan of planned work
+
 	stores storeSet
 	config configurationHistory
 	turns  turnSet
--- a/internal/tier/soak/history.go
+++ b/internal/tier/soak/history.go
@@ -12,27 +12,37 @@
 
 // Attempt is one request of a client with its outcome.
 type Attempt struct {
-	ID           string    `json:"id"`
-	Route        string    `json:"route"`
-	Front        string    `json:"front"`
-	Method       string    `json:"method"`
-	Path         string    `json:"path"`
-	Program      string    `json:"program,omitempty"`
-	Previous     string    `json:"previous,omitempty"`
-	Body         []byte    `json:"body,omitempty"`
-	Prompt       []byte    `json:"prompt,omitempty"` // body that a store must get
-	Sent         time.Time `json:"sent"`
-	Ended        time.Time `json:"ended"`
-	Status       int       `json:"status"`
-	Error        string    `json:"error,omitempty"`
-	Events       int       `json:"events,omitempty"` // complete events received
-	Disconnected bool      `json:"left,omitempty"`   // the client disconnected on purpose
-	Bad          string    `json:"bad,omitempty"`    // what is wrong with the response
+	ID           string        `json:"id"`
+	Route        string        `json:"route"`
+	Front        string        `json:"front"`
+	Method       string        `json:"method"`
+	Path         string        `json:"path"`
+	Program      string        `json:"program,omitempty"`
+	Previous     string        `json:"previous,omitempty"`
+	Body         []byte        `json:"body,omitempty"`
+	Prompt       []byte        `json:"prompt,omitempty"` // body that a store must get
+	Sent         time.Time     `json:"sent"`
+	BodySent     time.Time     `json:"bodySent"` // when the last byte of the body was sent, if the client paused before it
+	Ended        time.Time     `json:"ended"`
+	Deadline     time.Duration `json:"deadline"` // that the client sent
+	Status       int           `json:"status"`
+	Error        string        `json:"error,omitempty"`
+	Events       int           `json:"events,omitempty"` // complete events received
+	Disconnected bool          `json:"left,omitempty"`   // the client disconnected on purpose
+	Bad          string        `json:"bad,omitempty"`    // what is wrong with the response
 }
 
 // isComplete reports whether the response was received to its end.
 func (a *Attempt) isComplete() bool { return a.Error == "" }
 
+// lastByteSent returns when the request had been sent whole.
+func (a *Attempt) lastByteSent() time.Time {
+	if a.BodySent.IsZero() {
+		return a.Sent
+	}
+	return a.BodySent
+}
+
 // isNotExecuted reports whether the response guarantees that the request has not run and never will.
 func (a *Attempt) isNotExecuted() bool {
 	reply := testbed.Reply{Status: a.Status}
@@ -58,6 +68,7 @@
 	violations []Violation
 	sometimes  map[string]int // how often each situation occurred that the soak is meant to produce
 	faults     []faultSpan
+	shutdowns  []shutdown
 }
 
 // faultSpan is the time of a fault; end is zero while it lasts.
--- a/internal/tier/soak/plan.go
+++ b/internal/tier/soak/plan.go
@@ -12,38 +12,39 @@
 
 // The kinds of faults. Those of stores are not planned, see storeSet.churn.
 const (
-	KillMachine        Kind = "kill_machine"   // all processes of a machine at once, restarted
-	KillRole           Kind = "kill_role"      // one process of an edge machine
-	PauseMachine       Kind = "pause_machine"  // SIGSTOP, SIGCONT
-	PauseRole          Kind = "pause_role"     // one process of an edge machine
-	Terminate          Kind = "terminate"      // SIGTERM, restarted
-	Reload             Kind = "hang_up"        // SIGHUP with changed settings
-	BadSettings        Kind = "bad_settings"   // SIGHUP with an invalid file, repaired later
-	Isolate            Kind = "isolate"        // a machine is partitioned from all others
-	PartitionPair      Kind = "cut_pair"       // the link between two machines
-	PartitionOneWay    Kind = "cut_one_way"    // one direction of it
-	PartitionHalves    Kind = "cut_halves"     // machines with a disk in two halves; edges reach both
-	SlowLinks          Kind = "slow_links"     // a machine's links are slow
-	DropReplies        Kind = "lose_replies"   // connections to a machine end within replies
-	ResetConnections   Kind = "reset"          // connections of a machine are reset
-	KillCoordinators   Kind = "kill_core"      // all coordinators at once
-	KillTurnStores     Kind = "kill_stores"    // all turn stores at once
-	KillAll            Kind = "kill_everybody" // all processes at once
-	KillHalf           Kind = "kill_half"      // half of all machines at once, of any class
-	KillThird          Kind = "kill_third"     // a third of them
-	ThrottleMachine    Kind = "throttle"       // a machine runs for 40 ms of each 100 ms, as with a CPU quota that it has spent
-	Wipe               Kind = "wipe"           // a machine restarts without its data
-	TruncateFile       Kind = "spoil"          // a file of a machine is truncated while it is down
-	ReplaceCoordinator Kind = "replace_core"   // a coordinator is removed for good, a new one starts at another address
-	AddTurnStore       Kind = "grow_stores"    // a turn store is added
-	RemoveDataFolder   Kind = "disk_fails"     // the data folder of a machine is missing for a while
-	RetireTurnStore    Kind = "retire"         // a turn store is retired and removed
-	RemoveFile         Kind = "remove_file"    // a file of a machine is removed while it is down
-	CorruptFile        Kind = "rot"            // a bit of a file is flipped while its machine is down
-	SlowDisk           Kind = "slow_disk"      // syncs of a machine are slow
-	FailSync           Kind = "fail_sync"      // syncs of a machine fail, and the data is lost
-	FullDisk           Kind = "full_disk"      // the disk of a machine is full for a while
-	TornWrites         Kind = "torn_writes"    // a machine loses power while only a part of each write has reached its disk
+	KillMachine        Kind = "kill_machine"        // all processes of a machine at once, restarted
+	KillRole           Kind = "kill_role"           // one process of an edge machine
+	PauseMachine       Kind = "pause_machine"       // SIGSTOP, SIGCONT
+	PauseRole          Kind = "pause_role"          // one process of an edge machine
+	Terminate          Kind = "terminate"           // SIGTERM, restarted
+	TerminateSignalled Kind = "terminate_signalled" // the same, with a SIGHUP and a second SIGTERM during the shutdown
+	Reload             Kind = "hang_up"             // SIGHUP with changed settings
+	BadSettings        Kind = "bad_settings"        // SIGHUP with an invalid file, repaired later
+	Isolate            Kind = "isolate"             // a machine is partitioned from all others
+	PartitionPair      Kind = "cut_pair"            // the link between two machines
+	PartitionOneWay    Kind = "cut_one_way"         // one direction of it
+	PartitionHalves    Kind = "cut_halves"          // machines with a disk in two halves; edges reach both
+	SlowLinks          Kind = "slow_links"          // a machine's links are slow
+	DropReplies        Kind = "lose_replies"        // connections to a machine end within replies
+	ResetConnections   Kind = "reset"               // connections of a machine are reset
+	KillCoordinators   Kind = "kill_core"           // all coordinators at once
+	KillTurnStores     Kind = "kill_stores"         // all turn stores at once
+	KillAll            Kind = "kill_everybody"      // all processes at once
+	KillHalf           Kind = "kill_half"           // half of all machines at once, of any class
+	KillThird          Kind = "kill_third"          // a third of them
+	ThrottleMachine    Kind = "throttle"            // a machine runs for 40 ms of each 100 ms, as with a CPU quota that it has spent
+	Wipe               Kind = "wipe"                // a machine restarts without its data
+	TruncateFile       Kind = "spoil"               // a file of a machine is truncated while it is down
+	ReplaceCoordinator Kind = "replace_core"        // a coordinator is removed for good, a new one starts at another address
+	AddTurnStore       Kind = "grow_stores"         // a turn store is added
+	RemoveDataFolder   Kind = "disk_fails"          // the data folder of a machine is missing for a while
+	RetireTurnStore    Kind = "retire"              // a turn store is retired and removed
+	RemoveFile         Kind = "remove_file"         // a file of a machine is removed while it is down
+	CorruptFile        Kind = "rot"                 // a bit of a file is flipped while its machine is down
+	SlowDisk           Kind = "slow_disk"           // syncs of a machine are slow
+	FailSync           Kind = "fail_sync"           // syncs of a machine fail, and the data is lost
+	FullDisk           Kind = "full_disk"           // the disk of a machine is full for a while
+	TornWrites         Kind = "torn_writes"         // a machine loses power while only a part of each write has reached its disk
 	NoFault            Kind = "none"
 )
 
@@ -78,6 +79,7 @@
 	Lost     []Fault       `json:"lost"`  // machines whose disks the final fault loses
 	Size     Size          `json:"size"`
 	Mixed    bool          `json:"mixed"`    // some processes are of another build, if there is one
+	Planned  bool          `json:"planned"`  // planned work alone: see NewPlannedPlan
 	Volatile bool          `json:"volatile"` // kills lose unsynced writes, and disks may be slow, full or failing
 }
 
--- a/internal/tier/soak/run.go
+++ b/internal/tier/soak/run.go
@@ -54,6 +54,10 @@
 
 // play runs traffic with faults, and then traffic alone.
 func (h *harness) play(ctx context.Context) {
+	if h.plan.Planned {
+		h.playPlanned(ctx)
+		return
+	}
 	traffic, stop := context.WithCancel(ctx)
 	churning, stopChurn := context.WithCancel(ctx)
 	var group, churn sync.WaitGroup
--- a/internal/tier/soak/soak_test.go
+++ b/internal/tier/soak/soak_test.go
@@ -32,6 +32,10 @@
 	other   = flag.String("other", "", "program of the tier of another build, for plans that mix builds")
 	keepAll = flag.Bool("keep-all", false, "keep the logs of all plans")
 	planned = flag.String("plan", "", "plan file to run instead of drawn plans, as a failure leaves it")
+
+	plannedSeeds   = flag.Int("planned-seeds", 2, "number of plans that TestPlannedWork runs")
+	plannedTraffic = flag.Duration("planned-traffic", 12*time.Second, "how long planned work is begun in each of its plans")
+	plannedEdges   = flag.Int("planned-edges", 0, "number of edges in its plans, 40 at the most; 0: drawn")
 )
 
 // Environment variables that make this test's binary run a role of the tier.
@@ -84,16 +88,30 @@
 		play(t, readPlan(t, *planned))
 		return
 	}
+	playSeeds(t, *seeds, *jobs, func(seed uint64) soak.Plan { return soak.NewPlan(seed, *traffic) })
+}
+
+// TestPlannedWork runs plans of planned work alone: clients keep using their connections while edges shut down, with series
+// of signals, restarts and configuration changes that overlap. It guards against shutdowns that take what they then cut.
+func TestPlannedWork(t *testing.T) {
+	playSeeds(t, *plannedSeeds, max(*jobs, 2), func(seed uint64) soak.Plan {
+		return soak.NewPlannedPlan(seed, *plannedTraffic, *plannedEdges)
+	})
+}
+
+// playSeeds runs the plans of so many seeds, some at the same time.
+func playSeeds(t *testing.T, seeds, jobs int, draw func(seed uint64) soak.Plan) {
+	t.Helper()
 	var group sync.WaitGroup
 	next := make(chan uint64)
-	for range *jobs {
+	for range jobs {
 		group.Go(func() {
 			for seed := range next {
-				play(t, soak.NewPlan(seed, *traffic))
+				play(t, draw(seed))
 			}
 		})
 	}
-	for number := range *seeds {
+	for number := range seeds {
 		next <- *first + uint64(number)
 	}
 	close(next)
--- a/internal/tier/soak/traffic.go
+++ b/internal/tier/soak/traffic.go
@@ -75,10 +75,10 @@
 	}
 	attempt := &Attempt{
 		ID: call.RequestID, Route: string(kind), Front: edge.Settings.Listen.Front, Method: call.Method, Path: call.Path,
-		Program: call.Program, Previous: call.PreviousTurn, Body: call.Body, Prompt: prompt, Sent: time.Now(),
+		Program: call.Program, Previous: call.PreviousTurn, Body: call.Body, Prompt: prompt, Sent: time.Now(), Deadline: call.Deadline,
 	}
 	reply := client.Do(ctx, attempt.Front, call)
-	attempt.Ended, attempt.Status = time.Now(), reply.Status
+	attempt.Ended, attempt.Status, attempt.BodySent = time.Now(), reply.Status, reply.Sent
 	if reply.Err != nil {
 		attempt.Error = reply.Err.Error()
 		attempt.Disconnected = ctx.Err() != nil
--- a/internal/tier/testbed/client.go
+++ b/internal/tier/testbed/client.go
@@ -29,6 +29,7 @@
 	Budget       int           // tokens of the program; 0: none is sent
 	TokensOut    int           // limit of output tokens; engines only
 	RunDelay     time.Duration // how long the store works on it, if longer than StoreOptions.ResponseDelay
+	BodyPause    time.Duration // how long the client waits before it sends the last byte of the body
 }
 
 // defaultDeadline is the deadline of calls that set none.
@@ -37,6 +38,7 @@
 // Reply is the result of one attempt.
 type Reply struct {
 	RequestID string
+	Sent      time.Time // when the last byte of the body was sent; set only with Call.BodyPause
 	Status    int
 	Header    http.Header
 	Body      []byte
@@ -54,12 +56,19 @@
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
+// NewSingleConnectionClient creates a client that has one connection at a time and uses it for as long as the edge keeps
+// it open.
+func NewSingleConnectionClient() *Client {
+	transport := &http.Transport{DisableCompression: true, MaxConnsPerHost: 1}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Do sends a call once to a front address and reads the response to its end.
-func (c *Client) Do(ctx context.Context, front string, call Call) Reply {
-	reply := Reply{RequestID: call.RequestID}
+func (c *Client) Do(ctx context.Context, front string, call Call) (reply Reply) {
+	reply = Reply{RequestID: call.RequestID}
 	if reply.RequestID == "" {
 		reply.RequestID = NewRequestID()
 	}
@@ -69,11 +78,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline+call.GracePeriod)
 	defer cancel()
+	body := &pausingReader{text: call.Body, pause: call.BodyPause}
+	defer func() { reply.Sent = body.completed() }()
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+front+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		reply.Err = err
 		return reply
 	}
+	if call.BodyPause > 0 {
+		request.Body, request.GetBody = io.NopCloser(body), nil
+	}
 	request.Host = Host
 	call.setHeaders(request.Header, reply.RequestID, deadline)
 	response, err := c.http.Do(request)
--- a/internal/tier/testbed/machine.go
+++ b/internal/tier/testbed/machine.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -10,6 +11,7 @@
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
@@ -150,6 +152,13 @@
 // Terminate sends SIGTERM to all processes, waits for them, and returns the errors of those that did not exit with 0.
 func (m *Machine) Terminate() error { return m.end(syscall.SIGTERM) }
 
+// TerminateWithin does the same, and sends SIGKILL to the processes that still run after the grace period.
+func (m *Machine) TerminateWithin(grace time.Duration) error {
+	kill := time.AfterFunc(grace, func() { m.Signal(syscall.SIGKILL) })
+	defer kill.Stop()
+	return m.Terminate()
+}
+
 // Signal sends a signal to all processes.
 func (m *Machine) Signal(signal os.Signal) {
 	m.mu.Lock()
@@ -171,18 +180,26 @@
 	return ended
 }
 
+// end sends a signal to all processes and waits for them. Other signals may be sent meanwhile.
 func (m *Machine) end(signal os.Signal) error {
 	m.Signal(signal)
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	ending := maps.Clone(m.running)
+	m.mu.Unlock()
 	var failures []error
-	for role, running := range m.running {
+	for role, running := range ending {
 		<-running.exited
 		if running.err != nil {
 			failures = append(failures, eris.Wrapf(running.err, "%s of %s", role, m.Settings.NodeName))
 		}
 	}
-	clear(m.running)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for role, ended := range ending {
+		if m.running[role] == ended {
+			delete(m.running, role)
+		}
+	}
 	return errors.Join(failures...)
 }
 
