http1: connections of a lame duck close though a client keeps pipelining

Change: 'connections are to close' is one condition, a drain or lame-duck mode, and stands in one place instead of three.

--- a/internal/gatherer/net/http1/connection.go
+++ b/internal/gatherer/net/http1/connection.go
@@ -47,7 +47,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	within := requestTimeout
-	if s.draining || s.closeGeneration%2 == 1 {
+	if s.endsConnections() {
 		within = firstByteTimeout
 	}
 	c.nc.SetReadDeadline(c.activeAt.Add(within))
@@ -71,7 +71,7 @@
 
 // requestReceived records that a request was read completely. It returns false where the connection has been ended, so that
 // it must not be answered. Last says that no further one is accepted: an invalid request is the last one, and so is one
-// that was pipelined while the server drains, or else a client that keeps pipelining would never let the drain end.
+// that was pipelined while connections are to close, or else a client that keeps pipelining would keep its connection.
 func (s *Server) requestReceived(c *conn, invalid bool) (accepted, last bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,7 +81,7 @@
 	c.nc.SetReadDeadline(time.Time{}) // the request's own deadline bounds the response
 	c.received++
 	c.queued++
-	c.noMore = c.noMore || invalid || s.draining && c.received > 1
+	c.noMore = c.noMore || invalid || s.endsConnections() && c.received > 1
 	return true, c.noMore
 }
 
@@ -104,7 +104,7 @@
 	c.pending--
 	c.received--
 	c.served, c.activeAt = true, time.Now()
-	switch more := !s.draining && s.closeGeneration%2 == 0 || c.pending > 0; {
+	switch more := !s.endsConnections() || c.pending > 0; {
 	case !more || closes:
 		if !c.halfClosed {
 			c.end(linger)
--- a/internal/gatherer/net/http1/crossings_test.go
+++ b/internal/gatherer/net/http1/crossings_test.go
@@ -442,41 +442,53 @@
 	}
 }
 
-// Guards against a drain that does not end: a client that always has its next request on the way before it has a response is
-// answered what it sent ahead once, and that response says that it is the last.
-func TestDrainEndsThoughTheClientKeepsPipelining(t *testing.T) {
-	began, finish := make(chan struct{}, 10), make(chan struct{}, 10)
-	s, client, c := tap(t, func(*Request, <-chan struct{}) *Response { began <- struct{}{}; <-finish; return Text(200, "done") })
-	io.WriteString(client, post)
-	await(t, c.read, "the first request is read")
-	await(t, began, "the first request is taken")
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	r, answers := NewReader(client), 0
-	for last := false; !last && answers < 5; answers++ {
-		if io.WriteString(client, post); answers < 2 {
-			await(t, c.read, "the next request is read while one is answered")
-			for read := false; !read; { // by the reader, which has it in its hands or has dropped it
-				s.mu.Lock()
-				for x := range s.conns {
-					read = x.queued == 1 || x.noMore
-				}
-				s.mu.Unlock()
+// Guards against connections that are to close and do not: a client that always has its next request on the way before it has
+// a response is answered what it sent ahead once, and that response says that it is the last.
+func TestConnectionsCloseThoughTheClientKeepsPipelining(t *testing.T) {
+	for name, begin := range map[string]func(*Server){
+		"drain": func(s *Server) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.draining = true
+		},
+		"lame duck": func(s *Server) { s.SetConnectionClose(true) },
+	} {
+		began, finish := make(chan struct{}, 10), make(chan struct{}, 10)
+		s, client, c := tap(t, func(*Request, <-chan struct{}) *Response { began <- struct{}{}; <-finish; return Text(200, "done") })
+		io.WriteString(client, post)
+		await(t, c.read, "the first request is read")
+		await(t, began, "the first request is taken")
+		begin(s)
+		r, answers := NewReader(client), 0
+		for last := false; !last && answers < 5; answers++ {
+			if io.WriteString(client, post); answers < 2 {
+				await(t, c.read, "the next request is read while one is answered")
+				awaitQueuedOrLast(s)
+			}
+			finish <- struct{}{}
+			p, err := r.Response()
+			if err != nil || p.Status != 200 {
+				t.Fatalf("%s: %+v %v after %d answers", name, p, err, answers)
 			}
+			last = p.Close
 		}
-		finish <- struct{}{}
-		p, err := r.Response()
-		if err != nil || p.Status != 200 {
-			t.Fatalf("%+v %v after %d answers", p, err, answers)
+		if answers != 2 {
+			t.Errorf("%s: %d answers, want 2", name, answers)
 		}
-		last = p.Close
+		client.Close()
+		s.Wait()
 	}
-	if answers != 2 {
-		t.Errorf("%d answers, want 2", answers)
+}
+
+// awaitQueuedOrLast returns when the reader of the server's one connection has a request queued, or accepts no more.
+func awaitQueuedOrLast(s *Server) {
+	for read := false; !read; {
+		s.mu.Lock()
+		for x := range s.conns {
+			read = x.queued == 1 || x.noMore
+		}
+		s.mu.Unlock()
 	}
-	client.Close()
-	s.Wait()
 }
 
 // The last request of a connection that drains is given up when its client disconnects.
--- a/internal/gatherer/net/http1/server.go
+++ b/internal/gatherer/net/http1/server.go
@@ -172,9 +172,12 @@
 func (s *Server) closing(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return c.queued == 0 && (s.draining || s.closeGeneration%2 == 1 || c.noMore)
+	return c.queued == 0 && (s.endsConnections() || c.noMore)
 }
 
+// endsConnections reports whether every connection is to close, for a drain or SetConnectionClose. The lock is held.
+func (s *Server) endsConnections() bool { return s.draining || s.closeGeneration%2 == 1 }
+
 // handle calls the handler. A panic in it fails its own request and no other.
 func (s *Server) handle(r *Request, gone <-chan struct{}) (p *Response) {
 	defer func() {
