--- a/internal/tier/soak/faults.go
+++ b/internal/tier/soak/faults.go
@@ -132,10 +132,8 @@
 		machine.SignalRole(role, syscall.SIGCONT)
 	case ThrottleMachine:
 		throttle(machine, fault.For)
-	case Terminate:
-		return h.restartGracefully(machine, fault.Class, nil)
-	case TerminateSignalled:
-		return h.restartGracefully(machine, fault.Class, []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP})
+	case Terminate, TerminateSignalled:
+		return h.restartGracefully(machine, fault)
 	case Reload:
 		machine.Settings.Limits.LinkMbps++
 		_ = machine.WriteSettings()
--- a/internal/tier/soak/planned_work.go
+++ b/internal/tier/soak/planned_work.go
@@ -61,34 +61,43 @@
 	at    time.Time // of the SIGTERM
 }
 
+// signalsDuringShutdown are sent to the processes of TerminateSignalled after the first SIGTERM.
+var signalsDuringShutdown = []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}
+
 // restartGracefully shuts a machine down and starts it again. Of the machines with a disk only one at a time is restarted
 // in a plan of planned work.
-func (h *harness) restartGracefully(machine *testbed.Machine, class string, signals []syscall.Signal) bool {
-	if h.plan.Planned && class != classEdge {
+func (h *harness) restartGracefully(machine *testbed.Machine, fault Fault) bool {
+	if h.plan.Planned && fault.Class != classEdge {
 		if !h.rolling.TryLock() {
 			return false
 		}
 		defer h.rolling.Unlock()
 		defer time.Sleep(rollPause)
 	}
-	if class == classEdge {
+	if fault.Class == classEdge {
 		h.beginShutdown(shutdown{front: machine.Settings.Listen.Front, at: time.Now()})
 	}
 	var signalling sync.WaitGroup
 	ended, end := context.WithCancel(context.Background())
-	signalling.Go(func() {
-		for _, signal := range signals {
-			if clock.Sleep(ended, signalGap) {
-				machine.Signal(signal)
-			}
-		}
-	})
+	if fault.Kind == TerminateSignalled {
+		signalling.Go(func() { sendDuringShutdown(ended, machine) })
+	}
 	h.terminate(machine)
 	end()
 	signalling.Wait()
 	return h.launch(machine) == nil
 }
 
+// sendDuringShutdown sends the signals one after the other until ctx ends.
+func sendDuringShutdown(ctx context.Context, machine *testbed.Machine) {
+	for _, signal := range signalsDuringShutdown {
+		if !clock.Sleep(ctx, signalGap) {
+			return
+		}
+		machine.Signal(signal)
+	}
+}
+
 // killAfter returns how long after a SIGTERM the platform sends SIGKILL.
 func (h *harness) killAfter() time.Duration {
 	if h.timed {
