soak: no more persistent clients than the fake stores have slots for

With 40 edges (269 processes) 160 clients sent more streams than three fake engines have slots: a calm period of 276 requests had 38 rejections.

--- a/internal/tier/soak/planned_work.go
+++ b/internal/tier/soak/planned_work.go
@@ -20,8 +20,11 @@
 	rollPause             = 2 * time.Second        // after the restart of a machine with a disk, before the next one's
 )
 
-// clientsPerEdge is the number of clients that keep a connection to each edge.
-const clientsPerEdge = 4
+// Numbers of clients that keep a connection. All together must not send more streams than the fake stores have slots for.
+const (
+	maxClientsPerEdge = 4
+	maxClients        = 80
+)
 
 // NewPlannedPlan draws a plan of planned work alone, in series that overlap: edges are stopped and started, some with more
 // signals during the shutdown, one machine with a disk at a time is restarted, settings are reloaded. Operators change the
@@ -110,9 +113,10 @@
 func (h *harness) playPlanned(ctx context.Context) {
 	traffic, stop := context.WithCancel(ctx)
 	var group sync.WaitGroup
+	clients := max(1, min(maxClientsPerEdge, maxClients/len(h.Edges)))
 	for number, edge := range h.Edges {
-		for client := range clientsPerEdge {
-			group.Go(func() { h.runPersistentClient(traffic, edge, number*clientsPerEdge+client) })
+		for client := range clients {
+			group.Go(func() { h.runPersistentClient(traffic, edge, number*clients+client) })
 		}
 	}
 	group.Go(func() { h.config.operate(traffic) })
