proxy: name the bound of a draining proxy for what it is

latestDeadline says in the terms of the field what lastCall did with a figure of speech. No behaviour changed: the nine tests of the proxy whose names have Outlive, InTime, Incomplete, Drain or Shutdown pass.

--- a/internal/tier/proxy/drain.go
+++ b/internal/tier/proxy/drain.go
@@ -39,8 +39,8 @@
 // drainState tells requests how far the shutdown is. It is safe for concurrent use. The zero value is a proxy that does
 // not drain.
 type drainState struct {
-	began    atomic.Pointer[time.Time] // nil before the shutdown
-	lastCall atomic.Pointer[time.Time] // nil until the listener is closed; see admits
+	began          atomic.Pointer[time.Time] // nil before the shutdown
+	latestDeadline atomic.Pointer[time.Time] // of requests that may begin; nil, for any, until the listener is closed
 }
 
 // begin records that the shutdown has begun.
@@ -59,14 +59,14 @@
 }
 
 // limitDeadlines makes admits refuse requests that may still be in progress when the others are cancelled.
-func (d *drainState) limitDeadlines(cancel time.Time) { d.lastCall.Store(&cancel) }
+func (d *drainState) limitDeadlines(cancel time.Time) { d.latestDeadline.Store(&cancel) }
 
 // admits reports whether a request with this deadline may begin. After the listener is closed, requests still arrive on
 // connections that were kept open. One that begins must be sure to end before requests are cancelled, whatever its store
 // does; only its deadline guarantees that.
 func (d *drainState) admits(deadline time.Time) bool {
-	cancel := d.lastCall.Load()
-	return cancel == nil || !deadline.After(*cancel)
+	latest := d.latestDeadline.Load()
+	return latest == nil || !deadline.After(*latest)
 }
 
 // isShutdown reports whether a request's context ended because the process shuts down. Its client may still be connected.
