--- a/internal/tier/coordinator/control_server_test.go
+++ b/internal/tier/coordinator/control_server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,15 +12,18 @@
 	"gotest.tools/v3/assert"
 )
 
-// answerWhenEnded is a handler that answers a call with an incomplete body once the read ends, and any other once its context
-// ends, as the control API does.
-func answerWhenEnded(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.ReadAll(r.Body); err != nil {
-		w.WriteHeader(http.StatusRequestTimeout)
-		return
+// answerWhenEnded returns a handler that answers a call with an incomplete body once the read ends, and any other once its
+// context ends, as the control API does. It closes a channel when it has read a whole body.
+func answerWhenEnded(read chan<- struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+			return
+		}
+		close(read)
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	<-r.Context().Done()
-	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // awaitListenerClosed returns when no connection to an address is accepted any more.
@@ -39,14 +41,15 @@
 func TestCallInFlightIsAnsweredAtEndOfShutdown(t *testing.T) {
 	const limit = 10 * time.Second // below bodyTimeout, at which a read ends by itself; only a failing test waits for it
 	for name, test := range map[string]struct {
-		body   string
+		body   string // of two bytes
 		status int
 	}{
 		"its body is incomplete":  {body: "b", status: http.StatusRequestTimeout},
 		"its change is uncertain": {body: "bo", status: http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
-			server := newControlServer(http.HandlerFunc(answerWhenEnded), hclog.NewNullLogger())
+			read := make(chan struct{})
+			server := newControlServer(answerWhenEnded(read), hclog.NewNullLogger())
 			listener, err := net.Listen("tcp4", "127.0.0.1:0")
 			assert.NilError(t, err)
 			go func() { _ = server.serve(listener) }()
@@ -59,8 +62,11 @@
 			response, err := http.ReadResponse(reader, nil)
 			assert.NilError(t, err)
 			assert.Equal(t, response.StatusCode, http.StatusContinue) // the handler reads the body
-			_, err = fmt.Fprint(connection, test.body)
+			_, err = io.WriteString(connection, test.body)
 			assert.NilError(t, err)
+			if test.status == http.StatusServiceUnavailable {
+				<-read
+			}
 			stopped := make(chan struct{})
 			go func() {
 				server.shutdown(limit)
