turns: count the calls that extend retention, by result

Logs and metrics could not tell why a replica has the older expiry: calls that failed, calls that were dropped (all 64 slots in use), chains that were not cached as a whole, or stores that did not write.

Change: proxy_retention_extensions_total by result. Without a slot only that call is dropped, not those to the other members.

--- a/internal/tier/turns/extend.go
+++ b/internal/tier/turns/extend.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pulleygw.example/pulleygw/internal/tier/metrics"
 	"pulleygw.example/pulleygw/internal/tier/replica"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
@@ -18,6 +19,18 @@
 	extensionMargin = 20 * time.Second
 )
 
+// Results of extension calls in the metric.
+const (
+	extensionAcked       = "acked"
+	extensionFailed      = "failed"       // no reply in time
+	extensionRejected    = "rejected"     // the store did not write it
+	extensionNoSlot      = "no_slot"      // not sent: maxConcurrentExtensions calls were in progress
+	extensionPartOfChain = "chain_partly" // no call: the chain was not cached as a whole, so some turns are not extended
+)
+
+var extensionResults = metrics.NewCounterVec("proxy_retention_extensions_total",
+	"Calls to turn stores that extend the retention of the turns before a saved turn, by result.", "result")
+
 // extendRetention extends the retention of all turns before a saved turn to that of the saved turn, so that a conversation is
 // kept as long as its last turn. Stores extend it themselves if they hold both records, and keep each record for a grace
 // period past its retention, so calls are needed only for conversations that go on for longer than that. It does not wait for
@@ -32,17 +45,30 @@
 		select {
 		case c.extensionSlots <- struct{}{}:
 		default:
-			return
+			extensionResults.Inc(extensionNoSlot)
+			continue
 		}
 		go func() {
 			defer func() { <-c.extensionSlots }()
-			ctx, cancel := context.WithTimeout(context.Background(), extensionTimeout)
-			defer cancel()
-			_ = c.replicas.Caller().Call(ctx, address, rpc.MethodPutTurns, request, &tierpb.PutTurnsReply{})
+			extensionResults.Inc(c.callExtension(address, request))
 		}()
 	}
 }
 
+// callExtension sends an extension to a store and returns the result for the metric.
+func (c *Client) callExtension(address string, request *tierpb.PutTurnsRequest) string {
+	ctx, cancel := context.WithTimeout(context.Background(), extensionTimeout)
+	defer cancel()
+	reply := &tierpb.PutTurnsReply{}
+	switch err := c.replicas.Caller().Call(ctx, address, rpc.MethodPutTurns, request, reply); {
+	case err != nil:
+		return extensionFailed
+	case reply.Header.GetStatus() != tierpb.StoreStatus_STORE_OK:
+		return extensionRejected
+	}
+	return extensionAcked
+}
+
 // expiringBefore returns the ids of the turns before the last one whose retention plus extensionMargin ends before the given
 // time in Unix milliseconds. It follows the chain only as far as it is cached.
 func (c *Client) expiringBefore(last *tierpb.TurnRecord, unixMs int64) []string {
@@ -50,6 +76,7 @@
 	for id := last.Previous; id != "" && len(ids) < maxChainLength; {
 		record := c.cache.get(id)
 		if record == nil {
+			extensionResults.Inc(extensionPartOfChain)
 			break
 		}
 		if record.EndedUnixMs+int64(record.RetentionMs)+extensionMargin.Milliseconds() < unixMs {
