turnstore: stores tell replicas of earlier turns what retention they missed

Cause: the proxy that saves a turn extends the retention of the turns before it by one call to each of their replicas and drops its error. A replica that was down kept the older expiry for good. When the replica with the newer one lost its disk, the rebalance copied the older one, and all copies were removed while turns that continue them were kept.

Change: each store that holds a turn tells the replicas of the turn before until when to keep it, every 3 s what is due, until all have acknowledged (RetentionPropagator); a later end goes on to the turn before that. It begins anew with its start, a new epoch and the end of a rebalance, as replicas may have got records since. A saved turn is on f+1 disks, so one of its replicas remains to do this after any tolerated loss, whatever the proxy failed to do. What must be kept is a value of its own in a record (chain end), durable by the same frames. No new message: MethodTransferRecords carries extensions already.

--- a/internal/tier/replica/call_quorum.go
+++ b/internal/tier/replica/call_quorum.go
@@ -113,7 +113,7 @@
 	}
 	q.membership = newest
 	q.tracker.sets = Sets(newest, q.operation.Key, q.client.options.Tolerance)
-	q.candidates = q.client.byPreference(union(q.tracker.sets), q.operation.Ranked)
+	q.candidates = q.client.byPreference(Union(q.tracker.sets...), q.operation.Ranked)
 	q.called = make(identities, len(q.candidates))
 }
 
@@ -124,19 +124,6 @@
 	return a.GetEpoch() != b.GetEpoch() || len(a.GetPrevious()) != len(b.GetPrevious())
 }
 
-// union returns the members of all sets, each once.
-func union(sets [][]*tierpb.Node) []*tierpb.Node {
-	var members []*tierpb.Node
-	for _, set := range sets {
-		for _, member := range set {
-			if !Contains(members, member.Identity) {
-				members = append(members, member)
-			}
-		}
-	}
-	return members
-}
-
 // attempt calls members under one membership. It returns true if the operation has succeeded, and false if a store knows a
 // newer membership or all members have been called without success.
 func (q *quorumCall[R]) attempt(ctx context.Context) (bool, error) {
--- a/internal/tier/replica/placement.go
+++ b/internal/tier/replica/placement.go
@@ -46,6 +46,24 @@
 	return sets
 }
 
+// Members returns the members of the replica sets of a key, each once.
+func Members(membership *tierpb.StoreMembership, key string, tolerance int) []*tierpb.Node {
+	return Union(Sets(membership, key, tolerance)...)
+}
+
+// Union returns the members of all sets, each once.
+func Union(sets ...[]*tierpb.Node) []*tierpb.Node {
+	var members []*tierpb.Node
+	for _, set := range sets {
+		for _, member := range set {
+			if !Contains(members, member.Identity) {
+				members = append(members, member)
+			}
+		}
+	}
+	return members
+}
+
 // Set returns the replica set of a key among the given members, by rendezvous hashing, with the highest-ranked member first.
 // A failure domain (a zone, or a region if whole regions may be lost) has a second member in the set only if every domain
 // has one. The result does not depend on the order of the members.
--- a/internal/tier/turns/extend.go
+++ b/internal/tier/turns/extend.go
@@ -6,6 +6,7 @@
 
 	"pulleygw.example/pulleygw/internal/tier/metrics"
 	"pulleygw.example/pulleygw/internal/tier/replica"
+	"pulleygw.example/pulleygw/internal/tier/retention"
 	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -14,9 +15,6 @@
 const (
 	extensionTimeout        = 3 * time.Second
 	maxConcurrentExtensions = 64 // calls in progress; further extensions are dropped
-	// extensionMargin is how long past its retention a record is assumed to be kept. Stores keep records for a grace period of
-	// a minute, so this is on the safe side.
-	extensionMargin = 20 * time.Second
 )
 
 // Results of extension calls in the metric.
@@ -36,12 +34,12 @@
 // period past its retention, so calls are needed only for conversations that go on for longer than that. It does not wait for
 // the calls.
 func (c *Client) extendRetention(last *tierpb.TurnRecord) {
-	expiresUnixMs := last.EndedUnixMs + int64(last.RetentionMs)
-	ids := c.expiringBefore(last, expiresUnixMs)
+	untilUnixMs := retention.ChainEnd(last)
+	ids := c.expiringBefore(last, retention.End(last))
 	if len(ids) == 0 {
 		return
 	}
-	for address, request := range c.extensionRequests(ids, expiresUnixMs+extensionMargin.Milliseconds()) {
+	for address, request := range c.extensionRequests(ids, untilUnixMs) {
 		select {
 		case c.extensionSlots <- struct{}{}:
 		default:
@@ -69,8 +67,8 @@
 	return extensionAcked
 }
 
-// expiringBefore returns the ids of the turns before the last one whose retention plus extensionMargin ends before the given
-// time in Unix milliseconds. It follows the chain only as far as it is cached.
+// expiringBefore returns the ids of the turns before the last one that are not certain to be kept until the given time in Unix
+// milliseconds. It follows the chain only as far as it is cached. Stores keep a record for longer than is assumed here.
 func (c *Client) expiringBefore(last *tierpb.TurnRecord, unixMs int64) []string {
 	var ids []string
 	for id := last.Previous; id != "" && len(ids) < maxChainLength; {
@@ -79,7 +77,7 @@
 			extensionResults.Inc(extensionPartOfChain)
 			break
 		}
-		if record.EndedUnixMs+int64(record.RetentionMs)+extensionMargin.Milliseconds() < unixMs {
+		if retention.ChainEnd(record) < unixMs {
 			ids = append(ids, id)
 		}
 		id = record.Previous
@@ -93,16 +91,14 @@
 	requests := make(map[string]*tierpb.PutTurnsRequest)
 	for _, id := range ids {
 		extension := &tierpb.RetentionExtension{Id: id, UntilUnixMs: untilUnixMs}
-		for _, set := range replica.Sets(membership, id, c.replicas.Tolerance()) {
-			for _, member := range set {
-				request := requests[member.Address]
-				if request == nil {
-					header := &tierpb.StoreRequestHeader{Identity: member.Identity, Epoch: membership.GetEpoch()}
-					request = &tierpb.PutTurnsRequest{Header: header}
-					requests[member.Address] = request
-				}
-				request.Extensions = append(request.Extensions, extension)
+		for _, member := range replica.Members(membership, id, c.replicas.Tolerance()) {
+			request := requests[member.Address]
+			if request == nil {
+				header := &tierpb.StoreRequestHeader{Identity: member.Identity, Epoch: membership.GetEpoch()}
+				request = &tierpb.PutTurnsRequest{Header: header}
+				requests[member.Address] = request
 			}
+			request.Extensions = append(request.Extensions, extension)
 		}
 	}
 	return requests
--- a/internal/tier/turnstore/capacity.go
+++ b/internal/tier/turnstore/capacity.go
@@ -1,5 +1,7 @@
 package turnstore
 
+import "pulleygw.example/pulleygw/internal/tier/retention"
+
 // Fractions of the configured limits that records and budgets may use, measured by their approximate size in memory.
 const (
 	memoryFraction = 0.35 // of Options.MemoryMb
@@ -17,7 +19,7 @@
 	s.state.removeExpired(s.options.Now())
 	if s.state.bytes >= capacity {
 		// Records in their grace period are removed before any write is rejected.
-		s.state.removeExpired(s.options.Now().Add(expiryGrace))
+		s.state.removeExpired(s.options.Now().Add(retention.ExpiryGrace))
 	}
 	return s.state.bytes >= capacity
 }
--- a/internal/tier/turnstore/compaction.go
+++ b/internal/tier/turnstore/compaction.go
@@ -100,10 +100,10 @@
 		if err := file.add(kindRecord, existing.turn); err != nil {
 			return err
 		}
-		if existing.expiresUnixMs <= expiryOf(existing.turn) {
+		extension := existing.extension()
+		if extension == nil {
 			continue
 		}
-		extension := &tierpb.RetentionExtension{Id: existing.turn.Id, UntilUnixMs: existing.expiresUnixMs}
 		if err := file.add(kindExtension, extension); err != nil {
 			return err
 		}
--- a/internal/tier/turnstore/key_progress.go
+++ b/internal/tier/turnstore/key_progress.go
@@ -73,10 +73,10 @@
 	return chosen
 }
 
-// extension returns the record's extended retention; nil for a program or if the retention was not extended.
+// extension returns the extension of the record's retention; nil for a program or if it was not extended.
 func (p *keyProgress) extension() *tierpb.RetentionExtension {
-	if p.record == nil || p.record.expiresUnixMs <= expiryOf(p.record.turn) {
+	if p.record == nil {
 		return nil
 	}
-	return &tierpb.RetentionExtension{Id: p.key.name, UntilUnixMs: p.record.expiresUnixMs}
+	return p.record.extension()
 }
--- a/internal/tier/turnstore/retention_test.go
+++ b/internal/tier/turnstore/retention_test.go
@@ -9,11 +9,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"pulleygw.example/pulleygw/internal/tier/retention"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 	"pulleygw.example/pulleygw/internal/tier/turns"
 )
 
-// The records of newRecord expire after 2 min 6 s: their retention of 1 min, a tenth of it, and expiryGrace. The first record is
+// The records of newRecord expire after 2 min 6 s: their retention of 1 min, a tenth of it, and ExpiryGrace. The first record is
 // older than that at the first removal, and is kept because the second one continues it.
 func TestChainIsRetainedAsLongAsItsLastTurn(t *testing.T) {
 	c := newCluster(t, 1, "a", "b", "c")
@@ -88,10 +89,9 @@
 	m := c.machines["10.0.0.1:1"]
 	record := c.newRecord("turn", "")
 	assert.Equal(t, put(c, m, record), tierpb.StoreStatus_STORE_OK)
-	retention := time.Duration(record.RetentionMs) * time.Millisecond
-	grace := retention/expiryGraceDivisor + expiryGrace
-	m.store.state.removeExpired(c.clock.time().Add(retention + grace))
+	kept := time.Duration(record.RetentionMs)*time.Millisecond + retention.Grace(record)
+	m.store.state.removeExpired(c.clock.time().Add(kept))
 	assert.Equal(t, m.store.Records(), 1)
-	m.store.state.removeExpired(c.clock.time().Add(retention + grace + time.Millisecond))
+	m.store.state.removeExpired(c.clock.time().Add(kept + time.Millisecond))
 	assert.Equal(t, m.store.Records(), 0)
 }
--- a/internal/tier/turnstore/serve.go
+++ b/internal/tier/turnstore/serve.go
@@ -81,7 +81,8 @@
 	return &tierpb.BudgetReply{Header: header, Budget: s.claimsOf(request.Program)}, nil
 }
 
-// TransferRecords stores keys that another store transfers during a rebalance. It returns when they are synced.
+// TransferRecords stores keys that another store transfers during a rebalance, or extensions of retention that it propagates. It
+// returns when they are synced.
 func (s *Store) TransferRecords(
 	ctx context.Context, request *tierpb.TransferRecordsRequest,
 ) (*tierpb.TransferRecordsReply, error) {
@@ -89,6 +90,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(request.Records) == 0 {
+		s.continuePropagation(request.Extensions)
+	}
 	return &tierpb.TransferRecordsReply{Header: header}, nil
 }
 
--- a/internal/tier/turnstore/simulation_test.go
+++ b/internal/tier/turnstore/simulation_test.go
@@ -369,11 +369,3 @@
 	}
 	return text
 }
-
-func identitiesOf(nodes []*tierpb.Node) []uint64 {
-	var found []uint64
-	for _, node := range nodes {
-		found = append(found, node.Identity)
-	}
-	return found
-}
--- a/internal/tier/turnstore/state.go
+++ b/internal/tier/turnstore/state.go
@@ -4,26 +4,43 @@
 	"time"
 
 	"pulleygw.example/pulleygw/internal/tier/budget"
+	"pulleygw.example/pulleygw/internal/tier/retention"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
 // Retention and memory accounting.
 const (
-	expiryGrace        = time.Minute // added to a record's retention, for clock skew and for turns that continue it late
-	expiryGraceDivisor = 10          // the retention divided by this is added as well
-	budgetRetention    = time.Hour   // of a program's claims, after its last claim
-	recordOverhead     = 400         // approximate bytes of memory of a record besides its contents
-	budgetOverhead     = 300         // likewise of a program
-	entryOverhead      = 120         // likewise of a claim
-	maxExtendedChain   = 1000        // records of a chain to which an extension is propagated
+	budgetRetention  = time.Hour // of a program's claims, after its last claim
+	recordOverhead   = 400       // approximate bytes of memory of a record besides its contents
+	budgetOverhead   = 300       // likewise of a program
+	entryOverhead    = 120       // likewise of a claim
+	maxExtendedChain = 1000      // records of a chain to which an extension is applied at once
 )
 
 // record is a turn record in memory.
 type record struct {
-	turn          *tierpb.TurnRecord
-	expiresUnixMs int64     // the latest of the record's own expiry and all extensions
-	batch         *walBatch // that contains the record; nil if it was read from disk
-	expiryBatch   *walBatch // that contains the newest extension of expiresUnixMs; nil if it was read from disk
+	turn           *tierpb.TurnRecord
+	expiresUnixMs  int64     // the latest of the record's own expiry and all extensions
+	chainEndUnixMs int64     // until when the turns before this one must be kept: the latest that the record or an extension says
+	ackedUnixMs    int64     // until when all replicas of the turn before have acknowledged to keep it, see propagation
+	batch          *walBatch // that contains the record; nil if it was read from disk
+	expiryBatch    *walBatch // that contains the newest extension; nil if it was read from disk
+}
+
+// extension returns what must be applied to a new copy of the record to give it the same retention, nil if nothing.
+func (r *record) extension() *tierpb.RetentionExtension {
+	switch {
+	case r.expiresUnixMs > retention.Expiry(r.turn):
+		return &tierpb.RetentionExtension{Id: r.turn.Id, UntilUnixMs: r.expiresUnixMs}
+	case r.chainEndUnixMs > retention.ChainEnd(r.turn):
+		return &tierpb.RetentionExtension{Id: r.turn.Id, UntilUnixMs: r.chainEndUnixMs}
+	}
+	return nil
+}
+
+// covers returns whether an extension would change nothing.
+func (r *record) covers(extension *tierpb.RetentionExtension) bool {
+	return r.expiresUnixMs >= extension.UntilUnixMs && r.chainEndUnixMs >= extension.UntilUnixMs
 }
 
 // program is a program's claims in memory.
@@ -36,13 +53,18 @@
 // except for extensions of retention, which apply only to records that are present. It is not safe for concurrent use:
 // Store guards it with its mutex.
 type state struct {
-	records  map[string]*record  // by turn id
-	programs map[string]*program // by program name
-	bytes    int                 // approximate memory use
+	records      map[string]*record      // by turn id
+	programs     map[string]*program     // by program name
+	propagations map[string]*propagation // by the id of the record whose chain end must be propagated
+	bytes        int                     // approximate memory use
 }
 
 func newState() *state {
-	return &state{records: make(map[string]*record), programs: make(map[string]*program)}
+	return &state{
+		records:      make(map[string]*record),
+		programs:     make(map[string]*program),
+		propagations: make(map[string]*propagation),
+	}
 }
 
 // recordBytes returns the approximate memory use of a record.
@@ -50,33 +72,54 @@
 	return recordOverhead + 2*len(turn.Id) + len(turn.Previous) + len(turn.Input) + len(turn.Output)
 }
 
-// expiryOf returns the time in Unix milliseconds at which a record expires unless its retention is extended.
-func expiryOf(turn *tierpb.TurnRecord) int64 {
-	retention := int64(turn.RetentionMs)
-	return turn.EndedUnixMs + retention + retention/expiryGraceDivisor + expiryGrace.Milliseconds()
-}
-
 // addRecord adds a record that is not in the state yet, and extends the retention of the turns that it continues.
 func (s *state) addRecord(turn *tierpb.TurnRecord, batch *walBatch) {
-	expires := expiryOf(turn)
-	s.records[turn.Id] = &record{turn: turn, expiresUnixMs: expires, batch: batch, expiryBatch: batch}
+	added := &record{
+		turn:           turn,
+		expiresUnixMs:  retention.Expiry(turn),
+		chainEndUnixMs: retention.ChainEnd(turn),
+		batch:          batch,
+		expiryBatch:    batch,
+	}
+	s.records[turn.Id] = added
 	s.bytes += recordBytes(turn)
-	s.extendRetention(turn.Previous, expires, batch)
+	s.startPropagation(added)
+	s.extendPrevious(added)
 }
 
 // extendRetention keeps a record and those before it in its chain at least until the given time. The batch makes the
 // extension durable; nil if it was read from disk.
 func (s *state) extendRetention(id string, untilUnixMs int64, batch *walBatch) {
+	existing := s.records[id]
+	if existing != nil && s.extendRecord(existing, untilUnixMs, untilUnixMs, batch) {
+		s.extendPrevious(existing)
+	}
+}
+
+// extendPrevious extends the retention of the turns before a record, as far as they are in the state, to that of the record.
+func (s *state) extendPrevious(last *record) {
+	id := last.turn.Previous
 	for steps := 0; id != "" && steps < maxExtendedChain; steps++ {
 		existing := s.records[id]
-		if existing == nil || existing.expiresUnixMs >= untilUnixMs {
+		if existing == nil || !s.extendRecord(existing, last.expiresUnixMs, last.chainEndUnixMs, last.expiryBatch) {
 			return
 		}
-		existing.expiresUnixMs, existing.expiryBatch = untilUnixMs, batch
 		id = existing.turn.Previous
 	}
 }
 
+// extendRecord extends the retention of a record and of the turns before it. It returns whether either has changed.
+func (s *state) extendRecord(existing *record, expiresUnixMs, chainEndUnixMs int64, batch *walBatch) bool {
+	if existing.expiresUnixMs >= expiresUnixMs && existing.chainEndUnixMs >= chainEndUnixMs {
+		return false
+	}
+	existing.expiresUnixMs = max(existing.expiresUnixMs, expiresUnixMs)
+	existing.chainEndUnixMs = max(existing.chainEndUnixMs, chainEndUnixMs)
+	existing.expiryBatch = batch
+	s.startPropagation(existing)
+	return true
+}
+
 // mergeClaims merges claims into those of their program. It returns the program and whether anything has changed.
 func (s *state) mergeClaims(claims *tierpb.ProgramBudget) (*program, bool) {
 	existing := s.programs[claims.Program]
@@ -92,17 +135,23 @@
 	return existing, changed
 }
 
+// extendChains extends the retention of the turns that the records continue. A record that arrived before the turn that it
+// continues could not do so then.
+func (s *state) extendChains() {
+	for _, existing := range s.records {
+		s.extendPrevious(existing)
+	}
+}
+
 // removeExpired removes the records and programs that have expired.
 func (s *state) removeExpired(now time.Time) {
 	nowUnixMs := now.UnixMilli()
-	// A turn that arrived before the turn that it continues could not extend its retention then.
-	for _, existing := range s.records {
-		s.extendRetention(existing.turn.Previous, existing.expiresUnixMs, existing.expiryBatch)
-	}
+	s.extendChains()
 	for id, existing := range s.records {
 		if existing.expiresUnixMs < nowUnixMs {
 			s.bytes -= recordBytes(existing.turn)
 			delete(s.records, id)
+			delete(s.propagations, id)
 		}
 	}
 	for name, existing := range s.programs {
--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -43,6 +43,9 @@
 	membership     *tierpb.StoreMembership // newest known, nil if none
 	controlVersion uint64                  // newest known
 	changed        chan struct{}           // closed when the membership changes
+
+	propagationStarted chan struct{} // receives a value when a propagation may have started
+	propagationUrgent  chan struct{} // receives a value when one that another store has begun must go on
 }
 
 // Open reads the data folder and starts the writer of the write-ahead log. A store whose disk is empty or has lost
@@ -51,7 +54,13 @@
 	if err := options.Disk.MkdirAll(options.Folder); err != nil {
 		return nil, eris.Wrap(err, "create the data folder")
 	}
-	s := &Store{options: options, state: newState(), changed: make(chan struct{})}
+	s := &Store{
+		options:            options,
+		state:              newState(),
+		changed:            make(chan struct{}),
+		propagationStarted: make(chan struct{}, 1),
+		propagationUrgent:  make(chan struct{}, 1),
+	}
 	recovered, err := recoverFiles(options.Disk, options.Folder, s.state)
 	if err != nil {
 		return nil, err
--- a/internal/tier/turnstore/write.go
+++ b/internal/tier/turnstore/write.go
@@ -68,6 +68,9 @@
 		return fullReplyHeader(), nil, nil
 	}
 	s.apply(requested, next)
+	if len(s.state.propagations) > 0 {
+		signal(s.propagationStarted)
+	}
 	return header, appendBatch(batches, next), nil
 }
 
@@ -95,7 +98,7 @@
 	}
 	for _, extension := range requested.extensions {
 		existing := s.state.records[extension.Id]
-		if existing != nil && existing.expiresUnixMs >= extension.UntilUnixMs {
+		if existing != nil && existing.covers(extension) {
 			batches = appendBatch(batches, existing.expiryBatch)
 			continue
 		}
