turnstore: a rebalance sends the retention that a record has when it is sent

A new replica could keep a record for less time than its source: the rebalance copies a record, offers it, and sends the copy, up to some seconds later. An extension that comes to the source in between was not in the copy, and the extension that came to the new replica before it had the record was dropped, so nobody told it again in that epoch.

Change: the records of a call are copied again just before it is made.

Test: TestRebalanceSendsRetentionThatWasExtendedMeanwhile; without the change it fails (the expiry of the copy, 126 s after the turn, in place of one hour); with it the tests of turnstore pass.

--- a/internal/tier/turnstore/rebalance_test.go
+++ b/internal/tier/turnstore/rebalance_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"pulleygw.example/pulleygw/internal/tier/rpc"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
 
@@ -77,3 +78,44 @@
 		assert.Equal(t, missing, 0)
 	})
 }
+
+// callHook is a network that runs a function before each call.
+type callHook struct {
+	*cluster
+	before func(method rpc.Method)
+}
+
+func (h *callHook) Call(ctx context.Context, address string, method rpc.Method, request, reply rpc.Message) error {
+	h.before(method)
+	return h.cluster.Call(ctx, address, method, request, reply)
+}
+
+// Guards against a new replica with an older retention than its source: the source was told to keep the record for longer after the
+// rebalance had copied it, and the new replica before it had the record.
+func TestRebalanceSendsRetentionThatWasExtendedMeanwhile(t *testing.T) {
+	c := newCluster(t, 1, "a")
+	source := c.machines["10.0.0.1:1"]
+	assert.Equal(t, put(c, source, c.newRecord("turn", "")), tierpb.StoreStatus_STORE_OK)
+	until := c.clock.time().Add(time.Hour).UnixMilli()
+	previous := c.currentMembership().Current
+	added := []*machine{c.add(c.newAddress(1), "b"), c.add(c.newAddress(2), "c")}
+	c.setMembers(previous)
+	c.sendControlToAll()
+	network := &callHook{cluster: c, before: func(method rpc.Method) {
+		if method == rpc.MethodOfferRecords {
+			source.store.mu.Lock()
+			defer source.store.mu.Unlock()
+			source.store.state.extendRetention("turn", until, nil)
+		}
+	}}
+	work := &rebalance{store: source.store, caller: network, tolerance: 1, membership: c.currentMembership(), after: firesAtOnce}
+	assert.NilError(t, work.run(context.Background()))
+	transferred := 0
+	for _, m := range added {
+		if copied := m.store.state.records["turn"]; copied != nil {
+			transferred++
+			assert.Equal(t, copied.expiresUnixMs, until)
+		}
+	}
+	assert.Equal(t, transferred, 1)
+}
--- a/internal/tier/turnstore/transfer.go
+++ b/internal/tier/turnstore/transfer.go
@@ -97,6 +97,7 @@
 // send sends keys to one member in calls of bounded size. The member has synced the first keys, as many as returned.
 func (r *rebalance) send(ctx context.Context, member *tierpb.Node, keys []*keyProgress) (synced int, err error) {
 	for synced < len(keys) {
+		r.refreshRecords(keys[synced:])
 		request := &tierpb.TransferRecordsRequest{Header: r.requestHeader(member)}
 		count := fillRequest(request, keys[synced:])
 		reply := &tierpb.TransferRecordsReply{}
@@ -110,6 +111,18 @@
 	return synced, nil
 }
 
+// refreshRecords copies the records again: their retention may have been extended since they were copied.
+func (r *rebalance) refreshRecords(keys []*keyProgress) {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	for _, progress := range keys {
+		if existing := r.store.state.records[progress.key.name]; existing != nil && progress.record != nil {
+			copied := *existing
+			progress.record = &copied
+		}
+	}
+}
+
 // fillRequest adds keys to a request, at least one, up to maxTransferBytes. It returns how many it has added.
 func fillRequest(request *tierpb.TransferRecordsRequest, keys []*keyProgress) int {
 	bytes := 0
@@ -140,6 +153,7 @@
 		}
 	}
 	return r.callMembers(byMember, func(member *tierpb.Node, extended []*keyProgress) (func(), error) {
+		r.refreshRecords(extended)
 		request := &tierpb.TransferRecordsRequest{Header: r.requestHeader(member)}
 		for _, progress := range extended {
 			request.Extensions = append(request.Extensions, progress.extension())
