turnstore: a store that was away removes nothing before it has heard what to keep

Callers would get 503 for kept turns after the loss of one disk, if another replica had been down or cut off for longer than the grace period (a minute and a tenth of the retention): at its start, or when its timer came, it removed the records that it had missed to be told to keep, and nobody noticed that the other replica was the only one. Tiers that are too small to remove the member are exposed.

Change: what has expired is removed by Expirer, and only after two checks in a row, 5 s apart, in which all other members answered: they repeat each second what they could not say. The start and the compaction remove nothing any more; a full store still does, at once. Costs one ping to each member every 5 s while something expires.

Test: TestStoreThatWasAwayForLongRemovesNothingThatIsKept, down and partitioned; both fail with the removal as it was (chain not readable), and pass with the change, as do the other tests of turnstore.

--- a/internal/tier/turnstore/cluster_test.go
+++ b/internal/tier/turnstore/cluster_test.go
@@ -364,6 +364,8 @@
 		return store.ReadBudget(ctx, decode[tierpb.ReadBudgetRequest](data))
 	case rpc.MethodTransferRecords:
 		return store.TransferRecords(ctx, decode[tierpb.TransferRecordsRequest](data))
+	case rpc.MethodPing:
+		return &tierpb.PingReply{}, nil
 	case rpc.MethodOfferRecords:
 		return store.OfferRecords(ctx, decode[tierpb.OfferRecordsRequest](data))
 	}
@@ -390,6 +392,22 @@
 	}
 }
 
+// senderNetwork is the network as a machine sees it, which reaches nobody while it is partitioned.
+type senderNetwork struct {
+	*cluster
+	sender *machine
+}
+
+func (n *senderNetwork) Call(ctx context.Context, address string, method rpc.Method, request, reply rpc.Message) error {
+	n.mu.Lock()
+	isPartitioned := n.partitioned[n.sender.address]
+	n.mu.Unlock()
+	if isPartitioned {
+		return rpc.ErrUnreachable
+	}
+	return n.cluster.Call(ctx, address, method, request, reply)
+}
+
 // partialNetwork is the network as seen by a client that cannot reach one store.
 type partialNetwork struct {
 	*cluster
--- a/internal/tier/turnstore/compaction.go
+++ b/internal/tier/turnstore/compaction.go
@@ -16,8 +16,7 @@
 	compactionGrowth   = 3               // compact when the files exceed this multiple of the state's size
 )
 
-// RunCompaction removes expired entries and compacts the files on disk when they have grown or when a write has failed.
-// It returns when ctx ends.
+// RunCompaction compacts the files on disk when they have grown or when a write has failed. It returns when ctx ends.
 func (s *Store) RunCompaction(ctx context.Context) {
 	wait := compactionInterval
 	for {
@@ -27,9 +26,6 @@
 		case <-ctx.Done():
 			return
 		}
-		s.mu.Lock()
-		s.state.removeExpired(s.options.Now())
-		s.mu.Unlock()
 		wait = compactionInterval
 		if !s.shouldCompact() {
 			continue
--- a/internal/tier/turnstore/doc.go
+++ b/internal/tier/turnstore/doc.go
@@ -54,7 +54,8 @@
 //
 // A record expires a grace period after its own retention; saving a turn extends the retention of the turns that it
 // continues, so that a conversation is kept as long as its last turn. The proxy sends the extensions once. Each store that
-// holds a turn then makes sure that the replicas of the turn before have them, see RetentionPropagator. A program's claims expire budgetRetention after
+// holds a turn then makes sure that the replicas of the turn before have them, see RetentionPropagator. What has expired is
+// removed only while all other members are reachable, or when the store is full, see Expirer. A program's claims expire budgetRetention after
 // its last claim. Compaction drops expired entries from the disk.
 //
 // # Log lines for operators
--- a/internal/tier/turnstore/propagation_test.go
+++ b/internal/tier/turnstore/propagation_test.go
@@ -37,10 +37,11 @@
 func (p *propagationTier) runLoops(m *machine) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stops[m] = cancel
-	propagator := &RetentionPropagator{Store: m.store, Caller: p.cluster, Tolerance: p.tolerance}
-	store := m.store
+	network := &senderNetwork{cluster: p.cluster, sender: m}
+	propagator := &RetentionPropagator{Store: m.store, Caller: network, Tolerance: p.tolerance}
+	expirer := &Expirer{Store: m.store, Caller: network}
 	p.loops.Go(func() { propagator.Run(ctx) })
-	p.loops.Go(func() { store.RunCompaction(ctx) })
+	p.loops.Go(func() { expirer.Run(ctx) })
 }
 
 func (p *propagationTier) halt(m *machine) {
@@ -69,6 +70,15 @@
 	}
 }
 
+// rankedMachines returns the machines of the replica set of a key, the highest-ranked first.
+func (p *propagationTier) rankedMachines(key string) []*machine {
+	var ranked []*machine
+	for _, member := range replica.Members(p.currentMembership(), key, p.tolerance) {
+		ranked = append(ranked, p.machines[member.Address])
+	}
+	return ranked
+}
+
 // loseDisk ends a store, starts it with an empty disk and rebalances.
 func (p *propagationTier) loseDisk(t *testing.T, m *machine) {
 	t.Helper()
--- a/internal/tier/turnstore/run.go
+++ b/internal/tier/turnstore/run.go
@@ -88,6 +88,7 @@
 func (r *role) serve(ctx context.Context, server *rpc.Server, listener net.Listener) {
 	rebalancer := NewRebalancer(r.store, r.client, r.settings.Current().FaultTolerance.MemberFailures())
 	propagator := &RetentionPropagator{Store: r.store, Caller: r.client, Tolerance: rebalancer.Tolerance}
+	expirer := &Expirer{Store: r.store, Caller: r.client}
 	join := &joiner{
 		store:      r.store,
 		rebalancer: rebalancer,
@@ -96,7 +97,7 @@
 		addresses:  r.coordinatorAddresses,
 	}
 	loops := []func(context.Context){
-		rebalancer.Run, propagator.Run, join.run, r.store.RunCompaction, r.watchCoordinators, r.applyControlUpdates, r.pollOnRequest,
+		rebalancer.Run, propagator.Run, expirer.Run, join.run, r.store.RunCompaction, r.watchCoordinators, r.applyControlUpdates, r.pollOnRequest,
 	}
 	var running sync.WaitGroup
 	for _, loop := range loops {
--- a/internal/tier/turnstore/state.go
+++ b/internal/tier/turnstore/state.go
@@ -145,21 +145,50 @@
 
 // removeExpired removes the records and programs that have expired.
 func (s *state) removeExpired(now time.Time) {
-	nowUnixMs := now.UnixMilli()
 	s.extendChains()
+	s.removeExpiredRecords(now.UnixMilli())
+	for name, existing := range s.programs {
+		if existing.hasExpired(now.UnixMilli()) {
+			s.removeProgram(name, existing)
+		}
+	}
+}
+
+// removeExpiredRecords removes the records that have expired.
+func (s *state) removeExpiredRecords(nowUnixMs int64) {
 	for id, existing := range s.records {
-		if existing.expiresUnixMs < nowUnixMs {
+		if existing.hasExpired(nowUnixMs) {
 			s.bytes -= recordBytes(existing.turn)
 			delete(s.records, id)
 			delete(s.propagations, id)
 		}
 	}
-	for name, existing := range s.programs {
-		if existing.budget.LastUsedUnixMs+budgetRetention.Milliseconds() < nowUnixMs {
-			s.bytes -= budgetOverhead + len(name) + entryOverhead*len(existing.budget.Entries)
-			delete(s.programs, name)
+}
+
+func (s *state) removeProgram(name string, existing *program) {
+	s.bytes -= budgetOverhead + len(name) + entryOverhead*len(existing.budget.Entries)
+	delete(s.programs, name)
+}
+
+// hasExpired returns whether any record or program has expired.
+func (s *state) hasExpired(nowUnixMs int64) bool {
+	for _, existing := range s.records {
+		if existing.hasExpired(nowUnixMs) {
+			return true
+		}
+	}
+	for _, existing := range s.programs {
+		if existing.hasExpired(nowUnixMs) {
+			return true
 		}
 	}
+	return false
+}
+
+func (r *record) hasExpired(nowUnixMs int64) bool { return r.expiresUnixMs < nowUnixMs }
+
+func (p *program) hasExpired(nowUnixMs int64) bool {
+	return p.budget.LastUsedUnixMs+budgetRetention.Milliseconds() < nowUnixMs
 }
 
 // chain returns a turn and those that it continues, newest first. It stops at the first turn that is not in the state and
--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -72,7 +72,7 @@
 	if err := s.loadIdentity(damaged); err != nil {
 		return nil, err
 	}
-	s.state.removeExpired(options.Now())
+	s.state.extendChains()
 	s.wal = newWriteAheadLog(options.Disk, options.Folder, recovered.nextSegment, options.Now, options.Failpoints)
 	s.wal.bytes = recovered.bytes
 	if damaged {
