turnstore: claims are kept while the program is used at any replica

A program could spend a part of its budget twice: claims go to a write quorum, so a replica may miss the later ones (here it served only while another was cut off), and dropped what it had an hour after the last claim that it saw itself. The claim was then on one disk; with that disk it was gone from the sum.

Change: before a store removes a program it reads the claims at the other replicas of the program and merges them, the time of the last use included; the program stays if that is within the hour, or if a replica does not answer.

Test: TestClaimIsKeptWhileTheProgramIsUsedAtAnotherReplica; without the question a claim over the budget is granted after the loss of a disk; with it ErrExhausted.

--- a/internal/tier/turnstore/expiry_test.go
+++ b/internal/tier/turnstore/expiry_test.go
@@ -74,3 +74,27 @@
 	client.Settle("p", request, 10)
 	client.Wait()
 }
+
+// Guards against a program that gets a part of its budget back: a claim was written to a replica that saw no later ones, and was
+// removed there after an hour although the program was still used.
+func TestClaimIsKeptWhileTheProgramIsUsedAtAnotherReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPropagationTier(t, "a", "b", "c")
+		defer p.end()
+		ranked := p.rankedMachines("p")
+		p.setPartitioned(ranked[0], true)
+		p.claim(t, "during the partition")
+		p.setPartitioned(ranked[0], false)
+		for range 8 {
+			p.advance(9 * time.Minute)
+			p.claim(t, time.Now().String())
+		}
+		p.loseDisk(t, ranked[1])
+		client := budget.NewClient(p.replicaOptions())
+		err := client.Reserve(context.Background(), "p", 1000, "last", 1000-9*10)
+		assert.NilError(t, err)
+		err = client.Reserve(context.Background(), "p", 1000, "over the budget", 1)
+		assert.ErrorIs(t, err, budget.ErrExhausted)
+		client.Wait()
+	})
+}
--- a/internal/tier/turnstore/propagation_test.go
+++ b/internal/tier/turnstore/propagation_test.go
@@ -39,7 +39,7 @@
 	p.stops[m] = cancel
 	network := &senderNetwork{cluster: p.cluster, sender: m}
 	propagator := &RetentionPropagator{Store: m.store, Caller: network, Tolerance: p.tolerance}
-	expirer := &Expirer{Store: m.store, Caller: network}
+	expirer := &Expirer{Store: m.store, Caller: network, Tolerance: p.tolerance}
 	p.loops.Go(func() { propagator.Run(ctx) })
 	p.loops.Go(func() { expirer.Run(ctx) })
 }
--- a/internal/tier/turnstore/run.go
+++ b/internal/tier/turnstore/run.go
@@ -88,7 +88,7 @@
 func (r *role) serve(ctx context.Context, server *rpc.Server, listener net.Listener) {
 	rebalancer := NewRebalancer(r.store, r.client, r.settings.Current().FaultTolerance.MemberFailures())
 	propagator := &RetentionPropagator{Store: r.store, Caller: r.client, Tolerance: rebalancer.Tolerance}
-	expirer := &Expirer{Store: r.store, Caller: r.client}
+	expirer := &Expirer{Store: r.store, Caller: r.client, Tolerance: rebalancer.Tolerance}
 	join := &joiner{
 		store:      r.store,
 		rebalancer: rebalancer,
