coordinator: save terminal states that were learned without an announcement

A drain that an instance had acknowledged could be forgotten, so that edges would send requests to an instance about to end. A drain or deregistration is acknowledged when a quorum of coordinators has it on disk. A coordinator that was down at that time, or has lost its disk since, learned it from the others in memory only. After the loss of one of the disks that had it a single one was left, and a kill of all coordinators beside the loss of that disk, which is tolerated, forgot it.

--- a/internal/tier/coordinator/coordinator.go
+++ b/internal/tier/coordinator/coordinator.go
@@ -163,6 +163,7 @@
 	catchUp    *catchup.Tracker
 	fetcher    *changefetch.Fetcher
 	announcer  *draining.Announcer
+	drainSaver *draining.Saver
 	instances  *instanceMonitor
 	lessor     *lease.Lessor
 	candidate  *lease.Candidate
@@ -203,6 +204,7 @@
 	c.announcer = draining.NewAnnouncer(draining.AnnouncerOptions{
 		Self: c.self, Caller: c.caller, State: c.state, Membership: c.membership, Table: c.drainTable, Log: c.log,
 	})
+	c.drainSaver = &draining.Saver{State: c.state, Table: c.drainTable, Log: c.log}
 	c.instances = newInstanceMonitor(instanceMonitorOptions{
 		heartbeat: heartbeatPeriod(c.live.Current()), state: c.state, hasQuorumContact: c.membership.HasQuorumContact, log: c.log, now: c.now,
 		pruners: []pruner{c.announcer, c.drainTable},
--- a/internal/tier/coordinator/draining/table.go
+++ b/internal/tier/coordinator/draining/table.go
@@ -5,6 +5,7 @@
 // state is therefore acknowledged only when a quorum of the voters has it on disk.
 //
 //   - Table stores terminal states in a file below dataDir.
+//   - Saver saves those that this process learns in another way, because it missed the announcement.
 //   - Announcer sends a terminal state to all coordinators and waits for the acknowledgements of a quorum. It also handles the
 //     announcements of other coordinators.
 package draining
--- a/internal/tier/coordinator/draining_test.go
+++ b/internal/tier/coordinator/draining_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"pulleygw.example/pulleygw/internal/tier/coordinator/draining"
 	"pulleygw.example/pulleygw/internal/tier/simulation"
 	"pulleygw.example/pulleygw/internal/tier/tierpb"
 )
@@ -63,6 +64,35 @@
 	}
 }
 
+// Guards against a drain that is forgotten: a coordinator that was down when it was announced, and one that had lost its disk since,
+// knew it only in memory, so one disk held it when all coordinators were killed.
+func TestTerminalStateThatACoordinatorMissedIsSavedThereToo(t *testing.T) {
+	withCluster(t, 3, 1, func(c *cluster) {
+		names := coordinatorNames(3)
+		assert.Equal(t, c.process("core-1").putHeartbeat("ready", 1), http.StatusOK)
+		c.advance(time.Second)
+		c.kill("core-3")
+		assert.Equal(t, c.process("core-1").putHeartbeat("draining", 2), http.StatusOK)
+		c.advance(draining.AnnounceTimeout + time.Second)
+		c.start("core-3", false)
+		c.advance(5 * time.Second)
+		c.kill("core-1")
+		c.wipe("core-1")
+		c.start("core-1", false)
+		c.advance(5 * time.Second)
+		assert.DeepEqual(t, c.instanceStates(names...), []tierpb.InstanceState{stateDraining, stateDraining, stateDraining})
+		for _, name := range names {
+			c.kill(name)
+		}
+		c.wipe("core-2")
+		for _, name := range names {
+			c.start(name, false)
+		}
+		c.advance(5 * time.Second)
+		assert.DeepEqual(t, c.instanceStates(names...), []tierpb.InstanceState{stateDraining, stateDraining, stateDraining})
+	})
+}
+
 // coordinatorNames returns the names of a cluster's first count coordinators.
 func coordinatorNames(count int) []string {
 	names := make([]string, count)
--- a/internal/tier/coordinator/serve.go
+++ b/internal/tier/coordinator/serve.go
@@ -59,6 +59,7 @@
 func (c *coordinator) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
 		c.membership.RunWatcher, c.catchUp.RunAtStart, c.membership.RunJoin, c.runMaintenance, c.fetcher.Run, c.placement.Run,
+		c.drainSaver.Run,
 	}
 }
 
