proxy: a shutdown waits for extensions of retention in flight

The calls that extend retention ran in goroutines that nobody waited for: a proxy that stopped within the milliseconds after it had saved a turn cut them. The turn stores make up for that now, seconds later.

Change: turns.Client.Wait; the shutdown waits for these calls as for settlements, in the same 200 ms. The test of that wait calls the function under its new name.

--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -106,21 +106,22 @@
 
 	<-ctx.Done()
 	clients.drain(newDrainSchedule(time.Now(), settings.Seconds(live.Current().Bounds.GraceS, defaultGracePeriod)))
-	p.awaitSettlement(settlementTimeout)
+	p.awaitTurnStoreCalls(settlementTimeout)
 	_ = readinessServer.Close()
 	return nil
 }
 
-// awaitSettlement waits up to timeout for budget settlements in flight. A reservation that is not settled stays charged
-// in full.
-func (p *Proxy) awaitSettlement(timeout time.Duration) {
-	settled := make(chan struct{})
+// awaitTurnStoreCalls waits up to timeout for budget settlements and extensions of retention in flight. A reservation that is not
+// settled stays charged in full; the turn stores make up for extensions.
+func (p *Proxy) awaitTurnStoreCalls(timeout time.Duration) {
+	ended := make(chan struct{})
 	go func() {
 		p.budgets.Wait()
-		close(settled)
+		p.turns.Wait()
+		close(ended)
 	}()
 	select {
-	case <-settled:
+	case <-ended:
 	case <-time.After(timeout):
 	}
 }
--- a/internal/tier/proxy/shutdown_test.go
+++ b/internal/tier/proxy/shutdown_test.go
@@ -77,13 +77,13 @@
 	tp := newTestProxy(t, longTimeout, nil, nil)
 	settled := false
 	tp.turnStores.onWait = func() { settled = true }
-	tp.proxy.awaitSettlement(testTimeout)
+	tp.proxy.awaitTurnStoreCalls(testTimeout)
 	assert.Assert(t, settled)
 
 	release := make(chan struct{})
 	defer close(release)
 	tp.turnStores.onWait = func() { <-release }
-	tp.proxy.awaitSettlement(time.Millisecond) // returns although no settlement finishes
+	tp.proxy.awaitTurnStoreCalls(time.Millisecond) // returns although no settlement finishes
 }
 
 // GONE: when a client disconnects while its turn waits for its chain or its reservation, the wait is cancelled and nothing
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -34,6 +34,8 @@
 	Chain(ctx context.Context, id string) ([]*tierpb.TurnRecord, error)
 	// Save stores the record of a turn durably.
 	Save(ctx context.Context, record *tierpb.TurnRecord) error
+	// Wait waits until the calls that earlier calls of Save have left in progress have ended.
+	Wait()
 }
 
 // budgetClient accounts for the tokens that programs spend.
--- a/internal/tier/turns/client.go
+++ b/internal/tier/turns/client.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -40,6 +41,7 @@
 	replicas       *replica.Client
 	cache          *cache
 	extensionSlots chan struct{} // holds one value for each extension call in progress
+	extensions     sync.WaitGroup
 }
 
 // NewClient returns a client. If Options.CacheBytes is not positive, defaultCacheBytes applies.
--- a/internal/tier/turns/extend.go
+++ b/internal/tier/turns/extend.go
@@ -46,13 +46,16 @@
 			extensionResults.Inc(extensionNoSlot)
 			continue
 		}
-		go func() {
+		c.extensions.Go(func() {
 			defer func() { <-c.extensionSlots }()
 			extensionResults.Inc(c.callExtension(address, request))
-		}()
+		})
 	}
 }
 
+// Wait waits until all extension calls in progress have ended.
+func (c *Client) Wait() { c.extensions.Wait() }
+
 // callExtension sends an extension to a store and returns the result for the metric.
 func (c *Client) callExtension(address string, request *tierpb.PutTurnsRequest) string {
 	ctx, cancel := context.WithTimeout(context.Background(), extensionTimeout)
