turnstore: simulate conversations that outlive their first turns' retention

No random schedule did: the simulated turns were kept for ten minutes by themselves and named no turn before them.

The stores of all simulations run their propagators now.

--- a/internal/tier/turnstore/simulation_test.go
+++ b/internal/tier/turnstore/simulation_test.go
@@ -114,7 +114,7 @@
 		len(s.oracle.turns), len(s.oracle.claims), len(s.control.Retirements))
 }
 
-// simulation is a cluster whose stores run their rebalancers and whose membership package placement decides. As many
+// simulation is a cluster whose stores run their background loops and whose membership package placement decides. As many
 // machines fail at the same time as are tolerated. A failure ends as soon as the tier has recovered from it: the machine is
 // up and a member, and no rebalance is in progress. The next failure may follow at once.
 type simulation struct {
@@ -134,11 +134,11 @@
 	programs          []*budgetUsage
 	log               []string
 
-	rebalancerLoops sync.WaitGroup
-	clients         sync.WaitGroup
-	mu              sync.Mutex
-	oracle          oracle
-	violations      string // violations of guarantees that clients have found
+	storeLoops sync.WaitGroup
+	clients    sync.WaitGroup
+	mu         sync.Mutex
+	oracle     oracle
+	violations string // violations of guarantees that clients have found
 }
 
 // publishedMembership is a membership and the time of its publication.
@@ -189,7 +189,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	running := &runningRebalancer{rebalancer: NewRebalancer(m.store, s.cluster, s.tolerance), cancel: cancel}
 	s.rebalancers[m] = running
-	s.rebalancerLoops.Go(func() { running.rebalancer.Run(ctx) })
+	s.storeLoops.Go(func() { running.rebalancer.Run(ctx) })
+	network := &senderNetwork{cluster: s.cluster, sender: m}
+	propagator := &RetentionPropagator{Store: m.store, Caller: network, Tolerance: s.tolerance}
+	expirer := &Expirer{Store: m.store, Caller: network, Tolerance: s.tolerance}
+	s.storeLoops.Go(func() { propagator.Run(ctx) })
+	s.storeLoops.Go(func() { expirer.Run(ctx) })
 }
 
 // halt stops the rebalancer of a machine and ends its process.
@@ -207,7 +212,7 @@
 	for _, m := range s.machines {
 		s.halt(m)
 	}
-	s.rebalancerLoops.Wait()
+	s.storeLoops.Wait()
 }
 
 // node returns the node that a store reports for itself.
