turnstore: no data races between the calls of propagation and of a rebalance

The race detector, run over the package after the last changes, found two (turnstore's tests failed under -race): calls to several members wrote the set of failed members while it was read, and copied the record of a key that others were sending.

Change: calls return what failed; the retention to send is read under the store's lock, and copies stay as they are.

--- a/internal/tier/turnstore/propagator.go
+++ b/internal/tier/turnstore/propagator.go
@@ -14,12 +14,12 @@
 
 // Timing and batch size of propagation.
 const (
-	propagationInterval    = 3 * time.Second        // between rounds
-	propagationRetry       = time.Second            // after a round in which a member failed: it may have restarted
-	urgentPropagationDelay = 100 * time.Millisecond // before a round that continues the propagation of another store
-	propagationTimeout     = 2 * time.Second        // of one call
-	propagationBatch       = 1024                   // records whose extensions are sent together
-	propagationBatchPause  = 10 * time.Millisecond  // between batches, so that other calls are served meanwhile
+	propagationInterval      = 3 * time.Second        // between rounds
+	propagationRetry         = time.Second            // after a round in which a member failed: it may have restarted
+	urgentPropagationDelay   = 100 * time.Millisecond // before a round that continues the propagation of another store
+	propagationTimeout       = 2 * time.Second        // of one call
+	propagationBatch         = 1024                   // records whose extensions are sent together
+	propagationBatchInterval = 10 * time.Millisecond  // between batches, so that other calls are served meanwhile
 )
 
 var extensionCalls = metrics.NewCounterVec("turn_store_retention_extensions_total",
@@ -74,7 +74,7 @@
 			return
 		}
 		nextRound, wait = nil, propagationInterval
-		if !p.round(ctx, membership) {
+		if !p.propagateDue(ctx, membership) {
 			wait = propagationRetry
 		}
 	}
@@ -86,8 +86,8 @@
 	return a.GetEpoch() == b.GetEpoch() && len(a.GetPrevious()) == len(b.GetPrevious())
 }
 
-// round sends all extensions that are due. It returns false if a member has not acknowledged what it was sent.
-func (p *RetentionPropagator) round(ctx context.Context, membership *tierpb.StoreMembership) bool {
+// propagateDue sends all extensions that are due. It returns false if a member has not acknowledged what it was sent.
+func (p *RetentionPropagator) propagateDue(ctx context.Context, membership *tierpb.StoreMembership) bool {
 	if len(membership.GetCurrent()) == 0 {
 		return true
 	}
@@ -97,18 +97,21 @@
 			members := replica.Members(membership, key, p.Tolerance)
 			return slices.DeleteFunc(members, func(member *tierpb.Node) bool { return member.Identity == p.Store.identity })
 		})
-		p.sendBatch(ctx, membership, byMember, failed)
-		if !p.sleep(ctx, propagationBatchPause) {
+		for _, identity := range p.sendBatch(ctx, membership, byMember, failed) {
+			failed[identity] = true
+		}
+		if !p.sleep(ctx, propagationBatchInterval) {
 			return false
 		}
 	}
 	return len(failed) == 0
 }
 
-// sendBatch sends extensions to the members concurrently, except those that have failed in this round, and adds those that fail.
+// sendBatch sends extensions to the members concurrently, except those that have failed in this round. It returns the identities of
+// those that fail.
 func (p *RetentionPropagator) sendBatch(
 	ctx context.Context, membership *tierpb.StoreMembership, byMember map[uint64][]pendingExtension, failed map[uint64]bool,
-) {
+) (newlyFailed []uint64) {
 	var calls sync.WaitGroup
 	var mu sync.Mutex
 	for _, member := range replica.Union(membership.Current, membership.Previous) {
@@ -123,10 +126,11 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			failed[member.Identity] = true
+			newlyFailed = append(newlyFailed, member.Identity)
 		})
 	}
 	calls.Wait()
+	return newlyFailed
 }
 
 // send sends extensions to a member and returns whether it has synced them.
--- a/internal/tier/turnstore/transfer.go
+++ b/internal/tier/turnstore/transfer.go
@@ -97,9 +97,8 @@
 // send sends keys to one member in calls of bounded size. The member has synced the first keys, as many as returned.
 func (r *rebalance) send(ctx context.Context, member *tierpb.Node, keys []*keyProgress) (synced int, err error) {
 	for synced < len(keys) {
-		r.refreshRecords(keys[synced:])
 		request := &tierpb.TransferRecordsRequest{Header: r.requestHeader(member)}
-		count := fillRequest(request, keys[synced:])
+		count := r.fillRequest(request, keys[synced:])
 		reply := &tierpb.TransferRecordsReply{}
 		err := r.call(ctx, member, rpc.MethodTransferRecords, request, reply)
 		served, err := checkReply(reply.Header, err)
@@ -111,20 +110,8 @@
 	return synced, nil
 }
 
-// refreshRecords copies the records again: their retention may have been extended since they were copied.
-func (r *rebalance) refreshRecords(keys []*keyProgress) {
-	r.store.mu.Lock()
-	defer r.store.mu.Unlock()
-	for _, progress := range keys {
-		if existing := r.store.state.records[progress.key.name]; existing != nil && progress.record != nil {
-			copied := *existing
-			progress.record = &copied
-		}
-	}
-}
-
 // fillRequest adds keys to a request, at least one, up to maxTransferBytes. It returns how many it has added.
-func fillRequest(request *tierpb.TransferRecordsRequest, keys []*keyProgress) int {
+func (r *rebalance) fillRequest(request *tierpb.TransferRecordsRequest, keys []*keyProgress) int {
 	bytes := 0
 	for i, progress := range keys {
 		if i > 0 && bytes+progress.approximateBytes() > maxTransferBytes {
@@ -136,13 +123,23 @@
 			continue
 		}
 		request.Records = append(request.Records, progress.record.turn)
-		if extension := progress.extension(); extension != nil {
+		if extension := r.currentExtension(progress); extension != nil {
 			request.Extensions = append(request.Extensions, extension)
 		}
 	}
 	return len(keys)
 }
 
+// currentExtension returns the extension of a record's retention as it is now: it may have been extended since the record was copied.
+func (r *rebalance) currentExtension(progress *keyProgress) *tierpb.RetentionExtension {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	if existing := r.store.state.records[progress.key.name]; existing != nil {
+		return existing.extension()
+	}
+	return progress.extension()
+}
+
 // sendExtensions sends extended retentions to members that had the records already. A member that has missed an extension
 // would remove its replica too early, although it counts towards the quorum.
 func (r *rebalance) sendExtensions(ctx context.Context, batch []*keyProgress) error {
@@ -153,10 +150,9 @@
 		}
 	}
 	return r.callMembers(byMember, func(member *tierpb.Node, extended []*keyProgress) (func(), error) {
-		r.refreshRecords(extended)
 		request := &tierpb.TransferRecordsRequest{Header: r.requestHeader(member)}
 		for _, progress := range extended {
-			request.Extensions = append(request.Extensions, progress.extension())
+			request.Extensions = append(request.Extensions, r.currentExtension(progress))
 		}
 		reply := &tierpb.TransferRecordsReply{}
 		err := r.call(ctx, member, rpc.MethodTransferRecords, request, reply)
