turnstore: an urgent round of propagation only for what is new

Read again: any call that extended a record with a propagation under way began a round after 100 ms, so while a member was down the others would have called it up to ten times a second, in place of once. And a round could follow a change of the membership sooner than the calls of a rebalance that are in flight (2 s).

Change: a round is urgent only for chain ends that no round has sent yet; a new membership starts the interval of 3 s anew.

--- a/internal/tier/turnstore/propagation.go
+++ b/internal/tier/turnstore/propagation.go
@@ -105,10 +105,11 @@
 	s.startPropagation(existing)
 }
 
-// hasDuePropagation returns whether any of the extended records must propagate its chain end now.
-func (s *state) hasDuePropagation(extensions []*tierpb.RetentionExtension, now time.Time) bool {
+// hasNewPropagation returns whether any of the extended records has a chain end that is not being propagated yet and must be now.
+func (s *state) hasNewPropagation(extensions []*tierpb.RetentionExtension, now time.Time) bool {
 	return slices.ContainsFunc(extensions, func(extension *tierpb.RetentionExtension) bool {
-		return s.propagations[extension.Id] != nil && s.records[extension.Id].isDue(now)
+		started, existing := s.propagations[extension.Id], s.records[extension.Id]
+		return started != nil && started.untilUnixMs != existing.chainEndUnixMs && existing.isDue(now)
 	})
 }
 
@@ -154,7 +155,7 @@
 func (s *Store) continuePropagation(extensions []*tierpb.RetentionExtension) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state.hasDuePropagation(extensions, s.options.Now()) {
+	if s.state.hasNewPropagation(extensions, s.options.Now()) {
 		signal(s.propagationUrgent)
 	}
 }
--- a/internal/tier/turnstore/propagator.go
+++ b/internal/tier/turnstore/propagator.go
@@ -35,7 +35,7 @@
 // tells them once, without waiting; a replica that is down or unreachable at that time would keep the older expiry, and
 // a rebalance could copy it. So each store that holds a record tells the replicas of the turn before, until all have
 // acknowledged. A saved turn is on a write quorum, so one of its replicas remains to do so after any tolerated loss. A replica
-// that has learned a later end tells those of the next turn of the chain in turn.
+// that learns of a later end tells the replicas of the turn before it in the same way, and so on to the first turn.
 type RetentionPropagator struct {
 	Store     *Store
 	Caller    rpc.Caller
@@ -51,7 +51,7 @@
 		membership, changed := p.Store.Membership()
 		if !sameReplicaSets(membership, known) {
 			p.Store.restartPropagations()
-			known = membership
+			known, nextRound = membership, nil
 		}
 		started := p.Store.propagationStarted
 		if nextRound == nil && p.Store.hasPropagations() {
