--- a/internal/tier/soak/checker.go
+++ b/internal/tier/soak/checker.go
@@ -39,6 +39,7 @@
 	}
 	h.countLateRequests(attempts)
 	h.checkAtMostOnce(attempts, runs)
+	h.checkConversations(attempts, runs)
 	h.checkBudgets(attempts)
 	h.checkCalmPeriods(attempts)
 	h.checkWorkAfterDisconnect()
--- a/internal/tier/soak/faults.go
+++ b/internal/tier/soak/faults.go
@@ -54,7 +54,7 @@
 
 // scopeOf returns which rules a fault excuses, and where.
 func (h *harness) scopeOf(fault Fault) faultScope {
-	scope := faultScope{what: fault.String()}
+	scope := faultScope{what: fault.String(), disk: fault.Class != classEdge}
 	switch fault.Kind {
 	case Reload:
 		scope.planned = true
--- a/internal/tier/soak/history.go
+++ b/internal/tier/soak/history.go
@@ -81,6 +81,7 @@
 type faultScope struct {
 	what    string
 	planned bool   // planned work, which clients must not notice
+	disk    bool   // a machine with a disk is affected
 	stops   string // front address of the edge whose processes it stops or pauses, or everyEdge
 }
 
--- a/internal/tier/soak/operators.go
+++ b/internal/tier/soak/operators.go
@@ -61,6 +61,9 @@
 	}
 	composed.markers = append(composed.markers, generation)
 	configuration := testbed.ExampleConfiguration(generation)
+	if c.harness.plan.Conversations {
+		configuration.Retain(conversationRetention)
+	}
 	for _, marker := range composed.markers {
 		route := configuration.Routes[0]
 		route.Name, route.PathPrefix = fmt.Sprint("mark-", marker), markerPath(marker)
@@ -86,6 +89,13 @@
 	c.sent = append(c.sent, made)
 }
 
+// runOperators starts the operators, and what reads and observes the configuration, until ctx ends.
+func (c *configurationHistory) runOperators(ctx context.Context, group *sync.WaitGroup) {
+	group.Go(func() { c.operate(ctx) })
+	group.Go(func() { c.readContinuously(ctx) })
+	group.Go(func() { c.probe(ctx) })
+}
+
 // operate changes the configuration until ctx ends; at random times two operators do so concurrently.
 func (c *configurationHistory) operate(ctx context.Context) {
 	random := rand.New(rand.NewPCG(c.harness.plan.Seed, 3002))
--- a/internal/tier/soak/plan.go
+++ b/internal/tier/soak/plan.go
@@ -72,15 +72,17 @@
 
 // Plan is everything that is drawn from a seed before the start. Its JSON form is the plan file.
 type Plan struct {
-	Seed     uint64        `json:"seed"`
-	Traffic  time.Duration `json:"traffic"`
-	Faults   []Fault       `json:"troubles"`
-	Final    Kind          `json:"final"` // NoFault, KillAll, or Wipe: all are killed and disks are lost
-	Lost     []Fault       `json:"lost"`  // machines whose disks the final fault loses
-	Size     Size          `json:"size"`
-	Mixed    bool          `json:"mixed"`    // some processes are of another build, if there is one
-	Planned  bool          `json:"planned"`  // planned work alone: see NewPlannedPlan
-	Volatile bool          `json:"volatile"` // kills lose unsynced writes, and disks may be slow, full or failing
+	Seed    uint64        `json:"seed"`
+	Traffic time.Duration `json:"traffic"`
+	Faults  []Fault       `json:"troubles"`
+	Final   Kind          `json:"final"` // NoFault, KillAll, or Wipe: all are killed and disks are lost
+	Lost    []Fault       `json:"lost"`  // machines whose disks the final fault loses
+	Size    Size          `json:"size"`
+	Mixed   bool          `json:"mixed"`   // some processes are of another build, if there is one
+	Planned bool          `json:"planned"` // planned work alone: see NewPlannedPlan
+	// Conversations means conversations that outlive the retention of their first turns: see NewConversationPlan.
+	Conversations bool `json:"conversations"`
+	Volatile      bool `json:"volatile"` // kills lose unsynced writes, and disks may be slow, full or failing
 }
 
 // Size is the number of machines of each class.
--- a/internal/tier/soak/planned_work.go
+++ b/internal/tier/soak/planned_work.go
@@ -111,20 +111,12 @@
 
 // playPlanned runs clients that keep their connections while the planned work is done, and then alone.
 func (h *harness) playPlanned(ctx context.Context) {
-	traffic, stop := context.WithCancel(ctx)
-	var group sync.WaitGroup
-	clients := max(1, min(maxClientsPerEdge, maxClients/len(h.Edges)))
-	for number, edge := range h.Edges {
-		for client := range clients {
-			group.Go(func() { h.runPersistentClient(traffic, edge, number*clients+client) })
+	clientsPerEdge := max(1, min(maxClientsPerEdge, maxClients/len(h.Edges)))
+	h.playClients(ctx, func(traffic context.Context, clients *sync.WaitGroup) {
+		for number, edge := range h.Edges {
+			for client := range clientsPerEdge {
+				clients.Go(func() { h.runPersistentClient(traffic, edge, number*clientsPerEdge+client) })
+			}
 		}
-	}
-	group.Go(func() { h.config.operate(traffic) })
-	group.Go(func() { h.config.readContinuously(traffic) })
-	group.Go(func() { h.config.probe(traffic) })
-	h.injectFaults(ctx)
-	h.Logf("calm")
-	clock.Sleep(ctx, calmTime)
-	stop()
-	group.Wait()
+	})
 }
--- a/internal/tier/soak/run.go
+++ b/internal/tier/soak/run.go
@@ -54,9 +54,13 @@
 
 // play runs traffic with faults, and then traffic alone.
 func (h *harness) play(ctx context.Context) {
-	if h.plan.Planned {
+	switch {
+	case h.plan.Planned:
 		h.playPlanned(ctx)
 		return
+	case h.plan.Conversations:
+		h.playConversations(ctx)
+		return
 	}
 	traffic, stop := context.WithCancel(ctx)
 	churning, stopChurn := context.WithCancel(ctx)
@@ -68,9 +72,7 @@
 		group.Go(func() { h.runPlain(traffic, worker) })
 	}
 	group.Go(func() { h.runMisbehavingClients(traffic) })
-	group.Go(func() { h.config.operate(traffic) })
-	group.Go(func() { h.config.readContinuously(traffic) })
-	group.Go(func() { h.config.probe(traffic) })
+	h.config.runOperators(traffic, &group)
 	churn.Go(func() { h.stores.churn(churning) })
 	h.injectFaults(ctx)
 	stopChurn()
@@ -81,6 +83,21 @@
 	group.Wait()
 }
 
+// playClients runs clients, which the function starts, and operators while faults are injected, and then alone for calmTime.
+func (h *harness) playClients(ctx context.Context, start func(traffic context.Context, clients *sync.WaitGroup)) {
+	traffic, stop := context.WithCancel(ctx)
+	ends := time.Now().Add(h.plan.Traffic)
+	var group sync.WaitGroup
+	start(traffic, &group)
+	h.config.runOperators(traffic, &group)
+	h.injectFaults(ctx)
+	clock.Sleep(ctx, time.Until(ends))
+	h.Logf("calm")
+	clock.Sleep(ctx, calmTime)
+	stop()
+	group.Wait()
+}
+
 // injectFinalFault injects the final fault, directly after an acknowledged change and acknowledged turns.
 func (h *harness) injectFinalFault(ctx context.Context) {
 	if h.plan.Final == NoFault {
--- a/internal/tier/soak/soak_test.go
+++ b/internal/tier/soak/soak_test.go
@@ -38,6 +38,12 @@
 	plannedEdges   = flag.Int("planned-edges", 0, "number of edges in its plans, 40 at the most; 0: drawn")
 )
 
+var (
+	conversationSeeds   = flag.Int("conversation-seeds", 1, "number of plans that TestConversations runs")
+	conversationTraffic = flag.Duration("conversation-traffic", 123*time.Second, "how long faults are injected in each of its plans")
+	conversationEdges   = flag.Int("conversation-edges", 0, "number of edges in its plans, 40 at the most; 0: drawn")
+)
+
 // Environment variables that make this test's binary run a role of the tier.
 const (
 	relayVariable = "PULLEYTIER_SOAK_RELAY"
@@ -99,6 +105,14 @@
 	})
 }
 
+// TestConversations runs plans of conversations that last for longer than their first turns are kept by themselves, while machines
+// fail one after the other. It guards against turns that some replicas are not told to keep.
+func TestConversations(t *testing.T) {
+	playSeeds(t, *conversationSeeds, *jobs, func(seed uint64) soak.Plan {
+		return soak.NewConversationPlan(seed, *conversationTraffic, *conversationEdges)
+	})
+}
+
 // playSeeds runs the plans of so many seeds, some at the same time.
 func playSeeds(t *testing.T, seeds, jobs int, draw func(seed uint64) soak.Plan) {
 	t.Helper()
--- a/internal/tier/testbed/configuration.go
+++ b/internal/tier/testbed/configuration.go
@@ -1,6 +1,9 @@
 package testbed
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Configuration is the configuration of routes and services that an operator puts, in the form of the control API.
 type Configuration struct {
@@ -72,6 +75,15 @@
 	TalkPrefix    = "/talk/"  // streams whose turns are stored
 )
 
+// Retain sets the retention of the turns.
+func (c *Configuration) Retain(retention time.Duration) {
+	for i := range c.Routes {
+		if c.Routes[i].Retained {
+			c.Routes[i].RetentionS = retention.Seconds()
+		}
+	}
+}
+
 // ExampleConfiguration returns a configuration with a route of each kind.
 func ExampleConfiguration(generation uint64) *Configuration {
 	plain := Route{Hostname: Host, TimeoutMs: 3000, TargetLatencyMs: 300, Priority: 2, Backend: PlainService, MaxAttempts: 2}
